--- /dev/null
+++ b/robinstream/net/__init__.py
@@ -0,0 +1,1 @@
+"""The real scheduler's sockets: a loop, the request core, and its three neighbours."""
--- /dev/null
+++ b/robinstream/net/core.py
@@ -0,0 +1,469 @@
+"""The request table, and the only caller of the decision module.
+
+It owns every request from the moment it is taken to its one final answer, the attempts made for it, the
+list of targets as last told, and the seam to the module: events in, actions out, once a pass. It speaks no
+protocol: a listener submits requests and is handed answers, a carrier makes forwards and reports how they
+ended. It must never touch a socket, never choose a target, and never answer a request twice or not at all.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
+from datetime import timedelta
+from enum import Enum
+from typing import Protocol
+
+from robinstream import interface as ri
+from robinstream.decide import Dispatcher
+from robinstream.interface import Effect, Outcome, WorkerState
+from robinstream.net.limits import ZERO, Limits, nanoseconds, span_of
+from robinstream.net.loop import Deadline, Loop, SlotTable
+
+log = logging.getLogger(__name__)
+
+
+class Answer(Enum):
+    """The kinds of final answer."""
+
+    SERVED = "served"
+    REFUSED = "refused"  # a repeat is harmless
+    FAILED = "failed"
+    OVERDUE = "overdue"  # failed for want of time
+
+
+@dataclass(frozen=True, slots=True)
+class FinalAnswer:
+    """The one final answer to a request."""
+
+    kind: Answer
+    result: bytes = b""
+    come_back: timedelta = ZERO
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    """One member of the target group. The name is its identity; the address may change."""
+
+    name: str
+    address: tuple[str, int]
+    zone: str
+    kind: str
+    cell: int
+    state: WorkerState
+    weight: float
+    started: timedelta | None
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One forward of a request to a target, from the module's Send to its outcome."""
+
+    request: Request
+    number: int
+    target: str
+    begun: timedelta
+    written: timedelta | None = None  # when its bytes were first given to the connection
+    outcome: Outcome | None = None
+    deadline: Deadline | None = None
+    carrier: object = None  # whatever the carrier keeps with it
+
+
+@dataclass(slots=True, eq=False)
+class Request:
+    """One request: what the module is told of it, and what only its listener and carrier read."""
+
+    job_class: str
+    due: timedelta
+    payload: object
+    answer: Callable[[FinalAnswer], None]
+    tenant: str | None = None
+    key: str | None = None
+    slots: float = 1.0
+    memory: float = 0.0
+    repeat: bool = False
+    handle: int = 0
+    answered: bool = False
+    attempts: list[Attempt] = field(default_factory=list)
+    deadline: Deadline | None = None
+
+    @property
+    def job(self) -> str:
+        """The name under which the module knows it."""
+        return str(self.handle)
+
+    def out(self) -> list[Attempt]:
+        """Attempts without an outcome."""
+        return [each for each in self.attempts if each.outcome is None]
+
+    def risky(self) -> list[Attempt]:
+        """Attempts that may have run, or may yet."""
+        return [each for each in self.attempts if each.outcome is None or not each.outcome.never_ran]
+
+
+class Carrier(Protocol):
+    """What makes forwards and probes. It reports to the core, also during these calls."""
+
+    def send(self, attempt: Attempt, target: Target) -> None:
+        """Start a forward."""
+
+    def withdraw(self, attempt: Attempt) -> bool:
+        """Stop a forward without a report; whether its last byte had been written."""
+
+    def probe(self, target: Target) -> None:
+        """Check on a target, and report the result once."""
+
+    def close_idle(self, target: str) -> None:
+        """Close the idle connections to a target."""
+
+
+class Full(Exception):
+    """No more requests are taken."""
+
+
+class Core:
+    """Requests in, answers out; in between the module decides."""
+
+    def __init__(self, loop: Loop, settings: ri.Settings, limits: Limits, seed: int, born: timedelta) -> None:
+        """`born` is the Unix time at which the loop's clock stood at zero.
+
+        The module's clock is Unix time as it was then plus what the monotonic clock has counted since, so a
+        target's start maps to the same number in every list and is never taken for a new one.
+        """
+        self.loop = loop
+        self.limits = limits
+        self.settings = settings
+        self.targets: dict[str, Target] = {}
+        self.carrier: Carrier | None = None
+        self.answers = dict.fromkeys(Answer, 0)
+        self._born = born
+        self._seed = seed
+        self._classes = {each.name: each for each in settings.classes}
+        self._requests: SlotTable[Request] = SlotTable()
+        self._lists: list[ri.Event] = []
+        self._outcomes: list[ri.Event] = []
+        self._arrivals: list[ri.Event] = []
+        self._done: list[Request] = []
+        self._dispatcher = Dispatcher(settings, seed)
+
+    # --- the listener's side ----------------------------------------------------------------------
+
+    @property
+    def open_requests(self) -> int:
+        """Requests that are in the table: unanswered ones, and those with a forward still out."""
+        return self._requests.count
+
+    def can_serve(self) -> bool:
+        """Whether there is a target to send to."""
+        return any(each.state is WorkerState.LIVE for each in self.targets.values())
+
+    def knows_class(self, name: str) -> bool:
+        """Whether the settings name this class."""
+        return name in self._classes
+
+    def submit(self, request: Request) -> None:
+        """Take a request: from here on it is owed one answer by its due time."""
+        if self._requests.count >= self.limits.open_requests:
+            raise Full
+        request.handle = self._requests.add(request)
+        request.deadline = self.loop.at(
+            request.due - self.limits.answer_margin, lambda: self._overdue(request)
+        )
+        self._arrivals.append(
+            ri.JobArrived(
+                request.job, request.job_class, self._to_module(request.due), request.tenant, request.key,
+                slots=request.slots, memory=request.memory, repeat=request.repeat,
+            )
+        )  # fmt: skip
+        self.loop.again()
+
+    def hang_up(self, request: Request) -> None:
+        """The client left: nothing is owed any more, and what waits for a connection is not sent."""
+        if request.answered:
+            return
+        self._settle(request)
+        self._outcome(ri.ClientGone(request.job))
+
+    # --- the target group's side ------------------------------------------------------------------
+
+    def listed(self, kind: ri.ListKind, targets: Iterable[Target], version: int) -> None:
+        """Take what discovery tells; a target missing from a whole list is gone."""
+        told = {each.name: each for each in targets}
+        if kind is not ri.ListKind.CHANGES:
+            for name in [name for name in self.targets if name not in told]:
+                self._drop(name)
+        for name, target in told.items():
+            if target.state is WorkerState.GONE:
+                self._drop(name)
+            else:
+                self.targets[name] = target
+        self._lists.append(ri.WorkersListed(kind, tuple(map(self._entry, told.values())), version))
+        # Guards against sending to a target that began to drain while the connection was coming up.
+        for request in self._requests.items():
+            for attempt in request.out():
+                if attempt.written is None and not self._is_live(attempt.target):
+                    self._moot(attempt)
+        self.loop.again()
+
+    def list_lost(self) -> None:
+        """A call to discovery failed; the list stays."""
+        self._lists.append(ri.WorkersListed(ri.ListKind.LOST))
+        self.loop.again()
+
+    def _drop(self, name: str) -> None:
+        if self.targets.pop(name, None) is not None and self.carrier is not None:
+            self.carrier.close_idle(name)
+
+    def _is_live(self, name: str) -> bool:
+        target = self.targets.get(name)
+        return target is not None and target.state is WorkerState.LIVE
+
+    def _entry(self, target: Target) -> ri.WorkerEntry:
+        started = 0 if target.started is None else self._to_module(target.started)
+        return ri.WorkerEntry(
+            target.name, target.zone, target.kind, target.cell, target.state, target.weight, started
+        )
+
+    # --- the carrier's side -----------------------------------------------------------------------
+
+    def may_send(self, attempt: Attempt) -> bool:
+        """Whether the rules still allow this forward, asked at the moment of its first byte.
+
+        Guards against what changed between the module's decision and the connection that was waited for.
+        """
+        request = attempt.request
+        cls = self._classes[request.job_class]
+        if request.answered or attempt.outcome is not None or self.loop.now >= request.due:
+            return False
+        if not self._is_live(attempt.target):
+            return False
+        others = [each for each in request.risky() if each is not attempt and each.written is not None]
+        if any(each.outcome is None for each in others) and not self.settings.limits.second_copies:
+            return False
+        if not others or cls.effect is Effect.SAFE:
+            return True
+        if cls.effect is Effect.UNSAFE:
+            return False
+        first = min(each.written for each in others if each.written is not None)
+        in_window = self.loop.now < first + span_of(cls.window_ns)
+        return in_window and all(self._same_group(cls.scope, each.target, attempt.target) for each in others)
+
+    def _same_group(self, scope: ri.Scope, one: str, other: str) -> bool:
+        if scope is ri.Scope.ALL or one == other:
+            return True
+        first, second = self.targets.get(one), self.targets.get(other)
+        if first is None or second is None:
+            return False
+        return first.zone == second.zone if scope is ri.Scope.ZONE else first.cell == second.cell
+
+    def attempt_written(self, attempt: Attempt) -> None:
+        """The carrier begins to write the forward."""
+        attempt.written = self.loop.now
+
+    def attempt_started(self, attempt: Attempt) -> None:
+        """The target says that the job runs."""
+        if attempt.outcome is None:
+            self._outcome(ri.JobStarted(attempt.request.job, attempt.number, attempt.target))
+
+    def attempt_progressed(self, attempt: Attempt, done: float) -> None:
+        """The target says how far the job is."""
+        if attempt.outcome is None:
+            self._outcome(ri.JobProgressed(attempt.request.job, attempt.number, attempt.target, done))
+
+    def attempt_ended(
+        self,
+        attempt: Attempt,
+        outcome: Outcome,
+        report: Mapping[str, float] | None = None,
+        result: bytes = b"",
+    ) -> None:
+        """A forward ended; the first that was served is the request's answer."""
+        if attempt.outcome is not None:
+            return
+        request = attempt.request
+        attempt.outcome = outcome
+        self.loop.cancel(attempt.deadline)
+        if outcome is Outcome.OK:
+            self._answer(request, FinalAnswer(Answer.SERVED, result))
+        self._outcome(
+            ri.AttemptEnded(
+                request.job, attempt.number, attempt.target, outcome,
+                nanoseconds(self.loop.now - attempt.begun), request.answered, report=report,
+            )
+        )  # fmt: skip
+        self._forget(request)
+
+    def probe_ended(
+        self, target: str, outcome: Outcome, elapsed: timedelta, report: Mapping[str, float] | None = None
+    ) -> None:
+        """A probe ended."""
+        self._outcome(ri.ProbeEnded(target, outcome, nanoseconds(elapsed), report))
+
+    def _outcome(self, event: ri.Event) -> None:
+        self._outcomes.append(event)
+        self.loop.again()
+
+    def _moot(self, attempt: Attempt) -> None:
+        """End a forward that was not sent, or whose last byte was not: it never ran."""
+        written = self.carrier is not None and self.carrier.withdraw(attempt)
+        self.attempt_ended(attempt, Outcome.CANCELLED if written else Outcome.MOOT)
+
+    # --- the module -------------------------------------------------------------------------------
+
+    def end_of_pass(self) -> None:
+        """Give the module what has come in: discovery, then outcomes, then new requests."""
+        done, self._done = self._done, []
+        if self._lists or self._outcomes or self._arrivals:
+            self._decide()
+        # Guards the module's count of attempts: a request that ended in this very pass may still be sent by
+        # the module, which must then hear how that attempt ended. It leaves once the module knows.
+        for request in done:
+            if not request.out():
+                self._requests.remove(request.handle)
+
+    def _decide(self) -> None:
+        events = self._lists + self._outcomes + self._arrivals
+        self._lists, self._outcomes, self._arrivals = [], [], []
+        try:
+            actions = self._dispatcher.handle(self._to_module(self.loop.now), events)
+        except Exception:
+            log.exception("the decisions failed; they begin anew")
+            self._restart()
+            return
+        for action in actions:
+            try:
+                self._act(action)
+            except Exception:
+                log.exception("could not carry out %r", action)
+
+    def _restart(self) -> None:
+        """Answer what is open and go on with a new module that knows the list.
+
+        Guards against a module whose state an exception left half changed: it would lose requests.
+        """
+        self._dispatcher = Dispatcher(self.settings, self._seed)
+        self._lists, self._outcomes, self._arrivals = [], [], []
+        for request in self._requests.items():
+            self._end_by_itself(request, Answer.FAILED)
+            for attempt in request.out():
+                self._moot(attempt)
+        entries = tuple(map(self._entry, self.targets.values()))
+        self._outcomes = []
+        self._lists = [ri.WorkersListed(ri.ListKind.WARM_COPY, entries)]
+        self.loop.again()
+
+    def _act(self, action: ri.Action) -> None:  # noqa: PLR0912 - one case for each action
+        match action:
+            case ri.Send(job, worker, timeout):
+                self._send(self._find(job), worker, timeout)
+            case ri.Refuse(job, come_back):
+                request = self._find(job)
+                if request is not None:
+                    self._end(request, Answer.REFUSED, min(span_of(come_back), self.limits.come_back))
+            case ri.Fail(job):
+                request = self._find(job)
+                if request is not None:
+                    waited = any(each.outcome in (None, Outcome.TIMED_OUT) for each in request.attempts)
+                    self._end(request, Answer.OVERDUE if waited else Answer.FAILED)
+            case ri.Cancel(job, number):
+                request = self._find(job)
+                if request is not None and number < len(request.attempts):
+                    attempt = request.attempts[number]
+                    if attempt.outcome is None:
+                        self._moot(attempt)
+            case ri.SetTimer(token, when):
+                self.loop.at(self._from_module(when), lambda: self._outcome(ri.TimerFired(token)))
+            case ri.Probe(worker):
+                target = self.targets.get(worker)
+                if target is None or self.carrier is None:
+                    self.probe_ended(worker, Outcome.CONNECT_FAILED, ZERO)
+                else:
+                    self.carrier.probe(target)
+            case ri.CloseIdle(worker):
+                if self.carrier is not None:
+                    self.carrier.close_idle(worker)
+            case ri.Log(text):
+                log.info("%s", text)
+            case ri.TellPeer() | ri.Watch() | ri.FetchList():
+                pass  # there are no peers, and the target group always watches
+
+    def _find(self, job: str) -> Request | None:
+        return self._requests.get(int(job))
+
+    def _send(self, request: Request | None, worker: str, timeout: int) -> None:
+        if request is None:
+            log.error("the decisions sent a request that is no more")
+            return
+        attempt = Attempt(request, len(request.attempts), worker, self.loop.now)
+        request.attempts.append(attempt)
+        target = self.targets.get(worker)
+        out_of_tries = attempt.number >= self.settings.limits.max_attempts
+        if target is None or self.carrier is None or out_of_tries or not self.may_send(attempt):
+            self.attempt_ended(attempt, Outcome.MOOT)
+            return
+        until = min(request.due, self.loop.now + span_of(timeout)) if timeout > 0 else request.due
+        attempt.deadline = self.loop.at(until, lambda: self._time_out(attempt))
+        self.carrier.send(attempt, target)
+
+    def _time_out(self, attempt: Attempt) -> None:
+        """Stop waiting for a forward. One that was not written in full never ran."""
+        if attempt.outcome is None:
+            written = self.carrier is not None and self.carrier.withdraw(attempt)
+            self.attempt_ended(attempt, Outcome.TIMED_OUT if written else Outcome.MOOT)
+
+    # --- the final answer -------------------------------------------------------------------------
+
+    def _overdue(self, request: Request) -> None:
+        """Guards against a request that the module has not answered in time: late is the same as lost."""
+        if not request.answered:
+            log.warning("request %s was not answered by the decisions in time", request.job)
+            self._end_by_itself(request, Answer.OVERDUE)
+            self._outcome(ri.ClientGone(request.job))
+
+    def _end(self, request: Request, kind: Answer, come_back: timedelta = ZERO) -> None:
+        """Give a fixed response: a refusal only where a repeat is harmless."""
+        if kind is Answer.REFUSED and not self._harmless(request):
+            log.error("the decisions refused request %s, which may have run", request.job)
+            kind = Answer.FAILED
+        self._answer(request, FinalAnswer(kind, come_back=come_back))
+
+    def _end_by_itself(self, request: Request, kind: Answer) -> None:
+        """End a request that the module did not: refused where it never ran, else as given."""
+        if request.risky():
+            self._end(request, kind)
+        else:
+            self._end(request, Answer.REFUSED, self.limits.come_back)
+
+    def _harmless(self, request: Request) -> bool:
+        cls = self._classes[request.job_class]
+        keyed = cls.effect is Effect.KEYED and cls.scope is ri.Scope.ALL
+        return not request.risky() or cls.effect is Effect.SAFE or keyed
+
+    def _answer(self, request: Request, answer: FinalAnswer) -> None:
+        if not request.answered:
+            self._settle(request)
+            self.answers[answer.kind] += 1
+            request.answer(answer)
+
+    def _settle(self, request: Request) -> None:
+        """Nothing is owed from here on; a forward still waiting for its connection is stopped."""
+        request.answered = True
+        self.loop.cancel(request.deadline)
+        for attempt in request.out():
+            if attempt.written is None:
+                self._moot(attempt)
+        self._forget(request)
+
+    def _forget(self, request: Request) -> None:
+        if request.answered and not request.out():
+            self._done.append(request)
+            self.loop.again()
+
+    # --- the module's clock -----------------------------------------------------------------------
+
+    def _to_module(self, instant: timedelta) -> int:
+        return nanoseconds(self._born + instant)
+
+    def _from_module(self, when: int) -> timedelta:
+        return span_of(when) - self._born
--- /dev/null
+++ b/robinstream/net/loop.py
@@ -0,0 +1,337 @@
+"""The event loop, the tables of numbered slots, the deadlines, and the byte stream that all sockets share.
+
+It owns the selector, the clock's reading for a pass, the one heap on which every deadline of the program
+hangs, and the table of open sockets. A slot's number carries a generation, so an event or a deadline that
+was meant for an earlier holder finds nothing. It must never know HTTP, a request or a target, never block
+but in the selector, and never let an exception of one socket reach another.
+"""
+
+from __future__ import annotations
+
+import heapq
+import logging
+import selectors
+import socket
+import time
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Generic, TypeVar
+
+from robinstream.net.limits import ZERO
+
+log = logging.getLogger(__name__)
+
+READ, WRITE = selectors.EVENT_READ, selectors.EVENT_WRITE
+T = TypeVar("T")
+SLOT_BITS = 20
+SLOT_MASK = (1 << SLOT_BITS) - 1
+
+
+class SlotTable(Generic[T]):
+    """Numbered slots. A handle is a slot's number and its generation; a stale one finds nothing."""
+
+    def __init__(self) -> None:
+        self._items: list[T | None] = []
+        self._generations: list[int] = []
+        self._free: list[int] = []
+        self.count = 0
+
+    def add(self, item: T) -> int:
+        """Give the item a slot and return its handle."""
+        if self._free:
+            slot = self._free.pop()
+            self._items[slot] = item
+        else:
+            slot = len(self._items)
+            self._items.append(item)
+            self._generations.append(1)
+        self.count += 1
+        return self._generations[slot] << SLOT_BITS | slot
+
+    def get(self, handle: int) -> T | None:
+        """The item this handle was given for, unless it has left."""
+        slot = handle & SLOT_MASK
+        if slot >= len(self._items) or self._generations[slot] != handle >> SLOT_BITS:
+            return None
+        return self._items[slot]
+
+    def remove(self, handle: int) -> None:
+        """Free the slot; the handle finds nothing from here on."""
+        if self.get(handle) is None:
+            return
+        slot = handle & SLOT_MASK
+        self._items[slot] = None
+        self._generations[slot] += 1
+        self._free.append(slot)
+        self.count -= 1
+
+    def items(self) -> list[T]:
+        """All items, by slot number."""
+        return [each for each in self._items if each is not None]
+
+
+class Deadline:
+    """One entry of the heap. Cancelled ones stay until they come up or the heap is tidied."""
+
+    __slots__ = ("action", "order", "owner", "when")
+
+    def __init__(self, when: timedelta, order: int, owner: int | None, action: Callable[[], None]) -> None:
+        self.when, self.order, self.owner = when, order, owner
+        self.action: Callable[[], None] | None = action
+
+    def __lt__(self, other: Deadline) -> bool:
+        return (self.when, self.order) < (other.when, other.order)
+
+
+class Endpoint:
+    """A socket in the loop's table. Lower ranks are served first within a pass."""
+
+    rank = 0
+
+    def __init__(self, loop: Loop, sock: socket.socket) -> None:
+        sock.setblocking(False)
+        self.loop = loop
+        self.sock = sock
+        self.handle = loop.endpoints.add(self)
+        self.closed = False
+        self._mask = 0
+
+    def wants(self, mask: int) -> None:
+        """Have the selector look for these events."""
+        if self.closed or mask == self._mask:
+            return
+        if not self._mask:
+            self.loop.selector.register(self.sock, mask, self.handle)
+        elif mask:
+            self.loop.selector.modify(self.sock, mask, self.handle)
+        else:
+            self.loop.selector.unregister(self.sock)
+        self._mask = mask
+
+    def on_event(self, mask: int) -> None:
+        """The selector saw these events."""
+        raise NotImplementedError
+
+    def on_failure(self) -> None:
+        """Handling an event raised: end this socket, and whatever hangs on it."""
+        self.close()
+
+    def close(self) -> None:
+        """Leave the selector and the table, and close the socket."""
+        if not self.closed:
+            self.wants(0)
+            self.closed = True
+            self.loop.endpoints.remove(self.handle)
+            self.sock.close()
+
+
+class Stream(Endpoint):
+    """A TCP connection with a buffer of what is still to be written."""
+
+    def __init__(self, loop: Loop, sock: socket.socket, read_size: int, connected: bool = True) -> None:
+        super().__init__(loop, sock)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.connected = connected
+        self._read_size = read_size
+        self._out = bytearray()
+        self._reading = True
+        self.wants(READ if connected else WRITE)
+
+    @property
+    def unwritten(self) -> int:
+        """Bytes that the kernel has not yet taken."""
+        return len(self._out)
+
+    def write(self, data: bytes) -> None:
+        """Write now what the kernel takes, and the rest when it takes more."""
+        self._out += data
+        if self.connected:
+            self._write_out()
+
+    def read(self, on: bool) -> None:
+        """Stop or go on reading."""
+        self._reading = on
+        self._update()
+
+    def on_event(self, mask: int) -> None:
+        """Finish connecting, write, then read."""
+        if not self.connected:
+            error = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if error:
+                self.on_broken(OSError(error, "connect"))
+                return
+            self.connected = True
+            self._update()
+            self.on_connected()
+            return
+        if mask & WRITE:
+            self._write_out()
+        if mask & READ and not self.closed:
+            self._read_in()
+
+    def _write_out(self) -> None:
+        while self._out:
+            try:
+                sent = self.sock.send(self._out)
+            except (BlockingIOError, InterruptedError):
+                break
+            except OSError as error:
+                self.on_broken(error)
+                return
+            del self._out[:sent]
+        self._update()
+        if not self._out:
+            self.on_written()
+
+    def _read_in(self) -> None:
+        try:
+            data = self.sock.recv(self._read_size)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError as error:
+            self.on_broken(error)
+            return
+        if data:
+            self.on_data(data)
+        else:
+            self.on_eof()
+
+    def _update(self) -> None:
+        if self.connected:
+            self.wants((READ if self._reading else 0) | (WRITE if self._out else 0))
+
+    def on_connected(self) -> None:
+        """The connection came up."""
+
+    def on_written(self) -> None:
+        """The kernel has taken the last byte."""
+
+    def on_data(self, data: bytes) -> None:
+        """Bytes came in."""
+        raise NotImplementedError
+
+    def on_eof(self) -> None:
+        """The peer ended its sending."""
+        raise NotImplementedError
+
+    def on_broken(self, error: OSError) -> None:
+        """The connection broke, or never came up."""
+        raise NotImplementedError
+
+
+class Loop:
+    """One pass after another: sockets by rank, due deadlines, then the end of the pass."""
+
+    def __init__(self) -> None:
+        self.selector = selectors.DefaultSelector()
+        self.endpoints: SlotTable[Endpoint] = SlotTable()
+        self.end_of_pass: Callable[[], None] = lambda: None
+        self._heap: list[Deadline] = []
+        self._order = 0
+        self._cancelled = 0
+        self._begun = time.monotonic_ns()
+        self._again = False
+        self._stopped = False
+        self.now = ZERO
+        self.longest_pass = ZERO
+
+    def read_clock(self) -> timedelta:
+        """The time since the loop was made, on the clock that never goes back."""
+        self.now = timedelta(microseconds=(time.monotonic_ns() - self._begun) // 1000)
+        return self.now
+
+    def at(self, when: timedelta, action: Callable[[], None], owner: Endpoint | None = None) -> Deadline:
+        """Do this at or after that time, never before; not at all once the owner has left its slot."""
+        self._order += 1
+        deadline = Deadline(when, self._order, None if owner is None else owner.handle, action)
+        heapq.heappush(self._heap, deadline)
+        return deadline
+
+    def after(self, span: timedelta, action: Callable[[], None], owner: Endpoint | None = None) -> Deadline:
+        """Do this once the span is over."""
+        return self.at(self.now + span, action, owner)
+
+    def cancel(self, deadline: Deadline | None) -> None:
+        """Drop a deadline; one that has passed, or none, is no matter."""
+        if deadline is None or deadline.action is None:
+            return
+        deadline.action = None
+        self._cancelled += 1
+        # Guards against a heap that grows by one long dead entry with each request.
+        if self._cancelled > 64 and self._cancelled * 2 > len(self._heap):
+            self._heap = [each for each in self._heap if each.action is not None]
+            heapq.heapify(self._heap)
+            self._cancelled = 0
+
+    def again(self) -> None:
+        """There is more to do: the next pass must not wait."""
+        self._again = True
+
+    def stop(self) -> None:
+        """End after this pass."""
+        self._stopped = True
+
+    def run(self) -> None:
+        """Pass after pass until stopped."""
+        while not self._stopped:
+            self.one_pass()
+
+    def one_pass(self) -> None:
+        """Wait for what comes first, then handle all that is there."""
+        ready = self.selector.select(self._patience())
+        self._again = False
+        begun = self.read_clock()
+        woken = []
+        for key, mask in ready:
+            endpoint = self.endpoints.get(key.data)
+            if endpoint is not None:
+                woken.append((endpoint.rank, key.data, mask))
+        for _, handle, mask in sorted(woken):
+            # Looked up again: an earlier event of this pass may have closed it.
+            endpoint = self.endpoints.get(handle)
+            if endpoint is not None:
+                self._guarded(lambda each=endpoint, seen=mask: each.on_event(seen), endpoint)  # type: ignore[misc]
+        self._run_due()
+        self.end_of_pass()
+        self.longest_pass = max(self.longest_pass, self.read_clock() - begun)
+
+    def _patience(self) -> float | None:
+        if self._again or self._stopped:
+            return 0.0
+        while self._heap and self._heap[0].action is None:
+            heapq.heappop(self._heap)
+            self._cancelled -= 1
+        if not self._heap:
+            return None
+        return max(0.0, (self._heap[0].when - self.read_clock()).total_seconds())
+
+    def _run_due(self) -> None:
+        due = []
+        while self._heap and self._heap[0].when <= self.now:
+            due.append(heapq.heappop(self._heap))
+        for deadline in due:
+            action, deadline.action = deadline.action, None
+            if action is None:
+                self._cancelled -= 1
+                continue
+            owner = None if deadline.owner is None else self.endpoints.get(deadline.owner)
+            if deadline.owner is None or owner is not None:
+                self._guarded(action, owner)
+
+    def _guarded(self, action: Callable[[], None], owner: Endpoint | None) -> None:
+        try:
+            action()
+        except Exception:
+            log.exception("an event or a deadline failed")
+            if owner is not None and not owner.closed:
+                try:
+                    owner.on_failure()
+                except Exception:
+                    log.exception("closing after a failure failed too")
+                    owner.close()
+
+    def close(self) -> None:
+        """Close every socket and the selector."""
+        for endpoint in self.endpoints.items():
+            endpoint.close()
+        self.selector.close()
--- /dev/null
+++ b/robinstream/net/target_group.py
@@ -0,0 +1,206 @@
+"""Discovery: the target group, kept up to date by one watch after another.
+
+It owns the connection to discovery, the version last told, and the reading of discovery's entries. It must
+never judge a target's health, never leave more than the allowed gap between two calls while discovery
+answers, and never drop the list because discovery is silent.
+"""
+
+from __future__ import annotations
+
+import errno
+import json
+import logging
+import socket
+from datetime import timedelta
+from typing import Any
+
+import httptools
+
+from robinstream import interface as ri
+from robinstream.net.core import Core, Target
+from robinstream.net.limits import Limits
+from robinstream.net.loop import Deadline, Loop, Stream
+from robinstream.settings import Fields, WireError, need, number, section, whole, word
+
+log = logging.getLogger(__name__)
+
+STATES = {
+    "Ready": ri.WorkerState.LIVE,
+    "Terminating": ri.WorkerState.DRAINING,
+    "Gone": ri.WorkerState.GONE,
+}
+
+
+def read_address(text: str) -> tuple[str, int]:
+    """A numeric address and a port."""
+    host, colon, port = text.rpartition(":")
+    if not host or not colon or not port.isdigit() or not 0 <= int(port) < 65536:
+        raise ValueError(f"{text!r} is not an address and a port")
+    return host.strip("[]"), int(port)
+
+
+def connect(address: tuple[str, int]) -> socket.socket:
+    """A socket that is connecting; an OSError where it fails at once."""
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    sock.setblocking(False)
+    failed = sock.connect_ex(address)
+    if failed not in (0, errno.EINPROGRESS):
+        sock.close()
+        raise OSError(failed, "connect")
+    return sock
+
+
+def read_target(fields: Fields, born: timedelta) -> Target:
+    """One entry of discovery's list; `born` is the Unix time of the loop's zero."""
+    started = whole(fields, "born_ms", 0)
+    return Target(
+        name=word(fields, "host"),
+        address=read_address(word(fields, "dial")),
+        zone=word(fields, "site"),
+        kind=str(fields.get("class") or ""),
+        cell=whole(fields, "block", 0),
+        # A state not known here is no invitation to send.
+        state=STATES.get(word(fields, "health"), ri.WorkerState.DRAINING),
+        weight=number(fields, "share", 1.0),
+        started=timedelta(milliseconds=started) - born if started > 0 else None,
+    )
+
+
+def read_list(message: Fields, born: timedelta) -> tuple[bool, list[Target], int]:
+    """Whether a list is whole, its targets, and its version."""
+    hosts = need(message, "hosts")
+    if not isinstance(hosts, list) or not all(isinstance(each, dict) for each in hosts):
+        raise WireError("discovery: hosts is not a list of objects")
+    targets = [read_target(each, born) for each in hosts]
+    return bool(message.get("whole")), targets, whole(message, "seq")
+
+
+class TargetGroup:
+    """Keeps the core's list as discovery tells it."""
+
+    def __init__(
+        self, loop: Loop, core: Core, limits: Limits, address: tuple[str, int], born: timedelta
+    ) -> None:
+        self._loop = loop
+        self._core = core
+        self._limits = limits
+        self._address = address
+        self._born = born
+        self._version: int | None = None
+        self._connection: _Discovery | None = None
+        self._wait: Deadline | None = None
+        self._asked = timedelta(0)
+
+    def start(self, known: Fields) -> None:
+        """Begin with the list as it was last held, then ask."""
+        if known:
+            _, targets, version = read_list(known, self._born)
+            self._core.listed(ri.ListKind.WARM_COPY, targets, version)
+        self._ask()
+
+    def _ask(self) -> None:
+        """The next call: the whole list first, then one watch after another."""
+        self._wait = None
+        path, patience = "/registry/instances", self._limits.list_wait
+        if self._version is not None:
+            hold = self._limits.watch_hold
+            path += f"?from={self._version}&hold_ms={hold // timedelta(milliseconds=1)}"
+            patience = hold + self._limits.watch_slack
+        try:
+            if self._connection is None:
+                sock = connect(self._address)
+                self._connection = _Discovery(self._loop, sock, self._limits, self)
+        except OSError as error:
+            self.failed(f"discovery is not reached: {error}")
+            return
+        self._asked = self._loop.now
+        host = f"{self._address[0]}:{self._address[1]}"
+        # Guards against a watch that discovery never answers: the list would stand still unnoticed.
+        self._wait = self._loop.after(patience, lambda: self.failed("discovery did not answer"))
+        self._connection.write(f"GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
+
+    def answered(self, status: int, body: bytes, stays: bool) -> None:
+        """Take an answer and ask again."""
+        self._loop.cancel(self._wait)
+        if not stays:
+            self._hang_up()
+        try:
+            if status != 200:
+                raise WireError(f"discovery answered {status}")
+            is_whole, targets, version = read_list(section({"list": json.loads(body)}, "list"), self._born)
+        except (WireError, ValueError) as error:
+            self.failed(str(error))
+            return
+        first = self._version is None
+        self._version = version
+        if is_whole or targets:
+            kind = ri.ListKind.COMPLETE if is_whole else ri.ListKind.CHANGES
+            self._core.listed(kind, targets, version)
+        # Guards against a spin where empty answers come back at once; the gap is far under the one allowed.
+        if not first and not targets and self._loop.now - self._asked < self._limits.watch_gap:
+            self._wait = self._loop.after(self._limits.watch_gap, self._ask)
+        else:
+            self._ask()
+
+    def failed(self, why: str) -> None:
+        """A call failed: ask again soon, on a new connection."""
+        log.warning("%s", why)
+        self._loop.cancel(self._wait)
+        self._hang_up()
+        self._core.list_lost()
+        self._wait = self._loop.after(self._limits.watch_retry, self._ask)
+
+    def _hang_up(self) -> None:
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
+
+
+class _Discovery(Stream):
+    """The connection to discovery, and the answer being read on it."""
+
+    rank = 0
+
+    def __init__(self, loop: Loop, sock: socket.socket, limits: Limits, group: TargetGroup) -> None:
+        super().__init__(loop, sock, limits.read, connected=False)
+        self._limits = limits
+        self._group = group
+        self._parser: Any = httptools.HttpResponseParser(self)
+        self._body = bytearray()
+        self._done = False
+
+    def on_body(self, data: bytes) -> None:
+        """A part of the body, from the parser."""
+        self._body += data
+
+    def on_message_complete(self) -> None:
+        """The end of an answer, from the parser."""
+        self._done = True
+
+    def on_connected(self) -> None:
+        self._write_out()
+
+    def on_data(self, data: bytes) -> None:
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self._group.failed(f"discovery's answer is garbled: {error}")
+            return
+        if len(self._body) > self._limits.list_body:
+            self._group.failed("discovery's answer is too long")
+        elif self._done:
+            body, status = bytes(self._body), self._parser.get_status_code()
+            stays = self._parser.should_keep_alive()
+            self._body.clear()
+            self._done = False
+            self._group.answered(status, body, stays)
+
+    def on_eof(self) -> None:
+        self._group.failed("discovery closed the connection")
+
+    def on_broken(self, error: OSError) -> None:
+        self._group.failed(f"discovery's connection broke: {error}")
+
+    def on_failure(self) -> None:
+        self._group.failed("discovery's answer could not be handled")
