Reuse target connections: ask for keep-alive inside the parser's callback

Ruled out, by a probe of httptools alone: the answers' framing. The parser says keep-alive inside on_message_complete and denies it once feed_data has returned. At fault were TargetConnection._end_message and _Discovery.on_data, which asked after it.

--- a/robinstream/net/forward.py
+++ b/robinstream/net/forward.py
@@ -186,6 +186,7 @@
         self._head_done = False
         self._head_size = 0
         self._complete = False
+        self._stays = False
         self._garbled = False
         self._rejected = False
         self._report: dict[str, float] | None = None
@@ -278,6 +279,8 @@
     def on_message_complete(self) -> None:
         """The end of an answer, from the parser; an interim one is none."""
         self._complete = self._status >= 200
+        # Asked here: once the parser has left this callback it answers no, and nothing would be reused.
+        self._stays = self._parser.should_keep_alive()
 
     def on_data(self, data: bytes) -> None:
         """Read the answer. JSON lines may be split anywhere, across chunks as well."""
@@ -359,7 +362,7 @@
                 self._finish(Outcome.FULL)
             else:
                 self._finish(Outcome.ERROR)
-        if self.unwritten or not self._parser.should_keep_alive():
+        if self.unwritten or not self._stays:
             self.close()
         else:
             self._be_idle()
--- a/robinstream/net/target_group.py
+++ b/robinstream/net/target_group.py
@@ -169,6 +169,7 @@
         self._parser: Any = httptools.HttpResponseParser(self)
         self._body = bytearray()
         self._done = False
+        self._stays = False
 
     def on_body(self, data: bytes) -> None:
         """A part of the body, from the parser."""
@@ -177,6 +178,7 @@
     def on_message_complete(self) -> None:
         """The end of an answer, from the parser."""
         self._done = True
+        self._stays = bool(self._parser.should_keep_alive())  # only known inside this callback
 
     def on_connected(self) -> None:
         self._write_out()
@@ -191,10 +193,9 @@
             self._group.failed("discovery's answer is too long")
         elif self._done:
             body, status = bytes(self._body), self._parser.get_status_code()
-            stays = self._parser.should_keep_alive()
             self._body.clear()
             self._done = False
-            self._group.answered(status, body, stays)
+            self._group.answered(status, body, self._stays)
 
     def on_eof(self) -> None:
         self._group.failed("discovery closed the connection")
