--- a/robinstream/__main__.py
+++ b/canvasbeam/__main__.py
@@ -15,13 +15,13 @@
 from datetime import timedelta
 from typing import Any
 
-from robinstream.net.core import Core
-from robinstream.net.forward import Forwarder
-from robinstream.net.limits import MICROSECOND, Limits
-from robinstream.net.listener import Listener
-from robinstream.net.loop import READ, Endpoint, Loop
-from robinstream.net.target_group import TargetGroup, read_address, read_list
-from robinstream.settings import WireError, need, plain_report_names, read_settings, section, whole
+from canvasbeam.net.core import Core
+from canvasbeam.net.forward import Forwarder
+from canvasbeam.net.limits import MICROSECOND, Limits
+from canvasbeam.net.listener import Listener
+from canvasbeam.net.loop import READ, Endpoint, Loop
+from canvasbeam.net.target_group import TargetGroup, read_address, read_list
+from canvasbeam.settings import WireError, need, plain_report_names, read_settings, section, whole
 
 log = logging.getLogger(__name__)
 
--- a/robinstream/simhost.py
+++ b/canvasbeam/adapter.py
@@ -9,32 +9,32 @@
 from collections.abc import Callable, Iterable
 from typing import TextIO
 
-from robinstream import interface as ri
-from robinstream.decide import Dispatcher
-from robinstream.settings import Fields, WireError, need, number, one_of, read_settings, section, whole, word
+from canvasbeam import interface as ci
+from canvasbeam.choice import Dispatcher
+from canvasbeam.settings import Fields, WireError, need, number, one_of, read_settings, section, whole, word
 
 STATES = {
-    "live": ri.WorkerState.LIVE,
-    "quiescing": ri.WorkerState.DRAINING,
-    "dead": ri.WorkerState.GONE,
+    "live": ci.WorkerState.LIVE,
+    "quiescing": ci.WorkerState.DRAINING,
+    "dead": ci.WorkerState.GONE,
 }
 LIST_KINDS = {
-    "incr": ri.ListKind.CHANGES,
-    "total": ri.ListKind.COMPLETE,
-    "warm_copy": ri.ListKind.WARM_COPY,
-    "lost": ri.ListKind.LOST,
+    "incr": ci.ListKind.CHANGES,
+    "total": ci.ListKind.COMPLETE,
+    "warm_copy": ci.ListKind.WARM_COPY,
+    "lost": ci.ListKind.LOST,
 }
 OUTCOMES = dict(
     enumerate(
         (
-            ri.Outcome.OK,
-            ri.Outcome.ERROR,
-            ri.Outcome.FULL,
-            ri.Outcome.TIMED_OUT,
-            ri.Outcome.CONNECT_FAILED,
-            ri.Outcome.RESET,
-            ri.Outcome.CANCELLED,
-            ri.Outcome.MOOT,
+            ci.Outcome.OK,
+            ci.Outcome.ERROR,
+            ci.Outcome.FULL,
+            ci.Outcome.TIMED_OUT,
+            ci.Outcome.CONNECT_FAILED,
+            ci.Outcome.RESET,
+            ci.Outcome.CANCELLED,
+            ci.Outcome.MOOT,
         )
     )
 )
@@ -43,22 +43,22 @@
 # --- events -----------------------------------------------------------------------------------
 
 
-def read_entry(fields: Fields) -> ri.WorkerEntry:
+def read_entry(fields: Fields) -> ci.WorkerEntry:
     """One worker of a list."""
-    return ri.WorkerEntry(
+    return ci.WorkerEntry(
         worker=word(fields, "runner"),
         zone=word(fields, "locality"),
         kind=str(fields.get("sku") or ""),
         cell=whole(fields, "group", 0),
-        state=one_of(fields, "stageState", STATES, ri.WorkerState.LIVE),
+        state=one_of(fields, "stageState", STATES, ci.WorkerState.LIVE),
         weight=number(fields, "heft", 1.0),
         started_ns=whole(fields, "onlineSinceNs", 0),
     )
 
 
-def read_job(fields: Fields) -> ri.JobArrived:
+def read_job(fields: Fields) -> ci.JobArrived:
     """A job that was taken."""
-    return ri.JobArrived(
+    return ci.JobArrived(
         job=word(fields, "requestId"),
         job_class=word(fields, "grade"),
         due_ns=whole(fields, "dueNs"),
@@ -73,24 +73,24 @@
     )
 
 
-def read_note(fields: Fields) -> ri.Event | None:
+def read_note(fields: Fields) -> ci.Event | None:
     """A note on an attempt; kinds not known are skipped."""
     job, attempt, worker = word(fields, "requestId"), whole(fields, "hop", 0), word(fields, "runner")
     kind = whole(fields, "kind")
     if kind == 1:
-        return ri.JobStarted(job, attempt, worker)
+        return ci.JobStarted(job, attempt, worker)
     if kind == 2:
-        return ri.JobProgressed(job, attempt, worker, number(fields, "value", 0.0))
+        return ci.JobProgressed(job, attempt, worker, number(fields, "value", 0.0))
     return None
 
 
-def read_peer(fields: Fields) -> ri.PeerSaid:
+def read_peer(fields: Fields) -> ci.PeerSaid:
     """A message of another dispatcher."""
     try:
         content = base64.b64decode(word(fields, "content"), validate=True)
     except (binascii.Error, ValueError) as error:
         raise WireError("Memo: field content is not base64") from error
-    return ri.PeerSaid(whole(fields, "sender", 0), content)
+    return ci.PeerSaid(whole(fields, "sender", 0), content)
 
 
 class Instance:
@@ -106,16 +106,16 @@
         except ValueError as error:
             raise WireError(f"Launch: {error}") from error
         self.dispatcher = Dispatcher(settings, seed)
-        self.pending: list[ri.Event] = []
+        self.pending: list[ci.Event] = []
 
     def read_report(self, fields: Fields) -> dict[str, float] | None:
         """The load report that came along, in this project's names."""
         stats = section(fields, "stats")
         return {self._report_names.get(name, name): number(stats, name, 0.0) for name in stats} or None
 
-    def read_ended(self, fields: Fields) -> ri.AttemptEnded:
+    def read_ended(self, fields: Fields) -> ci.AttemptEnded:
         """How an attempt ended."""
-        return ri.AttemptEnded(
+        return ci.AttemptEnded(
             job=word(fields, "requestId"),
             attempt=whole(fields, "hop", 0),
             worker=word(fields, "runner"),
@@ -126,9 +126,9 @@
             report=self.read_report(fields),
         )
 
-    def read_probed(self, fields: Fields) -> ri.ProbeEnded:
+    def read_probed(self, fields: Fields) -> ci.ProbeEnded:
         """How a probe ended."""
-        return ri.ProbeEnded(
+        return ci.ProbeEnded(
             word(fields, "runner"),
             one_of(fields, "code", OUTCOMES),
             whole(fields, "rttNs", 0),
@@ -139,30 +139,30 @@
 # --- actions ----------------------------------------------------------------------------------
 
 
-def encode(action: ri.Action) -> Fields:
+def encode(action: ci.Action) -> Fields:
     """An action in the wire's words, without its instance."""
     match action:
-        case ri.Send(job, worker, timeout):
+        case ci.Send(job, worker, timeout):
             return {"t": "Issue", "requestId": job, "runner": worker, "capNs": timeout}
-        case ri.Cancel(job, attempt):
+        case ci.Cancel(job, attempt):
             return {"t": "Abandon", "requestId": job, "hop": attempt}
-        case ri.Refuse(job, come_back):
+        case ci.Refuse(job, come_back):
             return {"t": "Decline", "requestId": job, "comeBackNs": come_back}
-        case ri.Fail(job):
+        case ci.Fail(job):
             return {"t": "Surrender", "requestId": job}
-        case ri.SetTimer(token, when):
+        case ci.SetTimer(token, when):
             return {"t": "Arm", "nonce": token, "whenNs": when}
-        case ri.Probe(worker):
+        case ci.Probe(worker):
             return {"t": "Poll", "runner": worker}
-        case ri.CloseIdle(worker):
+        case ci.CloseIdle(worker):
             return {"t": "FreeLinks", "runner": worker}
-        case ri.TellPeer(peer, content):
+        case ci.TellPeer(peer, content):
             return {"t": "Post", "target": peer, "content": base64.b64encode(content).decode()}
-        case ri.Log(text):
+        case ci.Log(text):
             return {"t": "JournalLine", "text": text}
-        case ri.Watch(enable):
+        case ci.Watch(enable):
             return {"t": "Observe", "enable": enable}
-        case ri.FetchList():
+        case ci.FetchList():
             return {"t": "Lookup"}
 
 
@@ -176,20 +176,20 @@
         self._lines = iter(lines)
         self._out = out
         self._err = err
-        self._lists: dict[int, tuple[ri.WorkerEntry, ...]] = {}
+        self._lists: dict[int, tuple[ci.WorkerEntry, ...]] = {}
         self._instances: dict[int, Instance] = {}
         self._touched: dict[int, None] = {}
-        self._readers: dict[str, Callable[[Instance, Fields], ri.Event | None]] = {
+        self._readers: dict[str, Callable[[Instance, Fields], ci.Event | None]] = {
             "BackendsChanged": lambda _, fields: self._read_workers(fields),
             "WorkItem": lambda _, fields: read_job(fields),
-            "Opened": lambda _, fields: ri.StreamOpened(
+            "Opened": lambda _, fields: ci.StreamOpened(
                 word(fields, "requestId"), whole(fields, "hop", 0), word(fields, "runner"),
                 whole(fields, "rttNs", 0),
             ),
             "UpdateOf": lambda _, fields: read_note(fields),
             "Answer": lambda instance, fields: instance.read_ended(fields),
-            "Hangup": lambda _, fields: ri.ClientGone(word(fields, "requestId")),
-            "TimeoutFired": lambda _, fields: ri.TimerFired(word(fields, "nonce")),
+            "Hangup": lambda _, fields: ci.ClientGone(word(fields, "requestId")),
+            "TimeoutFired": lambda _, fields: ci.TimerFired(word(fields, "nonce")),
             "CheckResult": lambda instance, fields: instance.read_probed(fields),
             "Memo": lambda _, fields: read_peer(fields),
         }
@@ -249,14 +249,14 @@
         if event is not None:
             instance.pending.append(event)
 
-    def _read_workers(self, fields: Fields) -> ri.WorkersListed:
+    def _read_workers(self, fields: Fields) -> ci.WorkersListed:
         kind = one_of(fields, "scope", LIST_KINDS)
-        if kind is ri.ListKind.LOST:
-            return ri.WorkersListed(kind)
+        if kind is ci.ListKind.LOST:
+            return ci.WorkersListed(kind)
         buffer = whole(fields, "buffer")
         if buffer not in self._lists:
             raise WireError(f"BackendsChanged: list {buffer} was never given")
-        return ri.WorkersListed(kind, self._lists[buffer], whole(fields, "rev", 0))
+        return ci.WorkersListed(kind, self._lists[buffer], whole(fields, "rev", 0))
 
     def _reply(self, now: int, turn: int) -> None:
         lines: list[str] = []
@@ -282,7 +282,7 @@
     try:
         Host(sys.stdin, sys.stdout, sys.stderr).run()
     except WireError as error:
-        print(f"robinstream: {error}", file=sys.stderr)
+        print(f"canvasbeam: {error}", file=sys.stderr)
         return 1
     except BrokenPipeError:
         return 1
--- a/robinstream/decide.py
+++ b/canvasbeam/choice.py
@@ -1,4 +1,4 @@
-"""Every decision of a dispatcher. The types it speaks are in robinstream/interface.py.
+"""Every decision of a dispatcher. The types it speaks are in canvasbeam/interface.py.
 
 Outline, in the order of a request's life:
   the records kept (Attempt, Job, Worker), the entry point `handle`, the worker lists and rings,
@@ -21,8 +21,8 @@
 from itertools import chain
 from math import ceil, inf, log2
 
-from robinstream import interface as ri
-from robinstream.interface import Effect, ListKind, Outcome, WorkerState
+from canvasbeam import interface as ci
+from canvasbeam.interface import Effect, ListKind, Outcome, WorkerState
 
 # The sweep looks at time-outs no more often than this many quanta: fine against any aim.
 SWEEP_QUANTA = 4
@@ -111,7 +111,7 @@
     """A job that was taken and what was tried for it."""
 
     id: str
-    cls: ri.JobClass
+    cls: ci.JobClass
     born: int
     due: int
     key: str | None
@@ -184,7 +184,7 @@
 class Dispatcher:
     """Decides for one dispatcher: events and the clock in, actions out."""
 
-    def __init__(self, settings: ri.Settings, seed: int) -> None:
+    def __init__(self, settings: ci.Settings, seed: int) -> None:
         self._set = settings
         self._random = random.Random(seed)
         self._classes = {each.name: each for each in settings.classes}
@@ -226,9 +226,9 @@
         self._others = max(0.0, 1 - len(settings.zones) / settings.dispatchers)
         self._regrow = (1 + REGROW_SHARED * self._others) * self._mean_service()
         self._now = 0
-        self._actions: list[ri.Action] = []
+        self._actions: list[ci.Action] = []
 
-    def handle(self, now: int, events: Sequence[ri.Event]) -> list[ri.Action]:
+    def handle(self, now: int, events: Sequence[ci.Event]) -> list[ci.Action]:
         """Take what has come in at this time and say what to do. A job with no action is held."""
         self._now, self._actions = now, []
         self._slots_of_kind.clear()
@@ -239,40 +239,40 @@
         self._arm_sweep()
         return self._actions
 
-    def _take(self, event: ri.Event) -> None:
+    def _take(self, event: ci.Event) -> None:
         match event:
-            case ri.JobArrived():
+            case ci.JobArrived():
                 self._on_job(event)
-            case ri.JobStarted() | ri.JobProgressed():
+            case ci.JobStarted() | ci.JobProgressed():
                 self._on_note(event)
-            case ri.AttemptEnded():
+            case ci.AttemptEnded():
                 self._on_ended(event)
-            case ri.TimerFired():
+            case ci.TimerFired():
                 self._on_timer(event.token)
-            case ri.WorkersListed():
+            case ci.WorkersListed():
                 self._on_list(event)
-            case ri.ProbeEnded():
+            case ci.ProbeEnded():
                 self._on_probed(event)
-            case ri.ClientGone():
+            case ci.ClientGone():
                 self._on_client_gone(event.job)
-            case ri.StreamOpened():
+            case ci.StreamOpened():
                 self._on_stream(event)
-            case ri.PeerSaid():
+            case ci.PeerSaid():
                 pass
 
     def _log(self, text: str) -> None:
-        self._actions.append(ri.Log(text))
+        self._actions.append(ci.Log(text))
 
     # --- worker lists and rings -------------------------------------------------------------------
 
-    def _on_list(self, event: ri.WorkersListed) -> None:
+    def _on_list(self, event: ci.WorkersListed) -> None:
         """Apply what discovery tells; a worker absent from a complete list is gone."""
         if event.list_kind is ListKind.LOST:
             self._watch_fails += 1
-            if self._set.discovery is ri.Discovery.ASKED:
+            if self._set.discovery is ci.Discovery.ASKED:
                 # Danger: asking again at once would pile onto a discovery that is already failing.
                 wait = self._set.limits.connect_timeout_ns * 2 ** min(self._watch_fails, 5)
-                self._actions.append(ri.SetTimer("watch", self._now + wait))
+                self._actions.append(ci.SetTimer("watch", self._now + wait))
             return
         if event.list_kind is not ListKind.WARM_COPY:
             self._watch_fails = 0
@@ -284,11 +284,11 @@
         for entry in event.entries:
             self._on_entry(entry)
         self._make_rings()
-        if self._set.discovery is ri.Discovery.ASKED and not self._asked:
+        if self._set.discovery is ci.Discovery.ASKED and not self._asked:
             self._asked = True
-            self._actions.append(ri.Watch(True))
+            self._actions.append(ci.Watch(True))
 
-    def _on_entry(self, entry: ri.WorkerEntry) -> None:
+    def _on_entry(self, entry: ci.WorkerEntry) -> None:
         worker = self._workers.get(entry.worker)
         if worker is None:
             worker = Worker(entry.worker, entry.zone, entry.kind, entry.cell, entry.state, entry.started_ns)
@@ -331,7 +331,7 @@
 
     # --- arrival and the held queue ---------------------------------------------------------------
 
-    def _on_job(self, event: ri.JobArrived) -> None:
+    def _on_job(self, event: ci.JobArrived) -> None:
         cls = self._classes[event.job_class]
         job = Job(
             event.job, cls, self._born(cls, event.due_ns), event.due_ns, event.key, event.slots,
@@ -346,7 +346,7 @@
         else:
             self._give_up(job)  # danger: a repeat may have less time left than the next sweep is away
 
-    def _born(self, cls: ri.JobClass, due: int) -> int:
+    def _born(self, cls: ci.JobClass, due: int) -> int:
         """When the client first asked. A repeat has less time left than a first try: its aim runs already."""
         left = due - self._now
         budget = self._budget[cls.name] = max(left, self._budget.get(cls.name, 0))
@@ -578,11 +578,11 @@
     def _same_group(self, job: Job, one: Worker, other: Worker) -> bool:
         """Whether both drop each other's repeats of this job."""
         match job.cls.scope:
-            case ri.Scope.ALL:
+            case ci.Scope.ALL:
                 return True
-            case ri.Scope.ZONE:
+            case ci.Scope.ZONE:
                 return one.zone == other.zone
-            case ri.Scope.CELL:
+            case ci.Scope.CELL:
                 return one.cell == other.cell
 
     # --- asking for room --------------------------------------------------------------------------
@@ -632,9 +632,9 @@
         worker.asked = self._now
         self._asked_out[worker.name] = worker
         self._asks_left -= 1
-        self._actions.append(ri.Probe(worker.name))
+        self._actions.append(ci.Probe(worker.name))
 
-    def _on_asked(self, worker: Worker, event: ri.ProbeEnded) -> None:
+    def _on_asked(self, worker: Worker, event: ci.ProbeEnded) -> None:
         del self._asked_out[worker.name]
         worker.asked = 0
         if event.outcome in (Outcome.CONNECT_FAILED, Outcome.RESET):
@@ -681,7 +681,7 @@
         self._note_key(worker, job.key)
         self._watched[worker.name] = worker
         self._wake_by(min(attempt.late_at, job.due - self._guard()))
-        self._actions.append(ri.Send(job.id, worker.name))
+        self._actions.append(ci.Send(job.id, worker.name))
 
     def _note_key(self, worker: Worker, key: str | None) -> None:
         """The worker now holds this key, as the last of the few it keeps."""
@@ -707,7 +707,7 @@
             return None
         return job.attempts[number]
 
-    def _on_note(self, event: ri.JobStarted | ri.JobProgressed) -> None:
+    def _on_note(self, event: ci.JobStarted | ci.JobProgressed) -> None:
         attempt = self._find(event.job, event.attempt)
         if attempt is None:
             return
@@ -748,7 +748,7 @@
         if place == 0:
             self._own_full = prompt < 1 and self._prompt[0] < self._prompt[1]
 
-    def _on_stream(self, event: ri.StreamOpened) -> None:
+    def _on_stream(self, event: ci.StreamOpened) -> None:
         """The stream is the client's now; other copies have lost."""
         attempt = self._find(event.job, event.attempt)
         if attempt is not None:
@@ -757,7 +757,7 @@
             self._unhold(attempt.job)
             self._cancel_out(attempt.job, keep=attempt)
 
-    def _on_ended(self, event: ri.AttemptEnded) -> None:
+    def _on_ended(self, event: ci.AttemptEnded) -> None:
         attempt = self._find(event.job, event.attempt)
         if attempt is None:
             return
@@ -811,17 +811,17 @@
     def _cancel(self, attempt: Attempt) -> None:
         if self._set.limits.cancel and not attempt.cancelled:
             attempt.cancelled = True
-            self._actions.append(ri.Cancel(attempt.job.id, attempt.number))
+            self._actions.append(ci.Cancel(attempt.job.id, attempt.number))
 
     def _give_up(self, job: Job) -> None:
         """Refuse where that is permitted: it tells the client that trying again is harmless."""
         cls = job.cls
         harmless = not job.risky() or cls.effect is Effect.SAFE
-        if harmless or (cls.effect is Effect.KEYED and cls.scope is ri.Scope.ALL):
+        if harmless or (cls.effect is Effect.KEYED and cls.scope is ci.Scope.ALL):
             limits = self._set.limits
-            self._actions.append(ri.Refuse(job.id, limits.max_retry_advice_ns if limits.retry_advice else 0))
+            self._actions.append(ci.Refuse(job.id, limits.max_retry_advice_ns if limits.retry_advice else 0))
         else:
-            self._actions.append(ri.Fail(job.id))
+            self._actions.append(ci.Fail(job.id))
         self._close(job)
 
     def _on_client_gone(self, job_id: str) -> None:
@@ -833,7 +833,7 @@
 
     def _on_timer(self, token: str) -> None:
         if token == "watch":
-            self._actions.append(ri.Watch(True))
+            self._actions.append(ci.Watch(True))
         if token == "sweep" and self._now >= self._armed:
             self._wake = self._armed = inf
             self._shut.clear()
@@ -852,7 +852,7 @@
             self._wake_by(self._now + self._held_beat)
         if self._wake < self._armed:
             self._armed = self._wake
-            self._actions.append(ri.SetTimer("sweep", round(self._wake)))
+            self._actions.append(ci.SetTimer("sweep", round(self._wake)))
 
     def _guard(self) -> int:
         """How long before the client gives up a job is answered, so that the answer cannot cross it."""
@@ -1033,12 +1033,12 @@
             return
         if self._set.limits.probes and worker.state is WorkerState.LIVE:
             worker.probing = True
-            self._actions.append(ri.Probe(worker.name))
+            self._actions.append(ci.Probe(worker.name))
         else:
             worker.trial = True
             self._back(worker)
 
-    def _on_probed(self, event: ri.ProbeEnded) -> None:
+    def _on_probed(self, event: ci.ProbeEnded) -> None:
         worker = self._workers.get(event.worker)
         if worker is not None and worker.asked:
             self._on_asked(worker, event)
@@ -1091,7 +1091,7 @@
         known = self._service.get((job.cls.name, worker.kind)) if worker else None
         return known[0] if known else self._work_of(job.cls)
 
-    def _work_of(self, cls: ri.JobClass) -> float:
+    def _work_of(self, cls: ci.JobClass) -> float:
         """How long jobs of a class run; taken to be its aim until one was seen."""
         known = self._service.get((cls.name,))
         return known[0] if known else float(cls.aim_ns)
--- a/robinstream/net/core.py
+++ b/canvasbeam/net/core.py
@@ -15,11 +15,11 @@
 from enum import Enum
 from typing import Protocol
 
-from robinstream import interface as ri
-from robinstream.decide import Dispatcher
-from robinstream.interface import Effect, Outcome, WorkerState
-from robinstream.net.limits import ZERO, Limits, nanoseconds, span_of
-from robinstream.net.loop import Deadline, Loop, SlotTable
+from canvasbeam import interface as ci
+from canvasbeam.choice import Dispatcher
+from canvasbeam.interface import Effect, Outcome, WorkerState
+from canvasbeam.net.limits import ZERO, Limits, nanoseconds, span_of
+from canvasbeam.net.loop import Deadline, Loop, SlotTable
 
 log = logging.getLogger(__name__)
 
@@ -125,7 +125,7 @@
 class Core:
     """Requests in, answers out; in between the module decides."""
 
-    def __init__(self, loop: Loop, settings: ri.Settings, limits: Limits, seed: int, born: timedelta) -> None:
+    def __init__(self, loop: Loop, settings: ci.Settings, limits: Limits, seed: int, born: timedelta) -> None:
         """`born` is the Unix time at which the loop's clock stood at zero.
 
         The module's clock is Unix time as it was then plus what the monotonic clock has counted since, so a
@@ -141,9 +141,9 @@
         self._seed = seed
         self._classes = {each.name: each for each in settings.classes}
         self._requests: SlotTable[Request] = SlotTable()
-        self._lists: list[ri.Event] = []
-        self._outcomes: list[ri.Event] = []
-        self._arrivals: list[ri.Event] = []
+        self._lists: list[ci.Event] = []
+        self._outcomes: list[ci.Event] = []
+        self._arrivals: list[ci.Event] = []
         self._done: list[Request] = []
         self._dispatcher = Dispatcher(settings, seed)
 
@@ -171,7 +171,7 @@
             request.due - self.limits.answer_margin, lambda: self._overdue(request)
         )
         self._arrivals.append(
-            ri.JobArrived(
+            ci.JobArrived(
                 request.job, request.job_class, self._to_module(request.due), request.tenant, request.key,
                 slots=request.slots, memory=request.memory, repeat=request.repeat,
             )
@@ -183,14 +183,14 @@
         if request.answered:
             return
         self._settle(request)
-        self._outcome(ri.ClientGone(request.job))
+        self._outcome(ci.ClientGone(request.job))
 
     # --- the target group's side ------------------------------------------------------------------
 
-    def listed(self, kind: ri.ListKind, targets: Iterable[Target], version: int) -> None:
+    def listed(self, kind: ci.ListKind, targets: Iterable[Target], version: int) -> None:
         """Take what discovery tells; a target missing from a whole list is gone."""
         told = {each.name: each for each in targets}
-        if kind is not ri.ListKind.CHANGES:
+        if kind is not ci.ListKind.CHANGES:
             for name in [name for name in self.targets if name not in told]:
                 self._drop(name)
         for name, target in told.items():
@@ -198,7 +198,7 @@
                 self._drop(name)
             else:
                 self.targets[name] = target
-        self._lists.append(ri.WorkersListed(kind, tuple(map(self._entry, told.values())), version))
+        self._lists.append(ci.WorkersListed(kind, tuple(map(self._entry, told.values())), version))
         # Guards against sending to a target that began to drain while the connection was coming up.
         for request in self._requests.items():
             for attempt in request.out():
@@ -208,7 +208,7 @@
 
     def list_lost(self) -> None:
         """A call to discovery failed; the list stays."""
-        self._lists.append(ri.WorkersListed(ri.ListKind.LOST))
+        self._lists.append(ci.WorkersListed(ci.ListKind.LOST))
         self.loop.again()
 
     def _drop(self, name: str) -> None:
@@ -219,9 +219,9 @@
         target = self.targets.get(name)
         return target is not None and target.state is WorkerState.LIVE
 
-    def _entry(self, target: Target) -> ri.WorkerEntry:
+    def _entry(self, target: Target) -> ci.WorkerEntry:
         started = 0 if target.started is None else self._to_module(target.started)
-        return ri.WorkerEntry(
+        return ci.WorkerEntry(
             target.name, target.zone, target.kind, target.cell, target.state, target.weight, started
         )
 
@@ -249,13 +249,13 @@
         in_window = self.loop.now < first + span_of(cls.window_ns)
         return in_window and all(self._same_group(cls.scope, each.target, attempt.target) for each in others)
 
-    def _same_group(self, scope: ri.Scope, one: str, other: str) -> bool:
-        if scope is ri.Scope.ALL or one == other:
+    def _same_group(self, scope: ci.Scope, one: str, other: str) -> bool:
+        if scope is ci.Scope.ALL or one == other:
             return True
         first, second = self.targets.get(one), self.targets.get(other)
         if first is None or second is None:
             return False
-        return first.zone == second.zone if scope is ri.Scope.ZONE else first.cell == second.cell
+        return first.zone == second.zone if scope is ci.Scope.ZONE else first.cell == second.cell
 
     def attempt_written(self, attempt: Attempt) -> None:
         """The carrier begins to write the forward."""
@@ -264,12 +264,12 @@
     def attempt_started(self, attempt: Attempt) -> None:
         """The target says that the job runs."""
         if attempt.outcome is None:
-            self._outcome(ri.JobStarted(attempt.request.job, attempt.number, attempt.target))
+            self._outcome(ci.JobStarted(attempt.request.job, attempt.number, attempt.target))
 
     def attempt_progressed(self, attempt: Attempt, done: float) -> None:
         """The target says how far the job is."""
         if attempt.outcome is None:
-            self._outcome(ri.JobProgressed(attempt.request.job, attempt.number, attempt.target, done))
+            self._outcome(ci.JobProgressed(attempt.request.job, attempt.number, attempt.target, done))
 
     def attempt_ended(
         self,
@@ -287,7 +287,7 @@
         if outcome is Outcome.OK:
             self._answer(request, FinalAnswer(Answer.SERVED, result))
         self._outcome(
-            ri.AttemptEnded(
+            ci.AttemptEnded(
                 request.job, attempt.number, attempt.target, outcome,
                 nanoseconds(self.loop.now - attempt.begun), request.answered, report=report,
             )
@@ -298,9 +298,9 @@
         self, target: str, outcome: Outcome, elapsed: timedelta, report: Mapping[str, float] | None = None
     ) -> None:
         """A probe ended."""
-        self._outcome(ri.ProbeEnded(target, outcome, nanoseconds(elapsed), report))
+        self._outcome(ci.ProbeEnded(target, outcome, nanoseconds(elapsed), report))
 
-    def _outcome(self, event: ri.Event) -> None:
+    def _outcome(self, event: ci.Event) -> None:
         self._outcomes.append(event)
         self.loop.again()
 
@@ -350,42 +350,42 @@
                 self._moot(attempt)
         entries = tuple(map(self._entry, self.targets.values()))
         self._outcomes = []
-        self._lists = [ri.WorkersListed(ri.ListKind.WARM_COPY, entries)]
+        self._lists = [ci.WorkersListed(ci.ListKind.WARM_COPY, entries)]
         self.loop.again()
 
-    def _act(self, action: ri.Action) -> None:  # noqa: PLR0912 - one case for each action
+    def _act(self, action: ci.Action) -> None:  # noqa: PLR0912 - one case for each action
         match action:
-            case ri.Send(job, worker, timeout):
+            case ci.Send(job, worker, timeout):
                 self._send(self._find(job), worker, timeout)
-            case ri.Refuse(job, come_back):
+            case ci.Refuse(job, come_back):
                 request = self._find(job)
                 if request is not None:
                     self._end(request, Answer.REFUSED, min(span_of(come_back), self.limits.come_back))
-            case ri.Fail(job):
+            case ci.Fail(job):
                 request = self._find(job)
                 if request is not None:
                     waited = any(each.outcome in (None, Outcome.TIMED_OUT) for each in request.attempts)
                     self._end(request, Answer.OVERDUE if waited else Answer.FAILED)
-            case ri.Cancel(job, number):
+            case ci.Cancel(job, number):
                 request = self._find(job)
                 if request is not None and number < len(request.attempts):
                     attempt = request.attempts[number]
                     if attempt.outcome is None:
                         self._moot(attempt)
-            case ri.SetTimer(token, when):
-                self.loop.at(self._from_module(when), lambda: self._outcome(ri.TimerFired(token)))
-            case ri.Probe(worker):
+            case ci.SetTimer(token, when):
+                self.loop.at(self._from_module(when), lambda: self._outcome(ci.TimerFired(token)))
+            case ci.Probe(worker):
                 target = self.targets.get(worker)
                 if target is None or self.carrier is None:
                     self.probe_ended(worker, Outcome.CONNECT_FAILED, ZERO)
                 else:
                     self.carrier.probe(target)
-            case ri.CloseIdle(worker):
+            case ci.CloseIdle(worker):
                 if self.carrier is not None:
                     self.carrier.close_idle(worker)
-            case ri.Log(text):
+            case ci.Log(text):
                 log.info("%s", text)
-            case ri.TellPeer() | ri.Watch() | ri.FetchList():
+            case ci.TellPeer() | ci.Watch() | ci.FetchList():
                 pass  # there are no peers, and the target group always watches
 
     def _find(self, job: str) -> Request | None:
@@ -419,7 +419,7 @@
         if not request.answered:
             log.warning("request %s was not answered by the decisions in time", request.job)
             self._end_by_itself(request, Answer.OVERDUE)
-            self._outcome(ri.ClientGone(request.job))
+            self._outcome(ci.ClientGone(request.job))
 
     def _end(self, request: Request, kind: Answer, come_back: timedelta = ZERO) -> None:
         """Give a fixed response: a refusal only where a repeat is harmless."""
@@ -437,7 +437,7 @@
 
     def _harmless(self, request: Request) -> bool:
         cls = self._classes[request.job_class]
-        keyed = cls.effect is Effect.KEYED and cls.scope is ri.Scope.ALL
+        keyed = cls.effect is Effect.KEYED and cls.scope is ci.Scope.ALL
         return not request.risky() or cls.effect is Effect.SAFE or keyed
 
     def _answer(self, request: Request, answer: FinalAnswer) -> None:
--- a/robinstream/net/forward.py
+++ b/canvasbeam/net/forward.py
@@ -18,11 +18,11 @@
 
 import httptools
 
-from robinstream.interface import Outcome
-from robinstream.net.core import Attempt, Core, Target
-from robinstream.net.limits import ZERO, Limits
-from robinstream.net.loop import Deadline, Loop, Stream
-from robinstream.net.target_group import connect
+from canvasbeam.interface import Outcome
+from canvasbeam.net.core import Attempt, Core, Target
+from canvasbeam.net.limits import ZERO, Limits
+from canvasbeam.net.loop import Deadline, Loop, Stream
+from canvasbeam.net.target_group import connect
 
 log = logging.getLogger(__name__)
 
--- a/robinstream/net/limits.py
+++ b/canvasbeam/net/limits.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from robinstream import interface as ri
+from canvasbeam import interface as ci
 
 MICROSECOND = timedelta(microseconds=1)
 ZERO = timedelta(0)
@@ -70,7 +70,7 @@
     watch_retry: timedelta = seconds(0.1)
 
     @classmethod
-    def of(cls, settings: ri.Limits, sockets: int) -> Limits:
+    def of(cls, settings: ci.Limits, sockets: int) -> Limits:
         """The figures under a deployment's settings and its descriptor limit."""
         if sockets < 64:
             raise ValueError("limits.sockets must be at least 64")
--- a/robinstream/net/listener.py
+++ b/canvasbeam/net/listener.py
@@ -19,10 +19,10 @@
 
 import httptools
 
-from robinstream.net.core import Answer, Core, FinalAnswer, Full, Request
-from robinstream.net.forward import Call
-from robinstream.net.limits import ZERO, Limits
-from robinstream.net.loop import READ, Deadline, Endpoint, Loop, Stream
+from canvasbeam.net.core import Answer, Core, FinalAnswer, Full, Request
+from canvasbeam.net.forward import Call
+from canvasbeam.net.limits import ZERO, Limits
+from canvasbeam.net.loop import READ, Deadline, Endpoint, Loop, Stream
 
 log = logging.getLogger(__name__)
 
--- a/robinstream/net/target_group.py
+++ b/canvasbeam/net/target_group.py
@@ -16,18 +16,18 @@
 
 import httptools
 
-from robinstream import interface as ri
-from robinstream.net.core import Core, Target
-from robinstream.net.limits import Limits
-from robinstream.net.loop import Deadline, Loop, Stream
-from robinstream.settings import Fields, WireError, need, number, section, whole, word
+from canvasbeam import interface as ci
+from canvasbeam.net.core import Core, Target
+from canvasbeam.net.limits import Limits
+from canvasbeam.net.loop import Deadline, Loop, Stream
+from canvasbeam.settings import Fields, WireError, need, number, section, whole, word
 
 log = logging.getLogger(__name__)
 
 STATES = {
-    "Ready": ri.WorkerState.LIVE,
-    "Terminating": ri.WorkerState.DRAINING,
-    "Gone": ri.WorkerState.GONE,
+    "Ready": ci.WorkerState.LIVE,
+    "Terminating": ci.WorkerState.DRAINING,
+    "Gone": ci.WorkerState.GONE,
 }
 
 
@@ -61,7 +61,7 @@
         kind=str(fields.get("class") or ""),
         cell=whole(fields, "block", 0),
         # A state not known here is no invitation to send.
-        state=STATES.get(word(fields, "health"), ri.WorkerState.DRAINING),
+        state=STATES.get(word(fields, "health"), ci.WorkerState.DRAINING),
         weight=number(fields, "share", 1.0),
         started=timedelta(milliseconds=started) - born if started > 0 else None,
     )
@@ -96,7 +96,7 @@
         """Begin with the list as it was last held, then ask."""
         if known:
             _, targets, version = read_list(known, self._born)
-            self._core.listed(ri.ListKind.WARM_COPY, targets, version)
+            self._core.listed(ci.ListKind.WARM_COPY, targets, version)
         self._ask()
 
     def _ask(self) -> None:
@@ -135,7 +135,7 @@
         first = self._version is None
         self._version = version
         if is_whole or targets:
-            kind = ri.ListKind.COMPLETE if is_whole else ri.ListKind.CHANGES
+            kind = ci.ListKind.COMPLETE if is_whole else ci.ListKind.CHANGES
             self._core.listed(kind, targets, version)
         # Guards against a spin where empty answers come back at once; the gap is far under the one allowed.
         if not first and not targets and self._loop.now - self._asked < self._limits.watch_gap:
--- a/robinstream/settings.py
+++ b/canvasbeam/settings.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable, Mapping
 from typing import Any
 
-from robinstream import interface as ri
+from canvasbeam import interface as ci
 
 Fields = dict[str, Any]
 
@@ -17,8 +17,8 @@
     """The peer broke the wire; the message names what was wrong."""
 
 
-EFFECTS = {"free": ri.Effect.SAFE, "guarded": ri.Effect.KEYED, "single_shot": ri.Effect.UNSAFE}
-SCOPES = {each.value: each for each in ri.Scope}
+EFFECTS = {"free": ci.Effect.SAFE, "guarded": ci.Effect.KEYED, "single_shot": ci.Effect.UNSAFE}
+SCOPES = {each.value: each for each in ci.Scope}
 REPORT_FIELDS = {
     "rif": "in_flight",
     "q": "queued",
@@ -37,10 +37,10 @@
     "eps": "errors_per_s",
 }
 REPORT_EXTRAS = {"free slots": "free_slots", "free memory": "free_memory"}
-DISCOVERY = {"pushed": ri.Discovery.PUSHED, "on_request": ri.Discovery.ASKED}
-REPORT_HOW = {"answers": ri.ReportHow.ANSWERS, "probe": ri.ReportHow.PROBES, "none": ri.ReportHow.NONE}
-QUEUE_ORDERS = {each.value: each for each in ri.QueueOrder}
-WEIGHTS = {each.value: each for each in ri.Weights}
+DISCOVERY = {"pushed": ci.Discovery.PUSHED, "on_request": ci.Discovery.ASKED}
+REPORT_HOW = {"answers": ci.ReportHow.ANSWERS, "probe": ci.ReportHow.PROBES, "none": ci.ReportHow.NONE}
+QUEUE_ORDERS = {each.value: each for each in ci.QueueOrder}
+WEIGHTS = {each.value: each for each in ci.Weights}
 
 
 # --- reading fields ---------------------------------------------------------------------------
@@ -105,7 +105,7 @@
 # --- settings ---------------------------------------------------------------------------------
 
 
-def read_class(fields: Fields, place: int, family: Fields, kinds: tuple[str, ...]) -> ri.JobClass:
+def read_class(fields: Fields, place: int, family: Fields, kinds: tuple[str, ...]) -> ci.JobClass:
     """One entry of the settings' classes; some of its properties stand in lists by class."""
 
     def listed(name: str, default: Any) -> Any:
@@ -113,14 +113,14 @@
         return values[place] if place < len(values) else default
 
     kind = listed("classKind", -1)
-    return ri.JobClass(
+    return ci.JobClass(
         name=word(fields, "name"),
         aim_ns=whole(fields, "aimNs"),
         deadline_ns=whole(fields, "deadlineNs"),
         worth=number(fields, "worth", 1.0),
         late_worth=number(fields, "lateShare", 0.0),
         effect=one_of(fields, "idempotency", EFFECTS),
-        scope=one_of(fields, "keyScope", SCOPES, ri.Scope.ALL),
+        scope=one_of(fields, "keyScope", SCOPES, ci.Scope.ALL),
         window_ns=whole(fields, "windowNs", 0),
         streams=bool(fields.get("streaming")),
         kind=kinds[kind] if 0 <= kind < len(kinds) else None,
@@ -129,9 +129,9 @@
     )
 
 
-def read_limits(fields: Fields) -> ri.Limits:
+def read_limits(fields: Fields) -> ci.Limits:
     """What the site permits."""
-    return ri.Limits(
+    return ci.Limits(
         cancel=bool(fields.get("cancel")),
         probes=bool(fields.get("probes")),
         peers=bool(fields.get("peers")),
@@ -148,9 +148,9 @@
     )
 
 
-def read_rules(fields: Fields) -> ri.Rules:
+def read_rules(fields: Fields) -> ci.Rules:
     """The figures behind the rules."""
-    return ri.Rules(
+    return ci.Rules(
         answer_slack_ns=whole(fields, "answerSlackNs", 0),
         drain_grace_ns=whole(fields, "stopSendingWithinNs", 0),
         cold_from=number(fields, "coldFrom", 1.0),
@@ -175,13 +175,13 @@
     return {**PLAIN_REPORT_FIELDS, **names}
 
 
-def read_settings(options: Fields) -> tuple[ri.Settings, dict[str, str]]:
+def read_settings(options: Fields) -> tuple[ci.Settings, dict[str, str]]:
     """The settings of an instance, and the names of its report values."""
     family, report = section(options, "specifics"), section(options, "report")
     kinds = tuple(options.get("skus") or ())
     goal = section(options, "goal")
     names = report_names(report.get("columns") or (), family)
-    settings = ri.Settings(
+    settings = ci.Settings(
         classes=tuple(
             read_class(fields, place, family, kinds)
             for place, fields in enumerate(need(options, "services"))
@@ -189,26 +189,26 @@
         zones=tuple(need(options, "localities")),
         own_zone=word(options, "myZone"),
         tenants=tuple(
-            ri.Tenant(word(each, "name"), number(each, "share", 0.0), number(each, "quotaPerS", 0.0))
+            ci.Tenant(word(each, "name"), number(each, "share", 0.0), number(each, "quotaPerS", 0.0))
             for each in options.get("realms") or ()
         ),
         kinds=kinds,
         own_number=whole(options, "me", 0),
         dispatchers=whole(options, "replicasOfMe", 1),
         quantum_ns=whole(options, "quantumNs", 1_000_000),
-        discovery=one_of(options, "discovery", DISCOVERY, ri.Discovery.PUSHED),
-        weights=one_of(options, "weights", WEIGHTS, ri.Weights.NONE),
-        report_how=one_of(report, "how", REPORT_HOW, ri.ReportHow.NONE),
+        discovery=one_of(options, "discovery", DISCOVERY, ci.Discovery.PUSHED),
+        weights=one_of(options, "weights", WEIGHTS, ci.Weights.NONE),
+        report_how=one_of(report, "how", REPORT_HOW, ci.ReportHow.NONE),
         report_fields=tuple(names.values()),
         tells_start=bool(family.get("tellsStart")),
         progress_ns=whole(family, "progressNs", 0),
-        queue_order=one_of(family, "queueOrder", QUEUE_ORDERS, ri.QueueOrder.FIFO),
+        queue_order=one_of(family, "queueOrder", QUEUE_ORDERS, ci.QueueOrder.FIFO),
         worth_by_work=options.get("worthBy") == "work",
         over_share_worth=number(options, "overShareWorth", 1.0),
         marks_repeats=bool(section(options, "clientHabits").get("marksRetry")),
         limits=read_limits(section(options, "policyLimits")),
         rules=read_rules(section(options, "rules")),
-        goal=ri.Goal(
+        goal=ci.Goal(
             number(goal, "whole", 0.0),
             number(goal, "worstWindow", 0.0),
             number(goal, "worstClass", 0.0),
--- a/tests/test_simhost.py
+++ b/tests/test_adapter.py
@@ -44,7 +44,7 @@
 
 def host(text: str, hash_seed: str = "0") -> subprocess.CompletedProcess[str]:
     return subprocess.run(
-        [sys.executable, "-m", "robinstream.simhost"],
+        [sys.executable, "-m", "canvasbeam.adapter"],
         input=text, capture_output=True, text=True, timeout=60, check=False,
         env={**os.environ, "PYTHONHASHSEED": hash_seed},
     )  # fmt: skip
@@ -57,7 +57,7 @@
 
 
 def test_each_reply_is_flushed_and_echoes_its_turn() -> None:
-    command = [sys.executable, "-m", "robinstream.simhost"]
+    command = [sys.executable, "-m", "canvasbeam.adapter"]
     with subprocess.Popen(command, stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True) as process:
         assert process.stdin is not None and process.stdout is not None
         for turn in (1, 2):
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -4,9 +4,9 @@
 
 from dataclasses import replace
 
-from robinstream import Dispatcher
-from robinstream import interface as ri
-from robinstream.interface import Outcome
+from canvasbeam import Dispatcher
+from canvasbeam import interface as ci
+from canvasbeam.interface import Outcome
 from tests.helpers import LIMITS, MS, SAFE, SECOND, START, Bench, entry, of, only, settings
 
 
@@ -20,9 +20,9 @@
     bench.pass_time(20 * MS)  # j2 does not start: full with one of ours
     bench.ended("j1", "a")
     bench.started("j2", "a")
-    assert of(bench.job(), ri.Send) == []
-    assert of(bench.pass_time(50 * MS), ri.Send) == []
-    assert len(of(bench.pass_time(200 * MS), ri.Send)) == 1  # a mean job later it is tried one higher
+    assert of(bench.job(), ci.Send) == []
+    assert of(bench.pass_time(50 * MS), ci.Send) == []
+    assert len(of(bench.pass_time(200 * MS), ci.Send)) == 1  # a mean job later it is tried one higher
 
 
 def test_a_cap_regrows_more_slowly_where_others_share_the_worker() -> None:
@@ -38,15 +38,15 @@
         bench.started("j2", "a")
         bench.ended("j1", "a")
         bench.job()
-        assert len(of(bench.pass_time(300 * MS), ri.Send)) == sends
+        assert len(of(bench.pass_time(300 * MS), ci.Send)) == sends
 
 
 def test_full_with_nothing_of_ours_there_is_not_asked_again_at_once() -> None:
     # Danger: a full worker with none of our jobs would be open again the same instant, for ever.
     bench = Bench(entry("a"))
     bench.job()
-    assert of(bench.ended("j0", "a", Outcome.FULL), ri.Send) == []
-    assert len(of(bench.pass_time(3 * SECOND), ri.Send)) == 1
+    assert of(bench.ended("j0", "a", Outcome.FULL), ci.Send) == []
+    assert len(of(bench.pass_time(3 * SECOND), ci.Send)) == 1
 
 
 def test_a_fast_failing_worker_does_not_attract_the_work() -> None:
@@ -54,7 +54,7 @@
     bench = Bench(entry("a"), entry("b"))
     errors = 0
     for number in range(20):
-        worker = only(bench.job("pay"), ri.Send).worker
+        worker = only(bench.job("pay"), ci.Send).worker
         bench.started(f"j{number}", worker)
         if worker == "a":
             errors += 1
@@ -66,14 +66,14 @@
 
 def test_a_failed_connection_rests_a_worker_until_a_probe_and_a_trial_job() -> None:
     bench = Bench(entry("a"), entry("b"))
-    first = only(bench.job(), ri.Send).worker
+    first = only(bench.job(), ci.Send).worker
     other = "b" if first == "a" else "a"
-    assert only(bench.ended("j0", first, Outcome.CONNECT_FAILED), ri.Send).worker == other
-    probe = of(bench.pass_time(SECOND), ri.Probe)
-    assert probe == [ri.Probe(first)]
-    bench.give(ri.ProbeEnded(first, Outcome.OK))
+    assert only(bench.ended("j0", first, Outcome.CONNECT_FAILED), ci.Send).worker == other
+    probe = of(bench.pass_time(SECOND), ci.Probe)
+    assert probe == [ci.Probe(first)]
+    bench.give(ci.ProbeEnded(first, Outcome.OK))
     bench.started("j0", other, 1)
-    sends = of(bench.job() + bench.job() + bench.job(), ri.Send)
+    sends = of(bench.job() + bench.job() + bench.job(), ci.Send)
     assert [each.worker for each in sends].count(first) == 1
 
 
@@ -83,9 +83,9 @@
     bench.ended("j0", "a", Outcome.CONNECT_FAILED)
     probes = 0
     for _ in range(100):
-        for _ in of(bench.pass_time(100 * MS), ri.Probe):
+        for _ in of(bench.pass_time(100 * MS), ci.Probe):
             probes += 1
-            bench.give(ri.ProbeEnded("a", Outcome.TIMED_OUT))
+            bench.give(ci.ProbeEnded("a", Outcome.TIMED_OUT))
         bench.job()
     assert 20 <= probes <= 30  # 100, 200, then every 400 ms
 
@@ -93,19 +93,19 @@
 def test_a_silent_worker_loses_its_running_job_to_another() -> None:
     # Danger: a worker that was cut off ends no attempt; only its progress notes stop.
     bench = Bench(entry("a"), entry("b"))
-    worker = only(bench.job(due=20 * SECOND), ri.Send).worker
+    worker = only(bench.job(due=20 * SECOND), ci.Send).worker
     bench.started("j0", worker)
     for _ in range(3):
-        assert of(bench.pass_time(SECOND), ri.Send) == []
-        bench.give(ri.JobProgressed("j0", 0, worker, 0.1))
-    assert only(bench.pass_time(3 * SECOND), ri.Send).worker != worker
+        assert of(bench.pass_time(SECOND), ci.Send) == []
+        bench.give(ci.JobProgressed("j0", 0, worker, 0.1))
+    assert only(bench.pass_time(3 * SECOND), ci.Send).worker != worker
 
 
 def test_a_queued_job_is_no_sign_of_silence() -> None:
     # Danger: jobs waiting behind other dispatchers' jobs were taken for lost and sent twice.
     bench = Bench(entry("a"), entry("b"))
     bench.job(due=20 * SECOND)
-    assert of(bench.pass_time(5 * SECOND), ri.Send | ri.Cancel) == []
+    assert of(bench.pass_time(5 * SECOND), ci.Send | ci.Cancel) == []
 
 
 def test_room_is_left_where_others_queue_too() -> None:
@@ -118,8 +118,8 @@
         bench.started("j1", "a")
         bench.pass_time(MS)
         bench.ended("j1", "a")
-        assert (of(bench.job(), ri.Send) == []) is waits
-        assert len(of(bench.pass_time(200 * MS), ri.Send)) == waits
+        assert (of(bench.job(), ci.Send) == []) is waits
+        assert len(of(bench.pass_time(200 * MS), ci.Send)) == waits
 
 
 def test_a_restart_clears_rest_and_keys_and_is_cold() -> None:
@@ -127,8 +127,8 @@
     bench.job(due=60 * SECOND)
     bench.ended("j0", "a", Outcome.RESET)
     given = bench.listed(entry("a", started_ns=bench.now))
-    assert of(given, ri.Send) == []  # a fifth of a worker, shared by eight: no room for this job yet
-    assert of(given, ri.Log) != []
+    assert of(given, ci.Send) == []  # a fifth of a worker, shared by eight: no room for this job yet
+    assert of(given, ci.Log) != []
 
 
 def test_a_cold_worker_gets_no_more_than_its_share_in_any_window() -> None:
@@ -138,7 +138,7 @@
     sent: list[int] = []
     for _ in range(400):
         given = hinted.job(work_hint_ns=work)
-        for send in of(given, ri.Send):
+        for send in of(given, ci.Send):
             sent.append(hinted.now)
             hinted.started(send.job, "a")
             hinted.ended(send.job, "a")
@@ -175,7 +175,7 @@
     bench = Bench(dispatchers=12)
     bench.dispatcher = counting = Counting(settings(dispatchers=12), 1)
     bench.timers.clear()
-    bench.listed(*cold, kind=ri.ListKind.WARM_COPY)
+    bench.listed(*cold, kind=ci.ListKind.WARM_COPY)
     for _ in range(jobs):
         bench.job()
     counting.tests = counting.budgets = 0
@@ -190,11 +190,11 @@
     # Danger: not asked again, it would stay closed for good.
     patient = replace(SAFE, late_worth=0.5, deadline_ns=60 * SECOND)
     bench = Bench(entry("a", started_ns=START), classes=(patient,))
-    assert of(bench.job(work_hint_ns=1500 * MS, due=60 * SECOND), ri.Send) == []  # over .7 x .2 x 3 x 2 s
+    assert of(bench.job(work_hint_ns=1500 * MS, due=60 * SECOND), ci.Send) == []  # over .7 x .2 x 3 x 2 s
     share = 1500 * MS / (0.7 * 3.0 * 2 * SECOND)
     grown = round((share - 0.2) / 0.8 * 10 * SECOND)
-    assert of(bench.pass_time(grown - 30 * MS), ri.Send) == []
-    assert len(of(bench.pass_time(60 * MS), ri.Send)) == 1
+    assert of(bench.pass_time(grown - 30 * MS), ci.Send) == []
+    assert len(of(bench.pass_time(60 * MS), ci.Send)) == 1
 
 
 def taught_that_fetches_cost(seed: int = 1) -> Bench:
@@ -207,9 +207,9 @@
 
 def test_a_held_key_goes_to_its_holder_once_fetches_are_seen_to_cost() -> None:
     bench = taught_that_fetches_cost()
-    places = [each.worker for _ in range(3) for each in of(bench.job(key="k"), ri.Send)]
+    places = [each.worker for _ in range(3) for each in of(bench.job(key="k"), ci.Send)]
     assert 1 <= len(places) <= 2  # one has it, and where that is another the key's home; both are busy now
-    assert len(of(bench.pass_time(100 * MS), ri.Send)) >= 1  # the wait ends when a fetch would be over
+    assert len(of(bench.pass_time(100 * MS), ci.Send)) >= 1  # the wait ends when a fetch would be over
 
 
 def test_dispatchers_agree_on_the_home_of_a_new_key() -> None:
@@ -226,9 +226,9 @@
     # Danger: an own copy is crowded out unseen by what other dispatchers send there.
     home = taught_that_fetches_cost().run_job(key="x")
     bench = taught_that_fetches_cost()
-    assert only(bench.job(key="x"), ri.Send).worker == home
+    assert only(bench.job(key="x"), ci.Send).worker == home
     bench.job(key="x")
-    copy = only(bench.pass_time(100 * MS), ri.Send).worker
+    copy = only(bench.pass_time(100 * MS), ci.Send).worker
     assert copy != home
     for job, worker in (("j2", home), ("j3", copy)):
         bench.started(job, worker)
@@ -238,10 +238,10 @@
 
 
 def test_asked_for_discovery_is_watched_and_asked_again_after_a_loss() -> None:
-    bench = Bench(entry("a"), discovery=ri.Discovery.ASKED)
-    assert of(bench.last, ri.Watch) == [ri.Watch(True)]
-    assert of(bench.give(ri.WorkersListed(ri.ListKind.LOST)), ri.Watch) == []
-    assert of(bench.pass_time(SECOND), ri.Watch) == [ri.Watch(True)]
+    bench = Bench(entry("a"), discovery=ci.Discovery.ASKED)
+    assert of(bench.last, ci.Watch) == [ci.Watch(True)]
+    assert of(bench.give(ci.WorkersListed(ci.ListKind.LOST)), ci.Watch) == []
+    assert of(bench.pass_time(SECOND), ci.Watch) == [ci.Watch(True)]
 
 
 def test_lost_answers_do_not_keep_a_healed_worker_busy() -> None:
@@ -249,17 +249,17 @@
     bench = Bench(entry("a"))
     bench.job("pay", due=60 * SECOND)
     bench.started("j0", "a")
-    probes = of(bench.pass_time(3 * SECOND), ri.Probe)
-    assert probes == [ri.Probe("a")]
-    bench.give(ri.ProbeEnded("a", Outcome.OK))
-    assert only(bench.job(), ri.Send).worker == "a"
+    probes = of(bench.pass_time(3 * SECOND), ci.Probe)
+    assert probes == [ci.Probe("a")]
+    bench.give(ci.ProbeEnded("a", Outcome.OK))
+    assert only(bench.job(), ci.Send).worker == "a"
 
 
 def test_no_sweep_is_asked_for_while_nothing_can_be_due() -> None:
     # Danger: hundreds of dispatchers that each look every few quanta take more CPU time than there is.
     bench = Bench(entry("a"))
-    (sent,) = of(bench.job(), ri.Send)
-    bench.give(ri.JobStarted(sent.job, 0, sent.worker))
+    (sent,) = of(bench.job(), ci.Send)
+    bench.give(ci.JobStarted(sent.job, 0, sent.worker))
     bench.pass_time(500 * MS)
     assert len(bench.timers) <= 1
     assert all(when - bench.now >= 100 * MS for when, _ in bench.timers)
@@ -271,7 +271,7 @@
     for number in range(dispatchers):
         bench = Bench(entry("a", started_ns=START), dispatchers=dispatchers, own_number=number)
         bench.job(work_hint_ns=100 * MS)
-        sends += bool(of(bench.last, ri.Send)) + len(of(bench.pass_time(2 * SECOND), ri.Send))
+        sends += bool(of(bench.last, ci.Send)) + len(of(bench.pass_time(2 * SECOND), ci.Send))
     budget = 3.0 * 0.36 * 2 * SECOND  # multiple x share at the window's end x one slot x window
     assert 0 < sends * 100 * MS <= budget
 
@@ -279,17 +279,17 @@
 def test_a_worker_whose_probe_reports_no_room_is_not_sent_to() -> None:
     # Danger: among as many dispatchers as workers nobody learns who is busy; turns are no better than chance.
     bench = Bench(
-        entry("a"), entry("b"), entry("c"), dispatchers=20, report_how=ri.ReportHow.ANSWERS,
+        entry("a"), entry("b"), entry("c"), dispatchers=20, report_how=ci.ReportHow.ANSWERS,
         report_fields=("free_slots", "queued"),
     )  # fmt: skip
     bench.job()
-    asked = [each.worker for each in of(bench.last, ri.Probe)]
-    assert len(asked) == 2 and not of(bench.last, ri.Send)
+    asked = [each.worker for each in of(bench.last, ci.Probe)]
+    assert len(asked) == 2 and not of(bench.last, ci.Send)
     full = {"free_slots": 0.1, "queued": 1.0}
-    assert not of(bench.give(ri.ProbeEnded(asked[0], ri.Outcome.OK, report=full)), ri.Send)
+    assert not of(bench.give(ci.ProbeEnded(asked[0], ci.Outcome.OK, report=full)), ci.Send)
     room = {"free_slots": 1.1, "queued": 0.0}
-    given = bench.give(ri.ProbeEnded(asked[1], ri.Outcome.OK, report=room))
-    assert [each.worker for each in of(given, ri.Send)] == [asked[1]]
+    given = bench.give(ci.ProbeEnded(asked[1], ci.Outcome.OK, report=room))
+    assert [each.worker for each in of(given, ci.Send)] == [asked[1]]
 
 
 def test_the_other_ring_is_asked_beside_the_own_once_that_is_full() -> None:
@@ -297,22 +297,22 @@
     names = [f"n{each}" for each in range(12)]
     bench = Bench(
         *(entry(each) for each in names), entry("far", zone="there"), dispatchers=40,
-        report_how=ri.ReportHow.ANSWERS, report_fields=("free_slots", "queued"),
+        report_how=ci.ReportHow.ANSWERS, report_fields=("free_slots", "queued"),
     )  # fmt: skip
     bench.job()
     full = {"free_slots": 0.0, "queued": 2.0}
-    asked = [each.worker for each in of(bench.last, ri.Probe)]
+    asked = [each.worker for each in of(bench.last, ci.Probe)]
     seen = []
     while asked:
         worker = asked.pop(0)
         seen.append(worker)
         if worker != "far":
-            given = bench.give(ri.ProbeEnded(worker, ri.Outcome.OK, report=full))
-            asked += [each.worker for each in of(given, ri.Probe)]
+            given = bench.give(ci.ProbeEnded(worker, ci.Outcome.OK, report=full))
+            asked += [each.worker for each in of(given, ci.Probe)]
     assert "far" in seen and len(set(seen) & set(names)) > 6
 
 
-def crowd(*workers: ri.WorkerEntry) -> Bench:
+def crowd(*workers: ci.WorkerEntry) -> Bench:
     """A dispatcher among twenty, without load reports, where two may not be out at once."""
     return Bench(*workers, dispatchers=20, limits=replace(LIMITS, second_copies=False))
 
@@ -322,7 +322,7 @@
     bench = crowd(entry("a"), entry("b"))
     for _ in range(2):
         bench.run_job()
-    late = only(bench.job(), ri.Send).worker
+    late = only(bench.job(), ci.Send).worker
     bench.pass_time(100 * MS)
     bench.started("j2", late)
     bench.pass_time(SECOND)
@@ -338,16 +338,16 @@
     bench = crowd(*(entry(f"w{each}") for each in range(6)))
     bench.run_job()
     bench.job("book")
-    assert len(of(bench.pass_time(50 * MS), ri.Cancel)) == 1
+    assert len(of(bench.pass_time(50 * MS), ci.Cancel)) == 1
     full = crowd(*(entry(f"w{each}") for each in range(6)))
     full.run_job()
     for _ in range(6):
-        worker = only(full.job(), ri.Send).worker
+        worker = only(full.job(), ci.Send).worker
         full.pass_time(400 * MS)
         full.started(f"j{full.made - 1}", worker)
         full.ended(f"j{full.made - 1}", worker)
     full.job("book")
-    assert of(full.pass_time(50 * MS), ri.Cancel) == []
+    assert of(full.pass_time(50 * MS), ci.Cancel) == []
 
 
 def test_what_nobody_took_is_offered_only_where_something_changed() -> None:
@@ -355,10 +355,10 @@
     bench = Bench(*(entry(f"w{each}") for each in range(20)))
     bench.dispatcher = counting = Counting(settings(), 1)
     bench.timers.clear()
-    bench.listed(*(entry(f"w{each}") for each in range(20)), kind=ri.ListKind.WARM_COPY)
-    sent = [of(bench.job(), ri.Send) for _ in range(25)]
+    bench.listed(*(entry(f"w{each}") for each in range(20)), kind=ci.ListKind.WARM_COPY)
+    sent = [of(bench.job(), ci.Send) for _ in range(25)]
     first = sent[0][0].worker
     counting.opens = 0
     given = bench.started("j0", first)
-    assert [each.worker for each in of(given, ri.Send)] == [first]
+    assert [each.worker for each in of(given, ci.Send)] == [first]
     assert counting.opens <= 3
--- a/tests/test_rings.py
+++ b/tests/test_rings.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from robinstream import interface as ri
+from canvasbeam import interface as ci
 from tests.helpers import MS, Bench, entry, of, only
 
 
-def names(*workers: str) -> list[ri.WorkerEntry]:
+def names(*workers: str) -> list[ci.WorkerEntry]:
     return [entry(each) for each in workers]
 
 
@@ -20,7 +20,7 @@
 def test_busy_worker_is_skipped_and_comes_back_to_one_turn() -> None:
     bench = Bench(*names("a", "b", "c"))
     first, second, third = (bench.run_job() for _ in range(3))
-    assert only(bench.job(), ri.Send).worker == first
+    assert only(bench.job(), ci.Send).worker == first
     assert [bench.run_job(span=2 * MS) for _ in range(4)] == [second, third, second, third]
     bench.started("j3", first)
     bench.ended("j3", first)
@@ -31,10 +31,10 @@
     bench = Bench(*names("a", "b"), entry("z", "there"))
     bench.job()
     bench.job()
-    assert only(bench.job(), ri.Send).worker == "z"
-    assert of(bench.job(), ri.Send) == []
+    assert only(bench.job(), ci.Send).worker == "z"
+    assert of(bench.job(), ci.Send) == []
     first = bench.started("j0", "a") or bench.started("j0", "b")
-    assert only(first, ri.Send).worker in ("a", "b")
+    assert only(first, ci.Send).worker in ("a", "b")
 
 
 def test_joiner_in_mid_cycle_takes_one_turn_for_each_of_the_others() -> None:
@@ -55,10 +55,10 @@
 
 def test_draining_worker_gets_nothing_at_once() -> None:
     bench = Bench(*names("a"))
-    bench.listed(entry("a", state=ri.WorkerState.DRAINING), kind=ri.ListKind.CHANGES)
-    assert of(bench.job(), ri.Send) == []
-    bench.listed(entry("a"), kind=ri.ListKind.CHANGES)
-    assert of(bench.last, ri.Send) == [ri.Send("j0", "a")]
+    bench.listed(entry("a", state=ci.WorkerState.DRAINING), kind=ci.ListKind.CHANGES)
+    assert of(bench.job(), ci.Send) == []
+    bench.listed(entry("a"), kind=ci.ListKind.CHANGES)
+    assert of(bench.last, ci.Send) == [ci.Send("j0", "a")]
 
 
 def test_absent_from_a_complete_list_is_gone() -> None:
@@ -68,7 +68,7 @@
 
 
 def test_class_tied_to_a_kind_sees_that_kind_alone() -> None:
-    tied = ri.JobClass("tied", aim_ns=200 * MS, deadline_ns=5000 * MS, kind="big")
+    tied = ci.JobClass("tied", aim_ns=200 * MS, deadline_ns=5000 * MS, kind="big")
     bench = Bench(
         entry("a", kind="small"), entry("b", kind="big"), classes=(tied,), kinds=("small", "big")
     )
--- a/tests/test_rules_property.py
+++ b/tests/test_rules_property.py
@@ -14,15 +14,15 @@
 from hypothesis import settings as profile
 from hypothesis import strategies as st
 
-from robinstream import Dispatcher
-from robinstream import interface as ri
-from robinstream.interface import Effect, Outcome, Scope, WorkerState
+from canvasbeam import Dispatcher
+from canvasbeam import interface as ci
+from canvasbeam.interface import Effect, Outcome, Scope, WorkerState
 from tests.helpers import MS, SECOND, START, settings
 
 NEVER_RAN = {Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT}
 WORK = 60 * MS
 CLASSES = tuple(
-    ri.JobClass(
+    ci.JobClass(
         f"c{place}", aim_ns=200 * MS, deadline_ns=3 * SECOND, stretch=2.0, late_worth=0.3 * (place % 2),
         effect=effect, scope=scope, window_ns=SECOND,
     )
@@ -46,7 +46,7 @@
 
 @dataclass
 class Sent:
-    worker: ri.WorkerEntry
+    worker: ci.WorkerEntry
     at: int
     outcome: Outcome | None = None
     started: bool = False
@@ -58,7 +58,7 @@
 
 @dataclass
 class Taken:
-    cls: ri.JobClass
+    cls: ci.JobClass
     due: int
     ended: bool = False
     sent: list[Sent] = field(default_factory=list)
@@ -69,47 +69,47 @@
 
     def __init__(self, kind: type[Dispatcher], rng: random.Random, copies: bool) -> None:
         self.rng, self.copies, self.now = rng, copies, START
-        limits = ri.Limits(
+        limits = ci.Limits(
             max_attempts=4, probes=True, cancel=True, second_copies=copies, connect_timeout_ns=50 * MS
         )
         self.settings = settings(
             classes=CLASSES, limits=limits, dispatchers=2, progress_ns=300 * MS,
-            rules=ri.Rules(answer_slack_ns=16 * MS, cold_from=0.2, warm_within_ns=4 * SECOND,
+            rules=ci.Rules(answer_slack_ns=16 * MS, cold_from=0.2, warm_within_ns=4 * SECOND,
                            tip_multiple=3.0, overload_for_ns=SECOND),
         )  # fmt: skip
         self.dispatcher = kind(self.settings, 3)
         self.fleet = {
-            f"w{place}": ri.WorkerEntry(f"w{place}", "here" if place % 2 else "there", "k", place // 2)
+            f"w{place}": ci.WorkerEntry(f"w{place}", "here" if place % 2 else "there", "k", place // 2)
             for place in range(6)
         }
         self.jobs: dict[str, Taken] = {}
         self.timers: list[tuple[int, str]] = []
         self.probes: list[str] = []
         self.most_at_once = 1
-        self.feed(ri.WorkersListed(ri.ListKind.WARM_COPY, tuple(self.fleet.values())))
+        self.feed(ci.WorkersListed(ci.ListKind.WARM_COPY, tuple(self.fleet.values())))
 
-    def feed(self, event: ri.Event) -> None:
+    def feed(self, event: ci.Event) -> None:
         for action in self.dispatcher.handle(self.now, [event]):
             self.judge(action)
 
-    def judge(self, action: ri.Action) -> None:
+    def judge(self, action: ci.Action) -> None:
         match action:
-            case ri.Send():
+            case ci.Send():
                 self.judge_send(action)
-            case ri.Refuse(name):
+            case ci.Refuse(name):
                 job = self.jobs[name]
                 risky = any(each.risky() for each in job.sent)
                 free = job.cls.effect is Effect.SAFE
                 dropped = job.cls.effect is Effect.KEYED and job.cls.scope is Scope.ALL
                 rule(not risky or free or dropped, "2: refused though it may have run")
                 self.end(job)
-            case ri.Fail(name):
+            case ci.Fail(name):
                 self.end(self.jobs[name])
-            case ri.Cancel(name, attempt):
+            case ci.Cancel(name, attempt):
                 self.jobs[name].sent[attempt].cancelled = True
-            case ri.SetTimer(token, when):
+            case ci.SetTimer(token, when):
                 self.timers.append((when, token))
-            case ri.Probe(worker):
+            case ci.Probe(worker):
                 self.probes.append(worker)
 
     def end(self, job: Taken) -> None:
@@ -117,7 +117,7 @@
         rule(self.now <= job.due + self.settings.rules.answer_slack_ns, "1: answered too late")
         job.ended = True
 
-    def judge_send(self, action: ri.Send) -> None:
+    def judge_send(self, action: ci.Send) -> None:
         job, worker = self.jobs[action.job], self.fleet[action.worker]
         rule(not job.ended, "1: sent after its end")
         rule(worker.state is WorkerState.LIVE, "3: sent to a draining or gone worker")
@@ -138,7 +138,7 @@
         job.sent.append(Sent(worker, self.now))
         self.judge_cold(worker)
 
-    def judge_cold(self, worker: ri.WorkerEntry) -> None:
+    def judge_cold(self, worker: ci.WorkerEntry) -> None:
         rules = self.settings.rules
         age = self.now - worker.started_ns
         at_worker = [
@@ -174,24 +174,24 @@
             if open_jobs:
                 name = self.rng.choice(open_jobs)
                 self.jobs[name].ended = True
-                self.feed(ri.ClientGone(name))
+                self.feed(ci.ClientGone(name))
         elif self.probes:
             outcome = self.rng.choice([Outcome.OK, Outcome.TIMED_OUT])
-            self.feed(ri.ProbeEnded(self.probes.pop(0), outcome))
+            self.feed(ci.ProbeEnded(self.probes.pop(0), outcome))
         self.pass_time(self.rng.choice([0, 2, 5, 30, 120]) * MS)
 
     def arrive(self) -> None:
         cls, left = self.rng.choice(CLASSES), self.rng.choice([SECOND // 2, 3 * SECOND])
         name = f"j{len(self.jobs)}"
         self.jobs[name] = Taken(cls, self.now + left)
-        self.feed(ri.JobArrived(name, cls.name, self.now + left, work_hint_ns=WORK))
+        self.feed(ci.JobArrived(name, cls.name, self.now + left, work_hint_ns=WORK))
 
     def news(self, name: str, number: int, sent: Sent) -> None:
         if sent.cancelled:
             return self.outcome(name, number, Outcome.CANCELLED)
         if not sent.started and self.rng.random() < 0.6:
             sent.started = True
-            return self.feed(ri.JobStarted(name, number, sent.worker.worker))
+            return self.feed(ci.JobStarted(name, number, sent.worker.worker))
         outcomes = [Outcome.OK] * 6 + [Outcome.ERROR, Outcome.RESET, Outcome.TIMED_OUT]
         if not sent.started:
             outcomes = [Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.MOOT]
@@ -203,19 +203,19 @@
         sent.outcome = outcome
         if outcome is Outcome.OK:
             job.ended = True
-        self.feed(ri.AttemptEnded(name, number, sent.worker.worker, outcome, final=job.ended))
+        self.feed(ci.AttemptEnded(name, number, sent.worker.worker, outcome, final=job.ended))
 
     def relist(self) -> None:
         name = self.rng.choice(list(self.fleet))
         old = self.fleet[name]
         state = self.rng.choice(list(WorkerState))
         started = self.now if self.rng.random() < 0.5 else old.started_ns
-        self.fleet[name] = ri.WorkerEntry(name, old.zone, "k", old.cell, state, started_ns=started)
+        self.fleet[name] = ci.WorkerEntry(name, old.zone, "k", old.cell, state, started_ns=started)
         if state is WorkerState.GONE:
             listed = tuple(each for each in self.fleet.values() if each.state is not WorkerState.GONE)
-            self.feed(ri.WorkersListed(ri.ListKind.COMPLETE, listed))
+            self.feed(ci.WorkersListed(ci.ListKind.COMPLETE, listed))
         else:
-            self.feed(ri.WorkersListed(ri.ListKind.CHANGES, (self.fleet[name],)))
+            self.feed(ci.WorkersListed(ci.ListKind.CHANGES, (self.fleet[name],)))
 
     def pass_time(self, span: int) -> None:
         end = self.now + span
@@ -223,7 +223,7 @@
             when, token = min(self.timers)
             self.timers.remove((when, token))
             self.now = max(self.now, when)
-            self.feed(ri.TimerFired(token))
+            self.feed(ci.TimerFired(token))
         self.now = end
         for job in self.jobs.values():
             late = self.now > job.due + self.settings.rules.answer_slack_ns
@@ -247,7 +247,7 @@
 class AnswersTwice(Dispatcher):
     def _close(self, job):  # type: ignore[no-untyped-def]
         super()._close(job)
-        self._actions.append(ri.Fail(job.id))
+        self._actions.append(ci.Fail(job.id))
 
 
 class NeverGivesUp(Dispatcher):
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -5,7 +5,7 @@
 import ast
 from pathlib import Path
 
-SOURCE = Path(__file__).parent.parent / "robinstream" / "decide.py"
+SOURCE = Path(__file__).parent.parent / "canvasbeam" / "choice.py"
 PURE = {
     "__future__", "random", "bisect", "itertools", "collections", "collections.abc", "dataclasses", "math",
     "hashlib",
@@ -19,7 +19,7 @@
 
 
 def test_head_names_the_interface_file() -> None:
-    assert "robinstream/interface.py" in SOURCE.read_text().split('"""')[1].splitlines()[0]
+    assert "canvasbeam/interface.py" in SOURCE.read_text().split('"""')[1].splitlines()[0]
 
 
 def test_imports_only_the_interface_and_pure_library_parts() -> None:
@@ -29,7 +29,7 @@
             found |= {each.name for each in node.names}
         elif isinstance(node, ast.ImportFrom):
             found.add(str(node.module))
-    assert found - PURE == {"robinstream", "robinstream.interface"}
+    assert found - PURE == {"canvasbeam", "canvasbeam.interface"}
 
 
 def test_no_set_is_iterated() -> None:
