Tell the story of each failure on loopback sockets, and mend the three they found

The stories drive the loop by hand against scripted clients, targets and discovery; ports come from the kernel. They found: (1) a client that left in the same pass as its forward's connection came up was still forwarded: targets are read before clients, and TargetConnection.on_connected wrote at once. It now writes after every socket of the pass was read. (2) A full client table closed an idle client with nobody waiting (Listener.accept_all made room before accept): at the limit it lost clients for no one. (3) Settings of a wrong type ended in a traceback, not in one line (main caught ValueError and WireError alone). Also: each fixed response is logged with what was tried.

--- a/canvasbeam/__main__.py
+++ b/canvasbeam/__main__.py
@@ -15,6 +15,7 @@
 from datetime import timedelta
 from typing import Any
 
+from canvasbeam import interface as ci
 from canvasbeam.net.core import Core
 from canvasbeam.net.forward import Forwarder
 from canvasbeam.net.limits import MICROSECOND, Limits
@@ -83,14 +84,14 @@
         log.error("a signal could not be handled")
 
 
-def serve(configuration: Configuration) -> None:
+def serve(
+    configuration: Configuration, settings: ci.Settings, limits: Limits, report_names: Mapping[str, str]
+) -> None:
     """Run until drained."""
-    settings, names = read_settings(configuration.options)
-    limits = Limits.of(settings.limits, configuration.sockets)
     loop = Loop()
     born = time.time_ns() // 1000 * MICROSECOND - loop.read_clock()
     core = Core(loop, settings, limits, configuration.seed, born)
-    core.carrier = Forwarder(loop, core, limits, plain_report_names(names))
+    core.carrier = Forwarder(loop, core, limits, report_names)
     listener = Listener.bind(loop, core, limits, configuration.listen)
     TargetGroup(loop, core, limits, configuration.discovery, born).start(configuration.known)
     mine, theirs = socket.socketpair()
@@ -121,13 +122,14 @@
     logging.basicConfig(format="%(asctime)s %(levelname)s %(name)s: %(message)s", level=logging.INFO)
     try:
         configuration = read_configuration(os.environ)
-        read_settings(configuration.options)
-        Limits.of(read_settings(configuration.options)[0].limits, configuration.sockets)
-    except (ValueError, WireError) as error:
-        print(f"canvasbeam: {error}", file=sys.stderr)
+        settings, names = read_settings(configuration.options)
+        limits = Limits.of(settings.limits, configuration.sockets)
+    except (ValueError, WireError, TypeError, AttributeError) as error:
+        # The last two come of a value of another type than the settings' page gives.
+        print(f"canvasbeam: bad configuration: {error}", file=sys.stderr)
         return 1
     try:
-        serve(configuration)
+        serve(configuration, settings, limits, plain_report_names(names))
     except OSError as error:
         print(f"canvasbeam: cannot listen or serve: {error}", file=sys.stderr)
         return 1
--- a/canvasbeam/net/core.py
+++ b/canvasbeam/net/core.py
@@ -442,10 +442,19 @@
 
     def _answer(self, request: Request, answer: FinalAnswer) -> None:
         if not request.answered:
-            self._settle(request)
             self.answers[answer.kind] += 1
+            if answer.kind is not Answer.SERVED:
+                self._log_fixed(request, answer)
+            self._settle(request)
             request.answer(answer)
 
+    def _log_fixed(self, request: Request, answer: FinalAnswer) -> None:
+        tried = ", ".join(
+            f"{each.target} {each.outcome.value if each.outcome else 'out'}" for each in request.attempts
+        )
+        left = (request.due - self.loop.now).total_seconds()
+        log.info("%s %s, %.3f s left, tried: %s", request.job_class, answer.kind.value, left, tried or "none")
+
     def _settle(self, request: Request) -> None:
         """Nothing is owed from here on; a forward still waiting for its connection is stopped."""
         request.answered = True
--- a/canvasbeam/net/forward.py
+++ b/canvasbeam/net/forward.py
@@ -227,7 +227,9 @@
 
     def on_connected(self) -> None:
         self.loop.cancel(self._wait)
-        self._begin()
+        # Written once every socket of this pass has been read: a client that left in the same pass, or a
+        # drain told in it, must still stop the forward.
+        self.loop.at(self.loop.now, self._begin, self)
 
     def _not_connected(self) -> None:
         self._finish(Outcome.CONNECT_FAILED)
--- a/canvasbeam/net/listener.py
+++ b/canvasbeam/net/listener.py
@@ -93,7 +93,8 @@
     def accept_all(self, most: int) -> None:
         """Accept who is there. Idle clients make room; when none is idle, the rest waits in the backlog."""
         for _ in range(most):
-            if len(self.connections) >= self.limits.client_connections and not self.close_oldest_idle():
+            is_full = len(self.connections) >= self.limits.client_connections
+            if is_full and not any(each.is_idle for each in self.connections.values()):
                 self._pause()
                 return
             try:
@@ -108,6 +109,9 @@
                     self._pause()
                     return
                 continue  # the client was gone before it was accepted
+            # Only now that somebody has come: else a full table would lose a client for nobody.
+            if is_full:
+                self.close_oldest_idle()
             ClientConnection(self, sock)
 
     def close_oldest_idle(self) -> bool:
--- /dev/null
+++ b/tests/test_net_listener.py
@@ -0,0 +1,138 @@
+"""Stories of clients: what they send, and that each gets one answer; and of the module failing."""
+
+from __future__ import annotations
+
+import errno
+import socket
+from collections.abc import Sequence
+from datetime import timedelta
+from typing import Any
+
+import pytest
+
+from canvasbeam import interface as ci
+from canvasbeam.net.limits import Limits
+from tests.loopback import Server, World, done, job
+
+FIXED = {
+    "413 by its length": (b"POST /api HTTP/1.1\r\nContent-Length: 65537\r\n\r\n", "413"),
+    "413 by its chunks": (
+        b"POST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n11000\r\n" + b"x" * 0x11000, "413",
+    ),
+    "431": (b"POST /api HTTP/1.1\r\nX-Long: " + b"x" * 20_000, "431"),
+    "400 no HTTP": (b"what is this\r\n\r\n", "400"),
+    "400 unknown class": (job("no such"), "400"),
+    "400 no budget": (job(budget="soon"), "400"),
+    "400 endless budget": (job(budget="inf"), "400"),
+    "400 id twice": (job(extra="X-Call-Id: c2\r\n"), "400"),
+    "400 slots": (job(extra="X-Call-Info: slots=many\r\n"), "400"),
+    "404": (b"GET /elsewhere HTTP/1.1\r\n\r\n", "404"),
+    "405": (b"GET /api HTTP/1.1\r\n\r\n", "405"),
+    "200 ready": (b"GET /health/ready HTTP/1.1\r\n\r\n", "200"),
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("name", FIXED)
+def test_fixed_responses(name: str) -> None:
+    world = World(Server())
+    data, status = FIXED[name]
+    assert world.answer(world.client(data)).split()[1] == status
+    assert world.servers[0].requests() == 0
+
+
+def test_ready_only_when_it_can_serve() -> None:
+    world = World()
+    assert world.answer(world.client(b"GET /health/ready HTTP/1.1\r\n\r\n")).split()[1] == "503"
+
+
+def test_a_request_given_up_is_answered_at_once_with_advice_within_the_settings() -> None:
+    world = World()
+    client = world.client(job(budget="0.001"))
+    answer = world.answer(client)
+    assert answer.split()[1] == "503"
+    advice = float(answer.partition("Retry-After: ")[2].split()[0])
+    assert 0 < advice <= world.limits.come_back.total_seconds()
+
+
+def test_over_the_limit_of_open_requests_a_request_is_refused() -> None:
+    world = World(Server(), limits=Limits(open_requests=1, come_back=timedelta(seconds=1)))
+    first = world.client(job())
+    target = world.asked()
+    answer = world.answer(world.client(job(call_id="c2")))
+    assert answer.split()[1] == "503" and "Retry-After: 1.000" in answer
+    target.say(done("ok"))
+    assert world.answer(first).endswith("ok")
+
+
+def test_pipelined_requests_are_answered_in_order() -> None:
+    world = World(Server())
+    client = world.client(job() + job(call_id="c2"))
+    target = world.asked()
+    target.say(done("one"))
+    world.asked(times=2).say(done("two", "c2"))
+    answer = world.answer(client, times=2)
+    assert answer.index("one") < answer.index("two")
+
+
+def test_no_descriptor_left_is_no_spin_and_the_listener_recovers(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a loop that runs hot: the listening socket stays readable while accept fails."""
+    world = World(Server())
+    calls = []
+
+    def accept(_: Any) -> Any:
+        calls.append(1)
+        raise OSError(errno.EMFILE, "too many open files")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(socket.socket, "accept", accept)
+        client = world.client(job())
+        world.until(lambda: calls)
+        for _ in range(5):
+            world.loop.one_pass()
+        assert len(calls) == 1
+    world.asked().say(done("ok"))
+    assert world.answer(client).endswith("ok")
+
+
+def test_idle_clients_make_room_for_new_ones() -> None:
+    world = World(Server(), limits=Limits(client_connections=2))
+    idle = [world.client() for _ in range(2)]
+    world.until(lambda: len(world.listener.connections) == 2)
+    client = world.client(job())
+    world.asked().say(done("ok"))
+    assert world.answer(client).endswith("ok")
+    world.until(lambda: [each.look() for each in idle] and any(each.ended for each in idle))
+
+
+def test_a_module_that_raises_loses_no_request(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards the one answer: what was open is answered, and the next request is served."""
+    world = World(Server())
+    out = world.client(job("pay"))
+    world.asked()
+
+    def raises(_: Any, now: int, events: Sequence[ci.Event]) -> list[ci.Action]:
+        raise RuntimeError("scripted")
+
+    with monkeypatch.context() as patch:
+        patch.setattr("canvasbeam.choice.Dispatcher.handle", raises)
+        held = world.client(job(call_id="c2"))
+        assert world.answer(held).split()[1] == "503"  # it never ran
+        assert world.answer(out).split()[1] == "500"  # it may have
+    world.settle()
+    client = world.client(job(call_id="c3"))
+    world.until(lambda: world.servers[0].requests() == 2)
+    world.servers[0].peers[-1].say(done("ok", "c3"))
+    assert world.answer(client).endswith("ok")
+    assert [each.look().count(b"HTTP/1.1") for each in (out, held)] == [1, 1]
+
+
+def test_an_exception_on_one_connection_ends_that_connection_alone(monkeypatch: pytest.MonkeyPatch) -> None:
+    world = World(Server())
+    well = world.client(job())
+    target = world.asked()
+    with monkeypatch.context() as patch:
+        patch.setattr("canvasbeam.net.listener.ClientConnection.on_data", lambda *_: 1 / 0)
+        ill = world.client(job(call_id="c2"))
+        world.until(lambda: not ill.look() and ill.ended)
+    target.say(done("ok"))
+    assert world.answer(well).endswith("ok")
--- /dev/null
+++ b/tests/test_net_loop.py
@@ -0,0 +1,175 @@
+"""Slots, deadlines, discovery, and the whole program as it is started and ended."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from datetime import timedelta
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from canvasbeam import interface as ci
+from canvasbeam.net.limits import Limits, nanoseconds, span_of
+from canvasbeam.net.loop import Loop, SlotTable
+from canvasbeam.net.target_group import TargetGroup
+from tests.loopback import Server, World, done, job
+from tests.test_adapter import OPTIONS
+
+MS = timedelta(milliseconds=1)
+
+
+def test_a_stale_handle_never_finds_a_reused_slot() -> None:
+    table: SlotTable[str] = SlotTable()
+    old = table.add("old")
+    table.remove(old)
+    new = table.add("new")
+    assert (table.get(old), table.get(new), table.count) == (None, "new", 1)
+    table.remove(old)
+    assert table.get(new) == "new"
+
+
+def test_deadlines_come_in_order_never_early_and_not_once_cancelled() -> None:
+    loop = Loop()
+    came: list[tuple[int, bool]] = []
+    start = loop.read_clock()
+    for place in (3, 1, 2):
+        when = start + place * MS
+        loop.at(when, lambda place=place, when=when: came.append((place, loop.now >= when)))  # type: ignore[misc]
+    for _ in range(200):
+        loop.cancel(loop.at(start + 2 * MS, lambda: came.append((0, False))))
+    while len(came) < 3:
+        loop.one_pass()
+    assert came == [(1, True), (2, True), (3, True)]
+    loop.close()
+
+
+def test_spans_are_never_rounded_to_an_earlier_time() -> None:
+    assert nanoseconds(span_of(1)) == 1000
+    assert nanoseconds(span_of(5000)) == 5000
+
+
+def listing(seq: int, whole: bool, *hosts: dict[str, Any]) -> bytes:
+    body = json.dumps({"seq": seq, "whole": whole, "hosts": hosts}).encode()
+    return f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+def host(name: str, health: str = "Ready", dial: str = "127.0.0.1:9", born: int = 0) -> dict[str, Any]:
+    return {
+        "host": name, "dial": dial, "site": "here", "class": "k", "block": 0, "health": health, "share": 1.0,
+        "born_ms": born,
+    }  # fmt: skip
+
+
+def test_the_watch_goes_on_and_what_a_whole_list_leaves_out_is_gone() -> None:
+    discovery = Server()
+    world = World()
+    group = TargetGroup(world.loop, world.core, world.limits, discovery.address, timedelta(0))
+    group.start({"seq": 1, "whole": True, "hosts": [host("s-0"), host("s-1")]})
+    assert set(world.core.targets) == {"s-0", "s-1"}  # the warm copy
+    world.until(lambda: any(b"GET /registry/instances HTTP" in each.got for each in discovery.look()))
+    peer = discovery.peers[0]
+    peer.say(listing(4, True, host("s-1"), host("s-2", born=1_700_000_000_000)))
+    world.until(lambda: b"from=4&hold_ms=" in peer.look())
+    assert set(world.core.targets) == {"s-1", "s-2"}
+    started = world.core.targets["s-2"].started
+    peer.say(listing(5, False, host("s-1", "Terminating", "127.0.0.1:10"), host("s-9", "Gone")))
+    world.until(lambda: b"from=5&hold_ms=" in peer.look())
+    assert world.core.targets["s-1"].state is ci.WorkerState.DRAINING
+    assert world.core.targets["s-1"].address == ("127.0.0.1", 10)
+    # The same start maps to the same time in every list, or a target would seem to start anew.
+    peer.say(listing(6, False, host("s-2", born=1_700_000_000_000)))
+    world.until(lambda: b"from=6&hold_ms=" in peer.look())
+    assert world.core.targets["s-2"].started == started
+    assert len(discovery.look()) == 1
+
+
+def test_a_stuck_or_broken_watch_is_asked_again_and_the_list_stays() -> None:
+    discovery = Server()
+    limits = Limits(list_wait=5 * MS, watch_hold=5 * MS, watch_slack=5 * MS, watch_retry=MS)
+    world = World(limits=limits)
+    group = TargetGroup(world.loop, world.core, limits, discovery.address, timedelta(0))
+    group.start({"seq": 1, "whole": True, "hosts": [host("s-0")]})
+    world.until(lambda: len(discovery.look()) >= 2)  # silent: asked again on a new connection
+    discovery.peers[-1].say(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{]}")
+    before = len(discovery.peers)
+    world.until(lambda: len(discovery.look()) > before)
+    assert set(world.core.targets) == {"s-0"}
+
+
+def environment(tmp_path: Path, discovery: Server, **changes: Any) -> dict[str, str]:
+    with socket.create_server(("127.0.0.1", 0)) as probe:
+        port = probe.getsockname()[1]
+    fields = {
+        "name": "n0", "listen": f"127.0.0.1:{port}", "discovery": "{}:{}".format(*discovery.address),
+        "seed": "8c1f", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": OPTIONS,
+        **changes,
+    }  # fmt: skip
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(fields))
+    kept = {name: value for name, value in os.environ.items() if not name.startswith("LB_")}
+    return {**kept, "LB_CONFIG": str(path), "LISTEN": fields["listen"]}
+
+
+def test_the_program_serves_and_after_sigterm_answers_what_it_took(tmp_path: Path) -> None:
+    discovery, target = Server(), Server()
+    known = {"seq": 1, "whole": True, "hosts": [host("s-0", dial="{}:{}".format(*target.address))]}
+    env = environment(tmp_path, discovery, known=known)
+    address, port = env["LISTEN"].split(":")
+    command = [sys.executable, "-m", "canvasbeam"]
+    for server in (discovery, target):
+        server.sock.setblocking(True)
+    with subprocess.Popen(command, env=env, stderr=subprocess.PIPE, text=True) as process:
+        try:
+            assert process.stderr is not None
+            while "listens on" not in process.stderr.readline():
+                assert process.poll() is None
+            client = socket.create_connection((address, int(port)))
+            client.sendall(job())
+            forward, _ = target.sock.accept()
+            got = b""
+            while not got.endswith(b"BODY"):
+                got += forward.recv(65536)
+            process.send_signal(signal.SIGTERM)
+            while "draining" not in process.stderr.readline():
+                assert process.poll() is None
+            # New connections still come in this window; they are told to go elsewhere.
+            late = socket.create_connection((address, int(port)))
+            late.sendall(b"GET /health/ready HTTP/1.1\r\n\r\n")
+            assert read_all(late).startswith(b"HTTP/1.1 503 ")
+            forward.sendall(done("kept"))
+            answer = read_all(client)
+            assert b"Connection: close" in answer and answer.endswith(b"kept")
+            assert process.wait(timeout=60) == 0
+        finally:
+            process.kill()
+
+
+def read_all(sock: socket.socket) -> bytes:
+    got = b""
+    while data := sock.recv(65536):
+        got += data
+    sock.close()
+    return got
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"listen": "nowhere"}, {"settings": {}}, {"seed": "not hex"}, {"limits": {"sockets": 3}},
+        {"known": {"hosts": 1}}, {"settings": {**OPTIONS, "myZone": "nowhere"}},
+        {"settings": {**OPTIONS, "services": 3}},
+    ],
+)  # fmt: skip
+def test_a_bad_configuration_is_one_line_and_no_start(tmp_path: Path, changes: dict[str, Any]) -> None:
+    env = environment(tmp_path, Server(), **{"listen": "127.0.0.1:1", **changes})
+    command = [sys.executable, "-m", "canvasbeam"]
+    done_ = subprocess.run(command, env=env, capture_output=True, text=True, timeout=60, check=False)
+    assert done_.returncode != 0
+    assert len(done_.stderr.splitlines()) == 1, done_.stderr
+    assert done_.stderr.startswith("canvasbeam: ")
