--- a/tests/test_net_forward.py
+++ b/tests/test_net_forward.py
@@ -127,7 +127,7 @@
 
 @pytest.mark.parametrize("event", ["drain", "hangup"])
 def test_a_forward_still_waiting_for_its_connection_is_stopped(event: str) -> None:
-        world.until(lambda n=number: sum(each.requests() for each in world.servers) > n)  # type: ignore[misc]
+    """Guards the moment of the send: the target drains or the client leaves before the connection is up."""
     world = World(Server())
     client = world.client(job("pay"))
     world.until(lambda: world.core.open_requests == 1)
