--- a/canvasbeam/__main__.py
+++ b/canvasbeam/__main__.py
@@ -88,7 +88,7 @@
     configuration: Configuration, settings: ci.Settings, limits: Limits, report_names: Mapping[str, str]
 ) -> None:
     """Run until drained."""
-    loop = Loop()
+    loop = Loop(limits.slow_pass)
     born = time.time_ns() // 1000 * MICROSECOND - loop.read_clock()
     core = Core(loop, settings, limits, configuration.seed, born)
     core.carrier = Forwarder(loop, core, limits, report_names)
--- a/canvasbeam/net/limits.py
+++ b/canvasbeam/net/limits.py
@@ -65,6 +65,7 @@
     linger: timedelta = seconds(1)
     accept_pause: timedelta = seconds(0.05)
     drain_window: timedelta = seconds(0.6)  # after SIGTERM, while clients still come
+    slow_pass: timedelta = seconds(0.02)  # a pass that takes longer is told in the log
     list_wait: timedelta = seconds(1)
     watch_hold: timedelta = seconds(5)
     watch_slack: timedelta = seconds(1)  # past its hold, a watch is stuck
--- a/canvasbeam/net/loop.py
+++ b/canvasbeam/net/loop.py
@@ -222,7 +222,8 @@
 class Loop:
     """One pass after another: sockets by rank, due deadlines, then the end of the pass."""
 
-    def __init__(self) -> None:
+    def __init__(self, slow_pass: timedelta) -> None:
+        self.slow_pass = slow_pass
         self.selector = selectors.DefaultSelector()
         self.endpoints: SlotTable[Endpoint] = SlotTable()
         self.end_of_pass: Callable[[], None] = lambda: None
@@ -293,7 +294,11 @@
                 self._guarded(lambda each=endpoint, seen=mask: each.on_event(seen), endpoint)  # type: ignore[misc]
         self._run_due()
         self.end_of_pass()
-        self.longest_pass = max(self.longest_pass, self.read_clock() - begun)
+        took = self.read_clock() - begun
+        self.longest_pass = max(self.longest_pass, took)
+        if took > self.slow_pass:
+            # Everything waits for a pass: a long one makes answers late, so it must not go unseen.
+            log.warning("a pass took %.1f ms for %d sockets", took.total_seconds() * 1000, len(woken))
 
     def _patience(self) -> float | None:
         if self._again or self._stopped:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -104,10 +104,10 @@
     """Loop, core, listener and forwarder, wired as the program wires them."""
 
     def __init__(self, *servers: Server, limits: Limits | None = None, **changes: Any) -> None:
-        self.loop = Loop()
-        self.loop.read_clock()
         base = {"client_connections": 8, "target_connections": 8, "come_back": timedelta(seconds=2)}
         self.limits = limits or Limits(**base)  # type: ignore[arg-type]
+        self.loop = Loop(self.limits.slow_pass)
+        self.loop.read_clock()
         born = timedelta(days=20_000)
         self.core = Core(self.loop, settings(**changes), self.limits, 1, born)
         self.forwarder = Forwarder(self.loop, self.core, self.limits, REPORT_NAMES)
--- a/tests/test_net_listener.py
+++ b/tests/test_net_listener.py
@@ -105,6 +105,19 @@
     world.until(lambda: [each.look() for each in idle] and any(each.ended for each in idle))
 
 
+def test_with_every_connection_busy_newcomers_wait_and_are_served() -> None:
+    world = World(Server(), limits=Limits(client_connections=1))
+    first, second = world.client(job()), world.client(job(call_id="c2"))
+    target = world.asked()
+    for _ in range(5):
+        world.loop.one_pass()
+    assert len(world.listener.connections) == 1 and world.servers[0].requests() == 1
+    target.say(done("one"))
+    assert world.answer(first).endswith("one")
+    world.asked(times=2).say(done("two", "c2"))
+    assert world.answer(second).endswith("two")
+
+
 def test_a_module_that_raises_loses_no_request(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards the one answer: what was open is answered, and the next request is served."""
     world = World(Server())
--- a/tests/test_net_loop.py
+++ b/tests/test_net_loop.py
@@ -35,7 +35,7 @@
 
 
 def test_deadlines_come_in_order_never_early_and_not_once_cancelled() -> None:
-    loop = Loop()
+    loop = Loop(Limits().slow_pass)
     came: list[tuple[int, bool]] = []
     start = loop.read_clock()
     for place in (3, 1, 2):
