Never close a client as idle whose request has come but was not read

The protocol lets such a request be sent again, but it costs the client a connection. Now the oldest idle client is chosen by a look into its socket, and closed only once another was accepted (Listener._oldest_idle, Stream.is_quiet).

--- a/canvasbeam/net/forward.py
+++ b/canvasbeam/net/forward.py
@@ -248,16 +248,6 @@
         self._wait = self.loop.after(self.owner.limits.target_idle, self.close, self)
         self.owner.keep(self)
 
-    def is_quiet(self) -> bool:
-        """Whether nothing has come on this idle connection: a request on one that was closed may be lost."""
-        try:
-            self.sock.recv(1, socket.MSG_PEEK)
-        except (BlockingIOError, InterruptedError):
-            return True
-        except OSError:
-            return False
-        return False
-
     # --- the answer -------------------------------------------------------------------------------
 
     def on_header(self, name: bytes, value: bytes) -> None:
--- a/canvasbeam/net/listener.py
+++ b/canvasbeam/net/listener.py
@@ -94,7 +94,8 @@
         """Accept who is there. Idle clients make room; when none is idle, the rest waits in the backlog."""
         for _ in range(most):
             is_full = len(self.connections) >= self.limits.client_connections
-            if is_full and not any(each.is_idle for each in self.connections.values()):
+            oldest = self._oldest_idle() if is_full else None
+            if is_full and oldest is None:
                 self._pause()
                 return
             try:
@@ -105,22 +106,23 @@
                 if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
                     # Guards against a spin: the listening socket stays readable while no descriptor is left.
                     log.warning("cannot accept: %s", error)
-                    self.close_oldest_idle()
+                    oldest = self._oldest_idle()
+                    if oldest is not None:
+                        oldest.close()
                     self._pause()
                     return
                 continue  # the client was gone before it was accepted
             # Only now that somebody has come: else a full table would lose a client for nobody.
-            if is_full:
-                self.close_oldest_idle()
+            if oldest is not None:
+                oldest.close()
             ClientConnection(self, sock)
 
-    def close_oldest_idle(self) -> bool:
-        """Close the client that has been idle longest; the table is in order of last use."""
-        for connection in self.connections.values():
-            if connection.is_idle:
-                connection.close()
-                return True
-        return False
+    def _oldest_idle(self) -> ClientConnection | None:
+        """The client idle longest; the table is in order of last use.
+
+        Guards against closing on a request that has come but was not read: such a client is not idle.
+        """
+        return next((each for each in self.connections.values() if each.is_idle and each.is_quiet()), None)
 
     def _pause(self) -> None:
         if self._paused is None:
--- a/canvasbeam/net/loop.py
+++ b/canvasbeam/net/loop.py
@@ -153,6 +153,16 @@
         self._reading = on
         self._update()
 
+    def is_quiet(self) -> bool:
+        """Whether nothing has come on this connection since it was last read, its end included."""
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, InterruptedError):
+            return True
+        except OSError:
+            return False
+        return False
+
     def on_event(self, mask: int) -> None:
         """Finish connecting, write, then read."""
         if not self.connected:
