--- a/canvasbeam/net/target_group.py
+++ b/canvasbeam/net/target_group.py
@@ -20,7 +20,7 @@
 from canvasbeam.net.core import Core, Target
 from canvasbeam.net.limits import Limits
 from canvasbeam.net.loop import Deadline, Loop, Stream
-from canvasbeam.settings import Fields, WireError, need, number, section, whole, word
+from canvasbeam.settings import Fields, WireError, need, number, whole, word
 
 log = logging.getLogger(__name__)
 
@@ -128,7 +128,10 @@
         try:
             if status != 200:
                 raise WireError(f"discovery answered {status}")
-            is_whole, targets, version = read_list(section({"list": json.loads(body)}, "list"), self._born)
+            message = json.loads(body)
+            if not isinstance(message, dict):
+                raise WireError("discovery's answer is no object")
+            is_whole, targets, version = read_list(message, self._born)
         except (WireError, ValueError) as error:
             self.failed(str(error))
             return
