SIGHUP re-reads LB_CONFIG and moves to the new discovery, keeping list and requests

At fault: __main__.py caught only SIGTERM and SIGINT; TargetGroup had one address for life, and its failed() took any connection's failure for that of the present one. The environment's LB_DISCOVERY would also have hidden the file's new address, so on SIGHUP the file goes first; the log says at start which of the two named discovery. Signals are caught before anything else, so one that comes during the start waits for the loop.

Checked: SIGHUP with a bad file (three kinds), repeated, during a drain and back to the old address, against the program itself; both new tests fail with the change taken out.

--- a/canvasbeam/__main__.py
+++ b/canvasbeam/__main__.py
@@ -1,4 +1,9 @@
-"""The real scheduler: reads the environment and LB_CONFIG, fills the limits, wires the parts, signals."""
+"""The real scheduler: reads the environment and LB_CONFIG, fills the limits, wires the parts, signals.
+
+It owns the order of what it is told: at start the environment goes before the file, on SIGHUP the file's
+discovery goes first, since only the file can have changed. It must never decide, and never end or change a
+running scheduler over a file that cannot be used.
+"""
 
 from __future__ import annotations
 
@@ -25,6 +30,10 @@
 from canvasbeam.settings import WireError, need, plain_report_names, read_settings, section, whole
 
 log = logging.getLogger(__name__)
+# All but the first two come of a value of another type or size than the settings' page gives.
+CONFIGURATION_ERRORS = (
+    ValueError, WireError, TypeError, AttributeError, LookupError, ArithmeticError, RecursionError,
+)  # fmt: skip
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,40 +75,77 @@
     )
 
 
+def read_new_discovery(environment: Mapping[str, str]) -> tuple[str, int]:
+    """Where the file now says that discovery is; the whole file must be as good as at a start.
+
+    LB_DISCOVERY is as old as the process: it must not hide the file's new address.
+    """
+    kept = {name: value for name, value in environment.items() if name != "LB_DISCOVERY"}
+    configuration = read_configuration(kept)
+    settings, _ = read_settings(configuration.options)
+    Limits.of(settings.limits, configuration.sockets)
+    return configuration.discovery
+
+
 class Signals(Endpoint):
-    """Turns a signal into an event of the loop."""
+    """Turns signals into events of the loop. They are caught from the first moment and wait until it runs."""
+
+    NUMBERS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
-    def __init__(self, loop: Loop, sock: socket.socket, listener: Listener) -> None:
+    def __init__(self, loop: Loop, sock: socket.socket, listener: Listener, group: TargetGroup) -> None:
         super().__init__(loop, sock)
         self._listener = listener
+        self._group = group
         self.wants(READ)
 
+    @classmethod
+    def catch(cls) -> socket.socket:
+        """Have signals written to a socket; the end to read from."""
+        mine, theirs = socket.socketpair()
+        theirs.setblocking(False)
+        signal.set_wakeup_fd(theirs.detach(), warn_on_full_buffer=False)
+        for number in cls.NUMBERS:
+            signal.signal(number, lambda *_: None)
+        return mine
+
     def on_event(self, mask: int) -> None:
-        self.sock.recv(64)
-        if not self._listener.draining:
+        numbers = self.sock.recv(256)
+        if (signal.SIGTERM in numbers or signal.SIGINT in numbers) and not self._listener.draining:
             log.info("draining")
             self._listener.drain()
+        if signal.SIGHUP in numbers:  # once for many: each reads the same file
+            self._reload()
+
+    def _reload(self) -> None:
+        """Follow the file's discovery, also during a drain: what is held may still need the list."""
+        try:
+            address = read_new_discovery(os.environ)
+        except CONFIGURATION_ERRORS as error:
+            log.error("LB_CONFIG is not taken up, all stays as it was: %s", " ".join(str(error).split()))
+            return
+        if address == self._group.address:
+            log.info("LB_CONFIG read again: discovery stays at %s:%d", *address)
+            return
+        log.info("LB_CONFIG read again: discovery moves from %s:%d to %s:%d", *self._group.address, *address)
+        self._group.move(address)
 
     def on_failure(self) -> None:
         log.error("a signal could not be handled")
 
 
 def serve(
-    configuration: Configuration, settings: ci.Settings, limits: Limits, report_names: Mapping[str, str]
-) -> None:
+    configuration: Configuration, settings: ci.Settings, limits: Limits, report_names: Mapping[str, str],
+    signals: socket.socket,
+) -> None:  # fmt: skip
     """Run until drained."""
     loop = Loop(limits.slow_pass)
     born = time.time_ns() // 1000 * MICROSECOND - loop.read_clock()
     core = Core(loop, settings, limits, configuration.seed, born)
     core.carrier = Forwarder(loop, core, limits, report_names)
     listener = Listener.bind(loop, core, limits, configuration.listen)
-    TargetGroup(loop, core, limits, configuration.discovery, born).start(configuration.known)
-    mine, theirs = socket.socketpair()
-    theirs.setblocking(False)
-    Signals(loop, mine, listener)
-    signal.set_wakeup_fd(theirs.fileno(), warn_on_full_buffer=False)
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: None)
+    group = TargetGroup(loop, core, limits, configuration.discovery, born)
+    group.start(configuration.known)
+    Signals(loop, signals, listener, group)
 
     def end_of_pass() -> None:
         core.end_of_pass()
@@ -111,6 +157,8 @@
     gc.collect()
     gc.freeze()
     log.info("%s listens on %s:%d", configuration.name, *configuration.listen)
+    origin = "LB_DISCOVERY" if os.environ.get("LB_DISCOVERY") else "LB_CONFIG"
+    log.info("discovery is at %s:%d, by %s", *configuration.discovery, origin)
     loop.run()
     told = ", ".join(f"{count} {kind.value}" for kind, count in core.answers.items())
     log.info("drained: %s; longest pass %.1f ms", told, loop.longest_pass.total_seconds() * 1000)
@@ -119,17 +167,17 @@
 
 def main() -> int:
     """Serve; 1 with one line on standard error where the configuration is bad."""
+    signals = Signals.catch()
     logging.basicConfig(format="%(asctime)s %(levelname)s %(name)s: %(message)s", level=logging.INFO)
     try:
         configuration = read_configuration(os.environ)
         settings, names = read_settings(configuration.options)
         limits = Limits.of(settings.limits, configuration.sockets)
-    except (ValueError, WireError, TypeError, AttributeError) as error:
-        # The last two come of a value of another type than the settings' page gives.
+    except CONFIGURATION_ERRORS as error:
         print(f"canvasbeam: bad configuration: {error}", file=sys.stderr)
         return 1
     try:
-        serve(configuration, settings, limits, plain_report_names(names))
+        serve(configuration, settings, limits, plain_report_names(names), signals)
     except OSError as error:
         print(f"canvasbeam: cannot listen or serve: {error}", file=sys.stderr)
         return 1
--- a/canvasbeam/net/target_group.py
+++ b/canvasbeam/net/target_group.py
@@ -2,7 +2,8 @@
 
 It owns the connection to discovery, the version last told, and the reading of discovery's entries. It must
 never judge a target's health, never leave more than the allowed gap between two calls while discovery
-answers, and never drop the list because discovery is silent.
+answers, never drop the list because discovery is silent or has moved, and never take news of a connection
+that it has left.
 """
 
 from __future__ import annotations
@@ -85,7 +86,7 @@
         self._loop = loop
         self._core = core
         self._limits = limits
-        self._address = address
+        self.address = address
         self._born = born
         self._version: int | None = None
         self._connection: _Discovery | None = None
@@ -99,6 +100,17 @@
             self._core.listed(ci.ListKind.WARM_COPY, targets, version)
         self._ask()
 
+    def move(self, address: tuple[str, int]) -> None:
+        """Follow discovery at another address from now on; the list stays until the new one has told its own.
+
+        The version belongs to the old one, so the whole list is asked for first.
+        """
+        self._loop.cancel(self._wait)
+        self._hang_up()
+        self.address = address
+        self._version = None
+        self._ask()
+
     def _ask(self) -> None:
         """The next call: the whole list first, then one watch after another."""
         self._wait = None
@@ -108,20 +120,23 @@
             path += f"?from={self._version}&hold_ms={hold // timedelta(milliseconds=1)}"
             patience = hold + self._limits.watch_slack
         try:
-            if self._connection is None:
-                sock = connect(self._address)
-                self._connection = _Discovery(self._loop, sock, self._limits, self)
+            connection = self._connection
+            if connection is None:
+                sock = connect(self.address)
+                connection = self._connection = _Discovery(self._loop, sock, self._limits, self)
         except OSError as error:
-            self.failed(f"discovery is not reached: {error}")
+            self._failed(f"discovery is not reached: {error}")
             return
         self._asked = self._loop.now
-        host = f"{self._address[0]}:{self._address[1]}"
+        host = f"{self.address[0]}:{self.address[1]}"
         # Guards against a watch that discovery never answers: the list would stand still unnoticed.
-        self._wait = self._loop.after(patience, lambda: self.failed("discovery did not answer"))
-        self._connection.write(f"GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
+        self._wait = self._loop.after(patience, lambda: self.failed(connection, "discovery did not answer"))
+        connection.write(f"GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
 
-    def answered(self, status: int, body: bytes, stays: bool) -> None:
+    def answered(self, connection: _Discovery, status: int, body: bytes, stays: bool) -> None:
         """Take an answer and ask again."""
+        if connection is not self._connection:
+            return  # guards the new discovery's list against what the one before it still says
         self._loop.cancel(self._wait)
         if not stays:
             self._hang_up()
@@ -133,7 +148,7 @@
                 raise WireError("discovery's answer is no object")
             is_whole, targets, version = read_list(message, self._born)
         except (WireError, ValueError) as error:
-            self.failed(str(error))
+            self._failed(str(error))
             return
         first = self._version is None
         self._version = version
@@ -146,7 +161,12 @@
         else:
             self._ask()
 
-    def failed(self, why: str) -> None:
+    def failed(self, connection: _Discovery, why: str) -> None:
+        """A connection failed. One that was left before fails late: that must not disturb its successor."""
+        if connection is self._connection:
+            self._failed(why)
+
+    def _failed(self, why: str) -> None:
         """A call failed: ask again soon, on a new connection."""
         log.warning("%s", why)
         self._loop.cancel(self._wait)
@@ -190,21 +210,21 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
-            self._group.failed(f"discovery's answer is garbled: {error}")
+            self._group.failed(self, f"discovery's answer is garbled: {error}")
             return
         if len(self._body) > self._limits.list_body:
-            self._group.failed("discovery's answer is too long")
+            self._group.failed(self, "discovery's answer is too long")
         elif self._done:
             body, status = bytes(self._body), self._parser.get_status_code()
             self._body.clear()
             self._done = False
-            self._group.answered(status, body, self._stays)
+            self._group.answered(self, status, body, self._stays)
 
     def on_eof(self) -> None:
-        self._group.failed("discovery closed the connection")
+        self._group.failed(self, "discovery closed the connection")
 
     def on_broken(self, error: OSError) -> None:
-        self._group.failed(f"discovery's connection broke: {error}")
+        self._group.failed(self, f"discovery's connection broke: {error}")
 
     def on_failure(self) -> None:
-        self._group.failed("discovery's answer could not be handled")
+        self._group.failed(self, "discovery's answer could not be handled")
--- a/tests/test_net_loop.py
+++ b/tests/test_net_loop.py
@@ -18,7 +18,7 @@
 from canvasbeam.net.limits import Limits, nanoseconds, span_of
 from canvasbeam.net.loop import Loop, SlotTable
 from canvasbeam.net.target_group import TargetGroup
-from tests.loopback import Server, World, done, job
+from tests.loopback import Peer, Server, World, done, job
 from tests.test_adapter import OPTIONS
 
 MS = timedelta(milliseconds=1)
@@ -102,6 +102,29 @@
     assert set(world.core.targets) == {"s-0"}
 
 
+def test_discovery_that_moves_is_asked_for_the_whole_list_and_the_old_one_disturbs_no_more() -> None:
+    """Guards the new watch: the old connection failed late and its failure was taken for the new one's."""
+    old, new = Server(), Server()
+    world = World()
+    group = TargetGroup(world.loop, world.core, world.limits, old.address, timedelta(0))
+    group.start({})
+    world.until(lambda: old.look() and b"instances HTTP" in old.peers[0].got)
+    old.peers[0].say(listing(7, True, host("s-0")))
+    world.until(lambda: b"from=7&" in old.peers[0].look())
+    left = group._connection
+    assert left is not None
+    group.move(new.address)
+    assert set(world.core.targets) == {"s-0"}
+    world.until(lambda: new.look() and b"instances HTTP" in new.peers[0].got)  # whole, not from 7
+    left.on_eof()
+    group.answered(left, 200, b'{"seq":8,"whole":true,"hosts":[]}', True)
+    world.until(lambda: old.peers[0].look() and old.peers[0].ended)
+    new.peers[0].say(listing(2, True, host("s-1")))
+    world.until(lambda: b"from=2&" in new.peers[0].look())
+    assert set(world.core.targets) == {"s-1"}
+    assert (len(old.look()), len(new.look())) == (1, 1)
+
+
 def environment(tmp_path: Path, discovery: Server, **changes: Any) -> dict[str, str]:
     with socket.create_server(("127.0.0.1", 0)) as probe:
         port = probe.getsockname()[1]
@@ -150,6 +173,58 @@
             process.kill()
 
 
+def test_sighup_follows_the_file_keeps_what_is_open_and_a_bad_file_changes_nothing(tmp_path: Path) -> None:
+    """Guards the whole of it in the program: LB_DISCOVERY hid the file, and SIGHUP ended the process."""
+    old, new, target = Server(), Server(), Server()
+    known = {"seq": 1, "whole": True, "hosts": [host("s-0", dial="{}:{}".format(*target.address))]}
+    env = environment(tmp_path, old, known=known)
+    env["LB_DISCOVERY"] = "{}:{}".format(*old.address)
+    path = tmp_path / "config.json"
+    fields = json.loads(path.read_text())
+    for server in (old, new, target):
+        server.sock.setblocking(True)
+    command = [sys.executable, "-m", "canvasbeam"]
+    with subprocess.Popen(command, env=env, stderr=subprocess.PIPE, text=True) as process:
+
+        def told(text: str) -> None:
+            assert process.stderr is not None
+            while text not in (line := process.stderr.readline()):
+                assert line, "the program ended"
+
+        def asked(server: Server) -> bytes:
+            sock, _ = server.sock.accept()
+            server.peers.append(Peer(sock))  # kept open: silence is no failure
+            sock.setblocking(True)
+            return sock.recv(65536)
+
+        try:
+            told("listens on")
+            asked(old)
+            address, port = env["LISTEN"].split(":")
+            client = socket.create_connection((address, int(port)))
+            client.sendall(job())
+            forward, _ = target.sock.accept()
+            for bad in ({"discovery": "nowhere"}, {"seed": "no hex"}, {"settings": 3}):
+                path.write_text(json.dumps({**fields, **bad}))
+                process.send_signal(signal.SIGHUP)
+                told("not taken up")
+            path.write_text(json.dumps({**fields, "discovery": "{}:{}".format(*new.address)}))
+            process.send_signal(signal.SIGHUP)
+            told("discovery moves")
+            assert asked(new).startswith(b"GET /registry/instances HTTP")
+            process.send_signal(signal.SIGTERM)
+            told("draining")
+            path.write_text(json.dumps(fields))
+            process.send_signal(signal.SIGHUP)
+            told("discovery moves")  # also during the drain, and back to where it was
+            assert asked(old).startswith(b"GET /registry/instances HTTP")
+            forward.sendall(done("kept"))
+            assert read_all(client).endswith(b"kept")
+            assert process.wait(timeout=60) == 0
+        finally:
+            process.kill()
+
+
 def read_all(sock: socket.socket) -> bytes:
     got = b""
     while data := sock.recv(65536):
