Bound what bad clients get: errors in seconds, no open id twice, 4xx no fault of a target

Read in the sources: no deadline for a first request under 20 s (head) or 75 s (silent); every pipelined request of a read was parsed and answered in one pass; a trailer was read as a header; a budget of 1_0, nan in other spellings or years passed; two open requests could carry one id; a refused body was still read into memory; the linger was never shorter for newcomers; a local lack of descriptors rested the target.

Ruled out (probe of httptools with 40 heads): both lengths, repeated lengths, folding, control bytes and chunked not last are already refused by its parser; this is now also told in stories, and the coding checked here.

At fault: listener.py on_data, on_header, _read_request, _oldest_idle; forward.py _end_message, _connection_to. Now: one time for a first request from the connection's start; small pieces fed, 16 requests a pass, unread bytes stay with the client; refused bytes are dropped by the kernel (MSG_TRUNC); bodies bounded by memory_mb; room is made in the order leaving, silent, unfinished, idle; core.py knows the ids that are open (409).

--- a/canvasbeam/__main__.py
+++ b/canvasbeam/__main__.py
@@ -45,6 +45,7 @@
     discovery: tuple[str, int]
     seed: int
     sockets: int
+    memory_mb: int
     known: dict[str, Any]
     options: dict[str, Any]
 
@@ -70,6 +71,7 @@
         discovery=read_address(environment.get("LB_DISCOVERY") or str(need(fields, "discovery"))),
         seed=int(str(fields.get("seed") or "0"), 16),
         sockets=whole(section(fields, "limits"), "sockets", 1024),
+        memory_mb=whole(section(fields, "limits"), "memory_mb", 192),
         known=known,
         options=section(fields, "settings"),
     )
@@ -83,7 +85,7 @@
     kept = {name: value for name, value in environment.items() if name != "LB_DISCOVERY"}
     configuration = read_configuration(kept)
     settings, _ = read_settings(configuration.options)
-    Limits.of(settings.limits, configuration.sockets)
+    Limits.of(settings.limits, configuration.sockets, configuration.memory_mb)
     return configuration.discovery
 
 
@@ -172,7 +174,7 @@
     try:
         configuration = read_configuration(os.environ)
         settings, names = read_settings(configuration.options)
-        limits = Limits.of(settings.limits, configuration.sockets)
+        limits = Limits.of(settings.limits, configuration.sockets, configuration.memory_mb)
     except CONFIGURATION_ERRORS as error:
         print(f"canvasbeam: bad configuration: {error}", file=sys.stderr)
         return 1
--- a/canvasbeam/net/core.py
+++ b/canvasbeam/net/core.py
@@ -31,6 +31,7 @@
     REFUSED = "refused"  # a repeat is harmless
     FAILED = "failed"
     OVERDUE = "overdue"  # failed for want of time
+    UNUSABLE = "unusable"  # a target found fault with the request itself
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,6 +75,7 @@
 class Request:
     """One request: what the module is told of it, and what only its listener and carrier read."""
 
+    identity: str  # as the client names it, unlike any other that is open
     job_class: str
     due: timedelta
     payload: object
@@ -122,6 +124,10 @@
     """No more requests are taken."""
 
 
+class AlreadyOpen(Exception):
+    """Another request with this identity has no answer yet, or is still out at a target."""
+
+
 class Core:
     """Requests in, answers out; in between the module decides."""
 
@@ -141,6 +147,7 @@
         self._seed = seed
         self._classes = {each.name: each for each in settings.classes}
         self._requests: SlotTable[Request] = SlotTable()
+        self._identities: set[str] = set()
         self._lists: list[ci.Event] = []
         self._outcomes: list[ci.Event] = []
         self._arrivals: list[ci.Event] = []
@@ -170,6 +177,10 @@
         """Take a request: from here on it is owed one answer by its due time."""
         if self._requests.count >= self.limits.open_requests:
             raise Full
+        # Guards the open request: targets would take the second for a copy of the first.
+        if request.identity in self._identities:
+            raise AlreadyOpen
+        self._identities.add(request.identity)
         request.handle = self._requests.add(request)
         request.deadline = self.loop.at(
             request.due - self.limits.answer_guard, lambda: self._overdue(request)
@@ -300,6 +311,15 @@
         )  # fmt: skip
         self._forget(request)
 
+    def attempt_unusable(self, attempt: Attempt, report: Mapping[str, float] | None = None) -> None:
+        """A target found fault with the request itself: no other would take it, and the target is well.
+
+        Guards against bad clients: told as errors, three such requests rested a healthy target.
+        """
+        if attempt.outcome is None:
+            self._answer(attempt.request, FinalAnswer(Answer.UNUSABLE))
+            self.attempt_ended(attempt, Outcome.CANCELLED, report)
+
     def probe_ended(
         self, target: str, outcome: Outcome, elapsed: timedelta, report: Mapping[str, float] | None = None
     ) -> None:
@@ -325,8 +345,9 @@
         # Guards the module's count of attempts: a request that ended in this very pass may still be sent by
         # the module, which must then hear how that attempt ended. It leaves once the module knows.
         for request in done:
-            if not request.out():
+            if not request.out() and self._requests.get(request.handle) is request:
                 self._requests.remove(request.handle)
+                self._identities.discard(request.identity)
 
     def _decide(self) -> None:
         events = self._lists + self._outcomes + self._arrivals
--- a/canvasbeam/net/forward.py
+++ b/canvasbeam/net/forward.py
@@ -22,7 +22,7 @@
 from canvasbeam.net.core import Attempt, Core, Target
 from canvasbeam.net.limits import ZERO, Limits
 from canvasbeam.net.loop import Deadline, Loop, Stream
-from canvasbeam.net.target_group import connect
+from canvasbeam.net.target_group import SCARCE, connect
 
 log = logging.getLogger(__name__)
 
@@ -125,7 +125,8 @@
         try:
             sock = connect(target.address)
         except OSError as error:
-            return error
+            # What is lacking here is no fault of the target's: it must not be rested for it.
+            return None if error.errno in SCARCE else error
         return TargetConnection(self, target, sock)
 
     def _close_oldest_idle(self) -> bool:
@@ -352,6 +353,10 @@
                 self._finish(Outcome.RESET)  # it ended before the last line
             elif self._status in (503, 504) and self._rejected:
                 self._finish(Outcome.FULL)
+            elif self._status in UNUSABLE:
+                attempt, self.attempt = self.attempt, None
+                self.owner.core.attempt_unusable(attempt, self._report)
+                self._finish(Outcome.CANCELLED)
             else:
                 self._finish(Outcome.ERROR)
         if self.unwritten or not self._stays:
@@ -402,4 +407,6 @@
             self.owner.forget(self)
 
 
+# What a target says of the request, not of itself.
+UNUSABLE = {400, 404, 405, 411, 413, 414, 415, 417, 422, 431}
 ENDS = {"failed": Outcome.ERROR, "returned": Outcome.FULL, "lost": Outcome.RESET}
--- a/canvasbeam/net/limits.py
+++ b/canvasbeam/net/limits.py
@@ -42,13 +42,20 @@
     line: int = 512 * 1024  # one JSON line of a worker: a 64 KiB result, escaped
     list_body: int = 4 * 1024 * 1024
     read: int = 64 * 1024
+    client_read: int = 16 * 1024
+    piece: int = 1024  # what a client's parser is fed at once: it may hold many requests
+    discard: int = 256 * 1024  # of what a refused client goes on sending, in one pass
+    framing: int = 8  # a body may come in so many times its size, framing and all
+    bodies: int = 32 * 1024 * 1024  # the bodies of all clients' requests together
+    id_length: int = 256
     # Counts.
     open_requests: int = 10_000
     client_connections: int = 560
     target_connections: int = 400
-    pipelined: int = 16
+    requests_per_pass: int = 16  # taken up from one client
     backlog: int = 512
-    accepts_per_pass: int = 64
+    accepts_per_pass: int = 32
+    slots: float = 1024.0  # the most that a job may say it takes, and the most memory
     # The longest a client may be told to stay away.
     come_back: timedelta = ZERO
     # The module is told that a request is due earlier by the first; it answers as late as a quantum before
@@ -59,10 +66,13 @@
     probe: timedelta = seconds(1)
     target_idle: timedelta = TARGET_IDLE
     target_tail: timedelta = seconds(1)  # from the last line of an answer to the end of its framing
-    client_idle: timedelta = seconds(75)
-    client_head: timedelta = seconds(20)  # from a request's first byte to its last
+    budget: timedelta = seconds(3600)  # the longest that a client may say it waits
+    client_idle: timedelta = seconds(75)  # between requests
+    client_silent: timedelta = seconds(2)  # from a connection's start to its first byte
+    client_request: timedelta = seconds(2.4)  # from there, or from a later request's first byte, to its last
+    client_grace: timedelta = seconds(0.25)  # nobody leaves for a newcomer sooner
     client_write: timedelta = seconds(10)
-    linger: timedelta = seconds(1)
+    linger: timedelta = seconds(2)
     accept_pause: timedelta = seconds(0.05)
     drain_window: timedelta = seconds(0.6)  # after SIGTERM, while clients still come
     slow_pass: timedelta = seconds(0.02)  # a pass that takes longer is told in the log
@@ -73,14 +83,18 @@
     watch_retry: timedelta = seconds(0.1)
 
     @classmethod
-    def of(cls, settings: ci.Limits, sockets: int) -> Limits:
-        """The figures under a deployment's settings and its descriptor limit."""
+    def of(cls, settings: ci.Limits, sockets: int, memory_mb: int) -> Limits:
+        """The figures under a deployment's settings and its limits on descriptors and memory."""
         if sockets < 64:
             raise ValueError("limits.sockets must be at least 64")
+        if memory_mb < 24:
+            raise ValueError("limits.memory_mb must be at least 24")
         # The listener, discovery, the selector, the signal pair and the standard streams come first.
         rest = sockets - 48
         idle = settings.idle_connection_ns
         return cls(
+            # The program itself takes 10 to 16 MB; a body stands in up to four places on its way.
+            bodies=(memory_mb - 16) * 1024 * 1024 // 4,
             open_requests=settings.max_open,
             client_connections=rest * 3 // 5,
             target_connections=rest * 2 // 5,
--- a/canvasbeam/net/listener.py
+++ b/canvasbeam/net/listener.py
@@ -2,27 +2,29 @@
 
 It owns each client connection and the reading of requests from it, and turns the core's final answers into
 HTTP. It must never answer a taken request in any way but the core's, never end a connection on which a
-request waits for its answer, and never know what a target is.
+request waits for its answer, never pass on what a target could read in another way, and never let one
+client's bytes take memory, descriptors or a pass without bound.
 """
 
 from __future__ import annotations
 
-import errno
 import logging
-import math
+import re
 import socket
 from collections import deque
 from datetime import timedelta
+from enum import IntEnum
 from http import HTTPStatus
 from typing import Any
 from urllib.parse import parse_qs
 
 import httptools
 
-from canvasbeam.net.core import Answer, Core, FinalAnswer, Full, Request
+from canvasbeam.net.core import AlreadyOpen, Answer, Core, FinalAnswer, Full, Request
 from canvasbeam.net.forward import Call
 from canvasbeam.net.limits import ZERO, Limits
 from canvasbeam.net.loop import READ, Deadline, Endpoint, Loop, Stream
+from canvasbeam.net.target_group import SCARCE
 
 log = logging.getLogger(__name__)
 
@@ -37,7 +39,12 @@
     Answer.REFUSED: HTTPStatus.SERVICE_UNAVAILABLE,
     Answer.FAILED: HTTPStatus.INTERNAL_SERVER_ERROR,
     Answer.OVERDUE: HTTPStatus.GATEWAY_TIMEOUT,
+    Answer.UNUSABLE: HTTPStatus.BAD_REQUEST,
 }
+# What may stand in a call id or an idempotency key: targets and logs read these.
+PLAIN = re.compile(r"[!-~]+")
+# float() would also take nan, 1_0, 1e9 and digits of other scripts.
+DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{0,12})?|\.[0-9]{1,12}")
 
 
 class Malformed(Exception):
@@ -71,6 +78,7 @@
         self.limits = limits
         self.draining = False
         self.connections: dict[int, ClientConnection] = {}
+        self.bodies = 0  # bytes of bodies that are read or still to be answered
         self._paused: Deadline | None = None
         self.wants(READ)
 
@@ -91,38 +99,59 @@
         self.accept_all(self.limits.accepts_per_pass)
 
     def accept_all(self, most: int) -> None:
-        """Accept who is there. Idle clients make room; when none is idle, the rest waits in the backlog."""
+        """Accept who is there. The idle make room; when nobody can, the rest waits in the backlog."""
+        room: list[ClientConnection] | None = None
         for _ in range(most):
-            is_full = len(self.connections) >= self.limits.client_connections
-            oldest = self._oldest_idle() if is_full else None
-            if is_full and oldest is None:
-                self._pause()
-                return
+            leaves = None
+            if len(self.connections) >= self.limits.client_connections:
+                room = self._room() if room is None else room
+                leaves = self._next_to_leave(room)
+                if leaves is None:
+                    self._pause()
+                    return
             try:
                 sock, _ = self.sock.accept()
             except (BlockingIOError, InterruptedError):
                 return
             except OSError as error:
-                if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                if error.errno in SCARCE:
                     # Guards against a spin: the listening socket stays readable while no descriptor is left.
                     log.warning("cannot accept: %s", error)
-                    oldest = self._oldest_idle()
-                    if oldest is not None:
-                        oldest.close()
+                    leaves = leaves or self._next_to_leave(self._room())
                     self._pause()
+                    if leaves is not None:
+                        leaves.make_room()
                     return
                 continue  # the client was gone before it was accepted
             # Only now that somebody has come: else a full table would lose a client for nobody.
-            if oldest is not None:
-                oldest.close()
+            if leaves is not None:
+                leaves.make_room()
             ClientConnection(self, sock)
 
-    def _oldest_idle(self) -> ClientConnection | None:
-        """The client idle longest; the table is in order of last use.
+    def _room(self) -> list[ClientConnection]:
+        """Who could leave for a newcomer, the next one last: by stage, then who has been in it longest.
 
-        Guards against closing on a request that has come but was not read: such a client is not idle.
+        Guards usual clients against hundreds that connect and say little or nothing: those go first. No
+        one goes who has only just come or been answered, as its next request may be on its way.
         """
-        return next((each for each in self.connections.values() if each.is_idle and each.is_quiet()), None)
+        old = self.loop.now - self.limits.client_grace
+        room = [each for each in self.connections.values() if each.stage < Stage.BUSY and each.since <= old]
+        return sorted(room, key=lambda each: (each.stage, each.since))[::-1]
+
+    def _next_to_leave(self, room: list[ClientConnection]) -> ClientConnection | None:
+        """Guards against closing on a request that has come but was not read: such a client stays."""
+        while room:
+            each = room.pop()
+            if not each.closed and (each.stage is Stage.LEAVING or each.is_quiet()):
+                return each
+        return None
+
+    def left(self, connection: ClientConnection) -> None:
+        """A connection was closed; whoever waits in the backlog for its place need not wait longer."""
+        self.connections.pop(connection.handle, None)
+        if self._paused is not None and not self.closed:
+            self.loop.cancel(self._paused)
+            self._go_on()
 
     def _pause(self) -> None:
         if self._paused is None:
@@ -159,6 +188,16 @@
         return self.closed and not self.connections
 
 
+class Stage(IntEnum):
+    """How far a client is; the first are the first to leave where room is short."""
+
+    LEAVING = 0  # has its last answer, and its end is awaited
+    SILENT = 1  # has never sent anything that could be taken
+    UNFINISHED = 2  # in the middle of a request
+    IDLE = 3  # between requests
+    BUSY = 4  # is owed an answer
+
+
 class ClientConnection(Stream):
     """One client: the requests read from it, in order, and the answers written back."""
 
@@ -167,25 +206,40 @@
     def __init__(self, owner: Listener, sock: socket.socket) -> None:
         self._owner = owner
         self._limits = owner.limits
-        super().__init__(owner.loop, sock, owner.limits.read)
+        super().__init__(owner.loop, sock, owner.limits.client_read)
         owner.connections[self.handle] = self
         self._parser: Any = httptools.HttpRequestParser(self)
+        self._unfed = bytearray()  # read, not yet parsed
         self._request: Request | None = None
-        self._whole: deque[_Head] = deque()  # read in full, not yet taken up
+        self._whole: deque[_Head] = deque()  # parsed in full, not yet taken up
         self._reading_one: _Head | None = None
         self._refused: Malformed | None = None
+        self._has_asked = False  # anything that could be taken
+        self._is_first = True
+        self._until = ZERO  # when the request being read must be whole
         self._stays = True
         self._leaving = False
         self._head_size = 0
-        self._wait = self.loop.after(self._limits.client_idle, self._timed_out, self)
+        self._framed_size = 0
+        self._bodies = 0  # bytes of bodies counted for this connection
+        self.since = self.loop.now  # when its stage last changed
+        self._wait = self.loop.after(self._limits.client_silent, self._timed_out, self)
+
+    @property
+    def stage(self) -> Stage:
+        """How far this client is."""
+        if self._request or self._whole or self._refused or self.unwritten:
+            return Stage.BUSY
+        if self._leaving:
+            return Stage.LEAVING
+        if self._reading_one:
+            return Stage.UNFINISHED
+        return Stage.IDLE if self._has_asked else Stage.SILENT
 
     @property
     def is_idle(self) -> bool:
-        """Between requests: nothing read, nothing owed, nothing to write."""
-        return not (
-            self._request or self._whole or self._reading_one or self._head_size or self.unwritten
-            or self._leaving
-        )  # fmt: skip
+        """Nothing read, nothing owed, nothing to write."""
+        return self.stage in (Stage.SILENT, Stage.IDLE)
 
     def leave_if_idle(self) -> None:
         """Close where nothing is owed."""
@@ -195,33 +249,67 @@
             if not self.closed and self.is_idle:
                 self.close()
 
+    def make_room(self) -> None:
+        """Leave for a newcomer. Who is in the middle of a request is told so."""
+        if self.stage is Stage.UNFINISHED:
+            self.write(fixed_response(HTTPStatus.REQUEST_TIMEOUT, "the request is not whole", True))
+        self.close()
+
     # --- reading ----------------------------------------------------------------------------------
 
     def on_data(self, data: bytes) -> None:
-        if self._leaving or self._refused is not None:
-            return
-        if self._reading_one is None or not self._reading_one.complete:
-            self._head_size += len(data)
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._refuse(HTTPStatus.BAD_REQUEST, "no other protocol is spoken here")
-        except httptools.HttpParserError as error:
-            if self._refused is None:
+        self._unfed += data
+        self._go_on()
+
+    def _go_on(self) -> None:
+        """Parse and take up what has come.
+
+        Guards a pass against a client that sends thousands of requests together: each gets so many of them.
+        """
+        for _ in range(self._limits.requests_per_pass):
+            self._feed()
+            if not self._next():
+                break
+        else:
+            self.loop.after(ZERO, self._go_on, self)
+        if not self.closed:
+            # Guards memory: while one request waits for its turn, what follows stays with the client.
+            self.read(not self._unfed)
+
+    def _feed(self) -> None:
+        """Parse until a request is whole. Pieces are small, as each may hold many requests."""
+        while self._unfed and not self._whole and self._refused is None and not self._leaving:
+            piece = bytes(self._unfed[: self._limits.piece])
+            del self._unfed[: self._limits.piece]
+            if self._reading_one is None or not self._reading_one.complete:
+                self._head_size += len(piece)
+            else:
+                self._framed_size += len(piece)
+            began = self._reading_one
+            try:
+                self._parser.feed_data(piece)
+            except httptools.HttpParserUpgrade:
+                self._refuse(HTTPStatus.BAD_REQUEST, "no other protocol is spoken here")
+            except httptools.HttpParserError as error:
                 self._refuse(HTTPStatus.BAD_REQUEST, f"malformed request: {error}")
-        reading = self._reading_one
-        if self._head_size > self._limits.head and (reading is None or not reading.complete):
-            self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "the request's head is too long")
-        if self._reading_one is not None or self._head_size:
-            self._again(self._limits.client_head, unless_set=True)
-        if len(self._whole) >= self._limits.pipelined:
-            self.read(False)
-        self._next()
+            reading = self._reading_one
+            if self._head_size > self._limits.head and (reading is None or not reading.complete):
+                self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "the request's head is too long")
+            elif self._framed_size > self._limits.framing * self._limits.body:
+                self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too long")
+            if reading is not None and reading is not began:
+                # The time runs from a request's first byte to its last, whatever trickles in between. A
+                # first request has it from the connection's start: bad clients must not get it twice.
+                self.since = self.since if self._is_first else self.loop.now
+                self._until = self.since + self._limits.client_request
+                self._again(self._until - self.loop.now)
 
     def _refuse(self, status: HTTPStatus, why: str) -> None:
-        """The request being read will not be taken; what was read before it still is."""
+        """The request being read will not be taken; what was read before it still is, and nothing after."""
         if self._refused is None:
             self._refused = Malformed(status, why)
+            self._unfed.clear()
+            self.discard(self._limits.discard)
 
     def on_message_begin(self) -> None:
         """A request begins, from the parser."""
@@ -234,8 +322,9 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """One header, from the parser."""
-        if self._reading_one is not None:
-            self._reading_one.headers.append((name, value))
+        head = self._reading_one
+        if head is not None and not head.complete:  # a trailer names no job
+            head.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """The end of a head, from the parser: what is not wanted is known before its body comes."""
@@ -246,8 +335,14 @@
         head.method = self._parser.get_method()
         head.stays = self._parser.should_keep_alive()
         self._head_size = 0
-        length = head.value(b"content-length")
-        if length is not None and length.isdigit() and int(length) > self._limits.body:
+        self._framed_size = 0
+        length, coding = head.value(b"content-length"), head.value(b"transfer-encoding")
+        if self._parser.get_http_version() not in ("1.0", "1.1"):
+            self._refuse(HTTPStatus.HTTP_VERSION_NOT_SUPPORTED, "HTTP/1.1 is spoken here")
+        elif coding is not None and (length is not None or coding.strip().lower() != b"chunked"):
+            # Guards against a second request hidden in a body whose length can be read in two ways.
+            self._refuse(HTTPStatus.BAD_REQUEST, "the body's length is not clear")
+        elif length is not None and int(length) > self._limits.body:
             self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too long")
         elif (head.value(b"expect") or b"").lower() == b"100-continue" and self._request is None:
             self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -257,8 +352,13 @@
         head = self._reading_one
         if head is not None and self._refused is None:
             head.body += data
+            self._bodies += len(data)
+            self._owner.bodies += len(data)
             if len(head.body) > self._limits.body:
                 self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too long")
+            elif self._owner.bodies > self._limits.bodies:
+                # Guards memory against many large bodies at once. Nothing was taken: a repeat is harmless.
+                self._refuse(HTTPStatus.SERVICE_UNAVAILABLE, "too much is open")
 
     def on_message_complete(self) -> None:
         """The end of a request, from the parser."""
@@ -269,25 +369,28 @@
 
     # --- one request after another ----------------------------------------------------------------
 
-    def _next(self) -> None:
-        """Take up the next request once the one before has its answer."""
-        while self._request is None and not self.closed and not self._leaving:
-            if self._whole:
-                self._take(self._whole.popleft())
-            elif self._refused is not None:
-                refused, self._refused = self._refused, None
-                self._stays = False
-                self._respond(fixed_response(refused.status, str(refused), self._ends))
-            else:
-                return
+    def _next(self) -> bool:
+        """Take up the next request once the one before has its answer; whether there was one."""
+        if self._request is not None or self.closed or self._leaving:
+            return False
+        if self._whole:
+            self._take(self._whole.popleft())
+        elif self._refused is not None:
+            refused, self._refused = self._refused, None
+            self._reading_one = None
+            self._stays = False
+            self._respond(fixed_response(refused.status, str(refused), self._ends))
+        else:
+            return False
+        return True
 
     def _take(self, head: _Head) -> None:
         self.loop.cancel(self._wait)
-        self._owner.connections[self.handle] = self._owner.connections.pop(self.handle)
         self._stays = head.stays
         path, _, query = head.url.partition(b"?")
         try:
             if path in (READY, LIVE):
+                self._has_asked = True
                 self._respond_health(path, head)
             elif path != SUBMIT:
                 raise Malformed(HTTPStatus.NOT_FOUND, "no such path")
@@ -295,11 +398,16 @@
                 raise Malformed(HTTPStatus.METHOD_NOT_ALLOWED, "jobs come by POST")
             else:
                 request = self._request = self._read_request(head, query)
+                self._has_asked = True
                 self._owner.core.submit(request)
         except Malformed as error:
             self._request = None
             extra = "Allow: POST\r\n" if error.status is HTTPStatus.METHOD_NOT_ALLOWED else ""
             self._respond(fixed_response(error.status, str(error), self._ends, extra))
+        except AlreadyOpen:
+            self._request = None
+            why = "a request with this X-Call-Id is open"
+            self._respond(fixed_response(HTTPStatus.CONFLICT, why, self._ends))
         except Full:
             self._request = None
             advice = _advice(self._limits.come_back)
@@ -322,20 +430,24 @@
             if sum(each.lower() == name for each, _ in head.headers) > 1:
                 raise Malformed(HTTPStatus.BAD_REQUEST, f"{name.decode()} is given twice")
         call_id, job_class = head.text(b"x-call-id"), head.text(b"x-call-class")
-        if not call_id or not self._owner.core.knows_class(job_class):
-            raise Malformed(HTTPStatus.BAD_REQUEST, "X-Call-Id or X-Call-Class is missing or unknown")
-        try:
-            budget = float(head.text(b"x-budget"))
-            if not math.isfinite(budget) or not 0 < budget < 1e6:
-                raise ValueError
-            figures = dict(each.strip().partition("=")[::2] for each in head.text(b"x-call-info").split(","))
-            slots, memory = float(figures.get("slots") or 1), float(figures.get("memory") or 0)
-            if not (math.isfinite(slots) and slots > 0 and math.isfinite(memory) and memory >= 0):
-                raise ValueError
-        except ValueError:
-            raise Malformed(HTTPStatus.BAD_REQUEST, "X-Budget or X-Call-Info is not a number") from None
+        if not self._owner.core.knows_class(job_class):
+            raise Malformed(HTTPStatus.BAD_REQUEST, "X-Call-Class is missing or unknown")
+        for name in (b"x-call-id", b"idempotency-key"):
+            value = head.value(name)
+            text = head.text(name)
+            is_missing = name == b"x-call-id" if value is None else not text
+            if is_missing or (text and not PLAIN.fullmatch(text)) or len(text) > self._limits.id_length:
+                raise Malformed(HTTPStatus.BAD_REQUEST, f"{name.decode()} is missing or cannot be used")
+        budget = _decimal(head.text(b"x-budget"))
+        figures = dict(each.strip().partition("=")[::2] for each in head.text(b"x-call-info").split(","))
+        slots, memory = _decimal(figures.get("slots") or "1"), _decimal(figures.get("memory") or "0")
+        if not 0 < budget <= self._limits.budget.total_seconds():
+            raise Malformed(HTTPStatus.BAD_REQUEST, "X-Budget is no time that can be waited for")
+        if not 0 < slots <= self._limits.slots or memory > self._limits.slots:
+            raise Malformed(HTTPStatus.BAD_REQUEST, "X-Call-Info asks for what no target has")
         keys = parse_qs(query.decode("latin-1")).get("sid")
         return Request(
+            identity=call_id,
             job_class=job_class,
             due=head.arrived + timedelta(seconds=budget),
             payload=head.call(call_id),
@@ -351,7 +463,7 @@
 
     @property
     def _ends(self) -> bool:
-        return not self._whole and (not self._stays or self._owner.draining)
+        return not self._stays or (self._owner.draining and not self._whole and not self._unfed)
 
     def _answered(self, answer: FinalAnswer) -> None:
         """The core's final answer."""
@@ -364,22 +476,36 @@
         else:
             advice = _advice(answer.come_back) if answer.kind is Answer.REFUSED else ""
             self._respond(fixed_response(STATUS[answer.kind], answer.kind.value, self._ends, advice))
-        self._next()
+        self._go_on()
 
     def _respond(self, response: bytes) -> None:
         ends = self._ends
+        self._release()
+        self._is_first = False
+        self.since = self.loop.now
         self._again(self._limits.client_write)
         if ends:
             self._leaving = True
+            self._unfed.clear()
+            self.discard(self._limits.discard)
+            self.read(True)
         self.write(response)
 
+    def _release(self) -> None:
+        """Only bodies that are still to be answered count."""
+        held = sum(len(each.body) for each in self._whole)
+        held += len(self._reading_one.body) if self._reading_one is not None else 0
+        self._owner.bodies -= self._bodies - held
+        self._bodies = held
+
     def on_written(self) -> None:
         if not self._leaving:
-            # Also after an answer that took several writes: else a reader that was stopped stays so.
-            if self._request is None and self._reading_one is None:
-                self._again(self._limits.client_idle)
-            if len(self._whole) < self._limits.pipelined:
-                self.read(True)
+            if self._request is None:
+                if self._reading_one is not None:
+                    self._again(max(self._until - self.loop.now, self._limits.client_grace))
+                else:
+                    # Guards the table against those that are told of a mistake and stay.
+                    self._again(self._limits.client_idle if self._has_asked else self._limits.client_silent)
         elif not self.closed:
             # Guards the last answer: closing with bytes unread would reset it away from the client.
             try:
@@ -389,14 +515,18 @@
                 return
             self._again(self._limits.linger)
 
-    def _again(self, span: timedelta, unless_set: bool = False) -> None:
-        if unless_set and self._wait.action is not None and self._wait.when < self.loop.now + span:
-            return
+    def _again(self, span: timedelta) -> None:
         self.loop.cancel(self._wait)
         self._wait = self.loop.after(span, self._timed_out, self)
 
     def _timed_out(self) -> None:
-        if self._request is None:
+        """Guards against clients that stay silent, or stop in the middle of a head or a body."""
+        if self.stage is Stage.UNFINISHED:
+            self._refuse(HTTPStatus.REQUEST_TIMEOUT, "the request did not come whole in time")
+            self._next()
+        elif self.is_idle and not self.is_quiet():
+            self._again(self._limits.client_grace)  # a request has come and will be read in this pass
+        elif self._request is None:
             self.close()
 
     # --- the end ----------------------------------------------------------------------------------
@@ -413,7 +543,10 @@
         if not self.closed:
             super().close()
             self.loop.cancel(self._wait)
-            self._owner.connections.pop(self.handle, None)
+            self._whole.clear()
+            self._reading_one = None
+            self._release()
+            self._owner.left(self)
             request, self._request = self._request, None
             if request is not None:
                 self._owner.core.hang_up(request)
@@ -423,6 +556,13 @@
     return f"Retry-After: {come_back.total_seconds():.3f}\r\n" if come_back > ZERO else ""
 
 
+def _decimal(text: str) -> float:
+    """A plain decimal number, as these headers have it."""
+    if not DECIMAL.fullmatch(text):
+        raise Malformed(HTTPStatus.BAD_REQUEST, "X-Budget or X-Call-Info is not a number")
+    return float(text)
+
+
 class _Head:
     """A request being read."""
 
--- a/canvasbeam/net/loop.py
+++ b/canvasbeam/net/loop.py
@@ -135,6 +135,7 @@
         self._read_size = read_size
         self._out = bytearray()
         self._reading = True
+        self._discards: bytearray | None = None
         self.wants(READ if connected else WRITE)
 
     @property
@@ -153,6 +154,10 @@
         self._reading = on
         self._update()
 
+    def discard(self, size: int) -> None:
+        """From here on throw away what comes, so much a pass; its end still shows."""
+        self._discards = self.loop.waste(size)
+
     def is_quiet(self) -> bool:
         """Whether nothing has come on this connection since it was last read, its end included."""
         try:
@@ -194,7 +199,13 @@
             self.on_written()
 
     def _read_in(self) -> None:
+        discards = self._discards
         try:
+            if discards is not None:
+                # The kernel drops it without copying; other systems overwrite the buffer, which does as well.
+                if not self.sock.recv_into(discards, 0, socket.MSG_TRUNC):
+                    self.on_eof()
+                return
             data = self.sock.recv(self._read_size)
         except (BlockingIOError, InterruptedError):
             return
@@ -238,6 +249,7 @@
         self.endpoints: SlotTable[Endpoint] = SlotTable()
         self.end_of_pass: Callable[[], None] = lambda: None
         self._heap: list[Deadline] = []
+        self._waste = bytearray()
         self._order = 0
         self._cancelled = 0
         self._begun = time.monotonic_ns()
@@ -278,6 +290,12 @@
         """There is more to do: the next pass must not wait."""
         self._again = True
 
+    def waste(self, size: int) -> bytearray:
+        """One buffer for whatever is thrown away, on any socket."""
+        if len(self._waste) < size:
+            self._waste = bytearray(size)
+        return self._waste
+
     def stop(self) -> None:
         """End after this pass."""
         self._stopped = True
--- a/canvasbeam/net/target_group.py
+++ b/canvasbeam/net/target_group.py
@@ -31,6 +31,9 @@
     "Gone": ci.WorkerState.GONE,
 }
 
+# What a system call fails with where this machine lacks descriptors, memory or ports.
+SCARCE = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL}
+
 
 def read_address(text: str) -> tuple[str, int]:
     """A numeric address and a port."""
--- a/tests/test_net_listener.py
+++ b/tests/test_net_listener.py
@@ -27,6 +27,24 @@
     "400 endless budget": (job(budget="inf"), "400"),
     "400 id twice": (job(extra="X-Call-Id: c2\r\n"), "400"),
     "400 slots": (job(extra="X-Call-Info: slots=many\r\n"), "400"),
+    "400 two lengths": (job(extra="Transfer-Encoding: chunked\r\n"), "400"),
+    "400 length twice": (job(extra="Content-Length: 4\r\n"), "400"),
+    "400 negative length": (b"POST /api HTTP/1.1\r\nContent-Length: -4\r\n\r\n", "400"),
+    "400 folded": (job(extra="X-Long: a\r\n b\r\n"), "400"),
+    "400 folded after nothing": (job(extra="X-Long:\r\n b\r\n"), "400"),
+    "400 control byte": (job(extra="X-Bad: a\x00b\r\n"), "400"),
+    "400 id in a trailer": (
+        b"POST /api HTTP/1.1\r\nX-Call-Class: look\r\nX-Budget: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"0\r\nX-Call-Id: c1\r\n\r\n", "400",
+    ),
+    "400 id no word": (job(call_id="c1 c2"), "400"),
+    "400 budget with an underscore": (job(budget="1_0"), "400"),
+    "400 budget of years": (job(budget="99999999"), "400"),
+    "400 slots of a whole country": (job(extra="X-Call-Info: slots=1000000\r\n"), "400"),
+    "505": (b"POST /api HTTP/2.0\r\n\r\n", "505"),
+    "413 by its framing": (
+        b"POST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1;" + b"x" * 600_000, "413",
+    ),
     "404": (b"GET /elsewhere HTTP/1.1\r\n\r\n", "404"),
     "405": (b"GET /api HTTP/1.1\r\n\r\n", "405"),
     "200 ready": (b"GET /health/ready HTTP/1.1\r\n\r\n", "200"),
@@ -41,6 +59,112 @@
     assert world.servers[0].requests() == 0
 
 
+def test_an_id_already_open_is_refused_and_the_open_request_goes_on() -> None:
+    """Guards the first request: its target would take the second for a copy, and answer neither."""
+    world = World(Server())
+    first = world.client(job())
+    target = world.asked()
+    assert world.answer(world.client(job())).split()[1] == "409"
+    target.say(done("ok"))
+    assert world.answer(first).endswith("ok") and world.servers[0].requests() == 1
+    world.settle()
+    again = world.client(job())  # no longer open
+    world.asked(times=2).say(done("two"))
+    assert world.answer(again).endswith("two")
+
+
+def test_a_request_that_a_target_cannot_use_is_no_fault_of_the_target() -> None:
+    """Guards a healthy target: three such requests rested it, and each was tried at three targets."""
+    world = World(Server())
+    for number in range(1, 5):
+        client = world.client(job(call_id=f"c{number}"))
+        world.asked(times=number).say(b"HTTP/1.1 400 No\r\nContent-Length: 0\r\n\r\n")
+        assert world.answer(client).split()[1] == "400"
+    world.settle()
+    assert world.servers[0].requests() == 4
+
+
+SHORT = {name: timedelta(milliseconds=30) for name in ("client_silent", "client_request", "linger")}
+
+
+@pytest.mark.parametrize(
+    ("said", "status"),
+    [(b"", ""), (job()[:30], "408"), (job()[:-2], "408"), (b"\r\n\r\n", ""), (b"no class\r\n\r\n", "400"),
+     (b"POST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nBO", "408")],
+)  # fmt: skip
+def test_silent_and_unfinished_clients_are_told_and_closed_long_before_the_idle(
+    said: bytes, status: str
+) -> None:
+    world = World(Server(), limits=Limits(**SHORT))  # type: ignore[arg-type]
+    kept = world.client(job())
+    world.asked().say(done("ok"))
+    assert world.answer(kept).endswith("ok")
+    client = world.client(said)
+    world.until(lambda: client.look() is not None and client.ended)
+    assert client.got[9:12].decode() == status
+    world.until(lambda: len(world.listener.connections) == 1)  # the lingering close ends too
+    assert kept.look() and not kept.ended  # one that was served may stay idle
+
+
+def test_a_huge_body_is_neither_stored_nor_reset_before_its_error_is_read() -> None:
+    world = World(Server())
+    client = world.client(b"POST /api HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n")
+    left, block = 60_000_000, b"x" * 1_000_000
+    while left:  # all of it is sent before anything is read
+        try:
+            left -= client.sock.send(block[:left])
+        except BlockingIOError:
+            world.loop.one_pass()
+    assert world.answer(client).split()[1] == "413"
+    world.until(lambda: client.look() and client.ended)
+    assert world.listener.bodies == 0
+
+
+def test_requests_by_the_thousand_on_one_connection_leave_room_for_others() -> None:
+    """Guards a pass and memory: all were parsed and answered at once."""
+    world = World(Server())
+    flood = world.client(job(call_id="c0") + b"GET /x HTTP/1.1\r\n\r\n" * 2000)
+    target = world.asked()
+    connection = next(iter(world.listener.connections.values()))
+    assert len(connection._whole) <= world.limits.piece // 19 + 1
+    assert len(connection._unfed) <= world.limits.client_read
+    target.say(done("ok", "c0"))
+    world.until(lambda: b"404" in flood.look())
+    seen = flood.got.count(b" 404 ")
+    world.loop.one_pass()
+    assert flood.look().count(b" 404 ") - seen <= 2 * world.limits.requests_per_pass
+    usual = world.client(job(call_id="c9"))
+    world.asked(times=2).say(done("mine", "c9"))
+    assert world.answer(usual).endswith("mine") and flood.look().count(b" 404 ") < 2000
+
+
+def test_bodies_of_all_clients_together_are_bounded() -> None:
+    world = World(Server(), limits=Limits(bodies=10))
+    clients = [world.client(job(call_id=f"c{number}")) for number in range(3)]
+    world.until(lambda: any(b" 503 " in each.look() for each in clients))
+    assert sum(bool(each.look()) for each in clients) == 1
+    for each in clients:
+        each.close()
+    world.settle()
+    assert world.listener.bodies == 0
+
+
+def test_silent_clients_leave_first_and_one_whose_request_has_come_stays() -> None:
+    """Guards usual clients: a kept connection went before hundreds that had never spoken."""
+    base = Limits(client_connections=3, client_grace=timedelta(milliseconds=20))
+    world = World(Server(), limits=base)
+    kept = world.client(job())
+    world.asked().say(done("one"))
+    world.answer(kept)
+    silent, late = world.client(), world.client()
+    world.until(lambda: len(world.listener.connections) == 3)
+    newcomer = world.client(job(call_id="c2"))
+    world.asked(times=2).say(done("two", "c2"))
+    assert world.answer(newcomer).endswith("two")
+    world.until(lambda: not silent.look() and silent.ended)
+    assert not late.look() and not late.ended and kept.look() and not kept.ended
+
+
 def test_ready_only_when_it_can_serve() -> None:
     world = World()
     assert world.answer(world.client(b"GET /health/ready HTTP/1.1\r\n\r\n")).split()[1] == "503"
