Prove more forwards unrun, and rest a target at the second broken connection only

Traces: - 151 of about 1,545 requests on kept connections broke before a byte of the answer, 30 of 670 on new ones; half of the former broke at the first bytes, the other half only with the last byte; nearly none of the new did so. - 260 times a target was rested for "connection lost", though each was healthy by its other answers. - forwards that had started fell silent one by one on ten targets; each was counted as load until its due time.

Ruled out: idle time of the kept connections (most breaks came under 0.5 s of idling); a dead machine (the silent forwards lie on many targets that answer others); a longer wait before the last byte (breaks come within 1 ms).

At fault: forward.py _begin wrote a request whole at once and _break knew one kind of break; choice.py _judge rested at each reset, _move_stuck and _sweep_starts had no eye for one silent job; _prefer went back to the holder of a key where the same job had just failed.

Now: jobs that are not free to repeat hold back their last byte for a moment (a break before it is UNSENT: never ran, and no try); those that must not run twice take new connections for a minute after a kept one broke; BROKEN is told from a killed job and rests a target at the second in a row; a running job without a note for 1.25 intervals is no load and, where its class permits, is sent again; at most 8 idle connections a target.

--- a/canvasbeam/choice.py
+++ b/canvasbeam/choice.py
@@ -37,6 +37,10 @@
 SILENT_NOTES = 2.5
 # Errors in a row, each proof of a live process but of no work done, before a worker is rested.
 ERRORS_TO_REST = 3
+# Broken connections in a row, without a sign of work between them, before a worker is rested.
+BREAKS_TO_REST = 2
+# A running job has stalled when no progress note came for this many intervals.
+STALLED_NOTES = 1.25
 # The rest of a failing worker doubles up to this many times the connect time-out.
 LONGEST_REST = 4
 # The wait before a cap is tried one higher doubles up to this many mean service times.
@@ -99,10 +103,12 @@
     load: float  # own slots in use at the worker with this one
     key_held: bool
     started: int = 0
+    heard: int = 0  # when the last note of it came
     late: bool = False
     there: bool = True  # counted as work at its worker
     over: bool = False
     never_ran: bool = False
+    unsent: bool = False
     cancelled: bool = False
 
 
@@ -129,6 +135,10 @@
         """Attempts with no outcome yet."""
         return [each for each in self.attempts if not each.over]
 
+    def tries(self) -> int:
+        """Attempts that count against the limit: not those whose connection broke before they were sent."""
+        return sum(not each.unsent for each in self.attempts)
+
     def risky(self) -> list[Attempt]:
         """Attempts that may have run, or may yet."""
         return [each for each in self.attempts if not each.never_ran]
@@ -158,6 +168,7 @@
     heard: int = 0
     strikes: int = 0
     errors: int = 0
+    breaks: int = 0
     rest_until: int = 0
     trial: bool = False
     probing: bool = False
@@ -440,7 +451,7 @@
 
         Danger: where hundreds of dispatchers share a ring, none of them sees it full, though its queues are.
         """
-        full = sum(each.late or each.never_ran for each in job.attempts)
+        full = sum(each.late or (each.never_ran and not each.unsent) for each in job.attempts)
         return full >= max(1, self._set.limits.max_attempts // 2)
 
     def _in_turn(self, place: int, job: Job, turns: dict[Need, Turns]) -> Iterator[Worker]:
@@ -475,6 +486,8 @@
     def _prefer(self, job: Job, worker: Worker, may_fetch: bool = True) -> Worker | None:
         """The next in turn, but one that holds what the job needs goes first: its home, or else another."""
         for near in self._near(job.key):
+            if any(each.worker is near for each in job.attempts):
+                continue  # it did not go well there
             same_ring = self._place_of(near) == self._place_of(worker)
             if same_ring and self._gets(near, job) and self._may_send_to(near, job):
                 return near
@@ -557,7 +570,7 @@
 
     def _may_send(self, job: Job) -> bool:
         """No effect twice: what may have run is sent again only where and while its class permits."""
-        if job.done or job.streaming or len(job.attempts) >= self._set.limits.max_attempts:
+        if job.done or job.streaming or job.tries() >= self._set.limits.max_attempts:
             return False
         if job.out() and not self._set.limits.second_copies:
             return False
@@ -712,6 +725,7 @@
         if attempt is None:
             return
         self._hear(attempt.worker)
+        attempt.heard = self._now
         if not attempt.started:
             self._start(attempt)
             self._learn_start(attempt)
@@ -763,6 +777,7 @@
             return
         attempt.over = True
         attempt.never_ran = event.outcome.never_ran
+        attempt.unsent = event.outcome is Outcome.UNSENT
         self._take_off(attempt)
         self._leave_room(attempt)
         self._judge(attempt, event.outcome, event.report)
@@ -890,7 +905,8 @@
         out = job.out()
         if len(out) != 1 or not self._set.limits.cancel or out[0].cancelled:
             return
-        if out[0].there and not out[0].worker.rest_until and not self._leaves_queue(out[0]):
+        stays = not self._has_stalled(out[0]) and not self._leaves_queue(out[0])
+        if out[0].there and not out[0].worker.rest_until and stays:
             return
         self._wake_by(self._now + self._held_beat)
         if self._set.limits.second_copies:
@@ -909,13 +925,25 @@
         keyed = attempt.job.cls.effect is Effect.KEYED
         return late and keyed and self._crowd and not self._asks() and self._queue < SHORT_QUEUE
 
+    def _stalled_at(self, attempt: Attempt) -> int:
+        """When the next note of a running job is overdue: at once where workers tell none."""
+        return attempt.heard + round(STALLED_NOTES * self._set.progress_ns)
+
+    def _has_stalled(self, attempt: Attempt) -> bool:
+        """Whether a running job's notes have stopped.
+
+        Danger: a connection may fall silent though its worker is well: the answer never comes.
+        """
+        running = attempt.started > 0 and attempt.heard > 0 and self._set.progress_ns > 0
+        return running and self._now >= self._stalled_at(attempt)
+
     def _any_open(self) -> bool:
         return any(self._open(each) for ring in self._rings for each in ring)
 
     def _may_resend_after(self, attempt: Attempt) -> bool:
         """Where two may not be out at once, the cancel must leave time and tries for another send."""
         job = attempt.job
-        if len(job.attempts) >= self._set.limits.max_attempts:
+        if job.tries() >= self._set.limits.max_attempts:
             return False
         margin = self._beat + self._set.limits.connect_timeout_ns
         return job.cls.effect is Effect.SAFE or self._now + margin < job.risky()[0].sent + job.cls.window_ns
@@ -940,8 +968,14 @@
                 del self._watched[worker.name]
 
     def _sweep_starts(self, worker: Worker) -> None:
-        """A job that has not started in time shows that the worker is full."""
-        for attempt in worker.attempts:
+        """A job that has not started in time shows that the worker is full; a stalled one is no load."""
+        for attempt in tuple(worker.attempts):
+            if attempt.started and self._has_stalled(attempt) and worker.heard > attempt.heard:
+                self._take_off(attempt)
+            elif attempt.started and self._now < self._stalled_at(attempt):
+                # Danger: a sweep for each job takes more time than there is; one for a part of the interval.
+                part = self._set.progress_ns // 4
+                self._wake_by((self._stalled_at(attempt) // part + 1) * part)
             if attempt.started or attempt.late:
                 continue
             if self._now >= attempt.late_at:
@@ -995,7 +1029,13 @@
         elif outcome is Outcome.CONNECT_FAILED:
             self._rest(worker, "no connection")
         elif outcome is Outcome.RESET:
-            self._rest(worker, "connection lost")
+            self._rest(worker, "job lost")  # a worker that kills its jobs has no room for more
+        elif outcome in (Outcome.BROKEN, Outcome.UNSENT):
+            # Danger: connections break one at a time on workers that are well; a rest for each shuts those
+            # out. Of a dead worker all break at once, and the next is refused.
+            worker.breaks += 1
+            if worker.trial or worker.breaks >= BREAKS_TO_REST:
+                self._rest(worker, "connections lost")
         elif outcome is Outcome.TIMED_OUT and worker.heard < attempt.sent:
             self._rest(worker, "no answer")
 
@@ -1012,7 +1052,7 @@
     def _hear(self, worker: Worker) -> None:
         """A sign of work being done: the worker is well."""
         worker.heard = self._now
-        worker.strikes = 0
+        worker.strikes = worker.breaks = 0
         worker.trial = False
         if worker.rest_until:
             self._back(worker)
@@ -1053,7 +1093,7 @@
 
     def _back(self, worker: Worker) -> None:
         worker.rest_until = 0
-        worker.errors = 0
+        worker.errors = worker.breaks = 0
         self._touched[worker.name] = worker
         worker.heard = self._now
         self._log(f"worker {worker.name} back")
--- a/canvasbeam/interface.py
+++ b/canvasbeam/interface.py
@@ -35,6 +35,8 @@
     FULL = "full"
     TIMED_OUT = "timed out"
     CONNECT_FAILED = "connect failed"
+    UNSENT = "broke unsent"  # an open connection broke before the job was sent in full
+    BROKEN = "broken"  # a connection broke after that, where this is told from a job that was killed
     RESET = "reset"
     CANCELLED = "cancelled"
     MOOT = "moot"
@@ -42,7 +44,7 @@
     @property
     def never_ran(self) -> bool:
         """Whether this outcome proves that the job did not run."""
-        return self in (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
+        return self in (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.UNSENT, Outcome.MOOT)
 
 
 class WorkerState(Enum):
--- a/canvasbeam/net/core.py
+++ b/canvasbeam/net/core.py
@@ -65,6 +65,8 @@
     number: int
     target: str
     begun: timedelta
+    # The less a job may be repeated, the more the carrier does to prove that a broken forward never ran.
+    effect: Effect = Effect.SAFE
     written: timedelta | None = None  # when its bytes were first given to the connection
     outcome: Outcome | None = None
     deadline: Deadline | None = None
@@ -422,10 +424,13 @@
         if request is None:
             log.error("the decisions sent a request that is no more")
             return
-        attempt = Attempt(request, len(request.attempts), worker, self.loop.now)
+        effect = self._classes[request.job_class].effect
+        attempt = Attempt(request, len(request.attempts), worker, self.loop.now, effect)
+        # What was not sent in full never came to a target, and is no attempt to it.
+        tries = sum(each.outcome is not Outcome.UNSENT for each in request.attempts)
+        out_of_tries = tries >= self.settings.limits.max_attempts
         request.attempts.append(attempt)
         target = self.targets.get(worker)
-        out_of_tries = attempt.number >= self.settings.limits.max_attempts
         if target is None or self.carrier is None or out_of_tries or not self.may_send(attempt):
             self.attempt_ended(attempt, Outcome.MOOT)
             return
--- a/canvasbeam/net/forward.py
+++ b/canvasbeam/net/forward.py
@@ -18,7 +18,7 @@
 
 import httptools
 
-from canvasbeam.interface import Outcome
+from canvasbeam.interface import Effect, Outcome
 from canvasbeam.net.core import Attempt, Core, Target
 from canvasbeam.net.limits import ZERO, Limits
 from canvasbeam.net.loop import Deadline, Loop, Stream
@@ -70,13 +70,17 @@
         self.limits = limits
         self.report_names = report_names
         self.connections = 0
+        self._distrust_until = ZERO
         self._idle: dict[str, list[TargetConnection]] = {}  # the newest last
 
     # --- what the core asks for -------------------------------------------------------------------
 
     def send(self, attempt: Attempt, target: Target) -> None:
         """Start a forward on the newest idle connection, or on a new one."""
-        connection = self._connection_to(target)
+        # Guards jobs that must not run twice: a kept connection may break at a request's very last byte,
+        # when nothing is proved any more. New ones were not seen to.
+        is_new = attempt.effect is Effect.UNSAFE and self.loop.now < self._distrust_until
+        connection = self._connection_to(target, is_new)
         if connection is None:
             self.core.attempt_ended(attempt, Outcome.MOOT)
         elif isinstance(connection, OSError):
@@ -110,9 +114,13 @@
 
     # --- connections ------------------------------------------------------------------------------
 
-    def _connection_to(self, target: Target) -> TargetConnection | OSError | None:
+    def kept_broke(self) -> None:
+        """A kept connection broke under a request, before a byte of its answer."""
+        self._distrust_until = self.loop.now + self.limits.distrust
+
+    def _connection_to(self, target: Target, is_new: bool = False) -> TargetConnection | OSError | None:
         """An idle connection or a new one; an error where that failed at once, None where none is left."""
-        kept = self._idle.get(target.name, [])
+        kept = [] if is_new else self._idle.get(target.name, [])
         while kept:
             connection = kept[-1]
             if connection.address == target.address and connection.is_quiet():
@@ -141,7 +149,11 @@
         if target is None or target.address != connection.address:
             connection.close()
         else:
-            self._idle.setdefault(connection.target, []).append(connection)
+            kept = self._idle.setdefault(connection.target, [])
+            kept.append(connection)
+            # Guards a target's table of connections, and ours, against all that were opened for one job each.
+            if len(kept) > self.limits.kept_idle:
+                kept[0].close()
 
     def forget(self, connection: TargetConnection) -> None:
         """A connection was closed."""
@@ -176,6 +188,10 @@
         self.probe: Probe | None = None
         self.idle_since = ZERO
         self._busy = False
+        self._is_kept = False
+        self._held = b""
+        self._made = self.loop.now
+        self._came_up_in = ZERO
         self._wait: Deadline | None = None
         self._reset()
         self._wait = self.loop.after(owner.limits.connect, self._not_connected, self)
@@ -224,10 +240,36 @@
         call = attempt.request.payload
         assert isinstance(call, Call)
         self.owner.core.attempt_written(attempt)
-        self.write(call.head(host, attempt.request.due - self.loop.now) + call.body)
+        message = call.head(host, attempt.request.due - self.loop.now) + call.body
+        if attempt.effect is Effect.SAFE:
+            self.write(message)
+            return
+        # Guards jobs that must not run twice: a kept connection that the target has left, or a new one that
+        # it drops, breaks at the first bytes. While the last byte is still here, the job provably never ran.
+        self._held = message[-1:]
+        self.write(message[:-1])
+        self._write_last_later()
+
+    @property
+    def unwritten(self) -> int:
+        return super().unwritten + len(self._held)
+
+    def _write_last_later(self) -> None:
+        limits = self.owner.limits
+        span = min(max(limits.proof, 2 * self._came_up_in), limits.longest_proof)
+        self.loop.after(span, self._write_last, self)
+
+    def _write_last(self) -> None:
+        if self._held and self.attempt is not None:
+            if self.is_quiet():
+                last, self._held = self._held, b""
+                self.write(last)
+            else:  # what has come is read in this pass, and may be the connection's end
+                self._write_last_later()
 
     def on_connected(self) -> None:
         self.loop.cancel(self._wait)
+        self._came_up_in = self.loop.now - self._made
         # Written once every socket of this pass has been read: a client that left in the same pass, or a
         # drain told in it, must still stop the forward.
         self.loop.at(self.loop.now, self._begin, self)
@@ -243,6 +285,7 @@
     def _be_idle(self) -> None:
         """Wait for the next forward, well within the time the target allows."""
         self._busy = False
+        self._is_kept = True
         self.idle_since = self.loop.now
         self._reset()
         self.loop.cancel(self._wait)
@@ -350,7 +393,7 @@
             self._finish(Outcome.OK if self._status == 200 else Outcome.ERROR)
         elif self.attempt is not None:
             if self._status == 200:
-                self._finish(Outcome.RESET)  # it ended before the last line
+                self._finish(Outcome.BROKEN)  # it ended before the last line
             elif self._status in (503, 504) and self._rejected:
                 self._finish(Outcome.FULL)
             elif self._status in UNUSABLE:
@@ -382,8 +425,12 @@
     def _break(self) -> None:
         """The connection broke. Only what was not written to the last byte is proved never to have run."""
         unwritten = self.attempt is not None and (self.attempt.written is None or self.unwritten > 0)
-        never = not self.connected or unwritten
-        self._finish(Outcome.CONNECT_FAILED if never else Outcome.RESET)
+        if self._is_kept and self.attempt is not None and not self._head_size:
+            self.owner.kept_broke()
+        if not self.connected:
+            self._finish(Outcome.CONNECT_FAILED)
+        else:
+            self._finish(Outcome.UNSENT if unwritten else Outcome.BROKEN)
         self.close()
 
     def on_eof(self) -> None:
--- a/canvasbeam/net/limits.py
+++ b/canvasbeam/net/limits.py
@@ -52,6 +52,7 @@
     open_requests: int = 10_000
     client_connections: int = 560
     target_connections: int = 400
+    kept_idle: int = 8  # idle connections to one target
     requests_per_pass: int = 16  # taken up from one client
     backlog: int = 512
     accepts_per_pass: int = 32
@@ -64,6 +65,11 @@
     answer_guard: timedelta = seconds(0.002)
     connect: timedelta = seconds(0.25)
     probe: timedelta = seconds(1)
+    # How long the last byte of a forward that must not be repeated waits: this, or twice the time that
+    # the connection took to come up, but no longer than the second.
+    proof: timedelta = seconds(0.005)
+    longest_proof: timedelta = seconds(0.05)
+    distrust: timedelta = seconds(60)  # of kept connections, after one broke under a request
     target_idle: timedelta = TARGET_IDLE
     target_tail: timedelta = seconds(1)  # from the last line of an answer to the end of its framing
     budget: timedelta = seconds(3600)  # the longest that a client may say it waits
