A job that never starts shuts nobody out: after three mean service times it is moved

While a start is awaited the module sends that target nothing more, so each such forward also shut a healthy target out for 5 to 20 s. Ruled out: our own times for clients (no request timed out or took over 50 ms to come whole).

At fault: choice.py _open waits for `unstarted` without end; _stalled_at knew only jobs that had started.

Now a job without a start after three mean service times is no load if its target was heard of since, and is sent again where its class permits; the first copy is cancelled.

--- a/canvasbeam/choice.py
+++ b/canvasbeam/choice.py
@@ -41,6 +41,8 @@
 BREAKS_TO_REST = 2
 # A running job has stalled when no progress note came for this many intervals.
 STALLED_NOTES = 1.25
+# A job that was sent has stalled when it did not start for this many mean service times.
+STALLED_SERVICES = 3
 # The rest of a failing worker doubles up to this many times the connect time-out.
 LONGEST_REST = 4
 # The wait before a cap is tried one higher doubles up to this many mean service times.
@@ -925,17 +927,21 @@
         keyed = attempt.job.cls.effect is Effect.KEYED
         return late and keyed and self._crowd and not self._asks() and self._queue < SHORT_QUEUE
 
-    def _stalled_at(self, attempt: Attempt) -> int:
-        """When the next note of a running job is overdue: at once where workers tell none."""
-        return attempt.heard + round(STALLED_NOTES * self._set.progress_ns)
+    def _stalled_at(self, attempt: Attempt) -> float:
+        """When the next note of an attempt is overdue: its start, or that it goes on."""
+        if not attempt.started:
+            wait = round(STALLED_SERVICES * self._mean_service())
+            # Danger: among a crowd queues are long, and moving what waits there would fill them further.
+            return attempt.sent + wait if self._set.tells_start and not self._crowd else inf
+        return attempt.heard + STALLED_NOTES * self._set.progress_ns if self._set.progress_ns else inf
 
     def _has_stalled(self, attempt: Attempt) -> bool:
-        """Whether a running job's notes have stopped.
+        """Whether the notes of a job have stopped, or never came.
 
-        Danger: a connection may fall silent though its worker is well: the answer never comes.
+        Danger: a connection may fall silent though its worker is well: the answer never comes, and a start
+        that is awaited for ever keeps us from that worker.
         """
-        running = attempt.started > 0 and attempt.heard > 0 and self._set.progress_ns > 0
-        return running and self._now >= self._stalled_at(attempt)
+        return self._now >= self._stalled_at(attempt)
 
     def _any_open(self) -> bool:
         return any(self._open(each) for ring in self._rings for each in ring)
@@ -970,12 +976,13 @@
     def _sweep_starts(self, worker: Worker) -> None:
         """A job that has not started in time shows that the worker is full; a stalled one is no load."""
         for attempt in tuple(worker.attempts):
-            if attempt.started and self._has_stalled(attempt) and worker.heard > attempt.heard:
+            when = self._stalled_at(attempt)
+            if self._now >= when and worker.heard > max(attempt.sent, attempt.heard):
                 self._take_off(attempt)
-            elif attempt.started and self._now < self._stalled_at(attempt):
-                # Danger: a sweep for each job takes more time than there is; one for a part of the interval.
-                part = self._set.progress_ns // 4
-                self._wake_by((self._stalled_at(attempt) // part + 1) * part)
+            elif self._now < when < inf:
+                # Danger: a sweep for each job takes more time than there is; one for a part of the wait.
+                part = max(1, round(when - max(attempt.sent, attempt.heard)) // 4)
+                self._wake_by((when // part + 1) * part)
             if attempt.started or attempt.late:
                 continue
             if self._now >= attempt.late_at:
