Read what can be read of discovery's list, and take numeric addresses only

At fault: target_group.py read_list, which let the first bad entry end the reading, and read_address, which took any text for an address.

Now such an entry is told in the log and passed over, and an address that is not numeric is a bad configuration.

--- a/canvasbeam/net/target_group.py
+++ b/canvasbeam/net/target_group.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import errno
+import ipaddress
 import json
 import logging
 import socket
@@ -38,9 +39,15 @@
 def read_address(text: str) -> tuple[str, int]:
     """A numeric address and a port."""
     host, colon, port = text.rpartition(":")
-    if not host or not colon or not port.isdigit() or not 0 <= int(port) < 65536:
-        raise ValueError(f"{text!r} is not an address and a port")
-    return host.strip("[]"), int(port)
+    host = host.strip("[]")
+    try:
+        # Guards the loop: looking up a name blocks, and there may be nobody to ask.
+        ipaddress.ip_address(host)
+    except ValueError:
+        colon = ""
+    if not colon or not port.isascii() or not port.isdigit() or not 0 <= int(port) < 65536:
+        raise ValueError(f"{text!r} is not a numeric address and a port")
+    return host, int(port)
 
 
 def connect(address: tuple[str, int]) -> socket.socket:
@@ -76,7 +83,13 @@
     hosts = need(message, "hosts")
     if not isinstance(hosts, list) or not all(isinstance(each, dict) for each in hosts):
         raise WireError("discovery: hosts is not a list of objects")
-    targets = [read_target(each, born) for each in hosts]
+    targets = []
+    for each in hosts:
+        try:
+            targets.append(read_target(each, born))
+        except (WireError, ValueError, OverflowError) as error:
+            # Guards the list: one target that cannot be read must not hide all others.
+            log.warning("discovery names a target that cannot be used: %s", error)
     return bool(message.get("whole")), targets, whole(message, "seq")
 
 
--- a/tests/test_net_loop.py
+++ b/tests/test_net_loop.py
@@ -125,6 +125,18 @@
     assert (len(old.look()), len(new.look())) == (1, 1)
 
 
+def test_a_target_that_cannot_be_read_hides_no_other() -> None:
+    """Guards the list: one entry without a usable address had the whole of it thrown away, for ever."""
+    discovery = Server()
+    world = World()
+    TargetGroup(world.loop, world.core, world.limits, discovery.address, timedelta(0)).start({})
+    world.until(lambda: discovery.look() and b"instances HTTP" in discovery.peers[0].got)
+    bad = [host("s-1", dial="no.name:9"), host("s-2", dial="127.0.0.1:x"), {**host("s-3"), "born_ms": "?"}]
+    discovery.peers[0].say(listing(2, True, *bad, host("s-0")))
+    world.until(lambda: b"from=2&" in discovery.peers[0].look())
+    assert set(world.core.targets) == {"s-0"}
+
+
 def environment(tmp_path: Path, discovery: Server, **changes: Any) -> dict[str, str]:
     with socket.create_server(("127.0.0.1", 0)) as probe:
         port = probe.getsockname()[1]
@@ -236,8 +248,8 @@
 @pytest.mark.parametrize(
     "changes",
     [
-        {"listen": "nowhere"}, {"settings": {}}, {"seed": "not hex"}, {"limits": {"sockets": 3}},
-        {"known": {"hosts": 1}}, {"settings": {**OPTIONS, "myZone": "nowhere"}},
+        {"listen": "nowhere"}, {"listen": "no.name:1"}, {"settings": {}}, {"seed": "not hex"},
+        {"limits": {"sockets": 3}}, {"known": {"hosts": 1}}, {"settings": {**OPTIONS, "myZone": "nowhere"}},
         {"settings": {**OPTIONS, "services": 3}},
     ],
 )  # fmt: skip
