--- /dev/null
+++ b/canvasbeam/lab/__init__.py
@@ -0,0 +1,1 @@
+"""The laboratory: an emulated world, two engines that play it, a load tool, experiments and reports."""
--- /dev/null
+++ b/canvasbeam/lab/deployment.py
@@ -0,0 +1,113 @@
+"""What a scheduler of a scenario is told: the configuration of LB_CONFIG, the same in both engines.
+
+It owns the mapping from a scenario to the platform's names and units. It must never tell a scheduler what the
+emulated world keeps to itself: true speeds, queues, faults to come.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Any
+
+from canvasbeam import interface as ci
+from canvasbeam.lab.model import spec
+from canvasbeam.lab.model.draw import Chance, Stream, capacity, mean_work
+from canvasbeam.lab.model.worker import MS, SECOND, Machine
+from canvasbeam.net.limits import Limits
+from canvasbeam.settings import read_settings
+
+EFFECTS = {"safe": "free", "keyed": "guarded", "unsafe": "single_shot"}
+QUANTUM = 2 * MS
+DRAIN_GRACE = 500 * MS
+
+
+def seed_of(chance: Chance, place: int, start: int) -> int:
+    """The seed a scheduler is given at its nth start."""
+    return chance.single(Stream.SCHEDULERS, place * 1000 + start).getrandbits(63)
+
+
+def zone_of(scenario: spec.Scenario, place: int) -> str:
+    """The zone of a scheduler."""
+    return scenario.zones[place % len(scenario.zones)]
+
+
+def options(scenario: spec.Scenario, fleet: Sequence[Machine], place: int) -> dict[str, Any]:
+    """The settings' object for one scheduler."""
+    workers = scenario.fleet
+    classes = scenario.classes
+    quota = capacity(list(fleet)) / mean_work(scenario) * scenario.traffic.quota_of_capacity
+    coldest = min((each.cold_from for each in workers.models), default=1.0)
+    warm = max((each.cold_s for each in workers.models), default=0.0)
+    return {
+        "me": place,
+        "replicasOfMe": scenario.schedulers.count,
+        "localities": list(scenario.zones),
+        "myZone": zone_of(scenario, place),
+        "skus": [each.name for each in workers.models],
+        "realms": [
+            {"name": each.name, "share": each.share, "quotaPerS": round(quota * each.share, 3)}
+            for each in scenario.departments
+        ],
+        "quantumNs": QUANTUM,
+        "discovery": "pushed",
+        "weights": "live" if scenario.discovery.live_weights else "nominal",
+        "report": {"how": "answers", "columns": ["rate", "busy", "fail_rate", "x0"]} if workers.report else
+                  {"how": "none", "columns": []},
+        "overShareWorth": scenario.traffic.over_share_worth,
+        "clientHabits": {"marksRetry": scenario.clients.marks_repeats},
+        "services": [
+            {
+                "name": each.name, "aimNs": round(each.aim_s * SECOND), "deadlineNs": round(each.deadline_s * SECOND),
+                "idempotency": EFFECTS[each.effect], "keyScope": each.scope, "worth": each.worth,
+                "lateShare": each.late_worth, "windowNs": round(each.window_s * SECOND),
+            }
+            for each in classes
+        ],
+        "specifics": {
+            "classKind": [-1] * len(classes),
+            "classPriority": [each.priority for each in classes],
+            "classStretch": [each.stretch for each in classes],
+            "tellsStart": workers.tells_start,
+            "progressNs": round(workers.progress_s * SECOND),
+            "queueOrder": workers.order,
+            "reportX0": "free slots",
+        },
+        "policyLimits": {
+            "cancel": True, "probes": workers.probes, "peers": False, "secondCopies": True, "retryAfter": True,
+            "mostTries": scenario.schedulers.max_attempts, "maxOpen": 20_000,
+            "maxRetryAfterNs": round(scenario.clients.most_wait_s * SECOND),
+            "connectTimeoutNs": round(workers.connect_timeout_ms * MS),
+            "connIdleNs": round(workers.idle_s * SECOND), "streamsPerConn": 1,
+        },
+        "rules": {
+            "answerSlackNs": 8 * MS, "stopSendingWithinNs": DRAIN_GRACE, "coldFrom": coldest,
+            "warmWithinNs": round(warm * SECOND), "tipMultiple": workers.tip_multiple,
+            "overloadForNs": round(workers.tip_window_s * SECOND),
+        },
+        "goal": {"whole": 0.45, "worstWindow": 0.05, "worstClass": 0.4, "worstTenant": 0.1},
+    }  # fmt: skip
+
+
+def settings(scenario: spec.Scenario, fleet: Sequence[Machine], place: int) -> ci.Settings:
+    """The same as the program reads it."""
+    return read_settings(options(scenario, fleet, place))[0]
+
+
+def limits(scenario: spec.Scenario, told: ci.Settings) -> Limits:
+    """The program's limits under a scenario's."""
+    return Limits.of(told.limits, scenario.schedulers.sockets, scenario.schedulers.memory_mb)
+
+
+def configuration(
+    scenario: spec.Scenario, fleet: Sequence[Machine], place: int, seed: int, listen: str, discovery: str,
+    known: dict[str, Any] | None = None,
+) -> dict[str, Any]:  # fmt: skip
+    """LB_CONFIG's object for one scheduler process."""
+    return {
+        "name": f"n{place}", "listen": listen, "discovery": discovery, "seed": f"{seed:x}",
+        "limits": {
+            "cores": 1.0, "memory_mb": scenario.schedulers.memory_mb, "sockets": scenario.schedulers.sockets,
+        },
+        "known": known or {},
+        "settings": options(scenario, fleet, place),
+    }  # fmt: skip
--- /dev/null
+++ b/canvasbeam/lab/stage.py
@@ -0,0 +1,299 @@
+"""What both engines share: the emulated world with its workers, clients, discovery and faults.
+
+It owns the world's parts and carries out the timetable of faults on them. An engine is a stage that adds time and a
+network: it says how long things take, how bytes travel, and what a scheduler is. The stage must never know which
+engine it is, and an engine must never decide what a worker or a client does.
+"""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from collections.abc import Callable, Sequence
+from functools import partial
+
+from canvasbeam.interface import WorkerState
+from canvasbeam.lab.model import draw, faults, spec, worker
+from canvasbeam.lab.model.clients import STILL_COMES, Audience, Front, Try
+from canvasbeam.lab.model.draw import Chance, Stream
+from canvasbeam.lab.model.ledger import Ledger, What
+from canvasbeam.lab.model.registry import Listed, Registry
+from canvasbeam.lab.model.worker import MS, SECOND, Machine, Said
+from canvasbeam.lab.result import Recorder, Result
+
+# After the last arrival a run goes on until all is answered, but no longer than this past the longest budget.
+TAIL = SECOND
+
+
+def result_of(request: int) -> str:
+    """What a worker makes for a request: nobody else can."""
+    return f"result of {request}"
+
+
+class Actor(ABC):
+    """A worker on a stage: the model, and the wake-ups that it asks for."""
+
+    def __init__(self, stage: Stage, machine: Machine, place: int) -> None:
+        self.stage = stage
+        self.name = machine.name
+        self.machine = machine
+        self.model = worker.Worker(machine, stage.chance.single(Stream.WORKERS, place))
+        self.condition = faults.Condition()
+        self._armed = 0
+
+    def give(self, *events: worker.Event) -> None:
+        """Hand the model events, carry its words to the schedulers, and arm its next wake-up."""
+        stage = self.stage
+        now = stage.now()
+        for action in self.model.handle(now, events):
+            match action:
+                case worker.Say(ref, said, share):
+                    self._say(name_of(ref), said, share)
+                case worker.Began(ref):
+                    stage.ledger.worked(name_of(ref)[1], now, What.BEGAN, self.name)
+                case worker.FellOver():
+                    stage.ledger.fell(self.name, now)
+                    stage.recorder.mark(now, f"{self.name} fell over")
+                    self.reset()
+        if self.model.next_at < float("inf"):
+            when = -(-int(self.model.next_at) // 1000) * 1000
+            if not self._armed or when < self._armed or self._armed <= now:
+                self._armed = when
+                stage.after(when - now, partial(self._wake, when))
+
+    def _wake(self, when: int) -> None:
+        if when == self._armed:
+            self._armed = 0
+            self.give(worker.Woken())
+
+    def _say(self, name: tuple[int, int], said: Said, share: float) -> None:
+        stage = self.stage
+        if said.is_last:
+            what = What.DONE if said is Said.DONE else What.FAILED if said is Said.FAILED else What.OTHER
+            stage.ledger.worked(name[1], stage.now(), what, self.name)
+            stage.recorder.worked(self.name, said)
+        self.say(name, said, share)
+
+    @abstractmethod
+    def say(self, name: tuple[int, int], said: Said, share: float) -> None:
+        """Carry a word to whoever sent the attempt."""
+
+    @abstractmethod
+    def reset(self) -> None:
+        """The process is gone, and every connection of it with it."""
+
+    @abstractmethod
+    def hush(self, on: bool) -> None:
+        """The machine falls silent, or is heard again."""
+
+    @abstractmethod
+    def begin(self) -> None:
+        """A new process has started."""
+
+
+def name_of(ref: object) -> tuple[int, int]:
+    """What a worker calls an attempt: the attempt's number and the request's."""
+    assert isinstance(ref, tuple)
+    return ref
+
+
+class Stage(ABC):
+    """The emulated world of one run."""
+
+    engine = ""
+
+    def __init__(self, scenario: spec.Scenario, begun: int, fleet: list[Machine] | None = None,
+                 jobs: draw.Jobs | None = None) -> None:  # fmt: skip
+        self.scenario = scenario
+        self.begun = begun
+        self.chance = Chance(scenario.seed)
+        self.machines = draw.machines(scenario, self.chance) if fleet is None else fleet
+        self.jobs = draw.jobs(scenario, self.machines, self.chance) if jobs is None else jobs
+        zone_of = {each.name: each.zone for each in self.machines}
+        self.ledger = Ledger(scenario, zone_of, {each.name: each.cell for each in self.machines})
+        self.recorder = Recorder(scenario, self.machines, begun)
+        self.cut_zones: dict[str, int] = {}
+        self.actors: dict[str, Actor] = {
+            each.name: self.actor(each, place) for place, each in enumerate(self.machines)
+        }
+        self.registry = Registry(scenario, self.machines, self.chance, self, self.tell_list, self.after)
+        self.front = Front(scenario, self.chance)
+        self.audience = Audience(
+            scenario, self.jobs, self.ledger, self.recorder, self.chance, self.submit, self.leave, self.after,
+            self.now,
+        )  # fmt: skip
+
+    # --- what an engine adds ----------------------------------------------------------------------
+
+    @abstractmethod
+    def now(self) -> int:
+        """The time in nanoseconds."""
+
+    @abstractmethod
+    def after(self, span: int, action: Callable[[], None]) -> None:
+        """Do this so many nanoseconds later."""
+
+    @abstractmethod
+    def actor(self, machine: Machine, place: int) -> Actor:
+        """A worker on this engine's network."""
+
+    @abstractmethod
+    def submit(self, attempt: Try) -> str | None:
+        """Send a client's request; the scheduler's name, or None where there is none."""
+
+    @abstractmethod
+    def leave(self, attempt: Try) -> None:
+        """The client closes its connection."""
+
+    @abstractmethod
+    def tell_list(self, place: int, whole: bool, entries: Sequence[Listed]) -> None:
+        """Discovery tells a scheduler something, now."""
+
+    @abstractmethod
+    def kill(self, place: int) -> bool:
+        """SIGKILL to a scheduler; whether it ran."""
+
+    @abstractmethod
+    def term(self, place: int) -> bool:
+        """SIGTERM to a scheduler; whether it ran."""
+
+    @abstractmethod
+    def start(self, place: int) -> None:
+        """Start a scheduler, again where the old one has ended or once it has."""
+
+    # --- discovery's view -------------------------------------------------------------------------
+
+    def state_of(self, name: str) -> tuple[WorkerState, bool, int, float]:
+        """What discovery can find out about a worker."""
+        actor = self.actors[name]
+        state = WorkerState.LIVE
+        if not actor.model.alive:
+            state = WorkerState.GONE
+        elif actor.condition.draining:
+            state = WorkerState.DRAINING
+        return state, actor.condition.silent, actor.model.born_ns, actor.model.weight()
+
+    def told(self, scheduler: str, entries: Sequence[Listed]) -> None:
+        """Note what a scheduler knows from now on, for the rule on drains."""
+        now = self.now()
+        for each in entries:
+            self.ledger.drains(scheduler, each.machine.name, None if each.state is WorkerState.LIVE else now)
+
+    # --- the network's state ----------------------------------------------------------------------
+
+    def silent(self, zone: str, to: Actor) -> bool:
+        """Whether nothing passes between a scheduler's zone and a worker."""
+        if to.condition.silent:
+            return True
+        return bool(self.cut_zones) and zone != to.machine.zone and (
+            zone in self.cut_zones or to.machine.zone in self.cut_zones
+        )
+
+    def way_ms(self, zone: str, to: Machine) -> float:
+        """One way between a scheduler's zone and a worker, before jitter."""
+        network = self.scenario.network
+        return network.same_ms if zone == to.zone else network.cross_ms
+
+    # --- faults -----------------------------------------------------------------------------------
+
+    def carry_out(self, step: faults.Step) -> None:
+        """One change of the timetable."""
+        match step.what:
+            case "kill" | "term" | "start":
+                self._scheduler_step(step, int(step.member.removeprefix("n")))
+            case "stale" | "fresh":
+                self.registry.stale(step.what == "stale")
+            case "cut" | "joined":
+                zone = step.member
+                before = zone in self.cut_zones
+                self.cut_zones[zone] = self.cut_zones.get(zone, 0) + (1 if step.what == "cut" else -1)
+                if self.cut_zones[zone] <= 0:
+                    del self.cut_zones[zone]
+                if before != (zone in self.cut_zones):
+                    self.cut(zone, not before)
+            case _:
+                self._worker_step(self.actors[step.member], step)
+
+    def cut(self, zone: str, on: bool) -> None:
+        """A zone is cut off from the others, or joined to them again."""
+        for actor in self.actors.values():
+            actor.hush(on)
+
+    def _worker_step(self, actor: Actor, step: faults.Step) -> None:
+        told = self.scenario.discovery
+        condition, name = actor.condition, actor.name
+        was_silent, was_draining = condition.silent, condition.draining
+        condition.take(step)
+        if step.what == "pause":
+            actor.give(worker.Paused(self.now() + round(step.value * SECOND)))
+        elif step.what in ("slow", "errors", "breaks"):
+            actor.give(worker.Slowed(condition.slow), worker.Errs(condition.errors), worker.Breaks(condition.breaks))
+        if condition.silent != was_silent:
+            actor.hush(condition.silent)
+            if condition.silent:
+                self.registry.notice(name, WorkerState.GONE, told.silent_notice_s)
+            else:
+                self.registry.notice(name, WorkerState.LIVE, told.add_s)
+        if condition.down and actor.model.alive:
+            actor.give(worker.Died())
+            actor.reset()
+            self.registry.notice(name, WorkerState.GONE, told.notice_s)
+        elif step.what == "return" and not condition.down and not actor.model.alive and not actor.model.fallen:
+            actor.give(worker.Born())
+            actor.begin()
+            self.registry.notice(name, WorkerState.LIVE, told.add_s)
+        if condition.draining != was_draining and actor.model.alive:
+            actor.give(worker.Drains(condition.draining))
+            state = WorkerState.DRAINING if condition.draining else WorkerState.LIVE
+            self.registry.notice(name, state, (0.0, 0.1) if condition.draining else told.add_s)
+
+    def _scheduler_step(self, step: faults.Step, place: int) -> None:
+        if step.what == "kill":
+            if self.kill(place):
+                self.front.died(place, self.now())
+        elif step.what == "term":
+            if self.term(place):
+                self.front.leaves(place, self.now())
+        else:
+            self.start(place)
+
+    @property
+    def longest_end(self) -> int:
+        """How long after SIGTERM the platform's SIGKILL comes, in nanoseconds."""
+        longest = max(each.deadline_s for each in self.scenario.classes)
+        return round((max(3.0, longest) + 0.7) * SECOND)
+
+    # --- a run ------------------------------------------------------------------------------------
+
+    def arm(self) -> None:
+        """Set out all that will happen: faults, live weights, arrivals. The run begins at `begun`."""
+        for step in faults.timetable(self.scenario, self.machines, self.chance):
+            self.after(self.begun + step.at_ns - self.now(), partial(self.carry_out, step))
+            self.recorder.step(step)
+        self.registry.begin()
+        self.audience.begin(self.begun)
+
+    @property
+    def last(self) -> int:
+        """When the last arrival may come."""
+        return self.begun + round(self.scenario.length_s * SECOND)
+
+    @property
+    def end(self) -> int:
+        """When a run ends at the latest."""
+        clients = self.scenario.clients
+        longest = max(each.deadline_s for each in self.scenario.classes)
+        patience = (1 + clients.retries) * (longest + clients.most_wait_s)
+        return self.last + round(patience * SECOND) + TAIL
+
+    @property
+    def is_over(self) -> bool:
+        """Whether all that was to come has come and is answered."""
+        return self.audience.is_done and self.now() >= self.last
+
+    def finish(self) -> Result:
+        """Close the books."""
+        self.ledger.close(self.now())
+        return self.recorder.result(self.engine, self.scenario, self.ledger, self.jobs)
+
+
+__all__ = ["MS", "STILL_COMES", "TAIL", "Actor", "Stage", "name_of", "result_of"]
