Lab: the sockets engine, the load tool, experiments, reports and the command line

Need: a scenario must be playable against real scheduler processes, and its outcome seen and compared.

--- a/canvasbeam/__main__.py
+++ b/canvasbeam/__main__.py
@@ -187,4 +187,9 @@
 
 
 if __name__ == "__main__":
+    if len(sys.argv) > 1:
+        # Any argument is for the command line, whose libraries a bare scheduler must not load.
+        from canvasbeam.cli import main as command_line
+
+        command_line()
     sys.exit(main())
--- /dev/null
+++ b/canvasbeam/cli/__init__.py
@@ -0,0 +1,15 @@
+"""The command line. Each command is imported when it is asked for, so that none pays for another's libraries."""
+
+from __future__ import annotations
+
+import sys
+
+
+def main() -> None:
+    """The program `canvasbeam`; without the laboratory's libraries it says how to get them."""
+    try:
+        from canvasbeam.cli.commands import cli  # noqa: PLC0415
+    except ModuleNotFoundError as error:
+        print(f"canvasbeam: {error.name} is missing; install canvasbeam[lab]", file=sys.stderr)
+        sys.exit(1)
+    cli(prog_name="canvasbeam")
--- /dev/null
+++ b/canvasbeam/cli/codes.py
@@ -0,0 +1,30 @@
+"""Exit codes, the same for every command."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+
+
+class Code(IntEnum):
+    """How a command ended."""
+
+    OK = 0
+    FAILED = 1  # it could not be carried out: an address in use, a scheduler that does not start, a bad file
+    USAGE = 2  # the call, a scenario or a configuration is wrong
+    BROKEN = 3  # it ran, and a rule was broken
+    BEHIND = 4  # it ran, and its figures are not to be trusted: the tool itself was too slow
+    INTERRUPTED = 130
+
+
+TABLE = "\n".join(
+    [
+        "\b",
+        "Exit codes:",
+        "  0    done",
+        "  1    could not be carried out",
+        "  2    the call, a scenario or a configuration is wrong",
+        "  3    it ran, and a rule was broken",
+        "  4    it ran, but the tool fell behind its own plan",
+        "  130  interrupted",
+    ]
+)
--- /dev/null
+++ b/canvasbeam/cli/serve.py
@@ -0,0 +1,26 @@
+"""The command that serves: the same as bare `python -m canvasbeam`."""
+
+from __future__ import annotations
+
+import os
+import sys
+
+import click
+
+from canvasbeam.cli.codes import TABLE
+
+
+@click.command(epilog=TABLE)
+@click.option("--config", type=click.Path(dir_okay=False), help="The configuration; LB_CONFIG where it is not given.")
+def serve(config: str | None) -> None:
+    """Run one scheduler until SIGTERM.
+
+    \b
+    Example:
+      canvasbeam serve --config example/config.json
+    """
+    from canvasbeam.__main__ import main  # noqa: PLC0415
+
+    if config is not None:
+        os.environ["LB_CONFIG"] = config
+    sys.exit(main())
--- a/canvasbeam/lab/engine_sim.py
+++ b/canvasbeam/lab/engine_sim.py
@@ -10,12 +10,14 @@
 
 import heapq
 import logging
+import resource
 import time
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from datetime import timedelta
 from functools import partial
-from typing import Any
+
+import msgspec
 
 from canvasbeam.interface import Effect, ListKind, Outcome
 from canvasbeam.lab import deployment
@@ -25,7 +27,7 @@
 from canvasbeam.lab.model.ledger import What
 from canvasbeam.lab.model.registry import Listed
 from canvasbeam.lab.model.worker import MS, SECOND, Said, Task
-from canvasbeam.lab.result import Result
+from canvasbeam.lab.result import PERCENTILES, Result, histogram
 from canvasbeam.lab.stage import STILL_COMES, Actor, Stage, result_of
 from canvasbeam.net.core import Answer, Attempt, Core, FinalAnswer, Request, Target
 from canvasbeam.net.limits import MICROSECOND, Limits, nanoseconds
@@ -276,8 +278,10 @@
     def _pass(self) -> None:
         begun = time.perf_counter_ns()
         self.core.end_of_pass()
-        self.decide_ns += time.perf_counter_ns() - begun
+        took = time.perf_counter_ns() - begun
+        self.decide_ns += took
         self.decisions += 1
+        self.world.passes.record_value(max(1, took // 100))
         if self.draining and not self.core.open_requests:
             self.stop()
 
@@ -407,6 +411,7 @@
         super().__init__(scenario, START, fleet, jobs)
         self.rng = self.chance.single(Stream.NETWORK)
         self._forwards = 0
+        self.passes = histogram()  # what a pass of the core takes, in tenths of a microsecond
         self._translated: dict[int, tuple[Sequence[Listed], list[Target]]] = {}
         self.schedulers = [Scheduler(self, place) for place in range(scenario.schedulers.count)]
 
@@ -694,17 +699,17 @@
 REPORT = {"qps": "served_per_s", "util": "busy_share", "eps": "errors_per_s", "x0": "free_slots"}
 
 
-@dataclass(slots=True)
-class Cost:
+class Cost(msgspec.Struct, kw_only=True):
     """What a run took of the machine; apart from the result, which is the same on any machine."""
 
     wall_s: float = 0.0
     us_per_job: float = 0.0
     us_per_pass: float = 0.0
+    pass_us: dict[str, float] = {}
     passes: int = 0
     events: int = 0
     jobs: int = 0
-    extra: dict[str, Any] = field(default_factory=dict)
+    peak_mb: float = 0.0
 
 
 def play(
@@ -714,7 +719,7 @@
     """Play a scenario in simulated time: the result, the same for one seed anywhere, and what it cost."""
     noise = logging.getLogger("canvasbeam.net.core")
     before = noise.level
-    noise.setLevel(logging.ERROR)
+    noise.setLevel(logging.CRITICAL)
     begun = time.perf_counter()
     try:
         world = World(scenario, core_class, fleet, jobs)
@@ -725,6 +730,10 @@
     passes = sum(each.decisions for each in world.schedulers)
     spent = sum(each.decide_ns for each in world.schedulers)
     count = max(1, len(world.jobs))
-    return result, Cost(wall, wall / count * 1e6, spent / max(1, passes) / 1000, passes, world.queue.events, count)
-
-
+    return result, Cost(
+        wall_s=round(wall, 3), us_per_job=round(wall / count * 1e6, 1),
+        us_per_pass=round(spent / max(1, passes) / 1000, 1),
+        pass_us={f"p{each:g}": world.passes.get_value_at_percentile(each) / 10 for each in PERCENTILES},
+        passes=passes, events=world.queue.events, jobs=count,
+        peak_mb=round(resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024, 1),
+    )  # fmt: skip
--- /dev/null
+++ b/canvasbeam/lab/engine_sockets.py
@@ -0,0 +1,694 @@
+"""The sockets engine: a scenario in real time on loopback, with real scheduler processes.
+
+It owns the scheduler processes, the doors of the emulated workers and of discovery, and the clients' connections, all
+in one process on the project's own loop. What a worker, a client or discovery does is the shared model's. It must
+never touch a process that it did not start, reach beyond loopback, or take a scheduler's word for what it did.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from datetime import timedelta
+from functools import partial
+from pathlib import Path
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+from canvasbeam.interface import WorkerState
+from canvasbeam.lab import deployment
+from canvasbeam.lab.model import faults, spec, worker
+from canvasbeam.lab.model.clients import Try
+from canvasbeam.lab.model.draw import Stream
+from canvasbeam.lab.model.ledger import Broken, What
+from canvasbeam.lab.model.registry import Listed
+from canvasbeam.lab.model.worker import MS, SECOND, Machine, Said
+from canvasbeam.lab.result import Result
+from canvasbeam.lab.stage import Actor, Stage, result_of
+from canvasbeam.lab.wire import (
+    STREAM_END,
+    STREAM_HEAD,
+    Asked,
+    ClientConnection,
+    Door,
+    ServerConnection,
+    answer,
+    chunk,
+    span,
+)
+from canvasbeam.net.core import Answer
+from canvasbeam.net.limits import nanoseconds
+from canvasbeam.net.loop import Loop
+
+# The stage's clock stands here at its start, so that no time is 0, which means long ago.
+START = 1_000 * SECOND
+SLOW_PASS = timedelta(seconds=10)
+READY_WITHIN = 20 * SECOND
+LOOK_EVERY = 50 * MS
+# Where the stage's own lateness passes this at the 99th percentile, a run's figures are not to be trusted.
+LATE_STAGE = 20 * MS
+MOST_WORKERS = 200  # one process plays them all
+STATES = {WorkerState.LIVE: "Ready", WorkerState.DRAINING: "Terminating", WorkerState.GONE: "Gone"}
+ANSWERS = {200: Answer.SERVED, 429: Answer.REFUSED, 503: Answer.REFUSED, 504: Answer.OVERDUE}
+ROOT = Path(__file__).resolve().parents[2]
+
+
+class Unplayable(Exception):
+    """A run that could not be begun or carried through; the message says why."""
+
+
+@dataclass(frozen=True, slots=True)
+class Order:
+    """What a worker is to do for a request."""
+
+    request: int
+    call_id: str
+    cls: int
+    work_ns: int
+    slots: int
+    sid: str
+    due_ns: int
+
+
+@dataclass(slots=True, eq=False)
+class Link:
+    """An attempt at a worker and the connection that it came on."""
+
+    order: Order
+    connection: ServerConnection
+    scheduler: int
+    number: int
+    open: bool = False  # the answer's head is written
+    written_at: int = 0
+
+    @property
+    def ref(self) -> tuple[int, int]:
+        """Its name at the worker's model."""
+        return self.number, self.order.request
+
+
+class SocketWorker(Actor):
+    """An emulated worker behind one door for each scheduler, so that each has its own way to it."""
+
+    stage: Theatre
+
+    def __init__(self, stage: Theatre, machine: Machine, place: int) -> None:
+        super().__init__(stage, machine, place)
+        self.stage = stage
+        self.links: dict[int, Link] = {}
+        host = f"127.77.{1 + place // 250}.{1 + place % 250}"
+        self.doors = [self._door(host, number) for number in range(stage.scenario.schedulers.count)]
+
+    def _door(self, host: str, scheduler: int) -> Door:
+        door = Door(
+            self.stage.loop, (host, 0), partial(self._asked, scheduler), self._came, self._left, self.stage.now
+        )
+        door.mark = deployment.zone_of(self.stage.scenario, scheduler)
+        return door
+
+    # --- connections ------------------------------------------------------------------------------
+
+    def _came(self, connection: ServerConnection) -> None:
+        if self.model.connections >= self.machine.connections:
+            connection.reset()
+            return
+        self.model.connections += 1
+        self.give(worker.Connected())
+
+    def _left(self, connection: ServerConnection) -> None:
+        self.model.connections = max(0, self.model.connections - 1)
+        link = connection.state
+        if isinstance(link, Link) and self.links.pop(link.number, None) is not None:
+            self.give(worker.Withdrawn(link.ref))
+
+    def _asked(self, scheduler: int, connection: ServerConnection, asked: Asked) -> None:
+        """A request has come whole; it counts once its way is over."""
+        stage = self.stage
+        way = stage.way(scheduler, self.machine)
+        if connection.requests == 1:
+            way += 2 * way * stage.scenario.fleet.handshake_rtts
+        if asked.method == "POST":
+            order = stage.order_of(asked)
+            if order is None:
+                known = "x-call-id" in asked.headers
+                connection.write(answer("400 Bad Request" if known else "404 Not Found"))
+                return
+            link = connection.state = Link(order, connection, scheduler, stage.next_number())
+            name = faults.scheduler_name(scheduler)
+            stage.ledger.worked(order.request, asked.first_at, What.SENT, self.name, name)
+            stage.after(way, partial(self._offered, link))
+        elif asked.path in ("/stats", "/health/live"):
+            stage.after(way, partial(self._probed, scheduler, connection, asked.path))
+        else:
+            connection.write(answer("404 Not Found"))
+
+    def _offered(self, link: Link) -> None:
+        if link.connection.closed or self.stage.silent(link.connection.door.mark, self):
+            return
+        stage, order = self.stage, link.order
+        cls = stage.scenario.classes[order.cls]
+        self.links[link.number] = link
+        stage.ledger.worked(order.request, stage.now(), What.OFFERED, self.name)
+        stage.recorder.offered(self.name, link.connection.door.mark == self.machine.zone)
+        task = worker.Task(
+            link.ref, float(order.work_ns), order.slots, cls.priority, cls.effect == "safe", order.sid,
+            float(order.due_ns),
+        )  # fmt: skip
+        self.give(worker.Offered(task))
+
+    def _probed(self, scheduler: int, connection: ServerConnection, path: str) -> None:
+        if connection.closed or self.stage.silent(connection.door.mark, self):
+            return
+        now = self.stage.now()
+        self.stage.recorder.probes += 1
+        well = self.model.probe_answer(now)
+        self.give()
+        report = ",".join(f"{name}={value}" for name, value in self.model.report(now).items())
+        body = report.encode() if path == "/stats" else b""
+        data = answer("200 OK" if well else "503 Service Unavailable", body)
+        self.stage.after(self.stage.way(scheduler, self.machine), partial(self._write, connection, data))
+
+    def _write(self, connection: ServerConnection, data: bytes) -> None:
+        if not connection.closed and not self.stage.silent(connection.door.mark, self):
+            connection.write(data)
+
+    # --- what the model says ----------------------------------------------------------------------
+
+    def say(self, name: tuple[int, int], said: Said, share: float) -> None:
+        """A line of an answer, in the order in which it was said."""
+        link = self.links.get(name[0])
+        if link is None:
+            return
+        stage = self.stage
+        if said.is_last:
+            del self.links[name[0]]
+            link.connection.state = None
+        when = max(link.written_at, stage.now() + stage.way(link.scheduler, self.machine))
+        link.written_at = when
+        if said is Said.BROKE:
+            stage.after(when - stage.now(), link.connection.reset)
+            return
+        stage.after(when - stage.now(), partial(self._write, link.connection, self._line(link, said, share)))
+
+    def _line(self, link: Link, said: Said, share: float) -> bytes:
+        report = self.model.report(self.stage.now()) if said.is_last else {}
+        if said is Said.REJECTED:
+            told = ",".join(f"{name}={value}" for name, value in report.items())
+            extra = "X-Rejected: 1\r\n" + (f"X-Load-Report: {told}\r\n" if told else "")
+            return answer("503 Service Unavailable", b"", extra)
+        fields: dict[str, Any] = {"id": link.order.call_id, "from": self.name, "state": said.value}
+        if said is Said.RUNNING:
+            fields["share"] = round(share, 3)
+        if said is Said.DONE:
+            fields["result"] = result_of(link.order.request)
+        if report:
+            fields["load"] = report
+        # Head, line and end go out in one piece: in three, each small one would wait for the one before to be
+        # acknowledged, and a scheduler sees every start 40 ms late.
+        data = b"" if link.open else STREAM_HEAD
+        link.open = True
+        data += chunk(json.dumps(fields, separators=(",", ":")).encode() + b"\n")
+        return data + STREAM_END if said.is_last else data
+
+    # --- the machine ------------------------------------------------------------------------------
+
+    def reset(self) -> None:
+        """The process is gone."""
+        self.links.clear()
+        for door in self.doors:
+            door.shut()
+        self.model.connections = 0
+
+    def begin(self) -> None:
+        """A new process listens where the old one did."""
+        self.doors = [door.open_again() for door in self.doors]
+        for door in self.doors:
+            if self.stage.silent(door.mark, self):
+                door.hush()
+
+    def hush(self, on: bool) -> None:
+        """The machine, or the way to it from some zones, falls silent or is heard again."""
+        for door in self.doors:
+            silent = self.stage.silent(door.mark, self)
+            if door.closed or silent == door.silent:
+                continue
+            if silent:
+                door.hush()
+            else:
+                door.unhush()
+
+
+class Agent:
+    """Discovery's agent at one scheduler: the list as it was sent, and one watch at a time."""
+
+    def __init__(self, stage: Theatre, place: int, address: tuple[str, int]) -> None:
+        self.stage = stage
+        self.place = place
+        self.seq = 1
+        self.list: dict[str, Listed] = {}
+        self.changes: list[tuple[int, Listed]] = []
+        self._waiting: list[tuple[ServerConnection, int]] = []
+        self.door = Door(stage.loop, address, self._asked, lambda _: None, self._left, stage.now)
+
+    def tell(self, entries: Sequence[Listed]) -> None:
+        """Something new has been sent to this agent."""
+        self.seq += 1
+        for each in entries:
+            if each.state is WorkerState.GONE:
+                self.list.pop(each.machine.name, None)
+            else:
+                self.list[each.machine.name] = each
+            self.changes.append((self.seq, each))
+        del self.changes[: max(0, len(self.changes) - 4096)]
+        waiting, self._waiting = self._waiting, []
+        for connection, since in waiting:
+            self._answer(connection, since)
+
+    def _left(self, connection: ServerConnection) -> None:
+        self._waiting = [each for each in self._waiting if each[0] is not connection]
+
+    def _asked(self, connection: ServerConnection, asked: Asked) -> None:
+        parts = urlsplit(asked.path)
+        query = parse_qs(parts.query)
+        if parts.path != "/registry/instances":
+            connection.write(answer("404 Not Found"))
+        elif "from" not in query:
+            self._answer(connection, None)
+        else:
+            since = int(query["from"][0])
+            hold = min(60_000, int(query.get("hold_ms", ["0"])[0]))
+            if since < self.seq:
+                self._answer(connection, since)
+            else:
+                self._waiting.append((connection, since))
+                self.stage.after(hold * MS, partial(self._held, connection, since))
+
+    def _held(self, connection: ServerConnection, since: int) -> None:
+        if (connection, since) in self._waiting:
+            self._waiting.remove((connection, since))
+            self._answer(connection, since)
+
+    def _answer(self, connection: ServerConnection, since: int | None) -> None:
+        whole = since is None or (bool(self.changes) and since + 1 < self.changes[0][0])
+        if whole:
+            entries = list(self.list.values())
+        else:
+            latest = {each.machine.name: each for seq, each in self.changes if since is not None and seq > since}
+            entries = list(latest.values())
+        self.stage.told(faults.scheduler_name(self.place), entries)
+        hosts = [self.stage.host(each, self.place) for each in entries]
+        body = json.dumps({"seq": self.seq, "whole": whole, "hosts": hosts}).encode()
+        if not connection.closed:
+            connection.write(answer("200 OK", body))
+
+    def known(self) -> dict[str, Any]:
+        """The list for a scheduler that starts again."""
+        return {"seq": self.seq, "whole": True,
+                "hosts": [self.stage.host(each, self.place) for each in self.list.values()]}  # fmt: skip
+
+
+@dataclass(slots=True, eq=False)
+class Process:
+    """One scheduler process."""
+
+    place: int
+    port: int
+    starts: int = 0
+    running: subprocess.Popen[bytes] | None = None
+    ready: bool = False
+    ending: bool = False
+    ready_at: int = 0
+    idle: list[ClientConnection] = field(default_factory=list)
+    busy: dict[int, ClientConnection] = field(default_factory=dict)
+
+    @property
+    def alive(self) -> bool:
+        """Whether the process runs."""
+        return self.running is not None and self.running.poll() is None
+
+
+class Theatre(Stage):
+    """A stage in real time."""
+
+    engine = "sockets"
+
+    def __init__(
+        self, scenario: spec.Scenario, folder: Path, command: Sequence[str] = (),
+        discovery: tuple[str, int] | None = None,
+    ) -> None:  # fmt: skip
+        if scenario.fleet.workers > MOST_WORKERS:
+            raise Unplayable(f"the sockets engine plays at most {MOST_WORKERS} workers; use the sim engine")
+        self.loop = Loop(SLOW_PASS)
+        self.loop.read_clock()
+        self.born_unix_ns = time.time_ns() - START
+        self.folder = folder
+        self.command = list(command) or [sys.executable, "-m", "canvasbeam"]
+        self._numbers = 0
+        self._orders: dict[str, Order] = {}
+        self._jitter = 0.0
+        super().__init__(scenario, START)
+        self._rng = self.chance.single(Stream.NETWORK)
+        self.agents = [
+            Agent(self, place, (discovery[0], discovery[1] + place) if discovery else ("127.77.0.1", 0))
+            for place in range(scenario.schedulers.count)
+        ]
+        for agent in self.agents:
+            agent.list = {each.machine.name: each for each in self.registry.whole()}
+        self.processes = [Process(place, 0) for place in range(scenario.schedulers.count)]
+        self.lateness: list[int] = []
+        self._failure: str | None = None
+        self._logs: list[Any] = []
+        self._playing = False
+
+    # --- time -------------------------------------------------------------------------------------
+
+    def now(self) -> int:
+        """The real time, in the stage's nanoseconds."""
+        return START + nanoseconds(self.loop.read_clock())
+
+    def after(self, span_ns: int, action: Callable[[], None]) -> None:
+        """Do this so much later."""
+        self.loop.after(span(span_ns), action)
+
+    def next_number(self) -> int:
+        """A number for an attempt at a worker."""
+        self._numbers += 1
+        return self._numbers
+
+    def way(self, scheduler: int, to: Machine) -> int:
+        """One way between a scheduler and a worker, beyond loopback's own."""
+        zone = deployment.zone_of(self.scenario, scheduler)
+        return self._delay(self.way_ms(zone, to))
+
+    def _delay(self, ms: float) -> int:
+        return round(ms * MS * (1 + self.scenario.network.jitter * self._rng.random()))
+
+    # --- workers and discovery --------------------------------------------------------------------
+
+    def actor(self, machine: Machine, place: int) -> Actor:
+        """A worker behind its doors."""
+        return SocketWorker(self, machine, place)
+
+    def order_of(self, asked: Asked) -> Order | None:
+        """What a request that came to a worker is about; None where no client sent it."""
+        return self._orders.get(asked.headers.get("x-call-id", ""))
+
+    def host(self, each: Listed, place: int) -> dict[str, Any]:
+        """An entry as discovery words it for one scheduler."""
+        actor = self.actors[each.machine.name]
+        assert isinstance(actor, SocketWorker)
+        host, port = actor.doors[place].address
+        born = (each.born_ns + self.born_unix_ns) // MS if each.born_ns else 0
+        return {
+            "host": each.machine.name, "dial": f"{host}:{port}", "site": each.machine.zone,
+            "class": each.machine.model, "block": each.machine.cell, "health": STATES[each.state],
+            "share": each.weight, "born_ms": born,
+        }  # fmt: skip
+
+    def tell_list(self, place: int, whole: bool, entries: Sequence[Listed]) -> None:
+        """Discovery sends an agent something."""
+        self.agents[place].tell(entries)
+
+    # --- clients ----------------------------------------------------------------------------------
+
+    def submit(self, attempt: Try) -> str | None:
+        """Send a request, on a kept connection or on a new one."""
+        planned = self.begun + self.jobs.at_ns[attempt.job]
+        if attempt.number == 0:
+            self.lateness.append(self.now() - planned)
+        place = self.front.pick(attempt.zone, self.now())
+        attempt.scheduler = place
+        call_id = f"{attempt.request:x}-{self.scenario.seed:x}"
+        self._orders[call_id] = Order(
+            attempt.request, call_id, attempt.cls, attempt.work_ns, attempt.slots, str(attempt.sid), attempt.due_ns
+        )
+        self.after(self._delay(self.scenario.network.client_ms), partial(self._ask, attempt, call_id, True))
+        return faults.scheduler_name(place)
+
+    def _ask(self, attempt: Try, call_id: str, may_reuse: bool) -> None:
+        if attempt.over:
+            return
+        process = self.processes[attempt.scheduler]
+        connection = None
+        while may_reuse and process.idle and connection is None:
+            kept = process.idle.pop()
+            if not kept.closed and kept.is_quiet():
+                connection = kept
+            else:
+                kept.close()
+        if connection is None:
+            try:
+                connection = ClientConnection(
+                    self.loop, ("127.0.0.1", process.port), partial(self._answered, process),
+                    partial(self._broke, process),
+                )
+            except OSError:
+                self.audience.lost(attempt)
+                return
+        connection.state = (attempt, call_id)
+        attempt.core_request = connection
+        process.busy[attempt.request] = connection
+        connection.ask(self._request(attempt, call_id))
+
+    def _request(self, attempt: Try, call_id: str) -> bytes:
+        cls = self.scenario.classes[attempt.cls]
+        departments = self.scenario.departments
+        lines = [
+            f"POST /api?sid={attempt.sid:x} HTTP/1.1", "Host: origin.svc", f"X-Call-Id: {call_id}",
+            f"X-Call-Class: {cls.name}", f"X-Budget: {(attempt.due_ns - self.now()) / SECOND:.6f}",
+        ]  # fmt: skip
+        if departments:
+            lines.append(f"X-Caller: {departments[attempt.department].name}")
+        if cls.effect == "keyed":
+            lines.append(f"Idempotency-Key: k{attempt.job:x}")
+        if attempt.marked:
+            lines.append("X-Again: 1")
+        if attempt.slots != 1:
+            lines.append(f"X-Call-Info: slots={attempt.slots}")
+        body = b"job %d" % attempt.job
+        lines.append(f"Content-Length: {len(body)}")
+        return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+    def _answered(
+        self, process: Process, connection: ClientConnection, status: int, headers: dict[str, str], body: bytes
+    ) -> None:
+        attempt, _ = connection.state
+        process.busy.pop(attempt.request, None)
+        connection.state = None
+        kind = ANSWERS.get(status, Answer.FAILED)
+        own = status != 200 or body.decode("latin-1") == result_of(attempt.request)
+        come_back = 0
+        if "retry-after" in headers:
+            come_back = round(float(headers["retry-after"]) * SECOND)
+        if connection.stays:
+            process.idle.append(connection)
+        else:
+            connection.close()
+        late = self._delay(self.scenario.network.client_ms)
+        self.after(late, partial(self.audience.answered, attempt, kind, come_back, own))
+
+    def _broke(self, process: Process, connection: ClientConnection) -> None:
+        if connection.state is None:
+            if connection in process.idle:
+                process.idle.remove(connection)
+            return
+        attempt, call_id = connection.state
+        process.busy.pop(attempt.request, None)
+        # A kept connection that closes may cross a request that was not read: it is sent once more.
+        crossed = connection.requests > 1 and not connection.got_bytes and process.alive
+        if crossed and not attempt.over:
+            self._ask(attempt, call_id, False)
+        else:
+            self.after(self._delay(self.scenario.network.client_ms), partial(self.audience.lost, attempt))
+
+    def leave(self, attempt: Try) -> None:
+        """The client closes its connection."""
+        connection = attempt.core_request
+        if isinstance(connection, ClientConnection) and not connection.closed:
+            self.processes[attempt.scheduler].busy.pop(attempt.request, None)
+            if connection.state is not None and connection.state[0] is attempt:
+                connection.close()
+
+    # --- scheduler processes ----------------------------------------------------------------------
+
+    def _spawn(self, process: Process) -> None:
+        place = process.place
+        if not process.port:
+            process.port = _free_port()
+        agent = self.agents[place].door.address
+        seed = deployment.seed_of(self.chance, place, process.starts)
+        told = deployment.configuration(
+            self.scenario, self.machines, place, seed, f"127.0.0.1:{process.port}", f"{agent[0]}:{agent[1]}",
+            self.agents[place].known() if process.starts else None,
+        )  # fmt: skip
+        path = self.folder / f"{faults.scheduler_name(place)}.json"
+        path.write_text(json.dumps(told))
+        environment = {name: value for name, value in os.environ.items() if not name.startswith("LB_")}
+        environment |= {"LB_CONFIG": str(path), "PYTHONPATH": str(ROOT)}
+        log = (self.folder / f"{faults.scheduler_name(place)}.log").open("ab")
+        self._logs.append(log)
+        process.starts += 1
+        process.ready, process.ending = False, False
+        process.running = subprocess.Popen(
+            self.command, env=environment, cwd=ROOT, stdin=subprocess.DEVNULL, stdout=log, stderr=log
+        )
+        self.after(LOOK_EVERY, partial(self._look_ready, process, process.running))
+
+    def _look_ready(self, process: Process, running: subprocess.Popen[bytes]) -> None:
+        """Ask whether it is ready, until it is."""
+        if process.running is not running:
+            return
+        if running.poll() is not None:
+            self._failure = self._failure or f"scheduler n{process.place} ended at its start:\n{self._tail(process)}"
+            return
+        again = partial(self._look_ready, process, running)
+
+        def answered(connection: ClientConnection, status: int, headers: dict[str, str], body: bytes) -> None:
+            connection.close()
+            if status == 200:
+                process.ready = True
+                process.ready_at = self.now()
+                if self._playing:
+                    self.front.back(process.place, self.now())
+            else:
+                self.after(LOOK_EVERY, again)
+
+        try:
+            connection = ClientConnection(
+                self.loop, ("127.0.0.1", process.port), answered, lambda _: self.after(LOOK_EVERY, again)
+            )
+            connection.ask(b"GET /health/ready HTTP/1.1\r\nHost: origin.svc\r\n\r\n")
+        except OSError:
+            self.after(LOOK_EVERY, again)
+
+    def _tail(self, process: Process) -> str:
+        path = self.folder / f"{faults.scheduler_name(process.place)}.log"
+        lines = path.read_text(errors="replace").splitlines()[-5:] if path.exists() else []
+        return "\n".join(f"  {each}" for each in lines) or "  it wrote nothing"
+
+    def kill(self, place: int) -> bool:
+        """SIGKILL."""
+        process = self.processes[place]
+        if not process.alive or process.running is None:
+            return False
+        process.ending = True
+        process.running.kill()
+        process.running.wait()
+        return True
+
+    def term(self, place: int) -> bool:
+        """SIGTERM, and SIGKILL where it does not end in time."""
+        process = self.processes[place]
+        running = process.running
+        if not process.alive or running is None:
+            return False
+        process.ending = True
+        running.send_signal(signal.SIGTERM)
+        self.after(self.longest_end, partial(self._kill_old, running))
+        return True
+
+    def _kill_old(self, running: subprocess.Popen[bytes]) -> None:
+        if running.poll() is None:
+            running.kill()
+            running.wait()
+
+    def start(self, place: int) -> None:
+        """Start again, once the old process has ended."""
+        process = self.processes[place]
+        if process.alive and process.ending:
+            self.after(LOOK_EVERY, partial(self.start, place))
+        elif not process.alive:
+            process.idle.clear()
+            self._spawn(process)
+
+    def _watch(self) -> None:
+        """A scheduler that ends by itself has crashed."""
+        for process in self.processes:
+            running = process.running
+            if running is not None and running.poll() is not None and not process.ending:
+                process.ending = True
+                text = f"scheduler n{process.place} ended by itself ({running.returncode}):\n{self._tail(process)}"
+                self.ledger.add(Broken("crash", text))
+                self.front.died(process.place, self.now())
+        self.after(4 * LOOK_EVERY, self._watch)
+
+    # --- a run ------------------------------------------------------------------------------------
+
+    def play(self, tick: Callable[[float, Theatre], None] | None = None) -> Result:
+        """Start the schedulers, play the scenario, end all that was started; `tick` is called a few times a second."""
+        try:
+            for process in self.processes:
+                self._spawn(process)
+            deadline = self.now() + READY_WITHIN
+            self.loop.after(timedelta(milliseconds=20), self._tick_on)
+            while not all(each.ready for each in self.processes):
+                self.loop.one_pass()
+                if self._failure:
+                    raise Unplayable(self._failure)
+                if self.now() > deadline:
+                    late = ", ".join(f"n{each.place}" for each in self.processes if not each.ready)
+                    raise Unplayable(f"not ready within {READY_WITHIN // SECOND} s: {late}")
+            self._playing = True
+            self.begun = self.recorder.begun = self.now() + 200 * MS
+            self.arm()
+            self._watch()
+            told = 0
+            while not self.is_over and self.now() < self.end:
+                self.loop.one_pass()
+                if self._failure:
+                    raise Unplayable(self._failure)
+                if tick is not None and self.now() - told > SECOND // 4:
+                    told = self.now()
+                    tick((told - self.begun) / SECOND, self)
+            return self._result()
+        finally:
+            self.stop()
+
+    def _tick_on(self) -> None:
+        """Keeps passes coming, so that the conditions of `play` are looked at."""
+        self.loop.after(timedelta(milliseconds=20), self._tick_on)
+
+    def _result(self) -> Result:
+        late = self.late_ns
+        if late > LATE_STAGE:
+            self.recorder.mark(self.now(), f"the stage ran {late / MS:.0f} ms late: do not trust this run")
+        return self.finish()
+
+    @property
+    def late_ns(self) -> int:
+        """By how much the stage's own arrivals came late, at the 99th percentile."""
+        late = sorted(self.lateness)
+        return late[min(len(late) - 1, len(late) * 99 // 100)] if late else 0
+
+    def stop(self) -> None:
+        """End every process and socket that this run began."""
+        for process in self.processes:
+            if process.running is not None and process.running.poll() is None:
+                process.running.kill()
+                process.running.wait()
+        for log in self._logs:
+            log.close()
+        self.loop.close()
+
+
+def _free_port() -> int:
+    """A port that the kernel has just found free on 127.0.0.1."""
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        port: int = sock.getsockname()[1]
+    return port
+
+
+def play(
+    scenario: spec.Scenario, folder: Path, command: Sequence[str] = (),
+    tick: Callable[[float, Theatre], None] | None = None,
+) -> Result:  # fmt: skip
+    """Play a scenario in real time; logs and configurations of the schedulers are left in the folder."""
+    folder.mkdir(parents=True, exist_ok=True)
+    return Theatre(scenario, folder, command).play(tick)
--- /dev/null
+++ b/canvasbeam/lab/load.py
@@ -0,0 +1,382 @@
+"""The load tool: requests at a stated rate, or from a stated number of clients, against schedulers' addresses.
+
+It owns the plan of sends, the connections, and the tally. Latency counts from the time at which a request was meant
+to be sent, so a scheduler (or this tool) that stalls is seen in every request that waited (no coordinated omission;
+see Tene, "How NOT to measure latency"). It must never load anything but a loopback address, run without an end, or
+hide that it fell behind its own plan.
+"""
+
+from __future__ import annotations
+
+import resource
+import secrets
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+from functools import partial
+from typing import Any
+
+import msgspec
+import numpy as np
+
+from canvasbeam.lab.result import histogram, percentiles
+from canvasbeam.lab.wire import ClientConnection, span
+from canvasbeam.net.limits import nanoseconds
+from canvasbeam.net.loop import Loop
+
+MS = 1_000_000
+SECOND = 1_000 * MS
+LONGEST_S = 3600.0
+MOST_REQUESTS = 10_000_000
+# Behind its plan by more than this at the 99th percentile, a run is marked.
+BEHIND = 10 * MS
+TICK = 250 * MS
+# After the last send, answers are awaited for the budget and this.
+GRACE = SECOND
+
+
+class Plan(msgspec.Struct, frozen=True, kw_only=True):
+    """What to send. Either `rate` (open arrivals, a second) or `clients` (closed loops) is above 0."""
+
+    addresses: tuple[tuple[str, int], ...]
+    rate: float = 0.0
+    clients: int = 0
+    seconds: float = 10.0
+    seed: int = 1
+    evenly: bool = False  # evenly spaced arrivals, not a Poisson process
+    classes: tuple[tuple[str, float], ...] = (("file-read", 1.0),)
+    departments: tuple[tuple[str, float], ...] = ()
+    keyed: tuple[str, ...] = ("hours-entry",)  # classes whose requests carry a key
+    budget_s: float = 5.0
+    body_bytes: int = 16
+    connections: int = 512
+
+    def problems(self) -> list[str]:
+        """What is wrong with it."""
+        found = []
+        if not self.addresses:
+            found.append("no address to load")
+        for host, _ in self.addresses:
+            if not host.startswith("127."):
+                found.append(f"{host} is not a loopback address (127.0.0.0/8)")
+        if (self.rate > 0) == (self.clients > 0):
+            found.append("either a rate or a number of clients must be given")
+        if not 0 < self.seconds <= LONGEST_S:
+            found.append(f"the time must lie between 0 and {LONGEST_S:g} s")
+        if self.rate * self.seconds > MOST_REQUESTS:
+            found.append(f"at most {MOST_REQUESTS} requests may be planned")
+        if self.clients > self.connections:
+            found.append("there must be as many connections as clients")
+        if not 0 < self.budget_s <= LONGEST_S:
+            found.append(f"the budget must lie between 0 and {LONGEST_S:g} s")
+        if min((share for _, share in (*self.classes, *self.departments)), default=1.0) < 0:
+            found.append("shares must not be negative")
+        return found
+
+
+class Row(msgspec.Struct, kw_only=True):
+    """The figures of one class or department."""
+
+    name: str
+    sent: int = 0
+    served: int = 0
+    refused: int = 0
+    failed: int = 0
+    unanswered: int = 0
+    latency_ms: dict[str, float] = {}
+
+
+class Summary(msgspec.Struct, kw_only=True):
+    """What came of a run."""
+
+    planned: int = 0
+    sent: int = 0
+    served: int = 0
+    refused: int = 0
+    failed: int = 0
+    unanswered: int = 0
+    seconds: float = 0.0
+    per_s: float = 0.0
+    latency_ms: dict[str, float] = {}
+    classes: list[Row] = []
+    departments: list[Row] = []
+    behind_ms: dict[str, float] = {}
+    cpu_share: float = 0.0
+    us_per_request: float = 0.0
+    connections: int = 0
+    fell_behind: bool = False
+    marks: list[str] = []
+
+
+@dataclass(slots=True)
+class Ask:
+    """One request on its way."""
+
+    cls: int
+    department: int
+    meant_at: int
+    address: int
+    call_id: str = ""
+    client: int = -1
+    over: bool = False
+    connection: ClientConnection | None = None
+
+
+@dataclass(slots=True)
+class _Count:
+    row: Row
+    made: Any = field(default_factory=histogram)
+
+
+class Load:
+    """One run of the tool."""
+
+    def __init__(self, plan: Plan, tick: Callable[[Summary], None] | None = None) -> None:
+        found = plan.problems()
+        if found:
+            raise ValueError("; ".join(found))
+        self.plan = plan
+        self.loop = Loop(timedelta(seconds=10))
+        self.loop.read_clock()
+        self._tick = tick
+        self._rng = np.random.Generator(np.random.PCG64(plan.seed))
+        self._classes = [_Count(Row(name=name)) for name, _ in plan.classes]
+        self._departments = [_Count(Row(name=name)) for name, _ in plan.departments]
+        self._all = _Count(Row(name="all"))
+        self._behind = histogram()
+        self._idle: list[list[ClientConnection]] = [[] for _ in plan.addresses]
+        self._connections = 0
+        self._most_connections = 0
+        self._open = 0
+        self._numbers = 0
+        self._token = secrets.token_hex(4)  # two runs at once must not meet under one id
+        self._waiting: list[Ask] = []  # every connection is in use
+        self._body = b"x" * plan.body_bytes
+        self._stopped = False
+        self._draw()
+
+    def _draw(self) -> None:
+        """Who asks when: for open arrivals all of it ahead."""
+        plan, rng = self.plan, self._rng
+        count = round(plan.rate * plan.seconds) if plan.rate else 4096
+        if plan.rate and not plan.evenly:
+            gaps = rng.exponential(1 / plan.rate, size=count + 8 * int(count**0.5) + 8)
+            times = np.cumsum(gaps)
+            times = times[times < plan.seconds]
+        else:
+            times = np.arange(count) / (plan.rate or 1.0)
+        self._times: list[int] = np.rint(times * SECOND).astype(np.int64).tolist()
+
+        def picks(shares: tuple[tuple[str, float], ...]) -> list[int]:
+            weights = np.array([share for _, share in shares] or [1.0])
+            size = max(1, len(self._times))
+            made: list[int] = rng.choice(len(weights), size=size, p=weights / weights.sum()).tolist()
+            return made
+
+        self._cls, self._department = picks(plan.classes), picks(plan.departments)
+        self._next = 0
+
+    # --- a run ------------------------------------------------------------------------------------
+
+    def _now(self) -> int:
+        return nanoseconds(self.loop.read_clock())
+
+    def run(self) -> Summary:
+        """Send all that is planned, await the answers, and add up. Ctrl-C ends it early and still adds up."""
+        self._begun = self._now()
+        self._end = self._begun + round(self.plan.seconds * SECOND)
+        latest = self._end + round(self.plan.budget_s * SECOND) + GRACE
+        cpu = time.process_time()
+        if self.plan.rate:
+            self._arm()
+        else:
+            for client in range(self.plan.clients):
+                self._ask_next(client)
+        self._ticks()
+        try:
+            while not self._is_over() and self._now() < latest:
+                self.loop.one_pass()
+        except KeyboardInterrupt:
+            self._stopped = True
+        spent = time.process_time() - cpu
+        summary = self.summary()
+        wall = max(1e-9, (self._now() - self._begun) / SECOND)
+        summary.cpu_share = round(spent / wall, 3)
+        summary.us_per_request = round(spent / max(1, summary.sent) * 1e6, 1)
+        if self._stopped:
+            summary.marks.append("interrupted: the figures are of the part that ran")
+        if summary.cpu_share > 0.9:
+            summary.marks.append(f"the tool used {summary.cpu_share:.0%} of its core: it may be the limit itself")
+        self.loop.close()
+        return summary
+
+    def _is_over(self) -> bool:
+        if self._open or self._waiting:
+            return False
+        return self._next >= len(self._times) if self.plan.rate else self._now() >= self._end
+
+    def _ticks(self) -> None:
+        if self._tick is not None:
+            self._tick(self.summary())
+        self.loop.after(span(TICK), self._ticks)
+
+    def _arm(self) -> None:
+        if self._next < len(self._times):
+            when = self._begun + self._times[self._next]
+            self.loop.after(span(max(0, when - self._now())), self._arrive)
+
+    def _arrive(self) -> None:
+        """All that is due by now: one deadline for many, or the tool itself would fall behind."""
+        now = self._now()
+        while self._next < len(self._times) and self._begun + self._times[self._next] <= now:
+            place = self._next
+            self._next += 1
+            meant = self._begun + self._times[place]
+            self._send(Ask(self._cls[place], self._department[place], meant, place % len(self.plan.addresses)))
+        self._arm()
+
+    def _ask_next(self, client: int) -> None:
+        """The next request of a closed loop; it is meant to be sent now."""
+        now = self._now()
+        if now >= self._end:
+            return
+        place = self._next % len(self._cls)
+        self._next += 1
+        address = client % len(self.plan.addresses)
+        self._send(Ask(self._cls[place], self._department[place], now, address, client=client))
+
+    # --- requests ---------------------------------------------------------------------------------
+
+    def _send(self, ask: Ask) -> None:
+        self._open += 1
+        for count in self._counts(ask):
+            count.row.sent += 1
+        self._put(ask)
+
+    def _put(self, ask: Ask) -> None:
+        connection = self._connection(ask.address)
+        if connection is None:
+            self._waiting.append(ask)
+            return
+        now = self._now()
+        self._behind.record_value(max(1, (now - ask.meant_at) // 1000))
+        self._numbers += 1
+        ask.call_id = f"{self._token}-{self._numbers:x}"
+        ask.connection = connection
+        connection.state = ask
+        connection.ask(self._request(ask))
+        self.loop.after(span(round(self.plan.budget_s * SECOND) + GRACE // 2), partial(self._late, ask))
+
+    def _connection(self, address: int) -> ClientConnection | None:
+        idle = self._idle[address]
+        while idle:
+            connection = idle.pop()
+            if not connection.closed and connection.is_quiet():
+                return connection
+            self._drop(connection)
+        if self._connections >= self.plan.connections:
+            return None
+        try:
+            made = ClientConnection(
+                self.loop, self.plan.addresses[address], partial(self._answered, address), self._broke
+            )
+        except OSError:
+            return None
+        self._connections += 1
+        self._most_connections = max(self._most_connections, self._connections)
+        return made
+
+    def _drop(self, connection: ClientConnection) -> None:
+        if not connection.closed:
+            connection.close()
+        self._connections -= 1
+
+    def _request(self, ask: Ask) -> bytes:
+        name = self.plan.classes[ask.cls][0]
+        caller = f"X-Caller: {self.plan.departments[ask.department][0]}\r\n" if self.plan.departments else ""
+        key = f"Idempotency-Key: {ask.call_id}\r\n" if name in self.plan.keyed else ""
+        return (
+            f"POST /api?sid={self._numbers:x} HTTP/1.1\r\nHost: load\r\nX-Call-Id: {ask.call_id}\r\n"
+            f"X-Call-Class: {name}\r\n{caller}{key}X-Budget: {self.plan.budget_s:g}\r\n"
+            f"Content-Length: {len(self._body)}\r\n\r\n"
+        ).encode() + self._body
+
+    def _answered(
+        self, address: int, connection: ClientConnection, status: int, headers: dict[str, str], body: bytes
+    ) -> None:
+        ask, connection.state = connection.state, None
+        if connection.stays:
+            self._idle[address].append(connection)
+        else:
+            self._drop(connection)
+        if isinstance(ask, Ask):
+            self._end_ask(ask, "served" if status == 200 else "refused" if status in (429, 503) else "failed")
+
+    def _broke(self, connection: ClientConnection) -> None:
+        ask, connection.state = connection.state, None
+        self._connections -= 1
+        for idle in self._idle:
+            if connection in idle:
+                idle.remove(connection)
+        if isinstance(ask, Ask):
+            self._end_ask(ask, "failed")
+
+    def _late(self, ask: Ask) -> None:
+        if not ask.over and ask.connection is not None:
+            ask.connection.state = None
+            self._drop(ask.connection)
+            self._end_ask(ask, "unanswered")
+
+    def _end_ask(self, ask: Ask, how: str) -> None:
+        if ask.over:
+            return
+        ask.over = True
+        self._open -= 1
+        took = max(1, (self._now() - ask.meant_at) // 1000)
+        for count in self._counts(ask):
+            setattr(count.row, how, getattr(count.row, how) + 1)
+            if how == "served":
+                count.made.record_value(min(took, 3_600_000_000))
+        if self._waiting:
+            self._put(self._waiting.pop(0))
+        if ask.client >= 0:
+            if how == "failed":
+                # A scheduler that is not there answers at once: a closed loop must not spin on it.
+                self.loop.after(span(10 * MS), partial(self._ask_next, ask.client))
+            else:
+                self._ask_next(ask.client)
+
+    def _counts(self, ask: Ask) -> list[_Count]:
+        own = [self._departments[ask.department]] if self._departments else []
+        return [self._all, self._classes[ask.cls], *own]
+
+    # --- figures ----------------------------------------------------------------------------------
+
+    def summary(self) -> Summary:
+        """The figures so far."""
+        for count in (self._all, *self._classes, *self._departments):
+            count.row.latency_ms = percentiles(count.made)
+        row = self._all.row
+        seconds = min((self._now() - self._begun) / SECOND, self.plan.seconds)
+        behind = percentiles(self._behind)
+        fell = behind.get("p99", 0.0) * MS > BEHIND
+        marks = []
+        if fell:
+            marks.append(f"fell behind its plan: 1% of the sends left {behind['p99']:.0f} ms late or more")
+        if self._most_connections >= self.plan.connections:
+            marks.append(f"all {self.plan.connections} connections were in use at once: requests waited for one")
+        return Summary(
+            planned=len(self._times) if self.plan.rate else row.sent, sent=row.sent, served=row.served,
+            refused=row.refused, failed=row.failed, unanswered=row.unanswered, seconds=round(seconds, 3),
+            per_s=round(row.served / seconds, 1) if seconds else 0.0, latency_ms=row.latency_ms,
+            classes=[each.row for each in self._classes], departments=[each.row for each in self._departments],
+            behind_ms=behind, connections=self._most_connections, fell_behind=fell, marks=marks,
+        )  # fmt: skip
+
+
+def raise_descriptors(wanted: int) -> None:
+    """Let this process open as many descriptors as it may."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft < wanted:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (min(wanted, hard), hard))
--- a/canvasbeam/lab/model/draw.py
+++ b/canvasbeam/lab/model/draw.py
@@ -171,7 +171,8 @@
     return kept[: scenario.most_jobs]
 
 
-def _works(cls: spec.JobClassSpec, count: int, rng: np.random.Generator) -> Floats:
+def works(cls: spec.JobClassSpec, count: int, rng: np.random.Generator) -> Floats:
+    """The work of so many jobs of a class, in core seconds at speed 1."""
     if cls.dist == "fixed" or cls.cv == 0:
         return np.full(count, cls.work_s)
     if cls.dist == "exp":
@@ -195,7 +196,7 @@
     department = _picked(departments, count, rng)
     zone = _picked(scenario.traffic.zone_weights or (1.0,) * len(scenario.zones), count, rng)
     # Each class draws for every job, so that the share of one class moves no other's work.
-    works = np.stack([_works(each, count, rng) for each in scenario.classes])
+    table = np.stack([works(each, count, rng) for each in scenario.classes])
     two = np.stack([rng.uniform(size=count) < each.two_slots for each in scenario.classes])
     rows = np.arange(count)
     sid = rng.integers(0, scenario.traffic.keys or 2**62, size=count)
@@ -211,7 +212,7 @@
 
     return Jobs(
         at_ns=[each * 1000 for each in whole(times, 1_000_000)], cls=cls.tolist(), department=department.tolist(),
-        zone=zone.tolist(), work_ns=np.maximum(1, np.rint(works[cls, rows] * SECOND)).astype(np.int64).tolist(),
+        zone=zone.tolist(), work_ns=np.maximum(1, np.rint(table[cls, rows] * SECOND)).astype(np.int64).tolist(),
         slots=(1 + two[cls, rows].astype(np.int64)).tolist(), sid=sid.tolist(), honours=honours.tolist(),
         leaves_ns=whole(leaves, SECOND),
     )  # fmt: skip
--- a/canvasbeam/lab/model/ledger.py
+++ b/canvasbeam/lab/model/ledger.py
@@ -84,7 +84,7 @@
     moments: list[Moment] = field(default_factory=list)
     tipped: list[tuple[int, str]] = field(default_factory=list)
     told_drain: dict[tuple[str, str], int] = field(default_factory=dict)  # (scheduler, worker): since
-    _drained: list[Broken] = field(default_factory=list)
+    _noted: list[Broken] = field(default_factory=list)
     grace_ns: int = 500 * MS
 
     # --- what happens -----------------------------------------------------------------------------
@@ -118,7 +118,7 @@
             if since is not None and at > since + self.grace_ns + ON_ITS_WAY:
                 late = (at - since) / MS
                 text = f"{scheduler} sent to {worker} {late:.0f} ms after it was told of its drain\n"
-                self._drained.append(Broken("drain", text + f"  request {request}"))
+                self._noted.append(Broken("drain", text + f"  request {request}"))
             return
         self.moments.append(Moment(at, request, what, worker, scheduler))
 
@@ -133,6 +133,10 @@
         """A cold worker was tipped over."""
         self.tipped.append((at, worker))
 
+    def add(self, broken: Broken) -> None:
+        """A rule that an engine saw broken."""
+        self._noted.append(broken)
+
     def close(self, at: int) -> None:
         """The run is over: what is open now never got an answer."""
         for request, end in enumerate(self.end):
@@ -146,7 +150,7 @@
         """Every broken rule."""
         found = list(self._one_answer())
         found += self._runs()
-        found += self._drained
+        found += self._noted
         for at, worker in self.tipped:
             found.append(Broken("cold", f"{worker} was tipped over while cold, at {at / SECOND:.3f} s"))
         return found
