Lab: schedulers listen on loopback addresses of their own, and move where a port was taken

Cause: make demo on a fresh checkout ended with 'Address already in use' while other runs were on: on 127.0.0.1 the kernel gave the port just found free to a connection of theirs. Change: each scheduler has an address of its own (127.78.0.n), a port taken meanwhile is left for another up to three times, and a readiness check that nobody answers is asked again. Measured: a test that holds the port found first; the run goes on on the next.

--- a/canvasbeam/lab/engine_sockets.py
+++ b/canvasbeam/lab/engine_sockets.py
@@ -52,8 +52,10 @@
 SLOW_PASS = timedelta(seconds=10)
 READY_WITHIN = 20 * SECOND
 LOOK_EVERY = 50 * MS
+LOOK_WITHIN = 500 * MS
 # Where the stage's own lateness passes this at the 99th percentile, a run's figures are not to be trusted.
 LATE_STAGE = 20 * MS
+MOST_MOVES = 3
 MOST_WORKERS = 200  # one process plays them all
 STATES = {WorkerState.LIVE: "Ready", WorkerState.DRAINING: "Terminating", WorkerState.GONE: "Gone"}
 ANSWERS = {200: Answer.SERVED, 429: Answer.REFUSED, 503: Answer.REFUSED, 504: Answer.OVERDUE}
@@ -319,7 +321,8 @@
     """One scheduler process."""
 
     place: int
-    port: int
+    address: tuple[str, int] = ("", 0)
+    moved: int = 0  # times that its port was taken by somebody else
     starts: int = 0
     running: subprocess.Popen[bytes] | None = None
     ready: bool = False
@@ -361,7 +364,7 @@
         ]
         for agent in self.agents:
             agent.list = {each.machine.name: each for each in self.registry.whole()}
-        self.processes = [Process(place, 0) for place in range(scenario.schedulers.count)]
+        self.processes = [Process(place) for place in range(scenario.schedulers.count)]
         self.lateness: list[int] = []
         self._failure: str | None = None
         self._logs: list[Any] = []
@@ -446,7 +449,7 @@
         if connection is None:
             try:
                 connection = ClientConnection(
-                    self.loop, ("127.0.0.1", process.port), partial(self._answered, process),
+                    self.loop, process.address, partial(self._answered, process),
                     partial(self._broke, process),
                 )
             except OSError:
@@ -520,19 +523,19 @@
 
     def _spawn(self, process: Process) -> None:
         place = process.place
-        if not process.port:
-            process.port = _free_port()
+        if not process.address[1]:
+            process.address = _free_address(place)
         agent = self.agents[place].door.address
         seed = deployment.seed_of(self.chance, place, process.starts)
         told = deployment.configuration(
-            self.scenario, self.machines, place, seed, f"127.0.0.1:{process.port}", f"{agent[0]}:{agent[1]}",
+            self.scenario, self.machines, place, seed, "{}:{}".format(*process.address), "{}:{}".format(*agent),
             self.agents[place].known() if process.starts else None,
         )  # fmt: skip
         path = self.folder / f"{faults.scheduler_name(place)}.json"
         path.write_text(json.dumps(told))
         environment = {name: value for name, value in os.environ.items() if not name.startswith("LB_")}
         environment |= {"LB_CONFIG": str(path), "PYTHONPATH": str(ROOT)}
-        log = (self.folder / f"{faults.scheduler_name(place)}.log").open("ab")
+        log = self._log_path(process).open("ab")
         self._logs.append(log)
         process.starts += 1
         process.ready, process.ending = False, False
@@ -546,7 +549,15 @@
         if process.running is not running:
             return
         if running.poll() is not None:
-            self._failure = self._failure or f"scheduler n{process.place} ended at its start:\n{self._tail(process)}"
+            told = self._tail(process)
+            if "Address already in use" in told and process.starts == 1 and process.moved < MOST_MOVES:
+                # Between the kernel's finding a port free and the scheduler's taking it, another run took it.
+                process.address, process.starts = ("", 0), 0
+                process.moved += 1
+                self._log_path(process).unlink()
+                self._spawn(process)
+                return
+            self._failure = self._failure or f"scheduler n{process.place} ended at its start:\n{told}"
             return
         again = partial(self._look_ready, process, running)
 
@@ -562,14 +573,24 @@
 
         try:
             connection = ClientConnection(
-                self.loop, ("127.0.0.1", process.port), answered, lambda _: self.after(LOOK_EVERY, again)
+                self.loop, process.address, answered, lambda _: self.after(LOOK_EVERY, again)
             )
             connection.ask(b"GET /health/ready HTTP/1.1\r\nHost: origin.svc\r\n\r\n")
+            self.after(LOOK_WITHIN, partial(self._look_late, connection, again))
         except OSError:
             self.after(LOOK_EVERY, again)
 
+    def _look_late(self, connection: ClientConnection, again: Callable[[], None]) -> None:
+        """Who has its port may be somebody else, who never answers."""
+        if not connection.closed:
+            connection.close()
+            again()
+
+    def _log_path(self, process: Process) -> Path:
+        return self.folder / f"{faults.scheduler_name(process.place)}.log"
+
     def _tail(self, process: Process) -> str:
-        path = self.folder / f"{faults.scheduler_name(process.place)}.log"
+        path = self._log_path(process)
         lines = path.read_text(errors="replace").splitlines()[-5:] if path.exists() else []
         return "\n".join(f"  {each}" for each in lines) or "  it wrote nothing"
 
@@ -678,11 +699,14 @@
         self.loop.close()
 
 
-def _free_port() -> int:
-    """A port that the kernel has just found free on 127.0.0.1."""
-    with socket.create_server(("127.0.0.1", 0)) as sock:
-        port: int = sock.getsockname()[1]
-    return port
+def _free_address(place: int) -> tuple[str, int]:
+    """An address of this scheduler's own, with a port that the kernel has just found free there.
+
+    Not on 127.0.0.1: there the port may next be given to any connection that somebody opens.
+    """
+    with socket.create_server((f"127.78.0.{1 + place}", 0)) as sock:
+        address: tuple[str, int] = sock.getsockname()
+    return address
 
 
 def play(
--- a/tests/test_lab_sockets.py
+++ b/tests/test_lab_sockets.py
@@ -60,6 +60,16 @@
         engine_sockets.play(small(), tmp_path, command)
 
 
+def test_a_port_taken_meanwhile_is_left_for_another(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    honest, taken = engine_sockets._free_address, socket.create_server(("127.78.0.1", 0))
+    found = [taken.getsockname()]
+    monkeypatch.setattr(engine_sockets, "_free_address", lambda place: found.pop() if found else honest(place))
+    result = engine_sockets.play(small(length_s=1), tmp_path)
+    taken.close()
+    assert result.holds
+    assert not found
+
+
 # --- the load tool --------------------------------------------------------------------------------
 
 
@@ -69,7 +79,7 @@
     def __init__(self, plan: dict[str, Any], status: str = "200 OK", stall: float = 0.0, mute: bool = False) -> None:
         self.seen: list[str] = []
         self._status, self._stall, self._mute = status, stall, mute
-        self._sock = socket.create_server(("127.0.0.1", 0))
+        self._sock = socket.create_server(("127.79.0.1", 0))
         address = self._sock.getsockname()
         self._sock.close()
         self.load = Load(Plan(addresses=(address,), **plan))
@@ -297,14 +307,14 @@
 
 
 def test_emulated_workers_answer_a_job_by_hand(tmp_path: Path) -> None:
-    with socket.create_server(("127.0.0.1", 0)) as sock:
+    with socket.create_server(("127.79.0.2", 0)) as sock:
         port = sock.getsockname()[1]
-    command = [sys.executable, "-m", "canvasbeam", "emulate", "--discovery", f"127.0.0.1:{port}", "--workers", "2"]
+    command = [sys.executable, "-m", "canvasbeam", "emulate", "--discovery", f"127.79.0.2:{port}", "--workers", "2"]
     running = subprocess.Popen(command, cwd=ROOT, stdout=subprocess.PIPE, text=True)
     assert running.stdout is not None
     try:
-        assert f"discovery on 127.0.0.1:{port}; 2 workers" in running.stdout.readline()
-        with socket.create_connection(("127.0.0.1", port)) as sock:
+        assert f"discovery on 127.79.0.2:{port}; 2 workers" in running.stdout.readline()
+        with socket.create_connection(("127.79.0.2", port)) as sock:
             sock.sendall(b"GET /registry/instances HTTP/1.1\r\nHost: x\r\n\r\n")
             hosts = json.loads(sock.recv(65536).partition(b"\r\n\r\n")[2])["hosts"]
         host, _, dial = hosts[0]["dial"].partition(":")
