A job's own repeat is no sign that its key was at hand

Change: only first attempts teach what a fetch costs. Two runs that share a folder no longer share configurations, and the sockets engine collects garbage seldom while it plays.

--- a/canvasbeam/choice.py
+++ b/canvasbeam/choice.py
@@ -1185,7 +1185,7 @@
         begun = attempt.started or attempt.sent
         took = float(max(1, self._now - begun))
         cls = attempt.job.cls.name
-        if attempt.job.key is not None:
+        if attempt.job.key is not None and attempt.number == 0:  # a repeat finds but its own copy
             usual = self._service_of(attempt.job)
             self._fetch[attempt.key_held] = _mean(self._fetch.get(attempt.key_held), took / usual)
         for name in ((), (cls,), (cls, attempt.worker.kind)):
--- a/canvasbeam/lab/engine_sockets.py
+++ b/canvasbeam/lab/engine_sockets.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import gc
 import json
 import os
 import signal
@@ -531,7 +532,8 @@
             self.scenario, self.machines, place, seed, "{}:{}".format(*process.address), "{}:{}".format(*agent),
             self.agents[place].known() if process.starts else None,
         )  # fmt: skip
-        path = self.folder / f"{faults.scheduler_name(place)}.json"
+        # Named for this process too: two runs that share a folder must not share schedulers.
+        path = self.folder / f"{faults.scheduler_name(place)}.{os.getpid()}.json"
         path.write_text(json.dumps(told))
         environment = {name: value for name, value in os.environ.items() if not name.startswith("LB_")}
         environment |= {"LB_CONFIG": str(path), "PYTHONPATH": str(ROOT)}
@@ -644,6 +646,12 @@
 
     def play(self, tick: Callable[[float, Theatre], None] | None = None) -> Result:
         """Start the schedulers, play the scenario, end all that was started; `tick` is called a few times a second."""
+        collects = gc.get_threshold()
+        # A collection of everything stops the whole world for longer than a start may take, and schedulers would
+        # take the workers for slow ones.
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(50_000, 20, 1000)
         try:
             for process in self.processes:
                 self._spawn(process)
@@ -671,6 +679,8 @@
             return self._result()
         finally:
             self.stop()
+            gc.set_threshold(*collects)
+            gc.unfreeze()
 
     def _tick_on(self) -> None:
         """Keeps passes coming, so that the conditions of `play` are looked at."""
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -442,3 +442,23 @@
     assert len(asked) > 40
     assert all(when % 1000 == 0 for when in asked)
     assert len(of(given, (ci.Refuse, ci.Fail))) == 40
+
+
+def test_a_repeat_of_a_job_says_nothing_of_fetches() -> None:
+    """Guards large fleets: keys that never come again looked held where a job's own repeat found its copy.
+
+    Homes were then worked out for every key, a hash for each worker and job.
+    """
+    bench = Bench(entry("a"))
+    for number in range(12):
+        job = f"j{bench.made}"
+        assert only(bench.job(key=f"once{number}"), ci.Send).worker == "a"
+        bench.started(job, "a")
+        bench.pass_time(90 * MS)
+        bench.ended(job, "a", ci.Outcome.ERROR, final=False)
+        bench.pass_time(SECOND)
+        bench.started(job, "a", attempt=1)
+        bench.pass_time(20 * MS)
+        bench.ended(job, "a", attempt=1)
+        bench.run_job(span=90 * MS, key=f"other{number}")
+    assert bench.dispatcher._fetch_cost == 0
