Lab: one definition each of its units, scheduler names and passes

Cause: reading the change once more showed the load tool's own MS and SECOND beside the model's, two spellings of a scheduler's name beside faults.scheduler_name, a second _tick_on in the emulation, and names passed on through __all__ by modules that only import them. Change: each is taken from where it is defined. Behaviour stays; no test was changed.

--- a/canvasbeam/lab/deployment.py
+++ b/canvasbeam/lab/deployment.py
@@ -12,6 +12,7 @@
 from canvasbeam import interface as ci
 from canvasbeam.lab.model import spec
 from canvasbeam.lab.model.draw import Chance, Stream, capacity, mean_work
+from canvasbeam.lab.model.faults import scheduler_name
 from canvasbeam.lab.model.worker import MS, SECOND, Machine
 from canvasbeam.net.limits import Limits
 from canvasbeam.settings import read_settings
@@ -104,7 +105,7 @@
 ) -> dict[str, Any]:  # fmt: skip
     """LB_CONFIG's object for one scheduler process."""
     return {
-        "name": f"n{place}", "listen": listen, "discovery": discovery, "seed": f"{seed:x}",
+        "name": scheduler_name(place), "listen": listen, "discovery": discovery, "seed": f"{seed:x}",
         "limits": {
             "cores": 1.0, "memory_mb": scenario.schedulers.memory_mb, "sockets": scenario.schedulers.sockets,
         },
--- a/canvasbeam/lab/emulate.py
+++ b/canvasbeam/lab/emulate.py
@@ -9,7 +9,6 @@
 import signal
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from datetime import timedelta
 from functools import partial
 from pathlib import Path
 
@@ -70,9 +69,6 @@
         finally:
             self.stop()
 
-    def _tick_on(self) -> None:
-        self.loop.after(timedelta(milliseconds=50), self._tick_on)
-
 
 @contextmanager
 def interrupted() -> Iterator[Callable[[], bool]]:
--- a/canvasbeam/lab/engine_sim.py
+++ b/canvasbeam/lab/engine_sim.py
@@ -29,7 +29,7 @@
 from canvasbeam.lab.model.registry import Listed
 from canvasbeam.lab.model.worker import MS, SECOND, Said, Task
 from canvasbeam.lab.result import PERCENTILES, Result, histogram
-from canvasbeam.lab.stage import STILL_COMES, Actor, Stage, result_of
+from canvasbeam.lab.stage import Actor, Stage, result_of
 from canvasbeam.net.core import Answer, Attempt, Core, FinalAnswer, Request, Target
 from canvasbeam.net.limits import MICROSECOND, Limits, nanoseconds
 from canvasbeam.net.loop import Deadline
@@ -664,7 +664,7 @@
         scheduler = self.schedulers[place]
         if not scheduler.alive:
             return False
-        self.queue.after(STILL_COMES, partial(scheduler.drain, scheduler.starts))
+        self.queue.after(people.STILL_COMES, partial(scheduler.drain, scheduler.starts))
         self.queue.after(self.longest_end, partial(self._kill_old, scheduler, scheduler.starts))
         return True
 
--- a/canvasbeam/lab/engine_sockets.py
+++ b/canvasbeam/lab/engine_sockets.py
@@ -656,13 +656,13 @@
             for process in self.processes:
                 self._spawn(process)
             deadline = self.now() + READY_WITHIN
-            self.loop.after(timedelta(milliseconds=20), self._tick_on)
+            self._tick_on()
             while not all(each.ready for each in self.processes):
                 self.loop.one_pass()
                 if self._failure:
                     raise Unplayable(self._failure)
                 if self.now() > deadline:
-                    late = ", ".join(f"n{each.place}" for each in self.processes if not each.ready)
+                    late = ", ".join(faults.scheduler_name(each.place) for each in self.processes if not each.ready)
                     raise Unplayable(f"not ready within {READY_WITHIN // SECOND} s: {late}")
             self._playing = True
             self.begun = self.recorder.begun = self.now() + 200 * MS
@@ -683,7 +683,7 @@
             gc.unfreeze()
 
     def _tick_on(self) -> None:
-        """Keeps passes coming, so that the conditions of `play` are looked at."""
+        """Keeps passes coming, so that whoever runs them can look at its conditions."""
         self.loop.after(timedelta(milliseconds=20), self._tick_on)
 
     def _result(self) -> Result:
--- a/canvasbeam/lab/load.py
+++ b/canvasbeam/lab/load.py
@@ -21,13 +21,12 @@
 import msgspec
 import numpy as np
 
+from canvasbeam.lab.model.worker import MS, SECOND
 from canvasbeam.lab.result import histogram, percentiles
 from canvasbeam.lab.wire import ClientConnection, span
 from canvasbeam.net.limits import nanoseconds
 from canvasbeam.net.loop import Loop
 
-MS = 1_000_000
-SECOND = 1_000 * MS
 LONGEST_S = 3600.0
 MOST_REQUESTS = 10_000_000
 # Behind its plan by more than this at the 99th percentile, a run is marked.
--- a/canvasbeam/lab/result.py
+++ b/canvasbeam/lab/result.py
@@ -17,7 +17,7 @@
 
 from canvasbeam.lab.model import draw, faults, spec
 from canvasbeam.lab.model.ledger import MOST_TOLD, End, Ledger
-from canvasbeam.lab.model.worker import MS, SECOND, Machine, Said
+from canvasbeam.lab.model.worker import SECOND, Machine, Said
 
 WINDOW_S = 1.0
 WORST_WINDOW_S = 10
@@ -372,6 +372,3 @@
         if value < worst:
             worst, at = value, float(begin)
     return round(worst, 6), at
-
-
-__all__ = ["MS", "Recorder", "Result", "histogram", "percentiles", "read", "write"]
--- a/canvasbeam/lab/stage.py
+++ b/canvasbeam/lab/stage.py
@@ -13,11 +13,11 @@
 
 from canvasbeam.interface import WorkerState
 from canvasbeam.lab.model import draw, faults, spec, worker
-from canvasbeam.lab.model.clients import STILL_COMES, Audience, Front, Try
+from canvasbeam.lab.model.clients import Audience, Front, Try
 from canvasbeam.lab.model.draw import Chance, Stream
 from canvasbeam.lab.model.ledger import Ledger, What
 from canvasbeam.lab.model.registry import Listed, Registry
-from canvasbeam.lab.model.worker import MS, SECOND, Machine, Said
+from canvasbeam.lab.model.worker import SECOND, Machine, Said
 from canvasbeam.lab.result import Recorder, Result
 
 # After the last arrival a run goes on until all is answered, but no longer than this past the longest budget.
@@ -294,6 +294,3 @@
         """Close the books."""
         self.ledger.close(self.now())
         return self.recorder.result(self.engine, self.scenario, self.ledger, self.jobs)
-
-
-__all__ = ["MS", "STILL_COMES", "TAIL", "Actor", "Stage", "name_of", "result_of"]
