Fill targets by what lists say they hold, instead of asking each for room

Even turns gave slow machines as many jobs as quick ones, and no scheduler meets a target often enough to see it.

Change: among a crowd a target is busy while its reckoned jobs per slot are over a bound that grows with the job's wait. A list's weight gives them; an own send counts for all schedulers of a zone; time takes them down. No room probes where weights are live. Calls to discovery back off with pauses of their own.

--- a/canvasbeam/__main__.py
+++ b/canvasbeam/__main__.py
@@ -85,7 +85,7 @@
     kept = {name: value for name, value in environment.items() if name != "LB_DISCOVERY"}
     configuration = read_configuration(kept)
     settings, _ = read_settings(configuration.options)
-    Limits.of(settings.limits, configuration.sockets, configuration.memory_mb)
+    Limits.of(settings.limits, configuration.sockets, configuration.memory_mb, settings.dispatchers)
     return configuration.discovery
 
 
@@ -135,6 +135,20 @@
         log.error("a signal could not be handled")
 
 
+def figures(core: Core, forwarder: Forwarder, listener: Listener) -> str:
+    """What has been done since the start, and what is open now, for a line of the log."""
+    told = {
+        "clients": len(listener.connections), "open": core.open_requests, "targets": len(core.targets),
+        "connections": forwarder.connections, "idle": forwarder.idle, "opened": forwarder.opened,
+        "list_age": round((core.loop.now - core.listed_at).total_seconds(), 2), "lists_lost": core.lists_lost,
+        "cpu": round(time.process_time(), 2), "passes": core.loop.passes,
+    }  # fmt: skip
+    told |= {each.value: count for each, count in core.answers.items() if count}
+    told |= {f"forward {each.value}": count for each, count in core.ended.items() if count}
+    told |= {f"probe {each.value}": count for each, count in core.probed.items() if count}
+    return json.dumps(told)
+
+
 def serve(
     configuration: Configuration, settings: ci.Settings, limits: Limits, report_names: Mapping[str, str],
     signals: socket.socket,
@@ -143,9 +157,10 @@
     loop = Loop(limits.slow_pass)
     born = time.time_ns() // 1000 * MICROSECOND - loop.read_clock()
     core = Core(loop, settings, limits, configuration.seed, born)
-    core.carrier = Forwarder(loop, core, limits, report_names)
+    forwarder = core.carrier = Forwarder(loop, core, limits, report_names)
     listener = Listener.bind(loop, core, limits, configuration.listen)
-    group = TargetGroup(loop, core, limits, configuration.discovery, born)
+    whose = f"{configuration.seed:x} {configuration.name}"
+    group = TargetGroup(loop, core, limits, configuration.discovery, born, whose=whose)
     group.start(configuration.known)
     Signals(loop, signals, listener, group)
 
@@ -155,6 +170,14 @@
             loop.stop()
 
     loop.end_of_pass = end_of_pass
+
+    def tell() -> None:
+        log.info("figures %s", figures(core, forwarder, listener))
+        loop.after(limits.figures_every, tell)
+
+    loop.after(limits.figures_every, tell)
+    number, count = settings.own_number, settings.dispatchers
+    log.info("number %d of %d schedulers, %d targets known", number, count, len(core.targets))
     # What stands now stands for good: keep it out of every later collection.
     gc.collect()
     gc.freeze()
@@ -174,7 +197,9 @@
     try:
         configuration = read_configuration(os.environ)
         settings, names = read_settings(configuration.options)
-        limits = Limits.of(settings.limits, configuration.sockets, configuration.memory_mb)
+        limits = Limits.of(
+            settings.limits, configuration.sockets, configuration.memory_mb, settings.dispatchers
+        )
     except CONFIGURATION_ERRORS as error:
         print(f"canvasbeam: bad configuration: {error}", file=sys.stderr)
         return 1
--- a/canvasbeam/choice.py
+++ b/canvasbeam/choice.py
@@ -20,7 +20,7 @@
 from hashlib import blake2b
 from heapq import heappop, heappush
 from itertools import chain
-from math import ceil, inf, log2
+from math import ceil, exp, inf, log2
 from typing import Any
 
 from canvasbeam import interface as ci
@@ -71,6 +71,13 @@
 CROWD = 0.5
 # Fewer dispatchers in a zone know it by its learned caps, however few its workers.
 CROWD_LEAST = 5
+# Among a crowd a worker has room while it holds fewer jobs than so many for each slot; fewer in other zones,
+# whose own dispatchers need it; more for a job that waited, by so much for each mean service time.
+ROOM, ROOM_AWAY, ROOM_GROWS = 0.8, 0.6, 2.0
+# Slots of a worker of whose model no report was seen.
+SLOTS_UNSEEN = 4.0
+# What a list says that a worker holds for each slot is cut at this: beyond it only the wait differs.
+MOST_HELD = 20.0
 # Workers asked at once for each held job, and held jobs for which this is done.
 ASKS_PER_JOB = 2
 JOBS_ASKED_FOR = 4
@@ -184,6 +191,8 @@
     no_room_for: float = inf  # a cold worker has no room for this much work before `room_at`
     room_at: int = 0
     keys: dict[str, None] = field(default_factory=dict)
+    held: float = 0.0  # jobs of all dispatchers for each of its slots, as reckoned at `held_at`
+    held_at: int = 0
     place: int = 0  # in the order in which workers were first named
     look_at: float = inf
 
@@ -242,6 +251,9 @@
         self._homes: dict[str, dict[str, Worker]] = {}
         self._quota = {each.name: [QUOTA_BURST_S * each.quota_per_s, 0.0] for each in settings.tenants}
         self._crowd = False
+        self._pools = settings.weights is ci.Weights.LIVE
+        self._sizes: dict[str, float] = {}  # by kind, the highest weight told: that of an empty worker
+        self._slots_seen: dict[str, float] = {}  # by kind, the most slots reported free
         self._watch_fails = 0
         self._asked = False
         self._overloaded = False
@@ -319,18 +331,50 @@
         """Take what is told of a worker; whether it may stand in another place than before."""
         worker = self._workers.get(entry.worker)
         told = (entry.state, entry.zone, entry.kind, entry.cell)
+        is_new = worker is None
         if worker is None:
             worker = Worker(entry.worker, entry.zone, entry.kind, entry.cell, entry.state, entry.started_ns)
             worker.lot = int.from_bytes(_mixed("", worker.name), "big")
             worker.place = len(self._workers)
             self._workers[entry.worker] = worker
-        elif entry.started_ns > worker.started:
+        self._weigh(worker, entry.weight)
+        if entry.started_ns > worker.started:
             self._restart(worker, entry.started_ns)
-        elif told == (worker.state, worker.zone, worker.kind, worker.cell):
+        elif not is_new and told == (worker.state, worker.zone, worker.kind, worker.cell):
             return False
         worker.state, worker.zone, worker.kind, worker.cell = told
         return True
 
+    def _weigh(self, worker: Worker, weight: float) -> None:
+        """A live weight is a worker's size divided by 1 + the jobs that it holds for each slot."""
+        if self._pools and 0 < weight < inf:
+            size = self._sizes[worker.kind] = max(weight, self._sizes.get(worker.kind, 0.0))
+            worker.held, worker.held_at = min(size / weight - 1, MOST_HELD), self._now
+
+    def _held_at(self, worker: Worker) -> float:
+        """What it holds by now if nobody sent more: queues end evenly, the last jobs more and more slowly."""
+        known = self._service.get(("", worker.kind))
+        ended = (self._now - worker.held_at) / (known[0] if known else self._mean_service())
+        queued = min(ended, max(0.0, worker.held - 1))
+        return (worker.held - queued) * exp(queued - ended)
+
+    def _crowded(self, worker: Worker, job: Job) -> bool:
+        """Whether a crowd's jobs keep a worker busy, for a job that waited as long as this one.
+
+        Danger: dispatchers that each meet a worker now and then see nothing of the others' jobs there. Even
+        turns fill slow ones beyond what they can do, and urgent jobs kill what runs there, over and over.
+        """
+        if not (self._pools and self._crowd):
+            return False
+        waited = (self._now - job.born) / self._mean_service()
+        return self._held_at(worker) >= (ROOM_AWAY if self._place_of(worker) else ROOM) + ROOM_GROWS * waited
+
+    def _count_held(self, worker: Worker, slots: float) -> None:
+        """Where we send a job, the others of a zone, who know the same, are taken to send one each."""
+        alike = max(1.0, self._set.dispatchers / len(self._set.zones))
+        worker.held = self._held_at(worker) + alike * slots / self._slots_seen.get(worker.kind, SLOTS_UNSEEN)
+        worker.held_at = self._now
+
     def _restart(self, worker: Worker, started: int) -> None:
         """A new process under the same name is cold and holds nothing of the old one's."""
         worker.started = started
@@ -460,7 +504,7 @@
         """The next worker of the best ring that is neither full nor down for this job."""
         if job.attempts and not self._may_send(job):
             return None
-        spill = self._own_full and self._crowd and not self._asks()
+        spill = self._own_full and self._crowd and not self._asks() and not self._pools
         places = (1, 0) if spill or self._found_full(job) else (0, 1)
         for place in places:
             for worker in self._in_turn(place, job, turns):
@@ -589,7 +633,7 @@
         return int(worker.zone != self._set.own_zone)
 
     def _gets(self, worker: Worker, job: Job) -> bool:
-        return self._open(worker) and self._takes(worker, job)
+        return self._open(worker) and not self._crowded(worker, job) and self._takes(worker, job)
 
     def _takes(self, worker: Worker, job: Job) -> bool:
         """Whether this worker may be sent this job."""
@@ -635,10 +679,11 @@
         """Whether workers are asked for room before a job is sent.
 
         Danger: among as many dispatchers as workers each meets a worker too rarely to learn that it is
-        busy, and even turns are no better than chance. Reports in a probe's answer tell more.
+        busy, and even turns are no better than chance. Reports in a probe's answer tell more. Where lists
+        tell what all workers hold, that is as fresh and costs them no work.
         """
         told = "free_slots" in self._set.report_fields or "queued" in self._set.report_fields
-        return told and self._set.limits.probes and self._crowd
+        return told and self._set.limits.probes and self._crowd and not self._pools
 
     def _ask_around(self) -> None:
         """Ask the next in turn for room, as many as jobs held; half of them elsewhere when it is full."""
@@ -713,6 +758,7 @@
         worker.attempts.append(attempt)
         worker.load = attempt.load
         worker.unstarted += 1
+        self._count_held(worker, job.slots)
         worker.free = False
         if self._place_of(worker):
             self._own_full = False
@@ -1088,6 +1134,9 @@
     ) -> None:
         """What an outcome tells of the worker."""
         worker = attempt.worker
+        if self._pools and report:
+            free = float(round(report.get("free_slots", 0.0)))
+            self._slots_seen[worker.kind] = max(1.0, free, self._slots_seen.get(worker.kind, 0.0))
         if outcome is Outcome.OK:
             worker.errors = 0
             self._hear(worker)
@@ -1188,7 +1237,7 @@
         if attempt.job.key is not None and attempt.number == 0:  # a repeat finds but its own copy
             usual = self._service_of(attempt.job)
             self._fetch[attempt.key_held] = _mean(self._fetch.get(attempt.key_held), took / usual)
-        for name in ((), (cls,), (cls, attempt.worker.kind)):
+        for name in ((), (cls,), ("", attempt.worker.kind), (cls, attempt.worker.kind)):
             self._service[name] = _mean(self._service.get(name), took)
         self._fetch_cost = self._cost_of_fetch()
         self._regrow = (1 + REGROW_SHARED * self._others) * self._mean_service()
@@ -1286,7 +1335,9 @@
                 for each in self._workers.values()
                 if each.kind == worker.kind and each.carried and self._cold_share(each) >= 1
             ]
-            known = self._slots_of_kind[worker.kind] = sorted(seen)[len(seen) // 2] if seen else 1.0
+            least = self._slots_seen.get(worker.kind, 1.0) if self._crowd else 1.0
+            known = max(least, sorted(seen)[len(seen) // 2] if seen else 1.0)
+            self._slots_of_kind[worker.kind] = known
         return known
 
 
--- a/canvasbeam/cli/check.py
+++ b/canvasbeam/cli/check.py
@@ -55,7 +55,7 @@
     try:
         configuration = read_configuration({"LB_CONFIG": name})
         settings, _ = read_settings(configuration.options)
-        Limits.of(settings.limits, configuration.sockets, configuration.memory_mb)
+        Limits.of(settings.limits, configuration.sockets, configuration.memory_mb, settings.dispatchers)
     except CONFIGURATION_ERRORS as error:
         return f"{name}: {' '.join(str(error).split())}"
     return None
--- a/canvasbeam/net/core.py
+++ b/canvasbeam/net/core.py
@@ -145,6 +145,10 @@
         self.targets: dict[str, Target] = {}
         self.carrier: Carrier | None = None
         self.answers = dict.fromkeys(Answer, 0)
+        self.ended = dict.fromkeys(Outcome, 0)  # forwards by outcome
+        self.probed = dict.fromkeys(Outcome, 0)  # probes by outcome
+        self.listed_at = ZERO  # when discovery last told anything
+        self.lists_lost = 0
         self._born = born
         self._seed = seed
         self._classes = {each.name: each for each in settings.classes}
@@ -208,6 +212,7 @@
 
     def listed(self, kind: ci.ListKind, targets: Iterable[Target], version: int) -> None:
         """Take what discovery tells; a target missing from a whole list is gone."""
+        self.listed_at = self.loop.now
         told = {each.name: each for each in targets}
         if kind is not ci.ListKind.CHANGES:
             for name in [name for name in self.targets if name not in told]:
@@ -227,6 +232,7 @@
 
     def list_lost(self) -> None:
         """A call to discovery failed; the list stays."""
+        self.lists_lost += 1
         self._lists.append(ci.WorkersListed(ci.ListKind.LOST))
         self.loop.again()
 
@@ -302,6 +308,7 @@
             return
         request = attempt.request
         attempt.outcome = outcome
+        self.ended[outcome] += 1
         self.loop.cancel(attempt.deadline)
         if outcome is Outcome.OK:
             self._answer(request, FinalAnswer(Answer.SERVED, result))
@@ -326,6 +333,7 @@
         self, target: str, outcome: Outcome, elapsed: timedelta, report: Mapping[str, float] | None = None
     ) -> None:
         """A probe ended."""
+        self.probed[outcome] += 1
         self._outcome(ci.ProbeEnded(target, outcome, nanoseconds(elapsed), report))
 
     def _outcome(self, event: ci.Event) -> None:
--- a/canvasbeam/net/forward.py
+++ b/canvasbeam/net/forward.py
@@ -70,6 +70,7 @@
         self.limits = limits
         self.report_names = report_names
         self.connections = 0
+        self.opened = 0
         self._distrust_until = ZERO
         self._idle: dict[str, list[TargetConnection]] = {}  # the newest last
 
@@ -114,6 +115,11 @@
 
     # --- connections ------------------------------------------------------------------------------
 
+    @property
+    def idle(self) -> int:
+        """Connections that stand idle."""
+        return sum(map(len, self._idle.values()))
+
     def kept_broke(self) -> None:
         """A kept connection broke under a request, before a byte of its answer."""
         self._distrust_until = self.loop.now + self.limits.distrust
@@ -181,6 +187,7 @@
     def __init__(self, owner: Forwarder, target: Target, sock: socket.socket) -> None:
         super().__init__(owner.loop, sock, owner.limits.read, connected=False)
         owner.connections += 1
+        owner.opened += 1
         self.owner = owner
         self.target = target.name
         self.address = target.address
--- a/canvasbeam/net/limits.py
+++ b/canvasbeam/net/limits.py
@@ -82,15 +82,17 @@
     accept_pause: timedelta = seconds(0.05)
     drain_window: timedelta = seconds(0.6)  # after SIGTERM, while clients still come
     slow_pass: timedelta = seconds(0.02)  # a pass that takes longer is told in the log
+    figures_every: timedelta = seconds(5)  # between lines of figures in the log
     list_wait: timedelta = seconds(1)
     watch_hold: timedelta = seconds(5)
     watch_slack: timedelta = seconds(1)  # past its hold, a watch is stuck
     watch_gap: timedelta = seconds(0.02)  # between calls that bring nothing and come back at once
-    watch_retry: timedelta = seconds(0.1)
+    watch_retry: timedelta = seconds(0.1)  # after the first failed call; twice as long after each more
+    watch_retry_most: timedelta = seconds(1)
 
     @classmethod
-    def of(cls, settings: ci.Limits, sockets: int, memory_mb: int) -> Limits:
-        """The figures under a deployment's settings and its limits on descriptors and memory."""
+    def of(cls, settings: ci.Limits, sockets: int, memory_mb: int, schedulers: int = 1) -> Limits:
+        """The figures under a deployment's settings, its limits on descriptors and memory, and its size."""
         if sockets < 64:
             raise ValueError("limits.sockets must be at least 64")
         if memory_mb < 24:
@@ -107,4 +109,8 @@
             come_back=span_of(settings.max_retry_advice_ns) if settings.retry_advice else ZERO,
             connect=span_of(settings.connect_timeout_ns),
             target_idle=span_of(idle) / 2 if idle else TARGET_IDLE,
+            # Calls wait in turn where many schedulers ask at once. To a discovery that fails all together make
+            # 10 to 20 a second, whatever their number, as long as no list grows too old by it.
+            list_wait=min(max(schedulers * seconds(0.1), seconds(1)), seconds(4)),
+            watch_retry_most=min(max(schedulers * seconds(0.1), seconds(0.5)), seconds(4)),
         )
--- a/canvasbeam/net/loop.py
+++ b/canvasbeam/net/loop.py
@@ -269,6 +269,7 @@
         self._stopped = False
         self.now = ZERO
         self.longest_pass = ZERO
+        self.passes = 0
 
     def read_clock(self) -> timedelta:
         """The time since the loop was made, on the clock that never goes back."""
@@ -321,6 +322,7 @@
         """Wait for what comes first, then handle all that is there."""
         ready = self.selector.select(self._patience())
         self._again = False
+        self.passes += 1
         begun = self.read_clock()
         woken = []
         for key, mask in ready:
--- a/canvasbeam/net/target_group.py
+++ b/canvasbeam/net/target_group.py
@@ -2,8 +2,8 @@
 
 It owns the connection to discovery, the version last told, and the reading of discovery's entries. It must
 never judge a target's health, never leave more than the allowed gap between two calls while discovery
-answers, never drop the list because discovery is silent or has moved, and never take news of a connection
-that it has left.
+answers, never drop the list because discovery is silent or has moved, never take news of a connection
+that it has left, and never call a discovery that fails as often as one that answers.
 """
 
 from __future__ import annotations
@@ -12,6 +12,7 @@
 import ipaddress
 import json
 import logging
+import random
 import socket
 from datetime import timedelta
 from typing import Any
@@ -32,6 +33,8 @@
     "Gone": ci.WorkerState.GONE,
 }
 
+LONGEST_DOUBLING = 16  # guards against a power that no span holds
+
 # What a system call fails with where this machine lacks descriptors, memory or ports.
 SCARCE = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL}
 
@@ -97,8 +100,10 @@
     """Keeps the core's list as discovery tells it."""
 
     def __init__(
-        self, loop: Loop, core: Core, limits: Limits, address: tuple[str, int], born: timedelta
-    ) -> None:
+        self, loop: Loop, core: Core, limits: Limits, address: tuple[str, int], born: timedelta,
+        *, whose: str = "",
+    ) -> None:  # fmt: skip
+        """`whose` is unlike any other scheduler's, so that the calls of many that fail together part."""
         self._loop = loop
         self._core = core
         self._limits = limits
@@ -108,12 +113,20 @@
         self._connection: _Discovery | None = None
         self._wait: Deadline | None = None
         self._asked = timedelta(0)
+        self._fails = 0  # calls in a row
+        self._random = random.Random(whose)
 
     def start(self, known: Fields) -> None:
-        """Begin with the list as it was last held, then ask."""
+        """Begin with the list as it was last held, then ask for what changed since.
+
+        Guards discovery: it is one service for all schedulers and works for each line that it sends. Many that
+        start together and ask for the whole list keep each other from getting it.
+        """
         if known:
-            _, targets, version = read_list(known, self._born)
+            is_whole, targets, version = read_list(known, self._born)
             self._core.listed(ci.ListKind.WARM_COPY, targets, version)
+            if is_whole and targets and version > 0:
+                self._version = version
         self._ask()
 
     def move(self, address: tuple[str, int]) -> None:
@@ -125,6 +138,7 @@
         self._hang_up()
         self.address = address
         self._version = None
+        self._fails = 0
         self._ask()
 
     def _ask(self) -> None:
@@ -167,6 +181,13 @@
             self._failed(str(error))
             return
         first = self._version is None
+        self._fails = 0
+        if not is_whole and self._version is not None and version < self._version:
+            # Guards the list against a discovery that began anew: what it counts is not what was known.
+            log.warning("discovery is at version %d, before %d: the whole list is asked for", version, self._version)
+            self._version = None
+            self._ask()
+            return
         self._version = version
         if is_whole or targets:
             kind = ci.ListKind.COMPLETE if is_whole else ci.ListKind.CHANGES
@@ -183,12 +204,19 @@
             self._failed(why)
 
     def _failed(self, why: str) -> None:
-        """A call failed: ask again soon, on a new connection."""
-        log.warning("%s", why)
+        """A call failed: ask again on a new connection, soon at first, then less and less often.
+
+        Guards discovery: at 40 schedulers that each asked ten times a second nobody's call came through for as
+        long as they went on. The pauses differ from one scheduler to the next, else all would ask together.
+        """
+        pause = self._limits.watch_retry * 2 ** min(self._fails, LONGEST_DOUBLING)
+        pause = min(pause, self._limits.watch_retry_most) * self._random.uniform(0.5, 1.0)
+        self._fails += 1
+        log.warning("%s; asked again in %.2f s", why, pause.total_seconds())
         self._loop.cancel(self._wait)
         self._hang_up()
         self._core.list_lost()
-        self._wait = self._loop.after(self._limits.watch_retry, self._ask)
+        self._wait = self._loop.after(pause, self._ask)
 
     def _hang_up(self) -> None:
         if self._connection is not None:
--- /dev/null
+++ b/tests/test_crowd.py
@@ -0,0 +1,120 @@
+"""Many dispatchers that share nothing: what is harmless when one does it and harmful when forty do."""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+import pytest
+
+from canvasbeam import Dispatcher
+from canvasbeam import interface as ci
+from canvasbeam.interface import ListKind
+from tests.helpers import LIMITS, MS, SECOND, START, Bench, entry, of, only, settings
+
+WEIGHED: dict[str, Any] = {"dispatchers": 40, "weights": ci.Weights.LIVE, "report_fields": ("free_slots",)}
+
+
+def ring(*held: float, size: float = 4.0, zone: str = "here") -> list[ci.WorkerEntry]:
+    """Workers whose weights say that they hold so much for each slot."""
+    return [entry(f"{zone}{place}", zone, weight=size / (1 + each)) for place, each in enumerate(held)]
+
+
+def crowd(*workers: ci.WorkerEntry) -> Bench:
+    """One of forty, which has seen empty workers before."""
+    bench = Bench(entry("gone", weight=4.0), **WEIGHED)
+    bench.listed(*workers)
+    return bench
+
+
+def test_among_a_crowd_what_the_list_says_that_a_worker_holds_passes_it_over() -> None:
+    """Even turns alone sent as much to workers that forty had filled as to empty ones."""
+    bench = crowd(*ring(3, 0, 3, 3, 0, 3))
+    sent = {only(bench.job(), ci.Send).worker for _ in range(2)}
+    assert sent == {"here1", "here4"}
+    assert not of(bench.job(), ci.Send)  # held: each of the two now counts what others send there too
+
+
+def test_a_job_that_waits_takes_what_is_less_and_less_empty_and_is_not_held_for_ever() -> None:
+    bench = crowd(*ring(3, 3.5, 4))
+    assert not of(bench.job(), ci.Send)
+    assert [each.worker for each in of(bench.pass_time(SECOND), ci.Send)] == ["here0"]
+
+
+def test_other_zones_take_over_only_what_the_own_ring_has_no_room_for() -> None:
+    full, empty = ring(3, 3), ring(0, zone="there")
+    assert only(crowd(*full, *empty).job(), ci.Send).worker == "there0"
+    assert only(crowd(*ring(0.7, 3), *empty).job(), ci.Send).worker == "here0"
+    # What others need for their own jobs is left to them sooner.
+    assert not of(crowd(*full, *ring(0.7, zone="there")).job(), ci.Send)
+
+
+def test_one_dispatcher_or_few_keep_to_what_they_see_themselves() -> None:
+    for dispatchers in (1, 4):
+        bench = Bench(entry("gone", weight=4.0), dispatchers=dispatchers, weights=ci.Weights.LIVE)
+        bench.listed(*ring(3, 3))
+        assert len(of(bench.job(), ci.Send)) == 1
+
+
+@pytest.mark.parametrize("weight", [0.0, -1.0, math.nan, math.inf])
+def test_a_weight_that_cannot_be_is_no_news(weight: float) -> None:
+    bench = crowd(*ring(3, 0))
+    bench.listed(entry("here0", weight=weight), entry("here1", weight=weight), kind=ListKind.CHANGES)
+    assert only(bench.job(), ci.Send).worker == "here1"
+
+
+def test_where_lists_tell_what_workers_hold_none_is_asked_for_it() -> None:
+    """Forty dispatchers made two thousand probes a second to place four hundred jobs."""
+    bench = crowd(*ring(*[0.0] * 8))
+    given = [action for _ in range(20) for action in [*bench.job(), *bench.pass_time(20 * MS)]]
+    assert len(of(given, ci.Send)) >= 8
+    assert not of(given, ci.Probe)
+
+
+def test_forty_dispatchers_side_by_side_fill_a_ring_by_what_its_workers_can_do() -> None:
+    """Twenty in a zone, six workers of which two are three times as quick; nobody tells anybody anything."""
+    sizes = [12.0, 4.0, 4.0, 12.0, 4.0, 4.0]
+    kinds = ["quick" if size > 4 else "slow" for size in sizes]
+    many = [
+        Dispatcher(settings(limits=LIMITS, kinds=("quick", "slow"), own_number=number, **WEIGHED), number)
+        for number in range(20)
+    ]
+    empty = [entry(f"w{place}", kind=kinds[place], weight=size) for place, size in enumerate(sizes)]
+    for each in many:
+        each.handle(START, [ci.WorkersListed(ListKind.WARM_COPY, tuple(empty), 1)])
+    held = [0.0] * 6  # jobs at each worker, four slots each
+    sent = [0] * 6
+    running: list[tuple[int, Dispatcher, str, int]] = []
+    worst, made = 0.0, 0
+    for step in range(400):
+        now = START + step * 10 * MS
+        if step % 50 == 0:  # a list twice a second, as it stands
+            told = [
+                entry(f"w{place}", kind=kinds[place], weight=size / (1 + held[place] / 4))
+                for place, size in enumerate(sizes)
+            ]
+            for each in many:
+                each.handle(now, [ci.WorkersListed(ListKind.CHANGES, tuple(told), 2)])
+        for each in many:
+            events: list[ci.Event] = [ci.TimerFired("sweep")]
+            for over in [over for over in running if over[0] <= now and over[1] is each]:
+                running.remove(over)
+                held[over[3]] -= 1
+                events.append(ci.AttemptEnded(over[2], 0, f"w{over[3]}", ci.Outcome.OK, final=True))
+            if step % 27 == many.index(each):  # 74 a second by all together, of 89 that the ring can do
+                events.append(ci.JobArrived(f"j{made}", "look", now + 5 * SECOND))
+                made += 1
+            for action in of(each.handle(now, events), ci.Send):
+                place = int(action.worker[1:])
+                # A worker starts four jobs at once; what comes on top waits for its turn there.
+                waits = max(0.0, held[place] - 3) / 4
+                took = round((0.15 if kinds[place] == "quick" else 0.45) * (1 + waits) * SECOND)
+                held[place] += 1
+                sent[place] += 1
+                worst = max(worst, held[place] / 4)
+                running.append((now + took, each, action.job, place))
+                each.handle(now, [ci.JobStarted(action.job, 0, action.worker)])
+    assert made > 290
+    assert sum(sent) >= made - 10
+    assert worst <= 6, (worst, sent)  # 7.25 by even turns, and growing
+    assert min(sent[0], sent[3]) > 1.4 * max(sent[1], sent[2], sent[4], sent[5]), sent
