--- a/canvasbeam/choice.py
+++ b/canvasbeam/choice.py
@@ -88,6 +88,9 @@
 MOVE_AFTER = 0.1
 # A job that was turned away goes on only to workers heard of within so many mean service times, while any is.
 PROVEN_SERVICES = 4
+# What is held in other zones is reckoned to end at this pace: their own dispatchers, whom we do not count, go
+# on sending there.
+AWAY_PACE = 0.25
 # Slots of a worker of whose model no report was seen.
 SLOTS_UNSEEN = 4.0
 # What a list says that a worker holds for each slot is cut at this: beyond it only the wait differs.
@@ -357,7 +360,8 @@
     def _held_at(self, worker: Worker) -> float:
         """What it holds by now if nobody sent more: queues end evenly, the last jobs more and more slowly."""
         known = self._service.get(("", worker.kind))
-        ended = (self._now - worker.held_at) / (known[0] if known else self._mean_service())
+        pace = AWAY_PACE if self._place_of(worker) else 1.0
+        ended = pace * (self._now - worker.held_at) / (known[0] if known else self._mean_service())
         queued = min(ended, max(0.0, worker.held - 1))
         return (worker.held - queued) * exp(queued - ended)
 
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -49,6 +49,14 @@
     assert not of(crowd(*full, *ring(0.7, zone="there")).job(), ci.Send)
 
 
+def test_what_other_zones_hold_is_not_reckoned_away_between_two_lists() -> None:
+    """Half a second after a list nearly full zones passed for empty, and a lost zone's jobs went there at once."""
+    for zone, sends in (("here", 1), ("there", 0)):
+        bench = crowd(*ring(1.5, zone=zone))
+        bench.pass_time(300 * MS)
+        assert len(of(bench.job(), ci.Send)) == sends
+
+
 def test_one_dispatcher_or_few_keep_to_what_they_see_themselves() -> None:
     for dispatchers in (1, 4):
         bench = Bench(entry("gone", weight=4.0), dispatchers=dispatchers, weights=ci.Weights.LIVE)
