Say once what makes a crowd that knows what its workers hold, and one formula of pauses

Need: a second reading. The same pair of conditions stood in three places of choice.py, an entry's reading had grown a flag for the sake of its weight, the reckoning ran on every send where it is never looked at, and the pause after a failed call was written twice. Change: _pools is set where _crowd is; weights are taken beside the entry; sends are counted for a crowd alone; one formula with three figures.

--- a/canvasbeam/choice.py
+++ b/canvasbeam/choice.py
@@ -26,6 +26,7 @@
 from canvasbeam import interface as ci
 from canvasbeam.interface import Effect, ListKind, Outcome, WorkerState
 
+SECOND = 1_000_000_000
 # The sweep looks at time-outs no more often than this many quanta: fine against any aim.
 SWEEP_QUANTA = 4
 # While jobs are held, workers whose rest or wait is over are looked for this many times in the shortest aim.
@@ -40,9 +41,9 @@
 # Errors in a row, each proof of a live process but of no work done, before a worker is rested.
 ERRORS_TO_REST = 3
 # Among a crowd a job done speaks so long for its worker where a job must not be repeated.
-VOUCHED_FOR = 1_500_000_000
+VOUCHED_FOR = 3 * SECOND // 2
 # An error seen tells for so long that some workers may fail jobs.
-ERRORS_TELL = 10 * 1_000_000_000
+ERRORS_TELL = 10 * SECOND
 # Errors remembered of a worker of a crowd; each job done there takes one off.
 MOST_ERRORS = 4
 # Broken connections in a row, without a sign of work between them, before a worker is rested.
@@ -104,7 +105,6 @@
 MOST_TURNS_LOST = 4
 # Prompt starts are counted over about this many sends.
 PROMPT_OVER = 20
-SECOND = 1_000_000_000
 # A wait longer than any job's, for classes that are worth nothing.
 LONG_WAIT = 3600 * SECOND
 
@@ -258,7 +258,7 @@
         self._quota = {each.name: [QUOTA_BURST_S * each.quota_per_s, 0.0] for each in settings.tenants}
         self._crowd = False
         self._erred_until = 0  # some worker failed a job not long before
-        self._pools = settings.weights is ci.Weights.LIVE
+        self._pools = False  # a crowd, which is told what workers hold
         self._sizes: dict[str, float] = {}  # by kind, the highest weight told: that of an empty worker
         self._slots_seen: dict[str, float] = {}  # by kind, the most slots reported free
         self._watch_fails = 0
@@ -327,6 +327,7 @@
         changed = event.list_kind is not ListKind.CHANGES
         for entry in event.entries:
             changed |= self._on_entry(entry)
+            self._weigh(self._workers[entry.worker], entry.weight)
         if changed:  # most lists only renew weights
             self._make_rings()
         if self._set.discovery is ci.Discovery.ASKED and not self._asked:
@@ -337,23 +338,21 @@
         """Take what is told of a worker; whether it may stand in another place than before."""
         worker = self._workers.get(entry.worker)
         told = (entry.state, entry.zone, entry.kind, entry.cell)
-        is_new = worker is None
         if worker is None:
             worker = Worker(entry.worker, entry.zone, entry.kind, entry.cell, entry.state, entry.started_ns)
             worker.lot = int.from_bytes(_mixed("", worker.name), "big")
             worker.place = len(self._workers)
             self._workers[entry.worker] = worker
-        self._weigh(worker, entry.weight)
-        if entry.started_ns > worker.started:
+        elif entry.started_ns > worker.started:
             self._restart(worker, entry.started_ns)
-        elif not is_new and told == (worker.state, worker.zone, worker.kind, worker.cell):
+        elif told == (worker.state, worker.zone, worker.kind, worker.cell):
             return False
         worker.state, worker.zone, worker.kind, worker.cell = told
         return True
 
     def _weigh(self, worker: Worker, weight: float) -> None:
         """A live weight is a worker's size divided by 1 + the jobs that it holds for each slot."""
-        if self._pools and 0 < weight < inf:
+        if self._set.weights is ci.Weights.LIVE and 0 < weight < inf:
             size = self._sizes[worker.kind] = max(weight, self._sizes.get(worker.kind, 0.0))
             worker.held, worker.held_at = min(size / weight - 1, MOST_HELD), self._now
 
@@ -371,7 +370,7 @@
         Danger: dispatchers that each meet a worker now and then see nothing of the others' jobs there. Even
         turns fill slow ones beyond what they can do, and urgent jobs kill what runs there, over and over.
         """
-        if not (self._pools and self._crowd):
+        if not self._pools:
             return False
         away = self._place_of(worker)
         if job.out():  # it moves, and not to other zones for the little that it may gain
@@ -415,6 +414,7 @@
         self._shut.clear()
         in_zone = self._set.dispatchers / len(self._set.zones)
         self._crowd = in_zone >= max(CROWD_LEAST, CROWD * len(self._rings[0]))
+        self._pools = self._crowd and self._set.weights is ci.Weights.LIVE
 
     # --- arrival and the held queue ---------------------------------------------------------------
 
@@ -723,7 +723,8 @@
         worker.attempts.append(attempt)
         worker.load = attempt.load
         worker.unstarted += 1
-        self._count_held(worker, job.slots)
+        if self._pools:
+            self._count_held(worker, job.slots)
         if self._place_of(worker):
             self._own_full = False
         for ring in self._rings:
@@ -1000,7 +1001,7 @@
     def _leaves_queue(self, attempt: Attempt) -> bool:
         """Whether a job that waits at a worker tries the next in turn."""
         late = attempt.late and not attempt.started
-        if self._pools and self._crowd:
+        if self._pools:
             wait = MOVE_AFTER * self._mean_service()
             return late and attempt.job.cls.effect is not Effect.UNSAFE and self._now >= attempt.sent + wait
         keyed = attempt.job.cls.effect is Effect.KEYED
@@ -1147,7 +1148,7 @@
         them for it takes turns and work from them.
         """
         urgent = max(each.priority for each in self._set.classes)
-        return self._crowd and self._pools and job.cls.priority < urgent
+        return self._pools and job.cls.priority < urgent
 
     def _leave_room(self, attempt: Attempt) -> None:
         """A job that queued at its worker met other dispatchers' jobs there: leave them turns as well.
@@ -1205,7 +1206,8 @@
     def _back(self, worker: Worker) -> None:
         worker.rest_until = 0
         worker.breaks = 0
-        worker.errors = worker.errors if self._crowd else 0
+        if not self._crowd:
+            worker.errors = 0
         self._touched[worker.name] = worker
         worker.heard = self._now
         self._look(worker, self._now)
--- a/canvasbeam/net/limits.py
+++ b/canvasbeam/net/limits.py
@@ -113,10 +113,10 @@
             come_back=span_of(settings.max_retry_advice_ns) if settings.retry_advice else ZERO,
             connect=span_of(settings.connect_timeout_ns),
             target_idle=span_of(idle) / 2 if idle else TARGET_IDLE,
-            # Calls wait in turn where many schedulers ask at once. To a discovery that fails all together make
-            # 10 to 20 a second, whatever their number, as long as no list grows too old by it.
             # A first call was seen to take discovery a tenth of a second and more.
             list_spread=max(schedulers * seconds(0.2), seconds(1)),
+            # Calls wait in turn where many schedulers ask at once. To a discovery that fails all together make
+            # 10 to 20 a second, whatever their number, as long as no list grows too old by it.
             list_wait=min(max(schedulers * seconds(0.1), seconds(1)), seconds(4)),
             watch_retry_most=min(max(schedulers * seconds(0.1), seconds(0.5)), seconds(4)),
         )
--- a/canvasbeam/net/target_group.py
+++ b/canvasbeam/net/target_group.py
@@ -228,12 +228,10 @@
         Guards discovery: at 40 schedulers that each asked ten times a second nobody's call came through for as
         long as they went on. The pauses differ from one scheduler to the next, else all would ask together.
         """
+        first, grows, most = self._limits.watch_retry, 2.0, self._limits.watch_retry_most
         if self._spares():
-            pause = self._limits.list_spread * 1.5 ** min(self._fails, LONGEST_DOUBLING)
-            pause = min(pause, 2 * self._spread_most) * self._random.uniform(0.5, 1.0)
-        else:
-            pause = self._limits.watch_retry * 2 ** min(self._fails, LONGEST_DOUBLING)
-            pause = min(pause, self._limits.watch_retry_most) * self._random.uniform(0.5, 1.0)
+            first, grows, most = self._limits.list_spread, 1.5, 2 * self._spread_most
+        pause = min(first * grows ** min(self._fails, LONGEST_DOUBLING), most) * self._random.uniform(0.5, 1.0)
         self._fails += 1
         log.warning("%s; asked again in %.2f s", why, pause.total_seconds())
         self._loop.cancel(self._wait)
