Serve a second address with a health check; share the clients' address by SO_REUSEPORT

Change: canvasbeam/mgmt/ listens on mgmt ($LB_MGMT first): one call a connection, read before the clients, 16 connections at most, the oldest unfinished caller leaves for a newcomer, a 408 or a close 2 s after the start; GET /healthcheck is yes while a live target stands and no end began. The clients' listener sets SO_REUSEPORT.

--- a/canvasbeam/__main__.py
+++ b/canvasbeam/__main__.py
@@ -43,6 +43,7 @@
     name: str
     listen: tuple[str, int]
     discovery: tuple[str, int]
+    mgmt: tuple[str, int] | None  # the second address, where the operators' staff ask and tell
     seed: int
     sockets: int
     memory_mb: int
@@ -65,10 +66,12 @@
     known = section(fields, "known")
     if known:
         read_list(known, timedelta(0))
+    mgmt = environment.get("LB_MGMT") or str(fields.get("mgmt") or "")
     return Configuration(
         name=environment.get("LB_NAME") or str(fields.get("name") or "scheduler"),
         listen=read_address(environment.get("LB_LISTEN") or str(need(fields, "listen"))),
         discovery=read_address(environment.get("LB_DISCOVERY") or str(need(fields, "discovery"))),
+        mgmt=read_address(mgmt) if mgmt else None,
         seed=int(str(fields.get("seed") or "0"), 16),
         sockets=whole(section(fields, "limits"), "sockets", 1024),
         memory_mb=whole(section(fields, "limits"), "memory_mb", 192),
@@ -163,6 +166,13 @@
     group = TargetGroup(loop, core, limits, configuration.discovery, born, whose=whose)
     group.start(configuration.known)
     Signals(loop, signals, listener, group)
+    if configuration.mgmt is not None:
+        # Imported only where it is asked for: a scheduler without a second address pays nothing for it.
+        from canvasbeam.mgmt.desk import OperatorDesk  # noqa: PLC0415
+        from canvasbeam.mgmt.server import ManagementListener  # noqa: PLC0415
+
+        ManagementListener.bind(loop, limits, OperatorDesk(core, listener), configuration.mgmt)
+        log.info("the second address is %s:%d", *configuration.mgmt)
 
     def end_of_pass() -> None:
         core.end_of_pass()
--- a/canvasbeam/net/limits.py
+++ b/canvasbeam/net/limits.py
@@ -93,6 +93,12 @@
     watch_gap: timedelta = seconds(0.02)  # between calls that bring nothing and come back at once
     watch_retry: timedelta = seconds(0.1)  # after the first failed call; twice as long after each more
     watch_retry_most: timedelta = seconds(1)
+    # The second address: calls of the operators' staff, one a connection.
+    mgmt_connections: int = 16
+    mgmt_backlog: int = 64
+    mgmt_head: int = 4 * 1024
+    mgmt_call: timedelta = seconds(2)  # from a connection's start to its whole call
+    mgmt_linger: timedelta = seconds(1)  # from the answer to the close
 
     @classmethod
     def of(cls, settings: ci.Limits, sockets: int, memory_mb: int, schedulers: int = 1) -> Limits:
--- a/canvasbeam/net/listener.py
+++ b/canvasbeam/net/listener.py
@@ -27,6 +27,8 @@
 from canvasbeam.net.target_group import SCARCE
 
 log = logging.getLogger(__name__)
+# Linux and the BSDs have it; where it is missing the option is refused, and told.
+REUSE_PORT: int = getattr(socket, "SO_REUSEPORT", 15)
 
 SUBMIT, READY, LIVE = b"/api", b"/health/ready", b"/health/live"
 # Headers that belong to one connection, or that a forward writes itself.
@@ -84,10 +86,23 @@
 
     @classmethod
     def bind(cls, loop: Loop, core: Core, limits: Limits, address: tuple[str, int]) -> Listener:
-        """Listen on this address alone."""
-        sock = socket.create_server(
-            address, family=socket.AF_INET6 if ":" in address[0] else socket.AF_INET, backlog=limits.backlog
-        )
+        """Listen on this address, beside another process that listens there too (SO_REUSEPORT).
+
+        Guards an upgrade: the next version starts while this one still serves, and the kernel spreads new
+        connections over both until one closes its socket.
+        """
+        sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                sock.setsockopt(socket.SOL_SOCKET, REUSE_PORT, 1)
+            except OSError as error:  # a system without it listens alone
+                log.warning("the clients' address cannot be shared: %s", error)
+            sock.bind(address)
+            sock.listen(limits.backlog)
+        except OSError:
+            sock.close()
+            raise
         return cls(loop, core, limits, sock)
 
     @property
