Keep workers out by hand as draining for the decisions, and over an upgrade

The set is written whole to one file of $TMPDIR named after the clients' address; both processes look at it every 0.1 s.

--- a/canvasbeam/__main__.py
+++ b/canvasbeam/__main__.py
@@ -169,9 +169,12 @@
     if configuration.mgmt is not None:
         # Imported only where it is asked for: a scheduler without a second address pays nothing for it.
         from canvasbeam.mgmt.desk import OperatorDesk  # noqa: PLC0415
+        from canvasbeam.mgmt.handover import Handover, path_for  # noqa: PLC0415
         from canvasbeam.mgmt.server import ManagementListener  # noqa: PLC0415
 
-        ManagementListener.bind(loop, limits, OperatorDesk(core, listener), configuration.mgmt)
+        handover = Handover(path_for(os.environ.get("TMPDIR") or "/tmp", configuration.listen))
+        desk = OperatorDesk(core, listener, handover)
+        ManagementListener.bind(loop, limits, desk, configuration.mgmt)
         log.info("the second address is %s:%d", *configuration.mgmt)
 
     def end_of_pass() -> None:
--- a/canvasbeam/mgmt/server.py
+++ b/canvasbeam/mgmt/server.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any, Protocol
+from urllib.parse import unquote
 
 import httptools
 
@@ -21,7 +22,8 @@
 
 log = logging.getLogger(__name__)
 
-HEALTH = b"/healthcheck"
+HEALTH, WORKERS = b"/healthcheck", b"/workers/"
+LONGEST_ID = 256
 
 
 class Desk(Protocol):
@@ -30,6 +32,12 @@
     def can_serve(self) -> bool:
         """Whether this process can serve clients now."""
 
+    def take_out(self, worker: str) -> bool:
+        """Out by hand; False where nobody has this worker."""
+
+    def put_back(self, worker: str) -> bool:
+        """Back by hand; False where nobody has this worker."""
+
 
 def response(status: HTTPStatus, body: bytes, kind: str = "text/plain", extra: str = "") -> bytes:
     """A whole answer; the connection ends after it."""
@@ -164,6 +172,12 @@
         desk = self._owner.desk
         if path == HEALTH:
             return self._only(method, b"GET", lambda: _health(desk.can_serve()))
+        if path.startswith(WORKERS):
+            worker, slash, verb = path[len(WORKERS) :].rpartition(b"/")
+            name = unquote(worker.decode("latin-1"))
+            if slash and verb in (b"maint", b"ready") and 0 < len(name) <= LONGEST_ID and "/" not in name:
+                call = desk.take_out if verb == b"maint" else desk.put_back
+                return self._only(method, b"POST", lambda: _hand(call(name), name, verb.decode()))
         return plain(HTTPStatus.NOT_FOUND, "no such call")
 
     def _only(self, method: bytes, allowed: bytes, then: Callable[[], bytes]) -> bytes:
@@ -214,3 +228,9 @@
 def _health(good: bool) -> bytes:
     return plain(HTTPStatus.OK, "ok") if good else plain(HTTPStatus.SERVICE_UNAVAILABLE, "not ready")
 
+
+
+def _hand(known: bool, worker: str, verb: str) -> bytes:
+    if known:
+        return plain(HTTPStatus.OK, f"{worker} {verb}")
+    return plain(HTTPStatus.NOT_FOUND, f"no worker {worker} is known here")
--- a/canvasbeam/net/core.py
+++ b/canvasbeam/net/core.py
@@ -148,6 +148,8 @@
         self.ended = dict.fromkeys(Outcome, 0)  # forwards by outcome
         self.probed = dict.fromkeys(Outcome, 0)  # probes by outcome
         self.listed_at = ZERO  # when discovery last told anything
+        self.by_hand: set[str] = set()  # out by hand: draining for the module, whatever discovery says
+        self._returned: dict[str, timedelta] = {}  # put back by hand: a new start, so cold
         self.lists_lost = 0
         self._born = born
         self._seed = seed
@@ -173,7 +175,7 @@
 
     def can_serve(self) -> bool:
         """Whether there is a target to send to."""
-        return any(each.state is WorkerState.LIVE for each in self.targets.values())
+        return any(self._is_live(name) for name in self.targets)
 
     def knows_class(self, name: str) -> bool:
         """Whether the settings name this class."""
@@ -223,13 +225,33 @@
             else:
                 self.targets[name] = target
         self._lists.append(ci.WorkersListed(kind, tuple(map(self._entry, told.values())), version))
-        # Guards against sending to a target that began to drain while the connection was coming up.
+        self._stop_unsent()
+
+    def _stop_unsent(self) -> None:
+        """Guards against sending to a target that began to drain while the connection was coming up."""
         for request in self.requests():
             for attempt in request.out():
                 if attempt.written is None and not self._is_live(attempt.target):
                     self._moot(attempt)
         self.loop.again()
 
+    def hand_out(self, name: str) -> None:
+        """Out by hand: from this pass on the target counts as draining, whatever discovery lists."""
+        self.by_hand.add(name)
+        self._tell_again(name)
+
+    def hand_back(self, name: str, started: timedelta) -> None:
+        """Back by hand, as a process that started then: it is eased in as a cold one."""
+        self.by_hand.discard(name)
+        self._returned[name] = started
+        self._tell_again(name)
+
+    def _tell_again(self, name: str) -> None:
+        target = self.targets.get(name)
+        if target is not None:
+            self._lists.append(ci.WorkersListed(ci.ListKind.CHANGES, (self._entry(target),)))
+        self._stop_unsent()
+
     def list_lost(self) -> None:
         """A call to discovery failed; the list stays."""
         self.lists_lost += 1
@@ -237,18 +259,21 @@
         self.loop.again()
 
     def _drop(self, name: str) -> None:
+        self._returned.pop(name, None)
         if self.targets.pop(name, None) is not None and self.carrier is not None:
             self.carrier.close_idle(name)
 
     def _is_live(self, name: str) -> bool:
         target = self.targets.get(name)
-        return target is not None and target.state is WorkerState.LIVE
+        return target is not None and target.state is WorkerState.LIVE and name not in self.by_hand
 
     def _entry(self, target: Target) -> ci.WorkerEntry:
-        started = 0 if target.started is None else self._to_module(target.started)
-        return ci.WorkerEntry(
-            target.name, target.zone, target.kind, target.cell, target.state, target.weight, started
-        )
+        state = target.state
+        if state is WorkerState.LIVE and target.name in self.by_hand:
+            state = WorkerState.DRAINING
+        starts = [each for each in (target.started, self._returned.get(target.name)) if each is not None]
+        started = self._to_module(max(starts)) if starts else 0
+        return ci.WorkerEntry(target.name, target.zone, target.kind, target.cell, state, target.weight, started)
 
     # --- the carrier's side -----------------------------------------------------------------------
 
--- a/tests/test_mgmt.py
+++ b/tests/test_mgmt.py
@@ -2,25 +2,29 @@
 
 from __future__ import annotations
 
+import re
 import socket
 from dataclasses import replace
+from pathlib import Path
 
 import pytest
 
 from canvasbeam import interface as ci
+from canvasbeam.interface import Outcome
 from canvasbeam.mgmt.desk import OperatorDesk
+from canvasbeam.mgmt.handover import Handover, path_for
 from canvasbeam.mgmt.server import ManagementListener
 from canvasbeam.net.limits import Limits
 from canvasbeam.net.listener import Listener
-from tests.loopback import Peer, Server, World
+from tests.loopback import Peer, Server, World, done, job
 
 
 class Desk(World):
     """A world with a second address."""
 
-    def __init__(self, *servers: Server, limits: Limits | None = None) -> None:
+    def __init__(self, *servers: Server, limits: Limits | None = None, handover: Handover | None = None) -> None:
         super().__init__(*servers, limits=limits)
-        self.desk = OperatorDesk(self.core, self.listener)
+        self.desk = OperatorDesk(self.core, self.listener, handover)
         self.mgmt = ManagementListener.bind(self.loop, self.limits, self.desk, ("127.0.0.1", 0))
         self.mgmt_address: tuple[str, int] = self.mgmt.sock.getsockname()
 
@@ -108,3 +112,78 @@
     beside = Listener.bind(world.loop, world.core, world.limits, world.address)
     assert beside.sock.getsockname() == world.address
     beside.close()
+
+
+def maint(world: Desk, worker: str, verb: str = "maint") -> int:
+    return status(world.call(f"POST /workers/{worker}/{verb} HTTP/1.1\r\n\r\n".encode()))
+
+
+def serve_all(world: Desk, count: int, first: int = 0) -> list[int]:
+    """Send jobs together, each answered at once by the target that got it; how many each target got."""
+    clients = [world.client(job(call_id=f"c{number}")) for number in range(first, first + count)]
+    got: list[set[str]] = [set() for _ in world.servers]
+
+    def answered() -> bool:
+        for place, server in enumerate(world.servers):
+            for peer in server.look():
+                for call_id in re.findall(r"X-Call-Id: (c[0-9]+)", peer.got.decode()):
+                    if int(call_id[1:]) >= first and call_id not in got[place]:
+                        got[place].add(call_id)
+                        peer.say(done("r", call_id))
+        return all(b"HTTP/1.1 200" in each.look() for each in clients)
+
+    world.until(answered)
+    return [len(each) for each in got]
+
+
+def test_a_worker_out_by_hand_gets_nothing_new_whatever_discovery_says() -> None:
+    world = Desk(Server(), Server())
+    assert maint(world, "s-0") == 200
+    world.list_targets()  # discovery still says live
+    assert serve_all(world, 6) == [0, 6]
+    assert world.core.ended[Outcome.MOOT] == 0  # the module was told, and chose none for it
+    assert world.call(b"GET /healthcheck HTTP/1.1\r\n\r\n").split()[1] == "200"
+
+
+def test_two_calls_out_need_one_back_and_the_return_is_cold() -> None:
+    world = Desk(Server(), Server())
+    assert maint(world, "s-0") == 200
+    assert maint(world, "s-0") == 200
+    world.until(lambda: True)
+    back_at = world.loop.now
+    assert maint(world, "s-0", "ready") == 200
+    assert world.core.by_hand == set()
+    entry = world.core._entry(world.core.targets["s-0"])  # noqa: SLF001 - what the module is told
+    assert entry.state is ci.WorkerState.LIVE
+    assert entry.started_ns >= world.core._to_module(back_at)  # noqa: SLF001
+    assert serve_all(world, 8)[0] > 0  # used again
+
+
+def test_ids_that_nobody_has_are_owed_a_no() -> None:
+    world = Desk(Server())
+    assert maint(world, "nobody") == 404
+    assert maint(world, "nobody", "ready") == 404
+    assert maint(world, "s-0", "stop") == 404
+    assert status(world.call(b"GET /workers/s-0/maint HTTP/1.1\r\n\r\n")) == 405
+    assert world.core.by_hand == set()
+
+
+def test_the_only_target_out_by_hand_means_not_ready() -> None:
+    world = Desk(Server())
+    assert maint(world, "s-0") == 200
+    assert status(world.call(b"GET /healthcheck HTTP/1.1\r\n\r\n")) == 503
+
+
+def test_workers_out_by_hand_cross_to_the_next_process(tmp_path: Path) -> None:
+    servers = (Server(), Server())
+    old = Desk(*servers, handover=Handover(path_for(str(tmp_path), ("127.0.0.1", 5000))))
+    assert maint(old, "s-1") == 200
+    new = Desk(*servers, handover=Handover(path_for(str(tmp_path), ("127.0.0.1", 5000))))
+    assert new.core.by_hand == {"s-1"}  # read at its start
+    assert maint(new, "s-0") == 200
+    old.until(lambda: old.core.by_hand == {"s-0", "s-1"})  # taken up by the one still running
+    assert maint(new, "s-1", "ready") == 200
+    old.until(lambda: old.core.by_hand == {"s-0"})
+    assert serve_all(new, 3) == [0, 3]
+    elsewhere = Desk(*servers, handover=Handover(path_for(str(tmp_path), ("127.0.0.1", 5001))))
+    assert elsewhere.core.by_hand == set()  # a scheduler on another address keeps its own
