Answer GET /stats with figures counted where each thing happens

Change: the core counts final answers by class (completed, rejected, failed), refusals at its door, forwards whose last byte the kernel took (at the target's connection), and pending jobs; the module answers which workers it rests (Dispatcher.resting, changes nothing; policy 1196 lines). Tests: a known sequence of jobs, a client that leaves, a conflict, a rested target; each count taken out makes one fail.

--- a/canvasbeam/choice.py
+++ b/canvasbeam/choice.py
@@ -282,6 +282,10 @@
         self._arm_sweep()
         return self._actions
 
+    def resting(self) -> list[str]:
+        """The workers rested now, by name; a question that changes nothing."""
+        return [each.name for each in self._workers.values() if each.rest_until]
+
     def _take(self, event: ci.Event) -> None:
         match event:
             case ci.JobArrived():
--- a/canvasbeam/mgmt/desk.py
+++ b/canvasbeam/mgmt/desk.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 from canvasbeam.decide import hands
 from canvasbeam.mgmt.handover import Handover
 from canvasbeam.net.core import Core
@@ -31,6 +33,17 @@
         """Yes once there is a live target to send to, and no planned end has begun."""
         return self._listener.is_ready
 
+    def figures(self) -> dict[str, Any]:
+        """The figures of the operators' page, as they stand in this pass."""
+        core = self._core
+        return {
+            "downstream_requests": {name: dict(counts) for name, counts in core.by_class.items()},
+            "upstream_requests": core.forwarded,
+            "pending": core.pending,
+            "members": len(core.targets),
+            "members_unavailable": core.avoided(),
+        }
+
     def take_out(self, worker: str) -> bool:
         """Out by hand from this pass on; False where nobody has this worker."""
         return self._call(hands.TakeOut(worker))
--- a/canvasbeam/mgmt/server.py
+++ b/canvasbeam/mgmt/server.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import json
 import logging
 import socket
 from collections.abc import Callable
@@ -22,7 +23,7 @@
 
 log = logging.getLogger(__name__)
 
-HEALTH, WORKERS = b"/healthcheck", b"/workers/"
+HEALTH, STATS, WORKERS = b"/healthcheck", b"/stats", b"/workers/"
 LONGEST_ID = 256
 
 
@@ -32,6 +33,9 @@
     def can_serve(self) -> bool:
         """Whether this process can serve clients now."""
 
+    def figures(self) -> dict[str, Any]:
+        """The figures, as JSON's types."""
+
     def take_out(self, worker: str) -> bool:
         """Out by hand; False where nobody has this worker."""
 
@@ -172,6 +176,8 @@
         desk = self._owner.desk
         if path == HEALTH:
             return self._only(method, b"GET", lambda: _health(desk.can_serve()))
+        if path == STATS:
+            return self._only(method, b"GET", lambda: _stats(desk.figures()))
         if path.startswith(WORKERS):
             worker, slash, verb = path[len(WORKERS) :].rpartition(b"/")
             name = unquote(worker.decode("latin-1"))
@@ -234,3 +240,7 @@
     if known:
         return plain(HTTPStatus.OK, f"{worker} {verb}")
     return plain(HTTPStatus.NOT_FOUND, f"no worker {worker} is known here")
+
+
+def _stats(figures: dict[str, Any]) -> bytes:
+    return response(HTTPStatus.OK, json.dumps(figures, separators=(",", ":")).encode(), "application/json")
--- a/canvasbeam/net/core.py
+++ b/canvasbeam/net/core.py
@@ -71,6 +71,7 @@
     outcome: Outcome | None = None
     deadline: Deadline | None = None
     carrier: object = None  # whatever the carrier keeps with it
+    whole: bool = False  # its last byte was taken by the kernel
 
 
 @dataclass(slots=True, eq=False)
@@ -130,6 +131,13 @@
     """Another request with this identity has no answer yet, or is still out at a target."""
 
 
+# How a final answer is counted in the figures, by class.
+COUNTED = {
+    Answer.SERVED: "completed", Answer.REFUSED: "rejected", Answer.FAILED: "failed", Answer.OVERDUE: "failed",
+    Answer.UNUSABLE: "failed",
+}  # fmt: skip
+
+
 class Core:
     """Requests in, answers out; in between the module decides."""
 
@@ -154,6 +162,11 @@
         self._born = born
         self._seed = seed
         self._classes = {each.name: each for each in settings.classes}
+        # Counted where each thing happens, from the start of the process: final answers by class, forwards
+        # written whole, and requests taken that are owed their answer.
+        self.by_class = {name: dict.fromkeys(("completed", "rejected", "failed"), 0) for name in self._classes}
+        self.forwarded = 0
+        self.pending = 0
         self._requests: SlotTable[Request] = SlotTable()
         self._identities: set[str] = set()
         self._lists: list[ci.Event] = []
@@ -184,11 +197,14 @@
     def submit(self, request: Request) -> None:
         """Take a request: from here on it is owed one answer by its due time."""
         if self._requests.count >= self.limits.open_requests:
+            self.by_class[request.job_class]["rejected"] += 1
             raise Full
         # Guards the open request: targets would take the second for a copy of the first.
         if request.identity in self._identities:
+            self.by_class[request.job_class]["rejected"] += 1
             raise AlreadyOpen
         self._identities.add(request.identity)
+        self.pending += 1
         request.handle = self._requests.add(request)
         request.deadline = self.loop.at(
             request.due - self.limits.answer_guard, lambda: self._overdue(request)
@@ -311,6 +327,17 @@
         """The carrier begins to write the forward."""
         attempt.written = self.loop.now
 
+    def attempt_sent_whole(self, attempt: Attempt) -> None:
+        """The kernel took the forward's last byte."""
+        if not attempt.whole:
+            attempt.whole = True
+            self.forwarded += 1
+
+    def avoided(self) -> int:
+        """Targets in the list that get nothing new now: draining, out by hand, or rested by the decisions."""
+        resting = set(self._dispatcher.resting())
+        return sum(not self._is_live(name) or name in resting for name in self.targets)
+
     def attempt_started(self, attempt: Attempt) -> None:
         """The target says that the job runs."""
         if attempt.outcome is None:
@@ -508,6 +535,7 @@
     def _answer(self, request: Request, answer: FinalAnswer) -> None:
         if not request.answered:
             self.answers[answer.kind] += 1
+            self.by_class[request.job_class][COUNTED[answer.kind]] += 1
             if answer.kind is not Answer.SERVED:
                 self._log_fixed(request, answer)
             self._settle(request)
@@ -522,6 +550,7 @@
 
     def _settle(self, request: Request) -> None:
         """Nothing is owed from here on; a forward still waiting for its connection is stopped."""
+        self.pending -= not request.answered
         request.answered = True
         self.loop.cancel(request.deadline)
         for attempt in request.out():
--- a/canvasbeam/net/forward.py
+++ b/canvasbeam/net/forward.py
@@ -274,6 +274,10 @@
             else:  # what has come is read in this pass, and may be the connection's end
                 self._write_last_later()
 
+    def on_written(self) -> None:
+        if self.attempt is not None and not self._held and self.attempt.written is not None:
+            self.owner.core.attempt_sent_whole(self.attempt)
+
     def on_connected(self) -> None:
         self.loop.cancel(self._wait)
         self._came_up_in = self.loop.now - self._made
--- a/tests/test_mgmt.py
+++ b/tests/test_mgmt.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import json
 import re
 import socket
 from dataclasses import replace
 from pathlib import Path
+from typing import Any
 
 import pytest
 
@@ -187,3 +189,63 @@
     assert serve_all(new, 3) == [0, 3]
     elsewhere = Desk(*servers, handover=Handover(path_for(str(tmp_path), ("127.0.0.1", 5001))))
     assert elsewhere.core.by_hand == set()  # a scheduler on another address keeps its own
+
+
+def figures(world: Desk) -> dict[str, Any]:
+    answer = world.call(b"GET /stats HTTP/1.1\r\n\r\n")
+    assert status(answer) == 200
+    assert "Content-Type: application/json" in answer
+    told: dict[str, Any] = json.loads(answer.partition("\r\n\r\n")[2])
+    return told
+
+
+def test_the_figures_count_a_known_sequence_of_jobs() -> None:
+    limits = Limits(client_connections=8, target_connections=8, open_requests=1)
+    world = Desk(Server(), limits=limits)
+    first = figures(world)
+    assert first["downstream_requests"]["look"] == {"completed": 0, "rejected": 0, "failed": 0}
+    assert (first["upstream_requests"], first["pending"], first["members"], first["members_unavailable"]) == (0, 0, 1, 0)
+    served = world.client(job(call_id="c1"))
+    world.asked(0).say(done("r1", "c1"))
+    assert world.answer(served).startswith("HTTP/1.1 200")
+    unusable = world.client(job(call_id="c2"))
+    world.asked(0, 2).say(b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n")
+    assert world.answer(unusable).startswith("HTTP/1.1 400")
+    held = world.client(job(call_id="c3"))
+    target = world.asked(0, 3)
+    twice = world.client(job(call_id="c3"))
+    assert world.answer(twice).split()[1] == "503"  # over the limit of open requests: nothing was taken
+    middle = figures(world)
+    assert middle["pending"] == 1
+    assert middle["upstream_requests"] == 3
+    assert maint(world, "s-0") == 200
+    target.say(done("r3", "c3"))
+    assert world.answer(held).startswith("HTTP/1.1 200")
+    world.settle()
+    last = figures(world)
+    assert last["downstream_requests"]["look"] == {"completed": 2, "rejected": 1, "failed": 1}
+    assert last["downstream_requests"]["pay"] == {"completed": 0, "rejected": 0, "failed": 0}
+    assert (last["upstream_requests"], last["pending"], last["members"], last["members_unavailable"]) == (3, 0, 1, 1)
+
+
+def test_a_client_that_leaves_is_no_longer_pending_and_a_conflict_is_a_refusal() -> None:
+    world = Desk(Server())
+    leaving = world.client(job(call_id="c1"))
+    world.asked(0)
+    twice = world.client(job(call_id="c1"))
+    assert world.answer(twice).split()[1] == "409"
+    assert figures(world)["pending"] == 1
+    leaving.close()
+    world.until(lambda: world.core.pending == 0)
+    assert figures(world)["downstream_requests"]["look"]["rejected"] == 1
+
+
+def test_a_target_rested_by_the_decisions_counts_as_unavailable() -> None:
+    world = Desk(Server(), Server())
+    world.servers[1].sock.close()  # refuses: rested at its first connection
+    world.core.listed(ci.ListKind.COMPLETE, [world.target(0), world.target(1)], 2)
+    clients = [world.client(job(call_id=f"c{number}")) for number in range(4)]
+    world.until(lambda: world.core.avoided() == 1)
+    assert figures(world)["members_unavailable"] == 1
+    for client in clients:
+        client.close()
