--- a/tests/test_mgmt.py
+++ b/tests/test_mgmt.py
@@ -204,7 +204,8 @@
     world = Desk(Server(), limits=limits)
     first = figures(world)
     assert first["downstream_requests"]["look"] == {"completed": 0, "rejected": 0, "failed": 0}
-    assert (first["upstream_requests"], first["pending"], first["members"], first["members_unavailable"]) == (0, 0, 1, 0)
+    counts = (first["upstream_requests"], first["pending"], first["members"], first["members_unavailable"])
+    assert counts == (0, 0, 1, 0)
     served = world.client(job(call_id="c1"))
     world.asked(0).say(done("r1", "c1"))
     assert world.answer(served).startswith("HTTP/1.1 200")
--- a/tests/test_net_listener.py
+++ b/tests/test_net_listener.py
@@ -5,6 +5,7 @@
 import errno
 import socket
 from collections.abc import Sequence
+from dataclasses import replace
 from datetime import timedelta
 from typing import Any
 
@@ -313,3 +314,21 @@
     world.asked(times=2).say(done("two", "c2"))
     answer = world.answer(client, times=2)
     assert answer.count("x") >= 60_000 and answer.endswith("two")
+
+
+def test_a_request_cut_at_any_byte_is_served_once_and_one_left_cut_is_told() -> None:
+    data = job(call_id="c0")
+    world = World(Server(), limits=replace(Limits(client_connections=8, target_connections=8),
+                                           client_request=Limits().client_request / 50))  # fmt: skip
+    for cut in range(1, len(data)):
+        call_id = f"c{cut}"
+        whole = job(call_id=call_id)
+        client = world.client(whole[:cut])
+        world.loop.one_pass()
+        client.say(whole[cut:])
+        world.asked(0, cut).say(done("r", call_id))
+        assert world.answer(client).startswith("HTTP/1.1 200"), cut
+        left = world.client(whole[:cut])
+        world.until(lambda: left.look() and left.ended)  # noqa: B023
+        assert left.got == b"" or left.got.split()[1] == b"408", cut
+    assert world.servers[0].requests() == len(data) - 1
