Make room in a crowd from the silent, then the oldest of the unfinished and the idle

Change: Listener._room orders silent connections first, then unfinished and idle alike by how long they have been in their stage.

--- a/canvasbeam/net/listener.py
+++ b/canvasbeam/net/listener.py
@@ -144,14 +144,16 @@
             ClientConnection(self, sock)
 
     def _room(self) -> list[ClientConnection]:
-        """Who could leave for a newcomer, the next one last: by stage, then who has been in it longest.
+        """Who could leave for a newcomer, the next one last: the silent, then who has been longest in its stage.
 
-        Guards usual clients against hundreds that connect and say little or nothing: those go first. No
-        one goes who has only just come or been answered, as its next request may be on its way.
+        Guards usual clients against hundreds that connect and say nothing: those go first. Then a request in the
+        middle of being written and a connection idle between requests are alike, and the older goes: a true job
+        that takes seconds to write is young, a crowd that asked once and stays grows old. No one goes who has
+        only just come or been answered, as its next request may be on its way.
         """
         old = self.loop.now - self.limits.client_grace
         room = [each for each in self.connections.values() if each.stage < Stage.BUSY and each.since <= old]
-        return sorted(room, key=lambda each: (each.stage, each.since))[::-1]
+        return sorted(room, key=lambda each: (min(each.stage, Stage.UNFINISHED), each.since))[::-1]
 
     def _next_to_leave(self, room: list[ClientConnection]) -> ClientConnection | None:
         """Guards against closing on a request that has come but was not read: such a client stays."""
--- a/tests/test_net_listener.py
+++ b/tests/test_net_listener.py
@@ -332,3 +332,26 @@
         world.until(lambda: left.look() and left.ended)  # noqa: B023
         assert left.got == b"" or left.got.split()[1] == b"408", cut
     assert world.servers[0].requests() == len(data) - 1
+
+
+def test_a_slow_writer_stays_and_an_idle_one_of_the_crowd_leaves_for_a_newcomer() -> None:
+    """Guards true jobs that take seconds to write among a crowd that asked once and stayed."""
+    grace = timedelta(milliseconds=20)
+    world = World(Server(), limits=Limits(client_connections=2, client_grace=grace))
+    idle = world.client(job())
+    world.asked().say(done("one"))
+    world.answer(idle)
+    whole = job(call_id="c2")
+    writer = world.client(whole[:40])
+    world.until(lambda: len(world.listener.connections) == 2)
+    begun = world.loop.now
+    world.until(lambda: world.loop.now > begun + grace)
+    newcomer = world.client(job(call_id="c3"))
+    world.until(lambda: idle.look() is not None and idle.ended)
+    writer.say(whole[40:])
+    for call_id in ("c2", "c3"):
+        world.until(lambda: call_id.encode() in b"".join(each.got for each in world.servers[0].look()))  # noqa: B023
+        peer = next(each for each in world.servers[0].peers if f"X-Call-Id: {call_id}".encode() in each.got)
+        peer.say(done(f"r-{call_id}", call_id))
+    assert world.answer(writer).endswith("r-c2")
+    assert world.answer(newcomer).endswith("r-c3")
