Return a worker put back as started when discovery told its restart

Change: decide/hands.py is told the list's starts; a return starts at the last one told after the worker went out, else at the call.

--- a/canvasbeam/decide/hands.py
+++ b/canvasbeam/decide/hands.py
@@ -2,19 +2,23 @@
 
 Pure: events and the time in whole nanoseconds in, actions out; no I/O, no clock. Out is a set, not a count, so two
 calls out need one call back. An id that is neither in the list as last told nor out by hand is owed a no. A worker put
-back returns as started at that moment: the operators restart it meanwhile, so it is cold.
+back returns as started when the list says it last started, where that was after it was taken out; else at that
+moment: the operators restart it meanwhile, so it is cold, and a start that discovery has not told is still taken for
+one.
 """
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 
 
 @dataclass(frozen=True, slots=True)
 class Listed:
-    """The workers in the list as last told, by name."""
+    """The workers in the list as last told, by name, and when each last started where the list says so."""
 
     workers: frozenset[str]
+    starts: Mapping[str, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,8 +84,9 @@
     """The set of workers out by hand, for one scheduler."""
 
     def __init__(self) -> None:
-        self._out: set[str] = set()
+        self._out: dict[str, int] = {}  # when each was taken out
         self._listed: frozenset[str] = frozenset()
+        self._starts: Mapping[str, int] = {}
 
     @property
     def out(self) -> frozenset[str]:
@@ -93,22 +98,28 @@
         actions: list[Action] = []
         for event in events:
             match event:
-                case Listed(workers):
-                    self._listed = workers
+                case Listed(workers, starts):
+                    self._listed, self._starts = workers, starts
                 case TakeOut(worker, call):
                     known = worker in self._listed or worker in self._out
                     if known and worker not in self._out:
-                        self._out.add(worker)
+                        self._out[worker] = now
                         actions += [Drain(worker), Keep(self.out)]
                     actions.append(Answered(call, known))
                 case PutBack(worker, call):
                     known = worker in self._listed or worker in self._out
                     if worker in self._out:
-                        self._out.discard(worker)
-                        actions += [Return(worker, now), Keep(self.out)]
+                        actions += [self._back(worker, now), Keep(self.out)]
                     actions.append(Answered(call, known))
                 case Handed(out):
-                    actions += [Drain(each) for each in sorted(out - self._out)]
-                    actions += [Return(each, now) for each in sorted(self._out - out)]
-                    self._out = set(out)
+                    actions += [Drain(each) for each in sorted(out - self.out)]
+                    actions += [self._back(each, now) for each in sorted(self.out - out)]
+                    for each in out - self.out:
+                        self._out[each] = now
         return actions
+
+    def _back(self, worker: str, now: int) -> Return:
+        """A start told after the worker went out is its restart; where none was told, the restart is now."""
+        out_at = self._out.pop(worker)
+        started = self._starts.get(worker, 0)
+        return Return(worker, started if started >= out_at else now)
--- a/canvasbeam/mgmt/desk.py
+++ b/canvasbeam/mgmt/desk.py
@@ -12,7 +12,7 @@
 from canvasbeam.decide import hands
 from canvasbeam.mgmt.handover import Handover
 from canvasbeam.net.core import Core
-from canvasbeam.net.limits import nanoseconds, seconds
+from canvasbeam.net.limits import nanoseconds, seconds, span_of
 from canvasbeam.net.listener import Listener
 
 LOOK_EVERY = seconds(0.1)  # at the shared file: another process's call is taken up within this
@@ -53,8 +53,7 @@
         return self._call(hands.PutBack(worker))
 
     def _call(self, call: hands.TakeOut | hands.PutBack) -> bool:
-        listed = hands.Listed(frozenset(self._core.targets))
-        answers = [each for each in self._carry_out([listed, call]) if isinstance(each, hands.Answered)]
+        answers = [each for each in self._carry_out([self._listed(), call]) if isinstance(each, hands.Answered)]
         return answers[-1].yes
 
     def _take_up(self) -> None:
@@ -62,9 +61,15 @@
         assert self._handover is not None
         out = self._handover.changed()
         if out is not None:
-            self._carry_out([hands.Handed(out)])
+            self._carry_out([self._listed(), hands.Handed(out)])
         self._core.loop.after(LOOK_EVERY, self._take_up)
 
+    def _listed(self) -> hands.Listed:
+        """The list as last told, with the starts it names on the loop's clock."""
+        targets = self._core.targets.values()
+        starts = {each.name: nanoseconds(each.started) for each in targets if each.started is not None}
+        return hands.Listed(frozenset(self._core.targets), starts)
+
     def _carry_out(self, events: list[hands.Event]) -> list[hands.Action]:
         loop = self._core.loop
         actions = self._hands.handle(nanoseconds(loop.now), events)
@@ -72,8 +77,8 @@
             match action:
                 case hands.Drain(worker):
                     self._core.hand_out(worker)
-                case hands.Return(worker):
-                    self._core.hand_back(worker, loop.now)
+                case hands.Return(worker, started_ns):
+                    self._core.hand_back(worker, span_of(started_ns))
                 case hands.Keep(out) if self._handover is not None:
                     self._handover.write(out)
         return actions
