Serve kept connections through the planned end: a state machine with a last call

From the logs: SIGTERM, all answers carry Connection: close and the process is gone 1.1 to 2.2 s later, while its next start comes 4.6 s after SIGTERM in any case. Lines: ClientConnection._ends and Listener._end_window.

Kept connections are served until the last call; a request is taken while three quarters of its class's answers would come before the last answer, else refused at once with advice; 0.3 s before the earliest kill all that is open is answered: refused where it never ran. A second signal changes nothing.

--- a/canvasbeam/__main__.py
+++ b/canvasbeam/__main__.py
@@ -23,7 +23,7 @@
 from canvasbeam import interface as ci
 from canvasbeam.net.core import Core
 from canvasbeam.net.forward import Forwarder
-from canvasbeam.net.limits import MICROSECOND, Limits
+from canvasbeam.net.limits import MICROSECOND, Limits, span_of
 from canvasbeam.net.listener import Listener
 from canvasbeam.net.loop import READ, Endpoint, Loop
 from canvasbeam.net.target_group import TargetGroup, read_address, read_list
@@ -80,6 +80,14 @@
     )
 
 
+def limits_of(configuration: Configuration, settings: ci.Settings) -> Limits:
+    """The figures of this scheduler; a ValueError where its configuration leaves it too little."""
+    longest = span_of(max(each.deadline_ns for each in settings.classes))
+    return Limits.of(
+        settings.limits, configuration.sockets, configuration.memory_mb, settings.dispatchers, longest
+    )
+
+
 def read_new_discovery(environment: Mapping[str, str]) -> tuple[str, int]:
     """Where the file now says that discovery is; the whole file must be as good as at a start.
 
@@ -88,7 +96,7 @@
     kept = {name: value for name, value in environment.items() if name != "LB_DISCOVERY"}
     configuration = read_configuration(kept)
     settings, _ = read_settings(configuration.options)
-    Limits.of(settings.limits, configuration.sockets, configuration.memory_mb, settings.dispatchers)
+    limits_of(configuration, settings)
     return configuration.discovery
 
 
@@ -115,9 +123,8 @@
 
     def on_event(self, mask: int) -> None:
         numbers = self.sock.recv(256)
-        if (signal.SIGTERM in numbers or signal.SIGINT in numbers) and not self._listener.draining:
-            log.info("draining")
-            self._listener.drain()
+        if signal.SIGTERM in numbers or signal.SIGINT in numbers:
+            log.info("draining" if self._listener.drain() else "the end has begun already: nothing changes")
         if signal.SIGHUP in numbers:  # once for many: each reads the same file
             self._reload()
 
@@ -179,7 +186,7 @@
 
     def end_of_pass() -> None:
         core.end_of_pass()
-        if listener.is_drained and not core.open_requests:
+        if listener.must_leave or (listener.is_drained and not core.open_requests):
             loop.stop()
 
     loop.end_of_pass = end_of_pass
@@ -210,9 +217,7 @@
     try:
         configuration = read_configuration(os.environ)
         settings, names = read_settings(configuration.options)
-        limits = Limits.of(
-            settings.limits, configuration.sockets, configuration.memory_mb, settings.dispatchers
-        )
+        limits = limits_of(configuration, settings)
     except CONFIGURATION_ERRORS as error:
         print(f"canvasbeam: bad configuration: {error}", file=sys.stderr)
         return 1
--- a/canvasbeam/net/core.py
+++ b/canvasbeam/net/core.py
@@ -17,6 +17,7 @@
 
 from canvasbeam import interface as ci
 from canvasbeam.choice import Dispatcher
+from canvasbeam.decide.ending import Ending, Phase, Terms
 from canvasbeam.interface import Effect, Outcome, WorkerState
 from canvasbeam.net.limits import ZERO, Limits, nanoseconds, span_of
 from canvasbeam.net.loop import Deadline, Loop, SlotTable
@@ -92,6 +93,7 @@
     answered: bool = False
     attempts: list[Attempt] = field(default_factory=list)
     deadline: Deadline | None = None
+    came: timedelta = ZERO
 
     @property
     def job(self) -> str:
@@ -127,6 +129,10 @@
     """No more requests are taken."""
 
 
+class Parting(Exception):
+    """The process ends, and the request could not be answered before it does; it was not taken."""
+
+
 class AlreadyOpen(Exception):
     """Another request with this identity has no answer yet, or is still out at a target."""
 
@@ -167,6 +173,8 @@
         self.by_class = {name: dict.fromkeys(("completed", "rejected", "failed"), 0) for name in self._classes}
         self.forwarded = 0
         self.pending = 0
+        terms = Terms(*map(nanoseconds, (limits.drain_window, limits.last_answer, limits.leave, limits.end_usual)))
+        self._ending = Ending(terms, self._classes)
         self._requests: SlotTable[Request] = SlotTable()
         self._identities: set[str] = set()
         self._lists: list[ci.Event] = []
@@ -203,6 +211,12 @@
         if request.identity in self._identities:
             self.by_class[request.job_class]["rejected"] += 1
             raise AlreadyOpen
+        request.came = self.loop.now
+        due_ns = self._ending.due(nanoseconds(self.loop.now), request.job_class, nanoseconds(request.due))
+        if due_ns is None:
+            self.by_class[request.job_class]["rejected"] += 1
+            raise Parting
+        request.due = span_of(due_ns)
         self._identities.add(request.identity)
         self.pending += 1
         request.handle = self._requests.add(request)
@@ -219,6 +233,31 @@
         )  # fmt: skip
         self.loop.again()
 
+    # --- the planned end --------------------------------------------------------------------------
+
+    @property
+    def phase(self) -> Phase:
+        """How far the planned end is."""
+        return self._ending.phase(nanoseconds(self.loop.now))
+
+    def begin_end(self) -> tuple[timedelta, ...]:
+        """SIGTERM: when each phase after the announcement begins, and when the process leaves; empty the second time.
+
+        Guards every request taken: whatever is open at the last answer is answered then.
+        """
+        if not self._ending.begin(nanoseconds(self.loop.now)):
+            return ()
+        changes = tuple(map(span_of, self._ending.changes()))
+        self.loop.at(changes[2], self._answer_all)
+        return changes
+
+    def _answer_all(self) -> None:
+        """The platform's kill is near: what never ran is refused, the rest fails."""
+        for request in self.requests():
+            if not request.answered:
+                self._end_by_itself(request, Answer.OVERDUE)
+                self._outcome(ci.ClientGone(request.job))
+
     def hang_up(self, request: Request) -> None:
         """The client left: nothing is owed any more, and what waits for a connection is not sent."""
         if request.answered:
@@ -536,7 +575,9 @@
         if not request.answered:
             self.answers[answer.kind] += 1
             self.by_class[request.job_class][COUNTED[answer.kind]] += 1
-            if answer.kind is not Answer.SERVED:
+            if answer.kind is Answer.SERVED:
+                self._ending.served(request.job_class, nanoseconds(self.loop.now - request.came))
+            else:
                 self._log_fixed(request, answer)
             self._settle(request)
             request.answer(answer)
--- a/canvasbeam/net/limits.py
+++ b/canvasbeam/net/limits.py
@@ -15,6 +15,10 @@
 MICROSECOND = timedelta(microseconds=1)
 ZERO = timedelta(0)
 TARGET_IDLE = timedelta(seconds=15)  # where the settings name no time
+# The platform kills a process no sooner after SIGTERM than the longest deadline, counted as the first where it is
+# longer, and the second.
+KILL_LONGEST = timedelta(seconds=3)
+KILL_SLACK = timedelta(seconds=0.7)
 
 
 def nanoseconds(span: timedelta) -> int:
@@ -80,7 +84,12 @@
     client_write: timedelta = seconds(10)
     linger: timedelta = seconds(2)
     accept_pause: timedelta = seconds(0.05)
-    drain_window: timedelta = seconds(0.6)  # after SIGTERM, while clients still come
+    # The planned end, from SIGTERM: so long clients still come; then the last answer; then the process has gone.
+    drain_window: timedelta = seconds(0.6)
+    last_answer: timedelta = seconds(3.4)
+    leave: timedelta = seconds(3.6)
+    end_usual: timedelta = seconds(1)  # what a class is taken to need that was never served here
+    end_advice: timedelta = seconds(0.05)  # to whom the ending process turns away: another may take it at once
     slow_pass: timedelta = seconds(0.02)  # a pass that takes longer is told in the log
     figures_every: timedelta = seconds(5)  # between lines of figures in the log
     list_wait: timedelta = seconds(1)
@@ -101,8 +110,11 @@
     mgmt_linger: timedelta = seconds(1)  # from the answer to the close
 
     @classmethod
-    def of(cls, settings: ci.Limits, sockets: int, memory_mb: int, schedulers: int = 1) -> Limits:
-        """The figures under a deployment's settings, its limits on descriptors and memory, and its size."""
+    def of(
+        cls, settings: ci.Limits, sockets: int, memory_mb: int, schedulers: int = 1, longest: timedelta = KILL_LONGEST
+    ) -> Limits:
+        """The figures under a deployment's settings, its limits on descriptors and memory, its size, and the longest
+        deadline of its classes."""
         if sockets < 64:
             raise ValueError("limits.sockets must be at least 64")
         if memory_mb < 24:
@@ -110,6 +122,7 @@
         # The listener, discovery, the selector, the signal pair and the standard streams come first.
         rest = sockets - 48
         idle = settings.idle_connection_ns
+        kill = min(longest, KILL_LONGEST) + KILL_SLACK
         return cls(
             # The program itself takes 10 to 16 MB; a body stands in up to four places on its way.
             bodies=(memory_mb - 16) * 1024 * 1024 // 4,
@@ -119,6 +132,10 @@
             come_back=span_of(settings.max_retry_advice_ns) if settings.retry_advice else ZERO,
             connect=span_of(settings.connect_timeout_ns),
             target_idle=span_of(idle) / 2 if idle else TARGET_IDLE,
+            # A process of part of a core may come to its deadlines late, and answers must still be written.
+            drain_window=min(seconds(0.6), kill / 4),
+            last_answer=kill - seconds(0.3),
+            leave=kill - seconds(0.1),
             # A first call was seen to take discovery a tenth of a second and more.
             list_spread=max(schedulers * seconds(0.2), seconds(1)),
             # Calls wait in turn where many schedulers ask at once. To a discovery that fails all together make
--- a/canvasbeam/net/listener.py
+++ b/canvasbeam/net/listener.py
@@ -20,7 +20,8 @@
 
 import httptools
 
-from canvasbeam.net.core import AlreadyOpen, Answer, Core, FinalAnswer, Full, Request
+from canvasbeam.decide.ending import Phase
+from canvasbeam.net.core import AlreadyOpen, Answer, Core, FinalAnswer, Full, Parting, Request
 from canvasbeam.net.forward import Call
 from canvasbeam.net.limits import ZERO, Limits
 from canvasbeam.net.loop import READ, Deadline, Endpoint, Loop, Stream
@@ -78,8 +79,8 @@
         super().__init__(loop, sock)
         self.core = core
         self.limits = limits
-        self.draining = False
         self.connections: dict[int, ClientConnection] = {}
+        self.must_leave = False  # the planned end is over, whoever is still there
         self.bodies = 0  # bytes of bodies that are read or still to be answered
         self._paused: Deadline | None = None
         self.wants(READ)
@@ -105,6 +106,11 @@
             raise
         return cls(loop, core, limits, sock)
 
+    @property
+    def draining(self) -> bool:
+        """Whether a planned end has begun."""
+        return self.core.phase > Phase.SERVING
+
     @property
     def is_ready(self) -> bool:
         """Whether clients should come."""
@@ -185,19 +191,31 @@
 
     # --- the planned end --------------------------------------------------------------------------
 
-    def drain(self) -> None:
-        """Clients are told to leave, but may still come while the front learns of it."""
-        self.draining = True
-        self.loop.after(self.limits.drain_window, self._end_window)
+    def drain(self) -> bool:
+        """Begin the planned end; False where it had begun."""
+        changes = self.core.begin_end()
+        if not changes:
+            return False
+        window_ends, last_call, _, leave = changes
+        self.loop.at(window_ends, self._end_window)
+        self.loop.at(last_call, self._close_idle)
+        self.loop.at(leave, self._leave)
+        return True
 
     def _end_window(self) -> None:
-        """Take what already connected, then listen no more and close the idle."""
+        """Take what already connected, then listen no more; who is connected stays."""
         if not self.closed:
             self.accept_all(self.limits.backlog)
             self.close()
+
+    def _close_idle(self) -> None:
+        """After the last call only what is owed an answer stays, until it has it."""
         for connection in tuple(self.connections.values()):
             connection.leave_if_idle()
-        self.loop.after(self.limits.accept_pause, self._end_window)
+        self.loop.after(self.limits.accept_pause, self._close_idle)
+
+    def _leave(self) -> None:
+        self.must_leave = True
 
     @property
     def is_drained(self) -> bool:
@@ -425,6 +443,13 @@
             self._request = None
             why = "a request with this X-Call-Id is open"
             self._respond(fixed_response(HTTPStatus.CONFLICT, why, self._ends))
+        except Parting:
+            self._request = None
+            # The connection closes, so that the next try goes to another scheduler.
+            self._stays = bool(self._whole or self._unfed)
+            advice = _advice(min(self._limits.end_advice, self._limits.come_back))
+            status = HTTPStatus.SERVICE_UNAVAILABLE
+            self._respond(fixed_response(status, "this scheduler ends", self._ends, advice))
         except Full:
             self._request = None
             advice = _advice(self._limits.come_back)
@@ -435,6 +460,7 @@
         if head.method not in (b"GET", b"HEAD"):
             raise Malformed(HTTPStatus.METHOD_NOT_ALLOWED, "health is asked for by GET")
         good = path == LIVE or self._owner.is_ready
+        self._stays = self._stays and not self._owner.draining  # who only asks for health need not be waited for
         status = HTTPStatus.OK if good else HTTPStatus.SERVICE_UNAVAILABLE
         response = fixed_response(status, "ok" if good else "not ready", self._ends)
         if head.method == b"HEAD":
@@ -480,7 +506,8 @@
 
     @property
     def _ends(self) -> bool:
-        return not self._stays or (self._owner.draining and not self._whole and not self._unfed)
+        closing = self._owner.core.phase >= Phase.CLOSING
+        return not self._stays or (closing and not self._whole and not self._unfed)
 
     def _answered(self, answer: FinalAnswer) -> None:
         """The core's final answer."""
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -138,6 +138,11 @@
             self.loop.one_pass()
         raise AssertionError("the story hangs")
 
+    def skip(self, span: float) -> None:
+        """Have the loop's clock jump so many seconds, in place of waiting for them."""
+        self.loop._begun -= int(span * 1e9)
+        self.loop.one_pass()
+
     def client(self, data: bytes = b"") -> Peer:
         """A client that has written this."""
         peer = Peer(socket.create_connection(self.address))
