Rest a worker at its first error where the job must not be repeated, and remember errors

Lines: _judge rested a worker at its third error, and _back forgot the errors, so each return cost three more.

--- a/canvasbeam/choice.py
+++ b/canvasbeam/choice.py
@@ -1127,7 +1127,9 @@
             self._erred_until = self._now + ERRORS_TELL
             # Among a crowd it looks the emptiest of all, and each meets it too seldom to wait for more.
             worker.errors = min(worker.errors + 1, MOST_ERRORS)
-            if self._crowd or worker.errors >= ERRORS_TO_REST:
+            # Danger: each loses a job that must not be repeated; a rare error costs the worker a short rest.
+            unsafe = attempt.job.cls.effect is Effect.UNSAFE
+            if self._crowd or unsafe or worker.errors >= ERRORS_TO_REST:
                 worker.strikes = max(worker.strikes, worker.errors) if self._crowd else worker.strikes
                 self._rest(worker, "errors")
         elif outcome is Outcome.CONNECT_FAILED:
@@ -1210,8 +1212,6 @@
     def _back(self, worker: Worker) -> None:
         worker.rest_until = 0
         worker.breaks = 0
-        if not self._crowd:
-            worker.errors = 0
         self._touched[worker.name] = worker
         worker.heard = self._now
         self._look(worker, self._now)
