--- a/canvasbeam/net/core.py
+++ b/canvasbeam/net/core.py
@@ -89,6 +89,7 @@
     slots: float = 1.0
     memory: float = 0.0
     repeat: bool = False
+    work_hint: timedelta = ZERO  # the client's guess at the work; zero for none
     handle: int = 0
     answered: bool = False
     attempts: list[Attempt] = field(default_factory=list)
@@ -227,7 +228,8 @@
         due = self._to_module(request.due - self.limits.answer_margin)
         self._arrivals.append(
             ci.JobArrived(
-                request.job, request.job_class, due, request.tenant, request.key, slots=request.slots,
+                request.job, request.job_class, due, request.tenant, request.key,
+                work_hint_ns=nanoseconds(request.work_hint), slots=request.slots,
                 memory=request.memory, repeat=request.repeat,
             )
         )  # fmt: skip
--- a/canvasbeam/net/limits.py
+++ b/canvasbeam/net/limits.py
@@ -77,6 +77,7 @@
     target_idle: timedelta = TARGET_IDLE
     target_tail: timedelta = seconds(1)  # from the last line of an answer to the end of its framing
     budget: timedelta = seconds(3600)  # the longest that a client may say it waits
+    hint: timedelta = seconds(3600)  # the longest work that a client may guess at
     client_idle: timedelta = seconds(75)  # between requests
     client_silent: timedelta = seconds(2)  # from a connection's start to its first byte
     client_request: timedelta = seconds(2.4)  # from there, or from a later request's first byte, to its last
--- a/canvasbeam/net/listener.py
+++ b/canvasbeam/net/listener.py
@@ -500,6 +500,7 @@
             slots=slots,
             memory=memory,
             repeat=head.text(b"x-again") == "1",
+            work_hint=_hint(head.text(b"x-call-cost"), self._limits.hint),
         )
 
     # --- answering --------------------------------------------------------------------------------
@@ -600,6 +601,14 @@
     return f"Retry-After: {come_back.total_seconds():.3f}\r\n" if come_back > ZERO else ""
 
 
+def _hint(text: str, most: timedelta) -> timedelta:
+    """The client's guess at the work, in microseconds; what cannot be one is as good as none."""
+    if not DECIMAL.fullmatch(text):
+        return ZERO
+    guess = timedelta(microseconds=float(text))
+    return guess if guess <= most else ZERO
+
+
 def _decimal(text: str) -> float:
     """A plain decimal number, as these headers have it."""
     if not DECIMAL.fullmatch(text):
