--- /dev/null
+++ b/tests/test_wheel.py
@@ -0,0 +1,43 @@
+"""The program as installed: every package is in it, and it starts from an empty directory, second address included."""
+
+from __future__ import annotations
+
+import json
+import os
+import shutil
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
+from tests.test_upgrade import Fleet, free_port, healthy
+
+ROOT = Path(__file__).parent.parent
+
+
+def test_the_installed_program_starts_from_an_empty_directory_with_its_second_address(tmp_path: Path) -> None:
+    source, site, empty = tmp_path / "source", tmp_path / "site", tmp_path / "empty"
+    shutil.copytree(ROOT / "canvasbeam", source / "canvasbeam", ignore=shutil.ignore_patterns("__pycache__"))
+    for name in ("pyproject.toml", "README.md"):
+        shutil.copy(ROOT / name, source / name)
+    empty.mkdir()
+    command = [sys.executable, "-m", "pip", "-q", "install", "--no-deps", "--target", str(site), str(source)]
+    subprocess.run(command, check=True, capture_output=True)
+    here = {each.parent.relative_to(ROOT) for each in (ROOT / "canvasbeam").rglob("*.py")}
+    there = {each.parent.relative_to(site) for each in (site / "canvasbeam").rglob("*.py")}
+    assert there == here
+    fleet = Fleet(tmp_path)
+    fields = json.loads(fleet.config.read_text())
+    mgmt = ("127.0.0.1", free_port())
+    fleet.config.write_text(json.dumps({**fields, "mgmt": "{}:{}".format(*mgmt)}))
+    kept = {name: value for name, value in os.environ.items() if name in ("PATH", "HOME")}
+    environment = {**kept, "PYTHONPATH": str(site), "LB_CONFIG": str(fleet.config), "TMPDIR": str(empty)}
+    with subprocess.Popen([sys.executable, "-m", "canvasbeam"], env=environment, cwd=empty) as process:
+        try:
+            fleet.until(lambda: process.poll() is not None or healthy(fleet, mgmt))
+            assert process.poll() is None
+            with socket.create_connection(fleet.listen):
+                pass
+        finally:
+            process.terminate()
+        assert process.wait(timeout=60) == 0
