Say once how a request that is out of time ends, and once how a test's job is retried

Need: on a second reading, _answer_all in core.py repeated what _overdue does, and two tests in test_health.py the same loop.

--- a/canvasbeam/net/core.py
+++ b/canvasbeam/net/core.py
@@ -257,8 +257,7 @@
         """The platform's kill is near: what never ran is refused, the rest fails."""
         for request in self.requests():
             if not request.answered:
-                self._end_by_itself(request, Answer.OVERDUE)
-                self._outcome(ci.ClientGone(request.job))
+                self._out_of_time(request)
 
     def hang_up(self, request: Request) -> None:
         """The client left: nothing is owed any more, and what waits for a connection is not sent."""
@@ -551,8 +550,12 @@
         """Guards against a request that the module has not answered in time: late is the same as lost."""
         if not request.answered:
             log.warning("request %s was not answered by the decisions in time", request.job)
-            self._end_by_itself(request, Answer.OVERDUE)
-            self._outcome(ci.ClientGone(request.job))
+            self._out_of_time(request)
+
+    def _out_of_time(self, request: Request) -> None:
+        """Answer in the decisions' stead, and have them stop what is out for it."""
+        self._end_by_itself(request, Answer.OVERDUE)
+        self._outcome(ci.ClientGone(request.job))
 
     def _end(self, request: Request, kind: Answer, come_back: timedelta = ZERO) -> None:
         """Give a fixed response: a refusal only where a repeat is harmless."""
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -67,47 +67,32 @@
     assert errors == 1
 
 
+def retried(bench: Bench) -> bool:
+    """One job that can be repeated; where worker a gets it, it fails there and is done elsewhere. Whether a got it."""
+    name = f"j{bench.made}"
+    worker, attempt = only(bench.job(), ci.Send).worker, 0
+    bench.started(name, worker)
+    failed = bool(worker == "a")
+    if failed:
+        worker, attempt = only(bench.ended(name, "a", Outcome.ERROR), ci.Send).worker, 1
+        bench.started(name, worker, attempt)
+    bench.ended(name, worker, attempt=attempt)
+    return failed
+
+
 def test_three_errors_rest_a_worker_whose_jobs_can_be_repeated() -> None:
     bench = Bench(entry("a"), entry("b"))
-    errors = 0
-    for number in range(20):
-        worker, attempt = only(bench.job(), ci.Send).worker, 0
-        if worker == "a":
-            errors += 1
-            bench.started(f"j{number}", "a")
-            worker, attempt = only(bench.ended(f"j{number}", "a", Outcome.ERROR), ci.Send).worker, 1
-        bench.started(f"j{number}", worker, attempt)
-        bench.ended(f"j{number}", worker, attempt=attempt)
-    assert errors == 3
+    assert sum(retried(bench) for _ in range(20)) == 3
 
 
 def test_a_worker_back_from_its_rest_is_rested_again_at_its_next_error() -> None:
     # Danger: back from each short rest it had three more errors to make.
     bench = Bench(entry("a"), entry("b"))
-    tried = 0
-    for number in range(30):
-        worker, attempt = only(bench.job(), ci.Send).worker, 0
-        bench.started(f"j{number}", worker)
-        if worker == "a":
-            tried += 1
-            worker, attempt = only(bench.ended(f"j{number}", "a", Outcome.ERROR), ci.Send).worker, 1
-            bench.started(f"j{number}", worker, attempt)
-        bench.ended(f"j{number}", worker, attempt=attempt)
-        if tried == 3:
-            break
-    for again in range(2):
+    assert sum(retried(bench) for _ in range(20)) == 3
+    for _ in range(2):
         for probe in of(bench.pass_time(SECOND), ci.Probe):
             bench.give(ci.ProbeEnded(probe.worker, Outcome.OK))
-        for _ in range(20):
-            name = f"j{bench.made}"
-            worker, attempt = only(bench.job(), ci.Send).worker, 0
-            bench.started(name, worker)
-            if worker == "a":
-                tried += 1
-                worker, attempt = only(bench.ended(name, "a", Outcome.ERROR), ci.Send).worker, 1
-                bench.started(name, worker, attempt)
-            bench.ended(name, worker, attempt=attempt)
-        assert tried == 4 + again
+        assert sum(retried(bench) for _ in range(20)) == 1
 
 
 def test_a_failed_connection_rests_a_worker_until_a_probe_and_a_trial_job() -> None:
