--- a/canvasbeam/choice.py
+++ b/canvasbeam/choice.py
@@ -437,11 +437,19 @@
             self._look(job, min(self._now + self._held_beat, job.due - self._guard()))
 
     def _urgency(self, job: Job) -> int:
-        """Age plus the time it can wait, stretched where a second of its work is worth less than others'."""
-        worths = [each.worth / self._work_of(each) for each in self._classes.values()]
-        worth = job.cls.worth / self._work_of(job.cls)
-        wait = (self._in_time_until(job) - job.born) * max(worths)
-        return job.born + round(min(wait / worth, LONG_WAIT) if worth else LONG_WAIT)
+        """Age plus the time its class can wait, stretched where a second of work is worth less than others'.
+
+        Not the job's own time: by that, large jobs would all stand behind small ones that came later.
+        """
+        cls = job.cls
+        worth = self._worth_rate(cls)
+        wait = cls.aim_ns + max(0.0, cls.stretch - 1) * self._work_of(cls)
+        stretched = wait * max(map(self._worth_rate, self._classes.values()))
+        return job.born + round(min(stretched / worth, LONG_WAIT) if worth else LONG_WAIT)
+
+    def _worth_rate(self, cls: ci.JobClass) -> float:
+        """What a second of a class's work is worth."""
+        return cls.worth if self._set.worth_by_work else cls.worth / self._work_of(cls)
 
     def _in_time_until(self, job: Job) -> int:
         """The latest send with which a job of average work still meets its aim."""
--- a/canvasbeam/lab/deployment.py
+++ b/canvasbeam/lab/deployment.py
@@ -14,7 +14,7 @@
 from canvasbeam.lab.model.draw import Chance, Stream, capacity, mean_work
 from canvasbeam.lab.model.faults import scheduler_name
 from canvasbeam.lab.model.worker import MS, SECOND, Machine
-from canvasbeam.net.limits import Limits
+from canvasbeam.net.limits import Limits, span_of
 from canvasbeam.settings import read_settings
 
 EFFECTS = {"safe": "free", "keyed": "guarded", "unsafe": "single_shot"}
@@ -50,10 +50,11 @@
             for each in scenario.departments
         ],
         "quantumNs": QUANTUM,
-        "discovery": "pushed",
-        "weights": "live" if scenario.discovery.live_weights else "nominal",
+        "discovery": "on_request" if scenario.discovery.asked else "pushed",
+        "weights": scenario.discovery.weights,
         "report": {"how": "answers", "columns": ["rate", "busy", "fail_rate", "x0"]} if workers.report else
                   {"how": "none", "columns": []},
+        "worthBy": "work" if scenario.traffic.worth_by == "work" else "request",
         "overShareWorth": scenario.traffic.over_share_worth,
         "clientHabits": {"marksRetry": scenario.clients.marks_repeats},
         "services": [
@@ -74,7 +75,8 @@
             "reportX0": "free slots",
         },
         "policyLimits": {
-            "cancel": True, "probes": workers.probes, "peers": False, "secondCopies": True, "retryAfter": True,
+            "cancel": True, "probes": workers.probes, "peers": False, "secondCopies": scenario.schedulers.second_copies,
+            "retryAfter": scenario.schedulers.retry_after,
             "mostTries": scenario.schedulers.max_attempts, "maxOpen": 20_000,
             "maxRetryAfterNs": round(scenario.clients.most_wait_s * SECOND),
             "connectTimeoutNs": round(workers.connect_timeout_ms * MS),
@@ -96,7 +98,9 @@
 
 def limits(scenario: spec.Scenario, told: ci.Settings) -> Limits:
     """The program's limits under a scenario's."""
-    return Limits.of(told.limits, scenario.schedulers.sockets, scenario.schedulers.memory_mb, told.dispatchers)
+    longest = span_of(max(each.deadline_ns for each in told.classes))
+    schedulers = scenario.schedulers
+    return Limits.of(told.limits, schedulers.sockets, schedulers.memory_mb, told.dispatchers, longest)
 
 
 def configuration(
--- a/canvasbeam/lab/engine_sim.py
+++ b/canvasbeam/lab/engine_sim.py
@@ -30,7 +30,7 @@
 from canvasbeam.lab.model.worker import MS, SECOND, Said, Task
 from canvasbeam.lab.result import PERCENTILES, Result, histogram
 from canvasbeam.lab.stage import Actor, Stage, result_of
-from canvasbeam.net.core import Answer, Attempt, Core, FinalAnswer, Request, Target
+from canvasbeam.net.core import Answer, Attempt, Core, FinalAnswer, Parting, Request, Target
 from canvasbeam.net.limits import MICROSECOND, Limits, nanoseconds
 from canvasbeam.net.loop import Deadline
 
@@ -296,8 +296,17 @@
             self.known[each.name] = each
         self.core.listed(kind, targets, 1)
 
+    def begin_end(self) -> None:
+        """SIGTERM: what cannot be answered in time is refused, and all is answered before the kill."""
+        self.core.begin_end()
+        self.world.queue.after(nanoseconds(self.limits.leave), partial(self._leave, self.starts))
+
+    def _leave(self, starts: int) -> None:
+        if starts == self.starts:
+            self.stop()
+
     def drain(self, starts: int) -> None:
-        """SIGTERM, to the process of that start."""
+        """No more comes to the process of that start: it ends with its last answer."""
         if starts != self.starts:
             return
         self.draining = True
@@ -336,10 +345,15 @@
             answer=partial(self._answered, attempt),
             tenant=departments[attempt.department].name if departments else None,
             key=str(attempt.sid), slots=float(attempt.slots), repeat=attempt.marked,
+            work_hint=attempt.hint_ns // 1000 * MICROSECOND,
         )  # fmt: skip
         self.tries[attempt.request] = attempt
         attempt.core_request = request
-        self.core.submit(request)
+        try:
+            self.core.submit(request)
+        except Parting:  # refused at once, as the program's listener does
+            advice = min(self.limits.end_advice, self.limits.come_back)
+            self._answered(attempt, FinalAnswer(Answer.REFUSED, come_back=advice))
 
     def left(self, attempt: people.Try) -> None:
         """The client closed its connection."""
@@ -664,6 +678,7 @@
         scheduler = self.schedulers[place]
         if not scheduler.alive:
             return False
+        scheduler.begin_end()
         self.queue.after(people.STILL_COMES, partial(scheduler.drain, scheduler.starts))
         self.queue.after(self.longest_end, partial(self._kill_old, scheduler, scheduler.starts))
         return True
--- a/canvasbeam/lab/engine_sockets.py
+++ b/canvasbeam/lab/engine_sockets.py
@@ -474,6 +474,8 @@
             lines.append(f"Idempotency-Key: k{attempt.job:x}")
         if attempt.marked:
             lines.append("X-Again: 1")
+        if attempt.hint_ns:
+            lines.append(f"X-Call-Cost: {max(1, attempt.hint_ns // 1000)}")
         if attempt.slots != 1:
             lines.append(f"X-Call-Info: slots={attempt.slots}")
         body = b"job %d" % attempt.job
--- a/canvasbeam/lab/model/clients.py
+++ b/canvasbeam/lab/model/clients.py
@@ -40,6 +40,7 @@
     work_ns: int
     slots: int
     sid: int
+    hint_ns: int = 0
     due_ns: int = 0
     request: int = -1
     scheduler: int = -1
@@ -98,7 +99,7 @@
         self._open += 1
         first = Try(
             job, 0, jobs.cls[job], jobs.department[job], jobs.zone[job], jobs.work_ns[job], jobs.slots[job],
-            jobs.sid[job],
+            jobs.sid[job], jobs.hint_ns[job],
         )  # fmt: skip
         # In the real engine an arrival may be handled late; the job still counts from when it was meant to come.
         self._notes.asked(job, first.cls, first.department, self._begun + jobs.at_ns[job])
@@ -171,7 +172,7 @@
             wait = min(come_back, round(clients.most_wait_s * SECOND))
         again = Try(
             attempt.job, attempt.number + 1, attempt.cls, attempt.department, attempt.zone, attempt.work_ns,
-            attempt.slots, attempt.sid, marked=clients.marks_repeats,
+            attempt.slots, attempt.sid, attempt.hint_ns, marked=clients.marks_repeats,
         )  # fmt: skip
         self._after(wait, partial(self._send, again))
 
--- a/canvasbeam/lab/model/draw.py
+++ b/canvasbeam/lab/model/draw.py
@@ -19,6 +19,8 @@
 from canvasbeam.lab.model.worker import MS, SECOND, Machine
 
 Floats = npt.NDArray[np.float64]
+# How far a client's guess at the work lies off: the standard deviation of its logarithm.
+HINT_NOISE = 0.3
 
 
 class Stream(IntEnum):
@@ -34,6 +36,8 @@
     DISCOVERY = 7
     FRONT = 8
     SCHEDULERS = 9
+    HINTS = 10
+    TAILS = 11
 
 
 class Chance:
@@ -140,6 +144,7 @@
     sid: list[int]
     honours: list[bool]
     leaves_ns: list[int]  # an impatient client hangs up after so long; 0: it does not
+    hint_ns: list[int]  # what the client says of the work; 0: nothing
 
     def __len__(self) -> int:
         return len(self.at_ns)
@@ -177,10 +182,23 @@
         return np.full(count, cls.work_s)
     if cls.dist == "exp":
         return rng.exponential(cls.work_s, count)
+    if cls.dist == "pareto":  # of the first kind, by its mean and its coefficient of variation
+        alpha = 1 + float(np.sqrt(1 + cls.cv**-2))
+        return cls.work_s * (alpha - 1) / alpha * (1 + rng.pareto(alpha, count))
     sigma = float(np.sqrt(np.log1p(cls.cv**2)))
     return rng.lognormal(np.log(cls.work_s) - sigma**2 / 2, sigma, count)
 
 
+def _tails(scenario: spec.Scenario, times: Floats, rng: np.random.Generator) -> Floats:
+    """How many times more work each job is while heavy tails are on."""
+    factor = np.ones_like(times)
+    for fault in scenario.faults:
+        if fault.kind == "heavy_tail":
+            struck = rng.uniform(size=times.size) < fault.part * envelope(fault, times)
+            factor = np.where(struck, factor * fault.size, factor)
+    return factor
+
+
 def _picked(weights: tuple[float, ...], count: int, rng: np.random.Generator) -> npt.NDArray[np.int64]:
     share = np.asarray(weights, dtype=float)
     return rng.choice(len(weights), size=count, p=share / share.sum())
@@ -199,6 +217,9 @@
     table = np.stack([works(each, count, rng) for each in scenario.classes])
     two = np.stack([rng.uniform(size=count) < each.two_slots for each in scenario.classes])
     rows = np.arange(count)
+    work = table[cls, rows] * _tails(scenario, times, chance.numbers(Stream.TAILS))
+    noise = chance.numbers(Stream.HINTS).lognormal(0.0, HINT_NOISE, count)
+    hints = work * noise if scenario.traffic.hints == "rough" else np.zeros(count)
     sid = rng.integers(0, scenario.traffic.keys or 2**62, size=count)
     habits = chance.numbers(Stream.CLIENTS)
     honours = habits.uniform(size=count) < scenario.clients.honour
@@ -212,7 +233,7 @@
 
     return Jobs(
         at_ns=[each * 1000 for each in whole(times, 1_000_000)], cls=cls.tolist(), department=department.tolist(),
-        zone=zone.tolist(), work_ns=np.maximum(1, np.rint(table[cls, rows] * SECOND)).astype(np.int64).tolist(),
+        zone=zone.tolist(), work_ns=np.maximum(1, np.rint(work * SECOND)).astype(np.int64).tolist(),
         slots=(1 + two[cls, rows].astype(np.int64)).tolist(), sid=sid.tolist(), honours=honours.tolist(),
-        leaves_ns=whole(leaves, SECOND),
+        leaves_ns=whole(leaves, SECOND), hint_ns=whole(hints, SECOND),
     )  # fmt: skip
--- a/canvasbeam/lab/model/faults.py
+++ b/canvasbeam/lab/model/faults.py
@@ -73,7 +73,7 @@
             for zone in [fault.zone] if fault.zone else zones[: max(1, round(fault.part * len(zones)))]:
                 steps.append(Step(_ns(fault.at_s), number, "cut", zone))
                 steps.append(Step(_ns(fault.end_s), number, "joined", zone))
-        elif fault.kind != "burst":
+        elif fault.kind not in ("burst", "heavy_tail"):  # those are drawn with the jobs
             chosen = [name for name, _ in workers] if fault.kind == "shared_slow" else hit(fault, workers, rng)
             for place, name in enumerate(chosen):
                 begin = fault.at_s + place * fault.every_s
--- a/canvasbeam/lab/model/registry.py
+++ b/canvasbeam/lab/model/registry.py
@@ -59,7 +59,7 @@
 
     def _entry(self, name: str, state: WorkerState) -> Listed:
         _, _, born, weight = self._seen.state_of(name)
-        return Listed(self._machines[name], state, born, weight if self._scenario.discovery.live_weights else 1.0)
+        return Listed(self._machines[name], state, born, weight if self._scenario.discovery.weights == "live" else 1.0)
 
     def whole(self) -> list[Listed]:
         """The list as it stands."""
@@ -67,7 +67,7 @@
 
     def begin(self) -> None:
         """Renew live weights from here on."""
-        if self._scenario.discovery.live_weights:
+        if self._scenario.discovery.weights == "live":
             self._after(round(self._scenario.discovery.period_s * SECOND), self._renew)
 
     def notice(self, name: str, state: WorkerState, span: spec.Span) -> None:
--- a/canvasbeam/lab/model/spec.py
+++ b/canvasbeam/lab/model/spec.py
@@ -80,7 +80,7 @@
     share: NotNegative = 1.0
     work_s: Positive = 0.2
     cv: NotNegative = 0.5
-    dist: Literal["fixed", "exp", "lognormal"] = "lognormal"
+    dist: Literal["fixed", "exp", "lognormal", "pareto"] = "lognormal"
     two_slots: Share = 0.0  # the part of the jobs that takes two slots
     aim_s: Positive = 0.15
     stretch: NotNegative = 2.5
@@ -109,6 +109,8 @@
     zone_weights: tuple[NotNegative, ...] = ()
     quota_of_capacity: Positive = 0.85
     over_share_worth: Share = 0.05
+    worth_by: Literal["job", "work"] = "job"  # by work: a job's worth is that of its class times its core seconds
+    hints: Literal["none", "rough"] = "none"  # whether a request says what it may cost
     keys: int = 0  # how many data sets (sid) there are; 0: every job is about another thing
 
 
@@ -131,6 +133,8 @@
     sockets: Count = 1024
     start_s: NotNegative = 0.4
     max_attempts: Count = 3
+    second_copies: bool = True
+    retry_after: bool = True
     pass_ms: NotNegative = 0.2  # simulated: what comes in so soon after another goes into one pass
 
 
@@ -142,7 +146,8 @@
     silent_notice_s: Span = (5.8, 13.0)
     spread_ms: Span = (24.0, 120.0)
     period_s: Positive = 0.5
-    live_weights: bool = True
+    weights: Literal["live", "nominal", "none"] = "live"
+    asked: bool = False  # lists come only to those that ask; the schedulers are told so
 
 
 class Network(Part, frozen=True):
@@ -157,15 +162,16 @@
 
 FaultKind = Literal[
     "crash", "slow", "fast_errors", "burst", "shared_slow", "silent", "breaking", "drain", "stale_discovery",
-    "pause", "scheduler_kill", "scheduler_restart", "cut",
+    "pause", "scheduler_kill", "scheduler_restart", "cut", "heavy_tail",
 ]  # fmt: skip
 
 
 class FaultSpec(Part, frozen=True):
     """One fault: what, when, how long, on which part, how large, and how fast it comes and goes.
 
-    `size` is the factor of a slowdown or of the traffic, or the share that fails or breaks. `part` is the
-    share of the workers (of the schedulers, for theirs), `zone` keeps it to one zone, `targets` names them.
+    `size` is the factor of a slowdown, of the traffic or of the work, or the share that fails or breaks. `part` is
+    the share of the workers (of the schedulers, for theirs; of the jobs, for heavy tails), `zone` keeps it to one
+    zone, `targets` names them.
     """
 
     kind: FaultKind
@@ -215,6 +221,7 @@
     "slow": ("at least 1: how many times slower", 1.0, None),
     "shared_slow": ("at least 1: how many times slower", 1.0, None),
     "burst": ("above 0: the traffic's factor", 1e-9, None),
+    "heavy_tail": ("at least 1: how many times more work", 1.0, None),
     "fast_errors": ("above 0 and at most 1: the share that fails", 1e-9, 1.0),
     "breaking": ("above 0 and at most 1: the share that breaks", 1e-9, 1.0),
 }
--- a/canvasbeam/lab/result.py
+++ b/canvasbeam/lab/result.py
@@ -217,13 +217,16 @@
 
     # --- figures ----------------------------------------------------------------------------------
 
-    def _worths(self) -> list[float]:
-        """What each job is worth: beyond its department's share, little."""
+    def _worths(self, works: Sequence[int]) -> tuple[list[float], list[bool]]:
+        """What each job is worth, and whether it lies beyond its department's share, where it is worth little."""
         scenario = self._scenario
         departments = scenario.departments
         full = [scenario.classes[each].worth for each in self._cls]
+        if scenario.traffic.worth_by == "work":
+            full = [worth * work / SECOND for worth, work in zip(full, works, strict=True)]
+        beyond = [False] * len(full)
         if not departments:
-            return full
+            return full, beyond
         per_s = draw.capacity(self._fleet) / draw.mean_work(scenario) * scenario.traffic.quota_of_capacity
         rates = [per_s * each.share / SECOND for each in departments]
         saved = [rate * 2 * SECOND for rate in rates]
@@ -237,18 +240,18 @@
                 saved[place] -= 1
             else:
                 full[job] *= scenario.traffic.over_share_worth
-        return full
+                beyond[job] = scenario.traffic.over_share_worth < 1
+        return full, beyond
 
     def result(self, engine: str, scenario: spec.Scenario, ledger: Ledger, jobs: draw.Jobs) -> Result:
         """The run's figures."""
         first = round(scenario.warm_up_s * SECOND)
         tally = _Tally(scenario)
-        for job, (at, worth) in enumerate(zip(self._asked_ns, self._worths(), strict=True)):
+        worths, beyond = self._worths(jobs.work_ns)
+        for job, (at, worth) in enumerate(zip(self._asked_ns, worths, strict=True)):
             if at >= first:
-                took = self._end_ns[job] - at
-                tally.add(
-                    self._cls[job], self._department[job], End(self._end[job]), at, took, worth, jobs.work_ns[job]
-                )
+                took, end = self._end_ns[job] - at, End(self._end[job])
+                tally.add(self._cls[job], self._department[job], end, at, took, worth, jobs.work_ns[job], beyond[job])
         tally.close()
         worst, worst_at = _worst(tally.windows, first // SECOND, int(scenario.length_s))
         service = _ratio(tally.earned, tally.asked)
@@ -299,7 +302,7 @@
         self._took_us: dict[int, list[int]] = {}
 
     def add(
-        self, cls: int, department: int, end: End, at: int, took: int, worth: float, work: int
+        self, cls: int, department: int, end: End, at: int, took: int, worth: float, work: int, beyond: bool
     ) -> None:
         """One job: when it came, how it ended, after how long, and what it is worth."""
         kind = self._scenario.classes[cls]
@@ -327,7 +330,7 @@
         row.ends[name] = row.ends.get(name, 0) + 1
         for place in places:
             # A department is judged within its share; what it sends beyond is worth less, and left out.
-            if place < len(self.classes) or worth >= kind.worth:
+            if place < len(self.classes) or not beyond:
                 self._sums[place][0] += worth
                 self._sums[place][1] += gained
 
--- a/canvasbeam/lab/stage.py
+++ b/canvasbeam/lab/stage.py
@@ -258,9 +258,9 @@
 
     @property
     def longest_end(self) -> int:
-        """How long after SIGTERM the platform's SIGKILL comes, in nanoseconds."""
+        """How long after SIGTERM the platform's SIGKILL comes at the earliest, in nanoseconds."""
         longest = max(each.deadline_s for each in self.scenario.classes)
-        return round((max(3.0, longest) + 0.7) * SECOND)
+        return round((min(3.0, longest) + 0.7) * SECOND)
 
     # --- a run ------------------------------------------------------------------------------------
 
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import pytest
 
 from canvasbeam import interface as ci
@@ -172,3 +174,44 @@
     given = bench.job(due=5 * MS)
     assert len(of(given, ci.Refuse)) == 1
     assert of(given, ci.Send) == []
+
+
+def order_of_held(**changes: Any) -> list[str]:
+    """A large job comes, then a small one, then a dear small class; the one worker is busy. Who goes next?"""
+    look = ci.JobClass("look", 200 * MS, 5 * SECOND, stretch=2.0)
+    dear = ci.JobClass("dear", 200 * MS, 5 * SECOND, worth=2.0, stretch=2.0)
+    bench = Bench(entry("a"), classes=(look, dear), **changes)
+    assert bench.run_job(span=100 * MS) == "a"
+    bench.pass_time(SECOND)
+    bench.job("dear")
+    bench.started("j1", "a")
+    bench.pass_time(400 * MS)
+    bench.job()  # the cap: it does not start in time
+    bench.pass_time(100 * MS)
+    bench.job(work_hint_ns=900 * MS)
+    bench.pass_time(MS)
+    bench.job(work_hint_ns=10 * MS)
+    bench.pass_time(MS)
+    bench.job("dear")
+    order: list[str] = []
+    given = bench.ended("j1", "a") + bench.ended("j2", "a")
+    while len(order) < 3:
+        for sent in of(given, ci.Send):
+            order.append(sent.job)
+            bench.started(sent.job, sent.worker)
+            given = bench.ended(sent.job, sent.worker)
+            break
+        else:
+            given = bench.pass_time(10 * MS)
+    return order
+
+
+def test_a_large_job_does_not_stand_behind_small_ones_that_came_later() -> None:
+    order = order_of_held()
+    assert order.index("j3") < order.index("j4")
+
+
+def test_where_worth_goes_by_work_a_class_of_long_jobs_is_not_worth_less_for_it() -> None:
+    # The dear class runs four times as long, and is worth twice as much: for each job, or for each second of work.
+    assert order_of_held().index("j5") == 2
+    assert order_of_held(worth_by_work=True).index("j5") == 0
--- a/tests/test_ending.py
+++ b/tests/test_ending.py
@@ -17,7 +17,9 @@
 from canvasbeam.decide import ending
 from canvasbeam.decide.ending import Ending, Phase, Terms
 from canvasbeam.net.limits import Limits
+from canvasbeam.net.target_group import TargetGroup
 from tests.loopback import Peer, Server, World, done, job
+from tests.test_net_loop import host, listing
 from tests.test_upgrade import Fleet, healthy
 from tests.test_upgrade import job as fleet_job
 
@@ -295,6 +297,48 @@
     assert client.got.count(b"HTTP/1.1 503") == 2 and world.servers[0].requests() == 1
 
 
+@pytest.mark.parametrize("answers", [False, True], ids=["stale", "asked"])
+def test_at_a_signal_while_discovery_is_stale_or_asked_jobs_go_on_and_its_news_still_count(answers: bool) -> None:
+    """Guards drains, which bind a process that ends as well; and a silent discovery holds no end up."""
+    world, discovery = ending_world(Server(), Server(), look=1, book=1, pay=1), Server()
+    names = [f"s-{place}" for place in range(2)]
+    dials = [f"127.0.0.1:{server.address[1]}" for server in world.servers]
+    hosts = [host(name, dial=dial) for name, dial in zip(names, dials, strict=True)]
+    group = TargetGroup(world.loop, world.core, world.limits, discovery.address, timedelta(0))
+    group.start({"seq": 1, "whole": True, "hosts": hosts})
+    world.until(lambda: any(b"from=1&" in each.got for each in discovery.look()))  # the call is open
+    client = world.client()
+    served(world, client, "c1")
+    world.listener.drain()
+    if answers:
+        discovery.peers[0].say(listing(2, False, host(names[0], "Terminating", dials[0])))
+        world.until(lambda: world.core.targets["s-0"].state is ci.WorkerState.DRAINING)
+    before = world.servers[0].requests()
+    for number in range(2, 6):
+        served(world, client, f"c{number}", number)
+    assert (world.servers[0].requests() == before) is answers
+    world.skip(3.8)
+    world.until(lambda: world.listener.must_leave)
+
+
+@pytest.mark.parametrize("when", ["before the end", "at the last call"])
+def test_a_request_that_comes_as_its_connection_closes_for_idleness_is_answered(when: str) -> None:
+    world = ending_world(Server(), look=1, book=1, pay=1)
+    client = world.client()
+    served(world, client, "c1")
+    if when == "before the end":
+        client.say(job(call_id="c2"))
+        world.skip(world.limits.client_idle.total_seconds() + 1)  # in one pass: it is over, and the job has come
+        world.asked(times=2).say(done("r-c2", "c2"))
+        assert world.answer(client, 2).endswith("r-c2")
+    else:
+        world.listener.drain()
+        world.skip(0.7)
+        client.say(job(call_id="c2"))
+        world.skip(1.9)
+        assert world.answer(client, 2).partition("r-c1")[2].startswith("HTTP/1.1 503 ")
+
+
 def test_two_processes_end_together_and_each_serves_its_kept_connections_meanwhile(tmp_path: Path) -> None:
     """Both are inside their ends at once; a second SIGTERM changes nothing; every job has one answer."""
     fleets, running, kept = [], [], []
--- a/tests/test_lab_model.py
+++ b/tests/test_lab_model.py
@@ -263,6 +263,24 @@
     assert one.leaves_ns != other.leaves_ns
 
 
+def test_a_pareto_class_has_its_mean_and_tails_lengthen_only_what_they_strike() -> None:
+    shape: dict[str, Any] = {"length_s": 400, "traffic.hints": "rough", "fleet.workers": 40, "classes": [
+        {"name": "one", "dist": "pareto", "cv": 1.0, "work_s": 0.2},
+    ]}  # fmt: skip
+    calm = small(**shape)
+    struck = small({"kind": "heavy_tail", "at_s": 100, "for_s": 200, "part": 0.1, "size": 10}, **shape)
+    chance = draw.Chance(3)
+    fleet = draw.machines(calm, chance)
+    one, other = draw.jobs(calm, fleet, chance), draw.jobs(struck, fleet, chance)
+    assert sum(one.work_ns) / len(one) / SECOND == pytest.approx(0.2, rel=0.03)
+    longer = [at for at, a, b in zip(one.at_ns, one.work_ns, other.work_ns, strict=True) if a != b]
+    assert all(100 * SECOND <= at < 300 * SECOND for at in longer)
+    assert len(longer) / sum(100 * SECOND <= at < 300 * SECOND for at in one.at_ns) == pytest.approx(0.1, rel=0.1)
+    far = [abs(hint / work - 1) for hint, work in zip(one.hint_ns, one.work_ns, strict=True)]
+    assert 0.15 < sorted(far)[len(far) // 2] < 0.25  # rough, and no more
+    assert set(draw.jobs(small(), fleet, chance).hint_ns) == {0}
+
+
 def test_arrivals_follow_a_burst() -> None:
     scenario = small({"kind": "burst", "at_s": 100, "for_s": 100, "size": 2}, length_s=400)
     chance = draw.Chance(3)
--- a/tests/test_lab_sim.py
+++ b/tests/test_lab_sim.py
@@ -14,7 +14,7 @@
 from canvasbeam.lab import engine_sim, scenario
 from canvasbeam.lab.model.ledger import End, Ledger, What
 from canvasbeam.lab.model.worker import MS, SECOND
-from canvasbeam.net.core import Core
+from canvasbeam.net.core import Core, Request
 from tests import lab
 from tests.lab import small
 
@@ -115,7 +115,7 @@
     "name",
     [
         "calm", "tuesday", "cold-return-under-surge", "rolling-restarts", "site-overload", "broken-streams", "demo",
-        "vast-herd", "vast-zone",
+        "vast-herd", "vast-zone", "one-class", "three-zones",
     ],
 )
 def test_the_scenarios_that_ship_keep_the_rules(name: str) -> None:
@@ -126,6 +126,30 @@
     assert result.service > 0.7
 
 
+def test_worth_goes_by_work_where_the_scenario_says_so() -> None:
+    """A large job that failed weighs as much as the work that it asked for."""
+    by_job, _ = engine_sim.play(small(length_s=3))
+    by_work, _ = engine_sim.play(small(**{"length_s": 3, "traffic.worth_by": "work"}))
+    assert by_job.ends == by_work.ends
+    asked = [sum(each.asked for each in result.windows) for result in (by_job, by_work)]
+    assert asked[0] == pytest.approx(round(asked[0] * 20) / 20)  # whole worths, and twentieths beyond the shares
+    assert asked[1] != pytest.approx(round(asked[1] * 20) / 20, abs=1e-5)
+
+
+def test_a_simulated_scheduler_goes_through_its_planned_end_and_answers_all_before_the_kill() -> None:
+    told: list[str] = []
+
+    class Watched(Core):
+        def submit(self, request: Request) -> None:
+            told.append(self.phase.name)
+            super().submit(request)
+
+    restart = {"kind": "scheduler_restart", "at_s": 2, "for_s": 4, "part": 1}
+    result, _ = engine_sim.play(small(restart, **{"length_s": 4, "traffic.load": 1.2}), Watched)
+    assert result.broken == [] and {"SERVING", "ANNOUNCED"} <= set(told)
+    assert "open" not in result.ends and "silent" not in result.ends
+
+
 @pytest.mark.parametrize(
     ("changes", "message"),
     [
--- a/tests/test_net_loop.py
+++ b/tests/test_net_loop.py
@@ -90,6 +90,28 @@
     assert len(discovery.look()) == 1
 
 
+def test_a_watch_that_outlives_its_server_ends_and_the_next_one_is_asked_for_the_whole_list() -> None:
+    """The old process of discovery is gone without a word, and a new one on its address counts anew."""
+    old = Server()
+    world = World()
+    group = TargetGroup(world.loop, world.core, world.limits, old.address, timedelta(0))
+    group.start({"seq": 7, "whole": True, "hosts": [host("s-0"), host("s-1")]})
+    world.until(lambda: any(b"from=7&" in each.got for each in old.look()))
+    old.sock.close()  # the watch's connection stands, and nobody is behind it
+    new = Server.__new__(Server)
+    new.sock, new.address, new.peers = socket.create_server(old.address), old.address, []
+    new.sock.setblocking(False)
+    world.skip((world.limits.watch_hold + world.limits.watch_slack).total_seconds() + 0.1)
+    world.skip(1)  # the pause after a failed call
+    world.until(lambda: any(b"from=7&" in each.got for each in new.look()))
+    assert set(world.core.targets) == {"s-0", "s-1"}
+    new.peers[0].say(listing(2, False))
+    world.until(lambda: new.peers[0].look().count(b"GET ") == 2)
+    assert new.peers[0].got.endswith(b"\r\n\r\n") and new.peers[0].got.count(b"from=") == 1
+    new.peers[0].say(listing(2, True, host("s-1")))
+    world.until(lambda: set(world.core.targets) == {"s-1"})
+
+
 def test_a_stuck_or_broken_watch_is_asked_again_and_the_list_stays() -> None:
     discovery = Server()
     limits = Limits(list_wait=5 * MS, watch_hold=5 * MS, watch_slack=5 * MS, watch_retry=MS)
