Instances that know each other: SWIM membership, its carrier, faults between processes

Need: the operators want to know how many processes of the program behave together when parts of the system fail. Until now no instance knew of another, and the laboratory could put no fault between two of them.

Change: canvasbeam/decide/membership.py (pure: suspicion, incarnations and refutation, local health, a death by hearsay is a suspicion first, who hears nothing passes no judgement, the dead and the seeds are asked now and then); canvasbeam/peers/ (one UDP datagram a message on the loop that is there, MessagePack, replay window, rates, the operators' TOML file); GET /peers on the second address and `canvasbeam peers`; canvasbeam/lab/model/links.py and lab/links.py (cut, lose, delay, duplicate, reorder, throttle between two members, real processes behind a switchboard, signals, a wall clock that is wrong), lab/peers_sim.py for simulated time. Off unless the settings say peers = true and a file is named; then nothing is imported (tested).

--- a/canvasbeam/__main__.py
+++ b/canvasbeam/__main__.py
@@ -18,7 +18,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from datetime import timedelta
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from canvasbeam import interface as ci
 from canvasbeam.net.core import Core
@@ -29,6 +29,10 @@
 from canvasbeam.net.target_group import TargetGroup, read_address, read_list
 from canvasbeam.settings import WireError, need, plain_report_names, read_settings, section, whole
 
+if TYPE_CHECKING:
+    from canvasbeam.peers.carrier import Station
+    from canvasbeam.peers.settings import Peers
+
 log = logging.getLogger(__name__)
 # All but the first two come of a value of another type or size than the settings' page gives.
 CONFIGURATION_ERRORS = (
@@ -44,6 +48,7 @@
     listen: tuple[str, int]
     discovery: tuple[str, int]
     mgmt: tuple[str, int] | None  # the second address, where the operators' staff ask and tell
+    peers: str  # the operator's own file on peers; empty for none
     seed: int
     sockets: int
     memory_mb: int
@@ -72,6 +77,7 @@
         listen=read_address(environment.get("LB_LISTEN") or str(need(fields, "listen"))),
         discovery=read_address(environment.get("LB_DISCOVERY") or str(need(fields, "discovery"))),
         mgmt=read_address(mgmt) if mgmt else None,
+        peers=environment.get("LB_PEERS") or str(fields.get("peers") or ""),
         seed=int(str(fields.get("seed") or "0"), 16),
         sockets=whole(section(fields, "limits"), "sockets", 1024),
         memory_mb=whole(section(fields, "limits"), "memory_mb", 192),
@@ -80,6 +86,20 @@
     )
 
 
+def read_peers(configuration: Configuration, settings: ci.Settings) -> Peers | None:
+    """The operator's file on peers, or None: without one, or where the settings forbid them.
+
+    A ValueError says what is wrong. Imported only where it is used: a scheduler without peers pays nothing for them.
+    """
+    if not configuration.peers or not settings.limits.peers:
+        return None
+    try:
+        from canvasbeam.peers.settings import read  # noqa: PLC0415
+    except ImportError as error:
+        raise ValueError(f"peers need a library that is not installed: {error.name}") from error
+    return read(configuration.peers)
+
+
 def read_new_discovery(environment: Mapping[str, str]) -> tuple[str, int]:
     """Where the file now says that discovery is; the whole file must be as good as at a start.
 
@@ -97,10 +117,13 @@
 
     NUMBERS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
-    def __init__(self, loop: Loop, sock: socket.socket, listener: Listener, group: TargetGroup) -> None:
+    def __init__(
+        self, loop: Loop, sock: socket.socket, listener: Listener, group: TargetGroup, station: Station | None = None,
+    ) -> None:  # fmt: skip
         super().__init__(loop, sock)
         self._listener = listener
         self._group = group
+        self._station = station
         self.wants(READ)
 
     @classmethod
@@ -116,7 +139,10 @@
     def on_event(self, mask: int) -> None:
         numbers = self.sock.recv(256)
         if signal.SIGTERM in numbers or signal.SIGINT in numbers:
-            log.info("draining" if self._listener.drain() else "the end has begun already: nothing changes")
+            begins = self._listener.drain()
+            log.info("draining" if begins else "the end has begun already: nothing changes")
+            if begins and self._station is not None:
+                self._station.leave()
         if signal.SIGHUP in numbers:  # once for many: each reads the same file
             self._reload()
 
@@ -153,7 +179,7 @@
 
 def serve(
     configuration: Configuration, settings: ci.Settings, limits: Limits, report_names: Mapping[str, str],
-    signals: socket.socket,
+    signals: socket.socket, *, peers: Peers | None = None,
 ) -> None:  # fmt: skip
     """Run until drained."""
     loop = Loop(limits.slow_pass)
@@ -164,7 +190,14 @@
     whose = f"{configuration.seed:x} {configuration.name}"
     group = TargetGroup(loop, core, limits, configuration.discovery, born, whose=whose)
     group.start(configuration.known)
-    Signals(loop, signals, listener, group)
+    station = None
+    if peers is not None:
+        from canvasbeam.peers.carrier import Station  # noqa: PLC0415
+
+        station = Station(loop, peers, configuration.name, time.time_ns() // 1_000_000)
+    elif configuration.peers:
+        log.warning("peers stay off: the settings forbid them, whatever %s says", configuration.peers)
+    Signals(loop, signals, listener, group, station)
     if configuration.mgmt is not None:
         # Imported only where it is asked for: a scheduler without a second address pays nothing for it.
         from canvasbeam.mgmt.desk import OperatorDesk  # noqa: PLC0415
@@ -172,7 +205,7 @@
         from canvasbeam.mgmt.server import ManagementListener  # noqa: PLC0415
 
         handover = Handover(path_for(os.environ.get("TMPDIR") or "/tmp", configuration.listen))
-        desk = OperatorDesk(core, listener, handover)
+        desk = OperatorDesk(core, listener, handover, station.report if station else None)
         ManagementListener.bind(loop, limits, desk, configuration.mgmt)
         log.info("the second address is %s:%d", *configuration.mgmt)
 
@@ -210,11 +243,12 @@
         configuration = read_configuration(os.environ)
         settings, names = read_settings(configuration.options)
         limits = Limits.of(settings, configuration.sockets, configuration.memory_mb)
+        peers = read_peers(configuration, settings)
     except CONFIGURATION_ERRORS as error:
         print(f"canvasbeam: bad configuration: {error}", file=sys.stderr)
         return 1
     try:
-        serve(configuration, settings, limits, plain_report_names(names), signals)
+        serve(configuration, settings, limits, plain_report_names(names), signals, peers=peers)
     except OSError as error:
         print(f"canvasbeam: cannot listen or serve: {error}", file=sys.stderr)
         return 1
--- a/canvasbeam/cli/check.py
+++ b/canvasbeam/cli/check.py
@@ -46,7 +46,7 @@
 
 
 def _configuration_problem(name: str) -> str | None:
-    from canvasbeam.__main__ import CONFIGURATION_ERRORS, read_configuration  # noqa: PLC0415
+    from canvasbeam.__main__ import CONFIGURATION_ERRORS, read_configuration, read_peers  # noqa: PLC0415
     from canvasbeam.net.limits import Limits  # noqa: PLC0415
     from canvasbeam.settings import read_settings  # noqa: PLC0415
 
@@ -56,6 +56,7 @@
         configuration = read_configuration({"LB_CONFIG": name})
         settings, _ = read_settings(configuration.options)
         Limits.of(settings, configuration.sockets, configuration.memory_mb)
+        read_peers(configuration, settings)
     except CONFIGURATION_ERRORS as error:
         return f"{name}: {' '.join(str(error).split())}"
     return None
--- a/canvasbeam/cli/commands.py
+++ b/canvasbeam/cli/commands.py
@@ -19,6 +19,7 @@
 LAZY = {
     "serve": "canvasbeam.cli.serve:serve",
     "check": "canvasbeam.cli.check:check",
+    "peers": "canvasbeam.cli.peers:peers",
     "emulate": "canvasbeam.cli.emulate:emulate",
     "load": "canvasbeam.cli.load:load",
     "demo": "canvasbeam.cli.lab:demo",
--- a/canvasbeam/mgmt/desk.py
+++ b/canvasbeam/mgmt/desk.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 from canvasbeam.decide import hands
@@ -21,10 +22,14 @@
 class OperatorDesk:
     """The calls of the second address, on one scheduler."""
 
-    def __init__(self, core: Core, listener: Listener, handover: Handover | None = None) -> None:
+    def __init__(
+        self, core: Core, listener: Listener, handover: Handover | None = None,
+        peers: Callable[[], dict[str, Any]] | None = None,
+    ) -> None:  # fmt: skip
         self._core = core
         self._listener = listener
         self._handover = handover
+        self._peers = peers
         self._hands = hands.Hands()
         if handover is not None:
             self._take_up()
@@ -44,6 +49,10 @@
             "members_unavailable": core.avoided(),
         }
 
+    def peers(self) -> dict[str, Any] | None:
+        """Who of the fleet is there; None where this scheduler has no peers."""
+        return None if self._peers is None else self._peers()
+
     def take_out(self, worker: str) -> bool:
         """Out by hand from this pass on; False where nobody has this worker."""
         return self._call(hands.TakeOut(worker))
--- a/canvasbeam/mgmt/server.py
+++ b/canvasbeam/mgmt/server.py
@@ -1,9 +1,9 @@
 """The second address: its listening socket, its connections, and the wording of its answers.
 
 It owns the calls of the operators' staff and their tools, one a connection (HTTP/1.1, parsed by httptools):
-`GET /healthcheck`, `GET /stats`, `POST /workers/ID/maint` and `POST /workers/ID/ready`. A 2xx is yes, a 4xx or
-5xx is no. It must never decide (what a call does is the desk's), never take a body, never hold more connections
-or bytes than its own limits allow, and never let a caller that says nothing keep another one out.
+`GET /healthcheck`, `GET /stats`, `GET /peers`, `POST /workers/ID/maint` and `POST /workers/ID/ready`. A 2xx is yes,
+a 4xx or 5xx is no. It must never decide (what a call does is the desk's), never take a body, never hold more
+connections or bytes than its own limits allow, and never let a caller that says nothing keep another one out.
 """
 
 from __future__ import annotations
@@ -23,7 +23,7 @@
 
 log = logging.getLogger(__name__)
 
-HEALTH, STATS, WORKERS = b"/healthcheck", b"/stats", b"/workers/"
+HEALTH, STATS, PEERS, WORKERS = b"/healthcheck", b"/stats", b"/peers", b"/workers/"
 LONGEST_ID = 256
 
 
@@ -36,6 +36,9 @@
     def figures(self) -> dict[str, Any]:
         """The figures, as JSON's types."""
 
+    def peers(self) -> dict[str, Any] | None:
+        """Who of the fleet is there, as JSON's types; None where there are no peers."""
+
     def take_out(self, worker: str) -> bool:
         """Out by hand; False where nobody has this worker."""
 
@@ -178,6 +181,8 @@
             return self._only(method, b"GET", lambda: _health(desk.can_serve()))
         if path == STATS:
             return self._only(method, b"GET", lambda: _stats(desk.figures()))
+        if path == PEERS:
+            return self._only(method, b"GET", lambda: _peers(desk.peers()))
         if path.startswith(WORKERS):
             worker, slash, verb = path[len(WORKERS) :].rpartition(b"/")
             name = unquote(worker.decode("latin-1"))
@@ -229,6 +234,9 @@
     return plain(HTTPStatus.OK, "ok") if good else plain(HTTPStatus.SERVICE_UNAVAILABLE, "not ready")
 
 
+def _peers(told: dict[str, Any] | None) -> bytes:
+    return plain(HTTPStatus.NOT_FOUND, "no peers here") if told is None else _stats(told)
+
 
 def _hand(known: bool, worker: str, verb: str) -> bytes:
     if known:
--- /dev/null
+++ b/canvasbeam/peers/carrier.py
@@ -0,0 +1,214 @@
+"""The UDP socket between this instance and the others, on the program's loop.
+
+It owns the socket, the datagrams' rates, the deadline at which the membership wants the time, the log's lines on
+changes, and the wait for the address while an older process still has it. It must never decide who is a member, never
+send to or take from an address outside the networks named, never read more in a pass than it was allowed, and never
+let a failure here end anything but a datagram.
+"""
+
+from __future__ import annotations
+
+import errno
+import logging
+import os
+import socket
+from collections import Counter
+from typing import Any
+
+from canvasbeam.decide import membership
+from canvasbeam.decide.membership import Changed, Leave, Membership, Sender, Status, Tell, Ticked
+from canvasbeam.net.limits import nanoseconds, seconds, span_of
+from canvasbeam.net.loop import READ, Deadline, Endpoint, Loop
+from canvasbeam.peers.rates import Bucket, Sources
+from canvasbeam.peers.settings import Peers, Reach, address_of
+from canvasbeam.peers.wire import LARGEST, Codec, Drop
+
+log = logging.getLogger(__name__)
+
+READS_PER_PASS = 32
+LINES_PER_S = 4  # of changes in the log; the rest is counted
+BIND_AGAIN = seconds(0.2)  # while an older process of this name still has the address
+LAST_WORDS = seconds(0.3)  # from the planned end's announcement to the socket's close
+MS = membership.MS
+
+
+class Carrier(Endpoint):
+    """This instance among the others."""
+
+    rank = 9  # after discovery, targets and clients: a storm of datagrams must not hold up a request
+
+    def __init__(self, loop: Loop, sock: socket.socket, peers: Peers, name: str, start_ms: int) -> None:
+        super().__init__(loop, sock)
+        me = Sender(name, start_ms, 0, peers.address)
+        now = nanoseconds(loop.now)
+        seed = int.from_bytes(os.urandom(8))
+        self.members = Membership(me, peers.seeds, peers.terms(), seed, now)
+        self.codec = Codec(peers.fleet, 2 * peers.sizes.members)
+        self.sent: Counter[str] = Counter()
+        self.taken: Counter[str] = Counter()
+        self._reach = Reach(peers.networks)
+        self._out = Bucket(peers.sizes.sent_per_s, now)
+        self._in = Bucket(peers.sizes.taken_per_s, now)
+        self._of_one = Sources(peers.sizes.taken_per_s_of_one, 2 * peers.sizes.members)
+        self._lines = Bucket(LINES_PER_S, now)
+        self._untold = 0
+        self._deadline: Deadline | None = None
+        self.wants(READ)
+        self._decide([Ticked()])
+
+    @classmethod
+    def bind(cls, loop: Loop, peers: Peers, name: str, start_ms: int) -> Carrier:
+        """Listen where the file says; an OSError where that cannot be."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            sock.bind(address_of(peers.listen or peers.address))
+        except OSError:
+            sock.close()
+            raise
+        return cls(loop, sock, peers, name, start_ms)
+
+    def on_event(self, mask: int) -> None:
+        """Take what has come, so much of it in a pass, and decide on it together."""
+        events: list[membership.Event] = []
+        for _ in range(READS_PER_PASS):
+            try:
+                data, source = self.sock.recvfrom(LARGEST + 1)
+            except (BlockingIOError, InterruptedError):
+                break
+            except OSError:  # an earlier datagram's receiver was not there
+                continue
+            event = self._read(data, f"{source[0]}:{source[1]}")
+            if event is not None:
+                events.append(event)
+        if events:
+            self._decide(events)
+
+    def _read(self, data: bytes, source: str) -> membership.Received | None:
+        now, dropped = nanoseconds(self.loop.now), self.codec.dropped
+        if source not in self._reach:
+            dropped[Drop.ADDRESS] += 1
+        elif not self._of_one.takes(source, now) or not self._in.takes(now):
+            dropped[Drop.FAST] += 1
+        else:
+            event = self.codec.decode(data, source)
+            if event is not None:
+                self.taken["datagrams"] += 1
+                self.taken["bytes"] += len(data)
+            return event
+        return None
+
+    def leave(self) -> None:
+        """The planned end has begun."""
+        if not self.closed:
+            self._decide([Leave()])
+
+    def _decide(self, events: list[membership.Event]) -> None:
+        for action in self.members.handle(nanoseconds(self.loop.now), events):
+            match action:
+                case Tell():
+                    self._send(action)
+                case Changed():
+                    self._tell_log(action)
+        self.loop.cancel(self._deadline)
+        self._deadline = self.loop.at(span_of(self.members.wake), self._on_time, self)
+
+    def _on_time(self) -> None:
+        self._decide([Ticked()])
+
+    def _send(self, action: Tell) -> None:
+        dropped = self.codec.dropped
+        if action.address not in self._reach:
+            dropped[Drop.ADDRESS] += 1
+            return
+        if not self._out.takes(nanoseconds(self.loop.now)):
+            dropped[Drop.UNSENT] += 1
+            return
+        mine = self.members
+        data = self.codec.encode(Sender(mine.name, mine.start, mine.incarnation, mine.address), action.message)
+        if data is None:
+            return
+        try:
+            self.sock.sendto(data, address_of(action.address))
+        except OSError:
+            dropped[Drop.UNSENT] += 1
+            return
+        self.sent["datagrams"] += 1
+        self.sent["bytes"] += len(data)
+
+    def _tell_log(self, change: Changed) -> None:
+        if not self._lines.takes(nanoseconds(self.loop.now)):
+            self._untold += 1
+            return
+        if self._untold:
+            log.info("%d more changes of members were not told", self._untold)
+            self._untold = 0
+        log.info("member %s: %s, before %s: %s", change.name, change.after, change.before, change.why)
+
+    def on_failure(self) -> None:
+        """Guards the instance: a datagram that could not be handled ends nothing; its turn comes again."""
+        self.loop.cancel(self._deadline)
+        self._deadline = self.loop.after(span_of(self.members.terms.news_every), self._on_time, self)
+
+    def report(self) -> dict[str, Any]:
+        """Who is there and what was dropped, as JSON's types; ages in seconds."""
+        now, mine = nanoseconds(self.loop.now), self.members
+        view = mine.view(now)
+        silent = None if view.silent_since is None else round((now - view.silent_since) / 1e9, 3)
+        return {
+            "me": {"name": mine.name, "address": mine.address, "state": mine.standing.name.lower(),
+                   "start": mine.start, "incarnation": mine.incarnation, "health": mine.health},
+            "there": list(view.there), "gone": list(view.gone), "sure": round(view.sure, 3), "silent_s": silent,
+            "members": [self._row(each, now) for _, each in sorted(mine.members.items())],
+            "sent": dict(self.sent), "taken": dict(self.taken),
+            "dropped": {each.value: count for each, count in self.codec.dropped.items()},
+        }  # fmt: skip
+
+    @staticmethod
+    def _row(member: membership.Member, now: int) -> dict[str, Any]:
+        fact = member.fact
+        return {
+            "name": fact.name, "address": fact.address, "state": fact.status.name.lower(), "start": fact.start,
+            "incarnation": fact.incarnation, "for_s": round((now - member.since) / 1e9, 3),
+            "heard_s": round((now - member.heard) / 1e9, 3) if member.heard else None,
+            "suspected_by": sorted(member.confirmers) if fact.status is Status.SUSPECT else [],
+        }  # fmt: skip
+
+
+class Station:
+    """This instance's place among the others: a carrier once the address is free, and none after the planned end."""
+
+    def __init__(self, loop: Loop, peers: Peers, name: str, start_ms: int) -> None:
+        self._loop = loop
+        self._peers = peers
+        self._name, self._start_ms = name, start_ms
+        self._ending = False
+        self.carrier: Carrier | None = None
+        self._bind()
+
+    def _bind(self) -> None:
+        """An upgrade starts the next process beside this one, with the same file: it waits for the address."""
+        if self._ending:
+            return
+        where = self._peers.listen or self._peers.address
+        try:
+            self.carrier = Carrier.bind(self._loop, self._peers, self._name, self._start_ms)
+        except OSError as error:
+            if error.errno != errno.EADDRINUSE:
+                raise
+            log.info("the peers' address %s is taken: tried again until it is free", where)
+            self._loop.after(BIND_AGAIN, self._bind)
+            return
+        log.info("peers: %s of fleet %s on %s, %d seeds", self._name, self._peers.fleet, where, len(self._peers.seeds))
+
+    def leave(self) -> None:
+        """The planned end has begun: the others are told, and the address is free a moment later."""
+        self._ending = True
+        if self.carrier is not None:
+            self.carrier.leave()
+            self._loop.after(LAST_WORDS, self.carrier.close, self.carrier)
+
+    def report(self) -> dict[str, Any]:
+        """As the carrier's; while there is none, why."""
+        if self.carrier is None:
+            return {"me": {"name": self._name, "address": self._peers.address, "state": "waiting for its address"}}
+        return self.carrier.report()
--- /dev/null
+++ b/canvasbeam/peers/wire.py
@@ -0,0 +1,159 @@
+"""One datagram a message: its bytes, and what is let through.
+
+It owns the envelope (version, fleet, sender, its process's start, incarnation, number) in msgspec's MessagePack, the
+window that drops replays, and the counts of what was dropped and why. It must never raise over what came in, never
+take longer over a bad datagram than over a good one, and never judge a member.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+from enum import Enum
+from typing import Annotated
+
+import msgspec
+
+from canvasbeam.decide.membership import Fact, Kind, Message, Received, Sender, Status
+
+VERSION = 1
+MAGIC = b"cbp"
+LARGEST = 1_200
+WINDOW = 64
+# A start counts milliseconds; a clock would have to be wrong by a hundred thousand years.
+Start = Annotated[int, msgspec.Meta(ge=0, le=1 << 52)]
+Number = Annotated[int, msgspec.Meta(ge=0, le=(1 << 32) - 1)]
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
+Short = Annotated[str, msgspec.Meta(max_length=64)]
+
+
+class Drop(Enum):
+    """Why a datagram was dropped."""
+
+    GARBLED = "garbled"
+    VERSION = "version"
+    FLEET = "fleet"
+    REPLAYED = "replayed"
+    LARGE = "large"
+    FAST = "fast"
+    ADDRESS = "address"
+    UNSENT = "unsent"
+
+
+class FactRow(msgspec.Struct, array_like=True, frozen=True, gc=False):
+    """A fact on its way."""
+
+    name: Name
+    address: Short
+    status: Annotated[int, msgspec.Meta(ge=0, le=3)]
+    start: Start
+    incarnation: Number
+    by: Short = ""
+
+
+class Envelope(msgspec.Struct, array_like=True, frozen=True, gc=False):
+    """A whole datagram after its first four bytes."""
+
+    fleet: Name
+    sender: Name
+    start: Start
+    incarnation: Number
+    number: Annotated[int, msgspec.Meta(ge=0, le=1 << 53)]  # one up for each that this process sends
+    kind: Annotated[int, msgspec.Meta(ge=0, le=4)]
+    asked: Number
+    about: Short
+    address: Short
+    facts: tuple[FactRow, ...]
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Envelope)
+_PREFIX = MAGIC + bytes([VERSION])
+
+
+@dataclass(slots=True)
+class Seen:
+    """The numbers taken of one process."""
+
+    highest: int
+    bits: int = 1  # of the highest and the WINDOW - 1 below it
+
+    def takes(self, number: int) -> bool:
+        """Whether this one is new; it is taken then."""
+        ahead = number - self.highest
+        if ahead > 0:
+            self.bits = (self.bits << min(ahead, WINDOW) | 1) & (1 << WINDOW) - 1
+            self.highest = number
+            return True
+        bit = 1 << -ahead
+        if -ahead >= WINDOW or self.bits & bit:
+            return False
+        self.bits |= bit
+        return True
+
+
+class Codec:
+    """Bytes of one instance's datagrams, out and in."""
+
+    def __init__(self, fleet: str, most_senders: int) -> None:
+        self.fleet = fleet
+        self.dropped: Counter[Drop] = Counter()
+        self._number = 0
+        self._most = most_senders
+        self._seen: dict[tuple[str, int], Seen] = {}
+
+    def encode(self, sender: Sender, message: Message) -> bytes | None:
+        """The datagram; None where it would be too large."""
+        self._number += 1
+        data = _PREFIX + _encoder.encode(
+            (
+                self.fleet, sender.name, sender.start, sender.incarnation, self._number, int(message.kind),
+                message.number, message.about, message.address,
+                [(each.name, each.address, int(each.status), each.start, each.incarnation, each.by)
+                 for each in message.facts],
+            )
+        )  # fmt: skip
+        if len(data) > LARGEST:
+            self.dropped[Drop.LARGE] += 1
+            return None
+        return data
+
+    def decode(self, data: bytes, address: str) -> Received | None:
+        """What a datagram says; None where it was dropped, and counted."""
+        told = self._open(data)
+        if isinstance(told, Drop):
+            self.dropped[told] += 1
+            return None
+        facts = tuple(
+            Fact(each.name, each.address, Status(each.status), each.start, each.incarnation, each.by)
+            for each in told.facts
+        )
+        message = Message(Kind(told.kind), told.asked, told.about, told.address, facts)
+        return Received(Sender(told.sender, told.start, told.incarnation, address), message)
+
+    def _open(self, data: bytes) -> Envelope | Drop:
+        if len(data) > LARGEST:
+            return Drop.LARGE
+        if len(data) < 5 or not data.startswith(MAGIC):
+            return Drop.GARBLED
+        if data[3] != VERSION:
+            return Drop.VERSION
+        try:
+            told = _decoder.decode(memoryview(data)[4:])
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+            return Drop.GARBLED
+        if told.fleet != self.fleet:
+            return Drop.FLEET
+        return told if self._takes((told.sender, told.start), told.number) else Drop.REPLAYED
+
+    def _takes(self, process: tuple[str, int], number: int) -> bool:
+        """No datagram of a process twice.
+
+        Danger: who forges names would have us keep them all; the process heard of the longest ago leaves.
+        """
+        seen = self._seen.pop(process, None)
+        taken = seen is None or seen.takes(number)
+        self._seen[process] = seen or Seen(number)
+        if len(self._seen) > self._most:
+            del self._seen[next(iter(self._seen))]
+        return taken
--- /dev/null
+++ b/tests/test_peer_processes.py
@@ -0,0 +1,117 @@
+"""Real processes of the program that know each other, with faults between them that the stage's own links inject.
+
+Nothing here depends on how fast it goes: each story waits until all instances say what must come true, and then looks
+at what was said meanwhile. How long it takes is measured by `bench/peers.py`.
+"""
+
+from __future__ import annotations
+
+import json
+import signal
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from canvasbeam.cli.commands import cli
+from canvasbeam.lab.links import PeerFleet
+from tests.peering import Held
+
+NAMES = ("n0", "n1", "n2", "n3", "n4")
+
+
+@pytest.fixture
+def fleet(tmp_path: Path) -> Iterator[PeerFleet]:
+    made = PeerFleet(len(NAMES) + 1, tmp_path)  # the last place stays free
+    held = Held(made.board.links.zones)
+    held.cuts = set()
+    made.board.links = held
+    try:
+        for name in NAMES:
+            made.start(name)
+        made.until(made.agree)
+        yield made
+    finally:
+        made.close()
+
+
+def links(fleet: PeerFleet) -> Held:
+    assert isinstance(fleet.board.links, Held)
+    return fleet.board.links
+
+
+def row(fleet: PeerFleet, of: str, name: str) -> dict[str, object]:
+    found = [each for each in fleet.members[of].told["members"] if each["name"] == name]
+    return dict(found[0])
+
+
+def test_kill_return_and_planned_end_are_known_to_all(fleet: PeerFleet) -> None:
+    fleet.signal("n1", signal.SIGKILL)
+    fleet.until(lambda: fleet.all_know_gone("n1"))
+    assert {row(fleet, name, "n1")["state"] for name in NAMES if name != "n1"} == {"dead"}
+    fleet.start("n1", clock_s=-3600)  # nothing kept, and a clock that is an hour behind
+    fleet.until(fleet.agree)
+    # Its clock gives a lower start than what was said of it: it takes its name by a higher one.
+    assert fleet.counted("an earlier process of this name started later by its clock") == 1
+    fleet.signal("n0", signal.SIGTERM)  # a seed
+    fleet.until(lambda: fleet.all_know_gone("n0"))
+    assert {row(fleet, name, "n0")["state"] for name in NAMES if name != "n0"} == {"left"}
+    done = CliRunner().invoke(cli, ["peers", "{}:{}".format(*fleet.members["n2"].mgmt), "--json"])
+    assert json.loads(done.output)["gone"] == ["n0"]
+
+
+def test_a_fleet_in_two_parts_goes_on_and_heals(fleet: PeerFleet) -> None:
+    few, many = ("n0", "n1"), ("n2", "n3", "n4")
+    links(fleet).cuts = {pair for one in few for other in many for pair in ((one, other), (other, one))}
+    fleet.until(lambda: all(fleet.view(each) == list(few) for each in few))
+    fleet.until(lambda: all(fleet.view(each) == list(many) for each in many))
+    links(fleet).cuts.clear()
+    fleet.until(fleet.agree)
+    # Nobody was called dead by one of its own part.
+    for name in NAMES:
+        part = few if name in few else many
+        log = (fleet.folder / f"{name}.log").read_text()
+        assert not [each for each in part if f"member {each}: dead" in log], log
+
+
+def test_who_hears_nobody_says_so_while_the_others_hear_it(fleet: PeerFleet) -> None:
+    links(fleet).cuts = {(name, "n3") for name in NAMES if name != "n3"}
+    fleet.until(lambda: fleet.members["n3"].told["silent_s"] is not None)
+    assert fleet.members["n3"].told["sure"] == 0
+    assert len(fleet.view("n3")) == len(NAMES)  # it suspects itself first
+    fleet.until(lambda: fleet.all_know_gone("n3"))  # it answers nobody
+    links(fleet).cuts.clear()
+    fleet.until(fleet.agree)
+    assert not fleet.counted("nothing heard at all")
+
+
+def test_who_was_stopped_wakes_and_calls_nobody_dead(fleet: PeerFleet) -> None:
+    fleet.signal("n2", signal.SIGSTOP)
+    fleet.until(lambda: fleet.all_know_gone("n2"))
+    before = (fleet.folder / "n2.log").read_text()
+    fleet.signal("n2", signal.SIGCONT)
+    fleet.until(fleet.agree)
+    said = (fleet.folder / "n2.log").read_text()[len(before) :]
+    assert "incarnation" in said  # it heard what it was called, and refuted it
+    assert ": dead, before" not in said
+
+
+def test_a_rough_network_kills_nobody(fleet: PeerFleet) -> None:
+    held = links(fleet)
+    held.loss, held.doubled, held.late_ms = 0.2, 0.3, 20.0
+    fleet.until(lambda: min(fleet.members[name].told["taken"]["datagrams"] for name in NAMES) > 150)
+    dropped = [fleet.members[name].told["dropped"] for name in NAMES]
+    assert all(each["replayed"] > 0 for each in dropped)
+    held.loss = held.doubled = held.late_ms = 0.0
+    fleet.until(fleet.agree)
+    assert not fleet.counted(": dead, before")
+
+
+def test_of_two_processes_with_one_name_the_newer_is_the_member(fleet: PeerFleet) -> None:
+    fleet.start("n5", called="n1")
+    fleet.until(lambda: fleet.members["n1"].told["me"]["state"] == "displaced")
+    address = fleet.board.known("n5")
+    fleet.until(lambda: all(row(fleet, name, "n1")["address"] == address for name in ("n0", "n2", "n3", "n4")))
+    assert fleet.members["n5"].told["me"]["state"] == "member"
+    assert "a newer process of this name answers" in (fleet.folder / "n1.log").read_text()
