--- a/canvasbeam/decide/membership.py
+++ b/canvasbeam/decide/membership.py
@@ -153,7 +153,7 @@
 class Terms:
     """Times in nanoseconds, counts and bytes."""
 
-    period: int = 125 * MS  # between probes
+    period: int = 200 * MS  # between probes
     rtt: int = 60 * MS  # an answer is out so long before others are asked to try
     probe: int = 250 * MS  # and so long before the probe has failed, longer by our own health
     helpers: int = 3
@@ -266,7 +266,7 @@
         self._join_wait = terms.join
         self._next_probe = now + self._drawn(terms.period)
         self._next_news = now
-        self._next_revive = now + self._drawn(terms.join if self.seeds else terms.revive)
+        self._next_revive = now
         self._next_tidy = now + SECOND
         self._next_challenge = 0
         self._wake = now
@@ -344,7 +344,8 @@
 
     def _next(self) -> int:
         terms = self.terms
-        times: list[float] = [self._next_probe, self._next_revive, self._next_tidy]
+        # The dead, the seeds and the forgetting have their turn with the probes: each wake costs more than its work.
+        times = [self._next_probe]
         if self._rumours:
             times.append(self._next_news)
         for probe in self._probes.values():
@@ -352,7 +353,7 @@
         times += [each.until for each in self._relays.values()]
         times += [self._judged_at(each) for each in self._suspects.values()]
         # Never in the past: what could not be done now is looked at again a little later.
-        return max(int(min(times)), self._now + MS)
+        return max(min(times), self._now + MS)
 
     def _drawn(self, span: int) -> int:
         return round(span * self._rng.random())
--- a/canvasbeam/lab/deployment.py
+++ b/canvasbeam/lab/deployment.py
@@ -75,7 +75,8 @@
             "reportX0": "free slots",
         },
         "policyLimits": {
-            "cancel": True, "probes": workers.probes, "peers": False, "secondCopies": scenario.schedulers.second_copies,
+            "cancel": True, "probes": workers.probes, "peers": scenario.schedulers.peers,
+            "secondCopies": scenario.schedulers.second_copies,
             "retryAfter": scenario.schedulers.retry_after,
             "mostTries": scenario.schedulers.max_attempts, "maxOpen": 20_000,
             "maxRetryAfterNs": round(scenario.clients.most_wait_s * SECOND),
--- a/canvasbeam/lab/model/links.py
+++ b/canvasbeam/lab/model/links.py
@@ -13,8 +13,8 @@
 
 import msgspec
 
-from canvasbeam.lab.model.worker import MS, SECOND
-
+MS = 1_000_000
+SECOND = 1_000 * MS
 Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
 NotNegative = Annotated[float, msgspec.Meta(ge=0)]
 LinkKind = Literal["cut", "lose", "delay", "duplicate", "reorder", "throttle"]
--- a/canvasbeam/lab/model/spec.py
+++ b/canvasbeam/lab/model/spec.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from canvasbeam.lab.model import links
+
 Positive = Annotated[float, msgspec.Meta(gt=0)]
 NotNegative = Annotated[float, msgspec.Meta(ge=0)]
 Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
@@ -135,6 +137,8 @@
     max_attempts: Count = 3
     second_copies: bool = True
     retry_after: bool = True
+    peers: bool = False  # they know each other; their datagrams pass the scenario's links
+    clock_s: tuple[float, ...] = ()  # how far off the wall clock of the first, the second and so on is
     pass_ms: NotNegative = 0.2  # simulated: what comes in so soon after another goes into one pass
 
 
@@ -162,7 +166,7 @@
 
 FaultKind = Literal[
     "crash", "slow", "fast_errors", "burst", "shared_slow", "silent", "breaking", "drain", "stale_discovery",
-    "pause", "scheduler_kill", "scheduler_restart", "cut", "heavy_tail",
+    "pause", "scheduler_kill", "scheduler_restart", "scheduler_stop", "cut", "heavy_tail",
 ]  # fmt: skip
 
 
@@ -214,6 +218,7 @@
     discovery: DiscoverySpec = DiscoverySpec()
     network: Network = Network()
     faults: tuple[FaultSpec, ...] = ()
+    links: tuple[links.LinkFault, ...] = ()  # faults between schedulers that know each other
 
 
 # Faults that need a size, and what it must be.
@@ -266,6 +271,8 @@
             rule(bool(fault.part or fault.targets or fault.zone), key, "must say part, zone or targets")
         rule(not fault.zone or fault.zone in zones, f"{key}.zone", "must be one of zones")
         rule(fault.at_s < scenario.length_s, f"{key}.at_s", "must lie before length_s")
+    rule(scenario.schedulers.peers or not scenario.links, "links", "must have schedulers.peers = true")
+    found += links.problems(scenario.links, zones)
     for key, span in _spans(scenario):
         rule(not isinstance(span, tuple) or span[0] <= span[1], key, "must go from the smaller to the larger")
         rule((span[0] if isinstance(span, tuple) else span) >= 0, key, "must not be negative")
--- a/canvasbeam/lab/report.py
+++ b/canvasbeam/lab/report.py
@@ -47,6 +47,7 @@
 .good { border-color: #009E73; } .bad { border-color: #D55E00; background: #fff4ee; }
 svg { width: 100%; height: auto; }
 pre { background: #fff4ee; border: 1px solid #D55E00; padding: .8rem; overflow-x: auto; font-size: 13px; }
+pre.strip { background: #f6f6f6; border-color: #ddd; line-height: 1.2; }
 table { border-collapse: collapse; margin: .5rem 0; } td, th { padding: .25rem .8rem; text-align: right; }
 th:first-child, td:first-child { text-align: left; } tr:nth-child(even) { background: #f6f6f6; }
 """
@@ -312,6 +313,11 @@
     notes = [f"{at:.1f} s: {text}" for each in several for at, text in each.marks]
     if notes:
         parts.append(f"<pre>{html.escape(chr(10).join(notes))}</pre>")
+    for each in several:
+        if each.strip:
+            drawn = f"<pre class=\"strip\">{html.escape(chr(10).join(each.strip))}</pre>"
+            parts.append(_part("Who could hear whom", drawn, "A sign for each second: # all others, + at least half of "
+                               "them, . fewer, _ nobody, x the process does not run."))  # fmt: skip
     parts.append(_part("Service over time", service_over_time(several), "Worth answered in time over worth asked for, "
                        "over three seconds. What goes wrong is drawn in."))  # fmt: skip
     for each in several if len(several) <= 2 else ():
--- a/canvasbeam/lab/result.py
+++ b/canvasbeam/lab/result.py
@@ -124,6 +124,7 @@
     traffic: list[WorkerRow] = []
     faults: list[FaultRow] = []
     marks: list[tuple[float, str]] = []
+    strip: list[str] = []  # who could hear whom, second by second, where schedulers know each other
     broken: list[BrokenRow] = []
     broken_count: int = 0
 
@@ -211,6 +212,17 @@
         """A change of the timetable that will be played."""
         self._steps.append(step)
 
+    def away(self) -> dict[str, list[tuple[float, float]]]:
+        """When each scheduler was killed, ended or stopped, and until when, in seconds of the run."""
+        found: dict[str, list[tuple[float, float]]] = {}
+        for step in sorted(self._steps, key=lambda each: each.at_ns):
+            if step.what in ("kill", "term", "stop"):
+                found.setdefault(step.member, []).append((step.at_ns / SECOND, self._scenario.length_s + 1))
+            elif step.what in ("start", "go_on") and found.get(step.member):
+                begun, _ = found[step.member][-1]
+                found[step.member][-1] = (begun, step.at_ns / SECOND)
+        return found
+
     def mark(self, at: int, text: str) -> None:
         """Something to draw into the pictures."""
         self._marks.append((round((at - self.begun) / SECOND, 3), text))
--- a/canvasbeam/lab/scenario.py
+++ b/canvasbeam/lab/scenario.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from canvasbeam.lab.model import spec
+from canvasbeam.lab.model import links, spec
 
 Table = dict[str, Any]
 SHIPPED = Path(__file__).resolve().parents[2] / "scenarios"
@@ -117,11 +117,11 @@
 
 def _fields_at(key: str) -> list[str]:
     """The keys that may stand at this place."""
-    kinds: dict[str, type[spec.Part]] = {
+    kinds: dict[str, type[msgspec.Struct]] = {
         "": spec.Scenario, "fleet": spec.Fleet, "fleet.models": spec.MachineModel, "classes": spec.JobClassSpec,
         "departments": spec.Department, "traffic": spec.Traffic, "clients": spec.Clients,
         "schedulers": spec.Schedulers, "discovery": spec.DiscoverySpec, "network": spec.Network,
-        "faults": spec.FaultSpec,
+        "faults": spec.FaultSpec, "links": links.LinkFault,
     }  # fmt: skip
     kind = kinds.get(re.sub(r"\[[^]]*\]", "", key))
     return list(kind.__struct_fields__) if kind else []
--- a/canvasbeam/lab/stage.py
+++ b/canvasbeam/lab/stage.py
@@ -16,6 +16,7 @@
 from canvasbeam.lab.model.clients import Audience, Front, Try
 from canvasbeam.lab.model.draw import Chance, Stream
 from canvasbeam.lab.model.ledger import Ledger, What
+from canvasbeam.lab.model.links import Links, strip
 from canvasbeam.lab.model.registry import Listed, Registry
 from canvasbeam.lab.model.worker import SECOND, Machine, Said
 from canvasbeam.lab.result import Recorder, Result
@@ -110,6 +111,10 @@
         self.jobs = draw.jobs(scenario, self.machines, self.chance) if jobs is None else jobs
         zone_of = {each.name: each.zone for each in self.machines}
         self.ledger = Ledger(scenario, zone_of, {each.name: each.cell for each in self.machines})
+        zones = {faults.scheduler_name(place): scenario.zones[place % len(scenario.zones)]
+                 for place in range(scenario.schedulers.count)}  # fmt: skip
+        network = scenario.network
+        self.links = Links(zones, scenario.links, scenario.seed, network.same_ms, network.cross_ms, network.jitter)
         self.recorder = Recorder(scenario, self.machines, begun)
         self.cut_zones: dict[str, int] = {}
         self.actors: dict[str, Actor] = {
@@ -160,6 +165,14 @@
     def start(self, place: int) -> None:
         """Start a scheduler, again where the old one has ended or once it has."""
 
+    @abstractmethod
+    def freeze(self, place: int) -> bool:
+        """SIGSTOP to a scheduler; whether it ran."""
+
+    @abstractmethod
+    def thaw(self, place: int) -> bool:
+        """SIGCONT to a scheduler; whether it is there."""
+
     # --- discovery's view -------------------------------------------------------------------------
 
     def state_of(self, name: str) -> tuple[WorkerState, bool, int, float]:
@@ -198,7 +211,7 @@
     def carry_out(self, step: faults.Step) -> None:
         """One change of the timetable."""
         match step.what:
-            case "kill" | "term" | "start":
+            case "kill" | "term" | "start" | "stop" | "go_on":
                 self._scheduler_step(step, int(step.member.removeprefix("n")))
             case "stale" | "fresh":
                 self.registry.stale(step.what == "stale")
@@ -253,6 +266,14 @@
         elif step.what == "term":
             if self.term(place):
                 self.front.leaves(place, self.now())
+        elif step.what == "stop":
+            if self.freeze(place):
+                self.ledger.stopped(step.member, self.now())
+                self.front.died(place, self.now())
+        elif step.what == "go_on":
+            if self.thaw(place):
+                self.ledger.goes_on(step.member, self.now())
+                self.front.back(place, self.now())
         else:
             self.start(place)
 
@@ -293,4 +314,7 @@
     def finish(self) -> Result:
         """Close the books."""
         self.ledger.close(self.now())
-        return self.recorder.result(self.engine, self.scenario, self.ledger, self.jobs)
+        result = self.recorder.result(self.engine, self.scenario, self.ledger, self.jobs)
+        if self.scenario.schedulers.peers:
+            result.strip = strip(self.links, int(self.scenario.length_s), self.recorder.away())
+        return result
--- a/canvasbeam/peers/settings.py
+++ b/canvasbeam/peers/settings.py
@@ -28,7 +28,7 @@
 class Periods(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """Times in seconds; `canvasbeam/decide/membership.py` says what each is for."""
 
-    probe_every: Positive = 0.125
+    probe_every: Positive = 0.2
     answer_within: Positive = 0.06
     probe_within: Positive = 0.25
     least_suspicion: Positive = 0.5
