Say once what the membership, its links and its file said twice; nothing behaves otherwise

Need: a last reading of the membership's change. Found: what a member must be told of itself was looked up in three places; a reach's two directions were one expression written twice; the operators' file repeated the decisions' default times, and the last change of one had to be made in both; the gate of a stopped scheduler needed a wrapper for actions that return something; a branch and an assignment that no state reaches; two names that nobody used.

Change: _on_name; _Reach._leads; Periods and Sizes take their defaults from Terms; the gate takes any action; the dead lines are gone, and the links take milliseconds from the worker's model as the rest of the laboratory does.

Measured: a fleet of 8 under cuts, losses, a stop, a kill and a planned end tells the same 250 changes and sends the same datagrams, and the scenario `parted` has the same result, before and after, by hash. The file's defaults equal the decisions'. 218 tests of the parts touched pass.

--- a/bench/peers.py
+++ b/bench/peers.py
@@ -410,9 +410,8 @@
 ) -> None:
     """Real instances on loopback, and faults between them."""
     look = 0.02 if count <= 10 else 0.25
-    faults: list[LinkFault] = []
     with tempfile.TemporaryDirectory() as folder:
-        fleet = PeerFleet(count, Path(folder), faults, look_every_s=look)
+        fleet = PeerFleet(count, Path(folder), look_every_s=look)
         row: Row = {"instances": count}
         try:
             _play(fleet, row, kills, heals, cut_s, loss_s, quarter_s)
--- a/canvasbeam/decide/membership.py
+++ b/canvasbeam/decide/membership.py
@@ -326,7 +326,6 @@
         self._probes = {number: each for number, each in self._probes.items() if not each.counts}
         for member in self._suspects.values():
             member.since += late
-        self._next_probe = max(self._next_probe, now)
 
     def _on_time(self) -> None:
         now = self._now
@@ -434,6 +433,11 @@
         """What a member must be told of itself, so that it can refute it."""
         return (member.fact,) if member.fact.status in (Status.SUSPECT, Status.DEAD) else ()
 
+    def _on_name(self, name: str) -> tuple[Fact, ...]:
+        """The same for a name, which may be nobody's here."""
+        member = self.members.get(name)
+        return self._on_it(member) if member else ()
+
     def _correct(self, member: Member) -> None:
         if self._on_it(member) and self._now - member.corrected >= self.terms.rtt:
             member.corrected = self._now
@@ -495,9 +499,7 @@
         self._number = self._number + 1 & 0xFFFFFFFF
         until = self._now + self.terms.probe - self.terms.rtt
         self._relays[self._number] = Relay(sender.address, message.number, message.about, until)
-        member = self.members.get(message.about)
-        facts = self._on_it(member) if member else ()
-        self._tell(message.address, Message(Kind.PING, self._number, message.about), facts)
+        self._tell(message.address, Message(Kind.PING, self._number, message.about), self._on_name(message.about))
 
     # --- what is said of members ------------------------------------------------------------------
 
@@ -605,7 +607,7 @@
         terms = self.terms
         others = max(1, self._count() - 1)
         wanted = min(terms.confirmers, others)
-        share = log(min(max(1, len(member.confirmers)), wanted + 1)) / log(wanted + 1) if wanted else 1.0
+        share = log(min(max(1, len(member.confirmers)), wanted + 1)) / log(wanted + 1)
         span = terms.most_suspicion - share * (terms.most_suspicion - terms.least_suspicion)
         span *= (1 + self.health / 4) * (1 + len(self._rumours) / MUCH_NEWS)
         return round(max(member.since, member.heard) + span)
@@ -715,9 +717,7 @@
     def _ping(self, name: str, address: str, counts: bool) -> None:
         self._number = self._number + 1 & 0xFFFFFFFF
         self._probes[self._number] = Probe(name, address, self._now, counts)
-        member = self.members.get(name)
-        facts = self._on_it(member) if member else ()
-        self._tell(address, Message(Kind.PING, self._number, name), facts)
+        self._tell(address, Message(Kind.PING, self._number, name), self._on_name(name))
 
     def _time_probes(self) -> None:
         for number, probe in tuple(self._probes.items()):
@@ -728,9 +728,7 @@
             elif probe.counts and not probe.asked and out >= self.terms.rtt:
                 probe.asked = True
                 # Once more ourselves, too: most often a single datagram got lost.
-                member = self.members.get(probe.name)
-                facts = self._on_it(member) if member else ()
-                self._tell(probe.address, Message(Kind.PING, number, probe.name), facts)
+                self._tell(probe.address, Message(Kind.PING, number, probe.name), self._on_name(probe.name))
                 for helper in self._others(self.terms.helpers, probe.name):
                     probe.helpers += 1
                     self._tell(helper.fact.address, Message(Kind.ASK, number, probe.name, probe.address), ())
--- a/canvasbeam/lab/engine_sim.py
+++ b/canvasbeam/lab/engine_sim.py
@@ -87,9 +87,9 @@
         self._order = 0
         self.stopped = False
         self.frozen = False  # by SIGSTOP: what comes waits
-        self._waiting: list[Callable[[], None]] = []
+        self._waiting: list[Callable[[], object]] = []
 
-    def gate(self, action: Callable[[], None]) -> None:
+    def gate(self, action: Callable[[], object]) -> None:
         """What comes from outside, or is due: at once, or once the process goes on."""
         if self.frozen:
             self._waiting.append(action)
@@ -321,7 +321,7 @@
 
     def begin_end(self) -> None:
         """SIGTERM: what cannot be answered in time is refused, and all is answered before the kill."""
-        self.loop.gate(lambda: void(self.core.begin_end()))
+        self.loop.gate(self.core.begin_end)
         if self.world.peers is not None:
             self.world.peers.leave(self.name)
         self.world.queue.after(nanoseconds(self.limits.leave), partial(self.leave, self.starts))
@@ -768,10 +768,6 @@
         return self.finish()
 
 
-def void(_: object) -> None:
-    """For an action whose answer nobody wants."""
-
-
 # The names under which the program knows the values of a load report.
 REPORT = {"qps": "served_per_s", "util": "busy_share", "eps": "errors_per_s", "x0": "free_slots"}
 
--- a/canvasbeam/lab/links.py
+++ b/canvasbeam/lab/links.py
@@ -287,6 +287,3 @@
 
 def _nothing(_: ServerConnection) -> None:
     pass
-
-
-__all__ = ["Member", "PeerFleet", "Switchboard"]
--- a/canvasbeam/lab/model/links.py
+++ b/canvasbeam/lab/model/links.py
@@ -13,8 +13,8 @@
 
 import msgspec
 
-MS = 1_000_000
-SECOND = 1_000 * MS
+from canvasbeam.lab.model.worker import MS, SECOND
+
 Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
 NotNegative = Annotated[float, msgspec.Meta(ge=0)]
 LinkKind = Literal["cut", "lose", "delay", "duplicate", "reorder", "throttle"]
@@ -88,10 +88,13 @@
             return one != two and (not self.fault.one_way or one < two)
         if self.first is None:
             return True
-        second = self.second if self.second is not None else None
-        there = sender in self.first and (receiver in second if second is not None else receiver not in self.first)
-        back = receiver in self.first and (sender in second if second is not None else sender not in self.first)
-        return there or (back and not self.fault.one_way)
+        return self._leads(self.first, sender, receiver) or (
+            not self.fault.one_way and self._leads(self.first, receiver, sender)
+        )
+
+    def _leads(self, first: frozenset[str], one: str, other: str) -> bool:
+        """Whether it is from the first to the second, or to all the rest where no second is named."""
+        return one in first and (other not in first if self.second is None else other in self.second)
 
 
 @dataclass(slots=True)
--- a/canvasbeam/peers/carrier.py
+++ b/canvasbeam/peers/carrier.py
@@ -29,7 +29,6 @@
 LINES_PER_S = 4  # of changes in the log; the rest is counted
 BIND_AGAIN = seconds(0.2)  # while an older process of this name still has the address
 LAST_WORDS = seconds(0.3)  # from the planned end's announcement to the socket's close
-MS = membership.MS
 
 
 class Carrier(Endpoint):
--- a/canvasbeam/peers/settings.py
+++ b/canvasbeam/peers/settings.py
@@ -25,23 +25,26 @@
     """A file that cannot be used; the message names file, key and rule."""
 
 
+DEFAULT = Terms()
+
+
 class Periods(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """Times in seconds; `canvasbeam/decide/membership.py` says what each is for."""
 
-    probe_every: Positive = 0.2
-    answer_within: Positive = 0.06
-    probe_within: Positive = 0.25
-    least_suspicion: Positive = 0.5
-    most_suspicion: Positive = 1.0
-    deaf_after: Positive = 1.0
-    forget_dead: Positive = 600.0
-    forget_left: Positive = 60.0
+    probe_every: Positive = DEFAULT.period / SECOND
+    answer_within: Positive = DEFAULT.rtt / SECOND
+    probe_within: Positive = DEFAULT.probe / SECOND
+    least_suspicion: Positive = DEFAULT.least_suspicion / SECOND
+    most_suspicion: Positive = DEFAULT.most_suspicion / SECOND
+    deaf_after: Positive = DEFAULT.deaf / SECOND
+    forget_dead: Positive = DEFAULT.forget / SECOND
+    forget_left: Positive = DEFAULT.forget_left / SECOND
 
 
 class Sizes(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """Counts: members kept, datagrams a second."""
 
-    members: Count = 1_000
+    members: Count = DEFAULT.members
     sent_per_s: Count = 300
     taken_per_s: Count = 600
     taken_per_s_of_one: Count = 150
