No attempt begins for a client that has gone, wherever it left

Seen (reading, then a test over sockets for each): (1) a client whose connection held bytes behind an open request was not read, so its end stood unseen until its answer (listener.py, read(not _unfed)); (2) a request and its client's end read in one pass: the request was sent on, the end seen in the next; (3) a forward whose last byte is held back as proof, or for which the kernel had no room, counted as written: where the settings permit no cancel nothing stopped it (core._settle asked `written is None`); (4) the last byte was written without asking whether the repeat window and the client's time still allow it (forward._write_last).

Ruled out by the same tests, which pass on the code before: held requests with nothing behind, the pass in which a target becomes free, between two attempts, before a repeat, after SIGTERM, settings that permit cancels.

Mended in shared places: an answered request stops whatever is not whole; `may_finish` is asked again at the last byte (for drains a send counts from its first, so liveness is not); a client is read on within the size of one read, and past that the kernel is asked every 50 ms whether its end has come (TCP_INFO).

Of the 43 tests 14 fail on the code before: flood behind a held request, left before it was read (3), last byte held without cancel (6), part in the kernel (3), window (1).

The laboratory's scheduler that runs jobs twice on purpose now ignores `may_finish` too: the new check alone kept it honest, and its test found nothing to catch.

--- a/canvasbeam/net/core.py
+++ b/canvasbeam/net/core.py
@@ -338,12 +338,17 @@
 
         Guards against what changed between the module's decision and the connection that was waited for.
         """
+        return self._is_live(attempt.target) and self.may_finish(attempt)
+
+    def may_finish(self, attempt: Attempt) -> bool:
+        """Whether a forward may still be written to its last byte, which makes it an attempt.
+
+        For drains a send counts from its first byte, so the target's state is not asked again.
+        """
         request = attempt.request
         cls = self._classes[request.job_class]
         if request.answered or attempt.outcome is not None or self.loop.now >= request.due:
             return False
-        if not self._is_live(attempt.target):
-            return False
         others = [each for each in request.risky() if each is not attempt and each.written is not None]
         if any(each.outcome is None for each in others) and not self.settings.limits.second_copies:
             return False
@@ -595,12 +600,16 @@
         log.info("%s %s, %.3f s left, tried: %s", request.job_class, answer.kind.value, left, tried or "none")
 
     def _settle(self, request: Request) -> None:
-        """Nothing is owed from here on; a forward still waiting for its connection is stopped."""
+        """Nothing is owed from here on; a forward that was not written whole is stopped.
+
+        Guards against an attempt for a client that has left: it begins with its last byte, which may still wait
+        here for its connection, as proof that it never ran, or for room in the kernel.
+        """
         self.pending -= not request.answered
         request.answered = True
         self.loop.cancel(request.deadline)
         for attempt in request.out():
-            if attempt.written is None:
+            if not attempt.whole:
                 self._moot(attempt)
         self._forget(request)
 
--- a/canvasbeam/net/forward.py
+++ b/canvasbeam/net/forward.py
@@ -268,7 +268,11 @@
 
     def _write_last(self) -> None:
         if self._held and self.attempt is not None:
-            if self.is_quiet():
+            if not self.owner.core.may_finish(self.attempt):
+                # Guards the repeat window and the client's time, which go on while the last byte is held.
+                self._finish(Outcome.MOOT)
+                self.close()
+            elif self.is_quiet():
                 last, self._held = self._held, b""
                 self.write(last)
             else:  # what has come is read in this pass, and may be the connection's end
--- a/canvasbeam/net/limits.py
+++ b/canvasbeam/net/limits.py
@@ -82,6 +82,7 @@
     client_silent: timedelta = seconds(2)  # from a connection's start to its first byte
     client_request: timedelta = seconds(2.4)  # from there, or from a later request's first byte, to its last
     client_grace: timedelta = seconds(0.25)  # nobody leaves for a newcomer sooner
+    client_look: timedelta = seconds(0.05)  # for the end of a client whose bytes are not read now
     client_write: timedelta = seconds(10)
     linger: timedelta = seconds(2)
     accept_pause: timedelta = seconds(0.05)
--- a/canvasbeam/net/listener.py
+++ b/canvasbeam/net/listener.py
@@ -257,6 +257,7 @@
         self._head_size = 0
         self._framed_size = 0
         self._bodies = 0  # bytes of bodies counted for this connection
+        self._looks: Deadline | None = None  # for an end behind bytes that are not read
         self.since = self.loop.now  # when its stage last changed
         self._wait = self.loop.after(self._limits.client_silent, self._timed_out, self)
 
@@ -293,8 +294,13 @@
     # --- reading ----------------------------------------------------------------------------------
 
     def on_data(self, data: bytes) -> None:
+        before = self._request
         self._unfed += data
         self._go_on()
+        if self._request is not None and self._request is not before and self._reading and not self.closed:
+            # Guards against an attempt for a client that had left before its request was read: the end stands
+            # right behind the request, and is seen in this pass, before anything is sent.
+            self._read_in()
 
     def _go_on(self) -> None:
         """Parse and take up what has come.
@@ -308,8 +314,26 @@
         else:
             self.loop.after(ZERO, self._go_on, self)
         if not self.closed:
-            # Guards memory: while one request waits for its turn, what follows stays with the client.
-            self.read(not self._unfed)
+            self._read_ahead()
+
+    def _read_ahead(self) -> None:
+        """Read on behind an open request, for the connection's end is seen in no other way.
+
+        Guards memory too: past one read's size what follows stays with the client. Then the kernel alone knows
+        of an end, and is asked. A client that shut only its sending looks the same as one that has closed, and
+        the protocol knows only the latter: both have gone.
+        """
+        self._read_size = self._limits.client_read - len(self._unfed)
+        self.read(self._read_size > 0)
+        if self._read_size <= 0 and self._looks is None:
+            self._looks = self.loop.after(self._limits.client_look, self._look_for_end, self)
+
+    def _look_for_end(self) -> None:
+        self._looks = None
+        if self.has_ended():
+            self.on_eof()
+        else:
+            self._read_ahead()
 
     def _feed(self) -> None:
         """Parse until a request is whole. Pieces are small, as each may hold many requests."""
--- a/canvasbeam/net/loop.py
+++ b/canvasbeam/net/loop.py
@@ -25,6 +25,8 @@
 T = TypeVar("T")
 # Linux alone has it; elsewhere acknowledgements come as they come.
 QUICKACK: int | None = getattr(socket, "TCP_QUICKACK", None)
+TCP_INFO: int | None = getattr(socket, "TCP_INFO", None)
+ENDED = (7, 8)  # TCP_CLOSE and TCP_CLOSE_WAIT, Linux's numbers of the states after the peer's end
 SLOT_BITS = 20
 SLOT_MASK = (1 << SLOT_BITS) - 1
 
@@ -180,6 +182,15 @@
             return False
         return False
 
+    def has_ended(self) -> bool:
+        """Whether the peer's end has come, also behind bytes that were not read."""
+        if TCP_INFO is None:
+            return False
+        try:
+            return self.sock.getsockopt(socket.IPPROTO_TCP, TCP_INFO, 1)[0] in ENDED
+        except OSError:
+            return False
+
     def on_event(self, mask: int) -> None:
         """Finish connecting, write, then read."""
         if not self.connected:
--- a/tests/lab.py
+++ b/tests/lab.py
@@ -79,6 +79,9 @@
         self._dispatcher = _Eager(self.settings, 1)
 
     def may_send(self, attempt: Any) -> bool:
+        return self.may_finish(attempt)
+
+    def may_finish(self, attempt: Any) -> bool:
         return not attempt.request.answered and attempt.outcome is None
 
 
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -103,7 +103,12 @@
 class World:
     """Loop, core, listener and forwarder, wired as the program wires them."""
 
-    def __init__(self, *servers: Server, limits: Limits | None = None, **changes: Any) -> None:
+    def __init__(
+        self, *servers: Server, limits: Limits | None = None, allowed: ci.Limits | None = None, **changes: Any
+    ) -> None:
+        """`limits` are the program's own, `allowed` the settings'; `changes` are other settings."""
+        if allowed is not None:
+            changes["limits"] = allowed
         base = {"client_connections": 8, "target_connections": 8, "come_back": timedelta(seconds=2)}
         self.limits = limits or Limits(**base)  # type: ignore[arg-type]
         self.loop = Loop(self.limits.slow_pass)
