Call discovery often enough that a change is told in 6 s, whatever calls failed before

The bound is now derived: Limits.list_gap = told_within - list_answer (6 s - 1 s) is the longest from the start of a call that fails to the start of the next, so what discovery had after the first began is told by the next. Every pause is cut by it (target_group._failed), first calls are spread within it, and Limits that wait longer are refused. The watch's hold is 3 s instead of 5. Pushed lists come from an agent on this machine, to which calls cost nothing (PROTOCOL): back-off by the number of schedulers is kept for asked lists alone.

Ruled out by tests that pass before and after: a reset just before a drain, SIGHUP as a watch stands, fails or answers.

--- a/canvasbeam/net/limits.py
+++ b/canvasbeam/net/limits.py
@@ -94,12 +94,16 @@
     end_advice: timedelta = seconds(0.05)  # to whom the ending process turns away: another may take it at once
     slow_pass: timedelta = seconds(0.02)  # a pass that takes longer is told in the log
     figures_every: timedelta = seconds(5)  # between lines of figures in the log
+    # A change counts as told so long after discovery had it and could be reached, whatever calls failed before; of
+    # it discovery itself is left the second, from a call to its answer. See `list_gap`.
+    told_within: timedelta = seconds(6)
+    list_answer: timedelta = seconds(1)
     list_wait: timedelta = seconds(1)
     # Where lists must be asked for and all schedulers together hold more lines than this, their first calls are
     # spread over so long.
     spared_lines: int = 500
     list_spread: timedelta = seconds(1)
-    watch_hold: timedelta = seconds(5)
+    watch_hold: timedelta = seconds(3)
     watch_slack: timedelta = seconds(1)  # past its hold, a watch is stuck
     watch_gap: timedelta = seconds(0.02)  # between calls that bring nothing and come back at once
     watch_retry: timedelta = seconds(0.1)  # after the first failed call; twice as long after each more
@@ -111,6 +115,20 @@
     mgmt_call: timedelta = seconds(2)  # from a connection's start to its whole call
     mgmt_linger: timedelta = seconds(1)  # from the answer to the close
 
+    def __post_init__(self) -> None:
+        """No wait for an answer may be longer than the time from one call to discovery to the next."""
+        if max(self.list_wait, self.watch_hold + self.watch_slack) + self.watch_retry > self.list_gap:
+            raise ValueError("the waits for discovery's answers leave a change untold for too long")
+
+    @property
+    def list_gap(self) -> timedelta:
+        """The longest from the start of a call to discovery that fails to the start of the next.
+
+        A change that discovery has, and could tell, at any moment after a call began is told by the next call: so
+        it is told within this and the time that the answer takes.
+        """
+        return self.told_within - self.list_answer
+
     @property
     def parting_advice(self) -> timedelta:
         """How long whom an ending process turns away is told to stay away, within the settings."""
@@ -129,6 +147,7 @@
         # The listener, discovery, the selector, the signal pair and the standard streams come first.
         rest = sockets - 48
         allowed, schedulers = settings.limits, settings.dispatchers
+        asking = schedulers if settings.discovery is ci.Discovery.ASKED else 1
         idle = allowed.idle_connection_ns
         kill = min(span_of(max(each.deadline_ns for each in settings.classes)), KILL_LONGEST) + KILL_SLACK
         return cls(
@@ -146,8 +165,9 @@
             leave=kill - seconds(0.1),
             # A first call was seen to take discovery a tenth of a second and more.
             list_spread=max(schedulers * seconds(0.2), seconds(1)),
-            # Calls wait in turn where many schedulers ask at once. To a discovery that fails all together make
-            # 10 to 20 a second, whatever their number, as long as no list grows too old by it.
-            list_wait=min(max(schedulers * seconds(0.1), seconds(1)), seconds(4)),
-            watch_retry_most=min(max(schedulers * seconds(0.1), seconds(0.5)), seconds(4)),
+            # Where lists are asked for, calls wait in turn where many schedulers ask at once. To a discovery that
+            # fails all together make 10 to 20 a second, whatever their number, as long as no list grows too old by
+            # it. Pushed lists come from an agent on this machine, which no call costs anything.
+            list_wait=min(max(asking * seconds(0.1), seconds(1)), seconds(4)),
+            watch_retry_most=min(max(asking * seconds(0.1), seconds(0.5)), seconds(4)),
         )
--- a/canvasbeam/net/target_group.py
+++ b/canvasbeam/net/target_group.py
@@ -116,7 +116,7 @@
         self._fails = 0  # calls in a row
         # Who has not asked for the rules' time counts as told; a call that failed leaves four times as long.
         ask_every = span_of(core.settings.rules.ask_every_ns) or limits.list_spread * 2
-        self._spread_most = ask_every * 0.9
+        self._spread_most = min(ask_every, limits.list_gap) * 0.9
         self._random = random.Random(whose)
 
     def start(self, known: Fields) -> None:
@@ -161,6 +161,7 @@
     def _ask(self) -> None:
         """The next call: the whole list first, then one watch after another."""
         self._wait = None
+        self._asked = self._loop.now
         path, patience = "/registry/instances", self._limits.list_wait
         if self._version is not None:
             hold = self._limits.watch_hold
@@ -174,7 +175,6 @@
         except OSError as error:
             self._failed(f"discovery is not reached: {error}")
             return
-        self._asked = self._loop.now
         host = f"{self.address[0]}:{self.address[1]}"
         # Guards against a watch that discovery never answers: the list would stand still unnoticed.
         self._wait = self._loop.after(patience, lambda: self.failed(connection, "discovery did not answer"))
@@ -211,8 +211,8 @@
         if is_whole or targets:
             kind = ci.ListKind.COMPLETE if is_whole else ci.ListKind.CHANGES
             self._core.listed(kind, targets, version)
-        # Guards against a spin where empty answers come back at once; the gap is far under the one allowed.
-        if not first and not targets and self._loop.now - self._asked < self._limits.watch_gap:
+        # Guards against a spin where answers come back at once; the gap is far under the one allowed.
+        if not first and self._loop.now - self._asked < self._limits.watch_gap:
             self._wait = self._loop.after(self._limits.watch_gap, self._ask)
         else:
             self._ask()
@@ -231,7 +231,10 @@
         first, grows, most = self._limits.watch_retry, 2.0, self._limits.watch_retry_most
         if self._spares():
             first, grows, most = self._limits.list_spread, 1.5, 2 * self._spread_most
-        pause = min(first * grows ** min(self._fails, LONGEST_DOUBLING), most) * self._random.uniform(0.5, 1.0)
+        # Guards the list: a change that this call missed counts as told, however many calls failed before it.
+        longest = max(self._asked + self._limits.list_gap - self._loop.now, self._limits.watch_retry)
+        pause = min(first * grows ** min(self._fails, LONGEST_DOUBLING), most, longest)
+        pause *= self._random.uniform(0.5, 1.0)
         self._fails += 1
         log.warning("%s; asked again in %.2f s", why, pause.total_seconds())
         self._loop.cancel(self._wait)
