End idle connections with a shutdown, and listen on until nobody waits, at a planned end

Seen by reading, then by tests over sockets, each instant forced by a hook or by two events in one pass: - an idle connection was closed right after the look at its buffer (leave_if_idle, _timed_out): a request that came between the two made the close a reset, over whatever the client had not read yet.

--- a/canvasbeam/net/listener.py
+++ b/canvasbeam/net/listener.py
@@ -119,8 +119,11 @@
     def on_event(self, mask: int) -> None:
         self.accept_all(self.limits.accepts_per_pass)
 
-    def accept_all(self, most: int) -> None:
-        """Accept who is there. The idle make room; when nobody can, the rest waits in the backlog."""
+    def accept_all(self, most: int) -> bool:
+        """Accept who is there; whether nobody waits any more.
+
+        The idle make room; when nobody can, the rest waits in the backlog.
+        """
         room: list[ClientConnection] | None = None
         for _ in range(most):
             leaves = None
@@ -129,11 +132,11 @@
                 leaves = self._next_to_leave(room)
                 if leaves is None:
                     self._pause()
-                    return
+                    return False
             try:
                 sock, _ = self.sock.accept()
             except (BlockingIOError, InterruptedError):
-                return
+                return True
             except OSError as error:
                 if error.errno in SCARCE:
                     # Guards against a spin: the listening socket stays readable while no descriptor is left.
@@ -142,12 +145,13 @@
                     self._pause()
                     if leaves is not None:
                         leaves.make_room()
-                    return
+                    return False
                 continue  # the client was gone before it was accepted
             # Only now that somebody has come: else a full table would lose a client for nobody.
             if leaves is not None:
                 leaves.make_room()
             ClientConnection(self, sock)
+        return False
 
     def _room(self) -> list[ClientConnection]:
         """Who could leave for a newcomer, the next one last: the silent, then who has been longest in its stage.
@@ -204,9 +208,13 @@
 
     def _end_window(self) -> None:
         """Take what already connected, then listen no more; who is connected stays."""
-        if not self.closed:
-            self.accept_all(self.limits.backlog)
+        if self.closed:
+            return
+        if self.accept_all(self.limits.backlog):
             self.close()
+        else:
+            # Guards a crowd that comes meanwhile: closed now, whoever waits for room would be reset unanswered.
+            self.loop.after(self.limits.accept_pause, self._end_window)
 
     def _close_idle(self) -> None:
         """After the last call only what is owed an answer stays, until it has it."""
@@ -278,12 +286,27 @@
         return self.stage in (Stage.SILENT, Stage.IDLE)
 
     def leave_if_idle(self) -> None:
-        """Close where nothing is owed."""
+        """End where nothing is owed."""
         if self.is_idle:
-            # A request that is already in the socket's buffer is taken: look before closing.
+            # A request that is already in the socket's buffer is taken: look before ending.
             self._read_in()
             if not self.closed and self.is_idle:
-                self.close()
+                self._end()
+
+    def _end(self) -> None:
+        """Say that no more is taken, and let go once the client has seen it.
+
+        Guards a request that crosses the end: closed over its bytes, the connection would be reset and take the
+        answer before along. What comes from here on is not read as a request, so it is never sent on, and the
+        client, which sees the end, sends it once more elsewhere.
+        """
+        self._leaving = True
+        self._unfed.clear()
+        self.discard(self._limits.discard)
+        self.read(True)
+        self.on_written()
+        if not self.closed:
+            self._again(self._limits.client_grace)
 
     def make_room(self) -> None:
         """Leave for a newcomer. Who is in the middle of a request is told so."""
@@ -595,6 +618,8 @@
             self._next()
         elif self.is_idle and not self.is_quiet():
             self._again(self._limits.client_grace)  # a request has come and will be read in this pass
+        elif self.is_idle:
+            self._end()
         elif self._request is None:
             self.close()
 
