Read a target's answer as its own request's; no absurd figure reaches the module

Seen, each by a test that fails on the code before (24 of the 53 in test_target_crossings.py): - a second answer some milliseconds late came on a connection that carried the next job by then. A rejection names no job: "never ran", and a job that must not run twice went to a second target while the first ran it. What must not run twice now goes on a connection that has been quiet for 50 ms (Limits.settle), the newest such, or a new one. - a second answer in the same read as the first replaced its status: a job done was "turned away, never ran" and was sent again. What comes behind a whole answer is passed over, and the connection closed. - X-Rejected of an interim answer counted for the final one. - a load report with an infinite figure or none raised in the module (round in _judge): all open requests were answered as failed. Figures that are not finite are skipped, as other bad ones are. - numbers too large for a float, deep nesting and an unasked 101 raised out of the reading of a line; the connection ended as it should, by the loop's guard and with a trace in the log. They are read as spoilt lines now.

Found right, and kept as tests: late connections, a kept one closed in the instant of use, hangs, never-ending answers, the repeat window from the first send, no two copies where forbidden.

--- a/canvasbeam/net/forward.py
+++ b/canvasbeam/net/forward.py
@@ -10,6 +10,7 @@
 import contextlib
 import json
 import logging
+import math
 import socket
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -55,9 +56,11 @@
     report = {}
     for name, figure in value.items():
         try:
-            report[names.get(name, name)] = float(figure)
-        except (TypeError, ValueError):
+            read = float(figure)
+        except (TypeError, ValueError, OverflowError):
             continue
+        if math.isfinite(read):  # guards the decisions, which reckon with it
+            report[names.get(name, name)] = read
     return report or None
 
 
@@ -81,7 +84,7 @@
         # Guards jobs that must not run twice: a kept connection may break at a request's very last byte,
         # when nothing is proved any more. New ones were not seen to.
         is_new = attempt.effect is Effect.UNSAFE and self.loop.now < self._distrust_until
-        connection = self._connection_to(target, is_new)
+        connection = self._connection_to(target, is_new, attempt.effect is not Effect.SAFE)
         if connection is None:
             self.core.attempt_ended(attempt, Outcome.MOOT)
         elif isinstance(connection, OSError):
@@ -124,13 +127,20 @@
         """A kept connection broke under a request, before a byte of its answer."""
         self._distrust_until = self.loop.now + self.limits.distrust
 
-    def _connection_to(self, target: Target, is_new: bool = False) -> TargetConnection | OSError | None:
-        """An idle connection or a new one; an error where that failed at once, None where none is left."""
+    def _connection_to(
+        self, target: Target, is_new: bool = False, settled: bool = False
+    ) -> TargetConnection | OSError | None:
+        """An idle connection or a new one; an error where that failed at once, None where none is left.
+
+        A settled one has been quiet for long enough that nothing more of its last answer is to come.
+        """
         kept = [] if is_new else self._idle.get(target.name, [])
-        while kept:
-            connection = kept[-1]
+        since = self.loop.now - (self.limits.settle if settled else ZERO)
+        for connection in reversed(tuple(kept)):  # the newest first
+            if connection.idle_since > since:
+                continue
             if connection.address == target.address and connection.is_quiet():
-                kept.pop()
+                kept.remove(connection)
                 return connection
             connection.close()
         if self.connections >= self.limits.target_connections and not self._close_oldest_idle():
@@ -211,6 +221,7 @@
         self._head_size = 0
         self._complete = False
         self._stays = False
+        self._speaks_on = False  # a second answer came behind the first
         self._garbled = False
         self._rejected = False
         self._report: dict[str, float] | None = None
@@ -311,6 +322,8 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """One header, from the parser."""
+        if self._speaks_on:
+            return
         name = name.lower()
         if name == b"x-rejected":
             self._rejected = value.strip() == b"1"
@@ -319,13 +332,24 @@
 
     def on_headers_complete(self) -> None:
         """The end of the head, from the parser."""
+        if self._speaks_on:
+            return
         self._status = self._parser.get_status_code()
         self._head_done = self._status >= 200
         self._streams = self._status == 200 and self.probe is None
 
     def on_body(self, data: bytes) -> None:
         """A part of the body, from the parser."""
-        self._body += data
+        if not self._speaks_on:
+            self._body += data
+
+    def on_message_begin(self) -> None:
+        """An answer begins, from the parser.
+
+        Guards what the first one said: a second right behind it would be read in its place.
+        """
+        self._speaks_on = self._complete
+        self._rejected = self._rejected and self._speaks_on  # what an interim answer said is not of the final one
 
     def on_message_complete(self) -> None:
         """The end of an answer, from the parser; an interim one is none."""
@@ -342,7 +366,7 @@
             self._head_size += len(data)
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._garbled = True
         if self._streams:
             self._read_lines()
@@ -395,7 +419,7 @@
                 self._finish(ENDS[state])
             else:
                 raise ValueError("unknown state")
-        except (ValueError, KeyError, TypeError, AttributeError):
+        except (ValueError, KeyError, TypeError, AttributeError, OverflowError, RecursionError):
             self._garbled = True
 
     def _end_message(self) -> None:
@@ -406,7 +430,7 @@
                 if text.startswith("{"):
                     try:
                         report = json.loads(text)
-                    except ValueError:
+                    except (ValueError, RecursionError):
                         report = None
                 self._report = read_report(report, self.owner.report_names) or self._report
             self._finish(Outcome.OK if self._status == 200 else Outcome.ERROR)
@@ -421,7 +445,7 @@
                 self._finish(Outcome.CANCELLED)
             else:
                 self._finish(Outcome.ERROR)
-        if self.unwritten or not self._stays:
+        if self.unwritten or not self._stays or self._speaks_on:
             self.close()
         else:
             self._be_idle()
--- a/canvasbeam/net/limits.py
+++ b/canvasbeam/net/limits.py
@@ -73,6 +73,9 @@
     # the connection took to come up, but no longer than the second.
     proof: timedelta = seconds(0.005)
     longest_proof: timedelta = seconds(0.05)
+    # Nothing that must not run twice is sent on a connection that had an answer less than this ago: a second one, some
+    # milliseconds late, would be read as the next job's, and a rejection names no job.
+    settle: timedelta = seconds(0.05)
     distrust: timedelta = seconds(60)  # of kept connections, after one broke under a request
     target_idle: timedelta = TARGET_IDLE
     target_tail: timedelta = seconds(1)  # from the last line of an answer to the end of its framing
