--- a/canvasbeam/net/core.py
+++ b/canvasbeam/net/core.py
@@ -166,6 +166,7 @@
         self.by_hand: set[str] = set()  # out by hand: draining for the module, whatever discovery says
         self._returned: dict[str, timedelta] = {}  # put back by hand: a new start, so cold
         self.lists_lost = 0
+        self._told = False  # by discovery; before that the list is what the process before held
         self._born = born
         self._seed = seed
         self._classes = {each.name: each for each in settings.classes}
@@ -196,8 +197,13 @@
         return self._requests.items()
 
     def can_serve(self) -> bool:
-        """Whether there is a target to send to."""
-        return any(self._is_live(name) for name in self.targets)
+        """Whether there is a target to send to.
+
+        Guards a restart on a `known` list that is out of date: until discovery has told its own, a target counts
+        only while it was not found dead.
+        """
+        dead = () if self._told else self._dispatcher.resting()
+        return any(self._is_live(name) and name not in dead for name in self.targets)
 
     def knows_class(self, name: str) -> bool:
         """Whether the settings name this class."""
@@ -271,6 +277,7 @@
     def listed(self, kind: ci.ListKind, targets: Iterable[Target], version: int) -> None:
         """Take what discovery tells; a target missing from a whole list is gone."""
         self.listed_at = self.loop.now
+        self._told |= kind is not ci.ListKind.WARM_COPY
         told = {each.name: each for each in targets}
         if kind is not ci.ListKind.CHANGES:
             for name in [name for name in self.targets if name not in told]:
