Give up what can earn nothing among a crowd; marked repeats behind first tries

They had waited unstarted in workers' queues past their aim and were still worked on, which made the next ones late as well. Where lists tell no load a crowd has no other sign of a queue than a late start.

Now a job that has not started, whose answer can earn nothing any more, is given up at once (_move_stuck), and a repeat that a client marks stands behind first tries where late answers earn nothing (_on_job), since refused clients come back at once.

--- a/canvasbeam/choice.py
+++ b/canvasbeam/choice.py
@@ -242,8 +242,7 @@
         self._watch_fails = 0
         self._asked = False
         self._beat = SWEEP_QUANTA * settings.quantum_ns
-        shortest_aim = min(each.aim_ns for each in settings.classes)
-        self._held_beat = max(self._beat, shortest_aim // HELD_SWEEPS)
+        self._held_beat = max(self._beat, min(each.aim_ns for each in settings.classes) // HELD_SWEEPS)
         self._now = 0
         self._actions: list[ci.Action] = []
 
@@ -279,8 +278,6 @@
                 self._on_client_gone(event.job)
             case ci.StreamOpened():
                 self._on_stream(event)
-            case ci.PeerSaid():
-                pass
 
     def _log(self, text: str) -> None:
         self._actions.append(ci.Log(text))
@@ -402,7 +399,7 @@
         )
         self._arrivals += 1
         self._jobs[job.id] = job
-        job.rank = (False, job.over_share, self._urgency(job), self._arrivals)
+        job.rank = (event.repeat and not cls.late_worth, job.over_share, self._urgency(job), self._arrivals)
         if job.due > self._now + self._guard():
             self._hold(job)
         else:
@@ -450,8 +447,7 @@
 
     def _in_time_until(self, job: Job) -> int:
         """The latest send with which a job of average work still meets its aim."""
-        slack = job.cls.aim_ns + max(0.0, job.cls.stretch - 1) * self._service_of(job)
-        return job.born + round(slack)
+        return job.born + round(job.cls.aim_ns + max(0.0, job.cls.stretch - 1) * self._service_of(job))
 
     def _place_held(self) -> None:
         """Give held jobs, best first, to workers whose turn it is, until none is open."""
@@ -527,8 +523,8 @@
 
         Danger: looking for these few in a ring of a thousand at each start takes more time than there is.
         """
-        live = [each for each in self._touched.values() if each.state is WorkerState.LIVE]
-        found = [each for each in live if self._place_of(each) == place]
+        touched = self._touched.values()
+        found = [each for each in touched if each.state is WorkerState.LIVE and self._place_of(each) == place]
         return sorted(found, key=self._rings[place].index) if len(found) > 1 else found
 
     def _loses_turn(self, worker: Worker) -> bool:
@@ -548,13 +544,10 @@
         """The busy and dead tests, as far as they do not depend on the job."""
         if (worker.unstarted and self._set.tells_start) or self._now < worker.busy_until:
             return False
-        if not self._healthy(worker) or (worker.trial and worker.attempts):
+        if worker.state is not WorkerState.LIVE or worker.rest_until or (worker.trial and worker.attempts):
             return False
         return worker.load < worker.cap or self._may_regrow(worker)
 
-    def _healthy(self, worker: Worker) -> bool:
-        return worker.state is WorkerState.LIVE and not worker.rest_until
-
     def _may_regrow(self, worker: Worker) -> bool:
         """A full worker may have room again, or other dispatchers may have left it: try one more."""
         wait = worker.regrow_wait * self._mean_service()
@@ -795,9 +788,8 @@
                 self._sweep_worker(worker)
             for job in sorted(self._due(self._job_looks), key=lambda each: each.rank[3]):
                 self._sweep_job(job)
-            for looks in (self._worker_looks, self._job_looks):
-                if looks:
-                    self._wake_by(looks[0][0])
+            for looks in filter(None, (self._worker_looks, self._job_looks)):
+                self._wake_by(looks[0][0])
 
     def _wake_by(self, when: float) -> None:
         """Something may have to be done at this time.
@@ -872,6 +864,10 @@
         out = job.out()
         if len(out) != 1 or not self._set.limits.cancel or out[0].cancelled:
             return
+        late = self._crowd and not self._pools and out[0].late and not out[0].started
+        if late and not job.cls.late_worth and self._now >= self._in_time_until(job):
+            self._give_up(job)  # danger: it would hold up jobs in a queue that can still earn something
+            return
         stays = not self._has_stalled(out[0]) and not self._leaves_queue(out[0])
         if out[0].there and not out[0].worker.rest_until and stays:
             # Among a crowd a late start may be left once queues are short again.
@@ -984,9 +980,7 @@
         worker.cap_at = self._now
         worker.regrow_wait = min(LONGEST_REGROW, worker.regrow_wait * 2) if again else 1.0
 
-    def _judge(
-        self, attempt: Attempt, outcome: Outcome, report: Mapping[str, float] | None
-    ) -> None:
+    def _judge(self, attempt: Attempt, outcome: Outcome, report: Mapping[str, float] | None) -> None:  # noqa: PLR0912 - one case for each outcome
         """What an outcome tells of the worker."""
         worker = attempt.worker
         if self._pools and report:
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -253,3 +254,49 @@
     bench.pass_time(150 * MS)  # a connect time-out and a half, and no more than the job may last
     bench.ended("j0", first)
     assert {only(bench.job(), ci.Send).worker for _ in range(2)} == {"here0", "here1"}
+
+
+# --- a crowd that no list tells who has room ------------------------------------------------------
+
+WORTHLESS = ci.JobClass("look", aim_ns=200 * MS, deadline_ns=5 * SECOND, effect=ci.Effect.KEYED, window_ns=4 * SECOND)
+UNTOLD: dict[str, Any] = {"dispatchers": 40, "classes": (WORTHLESS,), "limits": replace(LIMITS, second_copies=False)}
+
+
+def untold(workers: int, **changes: Any) -> Bench:
+    """One of forty whose lists tell no load."""
+    return Bench(*(entry(f"here{place}") for place in range(workers)), **{**UNTOLD, **changes})
+
+
+def test_among_a_crowd_a_job_in_a_queue_is_given_up_once_its_answer_earns_nothing() -> None:
+    """Its place in the queue was kept for as long as its client waited, and made others late in their turn."""
+    bench = untold(1, classes=(replace(WORTHLESS, effect=ci.Effect.UNSAFE),))
+    assert only(bench.job(), ci.Send).worker == "here0"
+    assert not of(bench.pass_time(150 * MS), ci.Cancel)  # it can still be in time
+    given = bench.pass_time(SECOND)
+    assert of(given, ci.Cancel) == [ci.Cancel("j0", 0)] and only(given, ci.Fail).job == "j0"
+
+
+@pytest.mark.parametrize("why", ["it has started", "late answers earn something", "there are few"])
+def test_a_job_that_may_still_earn_something_stays(why: str) -> None:
+    earns = replace(WORTHLESS, late_worth=0.5)
+    ways: dict[str, dict[str, Any]] = {
+        "it has started": {}, "late answers earn something": {"classes": (earns,)}, "there are few": {"dispatchers": 2},
+    }  # fmt: skip
+    changes = ways[why]
+    unsafe = tuple(replace(each, effect=ci.Effect.UNSAFE) for each in changes.pop("classes", (WORTHLESS,)))
+    bench = untold(1, classes=unsafe, **changes)
+    bench.job()
+    if why == "it has started":
+        bench.started("j0", "here0")
+    given = bench.pass_time(SECOND // 2)
+    assert not of(given, ci.Refuse) and not of(given, ci.Fail)
+
+
+def test_a_marked_repeat_of_what_earns_nothing_late_stands_behind_first_tries() -> None:
+    """Clients that were refused came back at once, and took what first tries could still have used."""
+    bench = untold(0)
+    bench.job(repeat=True)
+    bench.job()
+    given = bench.listed(entry("here0"))
+    assert only(given, ci.Send).job == "j1"
+
