--- a/tests/test_drawn_deployments.py
+++ b/tests/test_drawn_deployments.py
@@ -5,6 +5,7 @@
 import random
 from collections import deque
 from collections.abc import Callable
+from dataclasses import fields, replace
 from functools import partial
 from heapq import heappop, heappush
 
@@ -15,7 +16,9 @@
 
 from canvasbeam import Dispatcher
 from canvasbeam import interface as ci
+from canvasbeam.net.limits import Limits
 from tests.helpers import MS, SECOND, START
+from tests.loopback import Peer, Server, World, complete, done, job
 from tests.test_rules_property import AnswersTwice, Referee, RepeatsAll, RuleBrokenError, is_crowd, watch
 
 ZONES = ("east", "west", "north", "south")
@@ -30,12 +33,12 @@
         ci.JobClass(
             f"c{place}",
             aim_ns=draw(st.integers(100, 1_500)) * MS,
-            deadline_ns=draw(st.integers(1_500, 20_000)) * MS,
+            deadline_ns=draw(st.integers(1_000, 20_000)) * MS,
             worth=draw(st.sampled_from([0.0, 1.0, 8.0])),
             late_worth=draw(st.sampled_from([0.0, 0.3])),
             effect=draw(st.sampled_from(ci.Effect)),
             scope=draw(st.sampled_from(ci.Scope)),
-            window_ns=draw(st.sampled_from([0, SECOND, 8 * SECOND])),
+            window_ns=draw(st.sampled_from([0, 300 * MS, SECOND, 8 * SECOND])),
             kind=draw(st.sampled_from([None, None, None, *kinds])),
             priority=draw(st.integers(0, 1)),
             stretch=draw(st.sampled_from([0.0, 1.0, 2.5])),
@@ -65,7 +68,7 @@
         limits=ci.Limits(
             cancel=draw(st.booleans()), probes=draw(st.booleans()), second_copies=draw(st.booleans()),
             retry_advice=draw(st.booleans()), max_attempts=draw(st.integers(1, 5)), max_retry_advice_ns=2 * SECOND,
-            connect_timeout_ns=draw(st.sampled_from([50, 250])) * MS,
+            connect_timeout_ns=draw(st.sampled_from([50, 250, 1_500])) * MS,
             idle_connection_ns=draw(st.sampled_from([0, 10 * SECOND])),
         ),
         rules=ci.Rules(
@@ -202,3 +205,49 @@
 @given(deployments(), st.integers(0, 10**6))
 def test_a_calm_day_is_served_on_every_deployment(drawn: Deployment, seed: int) -> None:
     check_calm(*drawn, seed)
+
+
+# --- the program over sockets ---------------------------------------------------------------------
+
+
+@profile(max_examples=25, deadline=None, derandomize=True, database=None, phases=(Phase.explicit, Phase.generate))
+@given(deployments(), st.integers(1, 3))
+def test_a_calm_moment_is_served_over_sockets_on_every_deployment(drawn: Deployment, targets: int) -> None:
+    """The program as the settings size it: each class's job has its worker's result, and the planned end loses none."""
+    told = replace(drawn[0], kinds=(), classes=tuple(replace(each, kind=None) for each in drawn[0].classes))
+    changes = {each.name: getattr(told, each.name) for each in fields(told) if each.name != "limits"}
+    world = World(
+        *(Server() for _ in range(targets)), limits=Limits.of(told, 512, 88), allowed=told.limits, **changes
+    )  # fmt: skip
+    dispatcher, answered = world.core._dispatcher, set()
+
+    def serve() -> None:
+        for server in world.servers:
+            for peer in server.look():
+                for part in peer.got.split(b"X-Call-Id: ")[1:]:
+                    name = part.partition(b"\r\n")[0].decode()
+                    if name not in answered and b"BODY" in part:
+                        answered.add(name)
+                        peer.say(done(f"r-{name}", name))
+
+    clients = []
+    for number, each in enumerate(told.classes * 2):
+        if number == len(told.classes):
+            world.listener.drain()  # the second half comes in the planned end, which no class has outlived yet
+        client = world.client(job(each.name, call_id=f"c{number}", budget=f"{each.deadline_ns / SECOND:.3f}"))
+        clients.append(client)
+
+        def whole(client: Peer = client) -> bool:
+            serve()
+            return complete(client.look()) == 1
+
+        world.until(whole)
+        status = client.got.split()[1]
+        assert status == b"200" or (status == b"503" and number >= len(told.classes))
+        assert status == b"503" or client.got.endswith(f"r-c{number}".encode())
+    assert world.core._dispatcher is dispatcher  # no exception in the decisions
+    for each_peer in clients:
+        each_peer.close()
+    world.loop.close()
+    for server in world.servers:
+        server.sock.close()
