Cut what a crowd without lists of load has out when a job's third worker is full too

Nothing held the schedulers back but caps by worker, which each learns for each of some twenty.

Now, where no list tells the load, a late start of a job's third try cuts the number of attempts that may be out at once to 0.8 of what is out, and prompt starts let it grow by one for so many starts (additive increase, multiplicative decrease; _most_out). What it holds back waits here, where it can still choose. Elsewhere nothing is cut.

--- a/canvasbeam/choice.py
+++ b/canvasbeam/choice.py
@@ -89,6 +89,8 @@
 SHORT_QUEUE = 0.7
 # What a full queue counts as, in mean service times.
 FULL_QUEUE = 2.0
+# What may be out is cut to this part where a job's third worker is full too, and grows by one for so many starts.
+CUT_OUT = 0.8
 # A worker that started our jobs late loses its next turn; twice as many each time again, up to so many.
 MOST_TURNS_LOST = 4
 # The length of queues is averaged over about this many late starts.
@@ -218,6 +220,8 @@
         self._arrivals = 0
         self._wake = inf  # when the next sweep is needed
         self._armed = inf  # the earliest timer set for it
+        self._out = 0  # attempts that are out, and the most that may be
+        self._most_out = inf
         self._queue = 0.0  # how long jobs that stay in queues wait, in mean service times
         # Danger: all workers asked again for every event take more time than there is. What nobody took is
         # offered to those only at which something started or ended since, until the next sweep.
@@ -279,9 +283,6 @@
             case ci.StreamOpened():
                 self._on_stream(event)
 
-    def _log(self, text: str) -> None:
-        self._actions.append(ci.Log(text))
-
     # --- worker lists and rings -------------------------------------------------------------------
 
     def _on_list(self, event: ci.WorkersListed) -> None:
@@ -486,7 +487,7 @@
 
     def _next_in_turn(self, job: Job, turns: dict[Need, Turns]) -> Worker | None:
         """The next worker of the best ring that is neither full nor down for this job."""
-        if job.attempts and not self._may_send(job):
+        if (self._out >= self._most_out and not job.out()) or (job.attempts and not self._may_send(job)):
             return None
         for place in (0, 1):
             for worker in self._in_turn(place, job, turns):
@@ -575,10 +576,8 @@
         Danger: forty dispatchers each learn by a job of their own that a worker fails. While any does, what
         can be repeated goes first, and such a job where one was just done, for half of the time it can wait.
         """
-        if worker.errors:
-            return False
-        if self._now >= self._erred_until:
-            return True
+        if worker.errors or self._now >= self._erred_until:
+            return not worker.errors
         waits = self._now < job.born + (self._in_time_until(job) - job.born) // 2
         return not waits or worker.served >= self._now - VOUCHED_FOR
 
@@ -631,6 +630,7 @@
         )
         job.attempts.append(attempt)
         worker.attempts.append(attempt)
+        self._out += 1
         worker.load = attempt.load
         worker.unstarted += 1
         if self._pools:
@@ -680,6 +680,7 @@
                 self._count_queue((self._now - attempt.sent) / self._mean_service())
             return
         worker.lates = 0
+        self._most_out += 1 / self._most_out
         took = self._now - attempt.sent
         worker.quickest_start = min(worker.quickest_start, inf if attempt.fresh else took)
         way = (worker.zone, attempt.fresh)
@@ -722,6 +723,7 @@
         """The attempt no longer counts as work at its worker."""
         if attempt.there:
             attempt.there = False
+            self._out -= 1
             worker = attempt.worker
             worker.attempts.remove(attempt)
             self._touched[worker.name] = worker
@@ -956,6 +958,8 @@
             if self._now >= attempt.late_at:
                 attempt.late = True
                 self._look(attempt.job, self._now)
+                if self._crowd and not self._pools and attempt.number > 1:
+                    self._most_out = max(1.0, CUT_OUT * min(self._most_out, self._out))
                 if self._crowd:
                     worker.turns_lost = min(MOST_TURNS_LOST, 2**worker.lates)
                     worker.lates += 1
@@ -1043,7 +1047,7 @@
     def _rest(self, worker: Worker, why: str) -> None:
         """Give a failing worker nothing for a while, longer each time."""
         if worker.rest_until == 0:
-            self._log(f"worker {worker.name} rested: {why}")
+            self._actions.append(ci.Log(f"worker {worker.name} rested: {why}"))
         # Danger: forty dispatchers that each probe each gone worker once a second make thousands of probes.
         longest = max(LONGEST_REST, self._set.dispatchers // 2) if self._crowd else LONGEST_REST
         times = min(longest, 2**worker.strikes)
@@ -1081,7 +1085,7 @@
         self._touched[worker.name] = worker
         worker.heard = self._now
         self._look(worker, self._now)
-        self._log(f"worker {worker.name} back")
+        self._actions.append(ci.Log(f"worker {worker.name} back"))
 
     # --- what is learned --------------------------------------------------------------------------
 
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -300,3 +300,23 @@
     given = bench.listed(entry("here0"))
     assert only(given, ci.Send).job == "j1"
 
+
+def test_a_job_whose_third_worker_is_full_too_has_fewer_sent_until_starts_are_prompt_again() -> None:
+    """A burst filled all queues to their ends, and every answer came late long after it was over."""
+    bench = untold(8, classes=(replace(WORTHLESS, late_worth=0.5),))
+    for _ in range(8):
+        bench.run_job(10 * MS)  # prompt starts at all
+    most = bench.dispatcher._most_out
+    assert most == math.inf
+    name = f"j{bench.made}"
+    worker = only(bench.job(), ci.Send).worker
+    for number in range(3):  # it starts nowhere: each time it is cancelled and sent to the next
+        given = bench.pass_time(150 * MS)
+        assert of(given, ci.Cancel) == [ci.Cancel(name, number)]
+        worker = only(bench.ended(name, worker, ci.Outcome.CANCELLED, number, False), ci.Send).worker
+    assert 1 <= bench.dispatcher._most_out < most
+    first = bench.made
+    sent = [f"j{first + place}" for place in range(8) if of(bench.job(), ci.Send)]
+    assert not sent  # one is out: the rest is held here, where it can still choose
+    given = bench.started(name, worker, 3)
+    assert bench.dispatcher._most_out > 1 and of(given, ci.Send)
