--- a/canvasbeam/choice.py
+++ b/canvasbeam/choice.py
@@ -89,7 +89,7 @@
 SHORT_QUEUE = 0.7
 # What a full queue counts as, in mean service times.
 FULL_QUEUE = 2.0
-# What may be out is cut to this part where a job's third worker is full too, and grows by one for so many starts.
+# What may be out is cut to this part where a third worker is full too; it grows by one for so many starts.
 CUT_OUT = 0.8
 # A worker that started our jobs late loses its next turn; twice as many each time again, up to so many.
 MOST_TURNS_LOST = 4
@@ -984,7 +984,7 @@
         worker.cap_at = self._now
         worker.regrow_wait = min(LONGEST_REGROW, worker.regrow_wait * 2) if again else 1.0
 
-    def _judge(self, attempt: Attempt, outcome: Outcome, report: Mapping[str, float] | None) -> None:  # noqa: PLR0912 - one case for each outcome
+    def _judge(self, attempt: Attempt, outcome: Outcome, report: Mapping[str, float] | None) -> None:
         """What an outcome tells of the worker."""
         worker = attempt.worker
         if self._pools and report:
