Give up and cut only where starts are told: elsewhere a running job looks unstarted

Seen on reading the change again: where no start is told, every attempt counts as not started. A job of a crowd that ran longer than three mean times was given up as if it still stood in a queue (_move_stuck), and what may be out was cut and could never grow again, as only told starts let it (_learn_start). The new case of the test in test_crowd.py fails on the code before.

--- a/canvasbeam/choice.py
+++ b/canvasbeam/choice.py
@@ -220,8 +220,7 @@
         self._arrivals = 0
         self._wake = inf  # when the next sweep is needed
         self._armed = inf  # the earliest timer set for it
-        self._out = 0  # attempts that are out, and the most that may be
-        self._most_out = inf
+        self._out, self._most_out = 0, inf  # attempts that are out, and the most that may be
         self._queue = 0.0  # how long jobs that stay in queues wait, in mean service times
         # Danger: all workers asked again for every event take more time than there is. What nobody took is
         # offered to those only at which something started or ended since, until the next sweep.
@@ -238,7 +237,7 @@
         self._budget: dict[str, int] = {}
         self._slots_of_kind: dict[str, float] = {}
         self._quota = {each.name: [QUOTA_BURST_S * each.quota_per_s, 0.0] for each in settings.tenants}
-        self._crowd = False
+        self._crowd = self._blind = False  # blind: of a crowd that has no sign of a queue but late starts
         self._erred_until = 0  # some worker failed a job not long before
         self._pools = False  # a crowd, which is told what workers hold
         self._sizes: dict[str, float] = {}  # by kind, the highest weight told: that of an empty worker
@@ -389,6 +388,7 @@
         in_zone = self._set.dispatchers / len(self._set.zones)
         self._crowd = in_zone >= max(CROWD_LEAST, CROWD * len(self._rings[0]))
         self._pools = self._crowd and self._set.weights is ci.Weights.LIVE
+        self._blind = self._crowd and not self._pools and self._set.tells_start
 
     # --- arrival and the held queue ---------------------------------------------------------------
 
@@ -866,7 +866,7 @@
         out = job.out()
         if len(out) != 1 or not self._set.limits.cancel or out[0].cancelled:
             return
-        late = self._crowd and not self._pools and out[0].late and not out[0].started
+        late = self._blind and out[0].late and not out[0].started
         if late and not job.cls.late_worth and self._now >= self._in_time_until(job):
             self._give_up(job)  # danger: it would hold up jobs in a queue that can still earn something
             return
@@ -958,7 +958,7 @@
             if self._now >= attempt.late_at:
                 attempt.late = True
                 self._look(attempt.job, self._now)
-                if self._crowd and not self._pools and attempt.number > 1:
+                if self._blind and attempt.number > 1:
                     self._most_out = max(1.0, CUT_OUT * min(self._most_out, self._out))
                 if self._crowd:
                     worker.turns_lost = min(MOST_TURNS_LOST, 2**worker.lates)
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -276,11 +276,12 @@
     assert of(given, ci.Cancel) == [ci.Cancel("j0", 0)] and only(given, ci.Fail).job == "j0"
 
 
-@pytest.mark.parametrize("why", ["it has started", "late answers earn something", "there are few"])
+@pytest.mark.parametrize("why", ["it has started", "no start is told", "late answers earn something", "there are few"])
 def test_a_job_that_may_still_earn_something_stays(why: str) -> None:
     earns = replace(WORTHLESS, late_worth=0.5)
     ways: dict[str, dict[str, Any]] = {
-        "it has started": {}, "late answers earn something": {"classes": (earns,)}, "there are few": {"dispatchers": 2},
+        "it has started": {}, "no start is told": {"tells_start": False},
+        "late answers earn something": {"classes": (earns,)}, "there are few": {"dispatchers": 2},
     }  # fmt: skip
     changes = ways[why]
     unsafe = tuple(replace(each, effect=ci.Effect.UNSAFE) for each in changes.pop("classes", (WORTHLESS,)))
@@ -288,7 +289,7 @@
     bench.job()
     if why == "it has started":
         bench.started("j0", "here0")
-    given = bench.pass_time(SECOND // 2)
+    given = bench.pass_time(SECOND)
     assert not of(given, ci.Refuse) and not of(given, ci.Fail)
 
 
