Say once how a client's connection takes no more

The end of an idle connection and of one with its last answer began with the same four lines. Behaviour as before; the 132 tests of the listener, the ends and departures pass.

--- a/canvasbeam/net/listener.py
+++ b/canvasbeam/net/listener.py
@@ -300,13 +300,17 @@
         answer before along. What comes from here on is not read as a request, so it is never sent on, and the
         client, which sees the end, sends it once more elsewhere.
         """
+        self._take_no_more()
+        self.on_written()
+        if not self.closed:
+            self._again(self._limits.client_grace)
+
+    def _take_no_more(self) -> None:
+        """What still comes is thrown away unread, so that only its end shows."""
         self._leaving = True
         self._unfed.clear()
         self.discard(self._limits.discard)
         self.read(True)
-        self.on_written()
-        if not self.closed:
-            self._again(self._limits.client_grace)
 
     def make_room(self) -> None:
         """Leave for a newcomer. Who is in the middle of a request is told so."""
@@ -577,10 +581,7 @@
         self.since = self.loop.now
         self._again(self._limits.client_write)
         if ends:
-            self._leaving = True
-            self._unfed.clear()
-            self.discard(self._limits.discard)
-            self.read(True)
+            self._take_no_more()
         self.write(response)
 
     def _release(self) -> None:
