--- a/Makefile
+++ b/Makefile
@@ -2,13 +2,15 @@
 PYTHON ?= python3
 BIN := .venv/bin
 
-.PHONY: build demo test lint run try theory
+.PHONY: build demo test lint run try theory messages
 
 build: .venv/.built
 
-.venv/.built: requirements.txt requirements-dev.txt requirements-lab.txt
+REQUIREMENTS := requirements.txt requirements-dev.txt requirements-lab.txt requirements-system.txt
+
+.venv/.built: $(REQUIREMENTS)
 	$(PYTHON) -m venv .venv
-	$(BIN)/python -m pip -q install -r requirements.txt -r requirements-dev.txt -r requirements-lab.txt
+	$(BIN)/python -m pip -q install $(addprefix -r ,$(REQUIREMENTS))
 	touch $@
 
 # Everything at once: 4 schedulers and 12 workers for 30 s, a quarter of the workers dies, a report is drawn.
@@ -33,3 +35,7 @@
 # The emulated worker against queueing theory, two million jobs a case; about five minutes.
 theory: build
 	$(BIN)/python bench/theory.py --jobs 2000000
+
+# The generated code of the internal messages; it is committed.
+messages: build
+	$(BIN)/python -m grpc_tools.protoc -I . --python_out=. --pyi_out=. canvasbeam/cluster/*.proto
--- /dev/null
+++ b/canvasbeam/cluster/items.py
@@ -0,0 +1,103 @@
+"""The replicated table of items that every node holds: one value a key, and the highest version stands.
+
+An item is passed on by anyone and may come in any order, any number of times: merging is commutative and idempotent,
+and in one life of a process an item never goes back to a lower version.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Iterator, Sequence
+from dataclasses import dataclass
+from enum import IntEnum
+from hashlib import blake2b
+
+
+class ItemKind(IntEnum):
+    """What an item tells. The numbers are those of the wire."""
+
+    CONFIGURATION = 1  # key "current"; the version's major part is the index of the control state
+    EVACUATIONS = 2  # key "current"; likewise
+    WORKER = 3  # key: the worker's id; major: the sequence number of its heartbeat
+    MEMBER = 4  # key: the node's name; major: its incarnation
+    BUDGET = 5  # key: the name of a shared budget
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Version:
+    """Versions of one key are compared in this order."""
+
+    major: int
+    minor: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Item:
+    """One versioned value. `deleted` marks a tombstone, whose payload is empty."""
+
+    kind: ItemKind
+    key: str
+    version: Version
+    payload: bytes = b""
+    deleted: bool = False
+
+    @property
+    def name(self) -> tuple[ItemKind, str]:
+        """What makes an item the same one in another version."""
+        return self.kind, self.key
+
+
+ChangeListener = Callable[[Sequence[Item]], None]
+
+
+class ItemTable:
+    """The items of one node. Listeners hear of each batch that changed something, once."""
+
+    def __init__(self) -> None:
+        self._items: dict[tuple[ItemKind, str], Item] = {}
+        self._listeners: list[ChangeListener] = []
+
+    def __len__(self) -> int:
+        return len(self._items)
+
+    def __iter__(self) -> Iterator[Item]:
+        return iter(tuple(self._items.values()))
+
+    def get(self, kind: ItemKind, key: str) -> Item | None:
+        """The item as it stands, a tombstone included."""
+        return self._items.get((kind, key))
+
+    def of_kind(self, kind: ItemKind) -> list[Item]:
+        """All items of a kind that are not deleted."""
+        return [item for item in self._items.values() if item.kind is kind and not item.deleted]
+
+    def add_listener(self, listener: ChangeListener) -> None:
+        """Call this with the items of each later batch that were new or had a higher version."""
+        self._listeners.append(listener)
+
+    def merge(self, items: Iterable[Item]) -> list[Item]:
+        """Take what has a higher version than what is held; what was taken is returned."""
+        taken = [item for item in items if self._take(item)]
+        if taken:
+            for listener in self._listeners:
+                listener(taken)
+        return taken
+
+    def _take(self, item: Item) -> bool:
+        held = self._items.get(item.name)
+        if held is not None and held.version >= item.version:
+            return False
+        self._items[item.name] = item
+        return True
+
+    def forget(self, kind: ItemKind, key: str) -> None:
+        """Drop an item without a trace: for tombstones whose key can never come again."""
+        self._items.pop((kind, key), None)
+
+    def digest(self, kind: ItemKind) -> int:
+        """A number that is the same on two nodes exactly when they hold the same versions of a kind."""
+        total = 0
+        for item in self._items.values():
+            if item.kind is kind:
+                text = f"{item.key}\0{item.version.major}\0{item.version.minor}".encode()
+                total ^= int.from_bytes(blake2b(text, digest_size=8).digest(), "big")
+        return total
--- /dev/null
+++ b/canvasbeam/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""What both programs of the system share: settings, logs and signals."""
--- /dev/null
+++ b/canvasbeam/runtime/settings.py
@@ -0,0 +1,261 @@
+"""The settings file of a process: read with `tomllib`, checked whole, and given as typed values.
+
+A key that is not known is ignored, as the deployment's pages ask. A key that is missing or breaks a rule is a
+`Failure` that names the file, the key and the rule.
+"""
+
+from __future__ import annotations
+
+import os
+import tomllib
+from collections.abc import Mapping
+from dataclasses import dataclass, field, fields
+from pathlib import Path
+from typing import Any
+
+from canvasbeam.errors import Failure, ResultCode
+
+SETTINGS_VARIABLE = "CANVASBEAM_SETTINGS"
+DEFAULT_PATH = "/etc/canvasbeam/local.toml"
+DEFAULT_HEARTBEAT_MS = 1000.0
+MILLISECOND = 1_000_000
+SECOND = 1_000 * MILLISECOND
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """An IP address and a port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+    @classmethod
+    def parse(cls, text: str) -> Address:
+        """Read `host:port`; raises `ValueError` for anything else."""
+        host, separator, port = text.rpartition(":")
+        if not separator or not host or not port.isdigit() or not 0 < int(port) < 65536:
+            raise ValueError(f"{text!r} is not an address of the form host:port")
+        return cls(host, int(port))
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """What the machine gives this process."""
+
+    cpu_share: float = 1.0
+    cpus: int = 1
+    memory_mb: int = 256
+    max_fds: int = 1024
+    link_mbps: float = 1000.0
+    disk_mb: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Tolerate:
+    """What may be lost at once while every rule holds."""
+
+    machines: int = 1
+    zones: int = 1
+    regions: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """The figures behind the deployment's rules, in the units of their names."""
+
+    seed_lag_s: float = 3
+    reuse_s: float = 2
+    contact_ms: float = 4000
+    ack_ms: float = 5000
+    catchup_s: float = 4
+    drain_ms: float = 3000
+    grace_s: float = 8
+    loss_slack_ms: float = 200
+    config_ms: float = 3000
+    downgrade_ms: float = 250
+    stretch_ms: float = 6000
+    retry_ratio: float = 0.2
+    retry_window_s: float = 10
+    retry_slack: float = 0
+    cold_over: float = 1.5
+    cold_slack: float = 5
+    evacuate_ms: float = 5000
+    recovery_s: float = 12
+    pass_ms: float = 400
+    again_s: float = 10
+    ttl_max_s: float = 5
+
+
+@dataclass(frozen=True, slots=True)
+class ProcessSettings:
+    """All that a process is told at its start."""
+
+    node: str
+    role: str
+    node_class: str
+    serves: tuple[str, ...]
+    ip: str
+    zone: str
+    region: str
+    port_range: tuple[int, int]
+    seeds: tuple[Address, ...]
+    bootstrap: bool = False
+    counts_for_quorum: bool = False
+    data_dir: Path | None = None
+    heartbeat_ms: float = DEFAULT_HEARTBEAT_MS
+    contracts: tuple[str, ...] = ()
+    zones: Mapping[str, str] = field(default_factory=dict)
+    listen: Mapping[str, Address] = field(default_factory=dict)
+    limits: Limits = Limits()
+    tolerate: Tolerate = Tolerate()
+    bounds: Bounds = Bounds()
+
+    @property
+    def control_peer_port(self) -> int:
+        """The port on which every control process takes messages of other nodes, over TCP and UDP."""
+        return self.port_range[0]
+
+    @property
+    def data_peer_port(self) -> int:
+        """The port on which every data-plane process takes messages of other nodes, over TCP and UDP."""
+        return self.port_range[0] + 1
+
+    @property
+    def seed_peers(self) -> tuple[Address, ...]:
+        """The peer addresses of the seeds, whose control addresses the settings name."""
+        return tuple(Address(seed.host, self.control_peer_port) for seed in self.seeds)
+
+
+class _Rejected(Exception):
+    """A key breaks a rule; its text names both."""
+
+
+def settings_path() -> Path:
+    """Where the settings file is."""
+    return Path(os.environ.get(SETTINGS_VARIABLE, DEFAULT_PATH))
+
+
+def load_settings(path: Path) -> ProcessSettings | Failure:
+    """Read and check a settings file."""
+    try:
+        document = tomllib.loads(path.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        return Failure(ResultCode.SETTINGS_UNREADABLE, f"{path}: {error}")
+    try:
+        return parse_settings(document)
+    except _Rejected as error:
+        return Failure(ResultCode.SETTINGS_INVALID, f"{path}: {error}")
+
+
+def parse_settings(document: Mapping[str, Any]) -> ProcessSettings:
+    """Check a parsed document; raises with the key and the rule where one is broken."""
+    return ProcessSettings(
+        node=_text(document, "node"),
+        role=_text(document, "role"),
+        node_class=_text(document, "class"),
+        serves=_texts(document, "serves"),
+        ip=_text(document, "ip"),
+        zone=_text(document, "zone"),
+        region=_text(document, "region"),
+        port_range=_port_range(document),
+        seeds=_addresses(document, "seeds"),
+        bootstrap=_flag(document, "bootstrap"),
+        counts_for_quorum=_flag(document, "counts_for_quorum"),
+        data_dir=_data_dir(document),
+        heartbeat_ms=_number(document, "heartbeat_ms", DEFAULT_HEARTBEAT_MS),
+        contracts=_texts(document, "contracts", ()),
+        zones=_zones(document),
+        listen=_listen(document),
+        limits=_section(document, "limits", Limits()),
+        tolerate=_section(document, "tolerate", Tolerate()),
+        bounds=_section(document, "bounds", Bounds()),
+    )
+
+
+def _text(document: Mapping[str, Any], key: str) -> str:
+    value = document.get(key)
+    if not isinstance(value, str) or not value:
+        raise _Rejected(f"{key}: must be a text that is not empty")
+    return value
+
+
+def _texts(document: Mapping[str, Any], key: str, default: tuple[str, ...] | None = None) -> tuple[str, ...]:
+    value = document.get(key, default)
+    if not isinstance(value, list | tuple) or not all(isinstance(each, str) for each in value):
+        raise _Rejected(f"{key}: must be a list of texts")
+    return tuple(value)
+
+
+def _flag(document: Mapping[str, Any], key: str) -> bool:
+    value = document.get(key, False)
+    if not isinstance(value, bool):
+        raise _Rejected(f"{key}: must be true or false")
+    return value
+
+
+def _number(document: Mapping[str, Any], key: str, default: float) -> float:
+    value = document.get(key, default)
+    if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
+        raise _Rejected(f"{key}: must be a number that is not negative")
+    return value
+
+
+def _port_range(document: Mapping[str, Any]) -> tuple[int, int]:
+    value = document.get("port_range")
+    if not isinstance(value, list) or len(value) != 2 or not all(isinstance(each, int) for each in value):
+        raise _Rejected("port_range: must be two port numbers")
+    first, last = value
+    if not 0 < first < last < 65536:
+        raise _Rejected("port_range: must hold two ports or more, the first below the last")
+    return first, last
+
+
+def _addresses(document: Mapping[str, Any], key: str) -> tuple[Address, ...]:
+    return tuple(_address(key, each) for each in _texts(document, key))
+
+
+def _address(key: str, text: Any) -> Address:
+    try:
+        return Address.parse(str(text))
+    except ValueError as error:
+        raise _Rejected(f"{key}: {error}") from None
+
+
+def _data_dir(document: Mapping[str, Any]) -> Path | None:
+    value = document.get("data_dir")
+    if value is None or value == "":
+        return None
+    if not isinstance(value, str):
+        raise _Rejected("data_dir: must be a path")
+    return Path(value)
+
+
+def _zones(document: Mapping[str, Any]) -> dict[str, str]:
+    value = document.get("zones", {})
+    if not isinstance(value, dict) or not all(isinstance(each, str) for each in value.values()):
+        raise _Rejected("zones: must name the region of each zone")
+    return dict(value)
+
+
+def _listen(document: Mapping[str, Any]) -> dict[str, Address]:
+    value = document.get("listen", {})
+    if not isinstance(value, dict):
+        raise _Rejected("listen: must be a table of addresses")
+    return {key: _address(f"listen.{key}", text) for key, text in value.items() if text}
+
+
+def _section(document: Mapping[str, Any], key: str, default: Any) -> Any:
+    """A table of numbers, of which those that are known are taken and the others keep their defaults."""
+    table = document.get(key, {})
+    if not isinstance(table, dict):
+        raise _Rejected(f"{key}: must be a table")
+    known: dict[str, Any] = {}
+    for each in fields(default):
+        value = table.get(each.name, getattr(default, each.name))
+        if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
+            raise _Rejected(f"{key}.{each.name}: must be a number that is not negative")
+        known[each.name] = value
+    return type(default)(**known)
