--- /dev/null
+++ b/tests/test_http_server.py
@@ -0,0 +1,231 @@
+"""The HTTP server on loopback sockets: what a client sees of malformed requests, faults, slow heads and a drain."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager, suppress
+
+from canvasbeam.errors import Failure
+from canvasbeam.runtime.http_server import App, HttpLimits, HttpServer, Receive, Scope, Send
+from canvasbeam.runtime.settings import Address
+
+GET = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+OK_HEAD = {"type": "http.response.start", "status": 200, "headers": [(b"content-length", b"2")]}
+
+
+async def answer_ok(scope: Scope, receive: Receive, send: Send) -> None:
+    message = await receive()
+    while message.get("more_body"):
+        message = await receive()
+    await send(dict(OK_HEAD))
+    await send({"type": "http.response.body", "body": b"ok"})
+
+
+@asynccontextmanager
+async def serving(app: App, limits: HttpLimits | None = None) -> AsyncIterator[HttpServer]:
+    server = HttpServer(app, Address("127.0.0.1", 0), limits)
+    assert await server.start() is None
+    try:
+        yield server
+    finally:
+        await server.close()
+
+
+async def connect(server: HttpServer) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    return await asyncio.open_connection("127.0.0.1", server.port)
+
+
+async def exchange(server: HttpServer, data: bytes) -> bytes:
+    """Send bytes and read until the server closes."""
+    reader, writer = await connect(server)
+    writer.write(data)
+    try:
+        async with asyncio.timeout(5):
+            return await reader.read()
+    finally:
+        writer.close()
+
+
+async def read_head(reader: asyncio.StreamReader) -> bytes:
+    return await reader.readuntil(b"\r\n\r\n")
+
+
+def run(test: Callable[[], Awaitable[None]]) -> None:
+    asyncio.run(test())  # type: ignore[arg-type]
+
+
+def test_two_requests_use_one_connection() -> None:
+    async def body() -> None:
+        async with serving(answer_ok) as server:
+            reader, writer = await connect(server)
+            for _ in range(2):
+                writer.write(GET)
+                assert (await read_head(reader)).startswith(b"HTTP/1.1 200")
+                assert await reader.readexactly(2) == b"ok"
+            assert server.connection_count == 1
+            writer.close()
+
+    run(body)
+
+
+def test_malformed_request_is_answered_400_and_closed() -> None:
+    async def body() -> None:
+        async with serving(answer_ok) as server:
+            for garbage in (b"\x00\x01\r\n\r\n", b"GET\r\n\r\n", b"GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n"):
+                answer = await exchange(server, garbage)
+                assert answer.startswith(b"HTTP/1.1 400"), garbage
+                assert b"connection: close" in answer.lower()
+
+    run(body)
+
+
+def test_head_over_the_limit_is_answered_431() -> None:
+    async def body() -> None:
+        async with serving(answer_ok, HttpLimits(max_header_bytes=200)) as server:
+            answer = await exchange(server, b"GET / HTTP/1.1\r\nHost: a\r\nX: " + b"x" * 400)
+            assert answer.startswith(b"HTTP/1.1 431")
+
+    run(body)
+
+
+def test_slow_head_is_closed_without_an_answer() -> None:
+    async def body() -> None:
+        async with serving(answer_ok, HttpLimits(header_timeout_s=0.01)) as server:
+            assert await exchange(server, b"GET / HT") == b""
+
+    run(body)
+
+
+def test_idle_connection_is_closed() -> None:
+    async def body() -> None:
+        async with serving(answer_ok, HttpLimits(idle_timeout_s=0.01)) as server:
+            answer = await exchange(server, GET)
+            assert answer.endswith(b"\r\n\r\nok")
+
+    run(body)
+
+
+def test_fault_before_the_answer_is_500() -> None:
+    async def app(scope: Scope, receive: Receive, send: Send) -> None:
+        raise RuntimeError("a fault of the app")
+
+    async def body() -> None:
+        async with serving(app) as server:
+            assert (await exchange(server, GET)).startswith(b"HTTP/1.1 500")
+
+    run(body)
+
+
+def test_fault_within_a_chunked_answer_leaves_it_incomplete() -> None:
+    async def app(scope: Scope, receive: Receive, send: Send) -> None:
+        await send({"type": "http.response.start", "status": 200, "headers": []})
+        await send({"type": "http.response.body", "body": b"part", "more_body": True})
+        raise RuntimeError("a fault of the app")
+
+    async def body() -> None:
+        async with serving(app) as server:
+            answer = await exchange(server, GET)
+            assert b"transfer-encoding: chunked" in answer.lower()
+            assert answer.endswith(b"4\r\npart\r\n")
+
+    run(body)
+
+
+def test_app_hears_of_a_client_that_has_gone() -> None:
+    async def body() -> None:
+        began, gone = asyncio.Event(), asyncio.Event()
+
+        async def app(scope: Scope, receive: Receive, send: Send) -> None:
+            await receive()
+            began.set()
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                gone.set()
+
+        async with serving(app) as server:
+            _, writer = await connect(server)
+            writer.write(GET)
+            await began.wait()
+            writer.close()
+            async with asyncio.timeout(5):
+                await gone.wait()
+
+    run(body)
+
+
+def test_upgrade_is_not_followed() -> None:
+    async def body() -> None:
+        async with serving(answer_ok, HttpLimits(idle_timeout_s=0.01)) as server:
+            for protocol in (b"h2c", b"websocket"):
+                head = b"GET / HTTP/1.1\r\nHost: a\r\nConnection: Upgrade\r\nUpgrade: " + protocol + b"\r\n\r\n"
+                assert (await exchange(server, head)).startswith(b"HTTP/1.1 200")
+            assert b" 101 " not in await exchange(server, b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n")
+
+    run(body)
+
+
+def test_drain_ends_calls_in_progress_and_announces_the_close() -> None:
+    async def body() -> None:
+        began, finish = asyncio.Event(), asyncio.Event()
+
+        async def app(scope: Scope, receive: Receive, send: Send) -> None:
+            began.set()
+            await finish.wait()
+            await answer_ok(scope, receive, send)
+
+        async with serving(app) as server:
+            idle_reader, _ = await connect(server)
+            reader, writer = await connect(server)
+            writer.write(GET)
+            await began.wait()
+            drained = asyncio.create_task(server.drain(5))
+            assert await idle_reader.read() == b""
+            assert server.busy_count == 1
+            finish.set()
+            answer = await reader.read()
+            assert b"connection: close" in answer.lower()
+            assert answer.endswith(b"ok")
+            assert await drained
+
+    run(body)
+
+
+def test_drain_tells_that_a_call_has_not_ended() -> None:
+    async def body() -> None:
+        began = asyncio.Event()
+
+        async def app(scope: Scope, receive: Receive, send: Send) -> None:
+            began.set()
+            while (await receive())["type"] != "http.disconnect":
+                pass
+
+        async with serving(app) as server:
+            _, writer = await connect(server)
+            writer.write(GET)
+            await began.wait()
+            assert not await server.drain(0.01)
+
+    run(body)
+
+
+def test_connections_over_the_limit_are_reset() -> None:
+    async def body() -> None:
+        async with serving(answer_ok, HttpLimits(max_connections=1)) as server:
+            reader, writer = await connect(server)
+            writer.write(GET)
+            await read_head(reader)
+            with suppress(ConnectionError):
+                assert await exchange(server, GET) == b""
+            assert server.connection_count == 1
+
+    run(body)
+
+
+def test_address_in_use_is_a_failure() -> None:
+    async def body() -> None:
+        async with serving(answer_ok) as server:
+            second = HttpServer(answer_ok, Address("127.0.0.1", server.port))
+            assert isinstance(await second.start(), Failure)
+
+    run(body)
