--- /dev/null
+++ b/canvasbeam/runtime/logs.py
@@ -0,0 +1,207 @@
+"""The log of both programs: one line a record, to standard error, bounded in a storm.
+
+A line is `time LEVEL node epoch=N channel: message [request=ID]`. Each place in the code may write `BURST` records in
+a window of `WINDOW_S`; what goes beyond is counted, and the count is told by the next line of that place or by a line
+of its own once the window is over. `{}` in a message is filled from the arguments, as logbook does.
+
+    log = get_logger(__name__)
+    log.warning("worker {} closed the connection", worker_id, extra={"request_id": request_id})
+"""
+
+from __future__ import annotations
+
+import logging
+import sys
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from types import CodeType
+from typing import Any, TextIO
+
+import logbook
+
+from canvasbeam.runtime.settings import ProcessSettings
+
+BURST = 20
+WINDOW_S = 10.0
+LONGEST_MESSAGE = 2000
+PACKAGE_PREFIX = "canvasbeam."
+SUPPRESSED_MESSAGE = "{} records of {}:{} were suppressed"
+
+EpochSource = Callable[[], int]
+Clock = Callable[[], float]
+CallSite = tuple[CodeType | None, int]
+
+
+@dataclass(slots=True)
+class _SiteWindow:
+    """How much one place in the code has written since `started_at`."""
+
+    started_at: float
+    written: int = 0
+    suppressed: int = 0
+
+
+class RateLimit:
+    """Counts the records of each place in the code in fixed windows of time."""
+
+    def __init__(self, clock: Clock, burst: int = BURST, window_s: float = WINDOW_S) -> None:
+        self._clock = clock
+        self._burst = burst
+        self._window_s = window_s
+        self._sites: dict[CallSite, _SiteWindow] = {}
+        self._next_sweep_at = clock() + window_s
+
+    def admit(self, site: CallSite) -> bool:
+        """Whether one more record of this place may be written now; a refusal is counted."""
+        now = self._clock()
+        window = self._sites.get(site)
+        if window is None:
+            window = self._sites[site] = _SiteWindow(now)
+        elif now - window.started_at >= self._window_s:
+            window.started_at = now
+            window.written = 0
+        if window.written >= self._burst:
+            window.suppressed += 1
+            return False
+        window.written += 1
+        return True
+
+    def take_suppressed(self, site: CallSite) -> int:
+        """How many records of a place were refused since this was last asked."""
+        window = self._sites[site]
+        suppressed, window.suppressed = window.suppressed, 0
+        return suppressed
+
+    def finished_storms(self, *, all_windows: bool = False) -> list[tuple[CallSite, int]]:
+        """The places whose window is over, with what they were refused; looks at most once a window unless told so."""
+        now = self._clock()
+        if now < self._next_sweep_at and not all_windows:
+            return []
+        self._next_sweep_at = now + self._window_s
+        ended = [
+            site
+            for site, window in self._sites.items()
+            if window.suppressed and (all_windows or now - window.started_at >= self._window_s)
+        ]
+        return [(site, self.take_suppressed(site)) for site in ended]
+
+
+class LineHandler(logbook.Handler):  # type: ignore[misc]  # logbook has no type hints
+    """Writes each record that the rate limit admits as one line."""
+
+    def __init__(
+        self, node: str, stream: TextIO, *, level: int = logbook.INFO, clock: Clock = time.monotonic, burst: int = BURST
+    ) -> None:
+        super().__init__(level=level)
+        self.epoch: EpochSource = int
+        self._node = node
+        self._stream = stream
+        self._limit = RateLimit(clock, burst)
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """Write a record, or count it where its place in the code has written enough."""
+        frame = record.calling_frame
+        site: CallSite = (None, 0) if frame is None else (frame.f_code, frame.f_lineno)
+        if not self._limit.admit(site):
+            return
+        self.report_suppressed()
+        suppressed = self._limit.take_suppressed(site)
+        message = _one_line(_message_of(record))
+        request_id = record.extra.get("request_id")
+        if request_id:
+            message = f"{message} request={_one_line(str(request_id))}"
+        if suppressed:
+            message = f"{message} suppressed={suppressed}"
+        self._write(record.level_name, record.channel or "", message)
+
+    def report_suppressed(self, *, all_windows: bool = False) -> None:
+        """Tell what was suppressed at places that have written nothing since their window ended."""
+        for (code, line), count in self._limit.finished_storms(all_windows=all_windows):
+            file = "unknown" if code is None else code.co_filename.rpartition("/")[2]
+            self._write("WARNING", __name__, SUPPRESSED_MESSAGE.format(count, file, line))
+
+    def close(self) -> None:
+        """Tell what is still untold."""
+        self.report_suppressed(all_windows=True)
+
+    def _write(self, level: str, channel: str, message: str) -> None:
+        now = time.time()
+        stamp = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(now))
+        short = channel.removeprefix(PACKAGE_PREFIX)
+        line = f"{stamp}.{int(now * 1000) % 1000:03d}Z {level} {self._node} epoch={self.epoch()} {short}: {message}\n"
+        try:
+            self._stream.write(line)
+            self._stream.flush()
+        except (OSError, ValueError):
+            # Nobody reads the log any more; the program goes on without it.
+            return
+
+
+def _message_of(record: logbook.LogRecord) -> str:
+    message = str(record.message)
+    if record.exc_info is None:
+        return message
+    return f"{message}\n{record.formatted_exception}"
+
+
+def _one_line(text: str) -> str:
+    """Control characters escaped and a long text cut, so that a record is one line whatever it quotes."""
+    if len(text) > LONGEST_MESSAGE:
+        text = f"{text[:LONGEST_MESSAGE]}... ({len(text)} characters)"
+    if text.isprintable():
+        return text
+    return "".join(each if each.isprintable() else repr(each)[1:-1] for each in text)
+
+
+class _StandardLibraryHandler(logging.Handler):
+    """Passes on what libraries log through the standard library."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write a record of `logging` to the log."""
+        exception: Any = record.exc_info
+        get_logger(record.name).log(
+            logbook.WARNING if record.levelno < logging.ERROR else logbook.ERROR, "{}", record.getMessage(),
+            exc_info=exception,
+        )  # fmt: skip
+
+
+_group = logbook.LoggerGroup(level=logbook.INFO)
+_handler: LineHandler | None = None
+_standard_library = _StandardLibraryHandler(logging.WARNING)
+
+
+def get_logger(name: str) -> logbook.Logger:
+    """The logger of a module; may be called before `configure`."""
+    logger = logbook.Logger(name)
+    _group.add_logger(logger)
+    return logger
+
+
+def configure(settings: ProcessSettings, *, epoch: EpochSource | None = None, stream: TextIO | None = None) -> None:
+    """Send all logs of this process to standard error (or `stream`), as the settings say."""
+    global _handler  # noqa: PLW0603
+    shut_down()
+    _handler = LineHandler(settings.node, stream or sys.stderr, level=logbook.lookup_level(settings.log_level.upper()))
+    _group.level = _handler.level
+    _handler.push_application()
+    if epoch is not None:
+        _handler.epoch = epoch
+    logging.getLogger().addHandler(_standard_library)
+
+
+def set_epoch(epoch: EpochSource) -> None:
+    """Ask this for the epoch of each record from now on."""
+    if _handler is not None:
+        _handler.epoch = epoch
+
+
+def shut_down() -> None:
+    """Tell what was suppressed, and send no more to the stream of `configure`."""
+    global _handler  # noqa: PLW0603
+    if _handler is None:
+        return
+    _handler.close()
+    _handler.pop_application()
+    logging.getLogger().removeHandler(_standard_library)
+    _handler = None
--- a/canvasbeam/runtime/settings.py
+++ b/canvasbeam/runtime/settings.py
@@ -18,6 +18,8 @@
 SETTINGS_VARIABLE = "CANVASBEAM_SETTINGS"
 DEFAULT_PATH = "/etc/canvasbeam/local.toml"
 DEFAULT_HEARTBEAT_MS = 1000.0
+LOG_LEVELS = ("debug", "info", "warning", "error")
+DEFAULT_LOG_LEVEL = "info"
 MILLISECOND = 1_000_000
 SECOND = 1_000 * MILLISECOND
 
@@ -107,6 +109,7 @@
     data_dir: Path | None = None
     heartbeat_ms: float = DEFAULT_HEARTBEAT_MS
     contracts: tuple[str, ...] = ()
+    log_level: str = DEFAULT_LOG_LEVEL
     zones: Mapping[str, str] = field(default_factory=dict)
     listen: Mapping[str, Address] = field(default_factory=dict)
     limits: Limits = Limits()
@@ -167,6 +170,7 @@
         data_dir=_data_dir(document),
         heartbeat_ms=_number(document, "heartbeat_ms", DEFAULT_HEARTBEAT_MS),
         contracts=_texts(document, "contracts", ()),
+        log_level=_log_level(document),
         zones=_zones(document),
         listen=_listen(document),
         limits=_section(document, "limits", Limits()),
@@ -203,6 +207,13 @@
     return value
 
 
+def _log_level(document: Mapping[str, Any]) -> str:
+    value = document.get("log_level", DEFAULT_LOG_LEVEL)
+    if value not in LOG_LEVELS:
+        raise _Rejected(f"log_level: must be one of {', '.join(LOG_LEVELS)}")
+    return str(value)
+
+
 def _port_range(document: Mapping[str, Any]) -> tuple[int, int]:
     value = document.get("port_range")
     if not isinstance(value, list) or len(value) != 2 or not all(isinstance(each, int) for each in value):
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,143 @@
+"""The log: its lines, and its bound in a storm."""
+
+from __future__ import annotations
+
+import io
+import logging
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from canvasbeam.runtime import logs
+from canvasbeam.runtime.settings import ProcessSettings, load_settings
+
+EXAMPLE = """
+node = "core-1"
+role = "control-plane"
+class = "core"
+serves = ["control"]
+ip = "127.0.0.1"
+zone = "z1"
+region = "r1"
+port_range = [7660, 7675]
+seeds = ["127.0.0.1:8146"]
+"""
+
+
+class Clock:
+    """A clock that stands until it is moved."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+@pytest.fixture
+def settings(tmp_path: Path) -> ProcessSettings:
+    path = tmp_path / "local.toml"
+    path.write_text(EXAMPLE)
+    loaded = load_settings(path)
+    assert isinstance(loaded, ProcessSettings)
+    return loaded
+
+
+@pytest.fixture
+def stream(settings: ProcessSettings) -> Iterator[io.StringIO]:
+    stream = io.StringIO()
+    logs.configure(settings, epoch=lambda: 7, stream=stream)
+    yield stream
+    logs.shut_down()
+
+
+def lines(stream: io.StringIO) -> list[str]:
+    return stream.getvalue().splitlines()
+
+
+def test_a_line_names_time_level_node_epoch_channel_and_request(stream: io.StringIO) -> None:
+    logger = logs.get_logger("canvasbeam.data_plane.ingress")
+    logger.warning("worker {} closed", "i-1", extra={"request_id": "9c41"})
+    logger.info("ready")
+    logger.debug("not written at this level")
+    first, second = lines(stream)
+    stamp, level, rest = first.split(" ", 2)
+    assert stamp.endswith("Z")
+    assert len(stamp) == len("2026-12-02T05:00:00.000Z")
+    assert level == "WARNING"
+    assert rest == "core-1 epoch=7 data_plane.ingress: worker i-1 closed request=9c41"
+    assert second.endswith("INFO core-1 epoch=7 data_plane.ingress: ready")
+
+
+def test_the_epoch_can_be_set_later(stream: io.StringIO) -> None:
+    logs.set_epoch(lambda: 8)
+    logs.get_logger("x").info("now")
+    assert " epoch=8 " in lines(stream)[0]
+
+
+def test_a_record_is_one_line_whatever_it_quotes(stream: io.StringIO) -> None:
+    logger = logs.get_logger("x")
+    logger.info("from a client: {}", "a\nWARNING forged\x1b[0m")
+    logger.info("long {}", "y" * 10_000)
+    try:
+        raise ValueError("broken")
+    except ValueError:
+        logger.exception("a fault")
+    told = lines(stream)
+    assert len(told) == 3
+    assert r"a\nWARNING forged\x1b[0m" in told[0]
+    assert len(told[1]) < logs.LONGEST_MESSAGE + 100
+    assert "ValueError: broken" in told[2]
+
+
+def test_a_storm_is_bounded_by_its_place_and_counted() -> None:
+    clock, stream = Clock(), io.StringIO()
+    handler = logs.LineHandler("n", stream, clock=clock, burst=3)
+    logger, other = logs.get_logger("storm"), logs.get_logger("other")
+
+    def storm(count: int) -> None:
+        for number in range(count):
+            logger.warning("refused {}", number)
+
+    with handler.applicationbound():
+        storm(10)
+        other.info("another place is not held up")
+        assert [line.partition(": ")[2] for line in lines(stream)] == [
+            "refused 0", "refused 1", "refused 2", "another place is not held up",
+        ]  # fmt: skip
+        clock.now += logs.WINDOW_S
+        storm(1)
+        assert lines(stream)[-1].endswith("refused 0 suppressed=7")
+
+
+def test_a_storm_that_ended_is_told_by_the_next_record_of_any_place_and_at_the_end() -> None:
+    clock, stream = Clock(), io.StringIO()
+    handler = logs.LineHandler("n", stream, clock=clock, burst=1)
+    logger = logs.get_logger("storm")
+    with handler.applicationbound():
+        for _ in range(5):
+            logger.info("again")
+        clock.now += logs.WINDOW_S
+        logs.get_logger("other").info("later")
+        assert "4 records of test_logs.py:" in lines(stream)[1]
+        assert lines(stream)[2].endswith("later")
+        for _ in range(3):
+            logger.info("more")  # another place
+        handler.close()
+    assert "2 records of test_logs.py:" in lines(stream)[-1]
+
+
+def test_what_libraries_log_through_the_standard_library_is_in_the_log(stream: io.StringIO) -> None:
+    logging.getLogger("asyncio").error("task %s was lost", "t")
+    logging.getLogger("asyncio").info("not this")
+    (line,) = lines(stream)
+    assert line.endswith("ERROR core-1 epoch=7 asyncio: task t was lost")
+
+
+def test_a_closed_stream_does_not_end_the_program(settings: ProcessSettings) -> None:
+    stream = io.StringIO()
+    logs.configure(settings, stream=stream)
+    stream.close()
+    logs.get_logger("x").info("unheard")
+    logs.shut_down()
