--- a/canvasbeam/net/core.py
+++ b/canvasbeam/net/core.py
@@ -227,9 +227,7 @@
         self._identities.add(request.identity)
         self.pending += 1
         request.handle = self._requests.add(request)
-        request.deadline = self.loop.at(
-            request.due - self.limits.answer_guard, lambda: self._overdue(request)
-        )
+        request.deadline = self.loop.at(request.due - self.limits.answer_guard, lambda: self._overdue(request))
         # Guards against crossing the module: it may use all its time but a quantum, and answers then.
         due = self._to_module(request.due - self.limits.answer_margin)
         self._arrivals.append(
@@ -600,9 +598,7 @@
             request.answer(answer)
 
     def _log_fixed(self, request: Request, answer: FinalAnswer) -> None:
-        tried = ", ".join(
-            f"{each.target} {each.outcome.value if each.outcome else 'out'}" for each in request.attempts
-        )
+        tried = ", ".join(f"{each.target} {each.outcome.value if each.outcome else 'out'}" for each in request.attempts)
         left = (request.due - self.loop.now).total_seconds()
         log.info("%s %s, %.3f s left, tried: %s", request.job_class, answer.kind.value, left, tried or "none")
 
--- a/canvasbeam/net/listener.py
+++ b/canvasbeam/net/listener.py
@@ -683,9 +683,5 @@
 
     def call(self, call_id: str) -> Call:
         """What goes on to a target, unchanged."""
-        lines = [
-            name + b": " + value + b"\r\n"
-            for name, value in self.headers
-            if name.lower() not in NOT_PASSED
-        ]
+        lines = [name + b": " + value + b"\r\n" for name, value in self.headers if name.lower() not in NOT_PASSED]
         return Call(call_id, self.method, self.url, b"".join(lines), bytes(self.body))
