--- a/canvasbeam/lab/engine_sockets.py
+++ b/canvasbeam/lab/engine_sockets.py
@@ -111,9 +111,7 @@
         self.doors = [self._door(host, number) for number in range(stage.scenario.schedulers.count)]
 
     def _door(self, host: str, scheduler: int) -> Door:
-        door = Door(
-            self.stage.loop, (host, 0), partial(self._asked, scheduler), self._came, self._left, self.stage.now
-        )
+        door = Door(self.stage.loop, (host, 0), partial(self._asked, scheduler), self._came, self._left, self.stage.now)
         door.mark = deployment.zone_of(self.stage.scenario, scheduler)
         return door
 
@@ -455,7 +453,9 @@
         if connection is None:
             try:
                 connection = ClientConnection(
-                    self.loop, process.address, partial(self._answered, process),
+                    self.loop,
+                    process.address,
+                    partial(self._answered, process),
                     partial(self._broke, process),
                 )
             except OSError:
@@ -588,9 +588,7 @@
                 self.after(LOOK_EVERY, again)
 
         try:
-            connection = ClientConnection(
-                self.loop, process.address, answered, lambda _: self.after(LOOK_EVERY, again)
-            )
+            connection = ClientConnection(self.loop, process.address, answered, lambda _: self.after(LOOK_EVERY, again))
             connection.ask(b"GET /health/ready HTTP/1.1\r\nHost: origin.svc\r\n\r\n")
             self.after(LOOK_WITHIN, partial(self._look_late, connection, again))
         except OSError:
--- a/canvasbeam/lab/model/spec.py
+++ b/canvasbeam/lab/model/spec.py
@@ -208,9 +208,7 @@
     )  # fmt: skip
     most_jobs: Count = 1_000_000
     fleet: Fleet = Fleet()
-    classes: Annotated[tuple[JobClassSpec, ...], msgspec.Meta(min_length=1)] = (
-        JobClassSpec(name="file-read"),
-    )
+    classes: Annotated[tuple[JobClassSpec, ...], msgspec.Meta(min_length=1)] = (JobClassSpec(name="file-read"),)
     departments: tuple[Department, ...] = ()
     traffic: Traffic = Traffic()
     clients: Clients = Clients()
--- a/canvasbeam/lab/model/worker.py
+++ b/canvasbeam/lab/model/worker.py
@@ -189,9 +189,7 @@
     until_ns: int
 
 
-Event = (
-    Offered | Withdrawn | Woken | Probed | Connected | Died | Born | Drains | Slowed | Errs | Breaks | Paused
-)
+Event = Offered | Withdrawn | Woken | Probed | Connected | Died | Born | Drains | Slowed | Errs | Breaks | Paused
 
 
 # --- actions --------------------------------------------------------------------------------------
--- a/canvasbeam/lab/report.py
+++ b/canvasbeam/lab/report.py
@@ -315,7 +315,7 @@
         parts.append(f"<pre>{html.escape(chr(10).join(notes))}</pre>")
     for each in several:
         if each.strip:
-            drawn = f"<pre class=\"strip\">{html.escape(chr(10).join(each.strip))}</pre>"
+            drawn = f'<pre class="strip">{html.escape(chr(10).join(each.strip))}</pre>'
             parts.append(_part("Who could hear whom", drawn, "A sign for each second: # all others, + at least half of "
                                "them, . fewer, _ nobody, x the process does not run."))  # fmt: skip
     parts.append(_part("Service over time", service_over_time(several), "Worth answered in time over worth asked for, "
--- a/canvasbeam/lab/stage.py
+++ b/canvasbeam/lab/stage.py
@@ -117,9 +117,7 @@
         self.links = Links(zones, scenario.links, scenario.seed, network.same_ms, network.cross_ms, network.jitter)
         self.recorder = Recorder(scenario, self.machines, begun)
         self.cut_zones: dict[str, int] = {}
-        self.actors: dict[str, Actor] = {
-            each.name: self.actor(each, place) for place, each in enumerate(self.machines)
-        }
+        self.actors: dict[str, Actor] = {each.name: self.actor(each, place) for place, each in enumerate(self.machines)}
         self.registry = Registry(scenario, self.machines, self.chance, self, self.tell_list, self.after)
         self.front = Front(scenario, self.chance)
         self.audience = Audience(
@@ -197,8 +195,10 @@
         """Whether nothing passes between a scheduler's zone and a worker."""
         if to.condition.silent:
             return True
-        return bool(self.cut_zones) and zone != to.machine.zone and (
-            zone in self.cut_zones or to.machine.zone in self.cut_zones
+        return (
+            bool(self.cut_zones)
+            and zone != to.machine.zone
+            and (zone in self.cut_zones or to.machine.zone in self.cut_zones)
         )
 
     def way_ms(self, zone: str, to: Machine) -> float:
