--- a/canvasbeam/adapter.py
+++ b/canvasbeam/adapter.py
@@ -183,7 +183,9 @@
             "BackendsChanged": lambda _, fields: self._read_workers(fields),
             "WorkItem": lambda _, fields: read_job(fields),
             "Opened": lambda _, fields: ci.StreamOpened(
-                word(fields, "requestId"), whole(fields, "hop", 0), word(fields, "runner"),
+                word(fields, "requestId"),
+                whole(fields, "hop", 0),
+                word(fields, "runner"),
                 whole(fields, "rttNs", 0),
             ),
             "UpdateOf": lambda _, fields: read_note(fields),
--- a/canvasbeam/settings.py
+++ b/canvasbeam/settings.py
@@ -183,8 +183,7 @@
     names = report_names(report.get("columns") or (), family)
     settings = ci.Settings(
         classes=tuple(
-            read_class(fields, place, family, kinds)
-            for place, fields in enumerate(need(options, "services"))
+            read_class(fields, place, family, kinds) for place, fields in enumerate(need(options, "services"))
         ),
         zones=tuple(need(options, "localities")),
         own_zone=word(options, "myZone"),
