--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -15,9 +15,7 @@
 KEYED = ci.JobClass(
     "book", aim_ns=200 * MS, deadline_ns=5 * SECOND, stretch=2.0, effect=ci.Effect.KEYED, window_ns=3 * SECOND
 )
-UNSAFE = ci.JobClass(
-    "pay", aim_ns=200 * MS, deadline_ns=5 * SECOND, stretch=2.0, effect=ci.Effect.UNSAFE
-)
+UNSAFE = ci.JobClass("pay", aim_ns=200 * MS, deadline_ns=5 * SECOND, stretch=2.0, effect=ci.Effect.UNSAFE)
 LIMITS = ci.Limits(max_attempts=4, probes=True, cancel=True, second_copies=True, retry_advice=True,
                    max_retry_advice_ns=2 * SECOND, connect_timeout_ns=100 * MS)  # fmt: skip
 RULES = ci.Rules(
@@ -59,9 +57,7 @@
                 self.timers.append((action.when_ns, action.token))
         return self.last
 
-    def listed(
-        self, *workers: ci.WorkerEntry, kind: ci.ListKind = ci.ListKind.COMPLETE
-    ) -> list[ci.Action]:
+    def listed(self, *workers: ci.WorkerEntry, kind: ci.ListKind = ci.ListKind.COMPLETE) -> list[ci.Action]:
         return self.give(ci.WorkersListed(kind, workers, 1))
 
     def pass_time(self, span: int) -> list[ci.Action]:
@@ -89,9 +85,7 @@
         final: bool | None = None,
     ) -> list[ci.Action]:  # fmt: skip
         return self.give(
-            ci.AttemptEnded(
-                job, attempt, worker, outcome, final=outcome is ci.Outcome.OK if final is None else final
-            )
+            ci.AttemptEnded(job, attempt, worker, outcome, final=outcome is ci.Outcome.OK if final is None else final)
         )
 
     def run_job(self, span: int = 20 * MS, **fields: Any) -> str:
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -55,9 +55,7 @@
     ],
 )
 def test_keyed_stays_in_its_group(scope: ci.Scope, zone: str, cell: int, allowed: bool) -> None:
-    keyed = ci.JobClass(
-        "book", 200 * MS, 5 * SECOND, effect=ci.Effect.KEYED, scope=scope, window_ns=3 * SECOND
-    )
+    keyed = ci.JobClass("book", 200 * MS, 5 * SECOND, effect=ci.Effect.KEYED, scope=scope, window_ns=3 * SECOND)
     bench = Bench(entry("a", cell=1), classes=(keyed,))
     sent_to(bench, "book")
     bench.listed(entry("b", zone, cell=cell))
@@ -75,9 +73,7 @@
 
 
 def test_keyed_in_a_zone_group_is_failed_not_refused() -> None:
-    keyed = ci.JobClass(
-        "book", 200 * MS, 5 * SECOND, effect=ci.Effect.KEYED, scope=ci.Scope.ZONE, window_ns=SECOND
-    )
+    keyed = ci.JobClass("book", 200 * MS, 5 * SECOND, effect=ci.Effect.KEYED, scope=ci.Scope.ZONE, window_ns=SECOND)
     bench = Bench(entry("a"), classes=(keyed,))
     worker = sent_to(bench, "book")
     bench.now += SECOND
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -120,9 +120,7 @@
 @WAYS
 @pytest.mark.parametrize("name", ["pay", "book"])
 @pytest.mark.parametrize("may_cancel", [True, False])
-def test_one_that_leaves_while_the_last_byte_is_held_back_as_proof(
-    leaves: Leaves, name: str, may_cancel: bool
-) -> None:
+def test_one_that_leaves_while_the_last_byte_is_held_back_as_proof(leaves: Leaves, name: str, may_cancel: bool) -> None:
     """Guards against an attempt that begins with its last byte, which was written whoever had left meanwhile."""
     limits = Limits(proof=LONG_PROOF, longest_proof=LONG_PROOF)
     world = World(Server(), limits=limits, allowed=replace(LIMITS, cancel=may_cancel))
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -60,8 +60,13 @@
     def make(self, number: int) -> Dispatcher:
         return Dispatcher(
             settings(
-                classes=self.classes, zones=self.zones, own_zone=self.zones[number % len(self.zones)],
-                own_number=number, dispatchers=self.count, rules=self.rules, report_how=ci.ReportHow.ANSWERS,
+                classes=self.classes,
+                zones=self.zones,
+                own_zone=self.zones[number % len(self.zones)],
+                own_number=number,
+                dispatchers=self.count,
+                rules=self.rules,
+                report_how=ci.ReportHow.ANSWERS,
                 report_fields=("free_slots",),
             ),
             self.seed * 100 + number,
--- a/tests/test_lab_sim.py
+++ b/tests/test_lab_sim.py
@@ -114,8 +114,17 @@
 @pytest.mark.parametrize(
     "name",
     [
-        "calm", "tuesday", "cold-return-under-surge", "rolling-restarts", "site-overload", "broken-streams", "demo",
-        "vast-herd", "vast-zone", "one-class", "three-zones",
+        "calm",
+        "tuesday",
+        "cold-return-under-surge",
+        "rolling-restarts",
+        "site-overload",
+        "broken-streams",
+        "demo",
+        "vast-herd",
+        "vast-zone",
+        "one-class",
+        "three-zones",
     ],
 )
 def test_the_scenarios_that_ship_keep_the_rules(name: str) -> None:
--- a/tests/test_list_told.py
+++ b/tests/test_list_told.py
@@ -131,7 +131,7 @@
 
 
 def mid_answer(peer: Any) -> None:
-    peer.say(b"HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\n{\"seq\":2,")
+    peer.say(b'HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\n{"seq":2,')
 
 
 def endless(peer: Any) -> None:
--- a/tests/test_net_listener.py
+++ b/tests/test_net_listener.py
@@ -93,9 +93,7 @@
     [(b"", ""), (job()[:30], "408"), (job()[:-2], "408"), (b"\r\n\r\n", ""), (b"no class\r\n\r\n", "400"),
      (b"POST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nBO", "408")],
 )  # fmt: skip
-def test_silent_and_unfinished_clients_are_told_and_closed_long_before_the_idle(
-    said: bytes, status: str
-) -> None:
+def test_silent_and_unfinished_clients_are_told_and_closed_long_before_the_idle(said: bytes, status: str) -> None:
     # Who has begun is judged by the request's time alone, who has not by the silence.
     other = {("client_silent" if status == "408" else "client_request"): timedelta(seconds=60)}
     world = World(Server(), limits=Limits(**{**SHORT, **other}))  # type: ignore[arg-type]
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -42,9 +42,7 @@
 
 
 @pytest.mark.parametrize("crowd", ["silent", "asked once", "half a request"])
-def test_idle_clients_that_fill_the_descriptors_keep_nobody_from_one(
-    crowd: str, tmp_path: Path
-) -> None:
+def test_idle_clients_that_fill_the_descriptors_keep_nobody_from_one(crowd: str, tmp_path: Path) -> None:
     """Discovery is down and a crowd fills the table; then it is back: its list, a job, a call by the staff."""
     fleet = small_fleet(tmp_path)
     address = fleet.discovery.address
@@ -200,5 +198,3 @@
     assert ended.returncode == 1
     assert len(ended.stderr.splitlines()) == 1 and "sockets" in ended.stderr
     socket.create_server(fleet.listen).close()
-
-
--- a/tests/test_rules_property.py
+++ b/tests/test_rules_property.py
@@ -143,9 +143,7 @@
     def judge_cold(self, worker: ci.WorkerEntry) -> None:
         rules = self.settings.rules
         age = self.now - worker.started_ns
-        at_worker = [
-            each for job in self.jobs.values() for each in job.sent if each.worker.worker == worker.worker
-        ]
+        at_worker = [each for job in self.jobs.values() for each in job.sent if each.worker.worker == worker.worker]
         if worker.started_ns == 0 or age >= rules.warm_within_ns:
             there = sum(each.outcome is None for each in at_worker)
             self.most_at_once = max(self.most_at_once, there)
@@ -257,9 +255,7 @@
         rules=ci.Rules(answer_slack_ns=16 * MS, cold_from=0.2, warm_within_ns=4 * SECOND,
                        tip_multiple=3.0, overload_for_ns=SECOND),
     )  # fmt: skip
-    fleet = tuple(
-        ci.WorkerEntry(f"w{place}", "here" if place % 2 else "there", "k", place // 2) for place in range(6)
-    )
+    fleet = tuple(ci.WorkerEntry(f"w{place}", "here" if place % 2 else "there", "k", place // 2) for place in range(6))
     watch(Referee(kind, random.Random(seed), told, fleet, rush=seed % 3 == 0), steps)
 
 
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -205,5 +205,3 @@
     client = world.client(job(call_id="c1"))
     assert world.answer(client).split()[1] == "503"
     assert world.servers[0].requests() == 0
-
-
--- a/tests/test_target_crossings.py
+++ b/tests/test_target_crossings.py
@@ -295,5 +295,3 @@
     world.skip(seconds(0.1).total_seconds())
     served_once(world, 3, "pay")
     assert world.forwarder.opened == 2
-
-
