Let classes change while running; declare what limits and engine models may be injected

The serving system's classes come from the operator's configuration, which changes at any time; limits that bind all dispatchers and expectations of model workers are decided by modules of their own. All defaults are off.

--- a/canvasbeam/choice.py
+++ b/canvasbeam/choice.py
@@ -16,7 +16,7 @@
 from bisect import insort
 from collections import deque
 from collections.abc import Iterator, Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from hashlib import blake2b
 from heapq import heappop, heappush
 from itertools import chain
@@ -131,7 +131,8 @@
     slots: float
     hint: int
     over_share: bool
-    rank: tuple[bool, bool, int, int] = (False, False, 0, 0)
+    told: ci.JobArrived
+    rank: tuple[bool, bool, int, int, int] = (False, False, 0, 0, 0)
     held: bool = False
     done: bool = False
     streaming: bool = False
@@ -161,6 +162,7 @@
     cell: int
     state: WorkerState
     started: int
+    entry: ci.WorkerEntry
     cap: float = inf
     cap_at: int = 0
     regrow_wait: float = 1.0
@@ -203,14 +205,19 @@
     unasked: Iterator[Worker]
 
 
-Need = tuple[int, str, float, int]  # ring, class, slots and hint: what makes jobs alike for a worker
+Alike = tuple[str, float, int, str]  # class, slots, hint, and the job where its prompt tells it from others
+Need = tuple[int, Alike]  # ring, and what makes jobs alike for a worker
 
 
 class Dispatcher:
     """Decides for one dispatcher: events and the clock in, actions out."""
 
-    def __init__(self, settings: ci.Settings, seed: int) -> None:
+    def __init__(
+        self, settings: ci.Settings, seed: int, governor: ci.Governor | None = None,
+        engines: ci.EngineModel | None = None,
+    ) -> None:
         self._set = settings
+        self._governor, self._engines = governor, engines
         self._random = random.Random(seed)
         self._classes = {each.name: each for each in settings.classes}
         self._workers: dict[str, Worker] = {}
@@ -224,7 +231,7 @@
         self._queue = 0.0  # how long jobs that stay in queues wait, in mean service times
         # Danger: all workers asked again for every event take more time than there is. What nobody took is
         # offered to those only at which something started or ended since, until the next sweep.
-        self._shut: dict[tuple[str, float, int], None] = {}
+        self._shut: dict[Alike, None] = {}
         self._touched: dict[str, Worker] = {}
         # Danger: a sweep that looks at all jobs and workers takes more time than there is among many. Each
         # says when something may have to be done for it; what happens to it meanwhile brings that forward.
@@ -245,10 +252,15 @@
         self._watch_fails = 0
         self._asked = False
         self._beat = SWEEP_QUANTA * settings.quantum_ns
-        self._held_beat = max(self._beat, min(each.aim_ns for each in settings.classes) // HELD_SWEEPS)
+        self._held_beat = self._beat_of_held()
         self._now = 0
         self._actions: list[ci.Action] = []
 
+    def _beat_of_held(self) -> int:
+        """How often workers are looked for while jobs are held."""
+        shortest = min((each.aim_ns for each in self._set.classes), default=SECOND)
+        return max(self._beat, shortest // HELD_SWEEPS)
+
     def handle(self, now: int, events: Sequence[ci.Event]) -> list[ci.Action]:
         """Take what has come in at this time and say what to do. A job with no action is held."""
         self._now, self._actions = now, []
@@ -281,6 +293,15 @@
                 self._on_client_gone(event.job)
             case ci.StreamOpened():
                 self._on_stream(event)
+            case ci.ClassesChanged():
+                self._on_classes(event)
+
+    def _on_classes(self, event: ci.ClassesChanged) -> None:
+        """Take new classes; jobs that were taken keep the class they came with."""
+        self._set = replace(self._set, classes=event.classes, kinds=event.kinds)
+        self._classes = {each.name: each for each in event.classes}
+        self._held_beat = self._beat_of_held()
+        self._shut.clear()
 
     # --- worker lists and rings -------------------------------------------------------------------
 
@@ -314,15 +335,21 @@
         """Take what is told of a worker; whether it may stand in another place than before."""
         worker = self._workers.get(entry.worker)
         told = (entry.state, entry.zone, entry.kind, entry.cell)
+        if self._governor is not None:
+            self._governor.listed(self._now, entry)
         if worker is None:
-            worker = Worker(entry.worker, entry.zone, entry.kind, entry.cell, entry.state, entry.started_ns)
+            worker = Worker(
+                entry.worker, entry.zone, entry.kind, entry.cell, entry.state, entry.started_ns, entry
+            )
             worker.lot = int.from_bytes(blake2b(f" {worker.name}".encode(), digest_size=8).digest(), "big")
             worker.place = len(self._workers)
             self._workers[entry.worker] = worker
         elif entry.started_ns > worker.started:
             self._restart(worker, entry.started_ns)
         elif told == (worker.state, worker.zone, worker.kind, worker.cell):
+            worker.entry = entry
             return False
+        worker.entry = entry
         worker.state, worker.zone, worker.kind, worker.cell = told
         return True
 
@@ -396,11 +423,15 @@
         cls = self._classes[event.job_class]
         job = Job(
             event.job, cls, self._born(cls, event.due_ns), event.due_ns, event.slots, event.work_hint_ns,
-            self._beyond_share(event.tenant),
+            self._beyond_share(event.tenant), event,
         )
+        if self._governor is not None:
+            self._governor.arrived(self._now, cls.kind or "")
         self._arrivals += 1
         self._jobs[job.id] = job
-        job.rank = (event.repeat and not cls.late_worth, job.over_share, self._urgency(job), self._arrivals)
+        urgent = -cls.priority if self._set.urgent_first else 0
+        late = event.repeat and not cls.late_worth
+        job.rank = (late, job.over_share, urgent, self._urgency(job), self._arrivals)
         if job.due > self._now + self._guard():
             self._hold(job)
         else:
@@ -453,9 +484,9 @@
     def _place_held(self) -> None:
         """Give held jobs, best first, to workers whose turn it is, until none is open."""
         turns: dict[Need, Turns] = {}
-        done: dict[tuple[str, float, int], None] = {}  # kinds of jobs that nobody takes in this pass
+        done: dict[Alike, None] = {}  # kinds of jobs that nobody takes in this pass
         for job in tuple(self._held):
-            kind = (job.cls.name, job.slots, job.hint)
+            kind = self._alike(job)
             if kind in done and not job.attempts:
                 continue
             worker = self._next_in_turn(job, turns)
@@ -469,6 +500,10 @@
         if not self._held:
             self._shut.clear()
 
+    def _alike(self, job: Job) -> Alike:
+        """What makes jobs alike for a worker; what a prompt asks of it differs from job to job."""
+        return job.cls.name, job.slots, job.hint, job.id if self._engines and job.told.prompt else ""
+
     def _unhold(self, job: Job) -> None:
         if job.held:
             job.held = False
@@ -507,10 +542,10 @@
 
     def _in_turn(self, place: int, job: Job, turns: dict[Need, Turns]) -> Iterator[Worker]:
         """The workers of a ring that take jobs like this one, in turn order; each is asked once in a pass."""
-        need = (place, job.cls.name, job.slots, job.hint)
+        need = (place, self._alike(job))
         if need not in turns:
             ring = self._rings[place]
-            if need[1:] in self._shut:
+            if need[1] in self._shut:
                 ring = self._touched_in(place)
             turns[need] = Turns([], iter(tuple(ring)))
         yield from turns[need].takers
@@ -564,12 +599,24 @@
         """Whether this worker may be sent this job."""
         if job.cls.kind is not None and job.cls.kind != worker.kind:
             return False
+        if job.cls.homes and worker.zone not in job.cls.homes:
+            return False
+        if self._governor is not None and not self._governor.may_send_cold(self._now, worker.name):
+            return False
+        if self._engines is not None and not self._engine_takes(worker, job):
+            return False
         if self._crowd and job.cls.effect is Effect.UNSAFE and not self._vouched(worker, job):
             return False
         if worker.attempts and worker.load + job.slots > max(worker.cap, worker.load + 1):
             return False
         return worker.started <= 0 or self._cold_allows(worker, job)
 
+    def _engine_takes(self, worker: Worker, job: Job) -> bool:
+        """Whether a language model's worker is expected to start this job within its aim."""
+        assert self._engines is not None
+        left = self._in_time_until(job) - self._now
+        return self._engines.has_room(self._now, worker.entry, job.told, left)
+
     def _vouched(self, worker: Worker, job: Job) -> bool:
         """Whether a worker of a crowd is good for a job that must not be repeated.
 
@@ -581,9 +628,18 @@
         waits = self._now < job.born + (self._in_time_until(job) - job.born) // 2
         return not waits or worker.served >= self._now - VOUCHED_FOR
 
+    def _repeat_permitted(self, job: Job) -> bool:
+        """Whether the budget that all dispatchers share for repeats has room."""
+        return self._governor is None or self._governor.may_repeat(self._now, job.cls.kind or "")
+
+    def _most_attempts(self, job: Job) -> int:
+        return job.cls.max_attempts or self._set.limits.max_attempts
+
     def _may_send(self, job: Job) -> bool:
         """No effect twice: what may have run is sent again only where and while its class permits."""
-        if job.done or job.streaming or job.tries() >= self._set.limits.max_attempts:
+        if job.done or job.streaming or job.tries() >= self._most_attempts(job):
+            return False
+        if job.attempts and not self._repeat_permitted(job):
             return False
         if job.out() and not self._set.limits.second_copies:
             return False
@@ -628,6 +684,10 @@
             len(job.attempts), job, worker, self._now,
             self._now + max(round(late), self._beat), worker.load + job.slots, fresh,
         )
+        if self._governor is not None:
+            self._governor.sent(self._now, worker.kind, worker.name, repeat=bool(job.attempts))
+        if self._engines is not None:
+            self._engines.sent(self._now, worker.entry, job.told)
         job.attempts.append(attempt)
         worker.attempts.append(attempt)
         self._out += 1
@@ -667,6 +727,8 @@
     def _start(self, attempt: Attempt) -> None:
         if not attempt.started:
             attempt.started = self._now
+            if self._engines is not None:
+                self._engines.started(self._now, attempt.worker.name, attempt.job.id)
             self._touched[attempt.worker.name] = attempt.worker
             attempt.worker.unstarted -= attempt.there
             self._look(attempt.worker, self._silent_at(attempt.worker))
@@ -725,6 +787,8 @@
             attempt.there = False
             self._out -= 1
             worker = attempt.worker
+            if self._engines is not None:
+                self._engines.ended(self._now, worker.name, attempt.job.id)
             worker.attempts.remove(attempt)
             self._touched[worker.name] = worker
             worker.load -= attempt.job.slots
@@ -788,7 +852,7 @@
             self._shut.clear()
             for worker in sorted(self._due(self._worker_looks), key=lambda each: each.place):
                 self._sweep_worker(worker)
-            for job in sorted(self._due(self._job_looks), key=lambda each: each.rank[3]):
+            for job in sorted(self._due(self._job_looks), key=lambda each: each.rank[4]):
                 self._sweep_job(job)
             for looks in filter(None, (self._worker_looks, self._job_looks)):
                 self._wake_by(looks[0][0])
@@ -850,7 +914,7 @@
         if job.cls.late_worth > 0:
             if not job.rank[0] and self._now >= job.born + job.cls.aim_ns:
                 self._unhold(job)
-                job.rank = (True, job.over_share, -job.born, job.rank[3])
+                job.rank = (True, job.over_share, job.rank[2], -job.born, job.rank[4])
                 self._hold(job)
             self._look(job, self._now + self._held_beat if job.attempts or not job.rank[0] else inf)
         elif not job.risky() and self._now >= self._in_time_until(job):
@@ -922,7 +986,7 @@
     def _may_resend_after(self, attempt: Attempt) -> bool:
         """Where two may not be out at once, the cancel must leave time and tries for another send."""
         job = attempt.job
-        if job.tries() >= self._set.limits.max_attempts:
+        if job.tries() >= self._most_attempts(job):
             return False
         margin = self._beat + self._set.limits.connect_timeout_ns
         return job.cls.effect is Effect.SAFE or self._now + margin < job.risky()[0].sent + job.cls.window_ns
@@ -1033,7 +1097,7 @@
         Danger: among a crowd that happens to workers that are well, all the time; to rest and probe each of
         them for it takes turns and work from them.
         """
-        urgent = max(each.priority for each in self._set.classes)
+        urgent = max((each.priority for each in self._set.classes), default=0)
         return self._pools and job.cls.priority < urgent
 
     def _hear(self, worker: Worker) -> None:
@@ -1099,7 +1163,7 @@
 
     def _mean_service(self) -> float:
         known = self._service.get(())
-        return known[0] if known else float(min(each.aim_ns for each in self._set.classes))
+        return known[0] if known else float(min((each.aim_ns for each in self._set.classes), default=SECOND))
 
     def _service_of(self, job: Job, worker: Worker | None = None) -> float:
         """How long a job of this class runs, on this kind of worker where it was seen there."""
--- a/canvasbeam/interface.py
+++ b/canvasbeam/interface.py
@@ -6,9 +6,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import Protocol
 
 
 class Effect(Enum):
@@ -106,7 +107,11 @@
 
 @dataclass(frozen=True, slots=True)
 class JobClass:
-    """One class of jobs. An answer in time is one within `aim_ns` plus `stretch` times the job's own work."""
+    """One class of jobs. An answer in time is one within `aim_ns` plus `stretch` times the job's own work.
+
+    `max_attempts` is the number of workers that one job may be sent to, or 0 for that of the limits. `homes` are the
+    zones in which the class may run, or none where it may run in all.
+    """
 
     name: str
     aim_ns: int
@@ -120,6 +125,8 @@
     kind: str | None = None
     priority: int = 0
     stretch: float = 0.0
+    max_attempts: int = 0
+    homes: tuple[str, ...] = ()
 
     def __post_init__(self) -> None:
         _require(bool(self.name), "name", "must not be empty")
@@ -129,6 +136,7 @@
         _require(0 <= self.late_worth <= 1, "late_worth", "must lie between 0 and 1")
         _require(self.window_ns >= 0, "window_ns", "must not be negative")
         _require(self.stretch >= 0, "stretch", "must not be negative")
+        _require(self.max_attempts >= 0, "max_attempts", "must not be negative")
 
 
 @dataclass(frozen=True, slots=True)
@@ -204,7 +212,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Settings:
-    """All that a dispatcher is told at its start."""
+    """All that a dispatcher is told at its start.
+
+    With `classes_later` it may start without classes: `ClassesChanged` brings them. With `urgent_first` held jobs of a
+    higher priority go before all others.
+    """
 
     classes: tuple[JobClass, ...]
     zones: tuple[str, ...]
@@ -228,18 +240,25 @@
     rules: Rules = Rules()
     goal: Goal = Goal()
     prices: Mapping[str, float] = field(default_factory=dict)
+    classes_later: bool = False
+    urgent_first: bool = False
 
     def __post_init__(self) -> None:
-        _require(bool(self.classes), "classes", "must name at least one class")
-        names = [each.name for each in self.classes]
-        _require(len(set(names)) == len(names), "classes", "must not name a class twice")
+        _require(bool(self.classes) or self.classes_later, "classes", "must name at least one class")
+        check_classes(self.classes, self.kinds)
         _require(self.own_zone in self.zones, "own_zone", "must be one of zones")
         _require(self.dispatchers >= 1, "dispatchers", "must be at least 1")
         _require(self.own_number >= 0, "own_number", "must not be negative")
         _require(self.quantum_ns > 0, "quantum_ns", "must be positive")
         _require(self.progress_ns >= 0, "progress_ns", "must not be negative")
-        for each in self.classes:
-            _require(each.kind is None or each.kind in self.kinds, "classes.kind", "must be one of kinds")
+
+
+def check_classes(classes: Sequence[JobClass], kinds: Sequence[str]) -> None:
+    """Classes are named once, and each asks for a known kind of worker."""
+    names = [each.name for each in classes]
+    _require(len(set(names)) == len(names), "classes", "must not name a class twice")
+    for each in classes:
+        _require(each.kind is None or each.kind in kinds, "classes.kind", "must be one of kinds")
 
 
 # --- events -----------------------------------------------------------------------------------
@@ -247,7 +266,11 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerEntry:
-    """One worker as discovery lists it. `started_ns` is 0 for a start in the distant past."""
+    """One worker as discovery lists it. `started_ns` is 0 for a start in the distant past.
+
+    `slots` is how many jobs it runs at once, or 0 where that is not told; `cold_until_ns` is when it stops being cold.
+    Where the workers' rules are told by a configuration, `kind` is the service and `zone` the region.
+    """
 
     worker: str
     zone: str
@@ -256,6 +279,8 @@
     state: WorkerState = WorkerState.LIVE
     weight: float = 1.0
     started_ns: int = 0
+    slots: int = 0
+    cold_until_ns: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -267,6 +292,31 @@
     version: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class ClassesChanged:
+    """From here on these are the classes and kinds. Jobs that were taken keep the class they came with."""
+
+    classes: tuple[JobClass, ...]
+    kinds: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class PromptPart:
+    """A part of a prompt, which workers keep once read: it is known by its name and what stands before it."""
+
+    name: str
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class PromptEstimate:
+    """What a job for a language model asks of a worker."""
+
+    tokens_in: int
+    most_tokens_out: int
+    parts: tuple[PromptPart, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class JobArrived:
     """A job was taken; it is owed exactly one final answer by `due_ns`."""
@@ -282,6 +332,7 @@
     repeat: bool = False
     write: bool = False
     came_back: bool = False
+    prompt: PromptEstimate | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -361,6 +412,7 @@
 
 Event = (
     WorkersListed
+    | ClassesChanged
     | JobArrived
     | StreamOpened
     | JobStarted
@@ -458,3 +510,44 @@
 
 
 Action = Send | Cancel | Refuse | Fail | SetTimer | Probe | CloseIdle | TellPeer | Log | Watch | FetchList
+
+
+# --- what may be injected ---------------------------------------------------------------------
+
+
+class Governor(Protocol):
+    """Limits that bind the sum over all dispatchers, of which this one keeps its share."""
+
+    def arrived(self, now: int, kind: str) -> None:
+        """A job for a kind of worker was taken from its client."""
+
+    def may_repeat(self, now: int, kind: str) -> bool:
+        """Whether a job may be sent to a worker of this kind once more than once."""
+
+    def may_send_cold(self, now: int, worker: str) -> bool:
+        """Whether a worker that may be cold can be sent one more job."""
+
+    def sent(self, now: int, kind: str, worker: str, repeat: bool) -> None:
+        """A job was sent; `repeat` when it had been sent before."""
+
+    def listed(self, now: int, entry: WorkerEntry) -> None:
+        """What discovery tells of a worker."""
+
+
+class EngineModel(Protocol):
+    """What is expected of workers that run language models, from this dispatcher's own sends."""
+
+    def has_room(self, now: int, entry: WorkerEntry, job: JobArrived, aim_left_ns: int) -> bool:
+        """Whether the worker can start the job within what is left of its aim."""
+
+    def lead(self, entry: WorkerEntry, job: JobArrived) -> int:
+        """How many tokens of the job's prompt the worker is expected to keep already."""
+
+    def sent(self, now: int, entry: WorkerEntry, job: JobArrived) -> None:
+        """The job was sent to the worker."""
+
+    def started(self, now: int, worker: str, job: str) -> None:
+        """The worker gave the job's first token."""
+
+    def ended(self, now: int, worker: str, job: str) -> None:
+        """The job no longer occupies the worker."""
