Apply the operator's changes to the control state, and take again what was taken

A pure function checks a configuration by schema and rules, patches named items, and keeps digests of the orders it took, so that an order whose acknowledgement was lost is acknowledged by any later primary.

--- /dev/null
+++ b/canvasbeam/control_plane/changes.py
@@ -0,0 +1,210 @@
+"""The pure function that applies an operator's change to the control state, and the encoding of that state.
+
+`apply` is deterministic: every replica applies the same changes in the same order and gets the same state. Where an
+order had been taken before, the same state object is returned: there is nothing to store, and the order is
+acknowledged once more. That holds after a failover too, because the digests of the orders are part of the state.
+"""
+
+from __future__ import annotations
+
+import json
+import math
+from collections.abc import Iterable, Mapping
+from dataclasses import replace
+from hashlib import blake2b
+from typing import Any
+
+from google.protobuf.message import DecodeError
+
+from canvasbeam.cluster.control_state_pb2 import ControlStateRecord
+from canvasbeam.control_plane.configuration_rules import check_rules
+from canvasbeam.control_plane.configuration_schema import check_configuration, check_patch
+from canvasbeam.control_plane.control_state import Change, ChangeKind, ControlState
+from canvasbeam.errors import Failure, ResultCode
+
+MOST_TAKEN_ORDERS = 4096
+ORDER_DIGEST_BYTES = 12
+DEEPEST_NESTING = 100
+NOTHING_CONFIGURED: Mapping[str, Any] = {}
+
+
+def apply(state: ControlState, change: Change) -> ControlState | Failure:
+    """The state after a change; the same object where the change had been made before."""
+    if change.kind is ChangeKind.START_EVACUATION:
+        return _with_zones(state, {*state.evacuated_zones, change.zone})
+    if change.kind is ChangeKind.END_EVACUATION:
+        return _with_zones(state, {*state.evacuated_zones} - {change.zone})
+    return _apply_configuration(state, change)
+
+
+def encode_configuration(configuration: Mapping[str, Any]) -> bytes:
+    """A configuration as compact JSON."""
+    return json.dumps(configuration, separators=(",", ":")).encode("ascii")
+
+
+def encode_state(state: ControlState) -> bytes:
+    """The state as it is stored and sent."""
+    record = ControlStateRecord(
+        index=state.index,
+        generation=state.generation,
+        configuration=b"" if state.configuration is None else encode_configuration(state.configuration),
+        configuration_index=state.configuration_index,
+        evacuated_zones=state.evacuated_zones,
+        evacuation_index=state.evacuation_index,
+        taken_orders=state.taken_orders,
+    )
+    return record.SerializeToString(deterministic=True)
+
+
+def decode_state(data: bytes) -> ControlState | Failure:
+    """The state that was encoded."""
+    try:
+        record = ControlStateRecord.FromString(data)
+        configuration = json.loads(record.configuration) if record.configuration else None
+    except (DecodeError, ValueError) as error:
+        return Failure(ResultCode.DISK_CORRUPT, f"the control state cannot be decoded: {error}")
+    return ControlState(
+        index=record.index,
+        generation=record.generation,
+        configuration=configuration,
+        configuration_index=record.configuration_index,
+        evacuated_zones=tuple(record.evacuated_zones),
+        evacuation_index=record.evacuation_index,
+        taken_orders=tuple(record.taken_orders),
+    )
+
+
+def order_digest(change: Change) -> bytes:
+    """What makes two configuration orders the same one."""
+    head = f"{int(change.kind)}\0{change.if_match}\0".encode()
+    return blake2b(head + change.body, digest_size=ORDER_DIGEST_BYTES).digest()
+
+
+def _with_zones(state: ControlState, zones: set[str]) -> ControlState:
+    evacuated = tuple(sorted(zones))
+    if evacuated == state.evacuated_zones:
+        return state
+    index = state.index + 1
+    return replace(state, index=index, evacuated_zones=evacuated, evacuation_index=index)
+
+
+def _apply_configuration(state: ControlState, change: Change) -> ControlState | Failure:
+    digest = order_digest(change)
+    if digest in state.taken_orders:
+        return state
+    document = _read_document(change.body)
+    if isinstance(document, Failure):
+        return document
+    if change.kind is ChangeKind.PUT_CONFIGURATION and document == state.configuration:
+        return state
+    if change.if_match != state.generation:
+        reason = f"If-Match is {change.if_match}, the current generation is {state.generation}"
+        return Failure(ResultCode.CONFIG_STALE_MATCH, reason)
+    configuration = _next_configuration(state, change.kind, document)
+    if isinstance(configuration, Failure):
+        return configuration
+    return _with_configuration(state, configuration, digest)
+
+
+def _next_configuration(state: ControlState, kind: ChangeKind, document: Any) -> Mapping[str, Any] | Failure:
+    """The configuration that an order asks for, checked whole."""
+    if kind is ChangeKind.PATCH_CONFIGURATION:
+        failure = check_patch(document)
+        if failure is not None:
+            return failure
+        document = _patched(state.configuration or NOTHING_CONFIGURED, document)
+    failure = check_configuration(document) or check_rules(document) or _check_generation(state, document)
+    return document if failure is None else failure
+
+
+def _check_generation(state: ControlState, configuration: Mapping[str, Any]) -> Failure | None:
+    generation = configuration["generation"]
+    if generation > state.generation:
+        return None
+    reason = f"the generation {generation} is not above the current one, {state.generation}"
+    return Failure(ResultCode.CONFIG_OLD_GENERATION, reason)
+
+
+def _with_configuration(state: ControlState, configuration: Mapping[str, Any], digest: bytes) -> ControlState:
+    index = state.index + 1
+    return replace(
+        state,
+        index=index,
+        generation=int(configuration["generation"]),
+        configuration=configuration,
+        configuration_index=index,
+        taken_orders=(*state.taken_orders, digest)[-MOST_TAKEN_ORDERS:],
+    )
+
+
+def _patched(base: Mapping[str, Any], patch: Mapping[str, Any]) -> dict[str, Any]:
+    """A configuration with named items removed, replaced in their places, and added at the end."""
+    configuration = {**base, "generation": patch["generation"]}
+    if "limits" in patch:
+        configuration["limits"] = patch["limits"]
+    for field, names in patch.get("remove", {}).items():
+        if field not in configuration:
+            continue
+        unwanted = set(names)
+        configuration[field] = [item for item in _items(configuration, field) if _name_of(item) not in unwanted]
+    for field, items in patch.get("upsert", {}).items():
+        configuration[field] = _upserted(_items(configuration, field), items)
+    return configuration
+
+
+def _upserted(items: list[Any], changed: list[Any]) -> list[Any]:
+    """Items of a name that stands twice in `changed` are both added, for the rules to find."""
+    waiting = {item["name"]: item for item in reversed(changed)}
+    first_of = dict(waiting)
+    replaced = [waiting.pop(_name_of(item), item) for item in items]
+    added = [item for item in changed if item["name"] in waiting or item is not first_of[item["name"]]]
+    return replaced + added
+
+
+def _items(configuration: Mapping[str, Any], field: str) -> list[Any]:
+    """The list of a field; one that is missing or no list counts as empty."""
+    items = configuration.get(field)
+    return items if isinstance(items, list) else []
+
+
+def _name_of(item: Any) -> str | None:
+    name = item.get("name") if isinstance(item, dict) else None
+    return name if isinstance(name, str) else None
+
+
+def _read_document(body: bytes) -> Any:
+    """The JSON document of a body, or a failure; numbers that JSON does not have are refused."""
+    try:
+        document = json.loads(body, parse_constant=_refuse_constant, parse_float=_finite)
+    except (ValueError, RecursionError) as error:
+        return Failure(ResultCode.CONFIG_UNREADABLE, f"the body is not a JSON document: {error}")
+    if _is_nested_too_deep(document):
+        return Failure(ResultCode.CONFIG_UNREADABLE, f"the body is nested deeper than {DEEPEST_NESTING} levels")
+    return document
+
+
+def _is_nested_too_deep(document: Any) -> bool:
+    """Whether later steps, some of which recurse, could run out of stack."""
+    level = [document]
+    for _ in range(DEEPEST_NESTING):
+        level = [child for value in level for child in _children(value)]
+        if not level:
+            return False
+    return True
+
+
+def _children(value: Any) -> Iterable[Any]:
+    if isinstance(value, dict):
+        return value.values()
+    return value if isinstance(value, list) else ()
+
+
+def _refuse_constant(text: str) -> float:
+    raise ValueError(f"{text} is not a JSON number")
+
+
+def _finite(text: str) -> float:
+    value = float(text)
+    if not math.isfinite(value):
+        raise ValueError(f"{text} is too large")
+    return value
--- /dev/null
+++ b/canvasbeam/control_plane/configuration_rules.py
@@ -0,0 +1,115 @@
+"""The rules that relate the parts of a configuration to each other; its structure has been checked before."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Hashable, Iterable, Iterator, Mapping
+from typing import Any, TypeVar
+
+from canvasbeam.errors import Failure, ResultCode
+
+Configuration = Mapping[str, Any]
+Route = Mapping[str, Any]
+Value = TypeVar("Value", bound=Hashable)
+
+TENANT_KEY_FIELDS = ("key", "api_key", "keys", "api_keys")
+
+
+def check_rules(configuration: Configuration) -> Failure | None:
+    """The first rule that a configuration breaks."""
+    for rule in _RULES:
+        failure = rule(configuration)
+        if failure is not None:
+            return failure
+    return None
+
+
+def _names_are_unique(configuration: Configuration) -> Failure | None:
+    for field, items in configuration.items():
+        if not isinstance(items, list):
+            continue
+        repeated = _first_repeated(item["name"] for item in items if _has_name(item))
+        if repeated is not None:
+            return Failure(ResultCode.CONFIG_DUPLICATE_NAME, f"{field}: the name {repeated!r} stands twice")
+    return None
+
+
+def _tenant_keys_are_unique(configuration: Configuration) -> Failure | None:
+    keys = (key for tenant in configuration.get("tenants", ()) for key in sorted(_keys_of(tenant)))
+    repeated = _first_repeated(keys)
+    if repeated is None:
+        return None
+    return Failure(ResultCode.CONFIG_DUPLICATE_NAME, "tenants: two tenants have the same key")
+
+
+def _places_are_unique(configuration: Configuration) -> Failure | None:
+    repeated = _first_repeated((route["host"].lower(), route["prefix"]) for route in configuration["routes"])
+    if repeated is None:
+        return None
+    host, prefix = repeated
+    return Failure(ResultCode.CONFIG_DUPLICATE_ROUTE, f"two routes have the host {host!r} and the prefix {prefix!r}")
+
+
+def _services_are_known(configuration: Configuration) -> Failure | None:
+    known = {service["name"] for service in configuration["services"]}
+    for route in configuration["routes"]:
+        for service in _services_of(route):
+            if service not in known:
+                reason = f"route {route['name']!r} names the service {service!r}"
+                return Failure(ResultCode.CONFIG_UNKNOWN_SERVICE, reason)
+    return None
+
+
+def _weights_are_positive(configuration: Configuration) -> Failure | None:
+    for route in configuration["routes"]:
+        if "split" in route and sum(part["weight"] for part in route["split"]) <= 0:
+            return Failure(ResultCode.CONFIG_NO_WEIGHT, f"the weights of route {route['name']!r} sum to zero")
+    return None
+
+
+def _timeouts_are_positive(configuration: Configuration) -> Failure | None:
+    for route in configuration["routes"]:
+        if route.get("timeout_ms", 1) <= 0:
+            return Failure(ResultCode.CONFIG_NO_TIMEOUT, f"the timeout of route {route['name']!r} is zero")
+    return None
+
+
+_RULES: tuple[Callable[[Configuration], Failure | None], ...] = (
+    _names_are_unique,
+    _tenant_keys_are_unique,
+    _places_are_unique,
+    _services_are_known,
+    _weights_are_positive,
+    _timeouts_are_positive,
+)
+
+
+def _services_of(route: Route) -> Iterator[str]:
+    if "service" in route:
+        yield route["service"]
+    for part in route.get("split", ()):
+        yield part["service"]
+
+
+def _has_name(item: object) -> bool:
+    return isinstance(item, dict) and isinstance(item.get("name"), str)
+
+
+def _keys_of(tenant: Mapping[str, Any]) -> set[str]:
+    """The keys by which requests of a tenant are known, each once."""
+    keys: set[str] = set()
+    for field in TENANT_KEY_FIELDS:
+        value = tenant.get(field)
+        if isinstance(value, str):
+            keys.add(value)
+        elif isinstance(value, list):
+            keys.update(each for each in value if isinstance(each, str))
+    return keys
+
+
+def _first_repeated(values: Iterable[Value]) -> Value | None:
+    seen: set[Value] = set()
+    for value in values:
+        if value in seen:
+            return value
+        seen.add(value)
+    return None
