--- /dev/null
+++ b/canvasbeam/cluster/worker_items.py
@@ -0,0 +1,69 @@
+"""A worker as an item of the table, and back."""
+
+from __future__ import annotations
+
+from google.protobuf.message import DecodeError
+
+from canvasbeam.cluster.items import Item, ItemKind, Version
+from canvasbeam.cluster.workers_pb2 import WorkerModel, WorkerRecord
+from canvasbeam.decide.worker_registry import Model, Publication, Worker, WorkerState, WorkerVersion
+from canvasbeam.errors import Failure, ResultCode
+
+
+def worker_item(publication: Publication) -> Item:
+    """The item that tells of a worker; a tombstone for one that left."""
+    version = Version(publication.version.sequence, publication.version.judged)
+    worker = publication.worker
+    if worker is None:
+        return Item(ItemKind.WORKER, publication.worker_id, version, deleted=True)
+    return Item(ItemKind.WORKER, publication.worker_id, version, encode_worker(worker))
+
+
+def publication_of(item: Item) -> Publication | Failure:
+    """What an item tells of a worker."""
+    version = WorkerVersion(item.version.major, item.version.minor)
+    if item.deleted:
+        return Publication(item.key, version, None)
+    worker = worker_of(item)
+    return worker if isinstance(worker, Failure) else Publication(item.key, version, worker)
+
+
+def encode_worker(worker: Worker) -> bytes:
+    """The payload of a worker's item."""
+    record = WorkerRecord(
+        service=worker.service,
+        address=worker.address,
+        zone=worker.zone,
+        software_generation=worker.software_generation,
+        slots=worker.slots,
+        state=int(worker.state),  # type: ignore[arg-type]
+        cold_left_ms=worker.cold_left_ms,
+        remaining_ms=worker.remaining_ms,
+        stage=worker.stage,
+        models=[
+            WorkerModel(name=model.name, generation=model.generation, adapters=model.adapters)
+            for model in worker.models
+        ],
+    )
+    return record.SerializeToString(deterministic=True)
+
+
+def worker_of(item: Item) -> Worker | Failure:
+    """The worker of an item that is not deleted; the times count from when the item was published."""
+    try:
+        record = WorkerRecord.FromString(item.payload)
+        state = WorkerState(record.state)
+    except (DecodeError, ValueError) as error:
+        return Failure(ResultCode.MESSAGE_INVALID, f"worker {item.key}: {error}")
+    return Worker(
+        service=record.service,
+        address=record.address,
+        zone=record.zone,
+        software_generation=record.software_generation,
+        slots=record.slots,
+        state=state,
+        cold_left_ms=record.cold_left_ms,
+        remaining_ms=record.remaining_ms if record.HasField("remaining_ms") else None,
+        stage=record.stage,
+        models=tuple(Model(model.name, model.generation, tuple(model.adapters)) for model in record.models),
+    )
