--- a/canvasbeam/cluster/items.py
+++ b/canvasbeam/cluster/items.py
@@ -54,6 +54,7 @@
 
     def __init__(self) -> None:
         self._items: dict[tuple[ItemKind, str], Item] = {}
+        self._digests = dict.fromkeys(ItemKind, 0)
         self._listeners: list[ChangeListener] = []
 
     def __len__(self) -> int:
@@ -87,17 +88,29 @@
         if held is not None and held.version >= item.version:
             return False
         self._items[item.name] = item
+        self._digests[item.kind] ^= _fingerprint(item) ^ (_fingerprint(held) if held else 0)
         return True
 
     def forget(self, kind: ItemKind, key: str) -> None:
         """Drop an item without a trace: for tombstones whose key can never come again."""
-        self._items.pop((kind, key), None)
+        held = self._items.pop((kind, key), None)
+        if held is not None:
+            self._digests[kind] ^= _fingerprint(held)
+
+    def all_of_kind(self, kind: ItemKind) -> list[Item]:
+        """All items of a kind, tombstones included."""
+        return [item for item in self._items.values() if item.kind is kind]
 
     def digest(self, kind: ItemKind) -> int:
-        """A number that is the same on two nodes exactly when they hold the same versions of a kind."""
-        total = 0
-        for item in self._items.values():
-            if item.kind is kind:
-                text = f"{item.key}\0{item.version.major}\0{item.version.minor}".encode()
-                total ^= int.from_bytes(blake2b(text, digest_size=8).digest(), "big")
-        return total
+        """A number that is the same on two nodes exactly when they hold the same versions of what is not deleted.
+
+        Tombstones are left out: each node forgets them at its own time.
+        """
+        return self._digests[kind]
+
+
+def _fingerprint(item: Item) -> int:
+    if item.deleted:
+        return 0
+    text = f"{item.key}\0{item.version.major}\0{item.version.minor}".encode()
+    return int.from_bytes(blake2b(text, digest_size=8).digest(), "big")
--- /dev/null
+++ b/canvasbeam/cluster/member.py
@@ -0,0 +1,86 @@
+"""A member of the system, and the item that tells of it.
+
+A member's item has its incarnation as the major version and its `Status` as the minor one. The member itself publishes
+what it is and whether it is ready, each time as a new incarnation; others may only call it suspect or dead.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from google.protobuf.message import DecodeError
+
+from canvasbeam.cluster.items import Item, ItemKind, Version
+from canvasbeam.cluster.membership_pb2 import MemberRecord
+from canvasbeam.decide.membership import Status
+from canvasbeam.errors import Failure, ResultCode
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """One process of the system, as it tells of itself."""
+
+    name: str
+    node_class: str
+    role: str
+    ip: str
+    zone: str
+    region: str
+    front: str
+    ready: bool
+    incarnation: int
+    is_control: bool = False
+
+    @property
+    def key(self) -> str:
+        """The key of its item. Two processes may share a machine, and its name."""
+        return member_key(self.name, self.is_control)
+
+
+def member_key(name: str, is_control: bool) -> str:
+    """The key of the item of a machine's control or data-plane process."""
+    return f"{name}/{'control' if is_control else 'data'}"
+
+
+def status_of(item: Item) -> Status:
+    """What a member item says of its member; a status that is not known here is taken for the nearest below."""
+    return Status(min(item.version.minor, int(Status.LEFT)))
+
+
+def member_item(member: Member, status: Status = Status.ALIVE) -> Item:
+    """The item that says this of a member."""
+    version = Version(member.incarnation, int(status))
+    if status > Status.SUSPECT:
+        return Item(ItemKind.MEMBER, member.key, version, deleted=True)
+    record = MemberRecord(
+        name=member.name,
+        node_class=member.node_class,
+        role=member.role,
+        ip=member.ip,
+        zone=member.zone,
+        region=member.region,
+        front=member.front,
+        ready=member.ready,
+        is_control=member.is_control,
+    )
+    return Item(ItemKind.MEMBER, member.key, version, record.SerializeToString())
+
+
+def member_of(item: Item) -> Member | Failure:
+    """The member of which an item tells."""
+    try:
+        record = MemberRecord.FromString(item.payload)
+    except DecodeError as error:
+        return Failure(ResultCode.MESSAGE_INVALID, f"member {item.key}: {error}")
+    return Member(
+        name=record.name,
+        node_class=record.node_class,
+        role=record.role,
+        ip=record.ip,
+        zone=record.zone,
+        region=record.region,
+        front=record.front,
+        ready=record.ready,
+        incarnation=item.version.major,
+        is_control=record.is_control,
+    )
--- /dev/null
+++ b/canvasbeam/decide/distribution_messages.py
@@ -0,0 +1,121 @@
+"""The messages, actions and times of `distribution.py`."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from canvasbeam.cluster.items import Item, ItemKind, Version
+from canvasbeam.runtime.settings import Address
+
+MILLISECOND = 1_000_000
+SECOND = 1_000 * MILLISECOND
+
+Digests = Mapping[ItemKind, int]
+
+
+@dataclass(frozen=True, slots=True)
+class Subscribe:
+    """A child asks to be sent every change from now on."""
+
+    digests: Digests
+
+
+@dataclass(frozen=True, slots=True)
+class Keepalive:
+    """The answer to `Subscribe`, repeated at short intervals: how the sender stands."""
+
+    control_age: int  # nanoseconds since the sender was last in contact with most of the control nodes
+    depth: int  # hops to a control node
+    digests: Digests = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """The sender does not serve the receiver as a parent."""
+
+
+@dataclass(frozen=True, slots=True)
+class Unsubscribe:
+    """The sender is no child of the receiver any more."""
+
+
+@dataclass(frozen=True, slots=True)
+class Renew:
+    """A child is still there."""
+
+
+@dataclass(frozen=True, slots=True)
+class Update:
+    """Items, for the receiver to merge."""
+
+    items: tuple[Item, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class VersionRecord:
+    """Which version of an item a node holds."""
+
+    key: str
+    version: Version
+    deleted: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Versions:
+    """All versions that the sender holds of one kind."""
+
+    kind: ItemKind
+    records: tuple[VersionRecord, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """The sender wants these items where the receiver holds a higher version."""
+
+    kind: ItemKind
+    records: tuple[VersionRecord, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Compare:
+    """The sender's digests, for the receiver to compare."""
+
+    digests: Digests
+
+
+Message = Subscribe | Keepalive | Refuse | Unsubscribe | Renew | Update | Versions | Request | Compare
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Send one message to these addresses."""
+
+    addresses: tuple[Address, ...]
+    message: Message
+
+
+@dataclass(frozen=True, slots=True)
+class DistributionTerms:
+    """Times in nanoseconds, and counts."""
+
+    keepalive: int = 250 * MILLISECOND
+    silence: int = 700 * MILLISECOND  # without a word from a parent or a control node before it counts as lost
+    candidate_step: int = 200 * MILLISECOND  # between attempts, while there is no parent
+    candidate_patience: int = 600 * MILLISECOND
+    avoid: int = 3 * SECOND  # after a parent was lost or did not answer
+    improve: int = 2 * SECOND  # between looks for a better parent
+    improve_stale: int = 400 * MILLISECOND  # the same, where the parent has lost the control nodes
+    stale: int = 1_200 * MILLISECOND  # the age of control contact above which a parent is worth leaving
+    renew: int = SECOND
+    child_silence: int = 4 * SECOND
+    batch: int = 20 * MILLISECOND  # the least time between two pushes
+    compare: int = 2 * SECOND
+    mesh_compare: int = SECOND
+    mesh_probe: int = 500 * MILLISECOND  # to control nodes that are silent
+    mesh_forget: int = 15 * SECOND
+    far_compare: int = 30 * SECOND  # with a control node that is not the parent
+    tombstone: int = 60 * SECOND
+    max_children: int = 512
+    max_depth: int = 3
+    update_bytes: int = 1 << 20
--- /dev/null
+++ b/canvasbeam/decide/parent_link.py
@@ -0,0 +1,213 @@
+"""The link of a data-plane node to its parent in the relay tree.
+
+Pure: events and the time in, messages out.
+
+| state | from | to |
+| --- | --- | --- |
+| detached | the start; the parent was silent or refused | attached: a candidate answered |
+| attached | | attached: a better candidate answered; detached |
+
+While detached, candidates are asked one after the other without waiting for the earlier ones, and the first that
+answers is the parent. While attached, a better one is tried now and then, and the old one is kept until that answers.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from enum import IntEnum
+
+from canvasbeam.decide.distribution_messages import (
+    DistributionTerms,
+    Keepalive,
+    Renew,
+    Send,
+    Subscribe,
+    Unsubscribe,
+)
+from canvasbeam.runtime.settings import Address
+
+ParentOrder = Callable[[], Sequence[Address]]
+
+
+class ParentState(IntEnum):
+    """Whether there is a parent."""
+
+    DETACHED = 0
+    ATTACHED = 1
+
+
+@dataclass(slots=True)
+class Parent:
+    """The parent, as its last keepalive told."""
+
+    address: Address
+    heard_at: int
+    told_at: int
+    control_age: int
+    depth: int
+
+
+class ParentLink:
+    """One node's choice of a parent."""
+
+    def __init__(
+        self, terms: DistributionTerms, order: ParentOrder, subscribe: Callable[[], Subscribe], seed: int, now: int
+    ) -> None:
+        self.parent: Parent | None = None
+        self.changes = 0
+        self._terms = terms
+        self._order = order
+        self._subscribe = subscribe
+        self._random = random.Random(seed)
+        self._candidates: dict[Address, int] = {}  # when each was asked
+        self._avoided: dict[Address, int] = {}  # until when
+        self._next_ask = now
+        self._next_improve = now
+        self._next_renew = now
+
+    @property
+    def state(self) -> ParentState:
+        """Whether there is a parent."""
+        return ParentState.DETACHED if self.parent is None else ParentState.ATTACHED
+
+    def control_age(self, now: int) -> int | None:
+        """How long ago the parent, or those above it, heard most of the control nodes; none while detached."""
+        if self.parent is None:
+            return None
+        return self.parent.control_age + now - self.parent.told_at
+
+    def is_parent(self, address: Address) -> bool:
+        """Whether this address is the parent's."""
+        return self.parent is not None and self.parent.address == address
+
+    def wake(self) -> int:
+        """When `tick` has something to do at the latest."""
+        times = [each + self._terms.candidate_patience for each in self._candidates.values()]
+        if self.parent is None:
+            times.append(self._next_ask)
+        else:
+            times += [self.parent.heard_at + self._terms.silence, self._next_improve, self._next_renew]
+        return min(times)
+
+    def on_heard(self, now: int, sender: Address) -> None:
+        """Any message of the parent shows that it is there."""
+        if self.parent is not None and self.parent.address == sender:
+            self.parent.heard_at = now
+
+    def on_keepalive(self, now: int, sender: Address, message: Keepalive) -> list[Send]:
+        """The parent stands as it says, or a candidate has answered."""
+        if self.is_parent(sender):
+            self.parent = Parent(sender, now, now, message.control_age, message.depth)
+            if self._is_stale(now):
+                self._next_improve = min(self._next_improve, now + self._jittered(self._terms.improve_stale))
+            return []
+        if sender not in self._candidates:
+            return [Send((sender,), Unsubscribe())]
+        del self._candidates[sender]
+        if not self._is_better(now, sender, message):
+            self._avoid(now, sender)
+            return [Send((sender,), Unsubscribe())]
+        return self._attach(now, sender, message)
+
+    def on_refuse(self, now: int, sender: Address) -> None:
+        """A candidate does not take us, or the parent does not keep us."""
+        self._candidates.pop(sender, None)
+        self._avoid(now, sender)
+        if self.is_parent(sender):
+            self._detach(now)
+
+    def tick(self, now: int) -> list[Send]:
+        """Do what is due."""
+        terms = self._terms
+        for address, asked in tuple(self._candidates.items()):
+            if now - asked >= terms.candidate_patience:
+                del self._candidates[address]
+                self._avoid(now, address)
+        if self.parent is not None and now - self.parent.heard_at >= terms.silence:
+            self._avoid(now, self.parent.address)
+            self._detach(now)
+        if self.parent is None:
+            return self._ask_next(now)
+        return self._improve(now) + self._renew(now)
+
+    def _attach(self, now: int, address: Address, message: Keepalive) -> list[Send]:
+        """Every change to a parent goes through here."""
+        left = [*self._candidates, *([self.parent.address] if self.parent else [])]
+        self._candidates.clear()
+        self.parent = Parent(address, now, now, message.control_age, message.depth)
+        self.changes += 1
+        self._next_improve = now + self._jittered(self._improve_interval(now))
+        self._next_renew = now + self._terms.renew
+        return [Send(tuple(left), Unsubscribe())] if left else []
+
+    def _detach(self, now: int) -> None:
+        """Every change to no parent goes through here."""
+        self.parent = None
+        self._next_ask = now
+
+    def _is_better(self, now: int, sender: Address, message: Keepalive) -> bool:
+        """Contact with the control nodes comes first, then the order of parents."""
+        age = self.control_age(now)
+        if age is None:
+            return True
+        stale = self._terms.stale
+        if (age > stale) != (message.control_age > stale):
+            return age > stale
+        if age > stale:
+            return message.control_age < age // 2
+        order = list(self._order())
+        assert self.parent is not None
+        if self.parent.address not in order:
+            return True
+        return sender in order and order.index(sender) < order.index(self.parent.address)
+
+    def _ask_next(self, now: int) -> list[Send]:
+        if now < self._next_ask:
+            return []
+        self._next_ask = now + self._terms.candidate_step
+        order = [each for each in self._order() if each not in self._candidates]
+        if not order:
+            return []
+        well = [each for each in order if self._avoided.get(each, 0) <= now]
+        address = well[0] if well else min(order, key=lambda each: self._avoided[each])
+        return self._ask(now, address)
+
+    def _improve(self, now: int) -> list[Send]:
+        if now < self._next_improve or self.parent is None:
+            return []
+        self._next_improve = now + self._jittered(self._improve_interval(now))
+        if self._candidates:
+            return []
+        for address in self._order():
+            if address == self.parent.address:
+                if not self._is_stale(now):
+                    return []
+            elif self._avoided.get(address, 0) <= now:
+                return self._ask(now, address)
+        return []
+
+    def _renew(self, now: int) -> list[Send]:
+        if now < self._next_renew or self.parent is None:
+            return []
+        self._next_renew = now + self._terms.renew
+        return [Send((self.parent.address,), Renew())]
+
+    def _ask(self, now: int, address: Address) -> list[Send]:
+        self._candidates[address] = now
+        return [Send((address,), self._subscribe())]
+
+    def _avoid(self, now: int, address: Address) -> None:
+        self._avoided = {each: until for each, until in self._avoided.items() if until > now}
+        self._avoided[address] = now + self._jittered(self._terms.avoid)
+
+    def _is_stale(self, now: int) -> bool:
+        age = self.control_age(now)
+        return age is not None and age > self._terms.stale
+
+    def _improve_interval(self, now: int) -> int:
+        return self._terms.improve_stale if self._is_stale(now) else self._terms.improve
+
+    def _jittered(self, span: int) -> int:
+        return round(span * (0.75 + 0.5 * self._random.random()))
--- /dev/null
+++ b/canvasbeam/decide/reconcile.py
@@ -0,0 +1,93 @@
+"""Reconciliation of two item tables: digests first, versions of the kinds that differ, then only what is newer.
+
+Pure: each function answers one message with the messages that go back.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+
+from canvasbeam.cluster.items import Item, ItemKind, ItemTable
+from canvasbeam.decide.distribution_messages import (
+    Compare,
+    Digests,
+    Message,
+    Request,
+    Update,
+    VersionRecord,
+    Versions,
+)
+
+
+def digests(table: ItemTable) -> Digests:
+    """The digests of all kinds that are held."""
+    found = {kind: table.digest(kind) for kind in ItemKind}
+    return {kind: digest for kind, digest in found.items() if digest}
+
+
+def answer_digests(table: ItemTable, theirs: Digests, update_bytes: int) -> Iterator[Message]:
+    """What a node is told whose digests these are: everything where it holds nothing, else our versions."""
+    for kind in ItemKind:
+        mine, other = table.digest(kind), theirs.get(kind, 0)
+        if mine == other:
+            continue
+        if other == 0:
+            yield from updates(table.of_kind(kind), update_bytes)
+        else:
+            yield Versions(kind, tuple(map(_record, table.all_of_kind(kind))))
+
+
+def answer_versions(table: ItemTable, message: Versions, update_bytes: int) -> Iterator[Message]:
+    """What a node is told that holds these versions: what is newer here, and which we want of it.
+
+    A tombstone is not sent to a node that lacks the item, nor wanted by one: it would come round for ever.
+    """
+    theirs = {record.key: record for record in message.records}
+    newer = []
+    for item in table.all_of_kind(message.kind):
+        record = theirs.get(item.key)
+        if (record is None and not item.deleted) or (record is not None and record.version < item.version):
+            newer.append(item)
+    yield from updates(newer, update_bytes)
+    wanted = tuple(record for record in message.records if _is_wanted(table, message.kind, record))
+    if wanted:
+        yield Request(message.kind, wanted)
+
+
+def answer_request(table: ItemTable, message: Request, update_bytes: int) -> Iterator[Message]:
+    """The items that are as new as asked for, or newer."""
+    found = (table.get(message.kind, record.key) for record in message.records)
+    held = zip(message.records, found, strict=True)
+    items = [item for record, item in held if item is not None and item.version >= record.version]
+    yield from updates(items, update_bytes)
+
+
+def compare(table: ItemTable) -> Compare:
+    """Ask a node to compare its table with ours."""
+    return Compare(digests(table))
+
+
+def updates(items: Iterable[Item], update_bytes: int) -> Iterator[Update]:
+    """Items in messages of about this size at the most."""
+    batch: list[Item] = []
+    size = 0
+    for item in items:
+        length = len(item.payload) + len(item.key) + 16
+        if batch and size + length > update_bytes:
+            yield Update(tuple(batch))
+            batch, size = [], 0
+        batch.append(item)
+        size += length
+    if batch:
+        yield Update(tuple(batch))
+
+
+def _record(item: Item) -> VersionRecord:
+    return VersionRecord(item.key, item.version, item.deleted)
+
+
+def _is_wanted(table: ItemTable, kind: ItemKind, record: VersionRecord) -> bool:
+    held = table.get(kind, record.key)
+    if held is None:
+        return not record.deleted
+    return held.version < record.version
--- /dev/null
+++ b/canvasbeam/decide/relay_tree.py
@@ -0,0 +1,59 @@
+"""The relay tree: which parents a node may have, in the order that it tries them.
+
+Control nodes are the roots. In a region with more than `FANOUT` data-plane nodes some of each zone are relays, drawn by
+rendezvous hashing: relays attach to control nodes, the others to relays of their region. In a smaller region all
+attach to control nodes. Every node works this out alone, from the members that it knows: a wrong guess costs a longer
+way only.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+from canvasbeam.decide.rendezvous import score
+from canvasbeam.runtime.settings import Address
+
+FANOUT = 8
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Where a node is, and how it is reached."""
+
+    key: str
+    address: Address
+    zone: str
+    region: str
+    is_control: bool
+
+
+def relays_of(region: str, places: Iterable[Place]) -> list[Place]:
+    """The relays of a region: one for each `FANOUT` nodes of a zone; none where the region is small."""
+    zones: dict[str, list[Place]] = {}
+    for place in places:
+        if place.region == region and not place.is_control:
+            zones.setdefault(place.zone, []).append(place)
+    if sum(map(len, zones.values())) <= FANOUT:
+        return []
+    relays: list[Place] = []
+    for zone, members in zones.items():
+        count = -(-len(members) // FANOUT)
+        relays += sorted(members, key=lambda each, zone=zone: score(zone, each.key), reverse=True)[:count]  # type: ignore[misc]
+    return relays
+
+
+def parent_order(me: Place, places: Sequence[Place], seeds: Sequence[Address]) -> tuple[Address, ...]:
+    """The addresses of possible parents, the best first; seeds that no member is known to own come last."""
+    controls = _nearest(me, (each for each in places if each.is_control))
+    relays = relays_of(me.region, places)
+    others = _nearest(me, (each for each in relays if each.key != me.key))
+    is_leaf = bool(relays) and all(each.key != me.key for each in relays)
+    ordered = others + controls if is_leaf else controls + others
+    addresses = [each.address for each in ordered] + list(seeds)
+    return tuple(each for each in dict.fromkeys(addresses) if each != me.address)
+
+
+def _nearest(me: Place, places: Iterable[Place]) -> list[Place]:
+    """Those of the same zone first, then those of the same region; among equals by rendezvous."""
+    return sorted(places, key=lambda each: (each.zone != me.zone, each.region != me.region, -score(me.key, each.key)))
