--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN := .venv/bin
 
-.PHONY: build demo test lint run try theory messages
+.PHONY: build demo test lint run try theory messages result-codes
 
 build: .venv/.built
 
@@ -39,3 +39,7 @@
 # The generated code of the internal messages; it is committed.
 messages: build
 	$(BIN)/python -m grpc_tools.protoc -I . --python_out=. --pyi_out=. canvasbeam/cluster/*.proto
+
+# The page of result codes; a test compares it with the program.
+result-codes: build
+	$(BIN)/python -m canvasbeam system codes --markdown > docs/result-codes.md
--- a/canvasbeam/cli/__init__.py
+++ b/canvasbeam/cli/__init__.py
@@ -6,10 +6,10 @@
 
 
 def main() -> None:
-    """The program `canvasbeam`; without the laboratory's libraries it says how to get them."""
+    """The program `canvasbeam`; where a library is missing it says how to get it."""
     try:
         from canvasbeam.cli.commands import cli  # noqa: PLC0415
     except ModuleNotFoundError as error:
-        print(f"canvasbeam: {error.name} is missing; install canvasbeam[lab]", file=sys.stderr)
+        print(f"canvasbeam: {error.name} is missing; install canvasbeam[system] or canvasbeam[lab]", file=sys.stderr)
         sys.exit(1)
     cli(prog_name="canvasbeam")
--- a/canvasbeam/cli/codes.py
+++ b/canvasbeam/cli/codes.py
@@ -9,10 +9,12 @@
     """How a command ended."""
 
     OK = 0
-    FAILED = 1  # it could not be carried out: an address in use, a scheduler that does not start, a bad file
+    FAILED = 1  # it could not be carried out: an address in use, nobody answers, a bad file
     USAGE = 2  # the call, a scenario or a configuration is wrong
     BROKEN = 3  # it ran, and a rule was broken
     BEHIND = 4  # it ran, and its figures are not to be trusted: the tool itself was too slow
+    CONFLICT = 5  # another version of the configuration is current; nothing was changed
+    UNKNOWN = 6  # no clear answer came; the order may have been taken, and may be sent again
     INTERRUPTED = 130
 
 
@@ -25,6 +27,8 @@
         "  2    the call, a scenario or a configuration is wrong",
         "  3    it ran, and a rule was broken",
         "  4    it ran, but the tool fell behind its own plan",
+        "  5    another version of the configuration is current; nothing was changed",
+        "  6    no clear answer; the order may have been taken: send the same one again",
         "  130  interrupted",
     ]
 )
--- a/canvasbeam/cli/commands.py
+++ b/canvasbeam/cli/commands.py
@@ -17,6 +17,9 @@
 
 # Where each group's or command's module is; looked up when it is asked for.
 LAZY = {
+    "data-plane": "canvasbeam.cli.programs:data_plane",
+    "control-plane": "canvasbeam.cli.programs:control_plane",
+    "system": "canvasbeam.cli.system:system",
     "serve": "canvasbeam.cli.serve:serve",
     "check": "canvasbeam.cli.check:check",
     "peers": "canvasbeam.cli.peers:peers",
@@ -49,7 +52,7 @@
 @click.group(cls=LazyGroup, epilog=TABLE, context_settings={"help_option_names": ["-h", "--help"]})
 @click.version_option(package_name=None, version="0.2.0", prog_name="canvasbeam")
 def cli() -> None:
-    """A scheduler that pushes jobs to workers in priority rings, and the laboratory to try it in."""
+    """A serving system for a language model, the scheduler it grew from, and the laboratory to try it in."""
 
 
 class Failure(click.ClickException):
--- /dev/null
+++ b/canvasbeam/cli/programs.py
@@ -0,0 +1,57 @@
+"""The commands that start the two programs of the serving system."""
+
+from __future__ import annotations
+
+import importlib
+import os
+import sys
+
+import click
+
+from canvasbeam.cli.codes import TABLE
+
+SETTINGS_HELP = "The settings file (TOML); CANVASBEAM_SETTINGS where it is not given."
+
+
+@click.command("data-plane", epilog=TABLE)
+@click.option("--settings", type=click.Path(dir_okay=False), help=SETTINGS_HELP)
+def data_plane(settings: str | None) -> None:
+    """Run one data-plane process until SIGTERM: clients in front, workers behind.
+
+    \b
+    Example:
+      canvasbeam data-plane --settings example/system/edge-1.toml
+    """
+    use_settings(settings)
+    run_data_plane()
+
+
+@click.command("control-plane", epilog=TABLE)
+@click.option("--settings", type=click.Path(dir_okay=False), help=SETTINGS_HELP)
+def control_plane(settings: str | None) -> None:
+    """Run one control-plane process until SIGTERM: the operator's API, the registry of workers, the directory.
+
+    \b
+    Example:
+      canvasbeam control-plane --settings example/system/core-1.toml
+    """
+    use_settings(settings)
+    run_control_plane()
+
+
+def use_settings(path: str | None) -> None:
+    """Name the settings file as the platform does."""
+    from canvasbeam.runtime.settings import SETTINGS_VARIABLE  # noqa: PLC0415
+
+    if path is not None:
+        os.environ[SETTINGS_VARIABLE] = path
+
+
+def run_data_plane() -> None:
+    """The script `canvasbeam-data-plane`; the library of the command line plays no part in the running program."""
+    sys.exit(importlib.import_module("canvasbeam.data_plane.__main__").main())
+
+
+def run_control_plane() -> None:
+    """The script `canvasbeam-control-plane`."""
+    sys.exit(importlib.import_module("canvasbeam.control_plane.__main__").main())
