--- a/canvasbeam/__main__.py
+++ b/canvasbeam/__main__.py
@@ -47,7 +47,7 @@
     name: str
     listen: tuple[str, int]
     discovery: tuple[str, int]
-    mgmt: tuple[str, int] | None  # the second address, where the operators' staff ask and tell
+    mgmt: tuple[str, int] | None  # the management address, for operators and their tools
     peers: str  # the operator's own file on peers; empty for none
     seed: int
     sockets: int
@@ -199,15 +199,15 @@
         log.warning("peers stay off: the settings forbid them, whatever %s says", configuration.peers)
     Signals(loop, signals, listener, group, station)
     if configuration.mgmt is not None:
-        # Imported only where it is asked for: a scheduler without a second address pays nothing for it.
-        from canvasbeam.mgmt.desk import OperatorDesk  # noqa: PLC0415
+        # Imported only where it is asked for: a scheduler without a management address pays nothing for it.
         from canvasbeam.mgmt.handover import Handover, path_for  # noqa: PLC0415
+        from canvasbeam.mgmt.operations import SchedulerOperations  # noqa: PLC0415
         from canvasbeam.mgmt.server import ManagementListener  # noqa: PLC0415
 
         handover = Handover(path_for(os.environ.get("TMPDIR") or "/tmp", configuration.listen))
-        desk = OperatorDesk(core, listener, handover, station.report if station else None)
-        ManagementListener.bind(loop, limits, desk, configuration.mgmt)
-        log.info("the second address is %s:%d", *configuration.mgmt)
+        operations = SchedulerOperations(core, listener, handover, station.report if station else None)
+        ManagementListener.bind(loop, limits, operations, configuration.mgmt)
+        log.info("the management address is %s:%d", *configuration.mgmt)
 
     def end_of_pass() -> None:
         core.end_of_pass()
--- a/canvasbeam/cli/peers.py
+++ b/canvasbeam/cli/peers.py
@@ -1,4 +1,4 @@
-"""Who of the fleet one instance takes to be there, asked on its second address."""
+"""Who of the fleet one instance takes to be there, asked on its management address."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 @click.option("--json", "as_json", is_flag=True, help="Print the answer as it came.")
 @guarded
 def peers(address: str, as_json: bool) -> None:
-    """Show the members that the instance at ADDRESS (its second address) knows.
+    """Show the members that the instance at ADDRESS (its management address) knows.
 
     \b
     Examples:
--- a/canvasbeam/mgmt/__init__.py
+++ b/canvasbeam/mgmt/__init__.py
@@ -1,1 +1,1 @@
-"""The second address: health, figures and workers out by hand, for the operators' staff and their tools."""
+"""The management address: health, figures and maintenance mode, for operators and their tools."""
--- a/canvasbeam/mgmt/handover.py
+++ b/canvasbeam/mgmt/handover.py
@@ -1,9 +1,10 @@
-"""What an upgrade hands over: the workers out by hand, in one small file that both processes share.
+"""The workers in maintenance mode, in one small file that both processes of an upgrade share.
 
 It owns that file in `$TMPDIR`, named after the clients' address so that schedulers on other addresses keep theirs
 apart. It is written whole (a new file, then a rename), so a reader finds the old set or the new one, never half.
 It must never hold anything but that set, never block on more than one small file, and never end the scheduler over
-a file that cannot be read or written: that is told in the log and the set in memory stands.
+a file that cannot be read or written: that is logged and the set in memory stands. The file's suffix and keys are those
+of earlier versions, since an upgrade shares the file between two versions.
 """
 
 from __future__ import annotations
@@ -25,7 +26,7 @@
 
 
 class Handover:
-    """The shared file, looked at by its stamp and read only when that changed."""
+    """The shared file, polled by its stat result and read only when that changed."""
 
     def __init__(self, path: str) -> None:
         self.path = path
@@ -45,7 +46,7 @@
             return None
         self._stamp = stamp
         if stamp[2] > LARGEST:
-            log.warning("%s is too large to be the set of workers out by hand", self.path)
+            log.warning("%s is too large to be the set of workers in maintenance mode", self.path)
             return None
         try:
             with open(self.path, encoding="utf-8") as file:
--- a/canvasbeam/mgmt/server.py
+++ b/canvasbeam/mgmt/server.py
@@ -1,9 +1,9 @@
-"""The second address: its listening socket, its connections, and the wording of its answers.
+"""The management address: its listening socket, its connections, and the format of its answers.
 
-It owns the calls of the operators' staff and their tools, one a connection (HTTP/1.1, parsed by httptools):
-`GET /healthcheck`, `GET /stats`, `GET /peers`, `POST /workers/ID/maint` and `POST /workers/ID/ready`. A 2xx is yes,
-a 4xx or 5xx is no. It must never decide (what a call does is the desk's), never take a body, never hold more
-connections or bytes than its own limits allow, and never let a caller that says nothing keep another one out.
+It owns the calls of operators and their tools, one per connection (HTTP/1.1, parsed by httptools):
+`GET /healthcheck`, `GET /stats`, `GET /peers`, `POST /workers/ID/maint` and `POST /workers/ID/ready`. What a call
+does is decided by `Operations`. This module must never take a body, never hold more connections or bytes than its own
+limits allow, and never let a silent caller keep another one out.
 """
 
 from __future__ import annotations
@@ -27,23 +27,23 @@
 LONGEST_ID = 256
 
 
-class Desk(Protocol):
-    """What the calls are about; each answers at once."""
+class Operations(Protocol):
+    """What the calls do; each answers at once."""
 
     def can_serve(self) -> bool:
         """Whether this process can serve clients now."""
 
     def figures(self) -> dict[str, Any]:
-        """The figures, as JSON's types."""
+        """Counters and gauges, as JSON types."""
 
     def peers(self) -> dict[str, Any] | None:
-        """Who of the fleet is there, as JSON's types; None where there are no peers."""
+        """The membership of the fleet, as JSON types; None where there are no peers."""
 
-    def take_out(self, worker: str) -> bool:
-        """Out by hand; False where nobody has this worker."""
+    def enter_maintenance(self, worker: str) -> bool:
+        """Put a worker into maintenance mode; False where it is unknown."""
 
-    def put_back(self, worker: str) -> bool:
-        """Back by hand; False where nobody has this worker."""
+    def leave_maintenance(self, worker: str) -> bool:
+        """Take a worker out of maintenance mode; False where it is unknown."""
 
 
 def response(status: HTTPStatus, body: bytes, kind: str = "text/plain", extra: str = "") -> bytes:
@@ -55,30 +55,30 @@
     return head.encode() + body
 
 
-def plain(status: HTTPStatus, why: str, extra: str = "") -> bytes:
-    """A short answer in words."""
-    return response(status, f"{why}\n".encode(), extra=extra)
+def plain(status: HTTPStatus, reason: str, extra: str = "") -> bytes:
+    """A short answer in plain text."""
+    return response(status, f"{reason}\n".encode(), extra=extra)
 
 
 class ManagementListener(Endpoint):
-    """Accepts callers on the second address, within its own table."""
+    """Accepts callers on the management address, within its own table."""
 
     rank = 0  # read before anything else in a pass
 
-    def __init__(self, loop: Loop, limits: Limits, desk: Desk, sock: socket.socket) -> None:
+    def __init__(self, loop: Loop, limits: Limits, operations: Operations, sock: socket.socket) -> None:
         super().__init__(loop, sock)
         self.limits = limits
-        self.desk = desk
+        self.operations = operations
         self.connections: dict[int, ManagementConnection] = {}
         self.calls = 0
         self.wants(READ)
 
     @classmethod
-    def bind(cls, loop: Loop, limits: Limits, desk: Desk, address: tuple[str, int]) -> ManagementListener:
+    def bind(cls, loop: Loop, limits: Limits, operations: Operations, address: tuple[str, int]) -> ManagementListener:
         """Listen on this address alone."""
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         sock = socket.create_server(address, family=family, backlog=limits.mgmt_backlog)
-        return cls(loop, limits, desk, sock)
+        return cls(loop, limits, operations, sock)
 
     def on_event(self, mask: int) -> None:
         for _ in range(self.limits.mgmt_backlog):
@@ -89,7 +89,7 @@
             except (BlockingIOError, InterruptedError):
                 return
             except OSError as error:
-                log.warning("the second address cannot accept: %s", error)
+                log.warning("the management address cannot accept: %s", error)
                 return
             ManagementConnection(self, sock)
 
@@ -105,7 +105,7 @@
         return True
 
     def on_failure(self) -> None:
-        """Guards the second address: a failed accept must not end it."""
+        """A failed accept must not end the listener."""
 
     def left(self, connection: ManagementConnection) -> None:
         """A connection was closed."""
@@ -172,23 +172,23 @@
         try:
             self._answer(self._route(method, self._url.partition(b"?")[0]))
         except Exception:
-            log.exception("a call on the second address failed")
+            log.exception("a call on the management address failed")
             self._answer(plain(HTTPStatus.INTERNAL_SERVER_ERROR, "the call failed"))
 
     def _route(self, method: bytes, path: bytes) -> bytes:
-        desk = self._owner.desk
+        operations = self._owner.operations
         if path == HEALTH:
-            return self._only(method, b"GET", lambda: _health(desk.can_serve()))
+            return self._only(method, b"GET", lambda: _health(operations.can_serve()))
         if path == STATS:
-            return self._only(method, b"GET", lambda: _stats(desk.figures()))
+            return self._only(method, b"GET", lambda: _stats(operations.figures()))
         if path == PEERS:
-            return self._only(method, b"GET", lambda: _peers(desk.peers()))
+            return self._only(method, b"GET", lambda: _peers(operations.peers()))
         if path.startswith(WORKERS):
             worker, slash, verb = path[len(WORKERS) :].rpartition(b"/")
             name = unquote(worker.decode("latin-1"))
             if slash and verb in (b"maint", b"ready") and 0 < len(name) <= LONGEST_ID and "/" not in name:
-                call = desk.take_out if verb == b"maint" else desk.put_back
-                return self._only(method, b"POST", lambda: _hand(call(name), name, verb.decode()))
+                call = operations.enter_maintenance if verb == b"maint" else operations.leave_maintenance
+                return self._only(method, b"POST", lambda: _maintenance(call(name), name, verb.decode()))
         return plain(HTTPStatus.NOT_FOUND, "no such call")
 
     def _only(self, method: bytes, allowed: bytes, then: Callable[[], bytes]) -> bytes:
@@ -238,7 +238,7 @@
     return plain(HTTPStatus.NOT_FOUND, "no peers here") if told is None else _stats(told)
 
 
-def _hand(known: bool, worker: str, verb: str) -> bytes:
+def _maintenance(known: bool, worker: str, verb: str) -> bytes:
     if known:
         return plain(HTTPStatus.OK, f"{worker} {verb}")
     return plain(HTTPStatus.NOT_FOUND, f"no worker {worker} is known here")
--- a/canvasbeam/net/core.py
+++ b/canvasbeam/net/core.py
@@ -163,8 +163,8 @@
         self.ended = dict.fromkeys(Outcome, 0)  # forwards by outcome
         self.probed = dict.fromkeys(Outcome, 0)  # probes by outcome
         self.listed_at = ZERO  # when discovery last told anything
-        self.by_hand: set[str] = set()  # out by hand: draining for the module, whatever discovery says
-        self._returned: dict[str, timedelta] = {}  # put back by hand: a new start, so cold
+        self.in_maintenance: set[str] = set()  # draining for the module, whatever discovery says
+        self._returned: dict[str, timedelta] = {}  # left maintenance: a new start, so cold
         self.lists_lost = 0
         self._told = False  # by discovery; before that the list is what the process before held
         self._born = born
@@ -296,14 +296,14 @@
                     self._moot(attempt)
         self.loop.again()
 
-    def hand_out(self, name: str) -> None:
-        """Out by hand: from this pass on the target counts as draining, whatever discovery lists."""
-        self.by_hand.add(name)
+    def enter_maintenance(self, name: str) -> None:
+        """From this pass on the target counts as draining, whatever discovery lists."""
+        self.in_maintenance.add(name)
         self._tell_again(name)
 
-    def hand_back(self, name: str, started: timedelta) -> None:
-        """Back by hand, as a process that started then: it is eased in as a cold one."""
-        self.by_hand.discard(name)
+    def leave_maintenance(self, name: str, started: timedelta) -> None:
+        """The target gets requests again, as a process that started then: it is eased in as a cold one."""
+        self.in_maintenance.discard(name)
         self._returned[name] = started
         self._tell_again(name)
 
@@ -326,11 +326,11 @@
 
     def _is_live(self, name: str) -> bool:
         target = self.targets.get(name)
-        return target is not None and target.state is WorkerState.LIVE and name not in self.by_hand
+        return target is not None and target.state is WorkerState.LIVE and name not in self.in_maintenance
 
     def _entry(self, target: Target) -> ci.WorkerEntry:
         state = target.state
-        if state is WorkerState.LIVE and target.name in self.by_hand:
+        if state is WorkerState.LIVE and target.name in self.in_maintenance:
             state = WorkerState.DRAINING
         starts = [each for each in (target.started, self._returned.get(target.name)) if each is not None]
         started = self._to_module(max(starts)) if starts else 0
@@ -384,7 +384,7 @@
             self.forwarded += 1
 
     def avoided(self) -> int:
-        """Targets in the list that get nothing new now: draining, out by hand, or rested by the decisions."""
+        """Targets in the list that get nothing new now: draining, in maintenance, or rested by the decisions."""
         resting = set(self._dispatcher.resting())
         return sum(not self._is_live(name) or name in resting for name in self.targets)
 
--- a/canvasbeam/net/limits.py
+++ b/canvasbeam/net/limits.py
@@ -111,7 +111,7 @@
     watch_gap: timedelta = seconds(0.02)  # between calls that bring nothing and come back at once
     watch_retry: timedelta = seconds(0.1)  # after the first failed call; twice as long after each more
     watch_retry_most: timedelta = seconds(1)
-    # The second address: calls of the operators' staff, one a connection.
+    # The management address: calls of operators, one per connection.
     mgmt_connections: int = 16
     mgmt_backlog: int = 64
     mgmt_head: int = 4 * 1024
--- a/tests/test_mgmt.py
+++ b/tests/test_mgmt.py
@@ -1,4 +1,4 @@
-"""Stories of the second address: health, bad calls, and callers that hold a connection beside one that asks."""
+"""Stories of the management address: health, bad calls, and callers that hold a connection beside one that asks."""
 
 from __future__ import annotations
 
@@ -13,25 +13,25 @@
 
 from canvasbeam import interface as ci
 from canvasbeam.interface import Outcome
-from canvasbeam.mgmt.desk import OperatorDesk
 from canvasbeam.mgmt.handover import Handover, path_for
+from canvasbeam.mgmt.operations import SchedulerOperations
 from canvasbeam.mgmt.server import ManagementListener
 from canvasbeam.net.limits import Limits
 from canvasbeam.net.listener import Listener
 from tests.loopback import Peer, Server, World, done, job
 
 
-class Desk(World):
-    """A world with a second address."""
+class ManagedWorld(World):
+    """A world with a management address."""
 
     def __init__(self, *servers: Server, limits: Limits | None = None, handover: Handover | None = None) -> None:
         super().__init__(*servers, limits=limits)
-        self.desk = OperatorDesk(self.core, self.listener, handover)
-        self.mgmt = ManagementListener.bind(self.loop, self.limits, self.desk, ("127.0.0.1", 0))
+        self.operations = SchedulerOperations(self.core, self.listener, handover)
+        self.mgmt = ManagementListener.bind(self.loop, self.limits, self.operations, ("127.0.0.1", 0))
         self.mgmt_address: tuple[str, int] = self.mgmt.sock.getsockname()
 
     def caller(self, data: bytes = b"") -> Peer:
-        """A caller on the second address that has written this."""
+        """A caller on the management address that has written this."""
         peer = Peer(socket.create_connection(self.mgmt_address))
         if data:
             peer.say(data)
@@ -49,7 +49,7 @@
 
 
 def test_health_says_yes_only_once_a_target_is_live() -> None:
-    world = Desk(Server())
+    world = ManagedWorld(Server())
     world.list_targets(ci.WorkerState.DRAINING)
     assert status(world.call(b"GET /healthcheck HTTP/1.1\r\n\r\n")) == 503
     world.list_targets()
@@ -59,7 +59,7 @@
 
 
 def test_health_says_no_once_the_planned_end_has_begun() -> None:
-    world = Desk(Server())
+    world = ManagedWorld(Server())
     world.listener.drain()
     assert status(world.call(b"GET /healthcheck HTTP/1.1\r\n\r\n")) == 503
 
@@ -78,14 +78,14 @@
 
 @pytest.mark.parametrize("name", BAD)
 def test_bad_calls_get_a_clear_no(name: str) -> None:
-    world = Desk(Server())
+    world = ManagedWorld(Server())
     data, expected = BAD[name]
     assert status(world.call(data)) == expected
 
 
 def test_a_cut_call_is_told_so_and_closed_within_its_time() -> None:
     limits = replace(Limits(client_connections=8, target_connections=8), mgmt_call=Limits().mgmt_call / 100)
-    world = Desk(Server(), limits=limits)
+    world = ManagedWorld(Server(), limits=limits)
     for cut in range(1, len(b"GET /healthcheck HTTP/1.1\r\n\r\n")):
         answer = world.call(b"GET /healthcheck HTTP/1.1\r\n\r\n"[:cut])
         assert status(answer) == 408, cut
@@ -94,7 +94,7 @@
 
 
 def test_callers_that_hold_their_connection_keep_nobody_out() -> None:
-    world = Desk(Server())
+    world = ManagedWorld(Server())
     holders = [world.caller(b"GET /health") for _ in range(3 * world.limits.mgmt_connections)]
     answer = world.call(b"GET /healthcheck HTTP/1.1\r\n\r\n")
     assert status(answer) == 200
@@ -102,25 +102,25 @@
     assert any(each.look() == b"" and each.ended for each in holders)  # the oldest made room
 
 
-def test_a_flood_of_clients_does_not_put_the_second_address_behind() -> None:
-    world = Desk(Server())
+def test_a_flood_of_clients_does_not_put_the_management_address_behind() -> None:
+    world = ManagedWorld(Server())
     clients = [world.client(b"POST /api HTTP/1.1\r\n") for _ in range(2 * world.limits.client_connections)]
     assert status(world.call(b"GET /healthcheck HTTP/1.1\r\n\r\n")) == 200
     assert len(clients) > world.limits.client_connections
 
 
 def test_the_clients_address_is_shared_with_a_second_process() -> None:
-    world = Desk(Server())
+    world = ManagedWorld(Server())
     beside = Listener.bind(world.loop, world.core, world.limits, world.address)
     assert beside.sock.getsockname() == world.address
     beside.close()
 
 
-def maint(world: Desk, worker: str, verb: str = "maint") -> int:
+def maint(world: ManagedWorld, worker: str, verb: str = "maint") -> int:
     return status(world.call(f"POST /workers/{worker}/{verb} HTTP/1.1\r\n\r\n".encode()))
 
 
-def serve_all(world: Desk, count: int, first: int = 0) -> list[int]:
+def serve_all(world: ManagedWorld, count: int, first: int = 0) -> list[int]:
     """Send jobs together, each answered at once by the target that got it; how many each target got."""
     clients = [world.client(job(call_id=f"c{number}")) for number in range(first, first + count)]
     got: list[set[str]] = [set() for _ in world.servers]
@@ -138,8 +138,8 @@
     return [len(each) for each in got]
 
 
-def test_a_worker_out_by_hand_gets_nothing_new_whatever_discovery_says() -> None:
-    world = Desk(Server(), Server())
+def test_a_worker_in_maintenance_gets_nothing_new_whatever_discovery_says() -> None:
+    world = ManagedWorld(Server(), Server())
     assert maint(world, "s-0") == 200
     world.list_targets()  # discovery still says live
     assert serve_all(world, 6) == [0, 6]
@@ -147,14 +147,14 @@
     assert world.call(b"GET /healthcheck HTTP/1.1\r\n\r\n").split()[1] == "200"
 
 
-def test_two_calls_out_need_one_back_and_the_return_is_cold() -> None:
-    world = Desk(Server(), Server())
+def test_entering_twice_needs_leaving_once_and_the_return_is_cold() -> None:
+    world = ManagedWorld(Server(), Server())
     assert maint(world, "s-0") == 200
     assert maint(world, "s-0") == 200
     world.until(lambda: True)
     back_at = world.loop.now
     assert maint(world, "s-0", "ready") == 200
-    assert world.core.by_hand == set()
+    assert world.core.in_maintenance == set()
     entry = world.core._entry(world.core.targets["s-0"])  # noqa: SLF001 - what the module is told
     assert entry.state is ci.WorkerState.LIVE
     assert entry.started_ns >= world.core._to_module(back_at)  # noqa: SLF001
@@ -162,36 +162,36 @@
 
 
 def test_ids_that_nobody_has_are_owed_a_no() -> None:
-    world = Desk(Server())
+    world = ManagedWorld(Server())
     assert maint(world, "nobody") == 404
     assert maint(world, "nobody", "ready") == 404
     assert maint(world, "s-0", "stop") == 404
     assert status(world.call(b"GET /workers/s-0/maint HTTP/1.1\r\n\r\n")) == 405
-    assert world.core.by_hand == set()
+    assert world.core.in_maintenance == set()
 
 
-def test_the_only_target_out_by_hand_means_not_ready() -> None:
-    world = Desk(Server())
+def test_the_only_target_in_maintenance_means_not_ready() -> None:
+    world = ManagedWorld(Server())
     assert maint(world, "s-0") == 200
     assert status(world.call(b"GET /healthcheck HTTP/1.1\r\n\r\n")) == 503
 
 
-def test_workers_out_by_hand_cross_to_the_next_process(tmp_path: Path) -> None:
+def test_workers_in_maintenance_cross_to_the_next_process(tmp_path: Path) -> None:
     servers = (Server(), Server())
-    old = Desk(*servers, handover=Handover(path_for(str(tmp_path), ("127.0.0.1", 5000))))
+    old = ManagedWorld(*servers, handover=Handover(path_for(str(tmp_path), ("127.0.0.1", 5000))))
     assert maint(old, "s-1") == 200
-    new = Desk(*servers, handover=Handover(path_for(str(tmp_path), ("127.0.0.1", 5000))))
-    assert new.core.by_hand == {"s-1"}  # read at its start
+    new = ManagedWorld(*servers, handover=Handover(path_for(str(tmp_path), ("127.0.0.1", 5000))))
+    assert new.core.in_maintenance == {"s-1"}  # read at its start
     assert maint(new, "s-0") == 200
-    old.until(lambda: old.core.by_hand == {"s-0", "s-1"})  # taken up by the one still running
+    old.until(lambda: old.core.in_maintenance == {"s-0", "s-1"})  # taken up by the one still running
     assert maint(new, "s-1", "ready") == 200
-    old.until(lambda: old.core.by_hand == {"s-0"})
+    old.until(lambda: old.core.in_maintenance == {"s-0"})
     assert serve_all(new, 3) == [0, 3]
-    elsewhere = Desk(*servers, handover=Handover(path_for(str(tmp_path), ("127.0.0.1", 5001))))
-    assert elsewhere.core.by_hand == set()  # a scheduler on another address keeps its own
+    elsewhere = ManagedWorld(*servers, handover=Handover(path_for(str(tmp_path), ("127.0.0.1", 5001))))
+    assert elsewhere.core.in_maintenance == set()  # a scheduler on another address keeps its own
 
 
-def figures(world: Desk) -> dict[str, Any]:
+def figures(world: ManagedWorld) -> dict[str, Any]:
     answer = world.call(b"GET /stats HTTP/1.1\r\n\r\n")
     assert status(answer) == 200
     assert "Content-Type: application/json" in answer
@@ -201,7 +201,7 @@
 
 def test_the_figures_count_a_known_sequence_of_jobs() -> None:
     limits = Limits(client_connections=8, target_connections=8, open_requests=1)
-    world = Desk(Server(), limits=limits)
+    world = ManagedWorld(Server(), limits=limits)
     first = figures(world)
     assert first["downstream_requests"]["look"] == {"completed": 0, "rejected": 0, "failed": 0}
     counts = (first["upstream_requests"], first["pending"], first["members"], first["members_unavailable"])
@@ -230,7 +230,7 @@
 
 
 def test_a_client_that_leaves_is_no_longer_pending_and_a_conflict_is_a_refusal() -> None:
-    world = Desk(Server())
+    world = ManagedWorld(Server())
     leaving = world.client(job(call_id="c1"))
     world.asked(0)
     twice = world.client(job(call_id="c1"))
@@ -242,7 +242,7 @@
 
 
 def test_a_target_rested_by_the_decisions_counts_as_unavailable() -> None:
-    world = Desk(Server(), Server())
+    world = ManagedWorld(Server(), Server())
     world.servers[1].sock.close()  # refuses: rested at its first connection
     world.core.listed(ci.ListKind.COMPLETE, [world.target(0), world.target(1)], 2)
     clients = [world.client(job(call_id=f"c{number}")) for number in range(4)]
@@ -253,7 +253,7 @@
 
 
 def test_a_flood_on_the_second_address_does_not_put_the_clients_behind() -> None:
-    world = Desk(Server())
+    world = ManagedWorld(Server())
     callers = []
     for _ in range(8 * world.limits.mgmt_connections):  # more than the backlog: nobody waits for their connects
         sock = socket.socket()
@@ -270,7 +270,7 @@
 
 
 def test_a_restart_that_discovery_told_while_out_is_the_start_of_the_return() -> None:
-    world = Desk(Server(), Server())
+    world = ManagedWorld(Server(), Server())
     assert maint(world, "s-0") == 200
     world.until(lambda: True)
     restarted = world.loop.now
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -1,5 +1,5 @@
 """An upgrade of two real scheduler processes on loopback: the second starts beside the first, says yes, the first
-gets SIGTERM and ends; every job sent meanwhile has its one answer, and a worker out by hand stays out."""
+gets SIGTERM and ends; every job sent meanwhile has its one answer, and a worker in maintenance mode stays in it."""
 
 from __future__ import annotations
 
@@ -103,7 +103,7 @@
 
 
 def call(fleet: Fleet, address: tuple[str, int], text: str) -> tuple[int, str]:
-    """One call on a second address."""
+    """One call on a management address."""
     try:
         peer = Peer(socket.create_connection(address))
     except OSError:
@@ -154,7 +154,7 @@
             assert client.got.startswith(b"HTTP/1.1 200"), (number, client.got[:80])
             assert client.got.endswith(f"r-j{number}".encode())
         assert set(fleet.served) == {f"j{number}" for number in clients}
-        assert set(fleet.served.values()) == {0}  # s-1 was out by hand in both processes
+        assert set(fleet.served.values()) == {0}  # s-1 was in maintenance in both processes
         status, body = call(fleet, new_mgmt, "GET /stats HTTP/1.1\r\n\r\n")
         figures: dict[str, Any] = json.loads(body)
         assert (status, figures["members"], figures["members_unavailable"]) == (200, 2, 1)
--- a/tests/test_wheel.py
+++ b/tests/test_wheel.py
@@ -1,4 +1,4 @@
-"""The program as installed: every package is in it, and it starts from an empty directory, second address included."""
+"""The installed program: every package is in it, and it starts from an empty directory, with a management address."""
 
 from __future__ import annotations
 
