--- /dev/null
+++ b/tests/test_fleet_limits.py
@@ -0,0 +1,281 @@
+"""The limits on the sum over all schedulers hold, whatever each of them does with its share."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import replace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from canvasbeam.decide import fleet_limits
+from canvasbeam.decide.fleet_limits import ColdLimit, ColdRate, FleetLimits, RetryLimit, WindowCount
+from canvasbeam.interface import WorkerEntry, WorkerState
+
+SECOND = 1_000_000_000
+MILLISECOND = 1_000_000
+START = 100 * SECOND
+RETRY = RetryLimit(ratio=0.2, slack=54, window_ns=10 * SECOND)
+COLD = ColdLimit(over=1.5, slack=5)
+RATE = 9.9
+BOUND = RATE * COLD.over + COLD.slack
+KIND = "llm"
+REGIONS = ("north", "south", "west")
+Make = Callable[[str], FleetLimits]
+
+
+def entry(name: str = "w", cold_until: int = 0, state: WorkerState = WorkerState.LIVE) -> WorkerEntry:
+    return WorkerEntry(name, REGIONS[0], KIND, state=state, cold_until_ns=cold_until)
+
+
+def members(count: int) -> dict[str, str]:
+    return {f"edge-{number}": REGIONS[number % len(REGIONS)] for number in range(count)}
+
+
+def fleet(count: int) -> list[FleetLimits]:
+    """Schedulers that have settled and know of each other."""
+    made = [FleetLimits(name, RETRY, COLD) for name in members(count)]
+    for each in made:
+        each.services(START, {KIND: ColdRate(RATE)})
+        each.members(START, members(count))
+        each.listed(START, entry())
+    return made
+
+
+def most_in_window(times: Iterable[int], window_ns: int) -> int:
+    """The most events in any span of this length."""
+    ordered = sorted(times)
+    most = first = 0
+    for last, when in enumerate(ordered):
+        while ordered[first] <= when - window_ns:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
+
+
+def flood_cold_worker(schedulers: list[FleetLimits], seed: int, cold_at: int, changes: int = 0) -> list[int]:
+    """All schedulers send whenever they may; the times of the sends while the worker is cold."""
+    chance = random.Random(seed)
+    until = cold_at + 4 * SECOND
+    asks = sorted(
+        (START + SECOND + chance.randrange(6 * SECOND), number) for number in range(len(schedulers)) for _ in range(200)
+    )
+    change_times = sorted(START + chance.randrange(6 * SECOND) for _ in range(changes))
+    sent = []
+    told = False
+    for now, number in asks:
+        if now >= cold_at and not told:
+            told = True
+            for each in schedulers:
+                each.listed(cold_at, entry(cold_until=until))
+        while change_times and change_times[0] <= now:
+            change_times.pop()
+            chance.choice(schedulers).members(now, members(len(schedulers)))
+        if now >= cold_at and schedulers[number].may_send_cold(now, "w"):
+            schedulers[number].sent(now, KIND, "w", repeat=False)
+            sent.append(now)
+    return [each for each in sent if each < until]
+
+
+@settings(max_examples=30, deadline=None)
+@given(st.integers(1, 40), st.integers(0, 2**32), st.integers(0, 3))
+def test_all_schedulers_together_stay_within_what_a_cold_worker_may_receive(
+    count: int, seed: int, changes: int
+) -> None:
+    sent = flood_cold_worker(fleet(count), seed, START + 2 * SECOND, changes)
+    assert most_in_window(sent, SECOND) <= BOUND
+
+
+def test_hundreds_of_schedulers_stay_within_the_bound_and_use_it() -> None:
+    sent = flood_cold_worker(fleet(350), 1, START + 2 * SECOND)
+    assert most_in_window(sent, SECOND) <= BOUND
+    assert len(sent) >= 4 * RATE * 0.6
+
+
+def test_seven_schedulers_use_most_of_what_the_worker_bears() -> None:
+    sent = flood_cold_worker(fleet(7), 1, START + 2 * SECOND)
+    assert len(sent) >= 4 * RATE * 0.7
+
+
+def test_schedulers_of_the_workers_region_get_most_of_its_rate() -> None:
+    schedulers = fleet(7)
+    shares = [each._share(each._workers["w"], START + 10 * SECOND) for each in schedulers]
+    own = sum(share for share, region in zip(shares, members(7).values(), strict=True) if region == REGIONS[0])
+    assert own == pytest.approx(fleet_limits.OWN_REGION * sum(shares))
+
+
+def test_a_scheduler_that_dies_is_counted_until_it_can_no_longer_be_sending() -> None:
+    """Danger: both sides of a cut would each divide the whole among themselves."""
+    left, right = fleet(6), fleet(6)
+    sides = [left[number] if number % 2 else right[number] for number in range(6)]
+    for number, each in enumerate(sides):
+        others = {name: region for name, region in members(6).items() if int(name[-1]) % 2 == number % 2}
+        each.members(START + SECOND, others)
+    sent = flood_cold_worker(sides, 3, START + 2 * SECOND)
+    assert most_in_window(sent, SECOND) <= BOUND
+
+
+def test_who_has_not_heard_of_any_scheduler_sends_nothing_to_a_cold_worker() -> None:
+    alone = FleetLimits("edge-0", RETRY, COLD)
+    alone.services(START, {KIND: ColdRate(RATE)})
+    alone.listed(START, entry(cold_until=START + SECOND))
+    assert not alone.may_send_cold(START, "w")
+    assert alone.may_send_cold(START + 3 * SECOND, "w")
+
+
+def test_who_has_just_started_sends_nothing_to_a_cold_worker_yet() -> None:
+    fresh = FleetLimits("edge-0", RETRY, COLD, clock_start=START)
+    fresh.services(START, {KIND: ColdRate(RATE)})
+    fresh.members(START, members(1))
+    fresh.listed(START, entry(cold_until=START + 60 * SECOND))
+    assert not fresh.may_send_cold(START + SECOND, "w")
+    assert fresh.may_send_cold(START + 8 * SECOND, "w")
+
+
+def test_a_worker_that_can_be_used_again_is_taken_for_cold() -> None:
+    only = fleet(1)[0]
+    later = START + 10 * SECOND
+    only.listed(later, entry(state=WorkerState.DRAINING))
+    assert not only.is_cold(later, "w")
+    only.listed(later + SECOND, entry())
+    assert only.is_cold(later + SECOND, "w")
+    assert not only.is_cold(later + 4 * SECOND, "w")
+
+
+def test_what_was_sent_before_the_worker_turned_cold_counts() -> None:
+    only = fleet(1)[0]
+    for number in range(4):
+        only.sent(START + SECOND + number, KIND, "w", repeat=False)
+    only.listed(START + SECOND + 10, entry(cold_until=START + 4 * SECOND))
+    assert not only.may_send_cold(START + SECOND + 20, "w")
+
+
+def test_a_service_without_a_rate_has_no_cold_workers() -> None:
+    only = fleet(1)[0]
+    only.services(START, {KIND: ColdRate(0.0)})
+    only.listed(START, entry(cold_until=START + SECOND))
+    assert only.may_send_cold(START, "w")
+
+
+def test_a_worker_that_is_gone_is_forgotten() -> None:
+    only = fleet(1)[0]
+    only.listed(START, entry(cold_until=START + SECOND))
+    only.listed(START, entry(state=WorkerState.GONE))
+    assert only.may_send_cold(START, "w")
+
+
+# --- repeats ----------------------------------------------------------------------------------
+
+
+def flood_repeats(schedulers: list[FleetLimits], seed: int) -> tuple[list[int], list[int]]:
+    """Requests at rates that change; every scheduler repeats whenever it may. The times of requests and repeats."""
+    chance = random.Random(seed)
+    requests: list[int] = []
+    repeats: list[int] = []
+    now = START
+    while now < START + 40 * SECOND:
+        burst = chance.randrange(1, 4)
+        now += chance.randrange(1, 200 * MILLISECOND)
+        for _ in range(burst):
+            scheduler = chance.choice(schedulers)
+            scheduler.arrived(now, KIND)
+            requests.append(now)
+        for scheduler in schedulers:
+            while scheduler.may_repeat(now, KIND):
+                scheduler.sent(now, KIND, "w", repeat=True)
+                repeats.append(now)
+    return requests, repeats
+
+
+def permitted(requests: list[int], end: int) -> float:
+    """What the rule permits in the window that ends here."""
+    window = RETRY.window_ns
+    counts = [sum(end - window - back < each <= end - back for each in requests) for back in (0, window // 2, window)]
+    return RETRY.ratio * max(counts) + RETRY.slack
+
+
+def worst_excess(requests: list[int], repeats: list[int]) -> float:
+    """By how much the repeats of some window exceed what is permitted there, or a negative number."""
+    return max(
+        (sum(end - RETRY.window_ns < each <= end for each in repeats) - permitted(requests, end) for end in repeats),
+        default=-1.0,
+    )
+
+
+@settings(max_examples=10, deadline=None)
+@given(st.integers(1, 12), st.integers(0, 2**32))
+def test_repeats_of_all_schedulers_stay_within_the_budget(count: int, seed: int) -> None:
+    assert worst_excess(*flood_repeats(fleet(count), seed)) <= 0
+
+
+def test_who_hears_nothing_repeats_only_what_its_own_requests_earn() -> None:
+    alone = FleetLimits("edge-0", RETRY, COLD)
+    assert not alone.may_repeat(START, KIND)
+    for _ in range(10):
+        alone.arrived(START, KIND)
+    assert alone.may_repeat(START + SECOND, KIND)
+    alone.sent(START + SECOND, KIND, "w", repeat=True)
+    assert not alone.may_repeat(START + SECOND, KIND)
+
+
+def test_a_first_send_is_no_repeat() -> None:
+    only = fleet(1)[0]
+    before = only.may_repeat(START, KIND)
+    for _ in range(500):
+        only.sent(START, KIND, "w", repeat=False)
+    assert only.may_repeat(START, KIND) is before is True
+
+
+def test_the_window_slides() -> None:
+    count = WindowCount(10 * SECOND)
+    for second in range(20):
+        count.add(second * SECOND)
+    assert count.total(19 * SECOND) in (10, 11)
+    assert count.total(60 * SECOND) == 0
+
+
+# --- planted faults: each must break a bound --------------------------------------------------
+
+
+def test_planted_buckets_that_hold_more_are_noticed(monkeypatch: pytest.MonkeyPatch) -> None:
+    def fill(self: FleetLimits, worker: fleet_limits.ColdWorker, now: int) -> None:
+        worker.share = self._share(worker, now)
+        worker.tokens = min(5.0, worker.tokens + 5 * worker.share * max(0, now - worker.filled_at) / SECOND)
+        worker.filled_at = now
+
+    monkeypatch.setattr(FleetLimits, "_fill", fill)
+    assert most_in_window(flood_cold_worker(fleet(7), 1, START + 2 * SECOND), SECOND) > BOUND
+
+
+def test_planted_share_that_is_not_divided_is_noticed(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(FleetLimits, "_share", lambda self, worker, now: RATE)
+    assert most_in_window(flood_cold_worker(fleet(7), 1, START + 2 * SECOND), SECOND) > BOUND
+
+
+def test_planted_hash_on_which_schedulers_do_not_agree_is_noticed(monkeypatch: pytest.MonkeyPatch) -> None:
+    shares = iter(range(10**9))
+    monkeypatch.setattr(fleet_limits, "_hash", lambda scheduler, worker: next(shares).to_bytes(8, "big"))
+
+    def by_region(self: FleetLimits, worker: fleet_limits.ColdWorker, now: int) -> tuple[list[str], list[str]]:
+        others = [each for each in self._regions if each != self._own_name]
+        return [self._own_name, *others], []
+
+    monkeypatch.setattr(FleetLimits, "_by_region", by_region)
+    assert most_in_window(flood_cold_worker(fleet(60), 1, START + 2 * SECOND), SECOND) > BOUND
+
+
+def test_planted_forgetting_of_who_was_just_cut_off_is_noticed(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(fleet_limits, "REMEMBERED", -1)
+    sides = fleet(8)
+    for number, each in enumerate(sides):
+        each.members(START + SECOND, {f"edge-{number}": REGIONS[0]})
+    assert most_in_window(flood_cold_worker(sides, 3, START + 2 * SECOND), SECOND) > BOUND
+
+
+def test_planted_slack_that_is_not_divided_is_noticed() -> None:
+    schedulers = fleet(6)
+    for each in schedulers:
+        each._retry = replace(RETRY, slack=RETRY.slack * 6)
+    assert worst_excess(*flood_repeats(schedulers, 1)) > 0
