--- a/canvasbeam/cli/system.py
+++ b/canvasbeam/cli/system.py
@@ -23,7 +23,13 @@
 
 @click.group(epilog=TABLE)
 def system() -> None:
-    """Operate the serving system: its configuration, evacuations, members and disks."""
+    """Operate the serving system: its configuration, evacuations, members and disks.
+
+    \b
+    Examples:
+      canvasbeam system status --control 127.0.0.11:8146
+      canvasbeam system config validate example/system/configuration.json
+    """
 
 
 def control_options(command: Callable[..., Any]) -> Callable[..., Any]:
@@ -130,6 +136,34 @@
     change_configuration("PATCH", file, if_match, control, timeout_s, as_json)
 
 
+@config.command("validate", epilog=TABLE)
+@click.argument("file", type=click.Path(exists=True, dir_okay=False, path_type=Path))
+@click.option(
+    "--base",
+    type=click.Path(exists=True, dir_okay=False, path_type=Path),
+    help="The configuration that FILE builds on; wanted where FILE is a patch.",
+)
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+@guarded
+def config_validate(file: Path, base: Path | None, as_json: bool) -> None:
+    """Check FILE, a whole configuration or a patch, as the system would; nothing is sent.
+
+    \b
+    Examples:
+      canvasbeam system config validate config.json
+      canvasbeam system config validate patch.json --base config.json
+    """
+    from canvasbeam.cli.validation import validate  # noqa: PLC0415
+
+    failure = validate(file.read_bytes(), None if base is None else base.read_bytes())
+    if failure is None:
+        report({"file": str(file), "valid": True}, f"{file}: valid", as_json)
+        return
+    result = {"file": str(file), "valid": False, "code": int(failure.code), "reason": failure.reason}
+    report(result, f"{file}: {failure}", as_json)
+    raise click.exceptions.Exit(Code.USAGE)
+
+
 @system.group(epilog=TABLE)
 def evacuate() -> None:
     """Send nothing more to the workers of a zone, or take that back."""
--- /dev/null
+++ b/canvasbeam/cli/validation.py
@@ -0,0 +1,33 @@
+"""The check of a configuration or a patch without the system, by the function that the replicas apply."""
+
+from __future__ import annotations
+
+import json
+
+from canvasbeam.control_plane.changes import apply
+from canvasbeam.control_plane.control_state import Change, ChangeKind, ControlState
+from canvasbeam.errors import Failure
+
+PATCH_FIELDS = ("upsert", "remove")
+
+
+def validate(body: bytes, base: bytes | None) -> Failure | None:
+    """Why a body would be refused as the next change after `base`, or as the first one where there is none."""
+    state = ControlState()
+    if base is not None:
+        first = apply(state, Change(ChangeKind.PUT_CONFIGURATION, base, if_match=0))
+        if isinstance(first, Failure):
+            return Failure(first.code, f"the base: {first.reason}")
+        state = first
+    kind = ChangeKind.PATCH_CONFIGURATION if _is_patch(body) else ChangeKind.PUT_CONFIGURATION
+    outcome = apply(state, Change(kind, body, if_match=state.generation))
+    return outcome if isinstance(outcome, Failure) else None
+
+
+def _is_patch(body: bytes) -> bool:
+    """Whether a body has the shape of a patch; one that is no JSON is left to the check to tell."""
+    try:
+        document = json.loads(body)
+    except (ValueError, RecursionError):
+        return False
+    return isinstance(document, dict) and any(field in document for field in PATCH_FIELDS)
