--- /dev/null
+++ b/canvasbeam/data_plane/carrier.py
@@ -0,0 +1,413 @@
+"""The table of open requests, and the only caller of the decision module.
+
+Events of the clients, the workers and the item table go into `Dispatcher.handle` once a pass of the event loop, and its
+actions are carried out here. A request has exactly one answer: from a worker, or this node's own. A 503 is only given
+where no worker ran the request or may yet run it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from canvasbeam import interface as ci
+from canvasbeam.choice import Dispatcher
+from canvasbeam.data_plane.exchange import Exchange, ExchangeResult
+from canvasbeam.data_plane.health_check import check_health
+from canvasbeam.data_plane.job_classes import prompt_of
+from canvasbeam.data_plane.open_requests import Attempt, Job, ListedWorker, OpenRequest
+from canvasbeam.data_plane.requests import RETRY_LATER_NS, Answer, AnswerState, ClientRequest, own_answer
+from canvasbeam.data_plane.streams import StreamForwarder, may_continue
+from canvasbeam.data_plane.worker_connections import ConnectFailed, WorkerConnections
+from canvasbeam.data_plane.worker_request import worker_request
+from canvasbeam.errors import Failure, ResultCode
+from canvasbeam.interface import Outcome
+from canvasbeam.runtime.logs import get_logger
+from canvasbeam.runtime.settings import MILLISECOND, SECOND
+
+log = get_logger(__name__)
+
+# The worker's own answer at the deadline is waited for so long after it, as far as the client waits.
+AFTER_DUE_NS = 150 * MILLISECOND
+# A request is not sent with less than this left.
+LEAST_LEFT_NS = 5 * MILLISECOND
+LONGEST_RETRY_ADVICE_NS = SECOND
+
+DispatcherFactory = Callable[[], Dispatcher]
+
+
+def monotonic_ns() -> int:
+    """The dispatcher's clock."""
+    return time.monotonic_ns()
+
+
+class Carrier:
+    """Requests in, answers out; in between the dispatcher decides."""
+
+    def __init__(
+        self,
+        make_dispatcher: DispatcherFactory,
+        connections: WorkerConnections,
+        clock: Callable[[], int] = monotonic_ns,
+    ) -> None:
+        self._make_dispatcher = make_dispatcher
+        self._dispatcher = make_dispatcher()
+        self._connections = connections
+        self.now_ns = clock
+        self._loop = asyncio.get_running_loop()
+        self._events: list[ci.Event] = []
+        self._pass_due = False
+        self._jobs: dict[str, Job] = {}
+        self._requests: dict[ClientRequest, OpenRequest] = {}
+        self._numbers = 0
+        self._workers: dict[str, ListedWorker] = {}
+        self._classes: ci.ClassesChanged | None = None
+        self._class_names: frozenset[str] = frozenset()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.on_served: Callable[[ClientRequest], None] | None = None
+
+    # --- the clients' side ------------------------------------------------------------------------
+
+    @property
+    def open_requests(self) -> int:
+        """Requests without their whole answer."""
+        return len(self._requests)
+
+    def submit(self, request: ClientRequest) -> None:
+        """Take a request: from here on it is owed one answer."""
+        timer = self._loop.call_later((request.due_ns - self.now_ns()) / SECOND, self._on_due, request)
+        self._requests[request] = OpenRequest(timer)
+        self._begin_job(request)
+
+    def answer_all(self) -> None:
+        """End everything that is open, at the end of the process."""
+        for request in tuple(self._requests):
+            self._fail(request)
+
+    def client_left(self, request: ClientRequest) -> None:
+        """The client closed its connection: the work for it is stopped."""
+        request.answer.client_left()
+        self._close_request(request)
+
+    def _begin_job(self, request: ClientRequest) -> None:
+        if request.job_class not in self._class_names:
+            self._answer_own(request, ResultCode.REQUEST_REFUSED, "the route was removed")
+            return
+        self._numbers += 1
+        job = Job(str(self._numbers), request)
+        self._jobs[job.name] = job
+        self._requests[request].jobs.append(job)
+        self._tell(
+            ci.JobArrived(
+                job.name, request.job_class, request.due_ns, prompt=prompt_of(request), repeat=request.sent > 0
+            )
+        )
+
+    # --- the item table's side --------------------------------------------------------------------
+
+    @property
+    def live_workers(self) -> int:
+        """Workers that may be sent requests."""
+        return sum(each.live for each in self._workers.values())
+
+    def list_workers(self, workers: list[ListedWorker]) -> None:
+        """Take news of workers; what waits for a connection to one that drains is not sent."""
+        for worker in workers:
+            name = worker.entry.worker
+            if worker.entry.state is ci.WorkerState.GONE:
+                self._workers.pop(name, None)
+            else:
+                self._workers[name] = worker
+        entries = tuple(each.entry for each in workers)
+        self._tell(ci.WorkersListed(ci.ListKind.CHANGES, entries))
+        for job in tuple(self._jobs.values()):
+            for attempt in job.attempts:
+                if not attempt.ended and not attempt.written and not self._is_live(attempt.worker):
+                    self._stop_attempt(attempt)
+
+    def _is_live(self, name: str) -> bool:
+        worker = self._workers.get(name)
+        return worker is not None and worker.live
+
+    def change_classes(self, classes: tuple[ci.JobClass, ...], kinds: tuple[str, ...]) -> None:
+        """Another configuration is in force for requests that come from now on."""
+        self._classes = ci.ClassesChanged(classes, kinds)
+        self._class_names = frozenset(each.name for each in classes)
+        self._tell(self._classes)
+
+    # --- the dispatcher ---------------------------------------------------------------------------
+
+    def _tell(self, event: ci.Event) -> None:
+        self._events.append(event)
+        if not self._pass_due:
+            self._pass_due = True
+            self._loop.call_soon(self._decide)
+
+    def _decide(self) -> None:
+        self._pass_due = False
+        events, self._events = self._events, []
+        try:
+            actions = self._dispatcher.handle(self.now_ns(), events)
+        except Exception:
+            log.exception("the dispatcher failed; it starts anew")
+            self._restart()
+            return
+        for action in actions:
+            self._act(action)
+
+    def _restart(self) -> None:
+        """Answer what is open and go on with a new dispatcher that knows the classes and workers."""
+        for request in tuple(self._requests):
+            if request.answer.state is AnswerState.WAITING:
+                self._fail(request)
+        self._dispatcher = self._make_dispatcher()
+        self._events = []
+        if self._classes is not None:
+            self._tell(self._classes)
+        self._tell(ci.WorkersListed(ci.ListKind.COMPLETE, tuple(each.entry for each in self._workers.values())))
+
+    def _act(self, action: ci.Action) -> None:
+        match action:
+            case ci.Send(name, worker):
+                self._send(name, worker)
+            case ci.Cancel(name, number):
+                self._cancel(name, number)
+            case ci.Refuse(name, come_back_ns):
+                self._refuse(name, come_back_ns)
+            case ci.Fail(name):
+                self._fail_job(name)
+            case ci.SetTimer(token, when_ns):
+                delay = max(0, when_ns - self.now_ns()) / SECOND
+                self._loop.call_later(delay, self._tell, ci.TimerFired(token))
+            case ci.Probe(worker):
+                self._start(self._probe(worker))
+            case ci.CloseIdle(worker):
+                self._connections.close_idle(worker)
+            case ci.Log(text):
+                log.info("{}", text)
+            case ci.TellPeer() | ci.Watch() | ci.FetchList():
+                pass  # the item table takes the place of these
+
+    def _send(self, name: str, worker: str) -> None:
+        job = self._jobs.get(name)
+        if job is None:
+            log.error("the dispatcher sent a job that is over")
+            return
+        attempt = Attempt(job, len(job.attempts), worker, self.now_ns())
+        job.attempts.append(attempt)
+        if not self._may_write(attempt):
+            self._end_attempt(attempt, Outcome.MOOT)
+            return
+        attempt.task = self._start(self._run(attempt))
+
+    def _cancel(self, name: str, number: int) -> None:
+        job = self._jobs.get(name)
+        if job is not None and number < len(job.attempts):
+            self._stop_attempt(job.attempts[number])
+
+    def _refuse(self, name: str, come_back_ns: int) -> None:
+        job = self._jobs.get(name)
+        if job is not None:
+            job.closed = True
+            advice = min(come_back_ns, LONGEST_RETRY_ADVICE_NS) or RETRY_LATER_NS
+            self._fail(job.request, advice)
+
+    def _fail_job(self, name: str) -> None:
+        job = self._jobs.get(name)
+        if job is not None:
+            job.closed = True
+            self._fail(job.request)
+
+    # --- an attempt -------------------------------------------------------------------------------
+
+    def _start(self, work: object) -> asyncio.Task[None]:
+        task: asyncio.Task[None] = self._loop.create_task(work)  # type: ignore[arg-type]
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    def _may_write(self, attempt: Attempt) -> bool:
+        """Whether the rules allow this send at the moment of its first byte."""
+        request = attempt.job.request
+        if attempt.ended or not request.answer.open or not self._is_live(attempt.worker):
+            return False
+        if request.due_ns - self.now_ns() < LEAST_LEFT_NS or request.sent >= request.route.retries:
+            return False
+        return request.route.idempotent or not request.may_have_run
+
+    async def _run(self, attempt: Attempt) -> None:
+        request = attempt.job.request
+        pool = self._connections.pool(attempt.worker)
+        if pool is None:
+            self._end_attempt(attempt, Outcome.MOOT)
+            return
+        try:
+            connection = await pool.acquire(unsafe=not request.route.idempotent)
+        except ConnectFailed:
+            self._end_attempt(attempt, Outcome.CONNECT_FAILED)
+            return
+        if not self._may_write(attempt):
+            pool.release(connection)
+            self._end_attempt(attempt, Outcome.MOOT)
+            return
+        forwarder = StreamForwarder(request, lambda: self._on_stream_opened(attempt))
+        exchange = Exchange(connection, worker_request(request, attempt.worker, self.now_ns()), forwarder)
+        attempt.connection, attempt.exchange = connection, exchange
+        request.sent += 1
+        try:
+            result = await exchange.run()
+        except BaseException:
+            pool.discard(connection)
+            raise
+        if exchange.reusable:
+            pool.release(connection)
+        else:
+            pool.discard(connection)
+        if not result.written:
+            request.sent -= 1
+        await self._conclude(attempt, result)
+
+    async def _conclude(self, attempt: Attempt, result: ExchangeResult) -> None:
+        """Take what an exchange brought: an answer for the client, or another chance for the dispatcher."""
+        request = attempt.job.request
+        if attempt.ended:
+            return
+        if result.stream_began:
+            await self._conclude_stream(attempt, result)
+        elif result.answer is not None and result.outcome in (Outcome.OK, Outcome.MOOT):
+            self._end_attempt(attempt, result.outcome, final=True)
+            if request.answer.state is AnswerState.WAITING:
+                await request.answer.send_whole(result.answer)
+                self._count_served(request)
+            else:
+                request.answer.abort()
+            self._close_request(request)
+        else:
+            request.worker_failure = result.answer or request.worker_failure
+            self._end_attempt(attempt, result.outcome)
+
+    async def _conclude_stream(self, attempt: Attempt, result: ExchangeResult) -> None:
+        request = attempt.job.request
+        self._end_attempt(attempt, result.outcome, final=True)
+        if result.outcome is Outcome.OK:
+            await request.answer.finish()
+            self._count_served(request)
+            self._close_request(request)
+        elif may_continue(request):
+            log.info("a stream broke and goes on at another worker", extra={"request_id": request.identity.decode()})
+            self._begin_job(request)
+        else:
+            request.answer.abort()
+            self._close_request(request)
+
+    def _count_served(self, request: ClientRequest) -> None:
+        if self.on_served is not None:
+            self.on_served(request)
+
+    def _on_stream_opened(self, attempt: Attempt) -> None:
+        elapsed = self.now_ns() - attempt.began_ns
+        self._tell(ci.StreamOpened(attempt.job.name, attempt.number, attempt.worker, elapsed))
+
+    def _stop_attempt(self, attempt: Attempt) -> None:
+        """Stop an attempt; closing its connection stops the worker."""
+        if attempt.ended:
+            return
+        written = attempt.written
+        if attempt.exchange is not None and not written:
+            attempt.job.request.sent -= 1
+        if attempt.connection is not None:
+            attempt.connection.stream.abort()
+        if attempt.task is not None:
+            attempt.task.cancel()
+        self._end_attempt(attempt, Outcome.CANCELLED if written else Outcome.MOOT)
+
+    def _end_attempt(self, attempt: Attempt, outcome: Outcome, final: bool = False) -> None:
+        if attempt.ended:
+            return
+        attempt.ended = True
+        job = attempt.job
+        if not outcome.never_ran:
+            job.request.may_have_run = True
+        elapsed = self.now_ns() - attempt.began_ns
+        job.closed |= final
+        self._tell(ci.AttemptEnded(job.name, attempt.number, attempt.worker, outcome, elapsed, final))
+        self._forget_job(job)
+
+    def _forget_job(self, job: Job) -> None:
+        if job.closed and all(each.ended for each in job.attempts):
+            self._jobs.pop(job.name, None)
+
+    # --- the end of a request ---------------------------------------------------------------------
+
+    def _on_due(self, request: ClientRequest) -> None:
+        """The time for a request is over; a worker at work gets a moment for its own answer, or a stream its end."""
+        entry = self._requests.get(request)
+        if entry is None:
+            return
+        at_work = any(each.written for each in entry.attempts_out())
+        if at_work and self.now_ns() < request.due_ns + AFTER_DUE_NS:
+            entry.timer = self._loop.call_later(AFTER_DUE_NS / SECOND, self._on_due, request)
+            return
+        self._fail(request)
+
+    def _fail(self, request: ClientRequest, come_back_ns: int = RETRY_LATER_NS) -> None:
+        """End a request that no worker answers: with a promise where it is true, else with what is known."""
+        entry = self._requests.get(request)
+        if entry is None:
+            return
+        out = any(each.written for each in entry.attempts_out())
+        if request.answer.state is AnswerState.STREAMING:
+            request.answer.abort()
+            self._close_request(request)
+        elif not out and not request.may_have_run:
+            self._answer_own(request, ResultCode.REQUEST_REFUSED, "no worker could take it in time", come_back_ns)
+        elif request.worker_failure is not None and not out:
+            self._start(self._answer(request, request.worker_failure))
+        elif out or self.now_ns() >= request.due_ns:
+            self._answer_own(request, ResultCode.REQUEST_TIMED_OUT, "no answer came in time")
+        else:
+            self._answer_own(request, ResultCode.REQUEST_FAILED, "the worker gave no usable answer")
+
+    def _answer_own(
+        self, request: ClientRequest, code: ResultCode, reason: str, come_back_ns: int = RETRY_LATER_NS
+    ) -> None:
+        log.info("{}: {}", code.name.lower(), reason, extra={"request_id": request.identity.decode("latin-1")})
+        if request.answer.state is AnswerState.STREAMING:
+            request.answer.abort()
+            self._close_request(request)
+            return
+        self._start(self._answer(request, own_answer(Failure(code, reason), come_back_ns)))
+
+    async def _answer(self, request: ClientRequest, answer: Answer) -> None:
+        self._stop_all(request)
+        await request.answer.send_whole(answer)
+        self._close_request(request)
+
+    def _stop_all(self, request: ClientRequest) -> None:
+        entry = self._requests.get(request)
+        for job in entry.jobs if entry is not None else ():
+            if not job.closed:
+                job.closed = True
+                self._tell(ci.ClientGone(job.name))
+            for attempt in job.attempts:
+                self._stop_attempt(attempt)
+            self._forget_job(job)
+
+    def _close_request(self, request: ClientRequest) -> None:
+        """Nothing is owed any more."""
+        self._stop_all(request)
+        entry = self._requests.pop(request, None)
+        if entry is not None:
+            entry.timer.cancel()
+
+    # --- probes -----------------------------------------------------------------------------------
+
+    async def _probe(self, worker: str) -> None:
+        """Ask a worker for its health."""
+        began = self.now_ns()
+        listed, pool = self._workers.get(worker), self._connections.pool(worker)
+        outcome = Outcome.CONNECT_FAILED
+        if listed is not None and pool is not None:
+            outcome = await check_health(pool, worker, listed.health_check)
+        self._tell(ci.ProbeEnded(worker, outcome, self.now_ns() - began))
--- /dev/null
+++ b/canvasbeam/data_plane/configuration_view.py
@@ -0,0 +1,56 @@
+"""The newest configuration and evacuations that this node has heard of, taken from the item table."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, Sequence
+
+from canvasbeam.cluster.items import Item, ItemKind, ItemTable
+from canvasbeam.data_plane.routes import Configuration, parse_configuration
+from canvasbeam.runtime.logs import get_logger
+
+log = get_logger(__name__)
+
+ConfigurationListener = Callable[[Configuration], None]
+
+
+class ConfigurationView:
+    """Adopts each newer configuration; the item table guarantees that versions never go back."""
+
+    def __init__(self, table: ItemTable) -> None:
+        self._table = table
+        self._listeners: list[ConfigurationListener] = []
+        self.current: Configuration | None = None
+        self.evacuated_zones: frozenset[str] = frozenset()
+        table.add_listener(self._on_items)
+        self._on_items(list(table))
+
+    def add_listener(self, listener: ConfigurationListener) -> None:
+        """Call this with each configuration adopted from now on, and with the present one."""
+        self._listeners.append(listener)
+        if self.current is not None:
+            listener(self.current)
+
+    def _on_items(self, items: Sequence[Item]) -> None:
+        for item in items:
+            if item.kind is ItemKind.EVACUATIONS:
+                self._take_evacuations(item)
+            elif item.kind is ItemKind.CONFIGURATION and not item.deleted:
+                self._take_configuration(item)
+
+    def _take_configuration(self, item: Item) -> None:
+        try:
+            configuration = parse_configuration(json.loads(item.payload))
+        except (ValueError, KeyError, TypeError):
+            log.exception("a configuration could not be read; the one before stays in force")
+            return
+        self.current = configuration
+        log.info("configuration {} adopted", configuration.generation)
+        for listener in self._listeners:
+            listener(configuration)
+
+    def _take_evacuations(self, item: Item) -> None:
+        zones = json.loads(item.payload) if item.payload else []
+        if isinstance(zones, dict):
+            zones = zones.get("zones", [])
+        self.evacuated_zones = frozenset(zones)
--- /dev/null
+++ b/canvasbeam/data_plane/exchange.py
@@ -0,0 +1,225 @@
+"""One request sent to one worker over one connection, and what became of it.
+
+The result tells exactly whether the request ran: `Outcome.never_ran` is claimed only where the worker said so or where
+no byte was written. Whatever is not the worker's whole, sealed answer to this very request is never handed on as one.
+"""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+from typing import Protocol
+
+import httpcore
+
+from canvasbeam.data_plane.event_stream import EventSplitter, EventTooLarge, StreamEvent
+from canvasbeam.data_plane.requests import Answer, Headers, end_to_end
+from canvasbeam.data_plane.worker_connections import WorkerConnection
+from canvasbeam.interface import Outcome
+
+REQUEST_ID = b"x-request-id"
+DEADLINE = b"x-deadline"
+TARGET_INSTANCE = b"x-target-instance"
+NOT_EXECUTED = b"x-not-executed"
+SEAL = b"x-response-seal"
+PRIORITY = b"priority"
+LAST_EVENT_ID = b"last-event-id"
+EVENT_STREAM = b"text/event-stream"
+# An answer with one of these is a promise that the request did not run, which only `X-Not-Executed` makes true.
+PROMISES = frozenset((408, 421, 429, 503))
+MISDIRECTED = 421
+LARGEST_ANSWER = 64 << 20
+
+
+class EventSink(Protocol):
+    """Takes a stream's events as they come."""
+
+    async def begin(self, status: int, headers: Headers) -> None:
+        """The head of the stream; called once, with the first event at hand."""
+
+    async def send_events(self, events: list[StreamEvent]) -> None:
+        """Whole events that came together."""
+
+    async def send_rest(self, data: bytes) -> None:
+        """Bytes after the last event of a stream that ended properly."""
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerRequest:
+    """What is sent to a worker."""
+
+    identity: bytes
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    streams: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ExchangeResult:
+    """How an exchange ended. `answer` is a whole answer of the worker; a stream was given to the sink instead."""
+
+    outcome: Outcome
+    answer: Answer | None = None
+    written: bool = True
+    stream_began: bool = False
+
+
+class _Garbled(Exception):
+    """The worker's bytes are not the whole answer to this request."""
+
+
+class Exchange:
+    """Sends one request on one connection and reads its answer."""
+
+    def __init__(self, connection: WorkerConnection, request: WorkerRequest, sink: EventSink) -> None:
+        self._connection = connection
+        self._request = request
+        self._sink = sink
+        self._written_before = connection.stream.bytes_written
+        self._reusable = False
+        self.stream_began = False
+
+    @property
+    def written(self) -> bool:
+        """Whether any byte of the request was given to the kernel."""
+        return self._connection.stream.bytes_written > self._written_before
+
+    async def run(self) -> ExchangeResult:
+        """Exchange the request for its answer. The connection is of no use afterwards unless `reusable`."""
+        try:
+            return await self._exchange()
+        except (httpcore.NetworkError, httpcore.ProtocolError, _Garbled, EventTooLarge):
+            outcome = Outcome.BROKEN if self.written else Outcome.UNSENT
+            return ExchangeResult(outcome, None, self.written, self.stream_began)
+
+    @property
+    def reusable(self) -> bool:
+        """Whether the connection can carry another request."""
+        return self._reusable
+
+    async def _exchange(self) -> ExchangeResult:
+        response = await self._connection.http.handle_async_request(self._http_request())
+        headers = [(name.lower(), value) for name, value in response.headers]
+        self._note_connection_headers(headers)
+        self._check_head(response.status, headers)
+        if self._request.streams and response.status == 200 and _is_event_stream(headers):
+            return await self._pass_events(response, headers)
+        body = await self._read_whole(response, headers)
+        await self._finish(response)
+        return self._judge(response.status, headers, body)
+
+    def _http_request(self) -> httpcore.Request:
+        origin = self._connection.http._origin
+        url = httpcore.URL(scheme=origin.scheme, host=origin.host, port=origin.port, target=self._request.target)
+        return httpcore.Request(self._request.method, url, headers=self._request.headers, content=self._request.body)
+
+    def _note_connection_headers(self, headers: Headers) -> None:
+        connection = self._connection
+        for name, value in headers:
+            if name == b"connection" and b"close" in value.lower():
+                connection.closing = True
+            elif name == b"keep-alive":
+                connection.stated_idle_s = _stated_idle(value)
+
+    def _check_head(self, status: int, headers: Headers) -> None:
+        """The answer must be for this request: a surplus one may come in the place of the one that is due."""
+        identity = _header(headers, REQUEST_ID)
+        rejected = status == MISDIRECTED or _header(headers, NOT_EXECUTED) is not None
+        if identity != self._request.identity and not (identity is None and rejected):
+            raise _Garbled("the answer belongs to another request")
+        if _header(headers, b"content-encoding") is not None:
+            raise _Garbled("the body was encoded")
+
+    async def _read_whole(self, response: httpcore.Response, headers: Headers) -> bytes:
+        if not _is_framed(response.status, headers):
+            raise _Garbled("the answer has no length")
+        body = bytearray()
+        async for chunk in _chunks(response):
+            body += chunk
+            if len(body) > LARGEST_ANSWER:
+                raise _Garbled("the answer is too large")
+        return bytes(body)
+
+    async def _finish(self, response: httpcore.Response) -> None:
+        """Close the exchange; bytes after the answer belong to no request, and end the connection."""
+        await response.aclose()
+        left, _ = self._connection.http._h11_state.trailing_data
+        self._reusable = not left and not self._connection.stream.is_readable()
+
+    def _judge(self, status: int, headers: Headers, body: bytes) -> ExchangeResult:
+        answer = Answer(status, _answer_headers(headers, len(body)), body)
+        if status == MISDIRECTED:
+            return ExchangeResult(Outcome.CONNECT_FAILED)  # another worker has the address now
+        if _header(headers, NOT_EXECUTED) is not None:
+            if status == 400:
+                return ExchangeResult(Outcome.MOOT, answer)
+            return ExchangeResult(Outcome.FULL)
+        if status in PROMISES:
+            return ExchangeResult(Outcome.ERROR)
+        if 200 <= status < 300 and _header(headers, SEAL) is None:
+            return ExchangeResult(Outcome.ERROR)
+        return ExchangeResult(Outcome.ERROR if status >= 500 else Outcome.OK, answer)
+
+    async def _pass_events(self, response: httpcore.Response, headers: Headers) -> ExchangeResult:
+        if _header(headers, SEAL) is None:
+            raise _Garbled("the stream has no seal")
+        if not _is_framed(response.status, headers):
+            raise _Garbled("the end of the stream could not be told")
+        splitter = EventSplitter()
+        async for chunk in _chunks(response):
+            events = splitter.feed(chunk)
+            if events:
+                await self._begin(headers)
+                await self._sink.send_events(events)
+        await self._begin(headers)
+        if splitter.partial:
+            await self._sink.send_rest(splitter.partial)
+        await self._finish(response)
+        return ExchangeResult(Outcome.OK, None, True, True)
+
+    async def _begin(self, headers: Headers) -> None:
+        if not self.stream_began:
+            self.stream_began = True
+            await self._sink.begin(200, _answer_headers(headers, None))
+
+
+async def _chunks(response: httpcore.Response) -> AsyncIterator[bytes]:
+    assert not isinstance(response.stream, bytes)
+    async for chunk in response.stream:  # type: ignore[union-attr]
+        yield chunk
+
+
+def _header(headers: Headers, name: bytes) -> bytes | None:
+    for each, value in headers:
+        if each == name:
+            return value
+    return None
+
+
+def _is_event_stream(headers: Headers) -> bool:
+    kind = _header(headers, b"content-type")
+    return kind is not None and kind.split(b";")[0].strip().lower() == EVENT_STREAM
+
+
+def _is_framed(status: int, headers: Headers) -> bool:
+    """Whether the end of the body can be told from a connection that breaks."""
+    if status in (204, 304):
+        return True
+    return any(name in (b"content-length", b"transfer-encoding") for name, _ in headers)
+
+
+def _answer_headers(headers: Headers, length: int | None) -> Headers:
+    kept = [(name, value) for name, value in end_to_end(headers) if name != b"content-length"]
+    if length is not None:
+        kept.append((b"content-length", str(length).encode()))
+    return kept
+
+
+def _stated_idle(value: bytes) -> float | None:
+    for part in value.split(b","):
+        name, _, number = part.strip().partition(b"=")
+        if name.strip().lower() == b"timeout" and number.strip().isdigit():
+            return float(number.strip())
+    return None
--- /dev/null
+++ b/canvasbeam/data_plane/health_check.py
@@ -0,0 +1,45 @@
+"""The health check of one worker."""
+
+from __future__ import annotations
+
+import asyncio
+
+import httpcore
+
+from canvasbeam.data_plane.worker_connections import ConnectFailed, WorkerConnection, WorkerPool
+from canvasbeam.interface import Outcome
+
+TIMEOUT_S = 1.0
+
+
+async def check_health(pool: WorkerPool, worker: str, path: str) -> Outcome:
+    """Ask a worker for its health over one of its connections; another worker at its address is a failure."""
+    try:
+        async with asyncio.timeout(TIMEOUT_S):
+            connection = await pool.acquire(unsafe=False)
+            return await _ask(pool, connection, worker, path)
+    except ConnectFailed:
+        return Outcome.CONNECT_FAILED
+    except TimeoutError:
+        return Outcome.TIMED_OUT
+
+
+async def _ask(pool: WorkerPool, connection: WorkerConnection, worker: str, path: str) -> Outcome:
+    address = pool.address
+    url = httpcore.URL(scheme=b"http", host=address.host, port=address.port, target=path)
+    try:
+        response = await connection.http.handle_async_request(
+            httpcore.Request(b"GET", url, headers=[(b"host", str(address).encode())])
+        )
+        await response.aread()
+        await response.aclose()
+    except (httpcore.NetworkError, httpcore.ProtocolError):
+        pool.discard(connection)
+        return Outcome.BROKEN
+    except BaseException:
+        pool.discard(connection)
+        raise
+    pool.release(connection)
+    named = {name.lower(): value for name, value in response.headers}.get(b"x-instance")
+    well = response.status == 200 and named in (None, worker.encode())
+    return Outcome.OK if well else Outcome.ERROR
--- /dev/null
+++ b/canvasbeam/data_plane/ingress.py
@@ -0,0 +1,194 @@
+"""The clients' side: an ASGI app that reads a request whole, finds its route and hands it to the carrier."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable, MutableMapping
+from typing import Any
+
+from canvasbeam.data_plane.carrier import Carrier
+from canvasbeam.data_plane.configuration_view import ConfigurationView
+from canvasbeam.data_plane.requests import (
+    ClientAnswer,
+    ClientRequest,
+    Headers,
+    end_to_end,
+    own_answer,
+)
+from canvasbeam.data_plane.routes import Configuration, Route
+from canvasbeam.data_plane.shutdown import Shutdown
+from canvasbeam.errors import Failure, ResultCode
+from canvasbeam.runtime.settings import MILLISECOND
+
+Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
+Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
+
+# How long before a client's own deadline its answer leaves.
+CLIENT_MARGIN_NS = 10 * MILLISECOND
+COME_BACK_AT_ONCE_NS = 50 * MILLISECOND
+BODY_TIMEOUT_S = 10.0
+MAX_REQUEST_ID_BYTES = 256
+MAX_DEADLINE_MS = 3_600_000
+
+
+class _ClientLeft(Exception):
+    """The client closed its connection before its request was read."""
+
+
+class Ingress:
+    """The app that serves clients."""
+
+    def __init__(self, view: ConfigurationView, carrier: Carrier, shutdown: Shutdown, generator: random.Random) -> None:
+        self._view = view
+        self._carrier = carrier
+        self._shutdown = shutdown
+        self._random = generator
+
+    async def __call__(self, scope: MutableMapping[str, Any], receive: Receive, send: Send) -> None:
+        """Serve one request."""
+        if scope["type"] != "http":
+            return
+        arrived_ns = self._carrier.now_ns()
+        task = asyncio.current_task()
+        assert task is not None
+        answer = ClientAnswer(send, lambda: _end(task))
+        try:
+            request = await self._read_request(scope, receive, answer, arrived_ns)
+        except _ClientLeft:
+            return
+        if isinstance(request, Failure):
+            unread = request.code in (ResultCode.REQUEST_INVALID, ResultCode.REQUEST_TOO_LARGE)
+            await answer.send_whole(own_answer(request, close=unread))
+            return
+        due_ns = self._shutdown.due(request)
+        if due_ns is None:
+            failure = Failure(ResultCode.REQUEST_REFUSED, "this node ends before it could answer")
+            await answer.send_whole(own_answer(failure, COME_BACK_AT_ONCE_NS, close=True))
+            return
+        request.due_ns = due_ns
+        self._carrier.submit(request)
+        await self._wait_for_end(request, receive)
+
+    async def _wait_for_end(self, request: ClientRequest, receive: Receive) -> None:
+        """Return when the server says that the exchange is over: answered, or left by the client."""
+        try:
+            while (await receive())["type"] != "http.disconnect":
+                pass
+        finally:
+            if request.answer.open:
+                self._carrier.client_left(request)
+
+    async def _read_request(
+        self, scope: MutableMapping[str, Any], receive: Receive, answer: ClientAnswer, arrived_ns: int
+    ) -> ClientRequest | Failure:
+        headers: Headers = list(scope["headers"])
+        configuration = self._view.current
+        limit = configuration.limits.max_body_bytes if configuration is not None else 0
+        fault = _find_fault(scope, headers)
+        if fault is not None:
+            return fault
+        if configuration is None:
+            return Failure(ResultCode.REQUEST_NOT_READY, "no configuration is known yet")
+        body = await _read_body(receive, headers, limit)
+        if isinstance(body, Failure):
+            return body
+        route = self._find_route(scope, headers)
+        if route is None:
+            return Failure(ResultCode.REQUEST_NO_ROUTE, "no route fits the host and path")
+        return self._make_request(scope, body, route, answer, arrived_ns)
+
+    def _find_route(self, scope: MutableMapping[str, Any], headers: Headers) -> Route | None:
+        """The route by the configuration in force now that the body is there."""
+        configuration: Configuration | None = self._view.current
+        host = _header(headers, b"host") or b""
+        name = host.decode("latin-1").rpartition(":")[0] or host.decode("latin-1")
+        if configuration is None:
+            return None
+        return configuration.find_route(name.lower(), scope["raw_path"].decode("latin-1"))
+
+    def _make_request(
+        self,
+        scope: MutableMapping[str, Any],
+        body: bytes,
+        route: Route,
+        answer: ClientAnswer,
+        arrived_ns: int,
+    ) -> ClientRequest:
+        headers: Headers = list(scope["headers"])
+        identity = _header(headers, b"x-request-id")
+        assert identity is not None
+        query = scope["query_string"]
+        return ClientRequest(
+            identity=identity,
+            method=scope["method"].encode(),
+            target=scope["raw_path"] + (b"?" + query if query else b""),
+            headers=end_to_end(headers),
+            body=body,
+            route=route,
+            service=route.choose_service(self._random),
+            arrived_ns=arrived_ns,
+            due_ns=arrived_ns + _time_for(route, headers),
+            answer=answer,
+        )
+
+
+def _end(task: asyncio.Task[Any]) -> None:
+    task.cancel()
+
+
+def _header(headers: Headers, name: bytes) -> bytes | None:
+    for each, value in headers:
+        if each == name:
+            return value
+    return None
+
+
+def _find_fault(scope: MutableMapping[str, Any], headers: Headers) -> Failure | None:
+    """What makes a request unusable, before its body is read."""
+    names = [name for name, _ in headers]
+    if b"content-length" in names and b"transfer-encoding" in names:
+        return Failure(ResultCode.REQUEST_INVALID, "the request has two lengths")
+    if names.count(b"host") != 1:
+        return Failure(ResultCode.REQUEST_INVALID, "the request must have one Host")
+    if names.count(b"x-request-id") != 1:
+        return Failure(ResultCode.REQUEST_INVALID, "the request must have one X-Request-Id")
+    identity = _header(headers, b"x-request-id") or b""
+    if not 0 < len(identity) <= MAX_REQUEST_ID_BYTES:
+        return Failure(ResultCode.REQUEST_INVALID, "X-Request-Id is empty or too long")
+    if not scope["raw_path"].startswith(b"/"):
+        return Failure(ResultCode.REQUEST_INVALID, "the target must be a path")
+    deadline = _header(headers, b"x-deadline")
+    if deadline is not None and not deadline.strip().isdigit():
+        return Failure(ResultCode.REQUEST_INVALID, "X-Deadline must be a whole number of milliseconds")
+    return None
+
+
+def _time_for(route: Route, headers: Headers) -> int:
+    """How long a request may be held: what the operator allows, and the client waits."""
+    deadline = _header(headers, b"x-deadline")
+    if deadline is None:
+        return route.timeout_ns
+    client_ns = min(int(deadline), MAX_DEADLINE_MS) * MILLISECOND
+    return min(route.timeout_ns, max(0, client_ns - CLIENT_MARGIN_NS))
+
+
+async def _read_body(receive: Receive, headers: Headers, limit: int) -> bytes | Failure:
+    """The whole body, or why it is not taken."""
+    stated = _header(headers, b"content-length")
+    if stated is not None and int(stated) > limit:
+        return Failure(ResultCode.REQUEST_TOO_LARGE, f"the body is larger than {limit} bytes")
+    body = bytearray()
+    try:
+        async with asyncio.timeout(BODY_TIMEOUT_S):
+            while True:
+                message = await receive()
+                if message["type"] == "http.disconnect":
+                    raise _ClientLeft
+                body += message.get("body", b"")
+                if len(body) > limit:
+                    return Failure(ResultCode.REQUEST_TOO_LARGE, f"the body is larger than {limit} bytes")
+                if not message.get("more_body", False):
+                    return bytes(body)
+    except TimeoutError:
+        return Failure(ResultCode.REQUEST_INVALID, "the body did not come in time")
--- /dev/null
+++ b/canvasbeam/data_plane/job_classes.py
@@ -0,0 +1,64 @@
+"""The dispatcher's classes of jobs, made from the routes of a configuration: one for each route and service of it."""
+
+from __future__ import annotations
+
+from canvasbeam import interface as ci
+from canvasbeam.data_plane.requests import ClientRequest, job_class_name
+from canvasbeam.data_plane.routes import Configuration, Route
+
+LEAST_URGENT = 9
+LATE_WORTH = 0.3
+PRIORITY_OF_WORKERS = 9  # the least urgent that a worker knows
+
+
+def classes_of(configuration: Configuration) -> tuple[tuple[ci.JobClass, ...], tuple[str, ...]]:
+    """All classes, and the kinds of workers that they ask for."""
+    classes = [_class_of(route, each.service) for route in configuration.routes for each in route.split]
+    kinds = set(configuration.services) | {each.kind for each in classes if each.kind is not None}
+    return tuple(classes), tuple(sorted(kinds))
+
+
+def _class_of(route: Route, service: str) -> ci.JobClass:
+    return ci.JobClass(
+        name=job_class_name(route.name, service),
+        aim_ns=max(1, route.target_ns),
+        deadline_ns=max(1, route.timeout_ns),
+        late_worth=LATE_WORTH,
+        effect=ci.Effect.SAFE if route.idempotent else ci.Effect.UNSAFE,
+        streams=route.streams,
+        kind=service,
+        priority=max(0, LEAST_URGENT - route.priority),
+        max_attempts=route.retries,
+        homes=route.home_regions,
+    )
+
+
+def worker_priority(route: Route) -> bytes:
+    """The value of `Priority` for a worker."""
+    return str(min(PRIORITY_OF_WORKERS, max(0, route.priority))).encode()
+
+
+def prompt_of(request: ClientRequest) -> ci.PromptEstimate | None:
+    """What a request tells of its prompt, where it asks a language model."""
+    tokens = parts = None
+    for name, value in request.headers:
+        if name == b"x-tokens":
+            tokens = value
+        elif name == b"x-prefix-hash":
+            parts = value
+    if tokens is None:
+        return None
+    try:
+        tokens_in, _, most_out = tokens.partition(b",")
+        return ci.PromptEstimate(int(tokens_in), int(most_out or 0), _parts(parts or b""))
+    except ValueError:
+        return None
+
+
+def _parts(text: bytes) -> tuple[ci.PromptPart, ...]:
+    parts = []
+    for each in text.split(b","):
+        name, separator, tokens = each.strip().partition(b":")
+        if separator:
+            parts.append(ci.PromptPart(name.decode("latin-1"), int(tokens)))
+    return tuple(parts)
--- /dev/null
+++ b/canvasbeam/data_plane/network_stream.py
@@ -0,0 +1,179 @@
+"""A TCP connection to a worker, as the stream that httpcore reads and writes.
+
+It knows at any time whether bytes were given to the kernel, whether unread bytes are there and whether the other side
+has closed: what decides if a request may have run, and if a connection at rest may be used again.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import select
+import socket
+from typing import Any
+
+import httpcore
+
+from canvasbeam.runtime.settings import Address
+
+# A cut link says nothing: unacknowledged bytes and unanswered probes end the connection after this time.
+USER_TIMEOUT_MS = 4000
+KEEPALIVE_IDLE_S = 3
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 3
+READ_PAUSE_BYTES = 1 << 20
+
+
+class WorkerStream(httpcore.AsyncNetworkStream, asyncio.Protocol):
+    """One open connection, on one event loop."""
+
+    def __init__(self) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.Transport | None = None
+        self._descriptor = -1
+        self._received = bytearray()
+        self._unsent = bytearray()
+        self._reader: asyncio.Future[None] | None = None
+        self._writer: asyncio.Future[None] | None = None
+        self._write_paused = False
+        self._eof = False
+        self._lost = False
+        self._error: Exception | None = None
+        self.bytes_written = 0
+        self.on_closed: Any = None  # called without arguments when the connection is lost
+
+    # --- asyncio.Protocol -----------------------------------------------------------------------
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self._descriptor = transport.get_extra_info("socket").fileno()
+
+    def data_received(self, data: bytes) -> None:
+        """Keep bytes until they are read."""
+        self._received += data
+        if len(self._received) > READ_PAUSE_BYTES and self._transport is not None:
+            self._transport.pause_reading()
+        self._wake_reader()
+
+    def eof_received(self) -> bool:
+        """The worker sends nothing more; the connection is closed with it."""
+        self._eof = True
+        self._wake_reader()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """The connection is gone, for whatever reason."""
+        self._lost = True
+        self._error = self._error or exc
+        self._wake_reader()
+        self._wake_writer()
+        if self.on_closed is not None:
+            self.on_closed()
+
+    def pause_writing(self) -> None:
+        """The kernel's buffer is full."""
+        self._write_paused = True
+
+    def resume_writing(self) -> None:
+        """There is room again."""
+        self._write_paused = False
+        self._wake_writer()
+
+    def _wake_reader(self) -> None:
+        if self._reader is not None and not self._reader.done():
+            self._reader.set_result(None)
+
+    def _wake_writer(self) -> None:
+        if self._writer is not None and not self._writer.done():
+            self._writer.set_result(None)
+
+    # --- httpcore.AsyncNetworkStream --------------------------------------------------------------
+
+    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        """Send what was written, and wait for bytes; empty at the end."""
+        await self._flush()
+        while not self._received and not self._eof and not self._lost:
+            self._reader = self._loop.create_future()
+            await self._reader
+        if not self._received:
+            if self._error is not None:
+                raise httpcore.ReadError(str(self._error))
+            return b""
+        data = bytes(self._received[:max_bytes])
+        del self._received[:max_bytes]
+        if self._transport is not None and not self._lost:
+            self._transport.resume_reading()
+        return data
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        """Keep bytes until the next read: head and body leave in one piece."""
+        self._unsent += buffer
+
+    async def _flush(self) -> None:
+        if not self._unsent:
+            return
+        if self._lost or self._transport is None or self._transport.is_closing():
+            raise httpcore.WriteError("the connection is closed")
+        data, self._unsent = bytes(self._unsent), bytearray()
+        self.bytes_written += len(data)
+        self._transport.write(data)
+        while self._write_paused and not self._lost:
+            self._writer = self._loop.create_future()
+            await self._writer
+
+    async def aclose(self) -> None:
+        """Close the connection at once; what is unsent is dropped."""
+        self.abort()
+
+    def abort(self) -> None:
+        """Reset the connection, so that the worker sees at once that nobody waits."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def close_quietly(self) -> None:
+        """Close a connection at rest."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def get_extra_info(self, info: str) -> Any:
+        """Whether bytes or the end are there to read, as httpcore asks for it."""
+        return self.is_readable() if info == "is_readable" else None
+
+    @property
+    def closed(self) -> bool:
+        """Whether the connection is known to be of no use."""
+        return self._lost or self._eof or self._transport is None or self._transport.is_closing()
+
+    def is_readable(self) -> bool:
+        """Whether anything is there to read, also in the kernel: on a connection at rest that is its end."""
+        if self.closed or self._received:
+            return True
+        poller = select.poll()
+        poller.register(self._descriptor, select.POLLIN)
+        return bool(poller.poll(0))
+
+
+async def connect(address: Address, timeout_s: float) -> WorkerStream:
+    """Open a connection; raises `OSError` or `TimeoutError` where that fails."""
+    loop = asyncio.get_running_loop()
+    connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        _prepare(connection)
+        async with asyncio.timeout(timeout_s):
+            await loop.sock_connect(connection, (address.host, address.port))
+        _, stream = await loop.create_connection(WorkerStream, sock=connection)
+    except BaseException:
+        connection.close()
+        raise
+    return stream
+
+
+def _prepare(connection: socket.socket) -> None:
+    connection.setblocking(False)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
--- /dev/null
+++ b/canvasbeam/data_plane/program.py
@@ -0,0 +1,154 @@
+"""The data-plane process: its parts, and their start and end in order."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import sys
+
+from canvasbeam.choice import Dispatcher
+from canvasbeam.cluster.node import ClusterNode
+from canvasbeam.data_plane.carrier import Carrier
+from canvasbeam.data_plane.configuration_view import ConfigurationView
+from canvasbeam.data_plane.dispatcher_settings import dispatcher_settings
+from canvasbeam.data_plane.ingress import Ingress
+from canvasbeam.data_plane.job_classes import classes_of
+from canvasbeam.data_plane.readiness import ReadinessApp
+from canvasbeam.data_plane.routes import Configuration
+from canvasbeam.data_plane.shutdown import Shutdown
+from canvasbeam.data_plane.worker_connections import WorkerConnections
+from canvasbeam.data_plane.worker_list import WorkerList
+from canvasbeam.errors import Failure, ResultCode
+from canvasbeam.runtime import logs
+from canvasbeam.runtime.http_server import HttpLimits, HttpServer
+from canvasbeam.runtime.settings import ProcessSettings, load_settings, settings_path
+from canvasbeam.runtime.signals import ProcessSignals, SettingsWatch
+
+EXIT_OK = 0
+EXIT_SETTINGS = 2
+EXIT_START = 3
+EXPECTED_NODES = 6  # until the members are known
+RESERVED_DESCRIPTORS = 400
+READY_CHECK_S = 0.2
+LEAVE_FLUSH_S = 0.05
+
+log = logs.get_logger(__name__)
+
+
+class DataPlane:
+    """All parts of one data-plane node."""
+
+    def __init__(self, settings: ProcessSettings) -> None:
+        self._settings = settings
+        self._cluster = ClusterNode(settings, is_control=False)
+        generator = random.Random()
+        self._connections = WorkerConnections()
+        self._carrier = Carrier(self._make_dispatcher, self._connections)
+        self._view = ConfigurationView(self._cluster.table)
+        self._shutdown = Shutdown(settings, self._carrier.now_ns)
+        self._carrier.on_served = self._shutdown.served
+        self._view.add_listener(self._on_configuration)
+        self._workers = WorkerList(
+            self._cluster.table,
+            self._view,
+            self._carrier,
+            self._connections,
+            regions=settings.zones,
+            live_nodes=self._live_nodes,
+        )
+        ingress = Ingress(self._view, self._carrier, self._shutdown, generator)
+        self._front = HttpServer(ingress, settings.listen["front"])
+        self._ready = HttpServer(ReadinessApp(self.is_ready), settings.listen["ready"])
+
+    def _make_dispatcher(self) -> Dispatcher:
+        return Dispatcher(dispatcher_settings(self._settings, self._live_nodes()), random.randrange(1 << 30))
+
+    def _live_nodes(self) -> int:
+        nodes = sum(not member.is_control for member in self._cluster.members())
+        return nodes or EXPECTED_NODES
+
+    def _on_configuration(self, configuration: Configuration) -> None:
+        limits = configuration.limits
+        self._front.apply_limits(
+            HttpLimits(
+                max_header_bytes=limits.max_header_bytes,
+                header_timeout_s=limits.header_timeout_ms / 1000,
+                idle_timeout_s=limits.idle_timeout_ms / 1000,
+                max_connections=max(64, self._settings.limits.max_fds - RESERVED_DESCRIPTORS),
+            )
+        )
+        self._carrier.change_classes(*classes_of(configuration))
+
+    def is_ready(self) -> bool:
+        """Whether clients may be sent here."""
+        return self._view.current is not None and self._carrier.live_workers > 0 and not self._shutdown.begun
+
+    async def start(self) -> Failure | None:
+        """Listen and join the cluster."""
+        for server in (self._ready, self._front):
+            failure = await server.start()
+            if failure is not None:
+                return failure
+        try:
+            await self._cluster.start()
+        except OSError as error:
+            return Failure(ResultCode.ADDRESS_IN_USE, f"{self._cluster.address}: {error}")
+        return None
+
+    async def tell_readiness(self) -> None:
+        """Keep the cluster informed of whether this node is ready."""
+        told = False
+        while not self._shutdown.begun:
+            ready = self.is_ready()
+            if ready != told:
+                told = ready
+                self._cluster.set_ready(ready)
+            await asyncio.sleep(READY_CHECK_S)
+
+    def change_settings(self, settings: ProcessSettings) -> None:
+        """Take changed settings: those of the deployment's shape are used from now on."""
+        self._settings = settings
+        self._cluster.set_seeds(settings.seed_peers)
+        self._workers.refresh()
+
+    async def stop(self) -> None:
+        """End in order: unready at once, everything open answered, then gone."""
+        ending = asyncio.ensure_future(self._shutdown.run(self._front, self._carrier))
+        self._cluster.set_ready(False)
+        await ending
+        self._cluster.leave()
+        await asyncio.sleep(LEAVE_FLUSH_S)
+        await self._cluster.stop()
+        await self._front.close()
+        await self._ready.close()
+        self._connections.close()
+
+
+async def run(settings: ProcessSettings) -> int:
+    """Run one data-plane node until it is told to end."""
+    data_plane = DataPlane(settings)
+    watch = SettingsWatch(settings_path(), settings, data_plane.change_settings)
+    signals = ProcessSignals.install(watch)
+    failure = await data_plane.start()
+    if failure is not None:
+        log.error("{}", failure)
+        return EXIT_START
+    telling = asyncio.ensure_future(data_plane.tell_readiness())
+    await signals.wait_for_termination()
+    telling.cancel()
+    await data_plane.stop()
+    signals.close()
+    return EXIT_OK
+
+
+def main() -> int:
+    """The program."""
+    settings = load_settings(settings_path())
+    if isinstance(settings, Failure):
+        print(settings, file=sys.stderr)
+        return EXIT_SETTINGS
+    logs.configure(settings)
+    try:
+        return asyncio.run(run(settings))
+    finally:
+        logs.shut_down()
--- /dev/null
+++ b/canvasbeam/data_plane/requests.py
@@ -0,0 +1,175 @@
+"""Requests of clients and the answers to them, as the parts of the data plane hand them to each other."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Awaitable, Callable, MutableMapping
+from dataclasses import dataclass
+from enum import Enum, auto
+from typing import Any
+
+from canvasbeam.data_plane.routes import Route
+from canvasbeam.errors import Failure, ResultCode
+from canvasbeam.runtime.settings import SECOND
+
+Headers = list[tuple[bytes, bytes]]
+AsgiSend = Callable[[MutableMapping[str, Any]], Awaitable[None]]
+
+RETRY_LATER_NS = SECOND // 2
+
+HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+
+STATUS_OF_CODE = {
+    ResultCode.REQUEST_INVALID: 400,
+    ResultCode.REQUEST_NO_ROUTE: 404,
+    ResultCode.REQUEST_TOO_LARGE: 413,
+    ResultCode.REQUEST_REFUSED: 503,
+    ResultCode.REQUEST_FAILED: 502,
+    ResultCode.REQUEST_TIMED_OUT: 504,
+    ResultCode.REQUEST_NOT_READY: 503,
+}
+
+
+def end_to_end(headers: Headers) -> Headers:
+    """Headers without those that concern one connection only, be it by standard or by `Connection`."""
+    dropped = HOP_BY_HOP
+    for name, value in headers:
+        if name == b"connection":
+            dropped = dropped | {each.strip().lower() for each in value.split(b",")}
+    return [(name, value) for name, value in headers if name not in dropped]
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """One whole answer."""
+
+    status: int
+    headers: Headers
+    body: bytes = b""
+
+
+def own_answer(failure: Failure, come_back_ns: int = RETRY_LATER_NS, close: bool = False) -> Answer:
+    """This node's own answer to a request that no worker answered.
+
+    Only a failure that promises that the request has not run and never will becomes a 503, with the time to come back.
+    """
+    status = STATUS_OF_CODE[failure.code]
+    body = json.dumps({"code": int(failure.code), "reason": failure.reason}).encode()
+    headers = [(b"content-type", b"application/json"), (b"content-length", str(len(body)).encode())]
+    if status == 503:
+        headers.append((b"retry-after", f"{come_back_ns / SECOND:.3f}".encode()))
+    if close:
+        headers.append((b"connection", b"close"))
+    return Answer(status, headers, body)
+
+
+class AnswerState(Enum):
+    """How far the answer to a client is."""
+
+    WAITING = auto()
+    STREAMING = auto()
+    COMPLETE = auto()
+    ABORTED = auto()  # closed by this side before its end
+    CLIENT_GONE = auto()
+
+
+_NEXT_STATES = {
+    AnswerState.WAITING: (AnswerState.STREAMING, AnswerState.COMPLETE, AnswerState.ABORTED, AnswerState.CLIENT_GONE),
+    AnswerState.STREAMING: (AnswerState.COMPLETE, AnswerState.ABORTED, AnswerState.CLIENT_GONE),
+    AnswerState.COMPLETE: (),
+    AnswerState.ABORTED: (),
+    AnswerState.CLIENT_GONE: (),
+}
+
+
+class ClientAnswer:
+    """The one answer to a client's request, written to its connection."""
+
+    def __init__(self, send: AsgiSend, abort: Callable[[], None]) -> None:
+        self._send = send
+        self._abort = abort
+        self.state = AnswerState.WAITING
+
+    @property
+    def open(self) -> bool:
+        """Whether the client still waits for the answer or for its end."""
+        return bool(_NEXT_STATES[self.state])
+
+    def _enter(self, state: AnswerState) -> bool:
+        """Change the state; False where the answer is past that."""
+        if state not in _NEXT_STATES[self.state]:
+            return False
+        self.state = state
+        return True
+
+    async def send_whole(self, answer: Answer) -> None:
+        """Write the whole answer."""
+        if self.state is AnswerState.WAITING and self._enter(AnswerState.COMPLETE):
+            await self._send({"type": "http.response.start", "status": answer.status, "headers": answer.headers})
+            await self._send({"type": "http.response.body", "body": answer.body, "more_body": False})
+
+    async def begin(self, status: int, headers: Headers) -> None:
+        """Write the head of an answer whose body comes in pieces."""
+        if self._enter(AnswerState.STREAMING):
+            await self._send({"type": "http.response.start", "status": status, "headers": headers})
+
+    async def send_piece(self, data: bytes) -> None:
+        """Write a piece of the body."""
+        if self.state is AnswerState.STREAMING:
+            await self._send({"type": "http.response.body", "body": data, "more_body": True})
+
+    async def finish(self) -> None:
+        """Write the end of the body."""
+        if self.state is AnswerState.STREAMING and self._enter(AnswerState.COMPLETE):
+            await self._send({"type": "http.response.body", "body": b"", "more_body": False})
+
+    def abort(self) -> None:
+        """Close the client's connection, so that what was written does not look complete."""
+        if self._enter(AnswerState.ABORTED):
+            self._abort()
+
+    def client_left(self) -> None:
+        """The client closed its connection."""
+        self._enter(AnswerState.CLIENT_GONE)
+
+
+@dataclass(slots=True, eq=False)
+class ClientRequest:
+    """One request of a client that was read whole and has a route."""
+
+    identity: bytes
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    route: Route
+    service: str
+    arrived_ns: int
+    due_ns: int
+    answer: ClientAnswer
+    sent: int = 0  # sends to workers whose bytes were written
+    may_have_run: bool = False
+    worker_failure: Answer | None = None  # a failure that a worker answered, to pass on if nothing better comes
+    last_event_id: bytes | None = None  # of the last event passed on to the client
+
+    @property
+    def job_class(self) -> str:
+        """The name of the dispatcher's class for this request."""
+        return job_class_name(self.route.name, self.service)
+
+
+def job_class_name(route: str, service: str) -> str:
+    """The dispatcher's class for the requests of a route to one of its services."""
+    return f"{route}/{service}"
--- /dev/null
+++ b/canvasbeam/data_plane/shutdown.py
@@ -0,0 +1,83 @@
+"""The planned end of a data-plane process: what is still taken, by when it is answered, and when the process leaves.
+
+The phases are those of `canvasbeam/decide/ending.py`. New connections are accepted until the last call, since clients
+hold addresses for a while; the process leaves earlier once clients have moved and nothing is open.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from canvasbeam.data_plane.carrier import Carrier
+from canvasbeam.data_plane.requests import ClientRequest
+from canvasbeam.data_plane.routes import RouteKind
+from canvasbeam.decide.ending import Ending, Phase, Terms
+from canvasbeam.runtime.http_server import HttpServer
+from canvasbeam.runtime.logs import get_logger
+from canvasbeam.runtime.settings import SECOND, ProcessSettings
+
+log = get_logger(__name__)
+
+LAST_ANSWER_MARGIN_S = 1.2  # before the platform kills the process everything has its answer
+LEAVE_MARGIN_S = 0.6
+USUAL_S = 0.5  # what a request is taken to need before one of its kind was served
+WINDOW_PART = 0.6  # of the grace, at most, for clients to move away
+QUIET_S = 1.0  # without a new request clients are taken to have moved
+CHECK_EVERY_S = 0.1
+
+
+def terms_of(settings: ProcessSettings) -> Terms:
+    """The spans of the end, from the deployment's bounds."""
+    grace_s = settings.bounds.grace_s
+    last_answer = max(0.2 * grace_s, grace_s - LAST_ANSWER_MARGIN_S)
+    window = min(settings.bounds.ttl_max_s + 0.5, WINDOW_PART * grace_s, 0.9 * last_answer)
+    leave = max(last_answer * 1.01, grace_s - LEAVE_MARGIN_S)
+    return Terms(
+        window=round(window * SECOND),
+        last_answer=round(last_answer * SECOND),
+        leave=round(leave * SECOND),
+        usual=round(USUAL_S * SECOND),
+    )
+
+
+class Shutdown:
+    """Knows which requests may still be taken, and ends the process in order."""
+
+    def __init__(self, settings: ProcessSettings, now_ns: Callable[[], int]) -> None:
+        self._ending = Ending(terms_of(settings), [each.value for each in RouteKind])
+        self._now_ns = now_ns
+        self._last_request_ns = 0
+
+    @property
+    def begun(self) -> bool:
+        """Whether the process ends."""
+        return self._ending.phase(self._now_ns()) is not Phase.SERVING
+
+    def due(self, request: ClientRequest) -> int | None:
+        """By when a request that came now is answered; None where that could not be before the end."""
+        now = self._last_request_ns = self._now_ns()
+        return self._ending.due(now, request.route.kind.value, request.due_ns)
+
+    def served(self, request: ClientRequest) -> None:
+        """A request has its answer from a worker."""
+        self._ending.served(request.route.kind.value, self._now_ns() - request.arrived_ns)
+
+    async def run(self, server: HttpServer, carrier: Carrier) -> None:
+        """End in order; returns when the process may leave."""
+        self._ending.begin(self._now_ns())
+        server.announce_close()
+        window, last_call, last_answer, _ = self._ending.changes()
+        while not self._may_leave(window, carrier, server) and self._now_ns() < last_call:
+            await asyncio.sleep(CHECK_EVERY_S)
+        server.stop_accepting()
+        while carrier.open_requests and self._now_ns() < last_answer:
+            await asyncio.sleep(CHECK_EVERY_S)
+        carrier.answer_all()
+        left_s = (self._ending.changes()[-1] - self._now_ns()) / SECOND
+        await server.drain(max(0.0, left_s))
+
+    def _may_leave(self, window: int, carrier: Carrier, server: HttpServer) -> bool:
+        now = self._now_ns()
+        quiet = now - self._last_request_ns >= QUIET_S * SECOND
+        return now >= window and quiet and not carrier.open_requests
--- /dev/null
+++ b/canvasbeam/data_plane/worker_connections.py
@@ -0,0 +1,228 @@
+"""The open connections to workers: one request at a time on each, kept and used again, newest first.
+
+A connection is opened only when none at rest may be used, and never beyond this node's share of what the worker takes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import httpcore
+
+from canvasbeam.data_plane.network_stream import WorkerStream, connect
+from canvasbeam.runtime.settings import Address
+
+CONNECT_TIMEOUT_S = 1.0
+# A worker that names no time may close a connection at rest at any moment.
+DEFAULT_IDLE_S = 15.0
+DEFAULT_IDLE_UNSAFE_S = 4.0
+# How long before its stated end a connection is no longer used: the worker's clock began earlier.
+IDLE_MARGIN_S = 0.3
+IDLE_MARGIN_UNSAFE_S = 1.0
+LEAST_CONNECTIONS = 4
+
+
+class ConnectFailed(Exception):
+    """No connection to the worker came up; nothing was sent."""
+
+
+@dataclass(slots=True, eq=False)
+class WorkerConnection:
+    """One connection, and what its worker said about keeping it."""
+
+    stream: WorkerStream
+    http: httpcore.AsyncHTTP11Connection
+    stated_idle_s: float | None = None
+    idle_since: float = 0.0
+    used: int = 0
+    closing: bool = False  # the worker announced that it closes this connection
+
+    def may_be_reused(self, now: float, unsafe: bool) -> bool:
+        """Whether a connection at rest can be expected to be open when the request reaches the worker."""
+        if unsafe:
+            limit, margin = DEFAULT_IDLE_UNSAFE_S, IDLE_MARGIN_UNSAFE_S
+        else:
+            limit, margin = DEFAULT_IDLE_S, IDLE_MARGIN_S
+        if self.stated_idle_s is not None:
+            limit = self.stated_idle_s - margin
+        return now - self.idle_since < limit and not self.stream.is_readable()
+
+
+class WorkerPool:
+    """The connections to one worker."""
+
+    def __init__(self, worker: str, address: Address, most: int, on_opened: Callable[[], None] | None = None) -> None:
+        self.worker = worker
+        self.address = address
+        self.most = most
+        self._loop = asyncio.get_running_loop()
+        self._idle: deque[WorkerConnection] = deque()
+        self._open = 0
+        self._waiting: deque[asyncio.Future[None]] = deque()
+        self._retired = False
+        self._on_opened = on_opened
+
+    @property
+    def open_count(self) -> int:
+        """Connections that stand or come up."""
+        return self._open
+
+    @property
+    def idle_count(self) -> int:
+        """Connections at rest."""
+        return len(self._idle)
+
+    async def acquire(self, unsafe: bool) -> WorkerConnection:
+        """A connection for one request; raises `ConnectFailed`."""
+        while True:
+            connection = self._take_idle(unsafe)
+            if connection is not None:
+                return connection
+            if self._retired:
+                raise ConnectFailed("the worker is gone")
+            if self._open < self.most:
+                return await self._connect()
+            await self._wait_for_room()
+
+    def _take_idle(self, unsafe: bool) -> WorkerConnection | None:
+        now = self._loop.time()
+        kept: list[WorkerConnection] = []
+        found = None
+        while self._idle and found is None:
+            connection = self._idle.pop()
+            if connection.may_be_reused(now, unsafe):
+                found = connection
+            elif unsafe and connection.may_be_reused(now, unsafe=False):
+                kept.append(connection)
+            else:
+                self.discard(connection)
+        self._idle.extend(reversed(kept))
+        if found is None and kept and self._open >= self.most:
+            self.discard(self._idle.popleft())  # its place is needed for a connection that can be trusted
+        return found
+
+    async def _connect(self) -> WorkerConnection:
+        self._open += 1
+        try:
+            stream = await connect(self.address, CONNECT_TIMEOUT_S)
+        except (OSError, TimeoutError) as error:
+            self._free_place()
+            raise ConnectFailed(str(error) or type(error).__name__) from error
+        except BaseException:
+            self._free_place()
+            raise
+        if self._on_opened is not None:
+            self._on_opened()
+        origin = httpcore.Origin(b"http", self.address.host.encode(), self.address.port)
+        connection = WorkerConnection(stream, httpcore.AsyncHTTP11Connection(origin, stream))
+        stream.on_closed = lambda: self._on_closed(connection)
+        return connection
+
+    async def _wait_for_room(self) -> None:
+        waiter: asyncio.Future[None] = self._loop.create_future()
+        self._waiting.append(waiter)
+        try:
+            await waiter
+        except asyncio.CancelledError:
+            if waiter.done() and not waiter.cancelled():
+                self._wake_one()
+            raise
+        finally:
+            if waiter in self._waiting:
+                self._waiting.remove(waiter)
+
+    def _wake_one(self) -> None:
+        while self._waiting:
+            waiter = self._waiting.popleft()
+            if not waiter.done():
+                waiter.set_result(None)
+                return
+
+    def release(self, connection: WorkerConnection) -> None:
+        """Give a connection back: it is kept where its worker keeps it and its last answer left nothing behind."""
+        if self._retired or connection.closing or not connection.http.is_idle() or connection.stream.closed:
+            self.discard(connection)
+            return
+        connection.idle_since = self._loop.time()
+        connection.used += 1
+        self._idle.append(connection)
+        self._wake_one()
+
+    def discard(self, connection: WorkerConnection) -> None:
+        """Close a connection for good."""
+        connection.closing = True
+        connection.stream.abort()
+
+    def _on_closed(self, connection: WorkerConnection) -> None:
+        if connection in self._idle:
+            self._idle.remove(connection)
+        self._free_place()
+
+    def _free_place(self) -> None:
+        self._open -= 1
+        self._wake_one()
+
+    def close_idle(self) -> None:
+        """Close the connections at rest."""
+        while self._idle:
+            connection = self._idle.pop()
+            connection.closing = True
+            connection.stream.close_quietly()
+
+    def retire(self) -> None:
+        """Keep no connection from now on; requests in progress go on."""
+        self._retired = True
+        self.close_idle()
+        while self._waiting:
+            self._wake_one()
+
+
+class WorkerConnections:
+    """The pools of all workers."""
+
+    def __init__(self) -> None:
+        self._pools: dict[str, WorkerPool] = {}
+        self.opened = 0
+
+    def pool(self, worker: str) -> WorkerPool | None:
+        """The pool of a worker that is listed."""
+        return self._pools.get(worker)
+
+    def list_worker(self, worker: str, address: Address, most: int) -> None:
+        """A worker is there; `most` bounds this node's connections to it."""
+        pool = self._pools.get(worker)
+        if pool is not None and pool.address != address:
+            pool.retire()
+            pool = None
+        if pool is None:
+            self._pools[worker] = WorkerPool(worker, address, most, self._count_opened)
+        else:
+            pool.most = most
+
+    def drop_worker(self, worker: str) -> None:
+        """A worker is gone."""
+        pool = self._pools.pop(worker, None)
+        if pool is not None:
+            pool.retire()
+
+    def close_idle(self, worker: str) -> None:
+        """Close a worker's connections at rest."""
+        pool = self._pools.get(worker)
+        if pool is not None:
+            pool.close_idle()
+
+    def _count_opened(self) -> None:
+        self.opened += 1
+
+    def close(self) -> None:
+        """Close everything at rest, at the end of the process."""
+        for worker in tuple(self._pools):
+            self.drop_worker(worker)
+
+
+def share_of_connections(max_conns: int, live_nodes: int) -> int:
+    """How many connections to one worker each of the live nodes may hold."""
+    return max(min(LEAST_CONNECTIONS, max_conns), max_conns // max(1, live_nodes))
--- /dev/null
+++ b/canvasbeam/data_plane/worker_records.py
@@ -0,0 +1,42 @@
+"""What a worker item says of its worker, as far as sending to it goes."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from canvasbeam.cluster.items import Item
+from canvasbeam.cluster.worker_items import worker_of
+from canvasbeam.decide.worker_registry import WorkerState
+from canvasbeam.errors import Failure, ResultCode
+from canvasbeam.runtime.settings import Address
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerRecord:
+    """A worker as its last heartbeat described it."""
+
+    service: str
+    address: Address
+    zone: str
+    slots: int
+    ready: bool
+    cold_left_ms: int = 0
+
+
+def decode_worker(item: Item) -> WorkerRecord | Failure:
+    """Read a worker item."""
+    worker = worker_of(item)
+    if isinstance(worker, Failure):
+        return worker
+    try:
+        address = Address.parse(worker.address)
+    except ValueError as error:
+        return Failure(ResultCode.MESSAGE_INVALID, f"worker {item.key}: {error}")
+    return WorkerRecord(
+        service=worker.service,
+        address=address,
+        zone=worker.zone,
+        slots=worker.slots,
+        ready=worker.state is WorkerState.READY,
+        cold_left_ms=worker.cold_left_ms,
+    )
--- /dev/null
+++ b/tests/test_data_plane_streams.py
@@ -0,0 +1,203 @@
+"""Streams: events as they come, cuts that never look complete, and streams taken up at another worker."""
+
+from __future__ import annotations
+
+import asyncio
+
+from canvasbeam.data_plane.event_stream import EventSplitter, is_after
+from tests.data_plane_harness import DataPlaneUnderTest, ScriptedWorker, WorkerTurn, event, make_route, request_bytes
+from tests.test_data_plane_requests import run
+
+
+def test_events_are_passed_on_before_the_stream_ends() -> None:
+    proceed = asyncio.Event()
+
+    async def script(turn: WorkerTurn) -> None:
+        await turn.begin_stream()
+        await turn.event(1)
+        await proceed.wait()
+        await turn.chunk("id: 2\nda")
+        await turn.chunk("ta: token 2\n\nid: 3\ndata: token 3\n\n")
+        await turn.end_stream()
+
+    worker = ScriptedWorker("w1", default=script)
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        client = await data_plane.client()
+        await client.send(request_bytes("/stream/x"))
+        status, headers = await client.head()
+        assert (status, headers["x-response-seal"]) == (200, "3e1b.07")
+        assert await client.chunk() == event(1).encode()
+        proceed.set()
+        assert await client.chunk() == (event(2) + event(3)).encode()
+        assert await client.chunk() == b""
+        assert (await client.request("/stream/x", "id-2")).complete
+        assert worker.connections == 1
+
+    run(body, worker)
+
+
+def _break_after(*numbers: int, partial: str = "") -> object:
+    async def script(turn: WorkerTurn) -> None:
+        await turn.begin_stream()
+        for number in numbers:
+            await turn.event(number)
+        if partial:
+            await turn.chunk(partial)
+        turn.writer.close()  # without the end of the body
+
+    return script
+
+
+def _whole_from(first: int, last: int) -> object:
+    async def script(turn: WorkerTurn) -> None:
+        await turn.begin_stream()
+        for number in range(first, last + 1):
+            await turn.event(number)
+        await turn.end_stream()
+
+    return script
+
+
+def test_a_broken_stream_that_cannot_be_resumed_does_not_look_complete() -> None:
+    first, second = (ScriptedWorker(name, default=_break_after(1, 2)) for name in ("w1", "w2"))  # type: ignore[arg-type]
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        client = await data_plane.client()
+        answer = await client.request("/stream/x")
+        assert not answer.complete
+        assert answer.body == (event(1) + event(2)).encode()
+        assert len(first.received) + len(second.received) == 1
+
+    run(body, first, second)
+
+
+def test_a_broken_stream_is_resumed_under_the_first_head_without_a_gap_or_a_double() -> None:
+    order: list[WorkerTurn] = []
+
+    async def script(turn: WorkerTurn) -> None:
+        order.append(turn)
+        if len(order) == 1:
+            await _break_after(1, 2, partial="id: 3\ndata: tok")(turn)  # type: ignore[operator]
+        else:
+            await _whole_from(2, 4)(turn)  # type: ignore[operator]
+
+    first, second = (ScriptedWorker(name, default=script) for name in ("w1", "w2"))
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        client = await data_plane.client()
+        answer = await client.request("/resume/x")
+        assert answer.complete
+        assert answer.body == "".join(map(event, range(1, 5))).encode()
+        assert order[1].request.headers["last-event-id"] == "2"
+        assert order[1].request.identity == order[0].request.identity
+        assert len(first.received) == len(second.received) == 1
+
+    run(body, first, second)
+
+
+def test_a_stream_is_resumed_on_no_more_workers_than_allowed() -> None:
+    first, second = (ScriptedWorker(name, default=_break_after(1, 2)) for name in ("w1", "w2"))  # type: ignore[arg-type]
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        client = await data_plane.client()
+        answer = await client.request("/resume/x")
+        assert not answer.complete
+        assert answer.body == (event(1) + event(2)).encode()
+        assert len(first.received) + len(second.received) == 2
+
+    run(body, first, second)
+
+
+def test_a_stream_that_breaks_before_its_first_event_is_tried_anew_where_it_may_run_twice() -> None:
+    async def script(turn: WorkerTurn) -> None:
+        if len(first.received) + len(second.received) == 1:
+            await turn.begin_stream()
+            turn.reset()
+        else:
+            await _whole_from(1, 2)(turn)  # type: ignore[operator]
+
+    first, second = (ScriptedWorker(name, default=script) for name in ("w1", "w2"))
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        client = await data_plane.client()
+        assert (await client.request("/resume/x")).complete
+
+    run(body, first, second)
+
+
+def test_a_stream_without_a_seal_or_a_told_end_reaches_nobody() -> None:
+    async def without_seal(turn: WorkerTurn) -> None:
+        await turn.write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")
+        await turn.write(f"X-Request-Id: {turn.request.identity}\r\n\r\n")
+        await turn.event(1)
+        await turn.end_stream()
+
+    async def without_length(turn: WorkerTurn) -> None:
+        await turn.write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Response-Seal: a\r\n")
+        await turn.write(f"X-Request-Id: {turn.request.identity}\r\n\r\n{event(1)}")
+        turn.writer.close()
+
+    worker = ScriptedWorker("w1")
+    worker.scripts = [without_seal, without_length]
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        client = await data_plane.client()
+        for number in range(2):
+            assert (await client.request("/stream/x", f"id-{number}")).status == 502
+
+    run(body, worker)
+
+
+def test_a_client_that_leaves_a_stream_stops_it() -> None:
+    stopped = asyncio.Event()
+
+    async def script(turn: WorkerTurn) -> None:
+        await turn.begin_stream()
+        await turn.event(1)
+        await turn.until_closed()
+        stopped.set()
+
+    worker = ScriptedWorker("w1", default=script)
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        client = await data_plane.client()
+        await client.send(request_bytes("/resume/x"))
+        await client.head()
+        client.close()
+        await stopped.wait()
+        assert data_plane.carrier.open_requests == 0
+
+    run(body, worker)
+
+
+def test_a_stream_that_is_at_its_time_limit_is_cut_and_not_resumed() -> None:
+    async def script(turn: WorkerTurn) -> None:
+        await turn.begin_stream()
+        await turn.event(1)
+        await turn.until_closed()
+
+    worker = ScriptedWorker("w1", default=script)
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        client = await data_plane.client()
+        answer = await client.request("/short/x")
+        assert (answer.body, answer.complete) == (event(1).encode(), False)
+        assert len(worker.received) == 1
+
+    run(body, worker, routes=[make_route("short", "streaming", resume=True, timeout_ms=100)])
+
+
+def test_events_are_cut_at_blank_lines_whatever_the_pieces() -> None:
+    text = b"id: 1\r\ndata: a\r\n\r\ndata: b\n\nid:3\ndata: c\r\rdata: d"
+    for size in range(1, len(text)):
+        splitter = EventSplitter()
+        events = [each for at in range(0, len(text), size) for each in splitter.feed(text[at : at + size])]
+        assert b"".join(each.data for each in events) + splitter.partial == text
+        assert [each.event_id for each in events] == [b"1", None, b"3"]
+
+
+def test_ids_rise() -> None:
+    assert is_after(b"10", b"9")
+    assert not is_after(b"9", b"9")
+    assert is_after(b"b", b"a")
