--- a/canvasbeam/data_plane/program.py
+++ b/canvasbeam/data_plane/program.py
@@ -8,13 +8,14 @@
 
 from canvasbeam.choice import Dispatcher
 from canvasbeam.cluster.node import ClusterNode
-from canvasbeam.data_plane.carrier import Carrier
+from canvasbeam.data_plane.carrier import Carrier, monotonic_ns
 from canvasbeam.data_plane.configuration_view import ConfigurationView
 from canvasbeam.data_plane.dispatcher_settings import dispatcher_settings
 from canvasbeam.data_plane.ingress import Ingress
 from canvasbeam.data_plane.job_classes import classes_of
 from canvasbeam.data_plane.readiness import ReadinessApp
 from canvasbeam.data_plane.routes import Configuration
+from canvasbeam.data_plane.shared_limits import SharedLimits, make_limits
 from canvasbeam.data_plane.shutdown import Shutdown
 from canvasbeam.data_plane.worker_connections import WorkerConnections
 from canvasbeam.data_plane.worker_list import WorkerList
@@ -41,8 +42,9 @@
     def __init__(self, settings: ProcessSettings) -> None:
         self._settings = settings
         self._cluster = ClusterNode(settings, is_control=False)
-        generator = random.Random()
         self._connections = WorkerConnections()
+        self._limits = make_limits(settings, monotonic_ns())
+        self._shared = SharedLimits(self._limits, self._cluster.table, self._cluster.members, monotonic_ns)
         self._carrier = Carrier(self._make_dispatcher, self._connections)
         self._view = ConfigurationView(self._cluster.table)
         self._shutdown = Shutdown(settings, self._carrier.now_ns)
@@ -56,12 +58,13 @@
             regions=settings.zones,
             live_nodes=self._live_nodes,
         )
-        ingress = Ingress(self._view, self._carrier, self._shutdown, generator)
+        ingress = Ingress(self._view, self._carrier, self._shutdown, random.Random())
         self._front = HttpServer(ingress, settings.listen["front"])
         self._ready = HttpServer(ReadinessApp(self.is_ready), settings.listen["ready"])
 
     def _make_dispatcher(self) -> Dispatcher:
-        return Dispatcher(dispatcher_settings(self._settings, self._live_nodes()), random.randrange(1 << 30))
+        settings = dispatcher_settings(self._settings, self._live_nodes())
+        return Dispatcher(settings, random.randrange(1 << 30), self._limits)
 
     def _live_nodes(self) -> int:
         nodes = sum(not member.is_control for member in self._cluster.members())
@@ -77,6 +80,7 @@
                 max_connections=max(64, self._settings.limits.max_fds - RESERVED_DESCRIPTORS),
             )
         )
+        self._shared.take_configuration(configuration)
         self._carrier.change_classes(*classes_of(configuration))
 
     def is_ready(self) -> bool:
