--- a/canvasbeam/cli/commands.py
+++ b/canvasbeam/cli/commands.py
@@ -27,6 +27,7 @@
     "load": "canvasbeam.cli.load:load",
     "demo": "canvasbeam.cli.lab:demo",
     "lab": "canvasbeam.cli.lab:lab",
+    "emulate-worker": "canvasbeam.cli.worker:emulate_worker",
     "completion": "canvasbeam.cli.check:completion",
 }
 
--- a/canvasbeam/cli/programs.py
+++ b/canvasbeam/cli/programs.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-import importlib
 import os
-import sys
+import runpy
 
 import click
 
@@ -48,10 +47,10 @@
 
 
 def run_data_plane() -> None:
-    """The script `canvasbeam-data-plane`; the library of the command line plays no part in the running program."""
-    sys.exit(importlib.import_module("canvasbeam.data_plane.__main__").main())
+    """The script `canvasbeam-data-plane`: the same as `python -m canvasbeam.data_plane`."""
+    runpy.run_module("canvasbeam.data_plane", run_name="__main__", alter_sys=True)
 
 
 def run_control_plane() -> None:
-    """The script `canvasbeam-control-plane`."""
-    sys.exit(importlib.import_module("canvasbeam.control_plane.__main__").main())
+    """The script `canvasbeam-control-plane`: the same as `python -m canvasbeam.control_plane`."""
+    runpy.run_module("canvasbeam.control_plane", run_name="__main__", alter_sys=True)
