--- /dev/null
+++ b/canvasbeam/control_plane/member_records.py
@@ -0,0 +1,125 @@
+"""What a member keeps in its store: the names and values, and how a member's decisions become updates of them.
+
+| name | value |
+| --- | --- |
+| `member` | the member's id |
+| `witness` | promised epoch, accepted view |
+| `installed` | the epoch of the replica |
+| `state` | the state at the last snapshot |
+| `change/…` | the changes since, by index |
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from canvasbeam.control_plane.control_state import ControlState
+from canvasbeam.control_plane.replication_codec import (
+    ReplicationCodec,
+    decode_change,
+    decode_epoch,
+    decode_witness,
+    encode_change,
+    encode_epoch,
+    encode_witness,
+)
+from canvasbeam.decide.replication.member import Durable
+from canvasbeam.decide.replication.messages import Save, SaveChange, SaveInstalled, SaveWitness
+from canvasbeam.decide.replication.types import Apply, MemberId
+from canvasbeam.errors import Failure, ResultCode
+from canvasbeam.storage.frames import Updates
+
+MEMBER = "member"
+WITNESS = "witness"
+INSTALLED = "installed"
+STATE = "state"
+CHANGE_PREFIX = "change/"
+MAX_CHANGES = 64
+MAX_CHANGE_BYTES = 1 << 20
+
+
+@dataclass(frozen=True, slots=True)
+class Loaded:
+    """A member as its store describes it."""
+
+    member: MemberId
+    durable: Durable
+
+
+class RecordWriter:
+    """Turns the saves of a member into updates; the changes give way to a snapshot when they are many."""
+
+    def __init__(self, codec: ReplicationCodec, stored: Mapping[str, bytes]) -> None:
+        self._codec = codec
+        self._changes = {name: len(value) for name, value in stored.items() if name.startswith(CHANGE_PREFIX)}
+
+    def first(self, member: MemberId, durable: Durable) -> Updates:
+        """All records of a member that begins."""
+        return {
+            MEMBER: member.encode(),
+            WITNESS: encode_witness(durable.promised, durable.accepted, durable.settled),
+            INSTALLED: encode_epoch(durable.installed),
+            STATE: self._codec.encode_state(durable.state),
+        }
+
+    def updates(self, saves: Iterable[Save]) -> Updates:
+        """One update for a batch of saves, in their order."""
+        updates: dict[str, bytes | None] = {}
+        for save in saves:
+            match save:
+                case SaveWitness():
+                    updates[WITNESS] = encode_witness(save.promised, save.accepted, save.settled)
+                case SaveInstalled():
+                    updates[INSTALLED] = encode_epoch(save.epoch)
+                    if save.state is not None:
+                        self._snapshot(updates, save.state)
+                case SaveChange():
+                    self._change(updates, save)
+        return updates
+
+    def _change(self, updates: dict[str, bytes | None], save: SaveChange) -> None:
+        value = encode_change(save.change)
+        if len(self._changes) >= MAX_CHANGES or sum(self._changes.values()) + len(value) > MAX_CHANGE_BYTES:
+            self._snapshot(updates, save.state)
+            return
+        name = f"{CHANGE_PREFIX}{save.state.index:016d}"
+        self._changes[name] = len(value)
+        updates[name] = value
+
+    def _snapshot(self, updates: dict[str, bytes | None], state: ControlState) -> None:
+        updates[STATE] = self._codec.encode_state(state)
+        updates.update(dict.fromkeys(self._changes))
+        self._changes.clear()
+
+
+def load_member(stored: Mapping[str, bytes], codec: ReplicationCodec, apply: Apply) -> Loaded | Failure | None:
+    """The member of a store; None where the store is empty."""
+    if not stored:
+        return None
+    missing = [name for name in (MEMBER, WITNESS, INSTALLED, STATE) if name not in stored]
+    if missing:
+        return Failure(ResultCode.DISK_CORRUPT, f"the store lacks {', '.join(missing)}")
+    witness = decode_witness(stored[WITNESS])
+    if isinstance(witness, Failure):
+        return witness
+    installed = decode_epoch(stored[INSTALLED])
+    if isinstance(installed, Failure):
+        return installed
+    state = _load_state(stored, codec, apply)
+    if isinstance(state, Failure):
+        return state
+    durable = Durable(witness.promised, witness.accepted, witness.settled, installed, state)
+    return Loaded(stored[MEMBER].decode(), durable)
+
+
+def _load_state(stored: Mapping[str, bytes], codec: ReplicationCodec, apply: Apply) -> ControlState | Failure:
+    state = codec.decode_state(stored[STATE])
+    for name in sorted(each for each in stored if each.startswith(CHANGE_PREFIX)):
+        if isinstance(state, Failure):
+            return state
+        change = decode_change(stored[name])
+        if isinstance(change, Failure):
+            return change
+        state = apply(state, change)
+    return state
--- /dev/null
+++ b/canvasbeam/control_plane/replicated_state.py
@@ -0,0 +1,365 @@
+"""The replicated control state as a service: drives `decide.replication.member.Member` with a clock, a disk and a
+transport.
+
+What the member decides is carried out in its order, except that messages which vouch for the disk wait for the disk
+(`Outbox`). One batch of saves is written at a time; the saves that come meanwhile make the next batch.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import time
+from collections.abc import Callable, Coroutine, Sequence
+from dataclasses import dataclass, field
+from itertools import count
+from typing import Protocol
+
+from canvasbeam.cluster.transport import Channel, PeerInfo
+from canvasbeam.control_plane.control_state import Change, Committed, ControlState
+from canvasbeam.control_plane.disk_worker import RETRY_SECONDS, DiskWorker
+from canvasbeam.control_plane.member_records import Loaded, RecordWriter, load_member
+from canvasbeam.control_plane.replication_codec import DecodeState, EncodeState, Received, ReplicationCodec
+from canvasbeam.decide.replication.durability import Held, Outbox
+from canvasbeam.decide.replication.member import Durable, Member, MemberSettings, Role
+from canvasbeam.decide.replication.messages import Action, Message, Publish, Reply, Send, SendToAddress
+from canvasbeam.decide.replication.types import (
+    GENESIS_DISK,
+    Apply,
+    MemberId,
+    Timing,
+    genesis_view,
+    member_id,
+    member_ip,
+)
+from canvasbeam.errors import Failure, ResultCode
+from canvasbeam.runtime.logs import get_logger
+from canvasbeam.runtime.settings import Address, ProcessSettings
+from canvasbeam.storage.disk import Disk, FolderDisk
+from canvasbeam.storage.store import Store, open_store
+
+TICK_SECONDS = 0.05
+STOP_SECONDS = 0.3
+DISK_ID_BYTES = 8
+
+log = get_logger(__name__)
+
+CommitListener = Callable[[ControlState], None]
+
+
+class ReplicationTransport(Protocol):
+    """What is needed of `canvasbeam.cluster.transport.Transport`: best-effort messages between addresses."""
+
+    def send(self, address: Address, channel: Channel, payload: bytes) -> None:
+        """Send one message, if that can be done."""
+        ...
+
+    def register(self, channel: Channel, callback: Callable[[PeerInfo, bytes], None]) -> None:
+        """Give the messages of a channel to this function."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicationStatus:
+    """What an operator wants to know of one member."""
+
+    member: MemberId = ""
+    role: str = "starting"
+    epoch: int = -1
+    primary: MemberId = ""
+    replicas: tuple[MemberId, ...] = ()
+    witnesses: tuple[MemberId, ...] = ()
+    committed_index: int = 0
+    stored_index: int = 0
+    disk: str = "ok"
+
+
+@dataclass(slots=True)
+class _Calls:
+    """The operator's calls that wait for an answer."""
+
+    numbers: count[int] = field(default_factory=count)
+    waiting: dict[int, asyncio.Future[Committed | Failure]] = field(default_factory=dict)
+
+    def begin(self) -> tuple[int, asyncio.Future[Committed | Failure]]:
+        """A new call."""
+        number = next(self.numbers)
+        future: asyncio.Future[Committed | Failure] = asyncio.get_running_loop().create_future()
+        self.waiting[number] = future
+        return number, future
+
+    def end(self, number: int, result: Committed | Failure) -> None:
+        """Answer a call that still waits."""
+        future = self.waiting.pop(number, None)
+        if future is not None and not future.done():
+            future.set_result(result)
+
+
+class ReplicatedControlState:
+    """Implements `ControlStateService`. The constructor has no effects; `start` begins."""
+
+    def __init__(
+        self,
+        settings: ProcessSettings,
+        transport: ReplicationTransport,
+        apply: Apply,
+        encode_state: EncodeState,
+        decode_state: DecodeState,
+        *,
+        disk: Disk | None = None,
+        timing: Timing | None = None,
+    ) -> None:
+        self._settings = settings
+        self._transport = transport
+        self._apply = apply
+        self._codec = ReplicationCodec(encode_state, decode_state)
+        self._disk = disk
+        self._timing = timing or Timing()
+        self._worker = DiskWorker(self._on_disk_health)
+        self._store: Store | None = None
+        self._records: RecordWriter | None = None
+        self._member: Member | None = None
+        self._outbox = Outbox()
+        self._calls = _Calls()
+        self._listeners: list[CommitListener] = []
+        self._state = ControlState()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._unwritten = asyncio.Event()
+        self._start_failure: Failure | None = None
+
+    # --- the service ------------------------------------------------------------------------------------------
+
+    async def start(self) -> None:
+        """Open the storage and begin to take part; a disk that does not answer is waited for in the background."""
+        self._transport.register(Channel.REPLICATION, self._on_message)
+        self._spawn(self._run())
+
+    async def stop(self) -> None:
+        """Resign where this node is the primary, and stop."""
+        if self._member is not None:
+            self._perform(self._member.resign(time.monotonic_ns()))
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.wait(self._tasks, timeout=STOP_SECONDS)
+        self._worker.close()
+        for number in list(self._calls.waiting):
+            self._calls.end(number, Failure(ResultCode.PRIMARY_LOST, "this process is ending"))
+
+    async def submit(self, change: Change) -> Committed | Failure:
+        """Apply a change on every replica of the view."""
+        member = self._member
+        if member is None:
+            return self._not_ready()
+        number, future = self._calls.begin()
+        self._perform(member.submit(number, change, time.monotonic_ns()))
+        return await self._result(number, future)
+
+    async def read(self) -> ControlState | Failure:
+        """The newest state, confirmed with a majority of the witnesses after the call began."""
+        member = self._member
+        if member is None:
+            return self._not_ready()
+        number, future = self._calls.begin()
+        self._perform(member.read(number, time.monotonic_ns()))
+        result = await self._result(number, future)
+        return result.state if isinstance(result, Committed) else result
+
+    @property
+    def state(self) -> ControlState:
+        """The newest state that this node knows to be committed; it may be old."""
+        return self._state
+
+    @property
+    def primary_ip(self) -> str | None:
+        """The IP address of the primary, where one is known."""
+        if self._member is None or not self._member.primary_id:
+            return None
+        return member_ip(self._member.primary_id)
+
+    @property
+    def is_primary(self) -> bool:
+        """Whether this node is the primary, as far as it knows."""
+        return self._member is not None and self._member.role in (Role.PRIMARY, Role.REFORMING)
+
+    def add_commit_listener(self, listener: CommitListener) -> None:
+        """Call this with every newer state that this node knows to be committed, in order."""
+        self._listeners.append(listener)
+
+    @property
+    def status(self) -> ReplicationStatus:
+        """The view and this member's part in it."""
+        trouble = self._start_failure or self._worker.trouble
+        disk = "ok" if trouble is None else str(trouble)
+        member = self._member
+        if member is None:
+            return ReplicationStatus(disk=disk)
+        view = member.known_view
+        return ReplicationStatus(
+            member=member.me,
+            role=member.role.name.lower(),
+            epoch=-1 if view is None else view.epoch.number,
+            primary=member.primary_id,
+            replicas=() if view is None else view.replicas,
+            witnesses=() if view is None else view.witnesses,
+            committed_index=self._state.index,
+            stored_index=member.replica.state.index,
+            disk=disk,
+        )
+
+    # --- start ------------------------------------------------------------------------------------------------
+
+    async def _run(self) -> None:
+        loaded = await self._load()
+        if loaded is None:
+            return
+        settings = MemberSettings(
+            loaded.member,
+            tuple(seed.host for seed in self._settings.seeds),
+            int(self._settings.tolerate.machines),
+            self._timing,
+            seed=int.from_bytes(os.urandom(DISK_ID_BYTES), "big"),
+        )
+        self._member = Member(settings, loaded.durable, self._apply, time.monotonic_ns())
+        log.info("member {} begins at index {}", loaded.member, loaded.durable.state.index)
+        self._spawn(self._write_saves())
+        self._spawn(self._tick())
+
+    async def _load(self) -> Loaded | None:
+        """The member of this disk: the one stored, or on an empty disk a new one. None where the disk is damaged."""
+        store = await self._open()
+        if isinstance(store, Failure):
+            self._start_failure = store
+            log.error("the disk cannot be used: {}", store)
+            return None
+        self._store = store
+        self._records = RecordWriter(self._codec, store.values)
+        loaded = await self._worker.run(lambda: load_member(store.values, self._codec, self._apply))
+        if isinstance(loaded, Failure):
+            self._start_failure = loaded
+            log.error("the disk cannot be used: {}", loaded)
+            return None
+        if loaded is None:
+            loaded = self._new_member()
+            # The id is on the disk before the first message carries it.
+            await self._worker.write(store, self._records.first(loaded.member, loaded.durable))
+        return loaded
+
+    async def _open(self) -> Store | Failure:
+        """Open the store, trying again for as long as the disk refuses; damage is final."""
+        disk = self._disk
+        if disk is None:
+            if self._settings.data_dir is None:
+                return Failure(ResultCode.SETTINGS_INVALID, "data_dir: a control process needs a disk")
+            disk = FolderDisk(self._settings.data_dir)
+        while True:
+            store = await self._worker.run(lambda: open_store(disk))
+            if not isinstance(store, Failure) or store.code is ResultCode.DISK_CORRUPT:
+                return store
+            self._start_failure = store
+            await asyncio.sleep(RETRY_SECONDS)
+            self._start_failure = None
+
+    def _new_member(self) -> Loaded:
+        seed_ips = {seed.host for seed in self._settings.seeds}
+        ip = self._settings.ip
+        if self._settings.bootstrap and ip in seed_ips:
+            return Loaded(member_id(ip, GENESIS_DISK), Durable.genesis(genesis_view(seed_ips)))
+        return Loaded(member_id(ip, os.urandom(DISK_ID_BYTES).hex()), Durable())
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(work)
+        task.add_done_callback(self._on_task_done)
+        self._tasks.append(task)
+
+    def _on_task_done(self, task: asyncio.Task[None]) -> None:
+        if not task.cancelled() and task.exception() is not None:
+            log.error("replication stopped by a fault in the program: {!r}", task.exception())
+
+    # --- events -----------------------------------------------------------------------------------------------
+
+    def _on_message(self, peer: PeerInfo, payload: bytes) -> None:
+        member = self._member
+        if member is None:
+            return
+        received = self._codec.decode(payload)
+        if isinstance(received, Failure):
+            log.warning("dropped from {}: {}", peer.ip, received)
+            return
+        if member_ip(received.sender) != peer.ip:
+            log.warning("dropped: {} says that it is {}", peer.ip, received.sender)
+            return
+        self._deliver(received)
+
+    def _deliver(self, received: Received) -> None:
+        if self._member is not None:
+            self._perform(self._member.receive(received.sender, received.message, time.monotonic_ns()))
+
+    async def _tick(self) -> None:
+        while self._member is not None:
+            self._perform(self._member.tick(time.monotonic_ns()))
+            await asyncio.sleep(TICK_SECONDS)
+
+    def _on_disk_health(self, trouble: Failure | None) -> None:
+        if trouble is None:
+            log.info("the disk works again")
+        else:
+            log.error("the disk is in trouble: {}", trouble)
+        if self._member is not None:
+            self._perform(self._member.set_healthy(trouble is None, time.monotonic_ns()))
+
+    # --- actions ----------------------------------------------------------------------------------------------
+
+    def _perform(self, actions: Sequence[Action]) -> None:
+        for action in self._outbox.take(actions):
+            match action:
+                case Send() | SendToAddress():
+                    self._send(action)
+                case Reply(call=call, result=result):
+                    self._calls.end(call, result)
+                case Publish(state=state):
+                    self._publish(state)
+        if self._outbox.has_unwritten:
+            self._unwritten.set()
+
+    def _send(self, action: Held) -> None:
+        member = self._member
+        if member is None:
+            return
+        if isinstance(action, Send) and action.to == member.me:
+            received = Received(member.me, action.message)
+            asyncio.get_running_loop().call_soon(self._deliver, received)
+            return
+        ip = action.ip if isinstance(action, SendToAddress) else member_ip(action.to)
+        self._send_to(ip, action.message)
+
+    def _send_to(self, ip: str, message: Message) -> None:
+        member = self._member
+        if member is not None:
+            address = Address(ip, self._settings.control_peer_port)
+            self._transport.send(address, Channel.REPLICATION, self._codec.encode(member.me, message))
+
+    def _publish(self, state: ControlState) -> None:
+        self._state = state
+        for listener in self._listeners:
+            listener(state)
+
+    async def _write_saves(self) -> None:
+        """Write batch after batch; what waited for a batch leaves when it is synced."""
+        while self._store is not None and self._records is not None:
+            await self._unwritten.wait()
+            self._unwritten.clear()
+            updates = self._records.updates(self._outbox.next_batch())
+            await self._worker.write(self._store, updates)
+            for held in self._outbox.batch_durable():
+                self._send(held)
+
+    # --- calls ------------------------------------------------------------------------------------------------
+
+    def _not_ready(self) -> Failure:
+        return self._start_failure or Failure(ResultCode.NO_PRIMARY, "this node is still starting")
+
+    async def _result(self, number: int, future: asyncio.Future[Committed | Failure]) -> Committed | Failure:
+        try:
+            return await future
+        finally:
+            self._calls.waiting.pop(number, None)
--- /dev/null
+++ b/canvasbeam/decide/replication/candidate.py
@@ -0,0 +1,259 @@
+"""A candidate changes the view: from asking whether the primary is missed to a view that is in force.
+
+| phase | waits for | then |
+| --- | --- | --- |
+| PROBING | a quorum of the base view that misses the primary | PREPARING |
+| PREPARING | promises of a quorum of the base view, of an intact replica, and briefly of the others | FETCHING |
+| FETCHING | the state of the most advanced replica that promised | INSTALLING |
+| INSTALLING | every new replica to have the state on its disk | ACCEPTING |
+| ACCEPTING | a quorum of the new view, and so of the old witnesses, to accept it | WON |
+| WON, LOST | nothing: the member becomes the primary, or a follower | |
+
+The base view is the highest view known. One that a promise tells of takes its place, and its members are asked too.
+A sitting primary that changes its own view does not probe.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from enum import Enum, auto
+
+from canvasbeam.control_plane.control_state import ControlState
+from canvasbeam.decide.replication.messages import (
+    Accept,
+    Accepted,
+    Fetch,
+    Fetched,
+    Install,
+    Installed,
+    Message,
+    Prepare,
+    Probe,
+    Probed,
+    Promise,
+    Refused,
+    Send,
+)
+from canvasbeam.decide.replication.types import Epoch, MemberId, Position, Timing, View
+
+
+class Phase(Enum):
+    """What a candidate waits for."""
+
+    PROBING = auto()
+    PREPARING = auto()
+    FETCHING = auto()
+    INSTALLING = auto()
+    ACCEPTING = auto()
+    WON = auto()
+    LOST = auto()
+
+
+Planner = Callable[[View, bool, Epoch, frozenset[MemberId], int], View | None]
+
+
+class Candidate:
+    """One attempt, with one epoch."""
+
+    def __init__(self, me: MemberId, base: View, settled: bool, *, number: int, plan: Planner, timing: Timing) -> None:
+        self.me = me
+        self.base = base
+        self.settled = settled
+        self.epoch = Epoch(number, me)
+        self.view: View | None = None
+        self.phase = Phase.PROBING
+        self.source: MemberId = ""
+        self.source_position = Position(self.epoch, 0)
+        self._plan = plan
+        self._timing = timing
+        self._phase_since = 0
+        self._last_sent = 0
+        self._quorum_since: int | None = None
+        self._probed: dict[MemberId, Probed] = {}
+        self._promises: dict[MemberId, Promise] = {}
+        self._state: ControlState | None = None
+        self._needs_state: set[MemberId] = set()
+        self._installed: set[MemberId] = set()
+        self._accepted: set[MemberId] = set()
+
+    def begin(self, probe: bool, now: int) -> list[Send]:
+        """Ask the others: first whether they miss the primary, or at once for their promises."""
+        return self._enter(Phase.PROBING if probe else Phase.PREPARING, now)
+
+    def handle(self, sender: MemberId, message: Message, now: int) -> list[Send]:
+        """Take an answer. Answers to other candidates or earlier attempts change nothing."""
+        match message:
+            case Probed(number=number) if self.phase is Phase.PROBING and number == self.epoch.number:
+                return self._take_probed(sender, message, now)
+            case Promise(epoch=epoch) if self.phase is Phase.PREPARING and epoch == self.epoch:
+                return self._take_promise(sender, message, now)
+            case Fetched(epoch=epoch, position=position) if self.phase is Phase.FETCHING and epoch == self.epoch:
+                return self._take_state(position, message.state, now)
+            case Installed(epoch=epoch, stored=stored) if self.phase is Phase.INSTALLING and epoch == self.epoch:
+                return self._take_installed(sender, stored, now)
+            case Accepted(epoch=epoch) if self.phase is Phase.ACCEPTING and epoch == self.epoch:
+                return self._take_accepted(sender, now)
+            case Refused(epoch=epoch, promised=promised) if epoch == self.epoch and promised > epoch:
+                return self._enter(Phase.LOST, now)
+        return []
+
+    def tick(self, now: int) -> list[Send]:
+        """Ask again, go on without the silent, or give up."""
+        if self.phase in (Phase.WON, Phase.LOST):
+            return []
+        if now - self._phase_since > self._timing.stage:
+            return self._enter(Phase.LOST, now)
+        sends = self._advance(now)
+        if not sends and now - self._last_sent >= self._timing.resend:
+            sends = self._ask(now)
+        return sends
+
+    def late_members(self) -> list[MemberId]:
+        """The new replicas that have not stored the state."""
+        if self.view is None or self.phase is not Phase.INSTALLING:
+            return []
+        return [each for each in self.view.replicas if each not in self._installed]
+
+    def provide_state(self, state: ControlState, now: int) -> list[Send]:
+        """The candidate's own replica is the most advanced one: this is its state."""
+        return self._take_state(self.source_position, state, now)
+
+    @property
+    def wants_own_state(self) -> bool:
+        """Whether the member should call `provide_state`."""
+        return self.phase is Phase.FETCHING and self.source == self.me
+
+    def _enter(self, phase: Phase, now: int) -> list[Send]:
+        """The only place where the phase changes."""
+        self.phase = phase
+        self._phase_since = now
+        self._quorum_since = None
+        return self._ask(now)
+
+    def _ask(self, now: int) -> list[Send]:
+        """What the present phase asks of those that have not answered."""
+        self._last_sent = now
+        match self.phase:
+            case Phase.PROBING:
+                return self._to(self._unanswered(self._probed), Probe(self.epoch.number))
+            case Phase.PREPARING:
+                return self._to(self._unanswered(self._promises), Prepare(self.epoch))
+            case Phase.FETCHING if self.source != self.me:
+                return [Send(self.source, Fetch(self.epoch))]
+            case Phase.INSTALLING:
+                return [Send(each, self._install_for(each)) for each in self.late_members()]
+            case Phase.ACCEPTING:
+                return self._ask_to_accept()
+        return []
+
+    def _to(self, members: Iterable[MemberId], message: Message) -> list[Send]:
+        return [Send(each, message) for each in members]
+
+    def _unanswered(self, answered: Iterable[MemberId]) -> list[MemberId]:
+        known = set(answered)
+        return [each for each in self._electorate() if each not in known]
+
+    def _electorate(self) -> tuple[MemberId, ...]:
+        return tuple(dict.fromkeys((self.me, *self.base.members)))
+
+    def _learn(self, view: View | None, settled: bool) -> bool:
+        """Build on a higher view where an answer tells of one; true where there are new members to ask."""
+        if view is None or view.epoch < self.base.epoch:
+            return False
+        if view.epoch == self.base.epoch:
+            self.settled = self.settled or settled
+            return False
+        self.base = view
+        self.settled = settled
+        self._quorum_since = None
+        return True
+
+    def _take_probed(self, sender: MemberId, message: Probed, now: int) -> list[Send]:
+        self._probed[sender] = message
+        learned = self._learn(message.accepted, message.settled)
+        return (self._ask(now) if learned else []) + self._advance(now)
+
+    def _take_promise(self, sender: MemberId, message: Promise, now: int) -> list[Send]:
+        self._promises[sender] = message
+        learned = self._learn(message.accepted, message.settled)
+        return (self._ask(now) if learned else []) + self._advance(now)
+
+    def _advance(self, now: int) -> list[Send]:
+        if self.phase is Phase.PROBING:
+            return self._end_probing(now)
+        if self.phase is Phase.PREPARING:
+            return self._end_preparing(now)
+        return []
+
+    def _end_probing(self, now: int) -> list[Send]:
+        missing = [each for each, answer in self._probed.items() if answer.misses_primary]
+        if not self.base.has_quorum(missing, self.settled):
+            return []
+        highest = max(answer.promised.number for answer in self._probed.values())
+        self.epoch = Epoch(max(self.epoch.number, highest + 1), self.me)
+        return self._enter(Phase.PREPARING, now)
+
+    def _end_preparing(self, now: int) -> list[Send]:
+        source = self._best_source()
+        if source is None or not self.base.has_quorum(self._promises, self.settled):
+            return []
+        if self._quorum_since is None:
+            self._quorum_since = now
+        if self._unanswered(self._promises) and now - self._quorum_since < self._timing.grace:
+            return []
+        promised = frozenset(each for each, answer in self._promises.items() if answer.healthy)
+        view = self._plan(self.base, self.settled, self.epoch, promised, now)
+        if view is None:
+            return []
+        self.view = view
+        self.source = source
+        self.source_position = self._promises[source].position
+        return self._enter(Phase.FETCHING, now)
+
+    def _best_source(self) -> MemberId | None:
+        """The most advanced replica that has promised and holds at least the base view's state; itself where equal."""
+        best: MemberId | None = None
+        for member, answer in self._promises.items():
+            if answer.position.epoch < self.base.epoch:
+                continue
+            better = best is None or self._promises[best].position.precedes(answer.position)
+            if better or (member == self.me and self._promises[str(best)].position == answer.position):
+                best = member
+        return best
+
+    def _take_state(self, position: Position, state: ControlState, now: int) -> list[Send]:
+        if self.view is None or position.precedes(self.source_position):
+            return []
+        self.source_position = position
+        self._state = state
+        self._needs_state = {each for each in self.view.replicas if not self._is_at_source(each)}
+        return self._enter(Phase.INSTALLING, now)
+
+    def _is_at_source(self, member: MemberId) -> bool:
+        answer = self._promises.get(member)
+        return answer is not None and answer.position == self.source_position
+
+    def _install_for(self, member: MemberId) -> Install:
+        state = self._state if member in self._needs_state else None
+        return Install(self.epoch, self.source_position, state)
+
+    def _take_installed(self, sender: MemberId, stored: bool, now: int) -> list[Send]:
+        if not stored:
+            self._needs_state.add(sender)
+            return [Send(sender, self._install_for(sender))]
+        self._installed.add(sender)
+        if self.late_members():
+            return []
+        return self._enter(Phase.ACCEPTING, now)
+
+    def _ask_to_accept(self) -> list[Send]:
+        if self.view is None:
+            return []
+        waiting = [each for each in self.view.members if each not in self._accepted]
+        return self._to(waiting, Accept(self.view, settled=False))
+
+    def _take_accepted(self, sender: MemberId, now: int) -> list[Send]:
+        self._accepted.add(sender)
+        if self.view is not None and self.view.has_quorum(self._accepted, settled=False):
+            return self._enter(Phase.WON, now)
+        return []
--- /dev/null
+++ b/canvasbeam/decide/replication/contacts.py
@@ -0,0 +1,74 @@
+"""When each other member was last heard, and whether it can serve as a replica."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from canvasbeam.decide.replication.types import MemberId, Timing, member_ip
+
+_NEVER = -(1 << 62)
+
+
+@dataclass(slots=True)
+class _Contact:
+    last_heard: int
+    heard_since: int  # the start of the present span without a gap
+    healthy: bool = True
+    failed_at: int = _NEVER
+
+
+class Contacts:
+    """What a member knows of the others from their messages alone."""
+
+    def __init__(self, timing: Timing) -> None:
+        self._timing = timing
+        self._contacts: dict[MemberId, _Contact] = {}
+
+    def note(self, member: MemberId, now: int, healthy: bool | None = None) -> None:
+        """A message of the member came; some tell whether its disk is healthy."""
+        contact = self._contacts.get(member)
+        if contact is None:
+            contact = self._contacts[member] = _Contact(now, now)
+        if now - contact.last_heard > self._timing.silence:
+            contact.heard_since = now
+        contact.last_heard = now
+        if healthy is not None:
+            contact.healthy = healthy
+
+    def mark_failed(self, member: MemberId, now: int) -> None:
+        """The member did not store something in time: it is not used for a while."""
+        self.note(member, self.last_heard(member))
+        self._contacts[member].failed_at = now
+
+    def last_heard(self, member: MemberId) -> int:
+        """When the member was last heard; far in the past where it never was."""
+        contact = self._contacts.get(member)
+        return _NEVER if contact is None else contact.last_heard
+
+    def is_alive(self, member: MemberId, now: int) -> bool:
+        """Whether the member was heard lately, its disk is healthy, and no newer member is at its address."""
+        contact = self._contacts.get(member)
+        if contact is None or not contact.healthy or now - contact.failed_at < self._timing.readd:
+            return False
+        return now - contact.last_heard <= self._timing.silence and not self._is_succeeded(member)
+
+    def is_steady(self, member: MemberId, now: int) -> bool:
+        """Whether an alive member has been heard without a gap for a while."""
+        contact = self._contacts.get(member)
+        return contact is not None and now - contact.heard_since >= self._timing.steady and self.is_alive(member, now)
+
+    def is_gone(self, member: MemberId, now: int) -> bool:
+        """Whether the member has been silent so long that another may take its place."""
+        return now - self.last_heard(member) > self._timing.gone
+
+    def known(self) -> list[MemberId]:
+        """Everybody who was ever heard, in the order of the first message."""
+        return list(self._contacts)
+
+    def _is_succeeded(self, member: MemberId) -> bool:
+        ip = member_ip(member)
+        last = self.last_heard(member)
+        return any(
+            other != member and member_ip(other) == ip and contact.last_heard > last
+            for other, contact in self._contacts.items()
+        )
--- /dev/null
+++ b/canvasbeam/decide/replication/member.py
@@ -0,0 +1,529 @@
+"""One member of the replicated control state: events and the time in, actions out.
+
+| role | acts as | leaves it when |
+| --- | --- | --- |
+| FOLLOWER | witness and replica; says hello while it hears no primary | it misses the primary: CANDIDATE |
+| CANDIDATE | the same, and changes the view after the others miss the primary too | it won: PRIMARY; lost: FOLLOWER |
+| PRIMARY | the same, and serves calls | the view must change: REFORMING; it lost contact or its disk: FOLLOWER |
+| REFORMING | a candidate for its own view; calls wait | it won: PRIMARY; lost: FOLLOWER |
+
+`_become` is the only place where the role changes. A message that vouches for the disk is held back by the driver until
+what was saved before it is synced (`durability.Outbox`).
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from enum import Enum, auto
+
+from canvasbeam.control_plane.control_state import Change, ControlState
+from canvasbeam.decide.replication.candidate import Candidate, Phase
+from canvasbeam.decide.replication.contacts import Contacts
+from canvasbeam.decide.replication.messages import (
+    Accept,
+    Accepted,
+    Action,
+    Append,
+    Appended,
+    Fetch,
+    Fetched,
+    Heartbeat,
+    HeartbeatAck,
+    Hello,
+    Install,
+    Installed,
+    Message,
+    Prepare,
+    Probe,
+    Probed,
+    Promise,
+    Publish,
+    Refused,
+    Reply,
+    Resign,
+    SaveInstalled,
+    Send,
+    SendToAddress,
+    ViewTold,
+)
+from canvasbeam.decide.replication.plan import plan_view
+from canvasbeam.decide.replication.primary import PendingCall, Primary
+from canvasbeam.decide.replication.replica import Replica
+from canvasbeam.decide.replication.types import (
+    GENESIS_EPOCH,
+    NO_EPOCH,
+    Apply,
+    Epoch,
+    MemberId,
+    Timing,
+    View,
+    member_ip,
+)
+from canvasbeam.decide.replication.witness import Witness
+from canvasbeam.errors import Failure, ResultCode
+
+MAX_PENDING_CALLS = 64
+ELECTION_JITTER_NS = 60_000_000
+
+
+class Role(Enum):
+    """What a member does besides being a witness and a replica."""
+
+    FOLLOWER = auto()
+    CANDIDATE = auto()
+    PRIMARY = auto()
+    REFORMING = auto()
+
+
+@dataclass(frozen=True, slots=True)
+class Durable:
+    """What a member finds on its disk at a start."""
+
+    promised: Epoch = NO_EPOCH
+    accepted: View | None = None
+    settled: bool = False
+    installed: Epoch = NO_EPOCH
+    state: ControlState = ControlState()
+
+    @classmethod
+    def genesis(cls, view: View) -> Durable:
+        """What a member of the genesis view begins with."""
+        return cls(GENESIS_EPOCH, view, True, GENESIS_EPOCH, ControlState())
+
+
+@dataclass(frozen=True, slots=True)
+class MemberSettings:
+    """What a member is told at its start."""
+
+    me: MemberId
+    seed_ips: tuple[str, ...]
+    tolerated_machines: int = 1
+    timing: Timing = Timing()
+    seed: int = 0
+
+
+class Member:
+    """See the table at the top."""
+
+    def __init__(self, settings: MemberSettings, durable: Durable, apply: Apply, now: int) -> None:
+        self.me = settings.me
+        self.role = Role.FOLLOWER
+        self.witness = Witness(durable.promised, durable.accepted, durable.settled)
+        self.replica = Replica(apply, durable.installed, durable.state)
+        self.contacts = Contacts(settings.timing)
+        self.known_view = durable.accepted  # the highest that this member heard of
+        self.known_settled = durable.settled
+        self.primary_id: MemberId = ""
+        self.primary_epoch = NO_EPOCH
+        self.healthy = True
+        self._settings = settings
+        self._timing = settings.timing
+        self._apply = apply
+        self._random = random.Random(f"{settings.me}/{settings.seed}")
+        self._highest_number = durable.promised.number
+        self._candidate: Candidate | None = None
+        self._primary: Primary | None = None
+        self._pending: list[PendingCall] = []  # calls that wait while the view is reformed
+        self._last_primary_sign = now
+        self._last_hello = 0
+        self._election_at = now + self._timing.first_election + self._election_delay()
+
+    # --- events -----------------------------------------------------------------------------------------------
+
+    def receive(self, sender: MemberId, message: Message, now: int) -> list[Action]:
+        """A message of another member, or of this one."""
+        self._note_sender(sender, message, now)
+        match message:
+            case Hello():
+                return self._on_hello(sender)
+            case ViewTold(view=view, settled=settled):
+                self._learn(view, settled)
+                return []
+            case Probe():
+                return self._on_probe(sender, message, now)
+            case Prepare():
+                return self._on_prepare(sender, message, now)
+            case Fetch(epoch=epoch):
+                return self._on_fetch(sender, epoch)
+            case Install():
+                return self._on_install(sender, message, now)
+            case Accept():
+                return self._on_accept(sender, message, now)
+            case Heartbeat():
+                return self._on_heartbeat(sender, message, now)
+            case Append():
+                return self._on_append(sender, message, now)
+            case Resign(epoch=epoch):
+                return self._on_resign(sender, epoch, now)
+            case HeartbeatAck() | Appended():
+                return self._on_answer_to_primary(sender, message, now)
+            case Refused():
+                return self._on_refused(sender, message, now)
+        return self._on_answer_to_candidate(sender, message, now)
+
+    def tick(self, now: int) -> list[Action]:
+        """Time has passed."""
+        match self.role:
+            case Role.PRIMARY:
+                return self._tick_primary(now)
+            case Role.CANDIDATE | Role.REFORMING:
+                return self._tick_candidate(now)
+        return self._tick_follower(now)
+
+    def submit(self, call: int, change: Change, now: int) -> list[Action]:
+        """The operator orders a change."""
+        if self.role is Role.PRIMARY and self._primary is not None:
+            if len(self._primary.pending) >= MAX_PENDING_CALLS:
+                return [Reply(call, Failure(ResultCode.OVERLOADED, "too many calls are in progress"))]
+            return self._primary.submit(call, change, now)
+        return self._hold_or_refuse(PendingCall(call, now, change=change))
+
+    def read(self, call: int, now: int) -> list[Action]:
+        """The operator asks for the newest state."""
+        if self.role is Role.PRIMARY and self._primary is not None:
+            return self._primary.read(call, now)
+        return self._hold_or_refuse(PendingCall(call, now, sequence=1))
+
+    def set_healthy(self, healthy: bool, now: int) -> list[Action]:
+        """The disk works, or stalls, fails or is full. Without its disk a member does not lead."""
+        self.healthy = healthy
+        if healthy or self.role is Role.FOLLOWER:
+            return []
+        return self.resign(now)
+
+    def resign(self, now: int) -> list[Action]:
+        """Stop leading, and let the others know."""
+        epoch = self.known_view.epoch if self.known_view is not None else NO_EPOCH
+        others = self.known_view.members if self.known_view is not None else ()
+        was_primary = self.role in (Role.PRIMARY, Role.REFORMING)
+        actions = self._become(Role.FOLLOWER, now)
+        if was_primary:
+            actions += [Send(each, Resign(epoch)) for each in others if each != self.me]
+        return actions
+
+    # --- the role ---------------------------------------------------------------------------------------------
+
+    def _become(self, role: Role, now: int) -> list[Action]:
+        """Change the role; calls that can no longer be answered end."""
+        actions: list[Action] = []
+        if role is Role.FOLLOWER:
+            actions += self._end_calls()
+            self._election_at = now + self._timing.election + self._election_delay()
+            if self.primary_id == self.me:
+                self.primary_id = ""
+        if role is Role.REFORMING and self._primary is not None:
+            self._pending = self._primary.pending
+        if role in (Role.FOLLOWER, Role.REFORMING):
+            self._primary = None
+        if role in (Role.FOLLOWER, Role.PRIMARY):
+            self._candidate = None
+        self.role = role
+        return actions
+
+    def _end_calls(self) -> list[Action]:
+        pending = self._primary.pending if self._primary is not None else self._pending
+        self._pending = []
+        lost = Failure(ResultCode.PRIMARY_LOST, "the primary stopped leading before the call was answered")
+        unseen = Failure(ResultCode.NO_PRIMARY, "the primary stopped leading before it looked at the call")
+        return [Reply(each.call, lost if each.change is None else unseen) for each in pending]
+
+    def _hold_or_refuse(self, pending: PendingCall) -> list[Action]:
+        if self.role is Role.REFORMING and len(self._pending) < MAX_PENDING_CALLS:
+            self._pending.append(pending)
+            return []
+        if self.primary_id and self.primary_id != self.me:
+            failure = Failure(ResultCode.NOT_PRIMARY, f"the primary is {member_ip(self.primary_id)}")
+        else:
+            failure = Failure(ResultCode.NO_PRIMARY, "no primary is known at present")
+        return [Reply(pending.call, failure)]
+
+    # --- witness and replica ----------------------------------------------------------------------------------
+
+    def _on_probe(self, sender: MemberId, message: Probe, now: int) -> list[Action]:
+        answer = Probed(
+            message.number,
+            self._misses_primary(now),
+            self.healthy,
+            max(self.witness.promised, Epoch(self._highest_number)),
+            self.known_view,
+            self.known_settled,
+        )
+        return [Send(sender, answer)]
+
+    def _on_prepare(self, sender: MemberId, message: Prepare, now: int) -> list[Action]:
+        before = self.witness.promised
+        if not self.witness.promise(message.epoch):
+            return [Send(sender, Refused(message.epoch, before))]
+        actions = self._yield_to(message.epoch, sender, now)
+        if message.epoch != before:
+            actions.append(self.witness.to_save())
+        position = self.replica.position
+        witness = self.witness
+        # Leaves after the promise is synced, and with it every change that the position counts.
+        promise = Promise(message.epoch, witness.accepted, witness.settled, position, self.healthy)
+        return [*actions, Send(sender, promise)]
+
+    def _on_fetch(self, sender: MemberId, epoch: Epoch) -> list[Action]:
+        if epoch != self.witness.promised:
+            return [Send(sender, Refused(epoch, self.witness.promised))]
+        return [Send(sender, Fetched(epoch, self.replica.position, self.replica.state))]
+
+    def _on_install(self, sender: MemberId, message: Install, now: int) -> list[Action]:
+        if message.epoch < self.witness.promised:
+            return [Send(sender, Refused(message.epoch, self.witness.promised))]
+        actions = self._yield_to(message.epoch, sender, now)
+        if self.replica.epoch != message.epoch:
+            state = message.state
+            if state is None and self.replica.position != message.position:
+                return [*actions, Send(sender, Installed(message.epoch, stored=False))]
+            self.witness.promise(message.epoch)
+            self.replica.install(message.epoch, self.replica.state if state is None else state)
+            actions += [self.witness.to_save(), SaveInstalled(message.epoch, state)]
+        # Leaves after the state and the promise are synced.
+        return [*actions, Send(sender, Installed(message.epoch, stored=True))]
+
+    def _on_accept(self, sender: MemberId, message: Accept, now: int) -> list[Action]:
+        view = message.view
+        before = self.witness.to_save()
+        if not self.witness.accept(view, message.settled):
+            return [Send(sender, Refused(view.epoch, self.witness.promised))]
+        actions = self._yield_to(view.epoch, sender, now)
+        self._learn(view, message.settled)
+        if self.witness.to_save() != before:
+            actions.append(self.witness.to_save())
+        # Leaves after the accepted view is synced.
+        return [*actions, Send(sender, Accepted(view.epoch, self.witness.settled))]
+
+    def _on_append(self, sender: MemberId, message: Append, now: int) -> list[Action]:
+        if message.epoch < self.witness.promised:
+            return [Send(sender, Refused(message.epoch, self.witness.promised))]
+        if message.epoch != self.replica.epoch:
+            return []
+        outcome = self.replica.append(message.previous, message.changes)
+        if isinstance(outcome, Failure):
+            return []
+        actions: list[Action] = [*outcome]
+        # Leaves after the changes are synced.
+        return [*actions, Send(sender, Appended(message.epoch, self.replica.state.index))]
+
+    def _on_heartbeat(self, sender: MemberId, message: Heartbeat, now: int) -> list[Action]:
+        newest = max(self.witness.promised, self.primary_epoch)
+        if message.epoch < newest:
+            return [Send(sender, Refused(message.epoch, newest))]
+        actions = self._yield_to(message.epoch, sender, now)
+        self.primary_epoch = message.epoch
+        self.primary_id = sender
+        accepted = self.witness.accepted
+        # Says only that no higher epoch is promised, which memory knows no later than the disk.
+        ack = HeartbeatAck(
+            message.epoch,
+            message.sequence,
+            self.healthy,
+            NO_EPOCH if accepted is None else accepted.epoch,
+            self.witness.settled,
+        )
+        newer = self.replica.commit(message.epoch, message.committed)
+        return [*actions, *([] if newer is None else [Publish(newer)]), Send(sender, ack)]
+
+    def _on_resign(self, sender: MemberId, epoch: Epoch, now: int) -> list[Action]:
+        if sender == self.primary_id and epoch >= self.primary_epoch:
+            self.primary_id = ""
+            self._last_primary_sign = now - self._timing.election
+            self._election_at = now + self._election_delay()
+        return []
+
+    def _yield_to(self, epoch: Epoch, sender: MemberId, now: int) -> list[Action]:
+        """Somebody leads, or is about to, in an epoch that this member does not refuse."""
+        self._last_primary_sign = now
+        self._election_at = now + self._timing.election + self._election_delay()
+        if sender == self.me or self.role is Role.FOLLOWER:
+            return []
+        return self._become(Role.FOLLOWER, now)
+
+    # --- follower ---------------------------------------------------------------------------------------------
+
+    def _misses_primary(self, now: int) -> bool:
+        if self.role is Role.PRIMARY:
+            return False
+        return now - self._last_primary_sign > self._timing.silence or self.primary_id == ""
+
+    def _tick_follower(self, now: int) -> list[Action]:
+        if now - self._last_primary_sign > 2 * self._timing.silence:
+            self.primary_id = ""
+        if self._may_lead() and now >= self._election_at:
+            return self._stand(now)
+        if now - self._last_primary_sign > self._timing.silence and now - self._last_hello >= self._timing.hello:
+            return self._say_hello(now)
+        return []
+
+    def _may_lead(self) -> bool:
+        return self.healthy and self.known_view is not None and self.me in self.known_view.witnesses
+
+    def _election_delay(self) -> int:
+        """Later for each member in the agreed order, and latest for the last primary, which has just failed."""
+        view = self.known_view
+        if view is None:
+            return 0
+        order = [each for each in view.members if each != view.primary]
+        rank = order.index(self.me) if self.me in order else len(order)
+        return rank * self._timing.election_step + self._random.randrange(ELECTION_JITTER_NS)
+
+    def _say_hello(self, now: int) -> list[Action]:
+        self._last_hello = now
+        ips = list(self._settings.seed_ips)
+        if self.known_view is not None:
+            ips += [member_ip(each) for each in self.known_view.members]
+        my_ip = member_ip(self.me)
+        return [SendToAddress(each, Hello(self.healthy)) for each in dict.fromkeys(ips) if each != my_ip]
+
+    def _on_hello(self, sender: MemberId) -> list[Action]:
+        if self.known_view is None:
+            return []
+        return [Send(sender, ViewTold(self.known_view, self.known_settled))]
+
+    def _learn(self, view: View, settled: bool) -> None:
+        known = self.known_view
+        if known is None or view.epoch > known.epoch:
+            self.known_view = view
+            self.known_settled = settled
+        elif view.epoch == known.epoch:
+            self.known_settled = self.known_settled or settled
+
+    def _note_sender(self, sender: MemberId, message: Message, now: int) -> None:
+        healthy = message.healthy if isinstance(message, Hello | Probed | Promise | HeartbeatAck) else None
+        self.contacts.note(sender, now, healthy)
+        match message:
+            case Probed(promised=epoch) | Refused(promised=epoch) | Prepare(epoch=epoch) | Heartbeat(epoch=epoch):
+                self._highest_number = max(self._highest_number, epoch.number)
+
+    # --- candidate --------------------------------------------------------------------------------------------
+
+    def _stand(self, now: int) -> list[Action]:
+        """Ask whether the others miss the primary too."""
+        actions = self._become(Role.CANDIDATE, now)
+        return actions + self._begin_candidacy(probe=True, now=now)
+
+    def _reform(self, now: int) -> list[Action]:
+        """As the primary, change the view."""
+        actions = self._become(Role.REFORMING, now)
+        return actions + self._begin_candidacy(probe=False, now=now)
+
+    def _begin_candidacy(self, probe: bool, now: int) -> list[Action]:
+        if self.known_view is None:
+            return self._become(Role.FOLLOWER, now)
+        self._highest_number += 1
+        self._candidate = Candidate(
+            self.me,
+            self.known_view,
+            self.known_settled,
+            number=self._highest_number,
+            plan=self._plan,
+            timing=self._timing,
+        )
+        return self._follow_candidacy(self._candidate.begin(probe, now), now)
+
+    def _plan(self, base: View, settled: bool, epoch: Epoch, promised: frozenset[MemberId], now: int) -> View | None:
+        usable = [each for each in self._candidates_for_replicas(base) if self._is_usable(each, base, promised, now)]
+        return plan_view(
+            base,
+            settled,
+            epoch=epoch,
+            primary=self.me,
+            usable=usable,
+            is_gone=lambda member: self.contacts.is_gone(member, now),
+            tolerated_machines=self._settings.tolerated_machines,
+        )
+
+    def _candidates_for_replicas(self, base: View) -> list[MemberId]:
+        return list(dict.fromkeys((self.me, *base.members, *sorted(self.contacts.known()))))
+
+    def _is_usable(self, member: MemberId, base: View, promised: frozenset[MemberId], now: int) -> bool:
+        if member == self.me:
+            return True
+        if member in base.replicas or member in promised:
+            return self.contacts.is_alive(member, now)
+        return self.contacts.is_steady(member, now)
+
+    def _on_answer_to_candidate(self, sender: MemberId, message: Message, now: int) -> list[Action]:
+        if self._candidate is None:
+            return []
+        return self._follow_candidacy(self._candidate.handle(sender, message, now), now)
+
+    def _tick_candidate(self, now: int) -> list[Action]:
+        if self._candidate is None:
+            return self._become(Role.FOLLOWER, now)
+        late = self._candidate.late_members()
+        sends = self._candidate.tick(now)
+        if self._candidate.phase is Phase.LOST:
+            for member in late:
+                self.contacts.mark_failed(member, now)
+        return self._follow_candidacy(sends, now)
+
+    def _follow_candidacy(self, sends: list[Send], now: int) -> list[Action]:
+        """Do what the candidate asks, and take over or give up when it is done."""
+        candidate = self._candidate
+        actions: list[Action] = [*sends]
+        if candidate is None:
+            return actions
+        if candidate.phase is Phase.PREPARING and self.witness.promised < candidate.epoch:
+            # The candidate's own promise is synced before it asks others, so that no epoch is used twice.
+            self.witness.promise(candidate.epoch)
+            actions.insert(0, self.witness.to_save())
+        if candidate.wants_own_state:
+            actions += candidate.provide_state(self.replica.state, now)
+        if candidate.phase is Phase.WON and candidate.view is not None:
+            return actions + self._lead(candidate, candidate.view, now)
+        if candidate.phase is Phase.LOST:
+            return actions + self._become(Role.FOLLOWER, now)
+        return actions
+
+    # --- primary ----------------------------------------------------------------------------------------------
+
+    def _lead(self, candidate: Candidate, view: View, now: int) -> list[Action]:
+        """The view is in force, and this member's replica has its state."""
+        kept_everything = candidate.source == self.me
+        pending = self._pending if kept_everything else []
+        actions = [] if kept_everything else self._end_calls()
+        self._pending = []
+        self._learn(view, settled=True)
+        self.primary_id = self.me
+        self.primary_epoch = view.epoch
+        actions += self._become(Role.PRIMARY, now)
+        self._primary = Primary(
+            self.me, view, self.replica, apply=self._apply, contacts=self.contacts, timing=self._timing, now=now
+        )
+        return actions + self._primary.begin(now) + self._primary.adopt(pending, now)
+
+    def _tick_primary(self, now: int) -> list[Action]:
+        primary = self._primary
+        if primary is None or primary.has_lost_contact(now):
+            return self.resign(now)
+        for member in primary.stuck_replicas(now):
+            if member == self.me:
+                return self.resign(now)
+            self.contacts.mark_failed(member, now)
+        if self._should_reform(primary.view, now):
+            return self._reform(now)
+        return primary.tick(now)
+
+    def _should_reform(self, view: View, now: int) -> bool:
+        planned = self._plan(view, True, view.epoch, frozenset(), now)
+        if planned is None:
+            return False
+        return set(planned.replicas) != set(view.replicas) or set(planned.witnesses) != set(view.witnesses)
+
+    def _on_answer_to_primary(self, sender: MemberId, message: HeartbeatAck | Appended, now: int) -> list[Action]:
+        if self._primary is None or message.epoch != self._primary.view.epoch:
+            return []
+        if isinstance(message, HeartbeatAck):
+            return self._primary.take_heartbeat_ack(sender, message, now)
+        return self._primary.take_appended(sender, message, now)
+
+    def _on_refused(self, sender: MemberId, message: Refused, now: int) -> list[Action]:
+        if self._primary is None:
+            return self._on_answer_to_candidate(sender, message, now)
+        view = self._primary.view
+        if message.epoch != view.epoch or sender not in view.replicas or message.promised <= view.epoch:
+            return []
+        return self._become(Role.FOLLOWER, now)
--- /dev/null
+++ b/canvasbeam/decide/replication/messages.py
@@ -0,0 +1,235 @@
+"""The messages between members, and the actions that a member asks of its driver. All are frozen values.
+
+Messages of `AFTER_SYNC` vouch for something on the sender's disk: they leave only after every `Save` before them is
+durable. `durability.Outbox` sees to that.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from canvasbeam.control_plane.control_state import Change, Committed, ControlState
+from canvasbeam.decide.replication.types import Epoch, MemberId, Position, View
+from canvasbeam.errors import Failure
+
+
+@dataclass(frozen=True, slots=True)
+class Hello:
+    """A member that hears no primary makes itself known."""
+
+    healthy: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ViewTold:
+    """The highest accepted view that the sender knows, for one that may not know it."""
+
+    view: View
+    settled: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Probe:
+    """A candidate asks, without any promise, whether the others miss the primary too."""
+
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Probed:
+    """The answer: whether the sender misses the primary, and what it knows."""
+
+    number: int
+    misses_primary: bool
+    healthy: bool
+    promised: Epoch
+    accepted: View | None
+    settled: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Prepare:
+    """A candidate asks for a promise to refuse all lower epochs. It has promised the epoch itself, so that it never
+    uses one again after a crash."""
+
+    epoch: Epoch
+
+
+@dataclass(frozen=True, slots=True)
+class Promise:
+    """The promise is on the sender's disk. `position` is that of its replica, which the promise fences."""
+
+    epoch: Epoch
+    accepted: View | None
+    settled: bool
+    position: Position
+    healthy: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The sender has promised a higher epoch."""
+
+    epoch: Epoch
+    promised: Epoch
+
+
+@dataclass(frozen=True, slots=True)
+class Fetch:
+    """A candidate asks the most advanced replica for its state."""
+
+    epoch: Epoch
+
+
+@dataclass(frozen=True, slots=True)
+class Fetched:
+    """The state of a replica that has promised the epoch."""
+
+    epoch: Epoch
+    position: Position
+    state: ControlState
+
+
+@dataclass(frozen=True, slots=True)
+class Install:
+    """A replica shall begin the epoch with this state, or with its own where it is at `position` already."""
+
+    epoch: Epoch
+    position: Position
+    state: ControlState | None
+
+
+@dataclass(frozen=True, slots=True)
+class Installed:
+    """The replica has begun the epoch, on its disk; or it lacks the state (`stored` is false)."""
+
+    epoch: Epoch
+    stored: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Accept:
+    """A witness shall accept a view. `settled` says that the view is in force already."""
+
+    view: View
+    settled: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """The view is on the sender's disk as its accepted view."""
+
+    epoch: Epoch
+    settled: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """The primary acts. `committed` is the index up to which everything is on all replicas."""
+
+    epoch: Epoch
+    sequence: int
+    committed: int
+
+
+@dataclass(frozen=True, slots=True)
+class HeartbeatAck:
+    """The sender has not promised a higher epoch."""
+
+    epoch: Epoch
+    sequence: int
+    healthy: bool
+    accepted: Epoch
+    settled: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Append:
+    """Changes of the primary; the first leads from index `previous` to the next."""
+
+    epoch: Epoch
+    previous: int
+    changes: tuple[Change, ...]
+    committed: int
+
+
+@dataclass(frozen=True, slots=True)
+class Appended:
+    """All changes up to an index are on the sender's disk."""
+
+    epoch: Epoch
+    index: int
+
+
+@dataclass(frozen=True, slots=True)
+class Resign:
+    """The primary stops acting: others need not wait for its silence."""
+
+    epoch: Epoch
+
+
+Message = (
+    Hello | ViewTold | Probe | Probed | Prepare | Promise | Refused | Fetch | Fetched | Install | Installed
+    | Accept | Accepted | Heartbeat | HeartbeatAck | Append | Appended | Resign
+)  # fmt: skip
+AFTER_SYNC = (Prepare, Promise, Installed, Accepted, Appended, Fetched)
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Send a message to a member."""
+
+    to: MemberId
+    message: Message
+
+
+@dataclass(frozen=True, slots=True)
+class SendToAddress:
+    """Send a message to whoever is at an IP address."""
+
+    ip: str
+    message: Message
+
+
+@dataclass(frozen=True, slots=True)
+class SaveWitness:
+    """Store what the witness promised and accepted."""
+
+    promised: Epoch
+    accepted: View | None
+    settled: bool
+
+
+@dataclass(frozen=True, slots=True)
+class SaveInstalled:
+    """Store the epoch of the replica, and its state unless that is stored already."""
+
+    epoch: Epoch
+    state: ControlState | None
+
+
+@dataclass(frozen=True, slots=True)
+class SaveChange:
+    """Store a change that leads to `state`, whose index is the change's."""
+
+    change: Change
+    state: ControlState
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """Answer the call of that number."""
+
+    call: int
+    result: Committed | Failure
+
+
+@dataclass(frozen=True, slots=True)
+class Publish:
+    """A newer state is known to be committed."""
+
+    state: ControlState
+
+
+Save = SaveWitness | SaveInstalled | SaveChange
+Action = Send | SendToAddress | SaveWitness | SaveInstalled | SaveChange | Reply | Publish
--- /dev/null
+++ b/canvasbeam/decide/replication/plan.py
@@ -0,0 +1,77 @@
+"""Whom a new view consists of: a pure function of the view before it and of who is alive."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+
+from canvasbeam.decide.replication.types import Epoch, MemberId, View, member_ip
+
+
+def plan_view(
+    base: View,
+    settled: bool,
+    *,
+    epoch: Epoch,
+    primary: MemberId,
+    usable: Sequence[MemberId],
+    is_gone: Callable[[MemberId], bool],
+    tolerated_machines: int,
+) -> View | None:
+    """The view that the primary should propose, or None where too few members are usable.
+
+    The witnesses change only on top of a view that is known to be in force: at most one step of the electorate is
+    open at any time. Every usable witness is a replica.
+    """
+    witnesses = base.witnesses
+    previous = base.previous_witnesses
+    if settled:
+        previous = base.witnesses
+        witnesses = plan_witnesses(base.witnesses, usable, is_gone, 2 * tolerated_machines + 1)
+    replicas = tuple(each for each in (primary, *witnesses) if each in usable)
+    replicas = tuple(dict.fromkeys(replicas))
+    if primary not in witnesses or len(replicas) < fewest_replicas(len(witnesses), tolerated_machines):
+        return None
+    return View(epoch, primary, replicas, witnesses, previous)
+
+
+def fewest_replicas(witnesses: int, tolerated_machines: int) -> int:
+    """One more than may be lost; less only while the system is smaller than its final size."""
+    return min(tolerated_machines + 1, witnesses // 2 + 1)
+
+
+def plan_witnesses(
+    witnesses: Sequence[MemberId],
+    usable: Sequence[MemberId],
+    is_gone: Callable[[MemberId], bool],
+    wanted: int,
+) -> tuple[MemberId, ...]:
+    """Put new members in the places of those that lost their disk or are gone; grow by pairs up to `wanted`."""
+    planned = list(witnesses)
+    spares = [each for each in usable if each not in planned]
+    for spare in list(spares):
+        place = _place_for(spare, planned, usable, is_gone)
+        if place is not None:
+            planned[place] = spare
+            spares.remove(spare)
+    while len(planned) < wanted:
+        step = 2 if len(planned) % 2 else 1
+        if len(spares) < step:
+            break
+        planned += spares[:step]
+        del spares[:step]
+    return tuple(planned)
+
+
+def _place_for(
+    spare: MemberId,
+    planned: Sequence[MemberId],
+    usable: Sequence[MemberId],
+    is_gone: Callable[[MemberId], bool],
+) -> int | None:
+    for place, witness in enumerate(planned):
+        if member_ip(witness) == member_ip(spare):
+            return place
+    for place, witness in enumerate(planned):
+        if witness not in usable and is_gone(witness):
+            return place
+    return None
--- /dev/null
+++ b/canvasbeam/decide/replication/primary.py
@@ -0,0 +1,255 @@
+"""The primary of a view that is in force: writes, confirmed reads, and who is silent.
+
+A write is answered when every replica of the view has it on its disk. Everything that depends on the state but changes
+nothing (a read, a refusal, a change that was taken before) is answered when a majority of the witnesses has confirmed,
+in a round of heartbeats begun after the call, that it promised no higher epoch, and all that the answer depends on is
+committed.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from canvasbeam.control_plane.control_state import Change, Committed
+from canvasbeam.decide.replication.contacts import Contacts
+from canvasbeam.decide.replication.messages import (
+    Accept,
+    Action,
+    Append,
+    Appended,
+    Heartbeat,
+    HeartbeatAck,
+    Publish,
+    Reply,
+    SaveChange,
+    Send,
+)
+from canvasbeam.decide.replication.replica import Replica
+from canvasbeam.decide.replication.types import Apply, MemberId, Timing, View, is_majority
+from canvasbeam.errors import Failure, ResultCode
+
+MAX_APPEND_BYTES = 1 << 20
+
+
+@dataclass(slots=True)
+class PendingCall:
+    """A call that waits: for an index to be committed, and for a confirmation where `sequence` is above 0."""
+
+    call: int
+    began: int
+    index: int = 0
+    sequence: int = 0
+    failure: Failure | None = None
+    change: Change | None = None  # of a call that was not looked at yet
+
+
+@dataclass(slots=True)
+class _Progress:
+    """How far one replica has confirmed, and since when it owes more."""
+
+    index: int
+    owes_since: int | None = None
+    last_sent: int = 0
+
+
+@dataclass(slots=True)
+class _Rounds:
+    """The rounds of heartbeats: when each was sent, and the newest that each witness answered."""
+
+    sequence: int = 0
+    sent_at: dict[int, int] = field(default_factory=dict)
+    answered: dict[MemberId, int] = field(default_factory=dict)
+
+
+class Primary:
+    """Created when the view came into force; dropped when the member steps down or changes the view."""
+
+    def __init__(
+        self,
+        me: MemberId,
+        view: View,
+        replica: Replica,
+        *,
+        apply: Apply,
+        contacts: Contacts,
+        timing: Timing,
+        now: int,
+    ) -> None:
+        self.me = me
+        self.view = view
+        self.pending: list[PendingCall] = []
+        self._replica = replica
+        self._apply = apply
+        self._contacts = contacts
+        self._timing = timing
+        self._first_index = replica.state.index
+        self._changes: list[Change] = []
+        self._committed = replica.state.index
+        self._progress = {each: _Progress(self._committed) for each in view.replicas}
+        self._rounds = _Rounds(answered={})
+        self._confirmed_at = now
+        self._last_heartbeat = now
+
+    def begin(self, now: int) -> list[Action]:
+        """The view is in force: tell it, and that the whole state is committed."""
+        actions: list[Action] = [Send(each, Accept(self.view, settled=True)) for each in self.view.members]
+        return actions + self._publish() + self.new_round(now)
+
+    def tick(self, now: int) -> list[Action]:
+        """Heartbeats, appends that were lost, calls that waited too long."""
+        actions: list[Action] = []
+        if now - self._last_heartbeat >= self._timing.heartbeat:
+            actions += self.new_round(now)
+        for member in self.view.replicas:
+            progress = self._progress[member]
+            if progress.owes_since is not None and now - progress.last_sent >= self._timing.resend:
+                actions += self._append_to(member, now)
+        return actions + self._end_late_calls(now)
+
+    def has_lost_contact(self, now: int) -> bool:
+        """No majority of the witnesses has confirmed for too long."""
+        return now - self._confirmed_at > self._timing.silence
+
+    def stuck_replicas(self, now: int) -> list[MemberId]:
+        """Replicas that owe the confirmation of a change for too long."""
+        limit = self._timing.silence
+        owing = self._progress.items()
+        return [each for each, it in owing if it.owes_since is not None and now - it.owes_since > limit]
+
+    def submit(self, call: int, change: Change, now: int) -> list[Action]:
+        """Apply a change and send it to the replicas."""
+        outcome = self._apply(self._replica.state, change)
+        if isinstance(outcome, Failure):
+            return self._await_confirmation(PendingCall(call, now, failure=outcome), now)
+        if outcome is self._replica.state:
+            return self._await_confirmation(PendingCall(call, now), now)
+        self._replica.advance(outcome)
+        self._changes.append(change)
+        self.pending.append(PendingCall(call, now, index=outcome.index))
+        actions: list[Action] = [SaveChange(change, outcome)]
+        for member in self.view.replicas:
+            progress = self._progress[member]
+            if progress.owes_since is None:
+                progress.owes_since = now
+            actions += self._append_to(member, now, newest_only=True)
+        return actions
+
+    def read(self, call: int, now: int) -> list[Action]:
+        """Answer with the committed state, once confirmed."""
+        return self._await_confirmation(PendingCall(call, now), now)
+
+    def adopt(self, pending: list[PendingCall], now: int) -> list[Action]:
+        """Go on with the calls of the view before, which this member led too and whose whole state was kept."""
+        actions: list[Action] = []
+        for each in pending:
+            if each.change is not None:
+                actions += self.submit(each.call, each.change, now)
+            elif each.sequence:
+                actions += self._await_confirmation(each, now)
+            else:
+                self.pending.append(each)
+        return actions + self._answer()
+
+    def take_heartbeat_ack(self, sender: MemberId, message: HeartbeatAck, now: int) -> list[Action]:
+        """A witness confirms the epoch; it is told the view where it missed it."""
+        answered = self._rounds.answered
+        answered[sender] = max(answered.get(sender, 0), message.sequence)
+        self._note_confirmation()
+        actions: list[Action] = []
+        behind = message.accepted < self.view.epoch or not message.settled
+        if behind and sender in self.view.members:
+            actions.append(Send(sender, Accept(self.view, settled=True)))
+        return actions + self._answer()
+
+    def take_appended(self, sender: MemberId, message: Appended, now: int) -> list[Action]:
+        """A replica has the changes up to an index on its disk."""
+        progress = self._progress.get(sender)
+        if progress is None or message.index <= progress.index:
+            return []
+        progress.index = message.index
+        progress.owes_since = now if message.index < self._replica.state.index else None
+        return self._commit(now)
+
+    def new_round(self, now: int) -> list[Action]:
+        """Send a heartbeat to the members, and to those that would join."""
+        self._last_heartbeat = now
+        rounds = self._rounds
+        rounds.sequence += 1
+        rounds.sent_at[rounds.sequence] = now
+        message = Heartbeat(self.view.epoch, rounds.sequence, self._committed)
+        joining = [each for each in self._contacts.known() if not self._contacts.is_gone(each, now)]
+        return [Send(each, message) for each in dict.fromkeys((self.me, *self.view.members, *joining))]
+
+    def _await_confirmation(self, pending: PendingCall, now: int) -> list[Action]:
+        pending.index = self._replica.state.index
+        actions = self.new_round(now)
+        pending.sequence = self._rounds.sequence
+        self.pending.append(pending)
+        return actions
+
+    def _append_to(self, member: MemberId, now: int, newest_only: bool = False) -> list[Action]:
+        progress = self._progress[member]
+        progress.last_sent = now
+        tail = self._replica.state.index
+        if member == self.me:
+            return [Send(member, Appended(self.view.epoch, tail))]
+        previous = tail - 1 if newest_only else progress.index
+        changes = self._limited(self._changes[previous - self._first_index :])
+        return [Send(member, Append(self.view.epoch, previous, changes, self._committed))]
+
+    def _limited(self, changes: list[Change]) -> tuple[Change, ...]:
+        """At least one change, and as many more as one message should carry."""
+        taken: list[Change] = []
+        size = 0
+        for change in changes:
+            if taken and size + len(change.body) > MAX_APPEND_BYTES:
+                break
+            taken.append(change)
+            size += len(change.body)
+        return tuple(taken)
+
+    def _commit(self, now: int) -> list[Action]:
+        committed = min(each.index for each in self._progress.values())
+        if committed <= self._committed:
+            return []
+        self._committed = committed
+        # Every replica of the view told, after its sync (`durability.Outbox`), that it stored this index.
+        return self._answer() + self._publish() + self.new_round(now)
+
+    def _publish(self) -> list[Action]:
+        newer = self._replica.commit(self.view.epoch, self._committed)
+        return [] if newer is None else [Publish(newer)]
+
+    def _note_confirmation(self) -> None:
+        rounds = self._rounds
+        confirmed = self._confirmed_round()
+        if confirmed in rounds.sent_at:
+            self._confirmed_at = max(self._confirmed_at, rounds.sent_at[confirmed])
+        for sequence in [each for each in rounds.sent_at if each <= confirmed]:
+            del rounds.sent_at[sequence]
+
+    def _confirmed_round(self) -> int:
+        """The newest round that a majority of the witnesses answered."""
+        answered = self._rounds.answered
+        for sequence in sorted(set(answered.values()), reverse=True):
+            voters = [each for each, newest in answered.items() if newest >= sequence]
+            if is_majority(voters, self.view.witnesses):
+                return sequence
+        return 0
+
+    def _answer(self) -> list[Action]:
+        confirmed = self._confirmed_round()
+        ready = [each for each in self.pending if each.index <= self._committed and each.sequence <= confirmed]
+        if not ready:
+            return []
+        self.pending = [each for each in self.pending if each not in ready]
+        state = self._replica.state_at(self._committed)
+        return [Reply(each.call, each.failure or Committed(state)) for each in ready]
+
+    def _end_late_calls(self, now: int) -> list[Action]:
+        late = [each for each in self.pending if now - each.began > self._timing.call]
+        if not late:
+            return []
+        self.pending = [each for each in self.pending if each not in late]
+        failure = Failure(ResultCode.REPLICATION_TIMEOUT, "the replicas or witnesses did not confirm in time")
+        return [Reply(each.call, failure) for each in late]
--- /dev/null
+++ b/canvasbeam/decide/replication/replica.py
@@ -0,0 +1,70 @@
+"""The replica of a member: the state, which may be ahead of what is known to be committed."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from canvasbeam.control_plane.control_state import Change, ControlState
+from canvasbeam.decide.replication.messages import SaveChange
+from canvasbeam.decide.replication.types import NO_EPOCH, Apply, Epoch, Position
+from canvasbeam.errors import Failure
+
+
+class Replica:
+    """Changes are applied in order and only within the epoch for which the replica was installed."""
+
+    def __init__(self, apply: Apply, epoch: Epoch, state: ControlState) -> None:
+        self._apply = apply
+        self.epoch = epoch
+        self.state = state
+        self.committed = ControlState()
+        self._uncommitted: dict[int, ControlState] = {state.index: state}
+
+    @property
+    def position(self) -> Position:
+        """How far the replica is."""
+        return Position(self.epoch, self.state.index)
+
+    def install(self, epoch: Epoch, state: ControlState) -> None:
+        """Begin an epoch with a state."""
+        self.epoch = epoch
+        self.state = state
+        self._uncommitted = {state.index: state}
+
+    def append(self, previous: int, changes: Sequence[Change]) -> list[SaveChange] | Failure:
+        """Apply those of the changes that are new; an empty list where there is a gap or nothing new."""
+        saves: list[SaveChange] = []
+        for index, change in enumerate(changes, previous + 1):
+            if index != self.state.index + 1:
+                continue
+            outcome = self._apply(self.state, change)
+            if isinstance(outcome, Failure):
+                return outcome
+            self.advance(outcome)
+            saves.append(SaveChange(change, outcome))
+        return saves
+
+    def advance(self, state: ControlState) -> None:
+        """Take the state that the next change led to."""
+        self.state = state
+        self._uncommitted[state.index] = state
+
+    def state_at(self, index: int) -> ControlState:
+        """The state at an index that is committed or above."""
+        return self._uncommitted[index]
+
+    def commit(self, epoch: Epoch, index: int) -> ControlState | None:
+        """All replicas of the epoch have this index. A state newly known to be committed is returned."""
+        if epoch != self.epoch or self.epoch == NO_EPOCH or index <= self.committed.index:
+            return None
+        reached = [each for each in self._uncommitted if each <= index]
+        if not reached:
+            return None
+        newest = self._uncommitted[max(reached)]
+        for each in reached:
+            if each < newest.index:
+                del self._uncommitted[each]
+        if newest.index <= self.committed.index:
+            return None
+        self.committed = newest
+        return newest
--- /dev/null
+++ b/canvasbeam/decide/replication/types.py
@@ -0,0 +1,106 @@
+"""Epochs, views and the names of members: the vocabulary of replication."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection
+from dataclasses import dataclass
+
+from canvasbeam.control_plane.control_state import Change, ControlState
+from canvasbeam.errors import Failure
+
+MILLISECOND = 1_000_000
+
+MemberId = str  # "ip/disk": a machine with one life of its disk
+Apply = Callable[[ControlState, Change], ControlState | Failure]
+
+GENESIS_DISK = "0"
+
+
+def member_id(ip: str, disk: str) -> MemberId:
+    """The name of a member."""
+    return f"{ip}/{disk}"
+
+
+def member_ip(member: MemberId) -> str:
+    """The address of a member's machine."""
+    return member.partition("/")[0]
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Epoch:
+    """The number of a view. The candidate's name makes the epochs of two candidates differ."""
+
+    number: int = 0
+    candidate: MemberId = ""
+
+
+NO_EPOCH = Epoch(-1)
+GENESIS_EPOCH = Epoch()
+
+
+@dataclass(frozen=True, slots=True)
+class View:
+    """Who stores the state and who votes, in one epoch.
+
+    While the view is not known to be in force, its quorums need a majority of `previous_witnesses` too: the witnesses
+    of the view that it was built on.
+    """
+
+    epoch: Epoch
+    primary: MemberId
+    replicas: tuple[MemberId, ...]
+    witnesses: tuple[MemberId, ...]
+    previous_witnesses: tuple[MemberId, ...]
+
+    @property
+    def members(self) -> tuple[MemberId, ...]:
+        """Everybody who has a part in the view, each once."""
+        return tuple(dict.fromkeys((*self.replicas, *self.witnesses, *self.previous_witnesses)))
+
+    def has_quorum(self, votes: Collection[MemberId], settled: bool) -> bool:
+        """Whether these members decide for the view."""
+        if not is_majority(votes, self.witnesses):
+            return False
+        return settled or is_majority(votes, self.previous_witnesses)
+
+
+def is_majority(votes: Collection[MemberId], electorate: Collection[MemberId]) -> bool:
+    """Whether more than half of an electorate is among the votes."""
+    return 2 * sum(1 for each in electorate if each in votes) > len(electorate)
+
+
+def genesis_view(seed_ips: Collection[str]) -> View:
+    """The view that every member of the first start begins with: no primary, and an empty state."""
+    members = tuple(member_id(ip, GENESIS_DISK) for ip in sorted(set(seed_ips)))
+    return View(GENESIS_EPOCH, "", members, members, members)
+
+
+@dataclass(frozen=True, slots=True)
+class Position:
+    """How far a replica is: the epoch for which it was installed, and the index of its state."""
+
+    epoch: Epoch
+    index: int
+
+    def precedes(self, other: Position) -> bool:
+        """Whether the other is strictly more advanced."""
+        return (self.epoch, self.index) < (other.epoch, other.index)
+
+
+@dataclass(frozen=True, slots=True)
+class Timing:
+    """The intervals of the protocol, in nanoseconds."""
+
+    heartbeat: int = 150 * MILLISECOND
+    silence: int = 600 * MILLISECOND  # after which a member counts as lost
+    election: int = 750 * MILLISECOND  # without a heartbeat before the first candidate asks
+    election_step: int = 200 * MILLISECOND  # by which each next candidate waits longer
+    first_election: int = 400 * MILLISECOND  # of the first start: the others may start a little later
+    resend: int = 200 * MILLISECOND
+    stage: int = 700 * MILLISECOND  # the longest that a candidate waits for anything
+    grace: int = 150 * MILLISECOND  # for which a candidate with a quorum waits for the others
+    steady: int = 300 * MILLISECOND  # for which a member is heard before it is added
+    readd: int = 1000 * MILLISECOND  # before a member that was removed is added again
+    gone: int = 1500 * MILLISECOND  # after which a silent witness may be replaced by a machine at another address
+    hello: int = 200 * MILLISECOND
+    call: int = 3000 * MILLISECOND  # the longest that a call of the operator waits
--- /dev/null
+++ b/canvasbeam/decide/replication/witness.py
@@ -0,0 +1,35 @@
+"""The witness of a member: the epoch that it promised, and the view that it accepted."""
+
+from __future__ import annotations
+
+from canvasbeam.decide.replication.messages import SaveWitness
+from canvasbeam.decide.replication.types import Epoch, View
+
+
+class Witness:
+    """A promise is never taken back: every lower epoch is refused, by the member's replica too."""
+
+    def __init__(self, promised: Epoch, accepted: View | None, settled: bool) -> None:
+        self.promised = promised
+        self.accepted = accepted
+        self.settled = settled
+
+    def promise(self, epoch: Epoch) -> bool:
+        """Promise to refuse all lower epochs; false where a higher one was promised."""
+        if epoch < self.promised:
+            return False
+        self.promised = epoch
+        return True
+
+    def accept(self, view: View, settled: bool) -> bool:
+        """Accept a view, which promises its epoch too; false where a higher one was promised."""
+        if not self.promise(view.epoch):
+            return False
+        same_view = self.accepted is not None and self.accepted.epoch == view.epoch
+        self.settled = settled or (same_view and self.settled)
+        self.accepted = view
+        return True
+
+    def to_save(self) -> SaveWitness:
+        """What must be on the disk before anything of this is answered."""
+        return SaveWitness(self.promised, self.accepted, self.settled)
--- /dev/null
+++ b/canvasbeam/storage/store.py
@@ -0,0 +1,205 @@
+"""A durable table of named values, in two slots written in turn and a short log between them.
+
+| file | content |
+| --- | --- |
+| `slot-0`, `slot-1` | the whole table, at alternating generations |
+| `log` | the updates since the newest slot, each a frame; the first frame is an empty mark |
+
+An update is one frame appended to the log and synced. When the log is full, or an append failed, the whole table is
+written to the slot that is *not* the newest durable one and synced; then a mark of the new generation is written at
+the start of the log and synced. No file is ever renamed, cut or removed, and a frame is written only after everything
+before it was synced. What follows from that when a store is opened:
+
+| found | meaning |
+| --- | --- |
+| no intact slot, nothing in the log | an empty disk, or one whose first write never finished |
+| a log of an older generation than the newest intact slot | power was lost before the mark |
+| a frame that is not intact at the end of the log | an append that never finished, so nothing relied on it |
+| an intact frame behind one that is not, or a log whose slot is not intact | synced data was damaged: a `Failure` |
+
+All calls block; they belong in a thread of their own. One call runs at a time.
+"""
+
+from __future__ import annotations
+
+import errno
+from collections.abc import Mapping
+from dataclasses import dataclass
+from types import MappingProxyType
+
+from canvasbeam.errors import Failure, ResultCode
+from canvasbeam.storage.disk import Disk
+from canvasbeam.storage.frames import (
+    LOG_MAGIC,
+    SLOT_MAGIC,
+    Frame,
+    Updates,
+    decode_frame,
+    decode_updates,
+    encode_frame,
+    encode_updates,
+    frame_size,
+)
+
+SLOT_FILES = ("slot-0", "slot-1")
+LOG_FILE = "log"
+MAX_LOG_RECORDS = 64
+MAX_LOG_BYTES = 1 << 20
+_FULL_ERRORS = (errno.ENOSPC, errno.EDQUOT)
+
+
+@dataclass(frozen=True, slots=True)
+class _LogContent:
+    """The chain of intact frames at the start of the log, and the newest generation found anywhere behind it."""
+
+    chain: tuple[Frame, ...]
+    end: int
+    stray_generation: int  # 0 where no intact frame lies behind the chain
+
+
+class Store:
+    """The table, as it is on the disk. Made by `open_store`."""
+
+    def __init__(self, disk: Disk, values: dict[str, bytes], newest_slot: int, generation: int) -> None:
+        self._disk = disk
+        self._values = values
+        self._newest_slot = newest_slot
+        self._generation = generation
+        self._log_end = 0
+        self._log_records = 0
+        self._log_usable = False
+
+    @property
+    def values(self) -> Mapping[str, bytes]:
+        """What was stored: every update that returned None, and perhaps ones that failed."""
+        return MappingProxyType(self._values)
+
+    @property
+    def generation(self) -> int:
+        """How many slots were written since the disk was empty."""
+        return self._generation
+
+    def update(self, updates: Updates) -> Failure | None:
+        """Set or remove values in one step. After None the step is durable; after a failure it may be or not."""
+        body = encode_updates(updates)
+        for name, value in updates.items():
+            if value is None:
+                self._values.pop(name, None)
+            else:
+                self._values[name] = value
+        try:
+            if self._log_takes(frame_size(len(body))):
+                self._append(body)
+            else:
+                self._write_slot()
+        except OSError as error:
+            self._log_usable = False
+            return disk_failure(error)
+        return None
+
+    def _log_takes(self, size: int) -> bool:
+        return self._log_usable and self._log_records < MAX_LOG_RECORDS and self._log_end + size <= MAX_LOG_BYTES
+
+    def _append(self, body: bytes) -> None:
+        frame = Frame(self._generation, self._log_records, body)
+        self._disk.write(LOG_FILE, self._log_end, encode_frame(LOG_MAGIC, frame))
+        self._disk.sync(LOG_FILE)
+        self._log_end += frame.size
+        self._log_records += 1
+
+    def _write_slot(self) -> None:
+        """Write the whole table over the older slot, then begin the log anew."""
+        self._log_usable = False
+        target = 1 - self._newest_slot
+        self._generation += 1
+        frame = Frame(self._generation, 0, encode_updates(self._values))
+        self._disk.write(SLOT_FILES[target], 0, encode_frame(SLOT_MAGIC, frame))
+        self._disk.sync(SLOT_FILES[target])
+        self._newest_slot = target
+        self._log_end = self._log_records = 0
+        self._append(b"")
+        self._log_usable = True
+
+    def _resume_log(self, log: _LogContent) -> None:
+        for frame in log.chain:
+            for name, value in decode_updates(frame.body).items():
+                if value is None:
+                    self._values.pop(name, None)
+                else:
+                    self._values[name] = value
+        self._log_end = log.end
+        self._log_records = len(log.chain)
+        self._log_usable = bool(log.chain)
+
+
+def open_store(disk: Disk) -> Store | Failure:
+    """Read what is stored, making the files on an empty disk."""
+    try:
+        return _open(disk)
+    except OSError as error:
+        return disk_failure(error)
+
+
+def disk_failure(error: OSError) -> Failure:
+    """The failure that an operating system's error stands for."""
+    code = ResultCode.DISK_FULL if error.errno in _FULL_ERRORS else ResultCode.DISK_FAILED
+    return Failure(code, str(error))
+
+
+def _open(disk: Disk) -> Store | Failure:
+    _make_files(disk)
+    slots = [decode_frame(SLOT_MAGIC, disk.read(name) or b"") for name in SLOT_FILES]
+    log = _read_log(disk.read(LOG_FILE) or b"")
+    generations = [slot.generation if slot is not None else 0 for slot in slots]
+    newest_slot = 1 if generations[1] > generations[0] else 0
+    generation = generations[newest_slot]
+    log_generation = log.chain[0].generation if log.chain else 0
+    if log_generation > generation or log.stray_generation > generation:
+        return Failure(ResultCode.DISK_CORRUPT, f"the slot of generation {max(log_generation, generation)} is damaged")
+    if generation and log.stray_generation == generation:
+        return Failure(ResultCode.DISK_CORRUPT, f"the log of generation {generation} is damaged in its middle")
+    newest = slots[newest_slot]
+    values = _whole_table(newest.body) if newest is not None else {}
+    store = Store(disk, values, newest_slot, generation)
+    if generation and log_generation == generation:
+        store._resume_log(log)
+    return store
+
+
+def _make_files(disk: Disk) -> None:
+    """Make what is missing, and sync all: a killed process may have left unsynced writes that are about to be read."""
+    for name in (*SLOT_FILES, LOG_FILE):
+        disk.create(name)
+        disk.sync(name)
+    disk.sync_folder()
+
+
+def _whole_table(body: bytes) -> dict[str, bytes]:
+    return {name: value for name, value in decode_updates(body).items() if value is not None}
+
+
+def _read_log(data: bytes) -> _LogContent:
+    chain: list[Frame] = []
+    offset = 0
+    while (frame := decode_frame(LOG_MAGIC, data, offset)) is not None and _continues(chain, frame):
+        chain.append(frame)
+        offset += frame.size
+    stray = _newest_stray(data, offset, len(chain), chain[0].generation if chain else 0)
+    return _LogContent(tuple(chain), offset, stray)
+
+
+def _continues(chain: list[Frame], frame: Frame) -> bool:
+    generation = chain[0].generation if chain else frame.generation
+    return frame.generation == generation and frame.sequence == len(chain)
+
+
+def _newest_stray(data: bytes, offset: int, next_sequence: int, chain_generation: int) -> int:
+    """The newest generation of an intact frame behind the chain that can only have been written after it."""
+    newest = 0
+    position = data.find(LOG_MAGIC, offset)
+    while position >= 0:
+        frame = decode_frame(LOG_MAGIC, data, position)
+        if frame is not None and (frame.generation > chain_generation or frame.sequence >= next_sequence):
+            newest = max(newest, frame.generation)
+        position = data.find(LOG_MAGIC, position + 1)
+    return newest
