--- a/canvasbeam/cluster/transport.py
+++ b/canvasbeam/cluster/transport.py
@@ -46,6 +46,7 @@
     REPLICATION = 1
     DISTRIBUTION = 2
     MEMBERSHIP = 3
+    REGISTRY = 4
 
 
 class PeerState(IntEnum):
--- /dev/null
+++ b/canvasbeam/control_plane/directory.py
@@ -0,0 +1,40 @@
+"""The directory: tells clients which data-plane nodes to connect to, from this node's own item table."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+from canvasbeam.cluster.member import Member
+from canvasbeam.control_plane.web import Answer, Request, json_answer, method_not_allowed, unavailable
+from canvasbeam.decide.directory import DataPlaneNode, choose_addresses
+from canvasbeam.errors import Failure, ResultCode
+from canvasbeam.runtime.settings import ProcessSettings
+
+RESOLVE_PATH = "/v1/resolve"
+TTL_S = 2.0
+
+
+class Directory:
+    """Answers `GET /v1/resolve` at one control node."""
+
+    def __init__(self, settings: ProcessSettings, members: Callable[[], Iterable[Member]]) -> None:
+        self._settings = settings
+        self._members = members
+
+    async def resolve(self, request: Request) -> Answer:
+        """The fronts of the data-plane nodes that are alive and ready, those near the client first."""
+        if request.path != RESOLVE_PATH:
+            return Answer(404)
+        if request.method != "GET":
+            return method_not_allowed("GET")
+        zone = request.query.get("zone", "")
+        region = request.query.get("region") or self._settings.zones.get(zone, "")
+        addresses = choose_addresses(self._ready_nodes(), zone, region)
+        if not addresses:
+            return unavailable(Failure(ResultCode.REQUEST_NOT_READY, "no data-plane node is known to be ready"))
+        return json_answer(200, {"addresses": addresses, "ttl_s": min(TTL_S, self._settings.bounds.ttl_max_s)})
+
+    def _ready_nodes(self) -> Iterable[DataPlaneNode]:
+        for member in self._members():
+            if member.front and member.ready and not member.is_control:
+                yield DataPlaneNode(member.front, member.zone, member.region)
--- /dev/null
+++ b/canvasbeam/control_plane/publisher.py
@@ -0,0 +1,44 @@
+"""Publishes the committed control state to all nodes, as items of the table."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable
+from typing import Protocol
+
+from canvasbeam.cluster.items import Item, ItemKind, Version
+from canvasbeam.control_plane.changes import encode_configuration
+from canvasbeam.control_plane.control_state import ControlState
+
+CURRENT = "current"
+
+
+class ItemPublisher(Protocol):
+    """What is needed of `ClusterNode`."""
+
+    def publish(self, items: Iterable[Item]) -> list[Item]:
+        """Merge items and bring them to all nodes."""
+        ...
+
+
+class StatePublisher:
+    """Hears of each state that this node knows to be committed; every control node publishes, the first one wins."""
+
+    def __init__(self, node: ItemPublisher) -> None:
+        self._node = node
+        self._configuration_index = 0
+        self._evacuation_index = 0
+
+    def on_committed(self, state: ControlState) -> None:
+        """Publish what changed since the last state."""
+        items = []
+        if state.configuration_index > self._configuration_index and state.configuration is not None:
+            self._configuration_index = state.configuration_index
+            payload = encode_configuration(state.configuration)
+            items.append(Item(ItemKind.CONFIGURATION, CURRENT, Version(state.configuration_index), payload))
+        if state.evacuation_index > self._evacuation_index:
+            self._evacuation_index = state.evacuation_index
+            zones = json.dumps(state.evacuated_zones).encode("ascii")
+            items.append(Item(ItemKind.EVACUATIONS, CURRENT, Version(state.evacuation_index), zones))
+        if items:
+            self._node.publish(items)
--- /dev/null
+++ b/canvasbeam/control_plane/status.py
@@ -0,0 +1,53 @@
+"""What a control node tells of itself on `/v1/status`."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Mapping
+from typing import Any
+
+from canvasbeam.cluster.items import ItemKind
+from canvasbeam.cluster.member import Member
+from canvasbeam.cluster.node import ClusterNode
+from canvasbeam.cluster.worker_items import worker_of
+from canvasbeam.control_plane.control_state import ControlStateService
+from canvasbeam.errors import Failure
+from canvasbeam.runtime.settings import MILLISECOND, ProcessSettings
+
+
+def status_document(settings: ProcessSettings, node: ClusterNode, service: ControlStateService) -> Mapping[str, Any]:
+    """The status of this node, of the control state as it knows it, and of members and workers."""
+    state = service.state
+    age_ns = node.control_age()
+    return {
+        "node": settings.node,
+        "role": "primary" if service.is_primary else "standby",
+        "primary": service.primary_ip,
+        "generation": state.generation,
+        "index": state.index,
+        "evacuated_zones": list(state.evacuated_zones),
+        "control_age_ms": None if age_ns is None else age_ns // MILLISECOND,
+        "members": [_member(member) for member in sorted(node.members(), key=lambda member: member.key)],
+        "workers": _workers(node),
+    }
+
+
+def _member(member: Member) -> Mapping[str, Any]:
+    return {
+        "name": member.name,
+        "role": member.role,
+        "ip": member.ip,
+        "zone": member.zone,
+        "ready": member.ready,
+        "is_control": member.is_control,
+    }
+
+
+def _workers(node: ClusterNode) -> Mapping[str, Mapping[str, int]]:
+    """How many workers of each service are in each state."""
+    counts: dict[str, Counter[str]] = {}
+    for item in node.table.of_kind(ItemKind.WORKER):
+        worker = worker_of(item)
+        if not isinstance(worker, Failure):
+            counts.setdefault(worker.service, Counter())[worker.state.name.lower()] += 1
+    return counts
--- a/tests/test_operator_api.py
+++ b/tests/test_operator_api.py
@@ -95,7 +95,7 @@
     ) -> Answered:
         messages: list[Message] = []
         chunks = [body[start : start + 65536] for start in range(0, len(body), 65536)] or [b""]
-        events = [{"type": "http.request", "body": chunk, "more_body": True} for chunk in chunks]
+        events: list[Message] = [{"type": "http.request", "body": chunk, "more_body": True} for chunk in chunks]
         events.append({"type": "http.request", "body": b"", "more_body": False})
 
         async def receive() -> Message:
@@ -313,9 +313,9 @@
     async def body(caller: Caller) -> None:
         for _ in range(2):
             assert (await caller.call("POST", "/v1/evacuate/z2")).status == 200
-        assert caller.service.state.evacuated_zones == ("z2",)
+        assert list(caller.service.state.evacuated_zones) == ["z2"]
         assert (await caller.call("DELETE", "/v1/evacuate/z2")).status == 200
-        assert caller.service.state.evacuated_zones == ()
+        assert not caller.service.state.evacuated_zones
 
     run(body)
 
@@ -351,7 +351,10 @@
 def test_call_that_is_cut_short_is_not_answered() -> None:
     async def body(caller: Caller) -> None:
         sent: list[Message] = []
-        events = [{"type": "http.request", "body": b"{", "more_body": True}, {"type": "http.disconnect"}]
+        events: list[Message] = [
+            {"type": "http.request", "body": b"{", "more_body": True},
+            {"type": "http.disconnect"},
+        ]
 
         async def receive() -> Message:
             return events.pop(0)
