Refuse heads beyond the limit that come in one piece; tests of bad clients and the planned end

The parser bounds only heads that are incomplete, so 20 KB read at once passed a limit of 16 KB. The ingress now counts the head and answers 431.

--- a/canvasbeam/data_plane/ingress.py
+++ b/canvasbeam/data_plane/ingress.py
@@ -16,7 +16,7 @@
     end_to_end,
     own_answer,
 )
-from canvasbeam.data_plane.routes import Configuration, Route
+from canvasbeam.data_plane.routes import ClientLimits, Configuration, Route
 from canvasbeam.data_plane.shutdown import Shutdown
 from canvasbeam.errors import Failure, ResultCode
 from canvasbeam.runtime.settings import MILLISECOND
@@ -26,6 +26,8 @@
 
 # How long before a client's own deadline its answer leaves.
 CLIENT_MARGIN_NS = 10 * MILLISECOND
+# After one of these the rest of the request may be unread.
+CLOSING_CODES = frozenset((ResultCode.REQUEST_INVALID, ResultCode.REQUEST_TOO_LARGE, ResultCode.REQUEST_HEAD_TOO_LARGE))
 COME_BACK_AT_ONCE_NS = 50 * MILLISECOND
 BODY_TIMEOUT_S = 10.0
 MAX_REQUEST_ID_BYTES = 256
@@ -58,8 +60,7 @@
         except _ClientLeft:
             return
         if isinstance(request, Failure):
-            unread = request.code in (ResultCode.REQUEST_INVALID, ResultCode.REQUEST_TOO_LARGE)
-            await answer.send_whole(own_answer(request, close=unread))
+            await answer.send_whole(own_answer(request, close=request.code in CLOSING_CODES))
             return
         due_ns = self._shutdown.due(request)
         if due_ns is None:
@@ -84,13 +85,17 @@
     ) -> ClientRequest | Failure:
         headers: Headers = list(scope["headers"])
         configuration = self._view.current
-        limit = configuration.limits.max_body_bytes if configuration is not None else 0
+        limits = configuration.limits if configuration is not None else ClientLimits()
+        if _head_bytes(scope, headers) > limits.max_header_bytes:
+            return Failure(
+                ResultCode.REQUEST_HEAD_TOO_LARGE, f"the head is larger than {limits.max_header_bytes} bytes"
+            )
         fault = _find_fault(scope, headers)
         if fault is not None:
             return fault
         if configuration is None:
             return Failure(ResultCode.REQUEST_NOT_READY, "no configuration is known yet")
-        body = await _read_body(receive, headers, limit)
+        body = await _read_body(receive, headers, limits.max_body_bytes)
         if isinstance(body, Failure):
             return body
         route = self._find_route(scope, headers)
@@ -144,6 +149,12 @@
     return None
 
 
+def _head_bytes(scope: MutableMapping[str, Any], headers: Headers) -> int:
+    """About how many bytes the head of a request had."""
+    line = len(scope["raw_path"]) + len(scope["query_string"])
+    return line + sum(len(name) + len(value) + 4 for name, value in headers)
+
+
 def _find_fault(scope: MutableMapping[str, Any], headers: Headers) -> Failure | None:
     """What makes a request unusable, before its body is read."""
     names = [name for name, _ in headers]
--- a/canvasbeam/data_plane/program.py
+++ b/canvasbeam/data_plane/program.py
@@ -28,7 +28,7 @@
 EXIT_OK = 0
 EXIT_SETTINGS = 2
 EXIT_START = 3
-EXPECTED_NODES = 6  # until the members are known
+EXPECTED_NODES = 4  # at the least: members are heard of one after the other
 RESERVED_DESCRIPTORS = 400
 READY_CHECK_S = 0.2
 LEAVE_FLUSH_S = 0.05
@@ -68,7 +68,7 @@
 
     def _live_nodes(self) -> int:
         nodes = sum(not member.is_control for member in self._cluster.members())
-        return nodes or EXPECTED_NODES
+        return max(nodes, EXPECTED_NODES)
 
     def _on_configuration(self, configuration: Configuration) -> None:
         limits = configuration.limits
--- a/canvasbeam/data_plane/requests.py
+++ b/canvasbeam/data_plane/requests.py
@@ -35,6 +35,7 @@
     ResultCode.REQUEST_INVALID: 400,
     ResultCode.REQUEST_NO_ROUTE: 404,
     ResultCode.REQUEST_TOO_LARGE: 413,
+    ResultCode.REQUEST_HEAD_TOO_LARGE: 431,
     ResultCode.REQUEST_REFUSED: 503,
     ResultCode.REQUEST_FAILED: 502,
     ResultCode.REQUEST_TIMED_OUT: 504,
--- a/canvasbeam/data_plane/worker_connections.py
+++ b/canvasbeam/data_plane/worker_connections.py
@@ -15,14 +15,14 @@
 from canvasbeam.data_plane.network_stream import WorkerStream, connect
 from canvasbeam.runtime.settings import Address
 
-CONNECT_TIMEOUT_S = 1.0
+CONNECT_TIMEOUT_S = 0.5
 # A worker that names no time may close a connection at rest at any moment.
 DEFAULT_IDLE_S = 15.0
 DEFAULT_IDLE_UNSAFE_S = 4.0
 # How long before its stated end a connection is no longer used: the worker's clock began earlier.
 IDLE_MARGIN_S = 0.3
 IDLE_MARGIN_UNSAFE_S = 1.0
-LEAST_CONNECTIONS = 4
+LEAST_CONNECTIONS = 3
 
 
 class ConnectFailed(Exception):
--- a/canvasbeam/errors.py
+++ b/canvasbeam/errors.py
@@ -67,6 +67,7 @@
     REQUEST_FAILED = 705, "the worker failed; the request may have run"
     REQUEST_TIMED_OUT = 706, "no answer came in time; the request may have run"
     REQUEST_NOT_READY = 707, "this node has no configuration yet"
+    REQUEST_HEAD_TOO_LARGE = 708, "the head of the request is larger than the limit"
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/test_data_plane_ingress.py
@@ -0,0 +1,144 @@
+"""Clients that send what they should not: a 4xx or a close, and nothing runs."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from tests.data_plane_harness import HOST, DataPlaneUnderTest, ScriptedWorker, WorkerTurn, request_bytes
+from tests.test_data_plane_requests import run
+
+HEAD = f"POST /safe/x HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: r1\r\nX-Deadline: 4000\r\n"
+INNER = f"POST /unsafe/x HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: smuggled\r\nContent-Length: 0\r\n\r\n"
+
+REFUSED = {
+    "two lengths": HEAD + f"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n{INNER}",
+    "two lengths, the other order": HEAD + f"Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n{INNER}",
+    "two different lengths": HEAD + f"Content-Length: 0\r\nContent-Length: 5\r\n\r\n{INNER}",
+    "a list of lengths": HEAD + f"Content-Length: 0, 5\r\n\r\n{INNER}",
+    "an encoding in disguise": HEAD + f"Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n{INNER}",
+    "two encodings": HEAD + f"Transfer-Encoding: identity, chunked\r\n\r\n0\r\n\r\n{INNER}",
+    "a space before the colon": HEAD + f"Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n{INNER}",
+    "a signed length": HEAD + "Content-Length: +5\r\n\r\nhello",
+    "a folded header": HEAD + "X-A: 1\r\n Transfer-Encoding: chunked\r\nContent-Length: 0, 1\r\n\r\n",
+    "a bad chunk": HEAD + "Transfer-Encoding: chunked\r\n\r\nzz\r\nhello\r\n0\r\n\r\n",
+    "no id": f"POST /safe/x HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 0\r\n\r\n",
+    "two ids": HEAD + "X-Request-Id: r2\r\nContent-Length: 0\r\n\r\n",
+    "no host": "POST /safe/x HTTP/1.1\r\nX-Request-Id: r1\r\nContent-Length: 0\r\n\r\n",
+    "two hosts": HEAD + "Host: b.example\r\nContent-Length: 0\r\n\r\n",
+    "a whole address": f"POST http://{HOST}/safe/x HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: r1\r\n\r\n",
+    "a bad deadline": HEAD.replace("4000", "soon") + "Content-Length: 0\r\n\r\n",
+    "not HTTP": "\x16\x03\x01 hello\r\n\r\n",
+    "a head that is too large": HEAD + f"X-Large: {'a' * 20000}\r\nContent-Length: 0\r\n\r\n",
+    "a body that is too large": HEAD + f"Content-Length: 1001\r\n\r\n{'a' * 1001}",
+    "a chunked body that is too large": HEAD + f"Transfer-Encoding: chunked\r\n\r\n3e9\r\n{'a' * 1001}\r\n0\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("what", REFUSED)
+def test_what_cannot_be_a_request_is_refused_and_the_connection_closed(what: str) -> None:
+    worker = ScriptedWorker("w1")
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        client = await data_plane.client()
+        await client.send(REFUSED[what])
+        answer = await client.response()
+        assert 400 <= answer.status < 500 or answer.status == 501
+        assert await client.closed()
+        assert not worker.received
+
+    run(body, worker)
+
+
+def test_a_body_in_chunks_reaches_the_worker_whole() -> None:
+    worker = ScriptedWorker("w1")
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        client = await data_plane.client()
+        await client.send(HEAD + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n")
+        assert (await client.response()).status == 200
+        received = worker.received[0]
+        assert received.body == b"hello world"
+        assert "transfer-encoding" not in received.headers
+
+    run(body, worker)
+
+
+def test_requests_sent_at_once_are_answered_in_their_order() -> None:
+    async def echo(turn: WorkerTurn) -> None:
+        await turn.answer("200 OK", turn.request.identity)
+
+    worker = ScriptedWorker("w1", default=echo)
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        client = await data_plane.client()
+        await client.send("".join(request_bytes("/unsafe/x", f"id-{number}") for number in range(3)))
+        for number in range(3):
+            answer = await client.response()
+            assert (answer.status, answer.body) == (200, f"id-{number}".encode())
+
+    run(body, worker)
+
+
+def test_a_client_that_leaves_before_its_body_is_whole_runs_nothing() -> None:
+    worker = ScriptedWorker("w1")
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        client = await data_plane.client()
+        await client.send(HEAD + "Content-Length: 10\r\n\r\nhalf")
+        client.writer.write_eof()
+        assert (await client.response()).status == 400
+        assert await client.closed()
+        assert not worker.received
+        assert data_plane.carrier.open_requests == 0
+
+    run(body, worker)
+
+
+def test_without_a_configuration_requests_are_refused_as_not_run() -> None:
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        data_plane.view.current = None
+        answer = await (await data_plane.client()).request("/safe/x")
+        assert answer.status == 503
+        assert float(answer.headers["retry-after"]) > 0
+
+    run(body, ScriptedWorker("w1"))
+
+
+def test_a_route_that_comes_or_goes_counts_for_the_next_request() -> None:
+    worker = ScriptedWorker("w1")
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        client = await data_plane.client()
+        kept = data_plane.routes
+        data_plane.routes = [each for each in kept if each["name"] != "safe"]
+        data_plane.configure()
+        assert (await client.request("/safe/x", "id-1")).status == 404
+        data_plane.routes = kept
+        data_plane.configure()
+        assert (await client.request("/safe/x", "id-2")).status == 200
+
+    run(body, worker)
+
+
+def test_a_request_under_way_keeps_its_route_when_that_is_removed() -> None:
+    began, proceed = asyncio.Event(), asyncio.Event()
+
+    async def work(turn: WorkerTurn) -> None:
+        began.set()
+        await proceed.wait()
+        await turn.answer()
+
+    worker = ScriptedWorker("w1", default=work)
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        client = await data_plane.client()
+        await client.send(request_bytes("/unsafe/x"))
+        await began.wait()
+        data_plane.routes = []
+        data_plane.configure()
+        proceed.set()
+        assert (await client.response()).status == 200
+
+    run(body, worker)
--- a/tests/test_data_plane_requests.py
+++ b/tests/test_data_plane_requests.py
@@ -4,18 +4,27 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
 import pytest
 
 from canvasbeam.cluster import workers_pb2
+from canvasbeam.runtime.settings import Bounds
 from tests.data_plane_harness import DataPlaneUnderTest, ScriptedWorker, WorkerTurn, make_route, request_bytes
 
 Body = Callable[[DataPlaneUnderTest], Awaitable[None]]
 
 
-def run(body: Body, *workers: ScriptedWorker, routes: list[dict[str, object]] | None = None) -> None:
+def run(
+    body: Body,
+    *workers: ScriptedWorker,
+    routes: list[dict[str, object]] | None = None,
+    bounds: Bounds | None = None,
+) -> None:
     async def main() -> None:
         under_test = DataPlaneUnderTest(list(workers))
+        if bounds is not None:
+            under_test.settings = replace(under_test.settings, bounds=bounds)
         if routes is not None:
             under_test.routes = routes
         async with under_test:
--- /dev/null
+++ b/tests/test_data_plane_shutdown.py
@@ -0,0 +1,137 @@
+"""A planned end: everything read is answered, and nothing is taken that could not be."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+
+from canvasbeam.data_plane.readiness import ReadinessApp
+from canvasbeam.data_plane.shutdown import terms_of
+from canvasbeam.runtime.http_server import HttpServer
+from canvasbeam.runtime.settings import SECOND, Address, Bounds
+from tests.data_plane_harness import Client, DataPlaneUnderTest, ScriptedWorker, WorkerTurn, event, request_bytes
+from tests.test_data_plane_requests import run
+
+QUICK = Bounds(grace_s=2.0, ttl_max_s=0.0)
+
+
+class Clock:
+    """A clock that a test moves."""
+
+    def __init__(self) -> None:
+        self.now = SECOND
+
+    def __call__(self) -> int:
+        return self.now
+
+
+def test_the_spans_of_the_end_follow_one_another_whatever_the_grace() -> None:
+    settings = DataPlaneUnderTest([]).settings
+    for grace_s in (0.5, 1, 2, 5, 8, 30):
+        terms = terms_of(replace(settings, bounds=Bounds(grace_s=grace_s)))
+        assert 0 < terms.window < terms.last_answer < terms.leave < grace_s * SECOND
+
+
+def test_a_stream_under_way_is_finished_and_its_connection_closed() -> None:
+    began, proceed = asyncio.Event(), asyncio.Event()
+
+    async def script(turn: WorkerTurn) -> None:
+        await turn.begin_stream()
+        await turn.event(1)
+        began.set()
+        await proceed.wait()
+        await turn.event(2)
+        await turn.end_stream()
+
+    worker = ScriptedWorker("w1", default=script)
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        client = await data_plane.client()
+        await client.send(request_bytes("/stream/x"))
+        await began.wait()
+        end = asyncio.ensure_future(data_plane.shutdown.run(data_plane.server, data_plane.carrier))
+        await asyncio.sleep(0)
+        proceed.set()
+        answer = await client.response()
+        assert answer.complete
+        assert answer.body == (event(1) + event(2)).encode()
+        assert await client.closed()
+        await end
+        assert data_plane.server.connection_count == 0
+
+    run_quick(body, worker)
+
+
+def test_requests_after_the_signal_are_served_and_told_to_go_elsewhere_next() -> None:
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        kept = await data_plane.client()
+        assert (await kept.request("/safe/x", "id-1")).headers.get("connection") is None
+        end = asyncio.ensure_future(data_plane.shutdown.run(data_plane.server, data_plane.carrier))
+        await asyncio.sleep(0)
+        for client in (kept, await data_plane.client()):
+            answer = await client.request("/safe/x", "id-2")
+            assert answer.status == 200
+            assert answer.headers["connection"] == "close"
+            assert await client.closed()
+        await end
+
+    run_quick(body, ScriptedWorker("w1"))
+
+
+def test_what_has_no_answer_by_the_last_moment_is_answered_for_what_it_is() -> None:
+    async def work(turn: WorkerTurn) -> None:
+        await turn.until_closed()
+
+    worker = ScriptedWorker("w1", default=work)
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        client = await data_plane.client()
+        await client.send(request_bytes("/unsafe/x"))
+        await asyncio.ensure_future(data_plane.shutdown.run(data_plane.server, data_plane.carrier))
+        answer = await client.response()
+        assert answer.status == 504
+        assert await client.closed()
+
+    run_quick(body, worker)
+
+
+def test_a_request_that_could_not_be_answered_before_the_end_is_refused_at_once() -> None:
+    worker = ScriptedWorker("w1")
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        clock = Clock()
+        data_plane.shutdown._now_ns = clock
+        data_plane.shutdown._ending.begin(clock.now)
+        clock.now += data_plane.shutdown._ending.terms.last_answer - 1
+        answer = await (await data_plane.client()).request("/unsafe/x")
+        assert answer.status == 503
+        assert answer.headers["connection"] == "close"
+        assert not worker.received
+
+    run(body, worker)
+
+
+def test_readiness_is_told_as_it_is() -> None:
+    async def main() -> None:
+        ready = False
+        server = HttpServer(ReadinessApp(lambda: ready), Address("127.0.0.1", 0))
+        assert await server.start() is None
+        client = Client(*await asyncio.open_connection("127.0.0.1", server.port))
+        for told, status in ((False, 503), (True, 200), (False, 503)):
+            ready = told
+            await client.send("GET /v1/readyz HTTP/1.1\r\nHost: a\r\n\r\n")
+            assert (await client.response()).status == status
+        await client.send("GET /other HTTP/1.1\r\nHost: a\r\n\r\n")
+        assert (await client.response()).status == 404
+        client.close()
+        await server.close()
+
+    asyncio.run(main())
+
+
+def run_quick(body: object, worker: ScriptedWorker) -> None:
+    async def with_quick_end(data_plane: DataPlaneUnderTest) -> None:
+        assert callable(body)
+        await body(data_plane)
+
+    run(with_quick_end, worker, bounds=QUICK)
