Run the control plane: cluster node, replicated state, registry, directory and operator's API

One process serves control and directory. At SIGTERM calls in progress are answered, the primary resigns and the others are told.

--- /dev/null
+++ b/canvasbeam/control_plane/program.py
@@ -0,0 +1,143 @@
+"""The control process: its parts, and their start and end in order."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from contextlib import suppress
+
+from canvasbeam.cluster.node import ClusterNode
+from canvasbeam.control_plane.changes import apply, decode_state, encode_state
+from canvasbeam.control_plane.directory import RESOLVE_PATH, Directory
+from canvasbeam.control_plane.operator_api import CONFIGURATION_PATH, EVACUATION_PREFIX, STATUS_PATH, OperatorApi
+from canvasbeam.control_plane.publisher import StatePublisher
+from canvasbeam.control_plane.registry import INSTANCES_PREFIX, RegistryService
+from canvasbeam.control_plane.replicated_state import ReplicatedControlState
+from canvasbeam.control_plane.status import status_document
+from canvasbeam.control_plane.web import Endpoint, web_app
+from canvasbeam.errors import Failure, ResultCode
+from canvasbeam.runtime import logs
+from canvasbeam.runtime.http_server import HttpLimits, HttpServer
+from canvasbeam.runtime.settings import ProcessSettings, load_settings, settings_path
+from canvasbeam.runtime.signals import ProcessSignals, SettingsWatch
+
+EXIT_OK = 0
+EXIT_SETTINGS = 2
+EXIT_START = 3
+NO_BODY_BYTES = 4096
+RESERVED_DESCRIPTORS = 400
+DRAIN_S = 1.0
+RESIGN_S = 2.0
+LEAVE_FLUSH_S = 0.05
+
+log = logs.get_logger(__name__)
+
+
+class ControlPlane:
+    """All parts of one control node."""
+
+    def __init__(self, settings: ProcessSettings) -> None:
+        self._node = ClusterNode(settings, is_control=True)
+        self._service = ReplicatedControlState(settings, self._node.transport, apply, encode_state, decode_state)
+        self._publisher = StatePublisher(self._node)
+        self._service.add_commit_listener(self._publisher.on_committed)
+        self._registry = RegistryService(settings, self._node)
+        self._directory = Directory(settings, self._node.members)
+        self._operator = OperatorApi(
+            settings, self._service, self._is_reachable, lambda: status_document(settings, self._node, self._service)
+        )
+        self._servers = self._make_servers(settings)
+        self._judging: asyncio.Task[None] | None = None
+
+    def _make_servers(self, settings: ProcessSettings) -> list[HttpServer]:
+        connections = max(64, (settings.limits.max_fds - RESERVED_DESCRIPTORS) // 2)
+        limits = HttpLimits(max_connections=connections)
+        endpoints = {"control": self._control_endpoints(), "directory": self._directory_endpoints()}
+        return [
+            HttpServer(web_app(endpoints[name]), settings.listen[name], limits)
+            for name in endpoints
+            if name in settings.listen
+        ]
+
+    def _control_endpoints(self) -> list[Endpoint]:
+        operator, registry = self._operator, self._registry
+        return [
+            Endpoint(INSTANCES_PREFIX, registry.instances, registry.most_body_bytes),
+            Endpoint(CONFIGURATION_PATH, operator.configuration, operator.most_body_bytes),
+            Endpoint(EVACUATION_PREFIX, operator.evacuation, _no_body),
+            Endpoint(STATUS_PATH, operator.status, _no_body),
+        ]
+
+    def _directory_endpoints(self) -> list[Endpoint]:
+        return [Endpoint(RESOLVE_PATH, self._directory.resolve, _no_body)]
+
+    def _is_reachable(self, ip: str) -> bool:
+        return any(member.ip == ip for member in self._node.control_nodes())
+
+    async def start(self) -> Failure | None:
+        """Join the cluster, open the storage, and serve."""
+        try:
+            await self._node.start()
+        except OSError as error:
+            return Failure(ResultCode.ADDRESS_IN_USE, f"{self._node.address}: {error}")
+        await self._service.start()
+        logs.set_epoch(lambda: self._service.status.epoch)
+        for server in self._servers:
+            failure = await server.start()
+            if failure is not None:
+                return failure
+        self._judging = asyncio.create_task(self._registry.run())
+        self._node.set_ready(True)
+        return None
+
+    def change_settings(self, settings: ProcessSettings) -> None:
+        """Take changed settings: of those, the seeds may change while a process runs."""
+        self._node.set_seeds(settings.seed_peers)
+
+    async def stop(self) -> None:
+        """End in order: calls in progress are answered, the office is handed on, the others are told."""
+        self._registry.stop()
+        self._node.set_ready(False)
+        await asyncio.gather(*(server.drain(DRAIN_S) for server in self._servers))
+        with suppress(TimeoutError):
+            async with asyncio.timeout(RESIGN_S):
+                await self._service.stop()
+        if self._judging is not None:
+            self._judging.cancel()
+        self._node.leave()
+        await asyncio.sleep(LEAVE_FLUSH_S)
+        for server in self._servers:
+            await server.close()
+        await self._node.stop()
+
+
+def _no_body() -> int:
+    return NO_BODY_BYTES
+
+
+async def run(settings: ProcessSettings) -> int:
+    """Run one control node until it is told to end."""
+    control_plane = ControlPlane(settings)
+    watch = SettingsWatch(settings_path(), settings, control_plane.change_settings)
+    signals = ProcessSignals.install(watch)
+    failure = await control_plane.start()
+    if failure is not None:
+        log.error("{}", failure)
+        return EXIT_START
+    await signals.wait_for_termination()
+    await control_plane.stop()
+    signals.close()
+    return EXIT_OK
+
+
+def main() -> int:
+    """The program."""
+    settings = load_settings(settings_path())
+    if isinstance(settings, Failure):
+        print(settings, file=sys.stderr)
+        return EXIT_SETTINGS
+    logs.configure(settings)
+    try:
+        return asyncio.run(run(settings))
+    finally:
+        logs.shut_down()
--- a/canvasbeam/control_plane/status.py
+++ b/canvasbeam/control_plane/status.py
@@ -10,21 +10,27 @@
 from canvasbeam.cluster.member import Member
 from canvasbeam.cluster.node import ClusterNode
 from canvasbeam.cluster.worker_items import worker_of
-from canvasbeam.control_plane.control_state import ControlStateService
+from canvasbeam.control_plane.replicated_state import ReplicatedControlState
 from canvasbeam.errors import Failure
 from canvasbeam.runtime.settings import MILLISECOND, ProcessSettings
 
 
-def status_document(settings: ProcessSettings, node: ClusterNode, service: ControlStateService) -> Mapping[str, Any]:
+def status_document(settings: ProcessSettings, node: ClusterNode, service: ReplicatedControlState) -> Mapping[str, Any]:
     """The status of this node, of the control state as it knows it, and of members and workers."""
-    state = service.state
+    state, replication = service.state, service.status
     age_ns = node.control_age()
     return {
         "node": settings.node,
-        "role": "primary" if service.is_primary else "standby",
-        "primary": service.primary_ip,
+        "role": replication.role,
+        "epoch": replication.epoch,
+        "member": replication.member,
+        "primary": replication.primary,
+        "replicas": list(replication.replicas),
+        "witnesses": list(replication.witnesses),
+        "committed_index": replication.committed_index,
+        "stored_index": replication.stored_index,
+        "disk": replication.disk,
         "generation": state.generation,
-        "index": state.index,
         "evacuated_zones": list(state.evacuated_zones),
         "control_age_ms": None if age_ns is None else age_ns // MILLISECOND,
         "members": [_member(member) for member in sorted(node.members(), key=lambda member: member.key)],
