--- a/bench/peers.py
+++ b/bench/peers.py
@@ -27,6 +27,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
+from canvasbeam.decide.member_status import Status
 from canvasbeam.decide.membership import (
     MS,
     SECOND,
@@ -42,7 +43,6 @@
     Received,
     Sender,
     Standing,
-    Status,
     Tell,
     Terms,
 )
--- a/canvasbeam/cluster/member.py
+++ b/canvasbeam/cluster/member.py
@@ -12,7 +12,7 @@
 
 from canvasbeam.cluster.items import Item, ItemKind, Version
 from canvasbeam.cluster.membership_pb2 import MemberRecord
-from canvasbeam.decide.membership import Status
+from canvasbeam.decide.member_status import Status
 from canvasbeam.errors import Failure, ResultCode
 
 
--- /dev/null
+++ b/canvasbeam/cluster/member_list.py
@@ -0,0 +1,72 @@
+"""The members as this node sees them, from their items and from its own monitoring.
+
+What others say against a member counts only after a grace time. When a cut heals, each side hears for a moment that all
+members of the other are suspect or dead, until they have refuted it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from canvasbeam.cluster.items import Item
+from canvasbeam.cluster.member import Member, member_of, status_of
+from canvasbeam.decide.member_status import Status
+from canvasbeam.errors import Failure
+
+HEARSAY_GRACE = 400_000_000
+
+
+class MemberList:
+    """The members that are alive, suspect, or doubted for a short time."""
+
+    def __init__(self) -> None:
+        self._members: dict[str, Member] = {}
+        self._statuses: dict[str, Status] = {}
+        self._doubted: dict[str, int] = {}  # until when a member is listed in spite of what others say
+
+    def note(self, now: int, item: Item) -> None:
+        """A member's item changed."""
+        key, status = item.key, status_of(item)
+        if status is Status.LEFT:
+            self._forget(key)
+            return
+        if not item.deleted:
+            member = member_of(item)
+            if isinstance(member, Failure):
+                return
+            self._members[key] = member
+        if key not in self._members:
+            return
+        if status is Status.ALIVE:
+            self._doubted.pop(key, None)
+        elif self._statuses.get(key, Status.ALIVE) is Status.ALIVE:
+            self._doubted[key] = now + HEARSAY_GRACE
+        self._statuses[key] = status
+
+    def expire(self, now: int) -> bool:
+        """End the grace that is over; tells whether a member that is dead went out of the list by it."""
+        over = [key for key, until in self._doubted.items() if until <= now]
+        for key in over:
+            del self._doubted[key]
+        dead = [key for key in self._members if self._statuses[key] is Status.DEAD and key not in self._doubted]
+        for key in dead:
+            self._forget(key)
+        return bool(dead)
+
+    def known(self) -> list[tuple[Member, Status]]:
+        """All members, with what is said of them."""
+        return [(member, self._statuses[key]) for key, member in self._members.items()]
+
+    def alive(self, now: int, is_silent: Callable[[str], bool]) -> tuple[Member, ...]:
+        """The members that are alive, not suspected, and not silent to this node itself."""
+        return tuple(
+            member for key, member in self._members.items() if self._is_listed(now, key) and not is_silent(key)
+        )
+
+    def _is_listed(self, now: int, key: str) -> bool:
+        return self._statuses[key] is Status.ALIVE or self._doubted.get(key, 0) > now
+
+    def _forget(self, key: str) -> None:
+        self._members.pop(key, None)
+        self._statuses.pop(key, None)
+        self._doubted.pop(key, None)
--- a/canvasbeam/cluster/node.py
+++ b/canvasbeam/cluster/node.py
@@ -7,20 +7,25 @@
 import time
 from collections.abc import Iterable, Sequence
 
-from canvasbeam.cluster import codec
-from canvasbeam.cluster.items import Item, ItemKind, ItemTable
-from canvasbeam.cluster.member import Member, member_of, status_of
+from google.protobuf.message import DecodeError
+
+from canvasbeam.cluster import codec, membership_pb2
+from canvasbeam.cluster.items import Item, ItemKind, ItemTable, Version
+from canvasbeam.cluster.member import Member
+from canvasbeam.cluster.member_list import MemberList
 from canvasbeam.cluster.own_member import OwnMember
 from canvasbeam.cluster.transport import Channel, PeerInfo, Transport
 from canvasbeam.decide.distribution import Distribution, Start
 from canvasbeam.decide.distribution_messages import DistributionTerms
-from canvasbeam.decide.membership import Status
+from canvasbeam.decide.member_status import Status
+from canvasbeam.decide.monitoring import Judge, Known, Monitoring, MonitoringTerms, Probe
 from canvasbeam.decide.relay_tree import Place
 from canvasbeam.errors import Failure
 from canvasbeam.runtime.settings import Address, ProcessSettings
 
 NANOSECOND = 1e-9
 LEAST_WAIT_S = 0.005
+MEMBERS_WAIT_S = 0.03  # within which the decisions are told of changed members
 
 
 class ClusterNode:
@@ -34,16 +39,20 @@
         self.table = ItemTable()
         self.transport = Transport(settings.node, self.address)
         self._own = OwnMember(_own_member(settings, is_control))
-        me = Place(self._own.member.key, self.address, settings.zone, settings.region, is_control)
-        seed = random.randrange(1 << 32)
         now = time.monotonic_ns()
-        self._distribution = Distribution(me, settings.seed_peers, self.table, DistributionTerms(), Start(seed, now))
-        self._members: dict[str, Member] = {}  # alive or suspect
-        self._alive: tuple[Member, ...] | None = None
+        me = Place(self._own.member.key, self.address, settings.zone, settings.region, is_control)
+        start = Start(random.randrange(1 << 32), now)
+        self._terms = DistributionTerms()
+        self._distribution = Distribution(me, settings.seed_peers, self.table, self._terms, start)
+        self._monitoring = Monitoring(me, MonitoringTerms(), now)
+        self._members = MemberList()
         self._timer: asyncio.TimerHandle | None = None
         self._is_running = False
+        self._have_members_changed = False
         self.table.add_listener(self._on_items)
         self.transport.register(Channel.DISTRIBUTION, self._on_message)
+        self.transport.register_datagrams(self._on_datagram)
+        self.transport.register_disconnects(self._on_disconnected)
 
     # --- life -------------------------------------------------------------------------------------
 
@@ -94,9 +103,7 @@
 
     def members(self) -> tuple[Member, ...]:
         """The members that are alive and not suspected, this process among them."""
-        if self._alive is None:
-            self._alive = tuple(each for each in self._members.values() if self._is_alive(each))
-        return self._alive
+        return self._members.alive(time.monotonic_ns(), self._monitoring.is_silent)
 
     def control_nodes(self) -> tuple[Member, ...]:
         """The control processes among the members."""
@@ -129,33 +136,57 @@
         if isinstance(message, Failure):
             self.transport.counters.invalid += 1
             return
-        self._distribution.receive(time.monotonic_ns(), sender.address, message)
+        now = time.monotonic_ns()
+        self._monitoring.on_heard(now)
+        self._distribution.receive(now, sender.address, message)
         self._perform()
 
+    def _on_disconnected(self, address: Address) -> None:
+        if self._is_running:
+            now = time.monotonic_ns()
+            self._distribution.on_disconnected(now, address)
+            self._schedule()
+
+    def _on_datagram(self, sender: Address, payload: bytes) -> None:
+        try:
+            probe = membership_pb2.Probe.FromString(payload)
+        except DecodeError:
+            self.transport.counters.invalid += 1
+            return
+        now = time.monotonic_ns()
+        self._monitoring.on_heard(now)
+        if probe.is_answer:
+            self._monitoring.on_answer(now, sender)
+        elif not self._own.has_left:
+            answer = membership_pb2.Probe(is_answer=True, number=probe.number)
+            self.transport.send_datagram(sender, answer.SerializeToString())
+            if probe.status:
+                self._refute(Version(probe.incarnation, probe.status))
+
     def _on_items(self, items: Sequence[Item]) -> None:
         """Members among changed items: keep the list, and refute what is said wrongly of us."""
         changed = [item for item in items if item.kind is ItemKind.MEMBER]
         if not changed:
             return
+        now = time.monotonic_ns()
         for item in changed:
-            self._note_member(item)
-        self._alive = None
-        self._distribution.set_places(time.monotonic_ns(), [self._place(each) for each in self._members.values()])
+            self._members.note(now, item)
+        self._have_members_changed = True
         for item in changed:
-            refutation = self._own.refute(item.version) if self._own.is_own(item) else None
-            if refutation is not None:
-                self.publish([refutation])
+            if self._own.is_own(item):
+                self._refute(item.version)
 
-    def _note_member(self, item: Item) -> None:
-        member = member_of(item)
-        if item.deleted or isinstance(member, Failure):
-            self._members.pop(item.key, None)
-        else:
-            self._members[item.key] = member
+    def _refute(self, version: Version) -> None:
+        refutation = self._own.refute(version)
+        if refutation is not None:
+            self.publish([refutation])
 
-    def _is_alive(self, member: Member) -> bool:
-        item = self.table.get(ItemKind.MEMBER, member.key)
-        return item is not None and status_of(item) is Status.ALIVE
+    def _tell_members(self, now: int) -> None:
+        """Give the members to the decisions. Not at each change: when a fleet starts there are many."""
+        self._have_members_changed = False
+        known = [Known(self._place(member), member.incarnation, status) for member, status in self._members.known()]
+        self._distribution.set_places(now, [each.place for each in known])
+        self._monitoring.set_members(now, [each for each in known if each.status <= Status.SUSPECT])
 
     def _place(self, member: Member) -> Place:
         return Place(member.key, self.peer_address(member), member.zone, member.region, member.is_control)
@@ -164,9 +195,32 @@
 
     def _tick(self) -> None:
         self._timer = None
-        self._distribution.tick(time.monotonic_ns())
+        now = time.monotonic_ns()
+        if self._members.expire(now) or self._have_members_changed:
+            self._tell_members(now)
+        self._distribution.tick(now)
+        for action in self._monitoring.tick(now, self.in_touch(self._terms.stale)):
+            if isinstance(action, Probe):
+                self._send_probe(action)
+            else:
+                self._publish_judgement(action)
         self._perform()
 
+    def _send_probe(self, probe: Probe) -> None:
+        message = membership_pb2.Probe(number=probe.number)
+        if probe.status is not Status.ALIVE:
+            message.incarnation, message.status = probe.incarnation, int(probe.status)
+        self.transport.send_datagram(probe.address, message.SerializeToString())
+
+    def _publish_judgement(self, judged: Judge) -> None:
+        item = self.table.get(ItemKind.MEMBER, judged.key)
+        if item is None:
+            return
+        version = Version(judged.incarnation, int(judged.status))
+        is_dead = judged.status > Status.SUSPECT
+        payload = b"" if is_dead else item.payload
+        self.publish([Item(ItemKind.MEMBER, judged.key, version, payload, deleted=is_dead)])
+
     def _perform(self) -> None:
         """Send what the decisions ask for, and wake when they ask for it."""
         if not self._is_running:
@@ -177,8 +231,9 @@
 
     def _schedule(self) -> None:
         loop = asyncio.get_running_loop()
-        wait = (self._distribution.wake() - time.monotonic_ns()) * NANOSECOND
-        when = loop.time() + max(wait, LEAST_WAIT_S)
+        wake = min(self._distribution.wake(), self._monitoring.wake())
+        wait = max((wake - time.monotonic_ns()) * NANOSECOND, LEAST_WAIT_S)
+        when = loop.time() + (min(wait, MEMBERS_WAIT_S) if self._have_members_changed else wait)
         if self._timer is not None:
             if self._timer.when() <= when:
                 return
--- a/canvasbeam/cluster/own_member.py
+++ b/canvasbeam/cluster/own_member.py
@@ -7,7 +7,7 @@
 
 from canvasbeam.cluster.items import Item, ItemKind, Version
 from canvasbeam.cluster.member import Member, member_item
-from canvasbeam.decide.membership import Status
+from canvasbeam.decide.member_status import Status
 
 FIRST_INCARNATIONS = 1 << 16
 
@@ -21,28 +21,28 @@
 
     def __init__(self, member: Member) -> None:
         self.member = replace(member, incarnation=random.randrange(1, FIRST_INCARNATIONS))
-        self._has_left = False
+        self.has_left = False
 
     def item(self) -> Item:
         """What is said now."""
-        return member_item(self.member, Status.LEFT if self._has_left else Status.ALIVE)
+        return member_item(self.member, Status.LEFT if self.has_left else Status.ALIVE)
 
     def set_ready(self, ready: bool) -> Item | None:
         """Tell whether this process takes clients; nothing where that was said already."""
-        if ready == self.member.ready or self._has_left:
+        if ready == self.member.ready or self.has_left:
             return None
         self._advance(self.member.incarnation, ready)
         return self.item()
 
     def leave(self) -> Item:
         """The planned end has come; nothing is refuted after this."""
-        self._has_left = True
+        self.has_left = True
         return self.item()
 
     def refute(self, version: Version) -> Item | None:
         """Somebody says this of us: what to say instead, where it is not what we said."""
         own = self.item().version
-        if self._has_left or version <= own:
+        if self.has_left or version <= own:
             return None
         self._advance(version.major, self.member.ready)
         return self.item()
--- a/canvasbeam/cluster/transport.py
+++ b/canvasbeam/cluster/transport.py
@@ -73,6 +73,7 @@
 
 MessageCallback = Callable[[PeerInfo, bytes], None]
 DatagramCallback = Callable[[Address, bytes], None]
+DisconnectCallback = Callable[[Address], None]
 
 
 @dataclass(slots=True)
@@ -187,6 +188,7 @@
         if connection is self._connection:
             self._connection = None
             self._enter(PeerState.WAITING)
+            self._owner.on_disconnected(self.address)
 
     def retry_now(self) -> None:
         """The peer was heard: end a back-off that dates from before."""
@@ -222,6 +224,7 @@
         self._task = None
         if connection is None:
             self._enter(PeerState.WAITING)
+            self._owner.on_disconnected(self.address)
         else:
             self.adopt(connection)
 
@@ -262,6 +265,7 @@
         self.hello = frame(hello.SerializeToString())
         self._callbacks: dict[int, MessageCallback] = {}
         self._datagram_callback: DatagramCallback | None = None
+        self._disconnect_callback: DisconnectCallback | None = None
         self._peers: dict[Address, _Peer] = {}
         self._connections: set[_Connection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -301,6 +305,10 @@
         """Give the datagrams to this function."""
         self._datagram_callback = callback
 
+    def register_disconnects(self, callback: DisconnectCallback) -> None:
+        """Tell this function of each address whose connection failed or could not be opened."""
+        self._disconnect_callback = callback
+
     def send(self, address: Address, channel: Channel, payload: bytes) -> None:
         """Send one message, if that can be done."""
         self.send_to_many((address,), channel, payload)
@@ -340,6 +348,11 @@
         if peer is not None:
             peer.closed(connection)
 
+    def on_disconnected(self, address: Address) -> None:
+        """A connection failed, or could not be opened."""
+        if self._disconnect_callback is not None:
+            self._disconnect_callback(address)
+
     def on_frame(self, sender: PeerInfo, channel: int, payload: bytes) -> None:
         """A message came."""
         callback = self._callbacks.get(channel)
--- a/canvasbeam/decide/distribution.py
+++ b/canvasbeam/decide/distribution.py
@@ -127,6 +127,11 @@
             case Versions() | Request() | Compare():
                 self._reconcile(sender, message)
 
+    def on_disconnected(self, now: int, address: Address) -> None:
+        """The connection to a node failed."""
+        self.children.pop(address, None)
+        self.link.on_disconnected(now, address)
+
     def tick(self, now: int) -> None:
         """Do what is due."""
         if self.me.is_control:
--- a/canvasbeam/decide/membership.py
+++ b/canvasbeam/decide/membership.py
@@ -33,20 +33,13 @@
 from math import ceil, log, log2
 from zlib import crc32
 
+from canvasbeam.decide.member_status import Status
+
 MS = 1_000_000
 SECOND = 1_000 * MS
 MUCH_NEWS = 60  # facts that are still told on: with so many, suspicions take twice as long
 
 
-class Status(IntEnum):
-    """What is said of a member; of one incarnation the later ones stand."""
-
-    ALIVE = 0
-    SUSPECT = 1
-    DEAD = 2
-    LEFT = 3
-
-
 class Kind(IntEnum):
     """What a datagram is for."""
 
--- a/canvasbeam/decide/parent_link.py
+++ b/canvasbeam/decide/parent_link.py
@@ -118,6 +118,12 @@
         if self.is_parent(sender):
             self._detach(now)
 
+    def on_disconnected(self, now: int, address: Address) -> None:
+        """The connection to a candidate or to the parent failed: no need to wait for its silence."""
+        if address in self._candidates or self.is_parent(address):
+            self.on_refuse(now, address)
+            self._next_ask = now
+
     def tick(self, now: int) -> list[Send]:
         """Do what is due."""
         terms = self._terms
--- a/canvasbeam/lab/peers_sim.py
+++ b/canvasbeam/lab/peers_sim.py
@@ -14,6 +14,7 @@
 from heapq import heappop, heappush
 from typing import Protocol
 
+from canvasbeam.decide.member_status import Status
 from canvasbeam.decide.membership import (
     Action,
     Changed,
@@ -23,7 +24,6 @@
     Message,
     Received,
     Sender,
-    Status,
     Tell,
     Terms,
     Ticked,
--- a/canvasbeam/peers/carrier.py
+++ b/canvasbeam/peers/carrier.py
@@ -16,7 +16,8 @@
 from typing import Any
 
 from canvasbeam.decide import membership
-from canvasbeam.decide.membership import Changed, Leave, Membership, Sender, Status, Tell, Ticked
+from canvasbeam.decide.member_status import Status
+from canvasbeam.decide.membership import Changed, Leave, Membership, Sender, Tell, Ticked
 from canvasbeam.net.limits import nanoseconds, seconds, span_of
 from canvasbeam.net.loop import READ, Deadline, Endpoint, Loop
 from canvasbeam.peers.rates import Bucket, Sources
--- a/canvasbeam/peers/wire.py
+++ b/canvasbeam/peers/wire.py
@@ -14,7 +14,8 @@
 
 import msgspec
 
-from canvasbeam.decide.membership import Fact, Kind, Message, Received, Sender, Status
+from canvasbeam.decide.member_status import Status
+from canvasbeam.decide.membership import Fact, Kind, Message, Received, Sender
 
 VERSION = 1
 MAGIC = b"cbp"
--- a/tests/peering.py
+++ b/tests/peering.py
@@ -6,7 +6,8 @@
 from collections import deque
 from typing import Any
 
-from canvasbeam.decide.membership import Changed, Membership, Received, Sender, Status
+from canvasbeam.decide.member_status import Status
+from canvasbeam.decide.membership import Changed, Membership, Received, Sender
 from canvasbeam.lab.model.links import Links
 from canvasbeam.lab.model.worker import MS, SECOND
 from canvasbeam.lab.peers_sim import Instance, PeerWorld
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -13,6 +13,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
 from canvasbeam.decide import membership
+from canvasbeam.decide.member_status import Status
 from canvasbeam.decide.membership import (
     Changed,
     Fact,
@@ -22,7 +23,6 @@
     Received,
     Sender,
     Standing,
-    Status,
     Tell,
     Terms,
     Ticked,
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -19,7 +19,8 @@
 
 from canvasbeam.cli.commands import cli
 from canvasbeam.cli.peers import worded
-from canvasbeam.decide.membership import Fact, Kind, Message, Sender, Status
+from canvasbeam.decide.member_status import Status
+from canvasbeam.decide.membership import Fact, Kind, Message, Sender
 from canvasbeam.net.loop import Loop
 from canvasbeam.peers import settings as peer_settings
 from canvasbeam.peers.carrier import Carrier, Station
