--- /dev/null
+++ b/tests/test_data_plane_items.py
@@ -0,0 +1,168 @@
+"""What the data plane makes of the item table: configurations, evacuations, workers and the fleet's limits."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+
+from canvasbeam import interface as ci
+from canvasbeam.cluster import workers_pb2
+from canvasbeam.cluster.items import Item, ItemKind, ItemTable, Version
+from canvasbeam.data_plane.configuration_view import ConfigurationView
+from canvasbeam.data_plane.job_classes import classes_of, prompt_of, worker_priority
+from canvasbeam.data_plane.requests import ClientAnswer, ClientRequest
+from canvasbeam.data_plane.routes import RouteKind, parse_configuration
+from tests.data_plane_harness import HOST, ROUTES, DataPlaneUnderTest, ScriptedWorker, make_route
+from tests.test_data_plane_requests import run
+
+
+def configuration_item(index: int, **changes: object) -> Item:
+    document = {"generation": index, "routes": ROUTES, "services": [{"name": "svc"}], "limits": {}} | changes
+    return Item(ItemKind.CONFIGURATION, "current", Version(index), json.dumps(document).encode())
+
+
+def test_configurations_are_adopted_in_the_order_of_their_versions_whatever_the_order_they_come_in() -> None:
+    table = ItemTable()
+    view = ConfigurationView(table)
+    seen: list[int] = []
+    view.add_listener(lambda configuration: seen.append(configuration.generation))
+    for index in (3, 1, 5, 4, 5):
+        table.merge([configuration_item(index)])
+    assert seen == [3, 5]
+
+
+def test_a_configuration_that_cannot_be_read_leaves_the_one_before_in_force() -> None:
+    table = ItemTable()
+    view = ConfigurationView(table)
+    table.merge([configuration_item(1)])
+    table.merge([Item(ItemKind.CONFIGURATION, "current", Version(2), b"{")])
+    assert view.current is not None
+    assert view.current.generation == 1
+
+
+def test_what_was_there_before_the_view_is_taken() -> None:
+    table = ItemTable()
+    table.merge([configuration_item(1), Item(ItemKind.EVACUATIONS, "current", Version(1), b'["z1"]')])
+    view = ConfigurationView(table)
+    assert view.current is not None
+    assert view.evacuated_zones == {"z1"}
+
+
+def test_requests_are_split_by_weight() -> None:
+    split = [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}, {"service": "c", "weight": 0}]
+    route = make_route("r", "safe", split=split)
+    del route["service"]
+    configuration = parse_configuration({"generation": 1, "routes": [route], "services": []})
+    generator = random.Random(1)
+    chosen = [configuration.routes[0].choose_service(generator) for _ in range(1000)]
+    assert 860 < chosen.count("a") < 940
+    assert chosen.count("c") == 0
+
+
+def test_routes_are_looked_up_by_host_and_longest_prefix() -> None:
+    routes = [
+        make_route("root", "safe", prefix="/"),
+        make_route("a", "safe", prefix="/a/"),
+        make_route("ab", "safe", prefix="/a/b/"),
+        make_route("other", "safe", host="b.example", prefix="/a/"),
+    ]
+    configuration = parse_configuration({"generation": 1, "routes": routes, "services": []})
+    for path, name in (("/a/b/c", "ab"), ("/a/b", "a"), ("/a/", "a"), ("/a", "root"), ("/", "root")):
+        found = configuration.find_route(HOST, path)
+        assert found is not None
+        assert found.name == name
+    assert configuration.find_route("c.example", "/a/") is None
+    assert configuration.find_route("b.example", "/x/") is None
+
+
+def test_an_unknown_kind_has_the_least_freedom() -> None:
+    configuration = parse_configuration({"generation": 1, "routes": [make_route("r", "new")], "services": []})
+    assert configuration.routes[0].kind is RouteKind.UNSAFE
+    assert not configuration.routes[0].idempotent
+
+
+def test_classes_say_what_may_be_done_with_a_routes_requests() -> None:
+    routes = [*ROUTES, make_route("home", "safe", home_regions=["r2"], priority=0)]
+    configuration = parse_configuration({"generation": 1, "routes": routes, "services": [{"name": "svc"}]})
+    classes, kinds = classes_of(configuration)
+    effects = {each.name: each.effect for each in classes}
+    assert effects == {
+        "safe/svc": ci.Effect.SAFE,
+        "unsafe/svc": ci.Effect.UNSAFE,
+        "once/svc": ci.Effect.SAFE,
+        "stream/svc": ci.Effect.UNSAFE,
+        "resume/svc": ci.Effect.SAFE,
+        "home/svc": ci.Effect.SAFE,
+    }
+    assert kinds == ("svc",)
+    assert classes[-1].homes == ("r2",)
+    assert classes[-1].priority > classes[0].priority
+    assert worker_priority(configuration.routes[-1]) == b"0"
+
+
+def test_the_prompt_is_read_from_the_headers() -> None:
+    async def send(message: object) -> None:
+        pass
+
+    def request(*headers: tuple[bytes, bytes]) -> ClientRequest:
+        route = parse_configuration({"generation": 1, "routes": [ROUTES[0]], "services": []}).routes[0]
+        answer = ClientAnswer(send, lambda: None)
+        return ClientRequest(b"r1", b"POST", b"/", list(headers), b"", route, "svc", 0, 1, answer)
+
+    parts = (b"x-prefix-hash", b"5c:800, 91:410,e4:250")
+    told = prompt_of(request((b"x-tokens", b"1460,80"), parts))
+    assert told is not None
+    assert (told.tokens_in, told.most_tokens_out) == (1460, 80)
+    assert [(each.name, each.tokens) for each in told.parts] == [("5c", 800), ("91", 410), ("e4", 250)]
+    assert prompt_of(request()) is None
+    assert prompt_of(request((b"x-tokens", b"many"))) is None
+
+
+def test_a_cold_worker_is_cold_until_one_time_however_often_it_is_looked_at() -> None:
+    worker = ScriptedWorker("w1")
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        record = workers_pb2.WorkerRecord(
+            service="svc", address=f"127.0.0.1:{worker.port}", zone="z1", slots=4, state=1, cold_left_ms=3000
+        )
+        data_plane.table.merge([Item(ItemKind.WORKER, "w1", Version(100), record.SerializeToString())])
+        first = data_plane.worker_list._told["w1"].entry
+        now = data_plane.carrier.now_ns()
+        assert now + 2_000_000_000 < first.cold_until_ns <= now + 3_000_000_000
+        await asyncio.sleep(0.002)
+        data_plane.worker_list.refresh()
+        assert data_plane.worker_list._told["w1"].entry == first
+        assert (first.kind, first.zone, first.slots) == ("svc", "r1", 4)
+
+    run(body, worker)
+
+
+def test_a_worker_that_left_is_forgotten_and_its_connections_closed() -> None:
+    worker = ScriptedWorker("w1")
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        client = await data_plane.client()
+        assert (await client.request("/safe/x", "id-1")).status == 200
+        data_plane.table.merge([Item(ItemKind.WORKER, "w1", Version(100), deleted=True)])
+        assert data_plane.connections.pool("w1") is None
+        assert data_plane.carrier.live_workers == 0
+        assert (await client.request("/safe/x", "id-2", "", "X-Deadline: 60")).status == 503
+
+    run(body, worker)
+
+
+def test_a_fault_in_the_decisions_ends_no_process_and_breaks_no_promise() -> None:
+    worker = ScriptedWorker("w1")
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        def fail(now: int, events: object) -> list[ci.Action]:
+            raise RuntimeError("a fault")
+
+        client = await data_plane.client()
+        data_plane.carrier._dispatcher.handle = fail  # type: ignore[method-assign]
+        assert (await client.request("/unsafe/x", "id-1")).status == 503
+        assert not worker.received
+        assert (await client.request("/unsafe/x", "id-2")).status == 200
+
+    run(body, worker)
