--- a/canvasbeam/decide/replication/candidate.py
+++ b/canvasbeam/decide/replication/candidate.py
@@ -55,7 +55,17 @@
 class Candidate:
     """One attempt, with one epoch."""
 
-    def __init__(self, me: MemberId, base: View, settled: bool, *, number: int, plan: Planner, timing: Timing) -> None:
+    def __init__(
+        self,
+        me: MemberId,
+        base: View,
+        settled: bool,
+        *,
+        number: int,
+        plan: Planner,
+        is_alive: Callable[[MemberId, int], bool],
+        timing: Timing,
+    ) -> None:
         self.me = me
         self.base = base
         self.settled = settled
@@ -65,6 +75,7 @@
         self.source: MemberId = ""
         self.source_position = Position(self.epoch, 0)
         self._plan = plan
+        self._is_alive = is_alive
         self._timing = timing
         self._phase_since = 0
         self._last_sent = 0
@@ -199,7 +210,8 @@
             return []
         if self._quorum_since is None:
             self._quorum_since = now
-        if self._unanswered(self._promises) and now - self._quorum_since < self._timing.grace:
+        awaited = [each for each in self._unanswered(self._promises) if self._is_alive(each, now)]
+        if awaited and now - self._quorum_since < self._timing.grace:
             return []
         promised = frozenset(each for each, answer in self._promises.items() if answer.healthy)
         view = self._plan(self.base, self.settled, self.epoch, promised, now)
--- a/canvasbeam/decide/replication/member.py
+++ b/canvasbeam/decide/replication/member.py
@@ -329,6 +329,7 @@
     def _on_resign(self, sender: MemberId, epoch: Epoch, now: int) -> list[Action]:
         if sender == self.primary_id and epoch >= self.primary_epoch:
             self.primary_id = ""
+            self.contacts.mark_failed(sender, now)
             self._last_primary_sign = now - self._timing.election
             self._election_at = now + self._election_delay()
         return []
@@ -419,11 +420,15 @@
             self.known_settled,
             number=self._highest_number,
             plan=self._plan,
+            is_alive=self.contacts.is_alive,
             timing=self._timing,
         )
         return self._follow_candidacy(self._candidate.begin(probe, now), now)
 
-    def _plan(self, base: View, settled: bool, epoch: Epoch, promised: frozenset[MemberId], now: int) -> View | None:
+    def _plan(
+        self, base: View, settled: bool, epoch: Epoch, promised: frozenset[MemberId] | None, now: int
+    ) -> View | None:
+        """The view to propose. `promised` are the healthy members that answered a candidate, if there is one."""
         usable = [each for each in self._candidates_for_replicas(base) if self._is_usable(each, base, promised, now)]
         return plan_view(
             base,
@@ -438,10 +443,12 @@
     def _candidates_for_replicas(self, base: View) -> list[MemberId]:
         return list(dict.fromkeys((self.me, *base.members, *sorted(self.contacts.known()))))
 
-    def _is_usable(self, member: MemberId, base: View, promised: frozenset[MemberId], now: int) -> bool:
+    def _is_usable(self, member: MemberId, base: View, promised: frozenset[MemberId] | None, now: int) -> bool:
         if member == self.me:
             return True
-        if member in base.replicas or member in promised:
+        if promised is not None and member in base.members:
+            return member in promised and self.contacts.is_alive(member, now)
+        if member in base.replicas:
             return self.contacts.is_alive(member, now)
         return self.contacts.is_steady(member, now)
 
@@ -455,9 +462,10 @@
             return self._become(Role.FOLLOWER, now)
         late = self._candidate.late_members()
         sends = self._candidate.tick(now)
-        if self._candidate.phase is Phase.LOST:
+        if self._candidate.phase is Phase.LOST and late:
             for member in late:
                 self.contacts.mark_failed(member, now)
+            return self._begin_candidacy(probe=False, now=now)
         return self._follow_candidacy(sends, now)
 
     def _follow_candidacy(self, sends: list[Send], now: int) -> list[Action]:
@@ -489,6 +497,9 @@
         self._learn(view, settled=True)
         self.primary_id = self.me
         self.primary_epoch = view.epoch
+        for member in view.witnesses:
+            if member not in view.replicas and self.contacts.is_alive(member, now):
+                self.contacts.mark_failed(member, now)  # it answered too late to be a replica: not again at once
         actions += self._become(Role.PRIMARY, now)
         self._primary = Primary(
             self.me, view, self.replica, apply=self._apply, contacts=self.contacts, timing=self._timing, now=now
@@ -508,7 +519,7 @@
         return primary.tick(now)
 
     def _should_reform(self, view: View, now: int) -> bool:
-        planned = self._plan(view, True, view.epoch, frozenset(), now)
+        planned = self._plan(view, True, view.epoch, None, now)
         if planned is None:
             return False
         return set(planned.replicas) != set(view.replicas) or set(planned.witnesses) != set(view.witnesses)
--- a/canvasbeam/decide/replication/types.py
+++ b/canvasbeam/decide/replication/types.py
@@ -98,7 +98,7 @@
     first_election: int = 400 * MILLISECOND  # of the first start: the others may start a little later
     resend: int = 200 * MILLISECOND
     stage: int = 700 * MILLISECOND  # the longest that a candidate waits for anything
-    grace: int = 150 * MILLISECOND  # for which a candidate with a quorum waits for the others
+    grace: int = 300 * MILLISECOND  # for which a candidate with a quorum waits for the others
     steady: int = 300 * MILLISECOND  # for which a member is heard before it is added
     readd: int = 1000 * MILLISECOND  # before a member that was removed is added again
     gone: int = 1500 * MILLISECOND  # after which a silent witness may be replaced by a machine at another address
