--- a/canvasbeam/lab/engine_sim.py
+++ b/canvasbeam/lab/engine_sim.py
@@ -31,7 +31,7 @@
 from canvasbeam.lab.peers_sim import Embedded
 from canvasbeam.lab.result import PERCENTILES, Result, histogram
 from canvasbeam.lab.stage import Actor, Stage, result_of
-from canvasbeam.net.core import Answer, Attempt, Core, FinalAnswer, Parting, Request, Target
+from canvasbeam.net.core import Answer, Attempt, Core, FinalAnswer, Request, ShuttingDown, Target
 from canvasbeam.net.limits import MICROSECOND, Limits, nanoseconds
 from canvasbeam.net.loop import Deadline
 
@@ -319,9 +319,9 @@
             self.known[each.name] = each
         self.core.listed(kind, targets, 1)
 
-    def begin_end(self) -> None:
+    def begin_shutdown(self) -> None:
         """SIGTERM: what cannot be answered in time is refused, and all is answered before the kill."""
-        self.loop.gate(self.core.begin_end)
+        self.loop.gate(self.core.begin_shutdown)
         if self.world.peers is not None:
             self.world.peers.leave(self.name)
         self.world.queue.after(nanoseconds(self.limits.leave), partial(self.leave, self.starts))
@@ -382,8 +382,8 @@
         attempt.core_request = request
         try:
             self.core.submit(request)
-        except Parting:  # refused at once, as the program's listener does
-            self._answered(attempt, FinalAnswer(Answer.REFUSED, come_back=self.limits.parting_advice))
+        except ShuttingDown:  # refused at once, as the program's listener does
+            self._answered(attempt, FinalAnswer(Answer.REFUSED, come_back=self.limits.shutdown_retry_after))
 
     def left(self, attempt: people.Try) -> None:
         """The client closed its connection."""
@@ -719,7 +719,7 @@
         scheduler = self.schedulers[place]
         if not scheduler.alive:
             return False
-        scheduler.begin_end()
+        scheduler.begin_shutdown()
         self.queue.after(people.STILL_COMES, partial(scheduler.drain, scheduler.starts))
         self.queue.after(self.longest_end, partial(scheduler.leave, scheduler.starts))
         return True
--- a/canvasbeam/net/core.py
+++ b/canvasbeam/net/core.py
@@ -17,7 +17,7 @@
 
 from canvasbeam import interface as ci
 from canvasbeam.choice import Dispatcher
-from canvasbeam.decide.ending import Ending, Phase, Terms
+from canvasbeam.decide.shutdown import Phase, PlannedShutdown, ShutdownTimes
 from canvasbeam.interface import Effect, Outcome, WorkerState
 from canvasbeam.net.limits import ZERO, Limits, nanoseconds, span_of
 from canvasbeam.net.loop import Deadline, Loop, SlotTable
@@ -126,15 +126,15 @@
         """Close the idle connections to a target."""
 
 
-class Full(Exception):
+class TooManyRequests(Exception):
     """No more requests are taken."""
 
 
-class Parting(Exception):
+class ShuttingDown(Exception):
     """The process ends, and the request could not be answered before it does; it was not taken."""
 
 
-class AlreadyOpen(Exception):
+class DuplicateRequest(Exception):
     """Another request with this identity has no answer yet, or is still out at a target."""
 
 
@@ -175,8 +175,13 @@
         self.by_class = {name: dict.fromkeys(("completed", "rejected", "failed"), 0) for name in self._classes}
         self.forwarded = 0
         self.pending = 0
-        terms = Terms(*map(nanoseconds, (limits.drain_window, limits.last_answer, limits.leave, limits.end_usual)))
-        self._ending = Ending(terms, self._classes)
+        times = ShutdownTimes(
+            window=nanoseconds(limits.drain_window),
+            last_answer=nanoseconds(limits.last_answer),
+            leave=nanoseconds(limits.leave),
+            usual=nanoseconds(limits.usual_service_time),
+        )
+        self._shutdown = PlannedShutdown(times, self._classes)
         self._requests: SlotTable[Request] = SlotTable()
         self._identities: set[str] = set()
         self._lists: list[ci.Event] = []
@@ -213,16 +218,16 @@
         """Take a request: from here on it is owed one answer by its due time."""
         if self._requests.count >= self.limits.open_requests:
             self.by_class[request.job_class]["rejected"] += 1
-            raise Full
+            raise TooManyRequests
         # Guards the open request: targets would take the second for a copy of the first.
         if request.identity in self._identities:
             self.by_class[request.job_class]["rejected"] += 1
-            raise AlreadyOpen
+            raise DuplicateRequest
         request.came = self.loop.now
-        due_ns = self._ending.due(nanoseconds(self.loop.now), request.job_class, nanoseconds(request.due))
+        due_ns = self._shutdown.due(nanoseconds(self.loop.now), request.job_class, nanoseconds(request.due))
         if due_ns is None:
             self.by_class[request.job_class]["rejected"] += 1
-            raise Parting
+            raise ShuttingDown
         request.due = span_of(due_ns)
         self._identities.add(request.identity)
         self.pending += 1
@@ -244,16 +249,16 @@
     @property
     def phase(self) -> Phase:
         """How far the planned end is."""
-        return self._ending.phase(nanoseconds(self.loop.now))
+        return self._shutdown.phase(nanoseconds(self.loop.now))
 
-    def begin_end(self) -> tuple[timedelta, ...]:
+    def begin_shutdown(self) -> tuple[timedelta, ...]:
         """SIGTERM: when each phase after the announcement begins, and when the process leaves; empty the second time.
 
         Guards every request taken: whatever is open at the last answer is answered then.
         """
-        if not self._ending.begin(nanoseconds(self.loop.now)):
+        if not self._shutdown.begin(nanoseconds(self.loop.now)):
             return ()
-        changes = tuple(map(span_of, self._ending.changes()))
+        changes = tuple(map(span_of, self._shutdown.changes()))
         self.loop.at(changes[2], self._answer_all)
         return changes
 
@@ -591,7 +596,7 @@
             self.answers[answer.kind] += 1
             self.by_class[request.job_class][COUNTED[answer.kind]] += 1
             if answer.kind is Answer.SERVED:
-                self._ending.served(request.job_class, nanoseconds(self.loop.now - request.came))
+                self._shutdown.served(request.job_class, nanoseconds(self.loop.now - request.came))
             else:
                 self._log_fixed(request, answer)
             self._settle(request)
--- a/canvasbeam/net/limits.py
+++ b/canvasbeam/net/limits.py
@@ -89,12 +89,12 @@
     client_write: timedelta = seconds(10)
     linger: timedelta = seconds(2)
     accept_pause: timedelta = seconds(0.05)
-    # The planned end, from SIGTERM: so long clients still come; then the last answer; then the process has gone.
+    # The planned shutdown, counted from SIGTERM: how long clients still come, the last answer, the process's exit.
     drain_window: timedelta = seconds(0.6)
     last_answer: timedelta = seconds(3.4)
     leave: timedelta = seconds(3.6)
-    end_usual: timedelta = seconds(1)  # what a class is taken to need that was never served here
-    end_advice: timedelta = seconds(0.05)  # to whom the ending process turns away: another may take it at once
+    usual_service_time: timedelta = seconds(1)  # assumed for a class that was never served here
+    retry_elsewhere: timedelta = seconds(0.05)  # for requests refused during shutdown: another scheduler may take them
     slow_pass: timedelta = seconds(0.02)  # a pass that takes longer is told in the log
     figures_every: timedelta = seconds(5)  # between lines of figures in the log
     # A change counts as told so long after discovery had it and could be reached, whatever calls failed before; of
@@ -133,9 +133,9 @@
         return self.told_within - self.list_answer
 
     @property
-    def parting_advice(self) -> timedelta:
-        """How long whom an ending process turns away is told to stay away, within the settings."""
-        return min(self.end_advice, self.come_back)
+    def shutdown_retry_after(self) -> timedelta:
+        """The `Retry-After` of requests refused during shutdown, within the settings."""
+        return min(self.retry_elsewhere, self.come_back)
 
     @classmethod
     def of(cls, settings: ci.Settings, sockets: int, memory_mb: int) -> Limits:
--- a/canvasbeam/net/listener.py
+++ b/canvasbeam/net/listener.py
@@ -20,8 +20,8 @@
 
 import httptools
 
-from canvasbeam.decide.ending import Phase
-from canvasbeam.net.core import AlreadyOpen, Answer, Core, FinalAnswer, Full, Parting, Request
+from canvasbeam.decide.shutdown import Phase
+from canvasbeam.net.core import Answer, Core, DuplicateRequest, FinalAnswer, Request, ShuttingDown, TooManyRequests
 from canvasbeam.net.forward import Call
 from canvasbeam.net.limits import ZERO, Limits
 from canvasbeam.net.loop import READ, Deadline, Endpoint, Loop, Stream
@@ -197,7 +197,7 @@
 
     def drain(self) -> bool:
         """Begin the planned end; False where it had begun."""
-        changes = self.core.begin_end()
+        changes = self.core.begin_shutdown()
         if not changes:
             return False
         window_ends, last_call, _, leave = changes
@@ -490,18 +490,18 @@
             self._request = None
             extra = "Allow: POST\r\n" if error.status is HTTPStatus.METHOD_NOT_ALLOWED else ""
             self._respond(fixed_response(error.status, str(error), self._ends, extra))
-        except AlreadyOpen:
+        except DuplicateRequest:
             self._request = None
             why = "a request with this X-Call-Id is open"
             self._respond(fixed_response(HTTPStatus.CONFLICT, why, self._ends))
-        except Parting:
+        except ShuttingDown:
             self._request = None
             # The connection closes, so that the next try goes to another scheduler.
             self._stays = bool(self._whole or self._unfed)
-            advice = _advice(self._limits.parting_advice)
+            advice = _advice(self._limits.shutdown_retry_after)
             status = HTTPStatus.SERVICE_UNAVAILABLE
             self._respond(fixed_response(status, "this scheduler ends", self._ends, advice))
-        except Full:
+        except TooManyRequests:
             self._request = None
             advice = _advice(self._limits.come_back)
             status = HTTPStatus.SERVICE_UNAVAILABLE
--- a/tests/test_ending.py
+++ b/tests/test_planned_shutdown.py
@@ -1,4 +1,4 @@
-"""The planned end: its phases under every order of events, and stories of clients, targets and signals in it."""
+"""The planned shutdown: its phases under every order of events, and stories of clients, targets and signals in it."""
 
 from __future__ import annotations
 
@@ -15,8 +15,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from canvasbeam import interface as ci
-from canvasbeam.decide import ending
-from canvasbeam.decide.ending import Ending, Phase, Terms
+from canvasbeam.decide import shutdown
+from canvasbeam.decide.shutdown import Phase, PlannedShutdown, ShutdownTimes
 from canvasbeam.net.limits import Limits
 from canvasbeam.net.target_group import TargetGroup
 from tests.helpers import SAFE, SECOND, settings
@@ -26,13 +26,13 @@
 from tests.test_upgrade import job as fleet_job
 
 CLASSES = ("short", "long", "new")
-TERMS = Terms(window=60, last_answer=340, leave=360, usual=100)
+TERMS = ShutdownTimes(window=60, last_answer=340, leave=360, usual=100)
 
 
 class Machine(RuleBasedStateMachine):
     """Spans, signals, requests and time in any order."""
 
-    kind: type[Ending] = Ending
+    kind: type[PlannedShutdown] = PlannedShutdown
 
     def __init__(self) -> None:
         super().__init__()
@@ -43,7 +43,7 @@
 
     @initialize(before=st.integers(0, 50))
     def start(self, before: int) -> None:
-        self.ending = self.kind(TERMS, CLASSES)
+        self.shutdown = self.kind(TERMS, CLASSES)
         self.now = before
 
     @rule(span=st.integers(0, 120))
@@ -52,51 +52,51 @@
 
     @rule(name=st.sampled_from(CLASSES[:2]), span=st.integers(0, 300))
     def served(self, name: str, span: int) -> None:
-        self.ending.served(name, span)
+        self.shutdown.served(name, span)
         if self.signal is None:
             self.spans[name].append(span)
 
     @rule()
     def signalled(self) -> None:
-        assert self.ending.begin(self.now) == (self.signal is None)
+        assert self.shutdown.begin(self.now) == (self.signal is None)
         if self.signal is None:
             self.signal = self.now
-            self.told = self.ending.changes()
+            self.told = self.shutdown.changes()
 
     @rule(name=st.sampled_from(CLASSES), budget=st.integers(1, 1000))
     def request(self, name: str, budget: int) -> None:
-        due = self.ending.due(self.now, name, self.now + budget)
+        due = self.shutdown.due(self.now, name, self.now + budget)
         if self.signal is None:
             assert due == self.now + budget
             return
         last = self.signal + TERMS.last_answer
         seen = sorted(self.spans[name][-TERMS.kept :])
         most = seen[min(int(len(seen) * TERMS.part), len(seen) - 1)] if seen else TERMS.usual
-        if self.now >= last or self.now + most > last or self.ending.phase(self.now) >= Phase.CLOSING:
+        if self.now >= last or self.now + most > last or self.shutdown.phase(self.now) >= Phase.CLOSING:
             assert due is None
         else:
             assert due == min(self.now + budget, last)
 
     @invariant()
     def phases_follow_one_another(self) -> None:
-        if not hasattr(self, "ending"):
+        if not hasattr(self, "shutdown"):
             return
-        phase = self.ending.phase(self.now)
+        phase = self.shutdown.phase(self.now)
         assert phase >= self.was
         self.was = phase
         if self.signal is None:
-            assert phase is Phase.SERVING and self.ending.changes() == ()
+            assert phase is Phase.SERVING and self.shutdown.changes() == ()
             return
         gone = self.now - self.signal
         assert (phase is Phase.ENDED) == (gone >= TERMS.last_answer)
         assert (phase is Phase.ANNOUNCED) == (gone < TERMS.window)
-        assert self.ending.changes() == self.told  # what was told the loop stays so
+        assert self.shutdown.changes() == self.told  # what was told the loop stays so
         window_ends, last_call, last_answer, leave = self.told
         assert window_ends <= last_call <= last_answer < leave == self.signal + TERMS.leave
         assert (phase >= Phase.CLOSING) == (self.now >= last_call)
 
 
-class Begins(Ending):
+class Begins(PlannedShutdown):
     """Broken: a second signal begins the end anew."""
 
     def begin(self, now: int) -> bool:
@@ -104,47 +104,49 @@
         return super().begin(now)
 
 
-class Promises(Ending):
+class Promises(PlannedShutdown):
     """Broken: a request may be due after the last answer."""
 
     def due(self, now: int, job_class: str, due: int) -> int | None:
         return due if super().due(now, job_class, due) is not None else None
 
 
-class Hopes(Ending):
+class Hopes(PlannedShutdown):
     """Broken: every request is taken until the last call, however long its class takes."""
 
     def due(self, now: int, job_class: str, due: int) -> int | None:
         if self._begun is None or self.phase(now) >= Phase.CLOSING:
             return super().due(now, job_class, due)
-        return min(due, self._begun + self.terms.last_answer)
+        return min(due, self._begun + self.times.last_answer)
 
 
-class Stays(Ending):
+class Stays(PlannedShutdown):
     """Broken: the last call is when the last answer is."""
 
     def begin(self, now: int) -> bool:
         began = super().begin(now)
-        self._last_call = self.terms.last_answer + 1
+        self._last_call = self.times.last_answer + 1
         return began
 
 
-class Learns(Ending):
+class Learns(PlannedShutdown):
     """Broken: what is served during the end moves its phases."""
 
     def phase(self, now: int) -> Phase:
         if self._begun is not None:
-            least = min(self._usual_span(each) for each in self._spans.values())
-            self._last_call = max(self.terms.window, self.terms.last_answer - least)
+            least = min(self._service_time(each) for each in self._spans.values())
+            self._last_call = max(self.times.window, self.times.last_answer - least)
         return super().phase(now)
 
 
-TestEnding = Machine.TestCase
-TestEnding.settings = profile(max_examples=100, stateful_step_count=30, deadline=None, derandomize=True, database=None)
+TestPlannedShutdown = Machine.TestCase
+TestPlannedShutdown.settings = profile(
+    max_examples=100, stateful_step_count=30, deadline=None, derandomize=True, database=None
+)
 
 
 @pytest.mark.parametrize("broken", [Begins, Promises, Hopes, Stays, Learns])
-def test_each_property_catches_a_broken_module(broken: type[Ending]) -> None:
+def test_each_property_catches_a_broken_module(broken: type[PlannedShutdown]) -> None:
     class Broken(Machine):
         kind = broken
 
@@ -159,8 +161,8 @@
 
 @pytest.mark.parametrize("terms", [(60, 60, 360, 100), (60, 340, 340, 100), (-1, 340, 360, 100), (60, 340, 360, -1)])
 def test_terms_that_cannot_be_are_refused(terms: tuple[int, int, int, int]) -> None:
-    with pytest.raises(ValueError, match="an end's"):
-        ending.Terms(*terms)
+    with pytest.raises(ValueError, match="a shutdown's"):
+        shutdown.ShutdownTimes(*terms)
 
 
 @pytest.mark.parametrize(("longest", "last"), [(0.5, 0.9), (3, 3.4), (6, 3.4), (20, 3.4)])
@@ -175,12 +177,12 @@
 # --- on sockets; the clock jumps in place of waits ----------------------------------------------------
 
 
-def ending_world(*servers: Server, **learned: float) -> World:
+def draining_world(*servers: Server, **learned: float) -> World:
     """A world in which these classes have always taken so many seconds."""
     world = World(*servers)
     for name, span in learned.items():
         for _ in range(64):
-            world.core._ending.served(name, int(span * 1e9))
+            world.core._shutdown.served(name, int(span * 1e9))
     return world
 
 
@@ -199,7 +201,7 @@
 
 
 def test_kept_connections_are_served_until_the_last_call_and_new_ones_while_clients_still_come() -> None:
-    world = ending_world(Server(), look=1, book=1, pay=1)
+    world = draining_world(Server(), look=1, book=1, pay=1)
     kept = world.client()
     served(world, kept, "c1")
     assert world.listener.drain() and not world.listener.is_ready
@@ -215,7 +217,7 @@
 
 
 def test_after_the_last_call_a_request_is_refused_at_once_and_never_sent_on() -> None:
-    world = ending_world(Server(), Server(), look=1, book=1, pay=1)
+    world = draining_world(Server(), Server(), look=1, book=1, pay=1)
     idle = world.client()
     served(world, idle, "c1")
     busy = world.client(job("pay", call_id="c2"))
@@ -238,7 +240,7 @@
 
 
 def test_a_class_that_takes_longer_is_refused_while_a_shorter_one_is_still_taken() -> None:
-    world = ending_world(Server(), look=0.3, book=0.3, pay=2.5)
+    world = draining_world(Server(), look=0.3, book=0.3, pay=2.5)
     client = world.client()
     served(world, client, "c1")
     world.listener.drain()
@@ -251,12 +253,12 @@
 
 @pytest.mark.parametrize("early", [0.0, 0.01, 2.0], ids=["at SIGTERM", "10 ms before the last call", "long before"])
 def test_a_job_that_must_not_run_twice_and_is_out_at_the_last_answer_fails_once(early: float) -> None:
-    world = ending_world(Server(), Server(), look=1, book=1, pay=1)
+    world = draining_world(Server(), Server(), look=1, book=1, pay=1)
     client = world.client()
     served(world, client, "c1")
     world.listener.drain()
     if early:
-        last_call = world.core._ending.changes()[1] / 1e9
+        last_call = world.core._shutdown.changes()[1] / 1e9
         world.skip(last_call - early - world.loop.now.total_seconds())
     client.say(job("pay", call_id="c2", budget="6"))
     world.until(lambda: sum(each.requests() for each in world.servers) == 2)
@@ -268,7 +270,7 @@
 
 
 def test_a_job_that_never_ran_is_refused_at_the_last_answer() -> None:
-    world = ending_world()  # no target at all: it is held
+    world = draining_world()  # no target at all: it is held
     client = world.client(job("pay", call_id="c1", budget="6"))
     world.until(lambda: world.core.open_requests == 1)
     world.listener.drain()
@@ -277,7 +279,7 @@
 
 
 def test_a_client_that_does_not_go_does_not_hold_the_end_up() -> None:
-    world = ending_world(Server())
+    world = draining_world(Server())
     client = world.client(job(call_id="c1"))
     world.asked()
     world.listener.drain()
@@ -288,7 +290,7 @@
 
 
 def test_a_job_that_a_client_sends_again_after_its_refusal_is_not_taken_by_the_same_process() -> None:
-    world = ending_world(Server(), look=1, book=1, pay=1)
+    world = draining_world(Server(), look=1, book=1, pay=1)
     client = world.client()
     served(world, client, "c1")
     world.listener.drain()
@@ -303,7 +305,7 @@
 @pytest.mark.parametrize("answers", [False, True], ids=["stale", "asked"])
 def test_at_a_signal_while_discovery_is_stale_or_asked_jobs_go_on_and_its_news_still_count(answers: bool) -> None:
     """Guards drains, which bind a process that ends as well; and a silent discovery holds no end up."""
-    world, discovery = ending_world(Server(), Server(), look=1, book=1, pay=1), Server()
+    world, discovery = draining_world(Server(), Server(), look=1, book=1, pay=1), Server()
     names = [f"s-{place}" for place in range(2)]
     dials = [f"127.0.0.1:{server.address[1]}" for server in world.servers]
     hosts = [host(name, dial=dial) for name, dial in zip(names, dials, strict=True)]
@@ -326,7 +328,7 @@
 
 @pytest.mark.parametrize("when", ["before the end", "at the last call"])
 def test_a_request_that_comes_as_its_connection_closes_for_idleness_is_answered(when: str) -> None:
-    world = ending_world(Server(), look=1, book=1, pay=1)
+    world = draining_world(Server(), look=1, book=1, pay=1)
     client = world.client()
     served(world, client, "c1")
     if when == "before the end":
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -16,8 +16,8 @@
 from canvasbeam.net.listener import ClientConnection
 from canvasbeam.net.loop import Stream
 from tests.loopback import HEAD, Peer, Server, World, chunk, done, job, line
-from tests.test_ending import ending_world, served
 from tests.test_net_loop import environment, read_all
+from tests.test_planned_shutdown import draining_world, served
 from tests.test_upgrade import Fleet, call, healthy
 from tests.test_upgrade import job as fleet_job
 
@@ -36,7 +36,7 @@
     instant: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards the answer before it, which a close over unread bytes would reset away from its client."""
-    world = ending_world(Server(), look=1, book=1, pay=1)
+    world = draining_world(Server(), look=1, book=1, pay=1)
     client = world.client(job(call_id="c1"))
     world.asked().say(done("r-c1", "c1"))
     world.until(lambda: world.core.answers and not world.core.pending and world.core.open_requests == 0)
@@ -87,7 +87,7 @@
 
 def test_a_crowd_that_connects_during_the_end_is_answered_though_the_table_is_full() -> None:
     """Guards whoever waits for room as the window ends: the listening socket closed, and reset them all."""
-    world = ending_world(Server(), look=1, book=1, pay=1)
+    world = draining_world(Server(), look=1, book=1, pay=1)
     most = world.limits.client_connections
     busy = [world.client(job(call_id=f"b{number}")) for number in range(most)]
     world.until(lambda: world.core.pending == most)
@@ -117,7 +117,7 @@
 
 
 def test_a_client_accepted_before_the_signal_and_read_after_it_is_served() -> None:
-    world = ending_world(Server(), look=1, book=1, pay=1)
+    world = draining_world(Server(), look=1, book=1, pay=1)
     client = world.client()
     world.until(lambda: len(world.listener.connections) == 1)
     world.listener.drain()
@@ -125,7 +125,7 @@
 
 
 def test_half_a_line_from_a_target_at_the_last_answer_leaves_the_client_a_whole_one() -> None:
-    world = ending_world(Server(), look=1, book=1, pay=1)
+    world = draining_world(Server(), look=1, book=1, pay=1)
     client = world.client(job("pay", call_id="c1", budget="60"))
     target = world.asked()
     target.say(HEAD + chunk(line("started", "c1")) + b"40\r\n" + line("done", "c1", result="r")[:20])
@@ -199,7 +199,7 @@
 
 
 def test_a_target_listed_as_draining_after_the_signal_gets_nothing_new() -> None:
-    world = ending_world(Server(), look=1, book=1, pay=1)
+    world = draining_world(Server(), look=1, book=1, pay=1)
     world.listener.drain()
     world.core.listed(ci.ListKind.CHANGES, [world.target(0, ci.WorkerState.DRAINING)], 2)
     client = world.client(job(call_id="c1"))
