Add canvasbeam system storage inspect, and word refusals by result code and reason

Change: the folder of a control process is read through a disk that refuses to write; an empty one stays empty, a damaged one is told with its code.

--- a/canvasbeam/cli/system.py
+++ b/canvasbeam/cli/system.py
@@ -197,6 +197,31 @@
     report({"zone": zone, "evacuated": False}, f"{zone}: in use", as_json)
 
 
+@system.group(epilog=TABLE)
+def storage() -> None:
+    """Look at the disk folder of a control process."""
+
+
+@storage.command("inspect", epilog=TABLE)
+@click.argument("folder", type=click.Path(exists=True, file_okay=False, path_type=Path))
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+@guarded
+def storage_inspect(folder: Path, as_json: bool) -> None:
+    """Read FOLDER, the data_dir of a control process, and check every checksum; nothing is written.
+
+    \b
+    Example:
+      canvasbeam system storage inspect /var/lib/canvasbeam
+    """
+    from canvasbeam.cli.storage_report import inspect_storage  # noqa: PLC0415
+    from canvasbeam.errors import Failure  # noqa: PLC0415
+
+    outcome = inspect_storage(folder)
+    if isinstance(outcome, Failure):
+        raise fail(Code.FAILED, f"{folder}: {outcome}")
+    report(outcome.as_json(), "\n".join(outline(outcome.as_json())), as_json)
+
+
 @system.command("codes", epilog=TABLE)
 @click.option("--markdown", is_flag=True, help="Print the page docs/result-codes.md.")
 @click.option("--json", "as_json", is_flag=True, help="Print JSON.")
@@ -256,11 +281,20 @@
         return missing
     if not answer.is_success:
         code = Code.CONFLICT if answer.status == PRECONDITION_FAILED else Code.USAGE
-        raise fail(code, f"{answer.address}: {answer.status} {answer.body.decode('utf-8', 'replace').strip()}")
+        raise fail(code, f"{answer.address} answered {answer.status}: {worded_error(answer.body)}")
     parsed = json.loads(answer.body) if answer.body.strip() else {}
     return parsed if isinstance(parsed, dict) else {"answer": parsed}
 
 
+def worded_error(body: bytes) -> str:
+    """The result code and the reason of an answer, or the answer as it came."""
+    try:
+        error = json.loads(body)["error"]
+        return f"{error['code']} {error['name'].lower()}: {error['reason']}"
+    except (ValueError, LookupError, TypeError, AttributeError):
+        return body.decode("utf-8", "replace").strip()
+
+
 def parse_addresses(control: tuple[str, ...]) -> list[Any]:
     """The control addresses of the call; a wrong one ends the command."""
     from canvasbeam.runtime.settings import Address  # noqa: PLC0415
@@ -283,9 +317,9 @@
     for key, each in value.items():
         if isinstance(each, dict):
             lines += [f"{indent}{key}:", *outline(each, depth + 1)]
-        elif isinstance(each, list) and any(isinstance(item, dict) for item in each):
+        elif isinstance(each, list | tuple) and any(isinstance(item, dict) for item in each):
             lines += [f"{indent}{key}:", *(f"{indent}  {_row(item)}" for item in each)]
-        elif isinstance(each, list):
+        elif isinstance(each, list | tuple):
             lines.append(f"{indent}{key}: {', '.join(map(_plain, each)) or 'none'}")
         else:
             lines.append(f"{indent}{key}: {_plain(each)}")
