Place model workers' jobs by expected first tokens; let batches, early refusals and affinity be set

Where workers run batches a job that has not begun does not show its worker full: what its engine model expects does, and silence rests it. A job that finds no worker for a share of its aim is refused, so that its client's new try still earns. Affinity to kept prompts stays off until it is measured. All of it is off by default.

--- a/canvasbeam/choice.py
+++ b/canvasbeam/choice.py
@@ -19,7 +19,7 @@
 from dataclasses import dataclass, field, replace
 from hashlib import blake2b
 from heapq import heappop, heappush
-from itertools import chain
+from itertools import chain, islice
 from math import ceil, exp, inf, log2
 from typing import Any
 
@@ -95,6 +95,14 @@
 MOST_TURNS_LOST = 4
 # The length of queues is averaged over about this many late starts.
 QUEUE_OVER = 10
+# Where workers run batches, one is silent when a job has not begun for so many aims and nothing was heard.
+SILENT_AIMS = 1.5
+# A try that has so much less time left than the longest seen of its class is a client's repeat.
+REPEAT_LESS = 10_000_000
+# Among so many workers of a ring, in turn order, one that keeps a part of a prompt is looked for.
+AFFINITY_LOOK = 16
+# Fewer tokens than these that a worker keeps are not worth another turn order.
+AFFINITY_TOKENS = 200
 # A wait longer than any job's, for classes that are worth nothing.
 LONG_WAIT = 3600 * SECOND
 
@@ -134,6 +142,8 @@
     told: ci.JobArrived
     rank: tuple[bool, bool, int, int, int] = (False, False, 0, 0, 0)
     held: bool = False
+    held_at: int = 0
+    came_back: bool = False  # its client was refused before
     done: bool = False
     streaming: bool = False
     look_at: float = inf  # when the sweep looks at it next
@@ -190,6 +200,7 @@
     linked_at: int = 0
     held: float = 0.0  # jobs of all dispatchers for each of its slots, as reckoned at `held_at`
     held_at: int = 0
+    turns: float = 0.0  # how far it is ahead of the others, where these may differ
     place: int = 0  # in the order in which workers were first named
     look_at: float = inf
 
@@ -301,6 +312,7 @@
         self._set = replace(self._set, classes=event.classes, kinds=event.kinds)
         self._classes = {each.name: each for each in event.classes}
         self._held_beat = self._beat_of_held()
+        self._budget.clear()
         self._shut.clear()
 
     # --- worker lists and rings -------------------------------------------------------------------
@@ -337,6 +349,8 @@
         told = (entry.state, entry.zone, entry.kind, entry.cell)
         if self._governor is not None:
             self._governor.listed(self._now, entry)
+        if self._engines is not None:
+            self._engines.listed(self._now, entry)
         if worker is None:
             worker = Worker(
                 entry.worker, entry.zone, entry.kind, entry.cell, entry.state, entry.started_ns, entry
@@ -427,6 +441,8 @@
         )
         if self._governor is not None:
             self._governor.arrived(self._now, cls.kind or "")
+        if self._set.hold_share and job.born < self._now - REPEAT_LESS:
+            job.came_back, job.born = True, self._now
         self._arrivals += 1
         self._jobs[job.id] = job
         urgent = -cls.priority if self._set.urgent_first else 0
@@ -458,7 +474,7 @@
     def _hold(self, job: Job) -> None:
         """Held jobs stand in order: still in time, within the tenant's share, least time left to start."""
         if not job.held:
-            job.held = True
+            job.held, job.held_at = True, self._now
             insort(self._held, job, key=lambda each: each.rank)
             self._look(job, min(self._now + self._held_beat, job.due - self._guard()))
 
@@ -522,14 +538,41 @@
 
     def _next_in_turn(self, job: Job, turns: dict[Need, Turns]) -> Worker | None:
         """The next worker of the best ring that is neither full nor down for this job."""
-        if (self._out >= self._most_out and not job.out()) or (job.attempts and not self._may_send(job)):
+        again = job.attempts or job.told.repeat
+        if (self._out >= self._most_out and not job.out()) or (again and not self._may_send(job)):
             return None
         for place in (0, 1):
-            for worker in self._in_turn(place, job, turns):
-                if not job.attempts or (self._may_send_to(worker, job) and self._proven(worker, job)):
-                    return worker
+            able = (
+                each
+                for each in self._in_turn(place, job, turns)
+                if not job.attempts or (self._may_send_to(each, job) and self._proven(each, job))
+            )
+            worker = next(able, None)
+            if worker is not None:
+                more = islice(able, AFFINITY_LOOK - 1) if self._keeps(job) else ()
+                return self._keeper([worker, *more], job) if more else worker
         return None
 
+    def _keeps(self, job: Job) -> bool:
+        """Whether workers may keep a part of this job's prompt, and turns may differ for it."""
+        return self._engines is not None and job.told.prompt is not None and self._set.affinity_turns > 0
+
+    def _keeper(self, able: list[Worker], job: Job) -> Worker:
+        """The worker that keeps the most of a prompt, among those not too many turns ahead of the others.
+
+        Danger: without a bound all jobs that share a part of their prompts queue at one worker.
+        """
+        assert self._engines is not None
+        most, least = self._set.affinity_turns, min(each.turns for each in able)
+        near = [each.turns + 1 - least <= most for each in able]
+        kept = [self._engines.kept(each.entry, job.told) * near[at] for at, each in enumerate(able)]
+        first = min(range(len(able)), key=lambda each: able[each].turns)
+        best = max(range(len(able)), key=lambda each: (kept[each], -each))
+        taken = able[best if kept[best] >= kept[first] + AFFINITY_TOKENS else first]
+        for each in able:
+            each.turns = max(-most, min(most, each.turns - 1 / len(able) + (each is taken)))
+        return taken
+
     def _proven(self, worker: Worker, job: Job) -> bool:
         """Whether a worker of a crowd was heard of lately, which a job that was turned away waits for.
 
@@ -578,7 +621,8 @@
 
     def _open(self, worker: Worker) -> bool:
         """The busy and dead tests, as far as they do not depend on the job."""
-        if (worker.unstarted and self._set.tells_start) or self._now < worker.busy_until:
+        waits = worker.unstarted and self._set.tells_start and not self._set.batches
+        if waits or self._now < worker.busy_until or 0 < worker.entry.slots <= worker.load:
             return False
         if worker.state is not WorkerState.LIVE or worker.rest_until or (worker.trial and worker.attempts):
             return False
@@ -586,7 +630,7 @@
 
     def _may_regrow(self, worker: Worker) -> bool:
         """A full worker may have room again, or other dispatchers may have left it: try one more."""
-        wait = worker.regrow_wait * self._mean_service()
+        wait = worker.regrow_wait * self._mean_service_at(worker)
         return worker.load <= worker.cap and self._now - worker.cap_at >= wait
 
     def _place_of(self, worker: Worker) -> int:
@@ -630,7 +674,9 @@
 
     def _repeat_permitted(self, job: Job) -> bool:
         """Whether the budget that all dispatchers share for repeats has room."""
-        return self._governor is None or self._governor.may_repeat(self._now, job.cls.kind or "")
+        if self._governor is None or not (job.tries() or job.told.repeat):
+            return True
+        return self._governor.may_repeat(self._now, job.cls.kind or "")
 
     def _most_attempts(self, job: Job) -> int:
         return job.cls.max_attempts or self._set.limits.max_attempts
@@ -639,7 +685,7 @@
         """No effect twice: what may have run is sent again only where and while its class permits."""
         if job.done or job.streaming or job.tries() >= self._most_attempts(job):
             return False
-        if job.attempts and not self._repeat_permitted(job):
+        if not self._repeat_permitted(job):
             return False
         if job.out() and not self._set.limits.second_copies:
             return False
@@ -678,14 +724,17 @@
         worker.links, worker.linked_at = max(links, len(worker.attempts) + 1), self._now
         quick = min(inf if fresh else worker.quickest_start, self._quickest.get((worker.zone, fresh), inf))
         late = LATE_START_TIMES * quick if quick < inf else self._set.limits.connect_timeout_ns
-        if self._crowd and not self._set.tells_start:
+        if self._set.batches:
+            late = SILENT_AIMS * job.cls.aim_ns
+        elif self._crowd and not self._set.tells_start:
             late = STALLED_SERVICES * self._service_of(job)  # the end is the first that is heard
         attempt = Attempt(
             len(job.attempts), job, worker, self._now,
             self._now + max(round(late), self._beat), worker.load + job.slots, fresh,
         )
         if self._governor is not None:
-            self._governor.sent(self._now, worker.kind, worker.name, repeat=bool(job.attempts))
+            repeat = job.tries() > 0 or job.told.repeat
+            self._governor.sent(self._now, worker.kind, worker.name, repeat)
         if self._engines is not None:
             self._engines.sent(self._now, worker.entry, job.told)
         job.attempts.append(attempt)
@@ -748,6 +797,11 @@
         way = (worker.zone, attempt.fresh)
         self._quickest[way] = min(self._quickest.get(way, inf), took)
         worker.carried = max(worker.carried, attempt.load)
+        self._raise_cap(attempt)
+
+    def _raise_cap(self, attempt: Attempt) -> None:
+        """The worker has shown room for what was there with this attempt."""
+        worker = attempt.worker
         if attempt.load > worker.cap:
             worker.cap, worker.regrow_wait, worker.cap_at = attempt.load, 1.0, 0
 
@@ -760,6 +814,9 @@
         if attempt is not None:
             attempt.job.streaming = True
             self._start(attempt)
+            if self._set.batches:
+                self._hear(attempt.worker)
+                self._raise_cap(attempt)
             self._unhold(attempt.job)
             self._cancel_out(attempt.job, keep=attempt)
 
@@ -769,7 +826,8 @@
             return
         attempt.over = True
         attempt.never_ran = event.outcome.never_ran
-        attempt.unsent = event.outcome is Outcome.UNSENT
+        unsent = (Outcome.UNSENT, Outcome.CONNECT_FAILED) if self._set.batches else (Outcome.UNSENT,)
+        attempt.unsent = event.outcome in unsent
         self._take_off(attempt)
         self._judge(attempt, event.outcome, event.report)
         job = attempt.job
@@ -911,6 +969,12 @@
 
     def _sweep_held(self, job: Job) -> None:
         """A held job past its use stands behind the others, or goes where late answers earn nothing."""
+        if self._set.hold_share and not job.came_back:
+            until = job.held_at + round(self._set.hold_share * job.cls.aim_ns)
+            if self._now >= until:
+                self._give_up(job)  # its client may come back while its answer still earns something
+                return
+            self._look(job, until)
         if job.cls.late_worth > 0:
             if not job.rank[0] and self._now >= job.born + job.cls.aim_ns:
                 self._unhold(job)
@@ -930,6 +994,8 @@
         out = job.out()
         if len(out) != 1 or not self._set.limits.cancel or out[0].cancelled:
             return
+        if self._set.batches and out[0].there:
+            return  # its worker is not silent
         late = self._blind and out[0].late and not out[0].started
         if late and not job.cls.late_worth and self._now >= self._in_time_until(job):
             self._give_up(job)  # danger: it would hold up jobs in a queue that can still earn something
@@ -1027,7 +1093,8 @@
                 if self._crowd:
                     worker.turns_lost = min(MOST_TURNS_LOST, 2**worker.lates)
                     worker.lates += 1
-                self._cut_cap(worker, attempt.load - attempt.job.slots)
+                if not self._set.batches:
+                    self._cut_cap(worker, attempt.load - attempt.job.slots)
             else:
                 self._look(worker, attempt.late_at)
 
@@ -1036,6 +1103,9 @@
 
         A job that has not started proves nothing: it may wait behind the jobs of other dispatchers.
         """
+        if self._set.batches:
+            waits = [(each.late_at, each.late_at - each.sent) for each in worker.attempts if not each.started]
+            return min((max(late_at, worker.heard + wait) for late_at, wait in waits), default=inf)
         running = [each.started for each in worker.attempts if each.started]
         if not running or not self._set.progress_ns:
             return inf
@@ -1063,7 +1133,7 @@
             # Danger: 'full' with nothing of ours there would be asked again at once, for ever.
             self._cut_cap(worker, worker.load)
             self._count_queue(FULL_QUEUE)
-            worker.busy_until = self._now + round(worker.regrow_wait * self._mean_service())
+            worker.busy_until = self._now + round(worker.regrow_wait * self._mean_service_at(worker))
             if self._crowd and not worker.attempts:
                 self._rest(worker, "full")  # it drains, or others fill it: a probe tells which
         elif outcome is Outcome.ERROR:
@@ -1155,6 +1225,8 @@
 
     def _learn_service(self, attempt: Attempt) -> None:
         """Service times from start to finish, by class and kind of worker."""
+        if self._set.batches:
+            self._raise_cap(attempt)
         begun = attempt.started or attempt.sent
         took = float(max(1, self._now - begun))
         cls = attempt.job.cls.name
@@ -1165,6 +1237,11 @@
         known = self._service.get(())
         return known[0] if known else float(min((each.aim_ns for each in self._set.classes), default=SECOND))
 
+    def _mean_service_at(self, worker: Worker) -> float:
+        """The mean of its kind, where kinds of workers do different things."""
+        known = self._service.get(("", worker.kind)) if self._set.batches else None
+        return known[0] if known else self._mean_service()
+
     def _service_of(self, job: Job, worker: Worker | None = None) -> float:
         """How long a job of this class runs, on this kind of worker where it was seen there."""
         if job.hint > 0:
--- a/canvasbeam/data_plane/dispatcher_settings.py
+++ b/canvasbeam/data_plane/dispatcher_settings.py
@@ -1,17 +1,29 @@
-"""The decision module's settings for a data-plane node."""
+"""The decision module's settings for a data-plane node, and what is injected into it."""
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 from canvasbeam import interface as ci
-from canvasbeam.runtime.settings import MILLISECOND, SECOND, ProcessSettings
+from canvasbeam.data_plane.routes import Service
+from canvasbeam.decide.engine_model import Engine, EngineExpectations
+from canvasbeam.runtime.settings import MILLISECOND, ProcessSettings
+
+QUANTUM_NS = 2 * MILLISECOND
+# A worker that refused a connection rests for this long at first.
+CONNECT_TIMEOUT_NS = 300 * MILLISECOND
+RETRY_ADVICE_NS = 300 * MILLISECOND
+# A request that finds no worker is refused before a quarter of its aim is over, so that its new try earns more.
+HOLD_SHARE = 0.18
+# How many turns a worker that keeps a part of a prompt may be ahead of the others.
+AFFINITY_TURNS = 0.0
 
-QUANTUM_NS = 5 * MILLISECOND
-CONNECT_TIMEOUT_NS = SECOND
-RETRY_ADVICE_NS = SECOND // 2
 
+def dispatcher_settings(settings: ProcessSettings) -> ci.Settings:
+    """Rings are regions here: the own one first, then all others.
 
-def dispatcher_settings(settings: ProcessSettings, dispatchers: int) -> ci.Settings:
-    """Rings are regions here: the own one first, then all others."""
+    `dispatchers` stays 1: what binds all schedulers together is the share of `FleetLimits`.
+    """
     regions = tuple(sorted({settings.region, *settings.zones.values()}))
     limits = ci.Limits(
         cancel=True,
@@ -25,8 +37,24 @@
         classes_later=True,
         zones=regions,
         own_zone=settings.region,
-        dispatchers=max(1, dispatchers),
         quantum_ns=QUANTUM_NS,
         urgent_first=True,
+        batches=True,
+        hold_share=HOLD_SHARE,
+        affinity_turns=AFFINITY_TURNS,
         limits=limits,
     )
+
+
+def engine_expectations(settings: ProcessSettings) -> EngineExpectations:
+    """What this node expects of model workers."""
+    return EngineExpectations(settings.region)
+
+
+def engines(services: Mapping[str, Service]) -> dict[str, Engine]:
+    """The services that run language models."""
+    return {
+        name: Engine(kv_capacity=int(service.engine["kv_capacity"]))
+        for name, service in services.items()
+        if service.engine and service.engine.get("kv_capacity")
+    }
--- a/canvasbeam/data_plane/program.py
+++ b/canvasbeam/data_plane/program.py
@@ -10,7 +10,7 @@
 from canvasbeam.cluster.node import ClusterNode
 from canvasbeam.data_plane.carrier import Carrier, monotonic_ns
 from canvasbeam.data_plane.configuration_view import ConfigurationView
-from canvasbeam.data_plane.dispatcher_settings import dispatcher_settings
+from canvasbeam.data_plane.dispatcher_settings import dispatcher_settings, engine_expectations, engines
 from canvasbeam.data_plane.ingress import Ingress
 from canvasbeam.data_plane.job_classes import classes_of
 from canvasbeam.data_plane.readiness import ReadinessApp
@@ -45,6 +45,7 @@
         self._connections = WorkerConnections()
         self._limits = make_limits(settings, monotonic_ns())
         self._shared = SharedLimits(self._limits, self._cluster.table, self._cluster.members, monotonic_ns)
+        self._engines = engine_expectations(settings)
         self._carrier = Carrier(self._make_dispatcher, self._connections)
         self._view = ConfigurationView(self._cluster.table)
         self._shutdown = Shutdown(settings, self._carrier.now_ns)
@@ -63,8 +64,8 @@
         self._ready = HttpServer(ReadinessApp(self.is_ready), settings.listen["ready"])
 
     def _make_dispatcher(self) -> Dispatcher:
-        settings = dispatcher_settings(self._settings, self._live_nodes())
-        return Dispatcher(settings, random.randrange(1 << 30), self._limits)
+        seed = random.randrange(1 << 30)
+        return Dispatcher(dispatcher_settings(self._settings), seed, self._limits, self._engines)
 
     def _live_nodes(self) -> int:
         nodes = sum(not member.is_control for member in self._cluster.members())
@@ -81,6 +82,7 @@
             )
         )
         self._shared.take_configuration(configuration)
+        self._engines.engines(engines(configuration.services))
         self._carrier.change_classes(*classes_of(configuration))
 
     def is_ready(self) -> bool:
--- /dev/null
+++ b/canvasbeam/decide/engine_model.py
@@ -0,0 +1,235 @@
+"""What a scheduler expects of language-model workers, from its own sends alone.
+
+Pure: events and the time in whole nanoseconds in, answers out. `EngineExpectations` is the `EngineModel` of one
+scheduler. A worker reads prompts one after the other, so the time to a first token is that of all prompts before it and
+its own; parts of prompts that the worker keeps are not read again. A worker has room for a job while the first token is
+expected within the job's aim and its memory can hold the job.
+
+| what | how it is known |
+| --- | --- |
+| prompts of our own before it | counted from the send until the first token |
+| prompts of other schedulers before it | the last first token's delay beyond what our own explain; fades |
+| the time to read a token | a prior, corrected by the quickest first tokens |
+| the way there and back | the quickest first token of each worker, less the time to read its prompt |
+| parts that are kept | those of our own sends, the least recently used dropped first |
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
+from math import exp
+
+from canvasbeam.interface import JobArrived, PromptEstimate, WorkerEntry, WorkerState
+
+MILLISECOND = 1_000_000
+# The time to read a token until it was learned, and the least and most that is believed.
+READ_NS = 23_500.0
+LEAST_READ_NS, MOST_READ_NS = READ_NS / 4, READ_NS * 4
+# Prompts shorter than this say little of the time to read a token; the quickest of so many others tells it.
+TELLING_TOKENS = 4000
+TELLING_PROMPTS = 16
+# A quickest time is forgotten by this much with each slower one.
+FORGET = 1.002
+# The way to a worker and its first step, until they were learned: in the own region, and in others.
+NEAR_NS = 15 * MILLISECOND
+AWAY_NS = 120 * MILLISECOND
+# The part of what is left of an aim that may be expected to pass: expectations are rough.
+AIM_SHARE = 0.85
+# A job past its aim goes where less reading than this waits, so that it makes no other late.
+LATE_BACKLOG_NS = 60 * MILLISECOND
+# What other schedulers' prompts delayed fades over about this time.
+FADE_NS = 300 * MILLISECOND
+# Of a worker's memory, what our own running jobs may use, and what our kept parts are taken to use.
+MEMORY_SHARE = 0.9
+KEPT_SHARE = 0.5
+
+PrefixKey = tuple[str, ...]  # the names of a part and of all parts before it
+
+
+@dataclass(frozen=True, slots=True)
+class Engine:
+    """What the configuration says of a service's engines."""
+
+    kv_capacity: int
+
+
+@dataclass(slots=True)
+class SentJob:
+    """One of our jobs at a worker."""
+
+    sent_at: int
+    tokens_read: int  # that the worker had to read, as far as is known
+    tokens_held: int  # of memory, with all of its answer
+    expected_ns: float  # to its first token, other schedulers aside
+    prompt: PromptEstimate
+    started: bool = False
+
+
+@dataclass(slots=True)
+class EngineState:
+    """What is known of one worker."""
+
+    kind: str
+    near: bool
+    way_ns: float
+    way_learned: bool = False
+    jobs: dict[str, SentJob] = field(default_factory=dict)
+    reading_ns: float = 0.0  # own work that was not begun or finished, as of `read_at`
+    read_at: int = 0
+    others_ns: float = 0.0  # delay by other schedulers' prompts, as of `others_at`
+    others_at: int = 0
+    kept: OrderedDict[PrefixKey, int] = field(default_factory=OrderedDict)
+    kept_tokens: int = 0
+
+    def backlog_ns(self, now: int) -> float:
+        """Reading that waits at the worker, as far as is known."""
+        own = max(0.0, self.reading_ns - (now - self.read_at))
+        return own + self.others_ns * exp((self.others_at - now) / FADE_NS)
+
+
+class EngineExpectations:
+    """One scheduler's expectations of all model workers; an `EngineModel`."""
+
+    def __init__(self, own_zone: str) -> None:
+        self._own_zone = own_zone
+        self._engines: dict[str, Engine] = {}
+        self._states: dict[str, EngineState] = {}
+        self._samples: dict[str, deque[float]] = {}  # by kind, times to read a token as lately seen
+
+    def engines(self, engines: Mapping[str, Engine]) -> None:
+        """The services of the configuration in force that run language models."""
+        self._engines = dict(engines)
+
+    def has_room(self, now: int, entry: WorkerEntry, job: JobArrived, aim_left_ns: int) -> bool:
+        """Whether the worker can start the job within what is left of its aim, or else without harm to others."""
+        prompt = job.prompt
+        engine = self._engines.get(entry.kind)
+        if prompt is None or engine is None:
+            return True
+        state = self._state(entry)
+        in_use = sum(each.tokens_held for each in state.jobs.values())
+        if in_use and in_use + _tokens_held(prompt) > MEMORY_SHARE * engine.kv_capacity:
+            return False
+        backlog = state.backlog_ns(now)
+        expected = state.way_ns + backlog + self._reading_ns(entry, state, prompt)
+        return expected <= AIM_SHARE * aim_left_ns or (aim_left_ns <= 0 and backlog <= LATE_BACKLOG_NS)
+
+    def kept(self, entry: WorkerEntry, job: JobArrived) -> int:
+        """How many tokens of the job's prompt the worker is expected to keep."""
+        state = self._states.get(entry.worker)
+        return _kept_tokens(state, job.prompt) if state is not None and job.prompt is not None else 0
+
+    def sent(self, now: int, entry: WorkerEntry, job: JobArrived) -> None:
+        """The job was sent to the worker."""
+        prompt = job.prompt
+        if prompt is None or entry.kind not in self._engines:
+            return
+        state = self._state(entry)
+        to_read = max(1, prompt.tokens_in - _kept_tokens(state, prompt))
+        reading = to_read * self._read_ns(entry.kind)
+        own_before = max(0.0, state.reading_ns - (now - state.read_at))
+        state.reading_ns, state.read_at = own_before + reading, now
+        expected = state.way_ns + own_before + reading
+        state.jobs[job.job] = SentJob(now, to_read, _tokens_held(prompt), expected, prompt)
+        self._keep(state, prompt, self._engines[entry.kind])
+
+    def started(self, now: int, worker: str, job: str) -> None:
+        """The worker gave the job's first token: it has read this prompt, and all that came before it."""
+        state, sent = self._sent(worker, job)
+        if state is None or sent is None or sent.started:
+            return
+        sent.started = True
+        took = now - sent.sent_at
+        self._learn(state, sent, took)
+        state.others_ns, state.others_at = max(0.0, took - sent.expected_ns), now
+        state.reading_ns, state.read_at = self._unread_ns(state), now
+
+    def ended(self, now: int, worker: str, job: str) -> None:
+        """The job no longer occupies the worker."""
+        state, sent = self._sent(worker, job)
+        if state is not None and sent is not None:
+            del state.jobs[job]
+            if not sent.started:
+                left = max(0.0, state.reading_ns - (now - state.read_at))
+                state.reading_ns, state.read_at = min(left, self._unread_ns(state)), now
+
+    def listed(self, now: int, entry: WorkerEntry) -> None:
+        """Forget a worker that is gone."""
+        if entry.state is WorkerState.GONE:
+            self._states.pop(entry.worker, None)
+
+    # --- what is known of a worker ----------------------------------------------------------------
+
+    def _state(self, entry: WorkerEntry) -> EngineState:
+        state = self._states.get(entry.worker)
+        if state is None:
+            near = entry.zone == self._own_zone
+            state = EngineState(entry.kind, near, float(NEAR_NS if near else AWAY_NS))
+            self._states[entry.worker] = state
+        return state
+
+    def _sent(self, worker: str, job: str) -> tuple[EngineState | None, SentJob | None]:
+        state = self._states.get(worker)
+        return state, state.jobs.get(job) if state is not None else None
+
+    def _reading_ns(self, entry: WorkerEntry, state: EngineState, prompt: PromptEstimate) -> float:
+        to_read = prompt.tokens_in - _kept_tokens(state, prompt)
+        return to_read * self._read_ns(entry.kind)
+
+    def _read_ns(self, kind: str) -> float:
+        """The time to read a token."""
+        samples = self._samples.get(kind)
+        return min(MOST_READ_NS, max(LEAST_READ_NS, min(samples))) if samples else READ_NS
+
+    def _unread_ns(self, state: EngineState) -> float:
+        """The reading of our jobs that gave no token yet."""
+        return sum(each.tokens_read for each in state.jobs.values() if not each.started) * self._read_ns(state.kind)
+
+    def _learn(self, state: EngineState, sent: SentJob, took: int) -> None:
+        """Correct the time to read a token, and the way, by the quickest first tokens."""
+        if state.near and sent.tokens_read >= TELLING_TOKENS:
+            samples = self._samples.setdefault(state.kind, deque(maxlen=TELLING_PROMPTS))
+            samples.append(took / sent.tokens_read)
+        way = max(float(MILLISECOND), took - sent.tokens_read * self._read_ns(state.kind))
+        if not state.way_learned or way < state.way_ns:
+            state.way_ns, state.way_learned = min(way, state.way_ns), True
+        else:
+            state.way_ns *= FORGET
+
+    # --- kept parts -------------------------------------------------------------------------------
+
+    def _keep(self, state: EngineState, prompt: PromptEstimate, engine: Engine) -> None:
+        """The worker keeps what it reads; the least recently used parts give way."""
+        for key, tokens in _prefixes(prompt):
+            if key in state.kept:
+                state.kept.move_to_end(key)
+            else:
+                state.kept[key] = tokens
+                state.kept_tokens += tokens
+        while state.kept_tokens > KEPT_SHARE * engine.kv_capacity:
+            _, tokens = state.kept.popitem(last=False)
+            state.kept_tokens -= tokens
+
+
+def _tokens_held(prompt: PromptEstimate) -> int:
+    return prompt.tokens_in + prompt.most_tokens_out
+
+
+def _prefixes(prompt: PromptEstimate) -> Iterator[tuple[PrefixKey, int]]:
+    """Each part with the names of all parts up to it, and its own tokens."""
+    names: PrefixKey = ()
+    for part in prompt.parts:
+        names = (*names, part.name)
+        yield names, part.tokens
+
+
+def _kept_tokens(state: EngineState, prompt: PromptEstimate) -> int:
+    """Tokens from the prompt's begin on that the worker is expected to keep."""
+    total = 0
+    for key, tokens in _prefixes(prompt):
+        if key not in state.kept:
+            break
+        total += tokens
+    return min(total, prompt.tokens_in)
--- a/canvasbeam/interface.py
+++ b/canvasbeam/interface.py
@@ -215,7 +215,9 @@
     """All that a dispatcher is told at its start.
 
     With `classes_later` it may start without classes: `ClassesChanged` brings them. With `urgent_first` held jobs of a
-    higher priority go before all others.
+    higher priority go before all others. With `batches` workers run many jobs at once, so one that has not begun does
+    not show its worker full; who is heard of no more is rested. A job that finds no worker for `hold_share` of its aim
+    is refused, where that is not 0. A worker that keeps a part of a prompt may be `affinity_turns` ahead of the others.
     """
 
     classes: tuple[JobClass, ...]
@@ -242,6 +244,9 @@
     prices: Mapping[str, float] = field(default_factory=dict)
     classes_later: bool = False
     urgent_first: bool = False
+    batches: bool = False
+    hold_share: float = 0.0
+    affinity_turns: float = 0.0
 
     def __post_init__(self) -> None:
         _require(bool(self.classes) or self.classes_later, "classes", "must name at least one class")
@@ -251,6 +256,8 @@
         _require(self.own_number >= 0, "own_number", "must not be negative")
         _require(self.quantum_ns > 0, "quantum_ns", "must be positive")
         _require(self.progress_ns >= 0, "progress_ns", "must not be negative")
+        _require(self.hold_share >= 0, "hold_share", "must not be negative")
+        _require(self.affinity_turns >= 0, "affinity_turns", "must not be negative")
 
 
 def check_classes(classes: Sequence[JobClass], kinds: Sequence[str]) -> None:
@@ -540,7 +547,7 @@
     def has_room(self, now: int, entry: WorkerEntry, job: JobArrived, aim_left_ns: int) -> bool:
         """Whether the worker can start the job within what is left of its aim."""
 
-    def lead(self, entry: WorkerEntry, job: JobArrived) -> int:
+    def kept(self, entry: WorkerEntry, job: JobArrived) -> int:
         """How many tokens of the job's prompt the worker is expected to keep already."""
 
     def sent(self, now: int, entry: WorkerEntry, job: JobArrived) -> None:
@@ -551,3 +558,6 @@
 
     def ended(self, now: int, worker: str, job: str) -> None:
         """The job no longer occupies the worker."""
+
+    def listed(self, now: int, entry: WorkerEntry) -> None:
+        """What discovery tells of a worker."""
--- a/tests/data_plane_harness.py
+++ b/tests/data_plane_harness.py
@@ -270,7 +270,7 @@
 
     async def __aenter__(self) -> DataPlaneUnderTest:
         self.connections = WorkerConnections()
-        self.carrier = Carrier(lambda: Dispatcher(dispatcher_settings(self.settings, 1), 1), self.connections)
+        self.carrier = Carrier(lambda: Dispatcher(dispatcher_settings(self.settings), 1), self.connections)
         self.view = ConfigurationView(self.table)
         self.shutdown = Shutdown(self.settings, self.carrier.now_ns)
         self.view.add_listener(self._on_configuration)
