--- a/tests/test_data_plane_items.py
+++ b/tests/test_data_plane_items.py
@@ -124,7 +124,12 @@
 
     async def body(data_plane: DataPlaneUnderTest) -> None:
         record = workers_pb2.WorkerRecord(
-            service="svc", address=f"127.0.0.1:{worker.port}", zone="z1", slots=4, state=1, cold_left_ms=3000
+            service="svc",
+            address=f"127.0.0.1:{worker.port}",
+            zone="z1",
+            slots=4,
+            state=workers_pb2.WORKER_STATE_READY,
+            cold_left_ms=3000,
         )
         data_plane.table.merge([Item(ItemKind.WORKER, "w1", Version(100), record.SerializeToString())])
         first = data_plane.worker_list._told["w1"].entry
