Give workers of a control node that lost contact time to call another

Control nodes now tell each other twice a second that they take part, a change of contact postpones judgement, and a node out of contact stops acknowledging within 0.6 s of noticing.

--- a/canvasbeam/control_plane/registry.py
+++ b/canvasbeam/control_plane/registry.py
@@ -34,7 +34,8 @@
 SILENT_HEARTBEATS = 3.5
 TICK_S = 0.5
 LONGEST_TICK_NS = 2 * SECOND  # this process stood still where more time passed between two ticks
-IN_TOUCH_WITHIN_NS = 2 * SECOND
+TELLING_SILENCE_NS = 3 * SECOND // 2  # a control node that tells nothing for this long is out of contact
+IN_TOUCH_WITHIN_NS = 600 * MILLISECOND
 
 log = get_logger(__name__)
 
@@ -74,7 +75,8 @@
         silence_ns = round(settings.heartbeat_ms * SILENT_HEARTBEATS * MILLISECOND)
         self._registry = WorkerRegistry(silence_ns, clock())
         self._ticked_at_ns = clock()
-        self._control_ips: frozenset[str] = frozenset()
+        self._told_at_ns: dict[str, int] = {}  # when another control node last told of its heartbeats
+        self._in_contact: frozenset[str] = frozenset()
         self._is_stopping = False
         node.table.add_listener(self._on_items)
         node.transport.register(Channel.REGISTRY, self._on_message)
@@ -148,13 +150,17 @@
     def _has_missed_heartbeats(self, now_ns: int) -> bool:
         """Whether heartbeats that others took may not have been told here."""
         elapsed_ns, self._ticked_at_ns = now_ns - self._ticked_at_ns, now_ns
-        former, self._control_ips = self._control_ips, frozenset(node.ip for node in self._node.control_nodes())
-        if elapsed_ns > LONGEST_TICK_NS or former != self._control_ips:
+        former, self._in_contact = (
+            self._in_contact,
+            frozenset(ip for ip, told_at_ns in self._told_at_ns.items() if now_ns - told_at_ns <= TELLING_SILENCE_NS),
+        )
+        if elapsed_ns > LONGEST_TICK_NS or former != self._in_contact:
             return True
         return not self._node.in_touch(IN_TOUCH_WITHIN_NS)
 
     def _is_registrar(self) -> bool:
-        nodes = self._node.control_nodes()
+        """Whether this node is the first of those in contact."""
+        nodes = [node for node in self._node.control_nodes() if self._is_own(node) or node.ip in self._in_contact]
         return bool(nodes) and self._is_own(min(nodes, key=lambda node: node.key))
 
     def _is_own(self, member: Member) -> bool:
@@ -173,14 +179,12 @@
         self._publish(corrections)
 
     def _tell_heartbeats(self) -> None:
+        """Tell each other control node, also of no heartbeat at all: that this node takes part is told with it."""
         heartbeats = self._registry.take_untold()
-        others = [node for node in self._node.control_nodes() if not self._is_own(node)]
-        if not heartbeats or not others:
-            return
         message = HeardHeartbeats(
             heartbeats=[HeardHeartbeatMessage(id=each.worker_id, sequence=each.sequence) for each in heartbeats]
         )
-        addresses = [self._node.peer_address(node) for node in others]
+        addresses = [self._node.peer_address(node) for node in self._node.control_nodes() if not self._is_own(node)]
         self._node.transport.send_to_many(addresses, Channel.REGISTRY, message.SerializeToString())
 
     def _on_message(self, sender: PeerInfo, payload: bytes) -> None:
@@ -189,5 +193,6 @@
         except DecodeError:
             log.warning("a message of {} cannot be decoded", sender.name)
             return
+        self._told_at_ns[sender.ip] = self._clock()
         heard = (HeardHeartbeat(each.id, each.sequence) for each in message.heartbeats)
         self._registry.heard_elsewhere(heard, self._clock())
--- a/canvasbeam/decide/worker_registry.py
+++ b/canvasbeam/decide/worker_registry.py
@@ -95,6 +95,7 @@
     heard_at_ns: int = 0
     told: Worker | None = None  # by the last heartbeat taken here
     told_sequence: int = -1
+    told_at_ns: int = 0
 
     @property
     def state(self) -> WorkerState | None:
@@ -118,7 +119,7 @@
         entry = self._entry(worker_id, now_ns)
         if entry.state is WorkerState.LEFT or sequence <= entry.last_sequence:
             return []
-        entry.told, entry.told_sequence = worker, sequence
+        entry.told, entry.told_sequence, entry.told_at_ns = worker, sequence, now_ns
         self._hear(entry, sequence, now_ns)
         self._untold[worker_id] = sequence
         if not _says_something_new(entry, worker, now_ns):
@@ -144,7 +145,8 @@
             self._hear(entry, publication.version.sequence, now_ns)
             return []
         entry.last_sequence = max(entry.last_sequence, publication.version.sequence)
-        if entry.told is None or entry.told_sequence <= publication.version.sequence:
+        is_overtaken = entry.told is not None and entry.told_sequence > publication.version.sequence
+        if not is_overtaken or now_ns - entry.told_at_ns > self.silence_ns:
             return []
         return [self._restate(publication.worker_id, entry, now_ns)]
 
--- /dev/null
+++ b/tests/test_registry.py
@@ -0,0 +1,252 @@
+"""The registry over HTTP at several control nodes, on a network that is played by the test."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
+from canvasbeam.cluster.items import Item, ItemKind, ItemTable
+from canvasbeam.cluster.member import Member
+from canvasbeam.cluster.transport import Channel, PeerInfo
+from canvasbeam.cluster.worker_items import worker_of
+from canvasbeam.control_plane.registry import INSTANCES_PREFIX, RegistryService
+from canvasbeam.control_plane.web import Answer, Request
+from canvasbeam.decide.worker_registry import Worker, WorkerState
+from canvasbeam.runtime.settings import Address, ProcessSettings
+
+MS = 1_000_000
+HEARTBEAT_MS = 1000
+ZONES = {"z1": "r1", "z2": "r1", "z3": "r2"}
+
+
+@dataclass
+class Network:
+    """Control nodes, one a zone; those that are cut off reach nobody."""
+
+    now_ns: int = 0
+    nodes: list[FakeNode] = field(default_factory=list)
+    cut_off: set[str] = field(default_factory=set)
+
+    def reach_each_other(self, one: str, other: str) -> bool:
+        return one == other or not {one, other} & self.cut_off
+
+    def advance(self, milliseconds: int) -> None:
+        """Let time pass in steps of the registry's tick."""
+        for _ in range(milliseconds // 500):
+            self.now_ns += 500 * MS
+            for node in self.nodes:
+                node.service.tick()
+
+
+@dataclass
+class FakeNode:
+    """What the registry needs of a cluster node, and its transport."""
+
+    network: Network
+    member: Member
+    table: ItemTable = field(default_factory=ItemTable)
+    callbacks: dict[Channel, Callable[[PeerInfo, bytes], None]] = field(default_factory=dict)
+    live: list[Member] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        settings = ProcessSettings(
+            node=self.member.name, role="core", node_class="core", serves=("control",), ip=self.member.ip,
+            zone=self.member.zone, region=self.member.region, port_range=(7660, 7675), seeds=(),
+            heartbeat_ms=HEARTBEAT_MS, zones=ZONES, listen={"control": Address(self.member.ip, 8146)},
+        )  # fmt: skip
+        self.service = RegistryService(settings, self, lambda: self.network.now_ns)  # type: ignore[arg-type]
+
+    @property
+    def transport(self) -> FakeNode:
+        return self
+
+    def register(self, channel: Channel, callback: Callable[[PeerInfo, bytes], None]) -> None:
+        self.callbacks[channel] = callback
+
+    def send_to_many(self, addresses: Iterable[Address], channel: Channel, payload: bytes) -> None:
+        sender = PeerInfo(self.member.name, self.peer_address(self.member))
+        for address in addresses:
+            for node in self.network.nodes:
+                if node.member.ip == address.host and self.network.reach_each_other(self.member.ip, address.host):
+                    node.callbacks[channel](sender, payload)
+
+    def publish(self, items: Iterable[Item]) -> list[Item]:
+        taken = self.table.merge(items)
+        for node in self.network.nodes:
+            if node is not self and self.network.reach_each_other(self.member.ip, node.member.ip):
+                node.table.merge(taken)
+        return taken
+
+    def control_nodes(self) -> Sequence[Member]:
+        return self.live
+
+    def peer_address(self, member: Member) -> Address:
+        return Address(member.ip, 7660)
+
+    def in_touch(self, within: int) -> bool:
+        return self.member.ip not in self.network.cut_off
+
+    def call(self, method: str, worker_id: str, body: bytes = b"") -> Answer:
+        return asyncio.run(self.service.instances(Request(method, INSTANCES_PREFIX + worker_id, body=body)))
+
+    def heartbeat(self, worker_id: str, sequence: int, **fields: Any) -> Answer:
+        document = {"service": "llm", "address": f"{worker_id}:1", "zone": "z1", "state": "ready", "seq": sequence}
+        return self.call("PUT", worker_id, json.dumps(document | fields).encode())
+
+    def worker(self, worker_id: str) -> Worker | None:
+        """The worker as this node's table has it; none where it left or is not known."""
+        item = self.table.get(ItemKind.WORKER, worker_id)
+        if item is None or item.deleted:
+            return None
+        worker = worker_of(item)
+        assert isinstance(worker, Worker)
+        return worker
+
+    def state(self, worker_id: str) -> WorkerState | None:
+        worker = self.worker(worker_id)
+        return None if worker is None else worker.state
+
+
+def make_network(*zones: str) -> Network:
+    network = Network()
+    for number, zone in enumerate(zones, 1):
+        member = Member(f"core-{number}", "core", "core", f"10.{number}.0.1", zone, ZONES[zone], "", True, 1, True)
+        network.nodes.append(FakeNode(network, member))
+    for node in network.nodes:
+        node.live = [each.member for each in network.nodes]
+    network.advance(500)
+    return network
+
+
+def test_heartbeat_is_published_before_it_is_acknowledged() -> None:
+    network = make_network("z1", "z2", "z3")
+    assert network.nodes[1].heartbeat("i-1", 1).status == 200
+    assert [node.state("i-1") for node in network.nodes] == [WorkerState.READY] * 3
+    assert network.nodes[2].heartbeat("i-1", 2, state="draining").status == 200
+    assert [node.state("i-1") for node in network.nodes] == [WorkerState.DRAINING] * 3
+    assert network.nodes[0].call("DELETE", "i-1").status == 200
+    assert [node.state("i-1") for node in network.nodes] == [None] * 3
+
+
+def test_answer_is_small_and_names_a_node_near_the_worker() -> None:
+    network = make_network("z1", "z2", "z3")
+    for zone, ip in (("z1", "10.1.0.1"), ("z2", "10.2.0.1"), ("z3", "10.3.0.1")):
+        answer = network.nodes[0].heartbeat(f"i-{zone}", 1, zone=zone)
+        assert json.loads(answer.body) == {"beat_url": f"http://{ip}:8146/v1/instances/i-{zone}"}
+        assert len(answer.body) < 4096
+
+
+def test_answer_names_a_node_of_the_region_where_the_zone_has_none() -> None:
+    network = make_network("z2", "z3")
+    assert "10.1.0.1" in json.loads(network.nodes[1].heartbeat("i-1", 1, zone="z1").body)["beat_url"]
+
+
+def test_answer_names_no_node_where_none_is_near() -> None:
+    network = make_network("z1", "z2")
+    assert json.loads(network.nodes[0].heartbeat("i-1", 1, zone="z3").body) == {}
+    assert json.loads(network.nodes[0].heartbeat("i-2", 1, zone="z9").body) == {}
+
+
+def test_answer_names_no_node_that_stops_or_is_not_alive() -> None:
+    network = make_network("z1", "z2", "z3")
+    first = network.nodes[0]
+    first.service.stop()
+    assert "10.2.0.1" in json.loads(first.heartbeat("i-1", 1).body)["beat_url"]
+    first.live = [network.nodes[2].member]
+    assert json.loads(first.heartbeat("i-1", 2).body) == {}
+
+
+def test_worker_that_beats_elsewhere_is_not_silent() -> None:
+    network = make_network("z1", "z2", "z3")
+    for sequence in range(1, 20):
+        network.nodes[2].heartbeat("i-1", sequence)
+        network.advance(1000)
+    assert network.nodes[0].state("i-1") is WorkerState.READY
+
+
+def test_silent_worker_is_missing_everywhere_until_it_is_heard() -> None:
+    network = make_network("z1", "z2", "z3")
+    network.nodes[1].heartbeat("i-1", 1)
+    network.advance(3000)
+    assert network.nodes[2].state("i-1") is WorkerState.READY
+    network.advance(2000)
+    assert [node.state("i-1") for node in network.nodes] == [WorkerState.MISSING] * 3
+    network.nodes[2].heartbeat("i-1", 2)
+    assert [node.state("i-1") for node in network.nodes] == [WorkerState.READY] * 3
+
+
+def test_only_the_first_live_node_judges() -> None:
+    network = make_network("z1", "z2", "z3")
+    network.nodes[1].heartbeat("i-1", 1)
+    for node in network.nodes[:2]:
+        node.live = [network.nodes[0].member, network.nodes[1].member]
+    network.nodes[2].live = [network.nodes[0].member, network.nodes[2].member]
+    network.now_ns += 60_000 * MS
+    for node in network.nodes[1:]:
+        for _ in range(3):
+            node.service.tick()
+    assert network.nodes[1].state("i-1") is WorkerState.READY
+
+
+def test_node_that_is_cut_off_sends_workers_on_and_judges_nobody() -> None:
+    network = make_network("z1", "z2", "z3")
+    network.nodes[1].heartbeat("i-1", 1)
+    network.cut_off.add("10.1.0.1")
+    assert network.nodes[0].heartbeat("i-2", 1).status == 503
+    assert network.nodes[0].call("DELETE", "i-2").status == 503
+    network.advance(60_000)
+    assert network.nodes[0].state("i-1") is WorkerState.READY
+
+
+def test_workers_of_a_node_that_was_cut_off_have_time_to_call_another() -> None:
+    network = make_network("z1", "z2", "z3")
+    for sequence in range(1, 4):
+        network.nodes[2].heartbeat("i-1", sequence)
+        network.advance(1000)
+    network.cut_off.add("10.3.0.1")
+    network.advance(4500)
+    assert network.nodes[0].state("i-1") is WorkerState.READY
+    network.nodes[1].heartbeat("i-1", 8)
+    network.advance(3500)
+    assert network.nodes[0].state("i-1") is WorkerState.READY
+    network.advance(1000)
+    assert network.nodes[0].state("i-1") is WorkerState.MISSING
+
+
+def test_node_that_stood_still_judges_nobody_for_a_while() -> None:
+    network = make_network("z1")
+    network.nodes[0].heartbeat("i-1", 1)
+    network.now_ns += 10_000 * MS
+    network.nodes[0].service.tick()
+    network.advance(3000)
+    assert network.nodes[0].state("i-1") is WorkerState.READY
+    network.advance(1000)
+    assert network.nodes[0].state("i-1") is WorkerState.MISSING
+
+
+def test_node_that_has_just_started_judges_nobody_for_a_while() -> None:
+    network = make_network("z1", "z2")
+    network.nodes[1].heartbeat("i-1", 1)
+    network.nodes.remove(network.nodes[0])
+    restarted = FakeNode(network, Member("core-1", "core", "core", "10.1.0.1", "z1", "r1", "", True, 2, True))
+    network.nodes.insert(0, restarted)
+    for node in network.nodes:
+        node.live = [each.member for each in network.nodes]
+    restarted.table.merge(network.nodes[1].table)
+    network.advance(3000)
+    assert restarted.state("i-1") is WorkerState.READY
+
+
+def test_malformed_calls_change_nothing() -> None:
+    network = make_network("z1")
+    node = network.nodes[0]
+    assert node.call("PUT", "i-1", b"{").status == 400
+    assert node.heartbeat("i-1", -1).status == 400
+    assert node.heartbeat("", 1).status == 400
+    assert node.heartbeat("i" * 300, 1).status == 400
+    assert node.call("GET", "i-1").status == 405
+    node.callbacks[Channel.REGISTRY](PeerInfo("x", Address("10.9.0.1", 7660)), b"\xff\xff")
+    assert len(node.table) == 0
--- a/tests/test_worker_registry.py
+++ b/tests/test_worker_registry.py
@@ -138,6 +138,12 @@
     ]
 
 
+def test_judgement_is_not_corrected_by_a_heartbeat_of_long_ago() -> None:
+    own = registry()
+    own.heartbeat("i-1", 9, READY, 0)
+    assert own.published(Publication("i-1", WorkerVersion(5, JUDGED), MISSING), SILENCE + 1) == []
+
+
 def test_judgement_of_the_last_heartbeat_stands() -> None:
     own = registry()
     own.heartbeat("i-1", 9, READY, 0)
