--- /dev/null
+++ b/tests/test_engine_model.py
@@ -0,0 +1,146 @@
+"""What is expected of model workers, from one scheduler's own sends."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from canvasbeam.decide.engine_model import AIM_SHARE, KEPT_SHARE, NEAR_NS, READ_NS, Engine, EngineExpectations
+from canvasbeam.interface import JobArrived, PromptEstimate, PromptPart, WorkerEntry, WorkerState
+
+MS = 1_000_000
+SECOND = 1_000 * MS
+NOW = 100 * SECOND
+AIM = 500 * MS
+NEAR = WorkerEntry("near", "here", "llm")
+AWAY = WorkerEntry("away", "there", "llm")
+CAPACITY = 100_000
+
+
+def model() -> EngineExpectations:
+    expectations = EngineExpectations("here")
+    expectations.engines({"llm": Engine(CAPACITY)})
+    return expectations
+
+
+def job(name: str, tokens: int, *parts: tuple[str, int], out: int = 0) -> JobArrived:
+    prompt = PromptEstimate(tokens, out, tuple(PromptPart(each, size) for each, size in parts))
+    return JobArrived(name, "chat", NOW + 5 * SECOND, prompt=prompt)
+
+
+def tokens_read_in(span: float) -> int:
+    return round(span / READ_NS)
+
+
+def test_an_idle_worker_has_room_for_what_it_reads_within_the_aim() -> None:
+    most = tokens_read_in(AIM_SHARE * AIM - NEAR_NS)
+    assert model().has_room(NOW, NEAR, job("j", most - 10), AIM)
+    assert not model().has_room(NOW, NEAR, job("j", most + 10), AIM)
+
+
+def test_the_way_to_another_region_counts() -> None:
+    most = tokens_read_in(AIM_SHARE * AIM - NEAR_NS)
+    assert not model().has_room(NOW, AWAY, job("j", most - 10), AIM)
+
+
+def test_prompts_before_it_count_until_they_are_read() -> None:
+    expectations = model()
+    half = tokens_read_in(AIM / 2)
+    expectations.sent(NOW, NEAR, job("first", half))
+    assert not expectations.has_room(NOW, NEAR, job("j", half), AIM)
+    assert expectations.has_room(NOW + AIM // 2, NEAR, job("j", half), AIM)
+
+
+def test_a_first_token_shows_that_the_prompt_is_read() -> None:
+    expectations = model()
+    half = tokens_read_in(AIM / 2)
+    expectations.sent(NOW, NEAR, job("first", half))
+    expectations.started(NOW + 20 * MS, "near", "first")
+    assert expectations.has_room(NOW + 20 * MS, NEAR, job("j", half), AIM)
+
+
+def test_a_job_that_ended_unread_no_longer_counts() -> None:
+    expectations = model()
+    half = tokens_read_in(AIM / 2)
+    expectations.sent(NOW, NEAR, job("first", half))
+    expectations.ended(NOW, "near", "first")
+    assert expectations.has_room(NOW, NEAR, job("j", half), AIM)
+
+
+def test_a_late_first_token_tells_of_other_schedulers_prompts_and_fades() -> None:
+    expectations = model()
+    expectations.sent(NOW, NEAR, job("first", 100))
+    expectations.started(NOW + 600 * MS, "near", "first")
+    assert not expectations.has_room(NOW + 600 * MS, NEAR, job("j", 100), AIM)
+    assert expectations.has_room(NOW + 1200 * MS, NEAR, job("j", 100), AIM)
+
+
+def test_a_job_past_its_aim_goes_only_where_little_waits() -> None:
+    expectations = model()
+    assert expectations.has_room(NOW, NEAR, job("late", 9000), -1)
+    expectations.sent(NOW, NEAR, job("first", 9000))
+    assert not expectations.has_room(NOW, NEAR, job("late", 100), -1)
+
+
+def test_kept_parts_are_not_read_again() -> None:
+    expectations = model()
+    shared = job("first", 10_000, ("a", 5000), ("b", 4900), ("own", 100))
+    expectations.sent(NOW, NEAR, shared)
+    assert expectations.kept(NEAR, job("j", 10_000, ("a", 5000), ("b", 4900), ("other", 100))) == 9900
+    assert expectations.kept(NEAR, job("j", 10_000, ("a", 5000), ("c", 4900))) == 5000
+    assert expectations.kept(NEAR, job("j", 10_000, ("b", 4900))) == 0
+    assert expectations.kept(AWAY, shared) == 0
+
+
+def test_the_least_recently_used_parts_give_way() -> None:
+    expectations = model()
+    most = round(KEPT_SHARE * CAPACITY)
+    first, second = job("1", most // 2, ("a", most // 2)), job("2", most // 2, ("b", most // 2))
+    for each in (first, second, first, job("3", most // 2, ("c", most // 2))):
+        expectations.sent(NOW, NEAR, each)
+    assert expectations.kept(NEAR, first)
+    assert not expectations.kept(NEAR, second)
+
+
+def test_a_worker_without_memory_has_no_room_unless_nothing_runs_there() -> None:
+    expectations = model()
+    large = job("large", 100, out=CAPACITY)
+    assert expectations.has_room(NOW, NEAR, large, AIM)
+    expectations.sent(NOW, NEAR, large)
+    expectations.started(NOW, "near", "large")
+    assert not expectations.has_room(NOW, NEAR, job("j", 100), AIM)
+    expectations.ended(NOW, "near", "large")
+    assert expectations.has_room(NOW, NEAR, job("j", 100), AIM)
+
+
+def test_a_worker_that_is_gone_is_forgotten() -> None:
+    expectations = model()
+    shared = job("1", 1000, ("a", 1000))
+    expectations.sent(NOW, NEAR, shared)
+    expectations.listed(NOW, WorkerEntry("near", "here", "llm", state=WorkerState.GONE))
+    assert expectations.kept(NEAR, shared) == 0
+
+
+def test_workers_without_engines_always_have_room() -> None:
+    expectations = model()
+    plain = WorkerEntry("plain", "here", "lookup")
+    for number in range(100):
+        assert expectations.has_room(NOW, plain, job("j", 10_000), AIM)
+        expectations.sent(NOW, plain, job(f"j{number}", 10_000))
+
+
+@pytest.mark.parametrize("pace", [READ_NS / 2, READ_NS * 3])
+def test_the_time_to_read_a_token_is_learned(pace: float) -> None:
+    """A worker of another speed: after some prompts the expected first token lies near the true one."""
+    expectations, now, chance = model(), NOW, random.Random(1)
+    for number in range(40):
+        tokens = chance.randrange(4000, 9000)
+        expectations.sent(now, NEAR, job(str(number), tokens))
+        now += round(5 * MS + tokens * pace)
+        expectations.started(now, "near", str(number))
+        expectations.ended(now, "near", str(number))
+        now += 5 * SECOND
+    true = 5 * MS + 6000 * pace
+    assert expectations.has_room(now, NEAR, job("j", 6000), round(true * 1.25 / AIM_SHARE))
+    assert not expectations.has_room(now, NEAR, job("j", 6000), round(true * 0.8 / AIM_SHARE))
--- /dev/null
+++ b/tests/test_system_placement.py
@@ -0,0 +1,312 @@
+"""Placement as the serving system sets it: classes that change, batches, early refusals, kept prompts, limits."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from canvasbeam import Dispatcher
+from canvasbeam import interface as ci
+from canvasbeam.decide.engine_model import READ_NS, Engine, EngineExpectations
+from tests.helpers import MS, SECOND, START
+
+LLM = "llm"
+LOOKUP = "lookup"
+CHAT = ci.JobClass(
+    "chat", aim_ns=500 * MS, deadline_ns=5 * SECOND, late_worth=0.3, effect=ci.Effect.UNSAFE, streams=True, kind=LLM,
+    max_attempts=1,
+)  # fmt: skip
+BRIEF = replace(CHAT, name="brief", effect=ci.Effect.SAFE, priority=9, max_attempts=2)
+READ = ci.JobClass("read", aim_ns=300 * MS, deadline_ns=3 * SECOND, effect=ci.Effect.UNSAFE, kind=LOOKUP)
+TOKENS_OF_500_MS = round(500 * MS / READ_NS)
+
+
+class Limits:
+    """A governor that says what it is told to and notes what it hears."""
+
+    def __init__(self) -> None:
+        self.repeats_permitted = True
+        self.cold: set[str] = set()
+        self.sends: list[tuple[str, bool]] = []
+
+    def arrived(self, now: int, kind: str) -> None:
+        pass
+
+    def may_repeat(self, now: int, kind: str) -> bool:
+        return self.repeats_permitted
+
+    def may_send_cold(self, now: int, worker: str) -> bool:
+        return worker not in self.cold
+
+    def sent(self, now: int, kind: str, worker: str, repeat: bool) -> None:
+        self.sends.append((worker, repeat))
+
+    def listed(self, now: int, entry: ci.WorkerEntry) -> None:
+        pass
+
+
+def worker(name: str, zone: str = "here", kind: str = LLM, slots: int = 64, **fields: Any) -> ci.WorkerEntry:
+    return ci.WorkerEntry(name, zone, kind, slots=slots, **fields)
+
+
+def prompt(tokens: int = 100, *parts: tuple[str, int]) -> ci.PromptEstimate:
+    return ci.PromptEstimate(tokens, 50, tuple(ci.PromptPart(name, size) for name, size in parts))
+
+
+class System:
+    """Drives one dispatcher with the system's settings."""
+
+    def __init__(
+        self, *workers: ci.WorkerEntry, classes: tuple[ci.JobClass, ...] = (CHAT, BRIEF, READ), **changes: Any
+    ):
+        limits = ci.Limits(probes=False, retry_advice=True, max_retry_advice_ns=300 * MS, connect_timeout_ns=300 * MS)
+        settings: dict[str, Any] = {
+            "classes": (), "classes_later": True, "zones": ("here", "there"), "own_zone": "here", "batches": True,
+            "urgent_first": True, "hold_share": 0.2, "limits": limits, "quantum_ns": 2 * MS,
+        }  # fmt: skip
+        self.limits = Limits()
+        self.engines = EngineExpectations("here")
+        self.engines.engines({LLM: Engine(kv_capacity=200_000)})
+        self.dispatcher = Dispatcher(ci.Settings(**{**settings, **changes}), 1, self.limits, self.engines)
+        self.now = START
+        self.timers: list[tuple[int, str]] = []
+        self.made = 0
+        self.give(ci.ClassesChanged(classes, (LLM, LOOKUP)))
+        self.give(ci.WorkersListed(ci.ListKind.CHANGES, workers))
+
+    def give(self, *events: ci.Event) -> list[ci.Action]:
+        actions = self.dispatcher.handle(self.now, events)
+        self.timers += [(each.when_ns, each.token) for each in actions if isinstance(each, ci.SetTimer)]
+        return [each for each in actions if not isinstance(each, ci.SetTimer | ci.Log)]
+
+    def pass_time(self, span: int) -> list[ci.Action]:
+        end, given = self.now + span, []
+        while self.timers and min(self.timers)[0] <= end:
+            when, token = min(self.timers)
+            self.timers.remove((when, token))
+            self.now = max(self.now, when)
+            given += self.give(ci.TimerFired(token))
+        self.now = end
+        return given
+
+    def job(self, job_class: str = "chat", due: int = 5 * SECOND, **fields: Any) -> list[ci.Action]:
+        """A job arrives, named j0, j1, ..."""
+        fields.setdefault("prompt", prompt())
+        name = f"j{self.made}"
+        self.made += 1
+        return self.give(ci.JobArrived(name, job_class, self.now + due, **fields))
+
+    def opened(self, job: str, worker_name: str, attempt: int = 0) -> list[ci.Action]:
+        return self.give(ci.StreamOpened(job, attempt, worker_name))
+
+    def ended(
+        self, job: str, worker_name: str, outcome: ci.Outcome = ci.Outcome.OK, attempt: int = 0
+    ) -> list[ci.Action]:
+        return self.give(ci.AttemptEnded(job, attempt, worker_name, outcome, final=outcome is ci.Outcome.OK))
+
+
+def sent_to(actions: list[ci.Action]) -> list[str]:
+    return [each.worker for each in actions if isinstance(each, ci.Send)]
+
+
+# --- classes ----------------------------------------------------------------------------------
+
+
+def test_settings_without_classes_are_refused_unless_these_come_later() -> None:
+    with pytest.raises(ValueError, match="classes"):
+        ci.Settings(classes=(), zones=("here",), own_zone="here")
+    ci.Settings(classes=(), zones=("here",), own_zone="here", classes_later=True)
+
+
+def test_a_class_that_is_new_is_served_and_a_job_keeps_the_class_that_it_came_with() -> None:
+    system = System(worker("a", slots=1), worker("b", kind=LOOKUP))
+    assert sent_to(system.job()) == ["a"]
+    assert system.job() == []
+    system.give(ci.ClassesChanged((replace(CHAT, name="new", kind=LOOKUP),), (LLM, LOOKUP)))
+    assert sent_to(system.job("new")) == ["b"]
+    assert sent_to(system.ended("j0", "a")) == ["a"]
+
+
+def test_changed_timeouts_do_not_make_new_jobs_look_like_repeats() -> None:
+    system = System(worker("a", slots=1))
+    system.job(due=5 * SECOND)
+    system.give(ci.ClassesChanged((CHAT, BRIEF), (LLM,)))
+    system.job(due=3 * SECOND)
+    assert system.pass_time(200 * MS) == [ci.Refuse("j1", 300 * MS)]
+
+
+def test_a_class_runs_only_in_its_homes() -> None:
+    homes = replace(CHAT, homes=("there",))
+    system = System(worker("a"), worker("b", "there"), classes=(homes,))
+    assert sent_to(system.job()) == ["b"]
+
+
+def test_a_job_goes_to_no_more_workers_than_its_class_permits() -> None:
+    system = System(worker("a"), worker("b"), worker("c"))
+    first = sent_to(system.job("brief"))[0]
+    second = sent_to(system.ended("j0", first, ci.Outcome.FULL))
+    assert len(second) == 1
+    assert second != [first]
+    assert system.ended("j0", second[0], ci.Outcome.FULL, attempt=1) == [ci.Refuse("j0", 300 * MS)]
+
+
+def test_a_refused_connection_is_no_send() -> None:
+    system = System(worker("a"), worker("b"))
+    first = sent_to(system.job("chat"))[0]
+    other = sent_to(system.ended("j0", first, ci.Outcome.CONNECT_FAILED))
+    assert other == [{"a": "b", "b": "a"}[first]]
+    assert system.limits.sends[-1] == (other[0], False)
+
+
+# --- rings and turns --------------------------------------------------------------------------
+
+
+def test_turns_are_even_in_the_own_region_though_jobs_have_not_begun() -> None:
+    system = System(worker("a"), worker("b"), worker("c", "there"))
+    names = [sent_to(system.job())[0] for _ in range(6)]
+    assert sorted(names) == ["a", "a", "a", "b", "b", "b"]
+
+
+def test_a_job_spills_when_the_own_region_would_start_it_late_and_returns_after() -> None:
+    system = System(worker("a"), worker("c", "there"))
+    assert sent_to(system.job("brief", prompt=prompt(TOKENS_OF_500_MS // 2))) == ["a"]
+    assert sent_to(system.job("brief", prompt=prompt(TOKENS_OF_500_MS // 2))) == ["c"]
+    system.opened("j0", "a")
+    assert sent_to(system.job("brief", prompt=prompt(TOKENS_OF_500_MS // 2))) == ["a"]
+
+
+def test_no_more_jobs_than_slots_are_sent() -> None:
+    system = System(worker("a", kind=LOOKUP, slots=2), worker("b", "there", kind=LOOKUP, slots=2))
+    names = [sent_to(system.job("read", prompt=None))[0] for _ in range(4)]
+    assert names == ["a", "a", "b", "b"]
+    assert system.job("read", prompt=None) == []
+
+
+def test_an_overload_answer_marks_a_worker_busy_for_a_while() -> None:
+    system = System(worker("a"), worker("b", "there"))
+    assert sent_to(system.job("brief")) == ["a"]
+    assert sent_to(system.ended("j0", "a", ci.Outcome.FULL)) == ["b"]
+    assert sent_to(system.job("brief")) == ["b"]
+    system.pass_time(2 * SECOND)
+    assert sent_to(system.job("brief")) == ["a"]
+
+
+# --- holding and refusing ---------------------------------------------------------------------
+
+
+def test_a_job_without_any_worker_is_held_briefly_and_then_refused_with_advice() -> None:
+    system = System()
+    assert system.job() == []
+    assert system.pass_time(90 * MS) == []
+    assert system.pass_time(35 * MS) == [ci.Refuse("j0", 300 * MS)]
+
+
+def test_a_held_job_goes_to_a_worker_that_comes() -> None:
+    system = System()
+    system.job()
+    assert sent_to(system.give(ci.WorkersListed(ci.ListKind.CHANGES, (worker("a"),)))) == ["a"]
+
+
+def test_a_job_that_comes_back_is_held_and_sent_though_it_is_late() -> None:
+    system = System(worker("a", slots=1))
+    system.job(due=5 * SECOND)
+    system.opened("j0", "a")
+    system.job(due=4 * SECOND)
+    assert system.pass_time(2 * SECOND) == []
+    assert sent_to(system.ended("j0", "a")) == ["a"]
+
+
+def test_urgent_jobs_go_first_among_those_held() -> None:
+    system = System(worker("a", slots=1))
+    system.job()
+    system.job("chat")
+    system.job("brief")
+    assert [each.job for each in system.ended("j0", "a") if isinstance(each, ci.Send)] == ["j2"]
+
+
+# --- silence ----------------------------------------------------------------------------------
+
+
+def test_a_worker_that_starts_nothing_and_says_nothing_is_rested_and_safe_jobs_move() -> None:
+    system = System(worker("a"), worker("b", "there"))
+    assert sent_to(system.job("brief")) == ["a"]
+    assert sent_to(system.job("chat")) == ["a"]
+    given = system.pass_time(900 * MS)
+    assert given == [ci.Cancel("j0", 0)]
+    assert system.dispatcher.resting() == ["a"]
+    assert sent_to(system.ended("j0", "a", ci.Outcome.CANCELLED)) == ["b"]
+    assert sent_to(system.job("chat")) == ["b"]
+
+
+def test_a_worker_whose_streams_go_on_is_not_silent() -> None:
+    system = System(worker("a"))
+    system.job("brief")
+    system.job("brief")
+    system.pass_time(600 * MS)
+    system.opened("j0", "a")
+    assert system.pass_time(600 * MS) == []
+    assert system.dispatcher.resting() == []
+
+
+def test_jobs_that_run_at_a_worker_that_failed_others_are_not_cut() -> None:
+    system = System(worker("a"), worker("b"))
+    first = sent_to(system.job("brief"))[0]
+    system.job("brief")
+    system.job("brief")
+    system.ended("j2", first, ci.Outcome.CONNECT_FAILED)
+    assert system.dispatcher.resting() == [first]
+    assert not [each for each in system.pass_time(100 * MS) if isinstance(each, ci.Cancel)]
+
+
+# --- limits that all schedulers share ---------------------------------------------------------
+
+
+def test_no_repeat_is_sent_without_budget() -> None:
+    system = System(worker("a"), worker("b"))
+    system.limits.repeats_permitted = False
+    first = sent_to(system.job("brief"))[0]
+    assert system.ended("j0", first, ci.Outcome.FULL) == [ci.Refuse("j0", 300 * MS)]
+
+
+def test_a_second_send_and_a_stream_that_goes_on_are_told_as_repeats() -> None:
+    system = System(worker("a"), worker("b"))
+    first = sent_to(system.job("brief"))[0]
+    system.ended("j0", first, ci.Outcome.FULL)
+    system.job("brief", repeat=True)
+    assert [repeat for _, repeat in system.limits.sends] == [False, True, True]
+
+
+def test_a_cold_worker_without_room_is_passed_over() -> None:
+    system = System(worker("a"), worker("b"))
+    system.limits.cold = {"a"}
+    assert [sent_to(system.job())[0] for _ in range(3)] == ["b", "b", "b"]
+
+
+# --- kept prompts -----------------------------------------------------------------------------
+
+SHARED = prompt(3000, ("shared", 2900), ("own", 100))
+
+
+def test_turns_stay_even_where_no_affinity_is_set() -> None:
+    system = System(worker("a"), worker("b"))
+    names = [sent_to(system.job(prompt=SHARED))[0] for _ in range(4)]
+    assert sorted(names) == ["a", "a", "b", "b"]
+
+
+def test_the_worker_that_keeps_a_part_is_taken_within_the_bound() -> None:
+    system = System(worker("a"), worker("b"), affinity_turns=2.0)
+    names = []
+    for number in range(20):
+        names += sent_to(system.job(prompt=SHARED))
+        system.opened(f"j{number}", names[-1])
+    assert names[0] == names[1]
+    ahead = [names[: end + 1].count("a") - names[: end + 1].count("b") for end in range(20)]
+    assert max(map(abs, ahead)) <= 2
+
+
+def test_prompts_without_shared_parts_take_even_turns_with_affinity() -> None:
+    system = System(worker("a"), worker("b"), affinity_turns=2.0)
+    names = [sent_to(system.job(prompt=prompt(100, (f"p{number}", 100))))[0] for number in range(6)]
+    assert sorted(names) == ["a", "a", "a", "b", "b", "b"]
