Split the node's decisions from its sockets, and test them in a simulated network

One pure class joins distribution, monitoring and the own member item. In the simulated network a change reaches ten nodes in three regions within 120 ms, is over a silent parent within 1.5 s, and reaches 350 edges within 300 ms.

--- /dev/null
+++ b/canvasbeam/cluster/node_core.py
@@ -0,0 +1,193 @@
+"""What one node decides about items and members: distribution, monitoring and its own member item together.
+
+Pure: events and the time in whole nanoseconds in, actions out. `node.py` joins it to sockets and the clock, the tests
+to a simulated network.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+from canvasbeam.cluster.items import Item, ItemKind, ItemTable, Version
+from canvasbeam.cluster.member import Member
+from canvasbeam.cluster.member_list import MemberList
+from canvasbeam.cluster.own_member import OwnMember
+from canvasbeam.decide.distribution import Distribution, Start
+from canvasbeam.decide.distribution_messages import MILLISECOND, DistributionTerms, Message, Send
+from canvasbeam.decide.member_status import Status
+from canvasbeam.decide.monitoring import Judge, Known, Monitoring, MonitoringTerms, Probe
+from canvasbeam.decide.relay_tree import Place
+from canvasbeam.runtime.settings import Address
+
+MEMBERS_WAIT = 30 * MILLISECOND  # within which the decisions are told of changed members
+
+
+@dataclass(frozen=True, slots=True)
+class Ports:
+    """The ports on which nodes take messages, the same on all machines."""
+
+    control: int
+    data: int
+
+    def address_of(self, member: Member) -> Address:
+        """Where a member takes messages of other nodes."""
+        return Address(member.ip, self.control if member.is_control else self.data)
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeAnswer:
+    """Answer a probe."""
+
+    address: Address
+    number: int
+
+
+Action = Send | Probe | ProbeAnswer
+
+
+class NodeCore:
+    """The decisions of one node."""
+
+    def __init__(self, member: Member, ports: Ports, seeds: Iterable[Address], start: Start) -> None:
+        self.table = ItemTable()
+        self.own = OwnMember(member, random.Random(start.seed))
+        self.terms = DistributionTerms()
+        self._ports = ports
+        me = self._place(member)
+        self.distribution = Distribution(me, seeds, self.table, self.terms, start)
+        self.monitoring = Monitoring(me, MonitoringTerms(), start.now)
+        self._members = MemberList()
+        self._members_changed_at: int | None = None
+        self._now = start.now
+        self._actions: list[Action] = []
+        self.table.add_listener(self._on_items)
+
+    # --- events -----------------------------------------------------------------------------------
+
+    def begin(self, now: int) -> None:
+        """Say that this node is there."""
+        self.publish(now, [self.own.item()])
+        self.tick(now)
+
+    def publish(self, now: int, items: Iterable[Item]) -> list[Item]:
+        """Merge these items and bring them to all nodes; those that were new are returned."""
+        self._now = now
+        return self.distribution.publish(now, items)
+
+    def set_ready(self, now: int, ready: bool) -> None:
+        """Tell the others whether this process takes clients."""
+        item = self.own.set_ready(ready)
+        if item is not None:
+            self.publish(now, [item])
+
+    def leave(self, now: int) -> None:
+        """Tell the others that this process ends; nothing waits for the next batch."""
+        self.publish(now, [self.own.leave()])
+        self.distribution.flush(now)
+
+    def receive(self, now: int, sender: Address, message: Message) -> None:
+        """Take a message of another node."""
+        self._now = now
+        self.monitoring.on_heard(now)
+        self.distribution.receive(now, sender, message)
+
+    def on_disconnected(self, now: int, address: Address) -> None:
+        """The connection to a node failed."""
+        self.distribution.on_disconnected(now, address)
+
+    def on_probe(self, now: int, sender: Address, number: int, claim: Version) -> None:
+        """A monitor asks whether we are there; its claim is what it holds of us, where that is not alive."""
+        self._now = now
+        self.monitoring.on_heard(now)
+        if self.own.has_left:
+            return
+        self._actions.append(ProbeAnswer(sender, number))
+        if claim.minor:
+            self._refute(claim)
+
+    def on_answer(self, now: int, sender: Address) -> None:
+        """A member that we monitor is there."""
+        self.monitoring.on_answer(now, sender)
+
+    def tick(self, now: int) -> None:
+        """Do what is due."""
+        self._now = now
+        if self._members.expire(now) or self._is_telling_due(now):
+            self._tell_members(now)
+        self.distribution.tick(now)
+        for action in self.monitoring.tick(now, self.has_majority(now)):
+            if isinstance(action, Judge):
+                self._publish_judgement(now, action)
+            else:
+                self._actions.append(action)
+
+    def take_actions(self) -> list[Action]:
+        """What is to be sent, once."""
+        actions, self._actions = [*self.distribution.take_actions(), *self._actions], []
+        return actions
+
+    def wake(self) -> int:
+        """When `tick` has something to do at the latest."""
+        wake = min(self.distribution.wake(), self.monitoring.wake())
+        if self._members_changed_at is None:
+            return wake
+        return min(wake, self._members_changed_at + MEMBERS_WAIT)
+
+    # --- what is known ----------------------------------------------------------------------------
+
+    def members(self, now: int) -> tuple[Member, ...]:
+        """The members that are alive and not suspected, this one among them."""
+        return self._members.alive(now, self.monitoring.is_silent)
+
+    def control_age(self, now: int) -> int | None:
+        """How long ago this node was in contact with most control nodes, directly or through others."""
+        return self.distribution.control_age(now)
+
+    def has_majority(self, now: int) -> bool:
+        """Whether that is recent."""
+        age = self.control_age(now)
+        return age is not None and age <= self.terms.stale
+
+    # --- members ----------------------------------------------------------------------------------
+
+    def _on_items(self, items: Sequence[Item]) -> None:
+        """Members among changed items: keep the list, and refute what is said wrongly of us."""
+        changed = [item for item in items if item.kind is ItemKind.MEMBER]
+        if not changed:
+            return
+        for item in changed:
+            self._members.note(self._now, item)
+        if self._members_changed_at is None:
+            self._members_changed_at = self._now
+        for item in changed:
+            if self.own.is_own(item):
+                self._refute(item.version)
+
+    def _refute(self, claim: Version) -> None:
+        refutation = self.own.refute(claim)
+        if refutation is not None:
+            self.publish(self._now, [refutation])
+
+    def _is_telling_due(self, now: int) -> bool:
+        return self._members_changed_at is not None and now >= self._members_changed_at + MEMBERS_WAIT
+
+    def _tell_members(self, now: int) -> None:
+        """Give the members to the decisions. Not at each change: when a fleet starts there are many."""
+        self._members_changed_at = None
+        known = [Known(self._place(member), member.incarnation, status) for member, status in self._members.known()]
+        self.distribution.set_places(now, [each.place for each in known])
+        self.monitoring.set_members(now, [each for each in known if each.status <= Status.SUSPECT])
+
+    def _publish_judgement(self, now: int, judged: Judge) -> None:
+        item = self.table.get(ItemKind.MEMBER, judged.key)
+        if item is None:
+            return
+        version = Version(judged.incarnation, int(judged.status))
+        is_dead = judged.status > Status.SUSPECT
+        payload = b"" if is_dead else item.payload
+        self.publish(now, [Item(ItemKind.MEMBER, judged.key, version, payload, deleted=is_dead)])
+
+    def _place(self, member: Member) -> Place:
+        return Place(member.key, self._ports.address_of(member), member.zone, member.region, member.is_control)
--- a/canvasbeam/cluster/own_member.py
+++ b/canvasbeam/cluster/own_member.py
@@ -19,8 +19,8 @@
     the earlier one is, the refutation goes above it.
     """
 
-    def __init__(self, member: Member) -> None:
-        self.member = replace(member, incarnation=random.randrange(1, FIRST_INCARNATIONS))
+    def __init__(self, member: Member, chance: random.Random) -> None:
+        self.member = replace(member, incarnation=chance.randrange(1, FIRST_INCARNATIONS))
         self.has_left = False
 
     def item(self) -> Item:
--- /dev/null
+++ b/tests/cluster_network.py
@@ -0,0 +1,258 @@
+"""A simulated network of cluster nodes in virtual time: ordered connections, datagrams, cuts that say nothing."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from canvasbeam.cluster import codec
+from canvasbeam.cluster.items import Item, ItemKind, Version
+from canvasbeam.cluster.member import Member
+from canvasbeam.cluster.node_core import NodeCore, Ports, ProbeAnswer
+from canvasbeam.decide.distribution import Start
+from canvasbeam.decide.distribution_messages import Message, Send
+from canvasbeam.decide.monitoring import Probe
+from canvasbeam.runtime.settings import Address
+
+MS = 1_000_000
+SECOND = 1_000 * MS
+PORTS = Ports(control=7660, data=7661)
+USER_TIMEOUT = 1_200 * MS
+WITHIN_REGION = MS
+BETWEEN_REGIONS = 35 * MS
+CONFIGURATION = ItemKind.CONFIGURATION
+
+
+@dataclass(eq=False)
+class Host:
+    """A machine with one process."""
+
+    member: Member
+    core: NodeCore
+    is_running: bool = True
+    woken_at: int = -1
+    bytes_sent: int = 0
+    messages_sent: int = 0
+    adopted: list[Version] = field(default_factory=list)
+
+    @property
+    def address(self) -> Address:
+        return PORTS.address_of(self.member)
+
+
+class Network:
+    """All nodes, and the links between them."""
+
+    def __init__(self, seed: int = 1, datagram_loss: float = 0.0) -> None:
+        self.now = 0
+        self.hosts: dict[Address, Host] = {}
+        self.seeds: list[Address] = []
+        self.lose_message: Callable[[Address, Address, Message], bool] = lambda source, target, message: False
+        self._chance = random.Random(seed)
+        self._datagram_loss = datagram_loss
+        self._cut_since: dict[tuple[Address, Address], int] = {}
+        self._events: list[tuple[int, int, Callable[[], None]]] = []
+        self._counter = itertools.count()
+        self._arrival: dict[tuple[Address, Address], int] = {}
+
+    # --- building ---------------------------------------------------------------------------------
+
+    def add(self, name: str, region: str, is_control: bool = False, zone: str | None = None) -> Host:
+        """A machine that is started at once."""
+        number = len(self.hosts) + 1
+        ip = f"10.0.{number // 250}.{number % 250 + 1}"
+        member = Member(name, "core" if is_control else "edge", "role", ip, zone or region, region,
+                        "" if is_control else f"{ip}:80", False, 0, is_control)  # fmt: skip
+        return self._start(member)
+
+    def restart(self, host: Host) -> Host:
+        """The same machine with a new process, which knows nothing."""
+        host.is_running = False
+        return self._start(host.member)
+
+    def _start(self, member: Member) -> Host:
+        core = NodeCore(member, PORTS, self.seeds, Start(self._chance.randrange(1 << 30), self.now))
+        host = Host(member, core)
+        core.table.add_listener(lambda items: host.adopted.extend(
+            item.version for item in items if item.kind is CONFIGURATION))  # fmt: skip
+        self.hosts[host.address] = host
+        core.begin(self.now)
+        self._perform(host)
+        return host
+
+    def fleet(self, regions: int, edges: int) -> tuple[list[Host], list[Host]]:
+        """One control node a region, which are the seeds, and edges spread over the regions."""
+        self.seeds = [Address(f"10.0.0.{number + 2}", PORTS.control) for number in range(regions)]
+        controls = [self.add(f"core-{number}", f"region-{number}", is_control=True) for number in range(regions)]
+        return controls, [self.add(f"edge-{number}", f"region-{number % regions}") for number in range(edges)]
+
+    # --- trouble ----------------------------------------------------------------------------------
+
+    def lose_power(self, host: Host) -> None:
+        """The machine says nothing any more."""
+        host.is_running = False
+
+    def kill(self, host: Host) -> None:
+        """The process ends: its connections are reset."""
+        host.is_running = False
+        for other in self.hosts.values():
+            self._at(self.now + self._delay(host.address, other.address), self._disconnect(other, host.address))
+
+    def cut(self, sources: Iterable[Host], targets: Iterable[Host]) -> None:
+        """Nothing gets from these to those."""
+        for source, target in itertools.product(tuple(sources), tuple(targets)):
+            if source is not target:
+                self._cut_since.setdefault((source.address, target.address), self.now)
+
+    def cut_both_ways(self, one: Iterable[Host], other: Iterable[Host]) -> None:
+        """Nothing gets through in either direction."""
+        first, second = tuple(one), tuple(other)
+        self.cut(first, second)
+        self.cut(second, first)
+
+    def heal(self) -> None:
+        """All links are well again."""
+        self._cut_since.clear()
+
+    # --- running ----------------------------------------------------------------------------------
+
+    def run(self, span: int) -> None:
+        """Let this much time pass."""
+        self._run_until(self.now + span, lambda: False)
+
+    def run_until(self, condition: Callable[[], bool], within: int) -> int:
+        """Let time pass until the condition holds, and tell how much that was; fails where it takes longer."""
+        begun = self.now
+        assert self._run_until(begun + within, condition), f"not within {within / SECOND} s"
+        return self.now - begun
+
+    def publish(self, host: Host, major: int, size: int = 20_000) -> Item:
+        """A new configuration, published by this node."""
+        item = Item(CONFIGURATION, "current", Version(major), bytes(size))
+        host.core.publish(self.now, [item])
+        self._perform(host)
+        return item
+
+    def set_ready(self, host: Host, ready: bool) -> None:
+        host.core.set_ready(self.now, ready)
+        self._perform(host)
+
+    def leave(self, host: Host) -> None:
+        host.core.leave(self.now)
+        self._perform(host)
+
+    def running(self) -> list[Host]:
+        return [each for each in self.hosts.values() if each.is_running]
+
+    def have(self, hosts: Iterable[Host], item: Item) -> bool:
+        return all(each.core.table.get(item.kind, item.key) == item for each in hosts)
+
+    def names(self, host: Host) -> set[str]:
+        """The members that this node lists."""
+        return {each.name for each in host.core.members(self.now)}
+
+    def all_know(self, hosts: Iterable[Host]) -> bool:
+        """Whether these nodes list exactly each other."""
+        each_of = tuple(hosts)
+        wanted = {each.member.name for each in each_of}
+        return all(self.names(each) == wanted for each in each_of)
+
+    def _run_until(self, end: int, condition: Callable[[], bool]) -> bool:
+        checked = -1
+        while self._events and self._events[0][0] <= end:
+            if self._events[0][0] - checked >= MS:
+                checked = self.now
+                if condition():
+                    return True
+            self.now, _, event = heapq.heappop(self._events)
+            event()
+        self.now = end
+        return condition()
+
+    def _at(self, when: int, event: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (when, next(self._counter), event))
+
+    def _perform(self, host: Host) -> None:
+        for action in host.core.take_actions():
+            match action:
+                case Send(addresses, message):
+                    size = len(codec.encode(message)) + 8
+                    for address in addresses:
+                        host.bytes_sent += size
+                        host.messages_sent += 1
+                        self._send(host, address, message)
+                case Probe(address):
+                    self._send_datagram(host, address, action)
+                case ProbeAnswer(address):
+                    self._send_datagram(host, address, action)
+        self._wake(host)
+
+    def _wake(self, host: Host) -> None:
+        when = max(host.core.wake(), self.now + 5 * MS)
+        if host.woken_at <= self.now or when < host.woken_at:
+            host.woken_at = when
+            self._at(when, lambda: self._tick(host, when))
+
+    def _tick(self, host: Host, when: int) -> None:
+        if host.is_running and host.woken_at == when:
+            host.core.tick(self.now)
+            self._perform(host)
+
+    # --- links ------------------------------------------------------------------------------------
+
+    def _delay(self, source: Address, target: Address) -> int:
+        one, other = self.hosts.get(source), self.hosts.get(target)
+        is_near = one and other and one.member.region == other.member.region
+        return WITHIN_REGION if is_near else BETWEEN_REGIONS
+
+    def _is_cut(self, source: Address, target: Address) -> bool:
+        return (source, target) in self._cut_since
+
+    def _is_connection_dead(self, source: Address, target: Address) -> bool:
+        """A connection lives on for a while where only its acknowledgements are lost."""
+        since = self._cut_since.get((target, source))
+        return self._is_cut(source, target) or (since is not None and self.now - since > USER_TIMEOUT)
+
+    def _send(self, host: Host, target: Address, message: Message) -> None:
+        if self.lose_message(host.address, target, message):
+            return
+        link = host.address, target
+        arrival = max(self.now + self._delay(*link), self._arrival.get(link, 0))
+        self._arrival[link] = arrival
+        self._at(arrival, lambda: self._deliver(host, target, message, self.now + USER_TIMEOUT))
+
+    def _deliver(self, host: Host, target: Address, message: Message, until: int) -> None:
+        other = self.hosts.get(target)
+        if other is not None and other.is_running and not self._is_connection_dead(host.address, target):
+            other.core.receive(self.now, host.address, message)
+            self._perform(other)
+        elif self.now < until:
+            self._at(self.now + 100 * MS, lambda: self._deliver(host, target, message, until))
+        else:
+            self._disconnect(host, target)()
+
+    def _disconnect(self, host: Host, address: Address) -> Callable[[], None]:
+        def event() -> None:
+            if host.is_running:
+                host.core.on_disconnected(self.now, address)
+                self._perform(host)
+
+        return event
+
+    def _send_datagram(self, host: Host, target: Address, action: Probe | ProbeAnswer) -> None:
+        if self._chance.random() >= self._datagram_loss:
+            self._at(self.now + self._delay(host.address, target), lambda: self._deliver_datagram(host, target, action))
+
+    def _deliver_datagram(self, host: Host, target: Address, action: Probe | ProbeAnswer) -> None:
+        other = self.hosts.get(target)
+        if other is None or not other.is_running or self._is_cut(host.address, target):
+            return
+        if isinstance(action, ProbeAnswer):
+            other.core.on_answer(self.now, host.address)
+        else:
+            claim = Version(action.incarnation, int(action.status))
+            other.core.on_probe(self.now, host.address, action.number, claim)
+        self._perform(other)
--- /dev/null
+++ b/tests/test_cluster_tree.py
@@ -0,0 +1,239 @@
+"""The relay tree and the distribution of items, in a simulated network."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from canvasbeam.cluster.items import Item, ItemKind, Version
+from canvasbeam.decide.distribution_messages import Message, Update
+from canvasbeam.decide.relay_tree import FANOUT, Place, parent_order, relays_of
+from canvasbeam.runtime.settings import Address
+from tests.cluster_network import MS, SECOND, Host, Network
+
+
+def place(name: str, region: str, zone: str, is_control: bool = False) -> Place:
+    return Place(name, Address(name, 1), zone, region, is_control)
+
+
+def small_fleet() -> tuple[Network, list[Host], list[Host]]:
+    network = Network()
+    controls, edges = network.fleet(regions=3, edges=7)
+    network.run_until(lambda: network.all_know(network.running()), 3 * SECOND)
+    network.run(6 * SECOND)
+    return network, controls, edges
+
+
+def parent_of(network: Network, host: Host) -> Host | None:
+    parent = host.core.distribution.link.parent
+    return network.hosts[parent.address] if parent else None
+
+
+# --- who may be whose parent ----------------------------------------------------------------------
+
+
+def test_a_small_region_attaches_to_control_nodes_the_nearest_first() -> None:
+    places = [place(f"e{number}", "r1", "z1") for number in range(FANOUT)]
+    places += [place("c1", "r1", "z2", True), place("c2", "r2", "z3", True), place("c3", "r1", "z1", True)]
+    order = parent_order(places[0], places, [Address("seed", 1)])
+    assert [each.host for each in order] == ["c3", "c1", "c2", "seed"]
+
+
+def test_a_large_region_has_relays_and_the_others_attach_to_them() -> None:
+    places = [place(f"e{number}", "r1", f"z{number % 2}") for number in range(40)]
+    places.append(place("c", "r2", "z9", True))
+    relays = relays_of("r1", places)
+    assert len(relays) == 6
+    for each in places[:40]:
+        first = parent_order(each, places, [])[0]
+        if each in relays:
+            assert first.host == "c"
+        else:
+            parent = next(relay for relay in relays if relay.address == first)
+            assert parent.zone == each.zone
+
+
+def test_relays_change_little_when_a_node_goes() -> None:
+    places = [place(f"e{number}", "r1", "z1") for number in range(80)]
+    before = {each.key for each in relays_of("r1", places)}
+    lost = next(each for each in places if each.key in before)
+    after = {each.key for each in relays_of("r1", [each for each in places if each is not lost])}
+    assert len(before - after - {lost.key}) == 0
+    assert len(after - before) <= 1
+
+
+# --- distribution ---------------------------------------------------------------------------------
+
+
+def test_a_change_reaches_a_small_fleet_at_once() -> None:
+    network, controls, _ = small_fleet()
+    item = network.publish(controls[0], 1)
+    assert network.run_until(lambda: network.have(network.running(), item), SECOND) <= 120 * MS
+
+
+def test_what_an_edge_publishes_reaches_all() -> None:
+    network, _, edges = small_fleet()
+    item = network.publish(edges[3], 1)
+    assert network.run_until(lambda: network.have(network.running(), item), SECOND) <= 150 * MS
+
+
+def test_a_silent_parent_is_replaced_and_the_change_still_comes() -> None:
+    network, controls, edges = small_fleet()
+    network.lose_power(controls[0])
+    item = network.publish(controls[1], 1)
+    assert network.run_until(lambda: network.have(network.running(), item), 3 * SECOND) <= 1_500 * MS
+    assert all(parent_of(network, edge) in controls[1:] for edge in edges)
+
+
+def test_a_killed_parent_is_replaced_without_waiting_for_its_silence() -> None:
+    network, controls, edges = small_fleet()
+    network.kill(controls[0])
+    network.run_until(lambda: all(parent_of(network, edge) in controls[1:] for edge in edges), 300 * MS)
+
+
+@pytest.mark.parametrize("direction", ["down", "up"])
+def test_a_parent_that_is_cut_off_one_way_is_replaced(direction: str) -> None:
+    network, controls, _ = small_fleet()
+    others = [each for each in network.running() if each is not controls[0]]
+    if direction == "down":
+        network.cut([controls[0]], others)
+    else:
+        network.cut(others, [controls[0]])
+    item = network.publish(controls[1], 1)
+    network.run_until(lambda: network.have(others, item), 3 * SECOND)
+
+
+def test_the_preferred_parent_is_taken_again_when_it_is_back() -> None:
+    network, controls, edges = small_fleet()
+    preferred = {edge.address: parent_of(network, edge) for edge in edges}
+    network.cut_both_ways([controls[0]], [each for each in network.running() if each is not controls[0]])
+    network.run(5 * SECOND)
+    network.heal()
+    network.run_until(lambda: all(parent_of(network, edge) is preferred[edge.address] for edge in edges), 12 * SECOND)
+
+
+def test_a_control_node_without_its_peers_keeps_no_child_that_can_find_a_better_one() -> None:
+    network, controls, edges = small_fleet()
+    network.cut_both_ways([controls[0]], controls[1:])
+    item = network.publish(controls[1], 1)
+    network.run_until(lambda: network.have([*edges, *controls[1:]], item), 4 * SECOND)
+
+
+def test_an_isolated_region_goes_on_and_meets_the_others_again() -> None:
+    network, controls, edges = small_fleet()
+    region = [each for each in network.running() if each.member.region == "region-0"]
+    others = [each for each in network.running() if each.member.region != "region-0"]
+    network.cut_both_ways(region, others)
+    network.run(5 * SECOND)
+    item = network.publish(controls[1], 1)
+    network.run_until(lambda: network.have(others, item), SECOND)
+    assert not network.have(region, item)
+    network.heal()
+    assert network.run_until(lambda: network.have(region, item), 2 * SECOND) <= 1_500 * MS
+    network.run_until(lambda: network.all_know(network.running()), 3 * SECOND)
+
+
+def test_a_restarted_control_node_takes_over_what_the_others_hold() -> None:
+    network, controls, _ = small_fleet()
+    item = network.publish(controls[0], 5)
+    network.run(SECOND)
+    network.kill(controls[0])
+    network.run(SECOND)
+    network.restart(controls[0])
+    network.run_until(lambda: network.have(network.running(), item), SECOND)
+
+
+def test_the_scrub_finds_a_lost_push() -> None:
+    network, controls, edges = small_fleet()
+    lost: list[Message] = []
+
+    def lose(source: Address, target: Address, message: Message) -> bool:
+        is_lost = isinstance(message, Update) and target == edges[0].address and not lost
+        if is_lost:
+            lost.append(message)
+        return is_lost
+
+    network.lose_message = lose
+    item = network.publish(controls[0], 1)
+    network.run(500 * MS)
+    assert lost
+    assert not network.have([edges[0]], item)
+    network.run_until(lambda: network.have([edges[0]], item), 3 * SECOND)
+
+
+def test_read_repair_asks_for_a_newer_version() -> None:
+    network, controls, edges = small_fleet()
+    network.lose_message = lambda source, target, message: isinstance(message, Update) and target == edges[0].address
+    item = network.publish(controls[0], 1)
+    network.run(200 * MS)
+    network.lose_message = lambda source, target, message: False
+    edges[0].core.distribution.refresh(item.kind, item.key)
+    edges[0].core.tick(network.now)
+    network.run_until(lambda: network.have([edges[0]], item), 500 * MS)
+
+
+def test_tombstones_reach_all_and_are_forgotten() -> None:
+    network, controls, edges = small_fleet()
+    worker = Item(ItemKind.WORKER, "w1", Version(1), b"worker")
+    network.publish(controls[0], 1)
+    controls[0].core.publish(network.now, [worker])
+    network.run(SECOND)
+    assert network.have(network.running(), worker)
+    gone = Item(ItemKind.WORKER, "w1", Version(2), deleted=True)
+    edges[0].core.publish(network.now, [gone])
+    network.run(SECOND)
+    assert network.have(network.running(), gone)
+    network.run(65 * SECOND)
+    assert all(host.core.table.get(ItemKind.WORKER, "w1") is None for host in network.running())
+
+
+def test_calm_costs_little() -> None:
+    network, _, edges = small_fleet()
+    before = {edge.address: edge.bytes_sent for edge in network.running()}
+    network.run(10 * SECOND)
+    for edge in edges:
+        assert edge.bytes_sent - before[edge.address] < 10 * 100
+    parents = sum(host.bytes_sent - before[host.address] for host in network.running() if host not in edges)
+    assert parents < 10 * 1_000 * len(edges)
+
+
+def test_a_large_fleet_starts_and_hears_of_changes_within_a_second() -> None:
+    network = Network()
+    controls, edges = network.fleet(regions=3, edges=350)
+    network.run_until(lambda: network.all_know(network.running()), 10 * SECOND)
+    network.run(8 * SECOND)
+    children = [len(host.core.distribution.children) for host in network.running()]
+    assert max(children) <= 4 * FANOUT
+    item = network.publish(controls[0], 1)
+    assert network.run_until(lambda: network.have(network.running(), item), SECOND) <= 300 * MS
+    relays = {parent_of(network, edge) for edge in edges} - set(controls)
+    victim = next(each for each in relays if each is not None)
+    network.lose_power(victim)
+    item = network.publish(controls[1], 2)
+    assert network.run_until(lambda: network.have(network.running(), item), 3 * SECOND) <= 1_800 * MS
+
+
+@settings(max_examples=15, deadline=None)
+@given(
+    seed=st.integers(0, 1 << 16),
+    cuts=st.lists(st.tuples(st.integers(0, 9), st.integers(0, 9), st.integers(1, 3_000)), max_size=8),
+    publishers=st.lists(st.integers(0, 9), min_size=1, max_size=6),
+)
+def test_adoption_is_monotone_and_all_agree_after_any_trouble(
+    seed: int, cuts: list[tuple[int, int, int]], publishers: list[int]
+) -> None:
+    network = Network(seed=seed, datagram_loss=0.02)
+    controls, edges = network.fleet(regions=3, edges=7)
+    hosts = [*controls, *edges]
+    network.run(2 * SECOND)
+    for index, (one, other, span) in enumerate(cuts):
+        network.cut([hosts[one]], [hosts[other]])
+        network.publish(hosts[publishers[index % len(publishers)]], index + 1, size=100)
+        network.run(span * MS)
+    network.heal()
+    item = network.publish(hosts[publishers[0]], 1_000, size=100)
+    network.run_until(lambda: network.have(hosts, item), 4 * SECOND)
+    network.run_until(lambda: network.all_know(hosts), 10 * SECOND)
+    for host in hosts:
+        assert host.adopted == sorted(host.adopted)
