--- a/canvasbeam/cluster/member_list.py
+++ b/canvasbeam/cluster/member_list.py
@@ -42,16 +42,15 @@
         elif self._statuses.get(key, Status.ALIVE) is Status.ALIVE:
             self._doubted[key] = now + HEARSAY_GRACE
         self._statuses[key] = status
+        self._end_if_dead(key)
 
     def expire(self, now: int) -> bool:
         """End the grace that is over; tells whether a member that is dead went out of the list by it."""
         over = [key for key, until in self._doubted.items() if until <= now]
         for key in over:
             del self._doubted[key]
-        dead = [key for key in self._members if self._statuses[key] is Status.DEAD and key not in self._doubted]
-        for key in dead:
-            self._forget(key)
-        return bool(dead)
+            self._end_if_dead(key)
+        return any(key not in self._members for key in over)
 
     def known(self) -> list[tuple[Member, Status]]:
         """All members, with what is said of them."""
@@ -66,6 +65,10 @@
     def _is_listed(self, now: int, key: str) -> bool:
         return self._statuses[key] is Status.ALIVE or self._doubted.get(key, 0) > now
 
+    def _end_if_dead(self, key: str) -> None:
+        if self._statuses[key] is Status.DEAD and key not in self._doubted:
+            self._forget(key)
+
     def _forget(self, key: str) -> None:
         self._members.pop(key, None)
         self._statuses.pop(key, None)
--- a/canvasbeam/decide/distribution.py
+++ b/canvasbeam/decide/distribution.py
@@ -193,7 +193,10 @@
             if sender not in self.mesh.peers:
                 self.mesh.on_heard(now, sender)
         else:
+            was_stale = self._is_stale(now)
             self._actions += self.link.on_keepalive(now, sender, message)
+            if was_stale and not self._is_stale(now):
+                self._next_keepalive = now
         if message.digests:
             self._answer(sender, reconcile.answer_digests(self.table, message.digests, self.terms.update_bytes))
 
@@ -203,6 +206,7 @@
             self.children[sender].heard_at = now
         if self.me.is_control and sender in self.mesh.peers and self.mesh.on_heard(now, sender):
             self._send((sender,), reconcile.compare(self.table))
+            self._next_keepalive = now
 
     def _reconcile(self, sender: Address, message: Versions | Request | Compare) -> None:
         size = self.terms.update_bytes
@@ -218,6 +222,10 @@
         for message in messages:
             self._send((sender,), message)
 
+    def _is_stale(self, now: int) -> bool:
+        age = self.control_age(now)
+        return age is None or age > self.terms.stale
+
     def _is_full(self, sender: Address) -> bool:
         return len(self.children) >= self.terms.max_children and sender not in self.children
 
--- a/canvasbeam/decide/monitoring.py
+++ b/canvasbeam/decide/monitoring.py
@@ -142,6 +142,7 @@
         self.me = me
         self.terms = terms
         self.targets: dict[str, Target] = {}
+        self._targets_at: dict[Address, Target] = {}
         self._members: dict[str, Known] = {}
         self._suspected_at: dict[str, int] = {}
         self._eligible: frozenset[str] = frozenset()
@@ -178,12 +179,13 @@
     def on_answer(self, now: int, sender: Address) -> None:
         """A target answered a probe."""
         self.on_heard(now)
-        for target in self.targets.values():
-            if target.known.place.address == sender:
-                target.heard_at = now
-                self._set_state(now, target, TargetState.ANSWERING)
-                if now - target.well_since > self.terms.forgive:
-                    target.patience = self.terms.patience
+        target = self._targets_at.get(sender)
+        if target is None:
+            return
+        target.heard_at = now
+        self._set_state(now, target, TargetState.ANSWERING)
+        if now - target.well_since > self.terms.forgive:
+            target.patience = self.terms.patience
 
     def tick(self, now: int, has_majority: bool) -> list[Probe | Judge]:
         """Do what is due."""
@@ -269,6 +271,7 @@
                 fresh = Target(known, now, self.terms.patience, well_since=now)
                 targets[key] = self.targets.get(key, fresh)
         self.targets = targets
+        self._targets_at = {each.known.place.address: each for each in targets.values()}
 
     def _is_monitor_of(self, target: Place, candidates: Candidates) -> bool:
         if self.me.is_control:
--- /dev/null
+++ b/tests/test_cluster_monitoring.py
@@ -0,0 +1,170 @@
+"""Failure detection and the list of members, in a simulated network."""
+
+from __future__ import annotations
+
+import pytest
+
+from canvasbeam.cluster.items import ItemKind
+from canvasbeam.decide.monitoring import ALL_MONITORS, Candidates, monitors_of
+from canvasbeam.decide.relay_tree import Place
+from canvasbeam.runtime.settings import Address
+from tests.cluster_network import MS, SECOND, Host, Network
+
+
+def place(name: str, region: str, is_control: bool = False) -> Place:
+    return Place(name, Address(name, 1), region, region, is_control)
+
+
+def small_fleet(datagram_loss: float = 0.0, seed: int = 1) -> tuple[Network, list[Host], list[Host]]:
+    network = Network(seed=seed, datagram_loss=datagram_loss)
+    controls, edges = network.fleet(regions=3, edges=7)
+    network.run_until(lambda: network.all_know(network.running()), 3 * SECOND)
+    network.run(4 * SECOND)
+    return network, controls, edges
+
+
+def others_than(network: Network, *hosts: Host) -> list[Host]:
+    return [each for each in network.running() if each not in hosts]
+
+
+def incarnations(hosts: list[Host]) -> list[int]:
+    return [each.core.own.member.incarnation for each in hosts]
+
+
+# --- who monitors whom ----------------------------------------------------------------------------
+
+
+def test_an_edge_has_two_monitors_of_its_region_and_a_control_node_of_another() -> None:
+    places = [place(f"e{number}", "r1") for number in range(10)]
+    places += [place("c1", "r1", True), place("c2", "r2", True), place("c3", "r3", True)]
+    for target in places[:10]:
+        monitors = monitors_of(target, Candidates.of(places))
+        assert len(monitors) == ALL_MONITORS
+        assert target not in monitors
+        assert sum(not each.is_control and each.region == "r1" for each in monitors) == 2
+        assert sum(each.is_control and each.region != "r1" for each in monitors) == 1
+
+
+def test_an_edge_alone_in_its_region_has_control_nodes() -> None:
+    places = [place("e", "r1"), *(place(f"c{number}", f"r{number}", True) for number in range(1, 4))]
+    assert {each.key for each in monitors_of(places[0], Candidates.of(places))} == {"c1", "c2", "c3"}
+
+
+def test_a_control_node_has_all_other_control_nodes() -> None:
+    places = [place(f"c{number}", f"r{number}", True) for number in range(1, 4)]
+    places += [place("e1", "r1"), place("e2", "r2")]
+    assert {each.key for each in monitors_of(places[0], Candidates.of(places))} == {"c2", "c3", "e1"}
+
+
+# --- detection ------------------------------------------------------------------------------------
+
+
+def test_a_machine_that_loses_power_is_unlisted_within_two_seconds() -> None:
+    network, _, edges = small_fleet()
+    network.lose_power(edges[0])
+    rest = others_than(network, edges[0])
+    assert network.run_until(lambda: network.all_know(rest), 3 * SECOND) <= 2 * SECOND
+    network.run(3 * SECOND)
+    assert all(edges[0].member.key not in [each.key for each in host.core.members(network.now)] for host in rest)
+
+
+def test_an_edge_that_is_cut_off_is_unlisted_by_the_control_nodes_and_judges_nobody() -> None:
+    network, controls, edges = small_fleet()
+    rest = others_than(network, edges[0])
+    before = incarnations(rest)
+    network.cut_both_ways([edges[0]], rest)
+    gone = edges[0].member.name
+    assert (
+        network.run_until(lambda: all(gone not in network.names(each) for each in controls), 3 * SECOND) <= 1_700 * MS
+    )
+    network.run(5 * SECOND)
+    network.heal()
+    network.run_until(lambda: network.all_know(network.running()), 3 * SECOND)
+    assert incarnations(rest) == before
+
+
+def test_a_region_that_is_cut_off_is_unlisted_on_the_other_side_and_the_other_way_round() -> None:
+    network, _, _ = small_fleet()
+    region = [each for each in network.running() if each.member.region == "region-0"]
+    rest = others_than(network, *region)
+    network.cut_both_ways(region, rest)
+    assert network.run_until(lambda: network.all_know(rest), 3 * SECOND) <= 1_800 * MS
+    network.run_until(lambda: network.all_know(region), 4 * SECOND)
+
+
+def test_nobody_is_unlisted_when_a_cut_heals() -> None:
+    network, _, _ = small_fleet()
+    region = [each for each in network.running() if each.member.region == "region-0"]
+    rest = others_than(network, *region)
+    network.cut_both_ways(region, rest)
+    network.run(6 * SECOND)
+    network.heal()
+    listed = {host.address: network.names(host) for host in network.running()}
+    end = network.now + 3 * SECOND
+    while network.now < end:
+        network.run(10 * MS)
+        for host in network.running():
+            assert network.names(host) >= listed[host.address]
+    assert network.all_know(network.running())
+
+
+def test_readiness_is_heard_of_at_once() -> None:
+    network, controls, edges = small_fleet()
+
+    def is_ready_at(host: Host) -> bool:
+        return any(each.ready for each in host.core.members(network.now) if each.name == edges[0].member.name)
+
+    network.set_ready(edges[0], True)
+    network.run_until(lambda: all(map(is_ready_at, controls)), 200 * MS)
+    network.set_ready(edges[0], False)
+    network.run_until(lambda: not any(map(is_ready_at, controls)), 200 * MS)
+
+
+def test_who_leaves_is_unlisted_at_once_and_not_called_back() -> None:
+    network, _, edges = small_fleet()
+    network.leave(edges[0])
+    rest = others_than(network, edges[0])
+    network.run_until(lambda: network.all_know(rest), 200 * MS)
+    network.lose_power(edges[0])
+    network.run(5 * SECOND)
+    assert network.all_know(rest)
+
+
+def test_a_restarted_process_goes_above_what_is_held_of_its_earlier_life() -> None:
+    network, _, edges = small_fleet()
+    for life in range(3):
+        network.kill(edges[0])
+        network.run(life * SECOND)
+        edges[0] = network.restart(edges[0])
+        network.run_until(lambda: network.all_know(network.running()), 3 * SECOND)
+        network.run(SECOND)
+        own = edges[0].core.own.item()
+        assert all(host.core.table.get(ItemKind.MEMBER, own.key) == own for host in network.running())
+
+
+def test_lost_datagrams_raise_few_suspicions() -> None:
+    network, controls, edges = small_fleet(datagram_loss=0.02)
+    before = incarnations([*controls, *edges])
+    network.run(60 * SECOND)
+    after = incarnations([*controls, *edges])
+    assert sum(after) - sum(before) <= 2
+    assert network.all_know(network.running())
+
+
+def test_a_monitor_that_alone_cannot_reach_its_target_gets_patient() -> None:
+    network, controls, edges = small_fleet()
+    network.cut_both_ways([controls[1]], [edges[0]])
+    before = edges[0].core.own.member.incarnation
+    network.run(30 * SECOND)
+    assert edges[0].core.own.member.incarnation - before <= 8
+
+
+@pytest.mark.parametrize("count", [1, 2])
+def test_control_nodes_that_are_lost_leave_the_others_listed(count: int) -> None:
+    network, controls, _ = small_fleet()
+    for control in controls[:count]:
+        network.lose_power(control)
+    rest = network.running()
+    network.run_until(lambda: network.all_know(rest), 4 * SECOND)
+    network.run(5 * SECOND)
+    assert network.all_know(rest)
--- /dev/null
+++ b/tests/test_cluster_transport.py
@@ -0,0 +1,284 @@
+"""The transport between nodes, over loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Awaitable, Callable, Coroutine
+
+import pytest
+
+from canvasbeam.cluster import envelope_pb2, transport
+from canvasbeam.cluster.framing import MAX_FRAME_BYTES, FrameDecoder, FrameTooLarge, frame
+from canvasbeam.cluster.items import Item, ItemKind, Version
+from canvasbeam.cluster.node import ClusterNode
+from canvasbeam.cluster.transport import Channel, PeerInfo, Transport
+from canvasbeam.runtime.settings import Address, ProcessSettings
+
+TIMEOUT = 10.0
+
+
+def run(work: Coroutine[None, None, None]) -> None:
+    async def limited() -> None:
+        async with asyncio.timeout(TIMEOUT):
+            await work
+
+    asyncio.run(limited())
+
+
+def free_port() -> int:
+    """A port that is free on all the loopback addresses used here, for TCP and UDP."""
+    with socket.socket() as sock:
+        sock.bind(("0.0.0.0", 0))
+        return int(sock.getsockname()[1])
+
+
+class Inbox:
+    """Messages as they come."""
+
+    def __init__(self, owner: Transport, channel: Channel = Channel.REPLICATION) -> None:
+        self.queue: asyncio.Queue[tuple[PeerInfo, bytes]] = asyncio.Queue()
+        owner.register(channel, lambda sender, payload: self.queue.put_nowait((sender, payload)))
+
+    async def next(self) -> tuple[str, bytes]:
+        sender, payload = await self.queue.get()
+        return sender.name, payload
+
+
+async def pair() -> tuple[Transport, Transport]:
+    port = free_port()
+    one, other = Transport("one", Address("127.0.3.1", port)), Transport("other", Address("127.0.3.2", port))
+    await one.start()
+    await other.start()
+    return one, other
+
+
+def test_frames_are_cut_out_of_any_pieces() -> None:
+    messages = [b"", b"a", b"bc" * 1000]
+    stream = b"".join(map(frame, messages))
+    for size in (1, 3, len(stream)):
+        decoder = FrameDecoder()
+        found: list[bytes] = []
+        for start in range(0, len(stream), size):
+            found += decoder.feed(stream[start : start + size])
+        assert found == messages
+
+
+def test_a_length_over_the_limit_is_an_error() -> None:
+    with pytest.raises(FrameTooLarge):
+        list(FrameDecoder().feed((MAX_FRAME_BYTES + 1).to_bytes(4, "big")))
+
+
+def test_messages_come_in_order_and_answers_go_back_on_the_same_connection() -> None:
+    async def work() -> None:
+        one, other = await pair()
+        inbox, answers = Inbox(other), Inbox(one, Channel.MEMBERSHIP)
+        for number in range(100):
+            one.send(other.listen, Channel.REPLICATION, str(number).encode())
+        for number in range(100):
+            assert await inbox.next() == ("one", str(number).encode())
+        other.send(one.listen, Channel.MEMBERSHIP, b"answer")
+        assert await answers.next() == ("other", b"answer")
+        assert len(other._connections) == len(one._connections) == 1
+        await one.stop()
+        await other.stop()
+
+    run(work())
+
+
+def test_a_large_message_passes_and_a_slow_reader_does_not_hold_up_others() -> None:
+    async def work() -> None:
+        one, other = await pair()
+        inbox = Inbox(other)
+        with socket.socket() as silent:  # accepts, and never reads
+            silent.bind(("127.0.3.3", one.listen.port))
+            silent.listen()
+            for _ in range(50):
+                one.send(Address("127.0.3.3", one.listen.port), Channel.REPLICATION, bytes(1 << 20))
+            one.send(other.listen, Channel.REPLICATION, bytes(3 << 20))
+            assert len((await inbox.next())[1]) == 3 << 20
+            assert one.counters.overflowed > 0
+        await one.stop()
+        await other.stop()
+
+    run(work())
+
+
+def test_an_address_that_says_nothing_costs_a_bounded_queue(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def work() -> None:
+        one, other = await pair()
+        hung = asyncio.Event()
+
+        async def hang(address: Address) -> None:
+            hung.set()
+            await asyncio.Event().wait()
+
+        monkeypatch.setattr(one, "connect", hang)
+        for _ in range(20):
+            one.send(Address("127.0.3.9", one.listen.port), Channel.REPLICATION, bytes(1 << 20))
+        await hung.wait()
+        assert one.counters.overflowed >= 16
+        await one.stop()
+        await other.stop()
+
+    run(work())
+
+
+def test_a_peer_that_starts_later_is_reached_and_failures_are_told() -> None:
+    async def work() -> None:
+        port = free_port()
+        one = Transport("one", Address("127.0.3.1", port))
+        failed = asyncio.Event()
+        one.register_disconnects(lambda address: failed.set())
+        await one.start()
+        target = Address("127.0.3.2", port)
+        one.send(target, Channel.REPLICATION, b"lost")
+        await failed.wait()
+        other = Transport("other", target)
+        inbox = Inbox(other)
+        await other.start()
+        one.send(target, Channel.REPLICATION, b"kept")
+        assert await inbox.next() == ("one", b"kept")
+        failed.clear()
+        await other.stop()
+        await failed.wait()
+        await one.stop()
+
+    run(work())
+
+
+def test_a_datagram_from_a_peer_ends_the_back_off(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def work() -> None:
+        monkeypatch.setattr(transport, "BACK_OFF_LEAST", 1_000.0)
+        monkeypatch.setattr(transport, "BACK_OFF_MOST", 1_000.0)
+        port = free_port()
+        one = Transport("one", Address("127.0.3.1", port))
+        failed, heard = asyncio.Event(), asyncio.Event()
+        one.register_disconnects(lambda address: failed.set())
+        one.register_datagrams(lambda sender, payload: heard.set())
+        await one.start()
+        target = Address("127.0.3.2", port)
+        one.send(target, Channel.REPLICATION, b"lost")
+        await failed.wait()
+        other = Transport("other", target)
+        inbox = Inbox(other)
+        await other.start()
+        one.send(target, Channel.REPLICATION, b"waits")
+        other.send_datagram(one.listen, b"here")
+        await heard.wait()
+        assert await inbox.next() == ("one", b"waits")
+        await one.stop()
+        await other.stop()
+
+    run(work())
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"GET / HTTP/1.1\r\n\r\n",
+        frame(b"\xff\xff\xff"),
+        frame(envelope_pb2.Hello(magic=1, protocol_version=1, node="x", listen_port=1).SerializeToString()),
+        frame(
+            envelope_pb2.Hello(magic=transport.MAGIC, protocol_version=99, node="x", listen_port=1).SerializeToString()
+        ),
+    ],
+    ids=["http", "damaged", "magic", "version"],
+)
+def test_foreign_connections_are_closed_and_counted(data: bytes) -> None:
+    async def work() -> None:
+        one, other = await pair()
+        reader, writer = await asyncio.open_connection(one.listen.host, one.listen.port)
+        writer.write(data)
+        with pytest.raises(ConnectionResetError):
+            while await reader.read(4096):
+                pass
+            raise ConnectionResetError  # closed in order: as good
+        assert one.counters.invalid == 1
+        writer.close()
+        await one.stop()
+        await other.stop()
+
+    run(work())
+
+
+# --- whole nodes ----------------------------------------------------------------------------------
+
+
+def node(number: int, port: int, is_control: bool) -> ClusterNode:
+    ip = f"127.0.4.{number}"
+    settings = ProcessSettings(
+        node=f"node-{number}",
+        role="role",
+        node_class="core" if is_control else "edge",
+        serves=(),
+        ip=ip,
+        zone="z",
+        region="r",
+        port_range=(port, port + 15),
+        seeds=tuple(Address(f"127.0.4.{each}", 9) for each in (1, 2, 3)),
+        listen={} if is_control else {"front": Address(ip, 80)},
+    )
+    return ClusterNode(settings, is_control)
+
+
+async def until(nodes: list[ClusterNode], condition: Callable[[], bool]) -> None:
+    """Wait for changes of the tables until the condition holds."""
+    changed = asyncio.Event()
+    for each in nodes:
+        each.table.add_listener(lambda items: changed.set())
+    while not condition():
+        changed.clear()
+        await changed.wait()
+
+
+def with_nodes(work: Callable[[list[ClusterNode]], Awaitable[None]]) -> None:
+    async def whole() -> None:
+        port = free_port()
+        nodes = [node(number, port, is_control=number <= 3) for number in range(1, 6)]
+        for each in nodes:
+            await each.start()
+        await until(nodes, lambda: all(len(each.members()) == len(nodes) for each in nodes))
+        await work(nodes)
+        for each in nodes:
+            await each.stop()
+
+    run(whole())
+
+
+def test_nodes_find_each_other_and_share_items() -> None:
+    async def work(nodes: list[ClusterNode]) -> None:
+        assert all(len(each.control_nodes()) == 3 for each in nodes)
+        assert all(each.parent is not None for each in nodes[3:])
+        item = Item(ItemKind.CONFIGURATION, "current", Version(1), bytes(3 << 20))
+        nodes[0].publish([item])
+        await until(nodes, lambda: all(each.table.get(item.kind, item.key) == item for each in nodes))
+
+    with_nodes(work)
+
+
+def test_readiness_and_leaving_are_told() -> None:
+    async def work(nodes: list[ClusterNode]) -> None:
+        nodes[4].set_ready(True)
+        await until(nodes, lambda: all(any(member.ready for member in each.members()) for each in nodes))
+        ready = next(member for member in nodes[0].members() if member.ready)
+        assert (ready.name, ready.front) == ("node-5", "127.0.4.5:80")
+        assert nodes[0].peer_address(ready) == nodes[4].address
+        nodes[4].leave()
+        await until(nodes, lambda: all(len(each.members()) == 4 for each in nodes[:4]))
+
+    with_nodes(work)
+
+
+def test_a_restarted_control_node_gets_what_the_others_hold() -> None:
+    async def work(nodes: list[ClusterNode]) -> None:
+        item = Item(ItemKind.CONFIGURATION, "current", Version(7), b"configuration")
+        nodes[0].publish([item])
+        await until(nodes, lambda: all(each.table.get(item.kind, item.key) == item for each in nodes))
+        await nodes[0].stop()
+        port = nodes[0].address.port
+        nodes[0] = node(1, port, is_control=True)
+        await nodes[0].start()
+        await until(nodes, lambda: nodes[0].table.get(item.kind, item.key) == item)
+
+    with_nodes(work)
--- a/tests/test_cluster_tree.py
+++ b/tests/test_cluster_tree.py
@@ -78,6 +78,16 @@
     assert network.run_until(lambda: network.have(network.running(), item), SECOND) <= 150 * MS
 
 
+def test_contact_with_the_control_nodes_is_known_soon_after_the_start_and_lost_by_a_cut() -> None:
+    network = Network()
+    controls, edges = network.fleet(regions=3, edges=7)
+    network.run_until(lambda: all(host.core.has_majority(network.now) for host in network.running()), 300 * MS)
+    network.cut_both_ways(controls, edges)
+    network.run(2 * SECOND)
+    assert not any(edge.core.has_majority(network.now) for edge in edges)
+    assert all(control.core.has_majority(network.now) for control in controls)
+
+
 def test_a_silent_parent_is_replaced_and_the_change_still_comes() -> None:
     network, controls, edges = small_fleet()
     network.lose_power(controls[0])
