--- a/canvasbeam/decide/parent_link.py
+++ b/canvasbeam/decide/parent_link.py
@@ -28,6 +28,8 @@
 )
 from canvasbeam.runtime.settings import Address
 
+MOST_SLOWNESS = 2
+
 ParentOrder = Callable[[], Sequence[Address]]
 
 
@@ -43,6 +45,7 @@
     """The parent, as its last keepalive told."""
 
     address: Address
+    since: int
     heard_at: int
     told_at: int
     control_age: int
@@ -63,6 +66,7 @@
         self._random = random.Random(seed)
         self._candidates: dict[Address, int] = {}  # when each was asked
         self._avoided: dict[Address, int] = {}  # until when
+        self._slowness = 0  # doubles the silence that is borne
         self._next_ask = now
         self._next_improve = now
         self._next_renew = now
@@ -88,7 +92,7 @@
         if self.parent is None:
             times.append(self._next_ask)
         else:
-            times += [self.parent.heard_at + self._terms.silence, self._next_improve, self._next_renew]
+            times += [self.parent.heard_at + self._silence(), self._next_improve, self._next_renew]
         return min(times)
 
     def on_heard(self, now: int, sender: Address) -> None:
@@ -98,19 +102,26 @@
 
     def on_keepalive(self, now: int, sender: Address, message: Keepalive) -> list[Send]:
         """The parent stands as it says, or a candidate has answered."""
-        if self.is_parent(sender):
-            self.parent = Parent(sender, now, now, message.control_age, message.depth)
+        if self.parent is not None and self.parent.address == sender:
+            self.parent = Parent(sender, self.parent.since, now, now, message.control_age, message.depth)
             if self._is_stale(now):
                 self._next_improve = min(self._next_improve, now + self._jittered(self._terms.improve_stale))
             return []
         if sender not in self._candidates:
-            return [Send((sender,), Unsubscribe())]
+            return self._on_late_keepalive(now, sender, message)
         del self._candidates[sender]
         if not self._is_better(now, sender, message):
             self._avoid(now, sender)
             return [Send((sender,), Unsubscribe())]
         return self._attach(now, sender, message)
 
+    def _on_late_keepalive(self, now: int, sender: Address, message: Keepalive) -> list[Send]:
+        """A node that was given up serves us still: links are slow. While detached, it is as good as any."""
+        if self.parent is not None:
+            return [Send((sender,), Unsubscribe())]
+        self._slowness = min(self._slowness + 1, MOST_SLOWNESS)
+        return [*self._attach(now, sender, message), Send((sender,), Renew())]
+
     def on_refuse(self, now: int, sender: Address) -> None:
         """A candidate does not take us, or the parent does not keep us."""
         self._candidates.pop(sender, None)
@@ -131,7 +142,7 @@
             if now - asked >= terms.candidate_patience:
                 del self._candidates[address]
                 self._avoid(now, address)
-        if self.parent is not None and now - self.parent.heard_at >= terms.silence:
+        if self.parent is not None and now - self.parent.heard_at >= self._silence():
             self._avoid(now, self.parent.address)
             self._detach(now)
         if self.parent is None:
@@ -142,7 +153,7 @@
         """Every change to a parent goes through here."""
         left = [*self._candidates, *([self.parent.address] if self.parent else [])]
         self._candidates.clear()
-        self.parent = Parent(address, now, now, message.control_age, message.depth)
+        self.parent = Parent(address, now, now, now, message.control_age, message.depth)
         self.changes += 1
         self._next_improve = now + self._jittered(self._improve_interval(now))
         self._next_renew = now + self._terms.renew
@@ -197,6 +208,8 @@
     def _renew(self, now: int) -> list[Send]:
         if now < self._next_renew or self.parent is None:
             return []
+        if now - self.parent.since >= self._terms.calm:
+            self._slowness = 0
         self._next_renew = now + self._terms.renew
         return [Send((self.parent.address,), Renew())]
 
@@ -212,6 +225,9 @@
         age = self.control_age(now)
         return age is not None and age > self._terms.stale
 
+    def _silence(self) -> int:
+        return self._terms.silence << self._slowness
+
     def _improve_interval(self, now: int) -> int:
         return self._terms.improve_stale if self._is_stale(now) else self._terms.improve
 
--- a/tests/cluster_network.py
+++ b/tests/cluster_network.py
@@ -56,6 +56,7 @@
         self._cut_since: dict[tuple[Address, Address], int] = {}
         self._events: list[tuple[int, int, Callable[[], None]]] = []
         self._counter = itertools.count()
+        self._extra_delay: dict[Address, int] = {}
         self._arrival: dict[tuple[Address, Address], int] = {}
 
     # --- building ---------------------------------------------------------------------------------
@@ -203,7 +204,15 @@
 
     # --- links ------------------------------------------------------------------------------------
 
+    def choke(self, host: Host, delay: int) -> None:
+        """Packets to and from this machine wait."""
+        self._extra_delay[host.address] = delay
+
     def _delay(self, source: Address, target: Address) -> int:
+        extra = self._extra_delay.get(source, 0) + self._extra_delay.get(target, 0)
+        return extra + self._distance(source, target)
+
+    def _distance(self, source: Address, target: Address) -> int:
         one, other = self.hosts.get(source), self.hosts.get(target)
         is_near = one and other and one.member.region == other.member.region
         return WITHIN_REGION if is_near else BETWEEN_REGIONS
--- a/tests/test_cluster_tree.py
+++ b/tests/test_cluster_tree.py
@@ -172,6 +172,17 @@
     network.run_until(lambda: network.have([edges[0]], item), 3 * SECOND)
 
 
+def test_a_node_behind_a_choked_link_stays_attached() -> None:
+    network, controls, edges = small_fleet()
+    network.choke(edges[0], 800 * MS)
+    network.run(10 * SECOND)
+    before = edges[0].core.distribution.link.changes
+    item = network.publish(controls[0], 1)
+    network.run_until(lambda: network.have(network.running(), item), 3 * SECOND)
+    network.run(20 * SECOND)
+    assert edges[0].core.distribution.link.changes - before <= 4
+
+
 def test_read_repair_asks_for_a_newer_version() -> None:
     network, controls, edges = small_fleet()
     network.lose_message = lambda source, target, message: isinstance(message, Update) and target == edges[0].address
