--- a/canvasbeam/decide/shutdown.py
+++ b/canvasbeam/decide/shutdown.py
@@ -54,12 +54,12 @@
 class PlannedShutdown:
     """One process's planned shutdown, and the service times it has learned for it."""
 
-    def __init__(self, times: ShutdownTimes, classes: Iterable[str]) -> None:
-        self.times = times
-        self._spans: dict[str, deque[int]] = {name: deque(maxlen=times.kept) for name in classes}
+    def __init__(self, terms: ShutdownTimes, classes: Iterable[str]) -> None:
+        self.terms = terms
+        self._spans: dict[str, deque[int]] = {name: deque(maxlen=terms.kept) for name in classes}
         self._begun: int | None = None
         self._usual: dict[str, int] = {}  # as learned when the shutdown began
-        self._last_call = times.window
+        self._last_call = terms.window
 
     def served(self, job_class: str, span: int) -> None:
         """A request of this class was served, `span` after it had come."""
@@ -71,31 +71,31 @@
             return False
         self._begun = now
         self._usual = {name: self._service_time(spans) for name, spans in self._spans.items()}
-        least = min(self._usual.values(), default=self.times.usual)
-        self._last_call = max(self.times.window, self.times.last_answer - least)
+        least = min(self._usual.values(), default=self.terms.usual)
+        self._last_call = max(self.terms.window, self.terms.last_answer - least)
         return True
 
     def _service_time(self, spans: deque[int]) -> int:
         if not spans:
-            return self.times.usual
-        return sorted(spans)[min(int(len(spans) * self.times.part), len(spans) - 1)]
+            return self.terms.usual
+        return sorted(spans)[min(int(len(spans) * self.terms.part), len(spans) - 1)]
 
     def phase(self, now: int) -> Phase:
         """The phase at this time."""
         if self._begun is None:
             return Phase.SERVING
         elapsed = now - self._begun
-        if elapsed >= self.times.last_answer:
+        if elapsed >= self.terms.last_answer:
             return Phase.ENDED
         if elapsed >= self._last_call:
             return Phase.CLOSING
-        return Phase.HANDING_OVER if elapsed >= self.times.window else Phase.ANNOUNCED
+        return Phase.HANDING_OVER if elapsed >= self.terms.window else Phase.ANNOUNCED
 
     def due(self, now: int, job_class: str, due: int) -> int | None:
         """By when a request that came now will be answered; None where it is refused at once."""
         if self._begun is None:
             return due
-        last = self._begun + self.times.last_answer
+        last = self._begun + self.terms.last_answer
         if self.phase(now) >= Phase.CLOSING or now + self._usual[job_class] > last:
             return None
         return min(due, last)
@@ -104,5 +104,5 @@
         """When each phase after the announcement begins, and when the process exits; empty before the signal."""
         if self._begun is None:
             return ()
-        spans = (self.times.window, self._last_call, self.times.last_answer, self.times.leave)
+        spans = (self.terms.window, self._last_call, self.terms.last_answer, self.terms.leave)
         return tuple(self._begun + each for each in spans)
--- a/tests/test_planned_shutdown.py
+++ b/tests/test_planned_shutdown.py
@@ -117,7 +117,7 @@
     def due(self, now: int, job_class: str, due: int) -> int | None:
         if self._begun is None or self.phase(now) >= Phase.CLOSING:
             return super().due(now, job_class, due)
-        return min(due, self._begun + self.times.last_answer)
+        return min(due, self._begun + self.terms.last_answer)
 
 
 class Stays(PlannedShutdown):
@@ -125,7 +125,7 @@
 
     def begin(self, now: int) -> bool:
         began = super().begin(now)
-        self._last_call = self.times.last_answer + 1
+        self._last_call = self.terms.last_answer + 1
         return began
 
 
@@ -135,7 +135,7 @@
     def phase(self, now: int) -> Phase:
         if self._begun is not None:
             least = min(self._service_time(each) for each in self._spans.values())
-            self._last_call = max(self.times.window, self.times.last_answer - least)
+            self._last_call = max(self.terms.window, self.terms.last_answer - least)
         return super().phase(now)
 
 
