--- a/canvasbeam/control_plane/changes.py
+++ b/canvasbeam/control_plane/changes.py
@@ -25,6 +25,7 @@
 MOST_TAKEN_ORDERS = 4096
 ORDER_DIGEST_BYTES = 12
 DEEPEST_NESTING = 100
+MISSING = object()
 NOTHING_CONFIGURED: Mapping[str, Any] = {}
 
 
@@ -113,10 +114,28 @@
         if failure is not None:
             return failure
         document = _patched(state.configuration or NOTHING_CONFIGURED, document)
-    failure = check_configuration(document) or check_rules(document) or _check_generation(state, document)
+    unchecked = _without_known_items(document, state.configuration or NOTHING_CONFIGURED)
+    failure = check_configuration(unchecked) or check_rules(document) or _check_generation(state, document)
     return document if failure is None else failure
 
 
+def _without_known_items(document: Any, current: Mapping[str, Any]) -> Any:
+    """A document without the items that stand alike in the current configuration, whose structure has been checked.
+
+    Most changes concern a few of many items, and the check of one takes a third of a millisecond.
+    """
+    if not isinstance(document, dict):
+        return document
+    return {field: _without_items(value, current.get(field)) for field, value in document.items()}
+
+
+def _without_items(value: Any, known: Any) -> Any:
+    if not isinstance(value, list) or not isinstance(known, list):
+        return value
+    by_name = {_name_of(item): item for item in known}
+    return [item for item in value if item != by_name.get(_name_of(item), MISSING)]
+
+
 def _check_generation(state: ControlState, configuration: Mapping[str, Any]) -> Failure | None:
     generation = configuration["generation"]
     if generation > state.generation:
--- /dev/null
+++ b/tests/test_control_program.py
@@ -0,0 +1,122 @@
+"""The control process on loopback: what it serves, and that it ends in order; and what it publishes."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+from collections.abc import AsyncIterator, Iterable
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import pytest
+
+from canvasbeam.cluster.items import Item, ItemKind, ItemTable, Version
+from canvasbeam.control_plane.control_state import ControlState
+from canvasbeam.control_plane.program import EXIT_SETTINGS, ControlPlane, main
+from canvasbeam.control_plane.publisher import StatePublisher
+from canvasbeam.errors import Failure, ResultCode
+from canvasbeam.runtime.settings import SETTINGS_VARIABLE, Address, ProcessSettings
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+def settings(data_dir: Path) -> ProcessSettings:
+    control = Address("127.0.0.1", free_port())
+    first = free_port()
+    return ProcessSettings(
+        node="c1", role="core", node_class="core", serves=("control", "directory"), ip="127.0.0.1", zone="z1",
+        region="r1", port_range=(first, first + 1), seeds=(control,), bootstrap=True, data_dir=data_dir,
+        zones={"z1": "r1"}, listen={"control": control, "directory": Address("127.0.0.1", free_port())},
+    )  # fmt: skip
+
+
+async def get(address: Address, path: str) -> tuple[int, bytes]:
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    writer.write(f"GET {path} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n".encode())
+    head, _, body = (await reader.read()).partition(b"\r\n\r\n")
+    writer.close()
+    return int(head.split()[1]), body
+
+
+@asynccontextmanager
+async def running(own: ProcessSettings) -> AsyncIterator[ControlPlane]:
+    control_plane = ControlPlane(own)
+    assert await control_plane.start() is None
+    try:
+        yield control_plane
+    finally:
+        await control_plane.stop()
+
+
+def test_control_and_directory_are_served_until_the_end(tmp_path: Path) -> None:
+    async def body() -> None:
+        own = settings(tmp_path)
+        control, directory = own.listen["control"], own.listen["directory"]
+        async with running(own):
+            status, document = await get(control, "/v1/status")
+            assert status == 200
+            assert json.loads(document)["node"] == "c1"
+            assert (await get(directory, "/v1/resolve?name=a&zone=z1"))[0] == 503
+            assert (await get(control, "/v1/resolve"))[0] == 404
+        for address in (control, directory):
+            with pytest.raises(ConnectionError):
+                await get(address, "/v1/status")
+
+    asyncio.run(body())
+
+
+def test_address_that_is_taken_ends_the_start(tmp_path: Path) -> None:
+    async def body() -> None:
+        own = settings(tmp_path)
+        with socket.socket() as taken:
+            taken.bind(("127.0.0.1", own.listen["directory"].port))
+            taken.listen()
+            control_plane = ControlPlane(own)
+            failure = await control_plane.start()
+            assert isinstance(failure, Failure)
+            assert failure.code is ResultCode.ADDRESS_IN_USE
+            await control_plane.stop()
+
+    asyncio.run(body())
+
+
+def test_settings_that_cannot_be_read_end_the_program(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    monkeypatch.setenv(SETTINGS_VARIABLE, str(tmp_path / "absent.toml"))
+    assert main() == EXIT_SETTINGS
+    assert "absent.toml" in capsys.readouterr().err
+
+
+class Publishing:
+    """Keeps what is published, as a node's table does."""
+
+    def __init__(self) -> None:
+        self.table = ItemTable()
+        self.published: list[Item] = []
+
+    def publish(self, items: Iterable[Item]) -> list[Item]:
+        taken = self.table.merge(items)
+        self.published += taken
+        return taken
+
+
+def test_committed_state_is_published_by_parts_and_once() -> None:
+    node = Publishing()
+    publisher = StatePublisher(node)
+    publisher.on_committed(ControlState())
+    assert node.published == []
+    configured = ControlState(3, 7, {"generation": 7}, 2, ("z1",), 3)
+    for _ in range(2):
+        publisher.on_committed(configured)
+    assert node.published == [
+        Item(ItemKind.CONFIGURATION, "current", Version(2), b'{"generation":7}'),
+        Item(ItemKind.EVACUATIONS, "current", Version(3), b'["z1"]'),
+    ]
+    publisher.on_committed(ControlState(4, 7, {"generation": 7}, 2, (), 4))
+    assert node.published[2:] == [Item(ItemKind.EVACUATIONS, "current", Version(4), b"[]")]
