Wait for a worker's own answer at the route's limit, never past the client's deadline; hold until the first configuration

A request held 150 ms past its due time ran over the client's own deadline where that was the bound. And a node that has just started answered 503 in the moments before the configuration reached it.

--- a/canvasbeam/data_plane/carrier.py
+++ b/canvasbeam/data_plane/carrier.py
@@ -30,6 +30,8 @@
 
 # The worker's own answer at the deadline is waited for so long after it, as far as the client waits.
 AFTER_DUE_NS = 150 * MILLISECOND
+# The dispatcher gives up so long before the deadline at the most.
+NEAR_DUE_NS = 60 * MILLISECOND
 # A request is not sent with less than this left.
 LEAST_LEFT_NS = 5 * MILLISECOND
 LONGEST_RETRY_ADVICE_NS = SECOND
@@ -203,21 +205,29 @@
 
     def _cancel(self, name: str, number: int) -> None:
         job = self._jobs.get(name)
-        if job is not None and number < len(job.attempts):
+        if job is not None and number < len(job.attempts) and not job.waits_for_worker:
             self._stop_attempt(job.attempts[number])
 
     def _refuse(self, name: str, come_back_ns: int) -> None:
         job = self._jobs.get(name)
         if job is not None:
-            job.closed = True
             advice = min(come_back_ns, LONGEST_RETRY_ADVICE_NS) or RETRY_LATER_NS
-            self._fail(job.request, advice)
+            self._give_up(job, advice)
 
     def _fail_job(self, name: str) -> None:
         job = self._jobs.get(name)
         if job is not None:
-            job.closed = True
-            self._fail(job.request)
+            self._give_up(job, RETRY_LATER_NS)
+
+    def _give_up(self, job: Job, come_back_ns: int) -> None:
+        """The dispatcher does nothing more for a job; a worker at work until the deadline may still answer itself."""
+        job.closed = True
+        request, entry = job.request, self._requests.get(job.request)
+        at_work = entry is not None and any(each.written for each in entry.attempts_out())
+        if at_work and self.now_ns() >= request.due_ns - NEAR_DUE_NS:
+            job.waits_for_worker = True
+        else:
+            self._fail(request, come_back_ns)
 
     # --- an attempt -------------------------------------------------------------------------------
 
@@ -286,6 +296,8 @@
         else:
             request.worker_failure = result.answer or request.worker_failure
             self._end_attempt(attempt, result.outcome)
+            if attempt.job.waits_for_worker:
+                self._fail(request)
 
     async def _conclude_stream(self, attempt: Attempt, result: ExchangeResult) -> None:
         request = attempt.job.request
@@ -346,8 +358,10 @@
         if entry is None:
             return
         at_work = any(each.written for each in entry.attempts_out())
-        if at_work and self.now_ns() < request.due_ns + AFTER_DUE_NS:
-            entry.timer = self._loop.call_later(AFTER_DUE_NS / SECOND, self._on_due, request)
+        last_ns = min(request.due_ns + AFTER_DUE_NS, request.client_due_ns)
+        left_ns = last_ns - self.now_ns()
+        if at_work and left_ns > 0:
+            entry.timer = self._loop.call_later(left_ns / SECOND, self._on_due, request)
             return
         self._fail(request)
 
--- a/canvasbeam/data_plane/configuration_view.py
+++ b/canvasbeam/data_plane/configuration_view.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from collections.abc import Callable, Sequence
 
@@ -20,6 +21,7 @@
     def __init__(self, table: ItemTable) -> None:
         self._table = table
         self._listeners: list[ConfigurationListener] = []
+        self._adopted = asyncio.Event()
         self.current: Configuration | None = None
         self.evacuated_zones: frozenset[str] = frozenset()
         table.add_listener(self._on_items)
@@ -31,6 +33,16 @@
         if self.current is not None:
             listener(self.current)
 
+    async def wait_for_first(self, timeout_s: float) -> None:
+        """Return once a configuration is known, or the time is over."""
+        if self.current is not None:
+            return
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._adopted.wait()
+        except TimeoutError:
+            return
+
     def _on_items(self, items: Sequence[Item]) -> None:
         for item in items:
             if item.kind is ItemKind.EVACUATIONS:
@@ -45,6 +57,7 @@
             log.exception("a configuration could not be read; the one before stays in force")
             return
         self.current = configuration
+        self._adopted.set()
         log.info("configuration {} adopted", configuration.generation)
         for listener in self._listeners:
             listener(configuration)
--- a/canvasbeam/data_plane/ingress.py
+++ b/canvasbeam/data_plane/ingress.py
@@ -28,6 +28,8 @@
 CLIENT_MARGIN_NS = 10 * MILLISECOND
 # After one of these the rest of the request may be unread.
 CLOSING_CODES = frozenset((ResultCode.REQUEST_INVALID, ResultCode.REQUEST_TOO_LARGE, ResultCode.REQUEST_HEAD_TOO_LARGE))
+# After its start a node holds a request for so long until a configuration is known: others send it in less.
+FIRST_CONFIGURATION_S = 0.3
 COME_BACK_AT_ONCE_NS = 50 * MILLISECOND
 BODY_TIMEOUT_S = 10.0
 MAX_REQUEST_ID_BYTES = 256
@@ -84,6 +86,7 @@
         self, scope: MutableMapping[str, Any], receive: Receive, answer: ClientAnswer, arrived_ns: int
     ) -> ClientRequest | Failure:
         headers: Headers = list(scope["headers"])
+        await self._view.wait_for_first(FIRST_CONFIGURATION_S)
         configuration = self._view.current
         limits = configuration.limits if configuration is not None else ClientLimits()
         if _head_bytes(scope, headers) > limits.max_header_bytes:
@@ -124,6 +127,7 @@
         identity = _header(headers, b"x-request-id")
         assert identity is not None
         query = scope["query_string"]
+        client_due_ns = arrived_ns + _client_wait(headers)
         return ClientRequest(
             identity=identity,
             method=scope["method"].encode(),
@@ -133,7 +137,8 @@
             route=route,
             service=route.choose_service(self._random),
             arrived_ns=arrived_ns,
-            due_ns=arrived_ns + _time_for(route, headers),
+            due_ns=min(arrived_ns + route.timeout_ns, client_due_ns),
+            client_due_ns=client_due_ns,
             answer=answer,
         )
 
@@ -175,13 +180,11 @@
     return None
 
 
-def _time_for(route: Route, headers: Headers) -> int:
-    """How long a request may be held: what the operator allows, and the client waits."""
+def _client_wait(headers: Headers) -> int:
+    """How long the client waits, less the way of its answer."""
     deadline = _header(headers, b"x-deadline")
-    if deadline is None:
-        return route.timeout_ns
-    client_ns = min(int(deadline), MAX_DEADLINE_MS) * MILLISECOND
-    return min(route.timeout_ns, max(0, client_ns - CLIENT_MARGIN_NS))
+    wait_ms = MAX_DEADLINE_MS if deadline is None else min(int(deadline), MAX_DEADLINE_MS)
+    return max(0, wait_ms * MILLISECOND - CLIENT_MARGIN_NS)
 
 
 async def _read_body(receive: Receive, headers: Headers, limit: int) -> bytes | Failure:
--- a/canvasbeam/data_plane/open_requests.py
+++ b/canvasbeam/data_plane/open_requests.py
@@ -38,6 +38,7 @@
     request: ClientRequest
     attempts: list[Attempt] = field(default_factory=list)
     closed: bool = False  # the dispatcher was told, or said, that it is over
+    waits_for_worker: bool = False  # the dispatcher gave up at the deadline, with a worker still at work
 
 
 @dataclass(slots=True, eq=False)
--- a/canvasbeam/data_plane/requests.py
+++ b/canvasbeam/data_plane/requests.py
@@ -159,6 +159,7 @@
     service: str
     arrived_ns: int
     due_ns: int
+    client_due_ns: int  # when the client itself no longer waits
     answer: ClientAnswer
     sent: int = 0  # sends to workers whose bytes were written
     may_have_run: bool = False
--- a/tests/test_data_plane_ingress.py
+++ b/tests/test_data_plane_ingress.py
@@ -99,6 +99,7 @@
 def test_without_a_configuration_requests_are_refused_as_not_run() -> None:
     async def body(data_plane: DataPlaneUnderTest) -> None:
         data_plane.view.current = None
+        data_plane.view._adopted.clear()
         answer = await (await data_plane.client()).request("/safe/x")
         assert answer.status == 503
         assert float(answer.headers["retry-after"]) > 0
@@ -106,6 +107,22 @@
     run(body, ScriptedWorker("w1"))
 
 
+def test_a_request_that_comes_just_before_the_first_configuration_is_served() -> None:
+    worker = ScriptedWorker("w1")
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        data_plane.view.current = None
+        data_plane.view._adopted.clear()
+        client = await data_plane.client()
+        await client.send(request_bytes("/safe/x"))
+        while not data_plane.server.busy_count:
+            await asyncio.sleep(0)
+        data_plane.configure()
+        assert (await client.response()).status == 200
+
+    run(body, worker)
+
+
 def test_a_route_that_comes_or_goes_counts_for_the_next_request() -> None:
     worker = ScriptedWorker("w1")
 
--- a/tests/test_data_plane_items.py
+++ b/tests/test_data_plane_items.py
@@ -108,7 +108,7 @@
     def request(*headers: tuple[bytes, bytes]) -> ClientRequest:
         route = parse_configuration({"generation": 1, "routes": [ROUTES[0]], "services": []}).routes[0]
         answer = ClientAnswer(send, lambda: None)
-        return ClientRequest(b"r1", b"POST", b"/", list(headers), b"", route, "svc", 0, 1, answer)
+        return ClientRequest(b"r1", b"POST", b"/", list(headers), b"", route, "svc", 0, 1, 1, answer)
 
     parts = (b"x-prefix-hash", b"5c:800, 91:410,e4:250")
     told = prompt_of(request((b"x-tokens", b"1460,80"), parts))
--- a/tests/test_data_plane_requests.py
+++ b/tests/test_data_plane_requests.py
@@ -329,3 +329,17 @@
         assert "retry-after" not in answer.headers
 
     run(body, worker)
+
+
+def test_a_workers_own_answer_at_the_routes_time_limit_is_waited_for_a_moment() -> None:
+    async def answer_late(turn: WorkerTurn) -> None:
+        await asyncio.sleep(int(turn.request.headers["x-deadline"]) / 1000 + 0.02)
+        await turn.answer("504 Gateway Timeout", "late")
+
+    worker = ScriptedWorker("w1", default=answer_late)
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        answer = await (await data_plane.client()).request("/short/x")
+        assert (answer.status, answer.headers["x-response-seal"]) == (504, "3e1b.07")
+
+    run(body, worker, routes=[make_route("short", "unsafe", timeout_ms=60)])
