--- /dev/null
+++ b/tests/test_storage.py
@@ -0,0 +1,204 @@
+"""The store against a disk that loses power at every step, refuses writes, and is damaged."""
+
+from __future__ import annotations
+
+import random
+from pathlib import Path
+
+import pytest
+
+from canvasbeam.errors import Failure, ResultCode
+from canvasbeam.storage import store as store_module
+from canvasbeam.storage.disk import FolderDisk
+from canvasbeam.storage.frames import LOG_MAGIC, Updates, decode_frame
+from canvasbeam.storage.store import LOG_FILE, MAX_LOG_RECORDS, SLOT_FILES, Store, open_store
+
+from .model_disk import ModelDisk, PowerLost
+
+OUTCOMES_PER_STEP = 6
+Values = dict[str, bytes]
+
+
+def opened(disk: ModelDisk | FolderDisk) -> Store:
+    store = open_store(disk)
+    assert isinstance(store, Store), store
+    return store
+
+
+def script(length: int) -> list[Updates]:
+    """Updates of several names and sizes, with removals."""
+    steps: list[Updates] = []
+    for number in range(length):
+        value = bytes([number % 251]) * (1 + 37 * number % 300)
+        steps.append({f"name-{number % 5}": value, f"name-{(number + 2) % 5}": None if number % 3 == 0 else b"x"})
+    return steps
+
+
+def applied(values: Values, updates: Updates) -> Values:
+    result = dict(values)
+    for name, value in updates.items():
+        if value is None:
+            result.pop(name, None)
+        else:
+            result[name] = value
+    return result
+
+
+def run_until_power_loss(disk: ModelDisk, steps: list[Updates], before: Values | None = None) -> tuple[Values, Values]:
+    """What was acknowledged, and what might have been stored beyond it."""
+    acknowledged: Values = before or {}
+    attempted = acknowledged
+    try:
+        store = opened(disk)
+        acknowledged = attempted = dict(store.values)
+        for updates in steps:
+            attempted = applied(acknowledged, updates)
+            assert store.update(updates) is None
+            acknowledged = attempted
+    except PowerLost:
+        pass
+    return acknowledged, attempted
+
+
+@pytest.fixture
+def short_log(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Slots change every few updates."""
+    monkeypatch.setattr(store_module, "MAX_LOG_RECORDS", 4)
+
+
+def test_an_empty_disk_is_empty() -> None:
+    assert dict(opened(ModelDisk()).values) == {}
+
+
+def test_values_survive_on_a_real_folder(tmp_path: Path) -> None:
+    store = opened(FolderDisk(tmp_path / "new"))
+    expected: Values = {}
+    for updates in script(3 * MAX_LOG_RECORDS):
+        assert store.update(updates) is None
+        expected = applied(expected, updates)
+    assert dict(opened(FolderDisk(tmp_path / "new")).values) == expected
+    assert store.generation == 3  # every slot takes one update, and 63 more follow its mark in the log
+
+
+@pytest.mark.usefixtures("short_log")
+def test_power_loss_at_every_step_keeps_what_was_acknowledged() -> None:
+    steps = script(11)
+    quiet = ModelDisk()
+    run_until_power_loss(quiet, steps)
+    for step in range(1, quiet.operations + 1):
+        disk = ModelDisk()
+        disk.lose_power_at = step
+        acknowledged, attempted = run_until_power_loss(disk, steps)
+        for outcome in range(OUTCOMES_PER_STEP):
+            left = disk.after_power_loss(random.Random(f"{step}/{outcome}"))
+            assert dict(opened(left).values) in (acknowledged, attempted)
+
+
+@pytest.mark.usefixtures("short_log")
+def test_power_is_lost_again_and_again() -> None:
+    for seed in range(150):
+        chance = random.Random(seed)
+        disk = ModelDisk()
+        for _ in range(6):
+            before = dict(opened(disk).values)
+            disk.lose_power_at = disk.operations + chance.randrange(1, 40)
+            acknowledged, attempted = run_until_power_loss(disk, script(chance.randrange(1, 12)), before)
+            disk = disk.after_power_loss(chance) if chance.random() < 0.7 else disk.after_kill()
+            assert dict(opened(disk.after_kill()).values) in (acknowledged, attempted)
+
+
+@pytest.mark.usefixtures("short_log")
+def test_what_a_killed_process_left_is_synced_before_it_is_read() -> None:
+    disk = ModelDisk()
+    acknowledged, attempted = run_until_power_loss(disk, script(2))
+    disk.lose_power_at = disk.operations + 1
+    with pytest.raises(PowerLost):
+        opened_again = opened_without_steps(disk)
+        opened_again.update({"late": b"1"})
+    killed = disk.after_kill()
+    seen = dict(opened(killed).values)
+    for outcome in range(20):
+        assert dict(opened(killed.after_power_loss(random.Random(outcome))).values) == seen
+    assert "late" in seen or seen in (acknowledged, attempted)
+
+
+def opened_without_steps(disk: ModelDisk) -> Store:
+    """Open without counting towards the loss of power."""
+    at, disk.lose_power_at = disk.lose_power_at, None
+    before = disk.operations
+    store = opened(disk)
+    disk.operations = before
+    disk.lose_power_at = at
+    return store
+
+
+@pytest.mark.usefixtures("short_log")
+def test_a_full_disk_is_told_and_loses_nothing() -> None:
+    for seed in range(60):
+        chance = random.Random(seed)
+        disk = ModelDisk()
+        store = opened(disk)
+        acknowledged: Values = {}
+        for updates in script(20):
+            disk.refusing = chance.random() < 0.4
+            wanted = applied(dict(store.values), updates)
+            failure = store.update(updates)
+            if failure is None:
+                acknowledged = wanted
+            else:
+                assert failure.code is ResultCode.DISK_FULL
+        disk.refusing = False
+        if failure is None:
+            left = disk.after_power_loss(chance)
+            assert dict(opened(left).values) == acknowledged
+
+
+def test_a_disk_that_refuses_to_be_opened_is_not_an_empty_one() -> None:
+    disk = ModelDisk()
+    disk.refusing = True
+    failure = open_store(disk)
+    assert isinstance(failure, Failure)
+    assert failure.code is ResultCode.DISK_FULL
+
+
+@pytest.mark.usefixtures("short_log")
+def test_damage_is_told_or_harmless() -> None:
+    """Any damaged byte but in the last frame of the log, which looks like an append that never finished."""
+    for length in (1, 4, 9, 13):
+        disk = ModelDisk()
+        acknowledged, _ = run_until_power_loss(disk, script(length))
+        last = last_frame_offset(disk)
+        for name in (*SLOT_FILES, LOG_FILE):
+            for position in range(disk.size(name)):
+                if name == LOG_FILE and position >= last:
+                    break
+                found = open_store(disk.flip(name, position))
+                assert isinstance(found, Failure) or dict(found.values) == acknowledged
+                if isinstance(found, Failure):
+                    assert found.code is ResultCode.DISK_CORRUPT
+
+
+def last_frame_offset(disk: ModelDisk) -> int:
+    data = disk.read(LOG_FILE) or b""
+    offset = last = 0
+    generation = None
+    while (frame := decode_frame(LOG_MAGIC, data, offset)) is not None:
+        if generation not in (None, frame.generation):
+            break
+        generation = frame.generation
+        last = offset
+        offset += frame.size
+    return last
+
+
+@pytest.mark.usefixtures("short_log")
+def test_a_missing_sync_is_caught() -> None:
+    """The planted fault: without syncs, some loss of power must lose something acknowledged."""
+    lost = 0
+    for seed in range(30):
+        disk = ModelDisk()
+        disk.ignore_syncs = True
+        acknowledged, _ = run_until_power_loss(disk, script(7))
+        found = open_store(disk.after_power_loss(random.Random(seed)))
+        lost += isinstance(found, Failure) or dict(found.values) != acknowledged
+    assert lost > 0
