--- a/canvasbeam/cluster/transport.py
+++ b/canvasbeam/cluster/transport.py
@@ -47,6 +47,7 @@
     DISTRIBUTION = 2
     MEMBERSHIP = 3
     REGISTRY = 4
+    PLACEMENT = 5
 
 
 class PeerState(IntEnum):
--- /dev/null
+++ b/canvasbeam/data_plane/placement_notices.py
@@ -0,0 +1,91 @@
+"""What data-plane nodes tell each other of their sends to model workers, so that all see what waits there.
+
+A notice goes to the nodes of the own region and to those of the worker's. It is a hint: one that is lost or late makes
+an expectation worse and breaks no rule. In a large region a node tells only some others, chosen by rendezvous hashing.
+"""
+
+from __future__ import annotations
+
+import time
+from hashlib import blake2b
+
+from google.protobuf.message import DecodeError
+
+from canvasbeam import interface as ci
+from canvasbeam.cluster import placement_pb2
+from canvasbeam.cluster.node import ClusterNode
+from canvasbeam.cluster.transport import Channel, PeerInfo
+from canvasbeam.decide.engine_model import EngineExpectations
+from canvasbeam.runtime.settings import Address
+
+# Prompts shorter than this are read so quickly that it is not worth a message.
+LEAST_TOKENS = 400
+# A node tells so many others in each region.
+MOST_PEERS = 8
+# The list of them is made anew after so many nanoseconds.
+PEERS_FOR = 500_000_000
+
+
+class PlacementNotices:
+    """Sends a notice for each of our sends, and takes those of other nodes into the expectations."""
+
+    def __init__(self, cluster: ClusterNode, expectations: EngineExpectations, node: str, region: str) -> None:
+        self._cluster = cluster
+        self._expectations = expectations
+        self._node = node
+        self._region = region
+        self._peers: dict[str, list[Address]] = {}  # by region
+        self._peers_until = 0
+        expectations.on_sent = self._tell
+        cluster.transport.register(Channel.PLACEMENT, self._take)
+
+    def _tell(self, entry: ci.WorkerEntry, prompt: ci.PromptEstimate) -> None:
+        if prompt.tokens_in < LEAST_TOKENS:
+            return
+        addresses = [address for region in sorted({self._region, entry.zone}) for address in self._peers_in(region)]
+        if addresses:
+            self._cluster.transport.send_to_many(addresses, Channel.PLACEMENT, encode_notice(entry.worker, prompt))
+
+    def _peers_in(self, region: str) -> list[Address]:
+        """The nodes of a region that are told, this one excepted."""
+        now = time.monotonic_ns()
+        if now >= self._peers_until:
+            self._peers_until = now + PEERS_FOR
+            self._peers.clear()
+        if region not in self._peers:
+            there = [
+                each
+                for each in self._cluster.members()
+                if not each.is_control and each.region == region and each.name != self._node
+            ]
+            there.sort(key=lambda each: _hash(self._node, each.name))
+            self._peers[region] = [self._cluster.peer_address(each) for each in there[:MOST_PEERS]]
+        return self._peers[region]
+
+    def _take(self, sender: PeerInfo, payload: bytes) -> None:
+        notice = decode_notice(payload)
+        if notice is not None:
+            worker, prompt = notice
+            self._expectations.heard_sent(time.monotonic_ns(), worker, prompt)
+
+
+def encode_notice(worker: str, prompt: ci.PromptEstimate) -> bytes:
+    """A notice as bytes."""
+    parts = [placement_pb2.PromptPart(name=each.name, tokens=each.tokens) for each in prompt.parts]
+    return placement_pb2.PlacementNotice(worker=worker, tokens_in=prompt.tokens_in, parts=parts).SerializeToString()
+
+
+def decode_notice(payload: bytes) -> tuple[str, ci.PromptEstimate] | None:
+    """The worker and the prompt of a notice, or None where it cannot be read."""
+    notice = placement_pb2.PlacementNotice()
+    try:
+        notice.ParseFromString(payload)
+    except DecodeError:
+        return None
+    parts = tuple(ci.PromptPart(each.name, each.tokens) for each in notice.parts)
+    return notice.worker, ci.PromptEstimate(notice.tokens_in, 0, parts)
+
+
+def _hash(one: str, other: str) -> bytes:
+    """The same for both nodes, so that whom a node tells also tells it."""
+    return blake2b("\0".join(sorted((one, other))).encode(), digest_size=8).digest()
--- a/canvasbeam/data_plane/program.py
+++ b/canvasbeam/data_plane/program.py
@@ -13,6 +13,7 @@
 from canvasbeam.data_plane.dispatcher_settings import dispatcher_settings, engine_expectations, engines
 from canvasbeam.data_plane.ingress import Ingress
 from canvasbeam.data_plane.job_classes import classes_of
+from canvasbeam.data_plane.placement_notices import PlacementNotices
 from canvasbeam.data_plane.readiness import ReadinessApp
 from canvasbeam.data_plane.routes import Configuration
 from canvasbeam.data_plane.shared_limits import SharedLimits, make_limits
@@ -46,6 +47,7 @@
         self._limits = make_limits(settings, monotonic_ns())
         self._shared = SharedLimits(self._limits, self._cluster.table, self._cluster.members, monotonic_ns)
         self._engines = engine_expectations(settings)
+        self._notices = PlacementNotices(self._cluster, self._engines, settings.node, settings.region)
         self._carrier = Carrier(self._make_dispatcher, self._connections)
         self._view = ConfigurationView(self._cluster.table)
         self._shutdown = Shutdown(settings, self._carrier.now_ns)
