Let workers read short prompts before long ones

A worker reads one prompt after the other, so a chat behind a review of 9,000 tokens starts late. The Priority told to a worker now steps down with the length of a prompt.

--- a/canvasbeam/data_plane/job_classes.py
+++ b/canvasbeam/data_plane/job_classes.py
@@ -9,6 +9,8 @@
 LEAST_URGENT = 9
 LATE_WORTH = 0.3
 PRIORITY_OF_WORKERS = 9  # the least urgent that a worker knows
+LONG_PROMPTS = (1_500, 4_000, 10_000)  # tokens, above each of which a prompt is less urgent
+PRIORITY_STEP = 2
 
 
 def classes_of(configuration: Configuration) -> tuple[tuple[ci.JobClass, ...], tuple[str, ...]]:
@@ -33,9 +35,15 @@
     )
 
 
-def worker_priority(route: Route) -> bytes:
-    """The value of `Priority` for a worker."""
-    return str(min(PRIORITY_OF_WORKERS, max(0, route.priority))).encode()
+def worker_priority(request: ClientRequest) -> bytes:
+    """The value of `Priority` for a worker: the route's, and longer prompts after shorter ones.
+
+    Prompts are read one after the other. Behind a long one many short ones are late, while they hardly delay it.
+    """
+    prompt = prompt_of(request)
+    tokens = prompt.tokens_in if prompt is not None else 0
+    steps = sum(tokens > most for most in LONG_PROMPTS)
+    return str(min(PRIORITY_OF_WORKERS, max(0, request.route.priority) + PRIORITY_STEP * steps)).encode()
 
 
 def prompt_of(request: ClientRequest) -> ci.PromptEstimate | None:
--- a/canvasbeam/data_plane/worker_request.py
+++ b/canvasbeam/data_plane/worker_request.py
@@ -32,7 +32,7 @@
     left_ms = max(0, request.due_ns - now_ns) // MILLISECOND
     headers.append((DEADLINE, str(left_ms).encode()))
     headers.append((TARGET_INSTANCE, worker.encode()))
-    headers.append((PRIORITY, worker_priority(request.route)))
+    headers.append((PRIORITY, worker_priority(request)))
     if request.last_event_id is not None:
         headers.append((LAST_EVENT_ID, request.last_event_id))
     if request.body or request.method not in (b"GET", b"HEAD"):
--- a/tests/test_data_plane_items.py
+++ b/tests/test_data_plane_items.py
@@ -98,18 +98,32 @@
     assert kinds == ("svc",)
     assert classes[-1].homes == ("r2",)
     assert classes[-1].priority > classes[0].priority
-    assert worker_priority(configuration.routes[-1]) == b"0"
 
 
-def test_the_prompt_is_read_from_the_headers() -> None:
+def request(*headers: tuple[bytes, bytes], priority: int = 1) -> ClientRequest:
     async def send(message: object) -> None:
         pass
 
-    def request(*headers: tuple[bytes, bytes]) -> ClientRequest:
-        route = parse_configuration({"generation": 1, "routes": [ROUTES[0]], "services": []}).routes[0]
-        answer = ClientAnswer(send, lambda: None)
-        return ClientRequest(b"r1", b"POST", b"/", list(headers), b"", route, "svc", 0, 1, 1, answer)
+    routes = [make_route("r", "safe", priority=priority)]
+    route = parse_configuration({"generation": 1, "routes": routes, "services": []}).routes[0]
+    answer = ClientAnswer(send, lambda: None)
+    return ClientRequest(b"r1", b"POST", b"/", list(headers), b"", route, "svc", 0, 1, 1, answer)
+
+
+def test_a_worker_is_told_the_routes_priority() -> None:
+    assert worker_priority(request(priority=0)) == b"0"
+    assert worker_priority(request(priority=3)) == b"3"
+    assert worker_priority(request(priority=100)) == b"9"
+
 
+def test_longer_prompts_are_less_urgent_to_a_worker() -> None:
+    tokens = (100, 2000, 5000, 20_000)
+    told = [int(worker_priority(request((b"x-tokens", b"%d,50" % each)))) for each in tokens]
+    assert told == sorted(set(told))
+    assert told[0] == 1
+
+
+def test_the_prompt_is_read_from_the_headers() -> None:
     parts = (b"x-prefix-hash", b"5c:800, 91:410,e4:250")
     told = prompt_of(request((b"x-tokens", b"1460,80"), parts))
     assert told is not None
