Notice dead workers sooner: probes after a second, and no connection at rest kept where a new one fails

After the loss of a zone a request was written to a connection whose machine had been dark for 3 s, and ended 3 s later as one that may have run.

--- a/canvasbeam/data_plane/network_stream.py
+++ b/canvasbeam/data_plane/network_stream.py
@@ -15,9 +15,10 @@
 
 from canvasbeam.runtime.settings import Address
 
-# A cut link says nothing: unacknowledged bytes and unanswered probes end the connection after this time.
-USER_TIMEOUT_MS = 4000
-KEEPALIVE_IDLE_S = 3
+# A cut link or a machine without power says nothing: unacknowledged bytes and unanswered probes end a connection after
+# this time, at rest and in use. Clients give up a silent stream a little later.
+USER_TIMEOUT_MS = 3000
+KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 3
 READ_PAUSE_BYTES = 1 << 20
--- a/canvasbeam/data_plane/worker_connections.py
+++ b/canvasbeam/data_plane/worker_connections.py
@@ -110,6 +110,7 @@
             stream = await connect(self.address, CONNECT_TIMEOUT_S)
         except (OSError, TimeoutError) as error:
             self._free_place()
+            self.close_idle()  # what cannot be reached now may have been lost some time ago
             raise ConnectFailed(str(error) or type(error).__name__) from error
         except BaseException:
             self._free_place()
--- a/tests/test_data_plane_connections.py
+++ b/tests/test_data_plane_connections.py
@@ -159,6 +159,19 @@
     run(body, most=1)
 
 
+def test_a_worker_that_cannot_be_reached_keeps_no_connection_at_rest() -> None:
+    async def body(server: Server, pool: WorkerPool) -> None:
+        first, second = await pool.acquire(False), await pool.acquire(False)
+        put_at_rest(pool, first)
+        server._server.close()
+        pool.discard(second)
+        with pytest.raises(ConnectFailed):
+            await pool._connect()
+        assert pool.idle_count == 0
+
+    run(body)
+
+
 def test_the_share_of_a_workers_connections() -> None:
     assert share_of_connections(360, 6) == 60
     assert share_of_connections(96, 350) == 3
