--- a/canvasbeam/cluster/node.py
+++ b/canvasbeam/cluster/node.py
@@ -22,6 +22,7 @@
 
 NANOSECOND = 1e-9
 LEAST_WAIT_S = 0.005
+IDLE_CHECK_NS = 5_000_000_000
 
 
 class ClusterNode:
@@ -37,6 +38,7 @@
         self._core = NodeCore(member, self._ports, settings.seed_peers, start)
         self.table: ItemTable = self._core.table
         self._timer: asyncio.TimerHandle | None = None
+        self._next_idle_check = start.now + IDLE_CHECK_NS
         self._is_running = False
         self.transport.register(Channel.DISTRIBUTION, self._on_message)
         self.transport.register_datagrams(self._on_datagram)
@@ -145,7 +147,11 @@
 
     def _tick(self) -> None:
         self._timer = None
-        self._core.tick(time.monotonic_ns())
+        now = time.monotonic_ns()
+        self._core.tick(now)
+        if now >= self._next_idle_check:
+            self._next_idle_check = now + IDLE_CHECK_NS
+            self.transport.close_idle()
         self._perform()
 
     def _perform(self) -> None:
--- a/canvasbeam/cluster/transport.py
+++ b/canvasbeam/cluster/transport.py
@@ -5,7 +5,7 @@
 
 | state of a peer | from | to |
 | --- | --- | --- |
-| idle | the start; the connection was closed | connecting: a message to send; connected: it connected to us |
+| idle | the start; nothing was sent for long | connecting: a message to send; connected: it connected to us |
 | connecting | | connected: the peer accepted; waiting: it did not in time |
 | connected | | waiting: the connection failed |
 | waiting | | connecting: the back-off is over; connected: it connected to us |
@@ -18,24 +18,27 @@
 import socket
 from collections import deque
 from collections.abc import Callable, Iterable
-from contextlib import suppress
 from dataclasses import dataclass
 from enum import IntEnum
-from typing import cast
-
-from google.protobuf.message import DecodeError
 
 from canvasbeam.cluster import envelope_pb2
-from canvasbeam.cluster.framing import FrameDecoder, FrameTooLarge, frame
+from canvasbeam.cluster.connection import (
+    MAGIC,
+    PROTOCOL_VERSION,
+    QUEUE_BYTES,
+    Connection,
+    PeerInfo,
+    set_socket_options,
+)
+from canvasbeam.cluster.framing import frame
 from canvasbeam.runtime.settings import Address
 
-MAGIC = 0x43425631
-PROTOCOL_VERSION = 1
+__all__ = ["Channel", "PeerInfo", "PeerState", "Transport", "TransportCounters"]
+
 CONNECT_TIMEOUT = 0.5
-USER_TIMEOUT_MS = 1_200
 BACK_OFF_LEAST = 0.05
 BACK_OFF_MOST = 0.4
-QUEUE_BYTES = 4 << 20
+IDLE_TIMEOUT = 10.0
 DATAGRAM_BYTES = 1_200
 LISTEN_BACKLOG = 512
 
@@ -59,19 +62,6 @@
     WAITING = 3
 
 
-@dataclass(frozen=True, slots=True)
-class PeerInfo:
-    """Who sent a message, and where that node listens."""
-
-    name: str
-    address: Address
-
-    @property
-    def ip(self) -> str:
-        """The address of its machine."""
-        return self.address.host
-
-
 MessageCallback = Callable[[PeerInfo, bytes], None]
 DatagramCallback = Callable[[Address, bytes], None]
 DisconnectCallback = Callable[[Address], None]
@@ -82,66 +72,10 @@
     """What was dropped, and why."""
 
     invalid: int = 0  # not understood, too large, or of another protocol
-    overflowed: int = 0  # the queue to a peer was full
+    overflowed: int = 0  # the queue to a peer was full, or its connection was ending
     lost: int = 0  # still unsent when the connection failed
 
 
-class _Connection(asyncio.Protocol):
-    """One TCP connection, opened by either side."""
-
-    def __init__(self, owner: Transport, expected: Address | None) -> None:
-        self.owner = owner
-        self.expected = expected  # where we connected to; None where the other side did
-        self.peer: PeerInfo | None = None
-        self.transport: asyncio.Transport | None = None
-        self._decoder = FrameDecoder()
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Introduce ourselves."""
-        self.transport = cast(asyncio.Transport, transport)
-        set_socket_options(transport.get_extra_info("socket"))
-        self.transport.write(self.owner.hello)
-        self.owner.on_open(self)
-
-    def data_received(self, data: bytes) -> None:
-        """Take what came; a stream that is not understood is closed."""
-        try:
-            for message in self._decoder.feed(data):
-                if not self._take(message):
-                    self._reject()
-                    return
-        except (FrameTooLarge, DecodeError):
-            self._reject()
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """The other side closed, or the network gave up."""
-        self.owner.on_closed(self)
-
-    def _take(self, message: bytes) -> bool:
-        if self.peer is None:
-            return self._take_hello(message)
-        received = envelope_pb2.Frame.FromString(message)
-        self.owner.on_frame(self.peer, received.channel, received.payload)
-        return True
-
-    def _take_hello(self, message: bytes) -> bool:
-        hello = envelope_pb2.Hello.FromString(message)
-        if hello.magic != MAGIC or hello.protocol_version != PROTOCOL_VERSION or not 0 < hello.listen_port < 65536:
-            return False
-        assert self.transport is not None
-        peername = self.transport.get_extra_info("peername")
-        if peername is None:
-            return False
-        self.peer = PeerInfo(hello.node, self.expected or Address(peername[0], hello.listen_port))
-        self.owner.on_introduced(self)
-        return True
-
-    def _reject(self) -> None:
-        self.owner.counters.invalid += 1
-        if self.transport is not None:
-            self.transport.abort()
-
-
 class _Datagrams(asyncio.DatagramProtocol):
     """The UDP socket."""
 
@@ -160,7 +94,7 @@
         self.address = address
         self.state = PeerState.IDLE
         self._owner = owner
-        self._connection: _Connection | None = None
+        self._connection: Connection | None = None
         self._queue: deque[bytes] = deque()
         self._queued_bytes = 0
         self._failures = 0
@@ -179,15 +113,18 @@
         if self.state is PeerState.IDLE:
             self._enter(PeerState.CONNECTING)
 
-    def adopt(self, connection: _Connection) -> None:
+    def adopt(self, connection: Connection) -> None:
         """Use this connection, the newest, from now on: an older one may lead to a process that is gone."""
         self._connection = connection
         self._enter(PeerState.CONNECTED)
 
-    def closed(self, connection: _Connection) -> None:
+    def closed(self, connection: Connection) -> None:
         """A connection ended; an older one than ours is of no interest."""
         if connection is self._connection:
             self._connection = None
+            if connection.is_idle_closed:
+                self._enter(PeerState.IDLE)
+                return
             self._enter(PeerState.WAITING)
             self._owner.on_disconnected(self.address)
 
@@ -247,13 +184,8 @@
         self._queued_bytes = 0
 
     def _write(self, data: bytes) -> None:
-        transport = self._connection.transport if self._connection else None
-        if transport is None or transport.is_closing():
-            self._owner.counters.lost += 1
-        elif transport.get_write_buffer_size() + len(data) > QUEUE_BYTES:
+        if self._connection is None or not self._connection.write(data):
             self._owner.counters.overflowed += 1
-        else:
-            transport.write(data)
 
 
 class Transport:
@@ -268,7 +200,7 @@
         self._datagram_callback: DatagramCallback | None = None
         self._disconnect_callback: DisconnectCallback | None = None
         self._peers: dict[Address, _Peer] = {}
-        self._connections: set[_Connection] = set()
+        self._connections: set[Connection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
         self._datagrams: asyncio.DatagramTransport | None = None
@@ -279,7 +211,7 @@
         """Listen for TCP and UDP; raises `OSError` where the port is taken."""
         loop = asyncio.get_running_loop()
         host, port = self.listen.host, self.listen.port
-        self._server = await loop.create_server(lambda: _Connection(self, None), host, port, backlog=LISTEN_BACKLOG)
+        self._server = await loop.create_server(lambda: Connection(self, None), host, port, backlog=LISTEN_BACKLOG)
         self._datagrams, _ = await loop.create_datagram_endpoint(lambda: _Datagrams(self), (host, port))
 
     async def stop(self) -> None:
@@ -330,18 +262,24 @@
         peer = self._peers.get(address)
         return peer is not None and peer.state is PeerState.CONNECTED
 
+    def close_idle(self) -> None:
+        """Close the connections that have carried nothing for a while; called now and then."""
+        since = self.time() - IDLE_TIMEOUT
+        for connection in tuple(self._connections):
+            connection.close_if_idle(since)
+
     # --- what the connections use -----------------------------------------------------------------
 
-    def on_open(self, connection: _Connection) -> None:
+    def on_open(self, connection: Connection) -> None:
         """A connection came up."""
         self._connections.add(connection)
 
-    def on_introduced(self, connection: _Connection) -> None:
+    def on_introduced(self, connection: Connection) -> None:
         """The other side said who it is; what we send it may go back this way."""
         if connection.expected is None and connection.peer is not None:
             self._peer(connection.peer.address).adopt(connection)
 
-    def on_closed(self, connection: _Connection) -> None:
+    def on_closed(self, connection: Connection) -> None:
         """A connection ended."""
         self._connections.discard(connection)
         address = connection.expected or (connection.peer.address if connection.peer else None)
@@ -354,6 +292,14 @@
         if self._disconnect_callback is not None:
             self._disconnect_callback(address)
 
+    def on_rejected(self) -> None:
+        """What came was not understood."""
+        self.counters.invalid += 1
+
+    def time(self) -> float:
+        """The time of the event loop."""
+        return asyncio.get_running_loop().time()
+
     def on_frame(self, sender: PeerInfo, channel: int, payload: bytes) -> None:
         """A message came."""
         callback = self._callbacks.get(channel)
@@ -372,7 +318,7 @@
         elif self._datagram_callback is not None:
             self._datagram_callback(sender, payload)
 
-    async def connect(self, address: Address) -> _Connection | None:
+    async def connect(self, address: Address) -> Connection | None:
         """Open a connection from our own address; none where that does not come up in time."""
         loop = asyncio.get_running_loop()
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -381,7 +327,7 @@
             set_socket_options(sock)
             sock.bind((self.listen.host, 0))
             await asyncio.wait_for(loop.sock_connect(sock, (address.host, address.port)), CONNECT_TIMEOUT)
-            _, connection = await loop.create_connection(lambda: _Connection(self, address), sock=sock)
+            _, connection = await loop.create_connection(lambda: Connection(self, address), sock=sock)
         except (OSError, TimeoutError):
             sock.close()
             return None
@@ -402,20 +348,3 @@
         if peer is None:
             peer = self._peers[address] = _Peer(address, self)
         return peer
-
-
-def set_socket_options(sock: socket.socket | None) -> None:
-    """Notice a link that is cut: it says nothing, and the kernel's defaults wait for minutes."""
-    if sock is None:
-        return
-    options = (
-        (socket.IPPROTO_TCP, "TCP_NODELAY", 1),
-        (socket.IPPROTO_TCP, "TCP_USER_TIMEOUT", USER_TIMEOUT_MS),
-        (socket.SOL_SOCKET, "SO_KEEPALIVE", 1),
-        (socket.IPPROTO_TCP, "TCP_KEEPIDLE", 1),
-        (socket.IPPROTO_TCP, "TCP_KEEPINTVL", 1),
-        (socket.IPPROTO_TCP, "TCP_KEEPCNT", 2),
-    )
-    for level, name, value in options:
-        with suppress(OSError):
-            sock.setsockopt(level, getattr(socket, name), value)
--- a/canvasbeam/decide/distribution_messages.py
+++ b/canvasbeam/decide/distribution_messages.py
@@ -104,6 +104,7 @@
     candidate_step: int = 200 * MILLISECOND  # between attempts, while there is no parent
     candidate_patience: int = 600 * MILLISECOND
     avoid: int = 3 * SECOND  # after a parent was lost or did not answer
+    stall: int = 250 * MILLISECOND  # late by this much, a process was stopped
     calm: int = 20 * SECOND  # with one parent before slow links count as fast again
     improve: int = 2 * SECOND  # between looks for a better parent
     improve_stale: int = 400 * MILLISECOND  # the same, where the parent has lost the control nodes
--- a/canvasbeam/decide/parent_link.py
+++ b/canvasbeam/decide/parent_link.py
@@ -70,6 +70,7 @@
         self._next_ask = now
         self._next_improve = now
         self._next_renew = now
+        self._due = now  # when `tick` should come
 
     @property
     def state(self) -> ParentState:
@@ -137,6 +138,13 @@
 
     def tick(self, now: int) -> list[Send]:
         """Do what is due."""
+        if now - self._due >= self._terms.stall:
+            self._on_stall(now)
+        actions = self._do_due(now)
+        self._due = max(self.wake(), now)
+        return actions
+
+    def _do_due(self, now: int) -> list[Send]:
         terms = self._terms
         for address, asked in tuple(self._candidates.items()):
             if now - asked >= terms.candidate_patience:
@@ -149,6 +157,12 @@
             return self._ask_next(now)
         return self._improve(now) + self._renew(now)
 
+    def _on_stall(self, now: int) -> None:
+        """This process was stopped: what came meanwhile is still to be read."""
+        if self.parent is not None:
+            self.parent.heard_at = max(self.parent.heard_at, now - self._terms.silence // 2)
+        self._candidates = dict.fromkeys(self._candidates, now)
+
     def _attach(self, now: int, address: Address, message: Keepalive) -> list[Send]:
         """Every change to a parent goes through here."""
         left = [*self._candidates, *([self.parent.address] if self.parent else [])]
--- a/tests/cluster_network.py
+++ b/tests/cluster_network.py
@@ -57,6 +57,7 @@
         self._events: list[tuple[int, int, Callable[[], None]]] = []
         self._counter = itertools.count()
         self._extra_delay: dict[Address, int] = {}
+        self._frozen_until: dict[Address, int] = {}
         self._arrival: dict[tuple[Address, Address], int] = {}
 
     # --- building ---------------------------------------------------------------------------------
@@ -198,12 +199,23 @@
             self._at(when, lambda: self._tick(host, when))
 
     def _tick(self, host: Host, when: int) -> None:
-        if host.is_running and host.woken_at == when:
+        if host.is_running and host.woken_at == when and host.address not in self._frozen_until:
             host.core.tick(self.now)
             self._perform(host)
 
     # --- links ------------------------------------------------------------------------------------
 
+    def freeze(self, host: Host, span: int) -> None:
+        """The process stands still; what comes meanwhile waits for it, and is read after what is overdue."""
+        thawed_at = self.now + span
+        self._frozen_until[host.address] = thawed_at
+        self._at(thawed_at, lambda: self._thaw(host))
+
+    def _thaw(self, host: Host) -> None:
+        del self._frozen_until[host.address]
+        host.core.tick(self.now)
+        self._perform(host)
+
     def choke(self, host: Host, delay: int) -> None:
         """Packets to and from this machine wait."""
         self._extra_delay[host.address] = delay
@@ -235,7 +247,9 @@
 
     def _deliver(self, host: Host, target: Address, message: Message, until: int) -> None:
         other = self.hosts.get(target)
-        if other is not None and other.is_running and not self._is_connection_dead(host.address, target):
+        if target in self._frozen_until:
+            self._at(self._frozen_until[target], lambda: self._deliver(host, target, message, until))
+        elif other is not None and other.is_running and not self._is_connection_dead(host.address, target):
             other.core.receive(self.now, host.address, message)
             self._perform(other)
         elif self.now < until:
@@ -259,6 +273,9 @@
         other = self.hosts.get(target)
         if other is None or not other.is_running or self._is_cut(host.address, target):
             return
+        if target in self._frozen_until:
+            self._at(self._frozen_until[target], lambda: self._deliver_datagram(host, target, action))
+            return
         if isinstance(action, ProbeAnswer):
             other.core.on_answer(self.now, host.address)
         else:
--- a/tests/test_cluster_transport.py
+++ b/tests/test_cluster_transport.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from canvasbeam.cluster import envelope_pb2, transport
+from canvasbeam.cluster import connection, envelope_pb2, transport
 from canvasbeam.cluster.framing import MAX_FRAME_BYTES, FrameDecoder, FrameTooLarge, frame
 from canvasbeam.cluster.items import Item, ItemKind, Version
 from canvasbeam.cluster.node import ClusterNode
@@ -86,6 +86,27 @@
     run(work())
 
 
+def test_an_idle_connection_is_closed_and_opened_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def work() -> None:
+        one, other = await pair()
+        inbox = Inbox(other)
+        closed = asyncio.Event()
+        other.register_disconnects(lambda address: closed.set())
+        one.send(other.listen, Channel.REPLICATION, b"first")
+        await inbox.next()
+        one.close_idle()
+        assert one.is_connected(other.listen)
+        monkeypatch.setattr(transport, "IDLE_TIMEOUT", -1.0)
+        one.close_idle()
+        await closed.wait()
+        one.send(other.listen, Channel.REPLICATION, b"second")
+        assert await inbox.next() == ("one", b"second")
+        await one.stop()
+        await other.stop()
+
+    run(work())
+
+
 def test_a_large_message_passes_and_a_slow_reader_does_not_hold_up_others() -> None:
     async def work() -> None:
         one, other = await pair()
@@ -180,7 +201,7 @@
         frame(b"\xff\xff\xff"),
         frame(envelope_pb2.Hello(magic=1, protocol_version=1, node="x", listen_port=1).SerializeToString()),
         frame(
-            envelope_pb2.Hello(magic=transport.MAGIC, protocol_version=99, node="x", listen_port=1).SerializeToString()
+            envelope_pb2.Hello(magic=connection.MAGIC, protocol_version=99, node="x", listen_port=1).SerializeToString()
         ),
     ],
     ids=["http", "damaged", "magic", "version"],
--- a/tests/test_cluster_tree.py
+++ b/tests/test_cluster_tree.py
@@ -183,6 +183,20 @@
     assert edges[0].core.distribution.link.changes - before <= 4
 
 
+def test_a_process_that_stood_still_keeps_its_parent_and_judges_nobody() -> None:
+    network, controls, edges = small_fleet()
+    parent = parent_of(network, edges[0])
+    others = [each for each in network.running() if each is not edges[0]]
+    before = [each.core.own.member.incarnation for each in others]
+    network.freeze(edges[0], 3 * SECOND)
+    item = network.publish(controls[0], 1)
+    network.run(3_400 * MS)
+    assert parent_of(network, edges[0]) is parent
+    assert network.have(network.running(), item)
+    network.run_until(lambda: network.all_know(network.running()), 2 * SECOND)
+    assert [each.core.own.member.incarnation for each in others] == before
+
+
 def test_read_repair_asks_for_a_newer_version() -> None:
     network, controls, edges = small_fleet()
     network.lose_message = lambda source, target, message: isinstance(message, Update) and target == edges[0].address
