--- a/canvasbeam/cluster/node_core.py
+++ b/canvasbeam/cluster/node_core.py
@@ -90,7 +90,7 @@
     def receive(self, now: int, sender: Address, message: Message) -> None:
         """Take a message of another node."""
         self._now = now
-        self.monitoring.on_heard(now)
+        self.monitoring.on_message(now, sender)
         self.distribution.receive(now, sender, message)
 
     def on_disconnected(self, now: int, address: Address) -> None:
--- a/canvasbeam/decide/monitoring.py
+++ b/canvasbeam/decide/monitoring.py
@@ -27,6 +27,7 @@
 from canvasbeam.runtime.settings import Address
 
 MILLISECOND = 1_000_000
+SECOND = 1_000 * MILLISECOND
 REGION_MONITORS = 2
 ALL_MONITORS = 3
 
@@ -89,6 +90,7 @@
     patience: int
     state: TargetState = TargetState.ANSWERING
     well_since: int = 0
+    told_at: int = -SECOND  # when it last sent a message unasked
 
 
 @dataclass(frozen=True, slots=True)
@@ -176,6 +178,13 @@
         """Any message came: this node is not cut off."""
         self._heard_at = now
 
+    def on_message(self, now: int, sender: Address) -> None:
+        """A message came over a connection: where a target sends these often, it needs no probe."""
+        self.on_answer(now, sender)
+        target = self._targets_at.get(sender)
+        if target is not None:
+            target.told_at = now
+
     def on_answer(self, now: int, sender: Address) -> None:
         """A target answered a probe."""
         self.on_heard(now)
@@ -197,7 +206,7 @@
         if now < self._next_probe:
             return []
         self._next_probe = now + self.terms.interval
-        return [*self._judge(now, has_majority), *self._probes()]
+        return [*self._judge(now, has_majority), *self._probes(now)]
 
     def wake(self) -> int:
         """When `tick` has something to do at the latest."""
@@ -237,11 +246,12 @@
             return None
         return Judge(key, self._members[key].incarnation, Status.DEAD)
 
-    def _probes(self) -> list[Probe]:
+    def _probes(self, now: int) -> list[Probe]:
         self._number = self._number + 1 & 0x7FFF
         return [
             Probe(each.known.place.address, self._number, each.known.incarnation, each.known.status)
             for each in self.targets.values()
+            if now - each.told_at >= self.terms.interval
         ]
 
     def _set_known(self, now: int, target: Target, known: Known) -> None:
