Split the listener: client connection, request reader, job headers, responses

net/listener.py held the listening socket, each client's connection, the parser's callbacks and limits, the reading of the job's headers and the wording of responses in 691 lines. Each has a module now, and the management address uses the same responses in place of its own copy. No other change of behaviour.

--- a/canvasbeam/mgmt/server.py
+++ b/canvasbeam/mgmt/server.py
@@ -18,6 +18,7 @@
 
 import httptools
 
+from canvasbeam.net.http_responses import head_only, response, text_response
 from canvasbeam.net.limits import Limits
 from canvasbeam.net.loop import READ, Deadline, Endpoint, Loop, Stream
 
@@ -46,18 +47,9 @@
         """Take a worker out of maintenance mode; False where it is unknown."""
 
 
-def response(status: HTTPStatus, body: bytes, kind: str = "text/plain", extra: str = "") -> bytes:
-    """A whole answer; the connection ends after it."""
-    head = (
-        f"HTTP/1.1 {status.value} {status.phrase}\r\nContent-Type: {kind}\r\n{extra}"
-        f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
-    )
-    return head.encode() + body
-
-
 def plain(status: HTTPStatus, reason: str, extra: str = "") -> bytes:
-    """A short answer in plain text."""
-    return response(status, f"{reason}\n".encode(), extra=extra)
+    """A short answer in plain text; the connection ends after it."""
+    return text_response(status, reason, True, extra)
 
 
 class ManagementListener(Endpoint):
@@ -196,7 +188,7 @@
             return plain(HTTPStatus.METHOD_NOT_ALLOWED, "not by this method", f"Allow: {allowed.decode()}\r\n")
         answer = then()
         self._owner.calls += 1
-        return answer[: answer.index(b"\r\n\r\n") + 4] if method == b"HEAD" else answer
+        return head_only(answer) if method == b"HEAD" else answer
 
     # --- answering --------------------------------------------------------------------------------
 
@@ -245,4 +237,5 @@
 
 
 def _stats(figures: dict[str, Any]) -> bytes:
-    return response(HTTPStatus.OK, json.dumps(figures, separators=(",", ":")).encode(), "application/json")
+    body = json.dumps(figures, separators=(",", ":")).encode()
+    return response(HTTPStatus.OK, body, True, "application/json")
--- a/tests/test_net_listener.py
+++ b/tests/test_net_listener.py
@@ -127,8 +127,8 @@
     flood = world.client(job(call_id="c0") + b"GET /x HTTP/1.1\r\n\r\n" * 2000)
     target = world.asked()
     connection = next(iter(world.listener.connections.values()))
-    assert len(connection._whole) <= world.limits.piece // 19 + 1
-    assert len(connection._unfed) <= world.limits.client_read
+    assert len(connection._reader.whole) <= world.limits.piece // 19 + 1
+    assert len(connection._reader.unparsed) <= world.limits.client_read
     target.say(done("ok", "c0"))
     world.until(lambda: b"404" in flood.look())
     seen = flood.got.count(b" 404 ")
@@ -270,7 +270,7 @@
     well = world.client(job())
     target = world.asked()
     with monkeypatch.context() as patch:
-        patch.setattr("canvasbeam.net.listener.ClientConnection.on_data", lambda *_: 1 / 0)
+        patch.setattr("canvasbeam.net.client_connection.ClientConnection.on_data", lambda *_: 1 / 0)
         ill = world.client(job(call_id="c2"))
         world.until(lambda: not ill.look() and ill.ended)
     target.say(done("ok"))
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -13,7 +13,7 @@
 import pytest
 
 from canvasbeam import interface as ci
-from canvasbeam.net.listener import ClientConnection
+from canvasbeam.net.client_connection import ClientConnection
 from canvasbeam.net.loop import Stream
 from tests.loopback import HEAD, Peer, Server, World, chunk, done, job, line
 from tests.test_net_loop import environment, read_all
