--- a/canvasbeam/net/request_headers.py
+++ b/canvasbeam/net/request_headers.py
@@ -8,7 +8,7 @@
 from http import HTTPStatus
 from urllib.parse import parse_qs
 
-from canvasbeam.net.forward import Call
+from canvasbeam.net.forwarded_call import Call
 from canvasbeam.net.limits import ZERO, Limits
 from canvasbeam.net.request_reader import ReceivedRequest, RequestRejected
 from canvasbeam.net.requests import FinalAnswer, Request
--- a/tests/test_net_forward.py
+++ b/tests/test_net_forward.py
@@ -10,9 +10,10 @@
 import pytest
 
 from canvasbeam import interface as ci
-from canvasbeam.net.forward import TargetConnection, read_report
 from canvasbeam.net.limits import Limits
+from canvasbeam.net.load_report import read_report
 from canvasbeam.net.loop import QUICKACK
+from canvasbeam.net.target_connection import TargetConnection
 from tests.loopback import END, HEAD, Server, World, chunk, done, job, line
 
 
@@ -257,7 +258,7 @@
     # As the kernel leaves a connection that has asked and is answered: acknowledgements wait for data to go with.
     connection.sock.setsockopt(socket.IPPROTO_TCP, QUICKACK, 0)
     target.say(HEAD + chunk(line("started")))
-    world.until(lambda: connection._head_done)
+    world.until(lambda: connection._response.head_complete)
     unacknowledged = fcntl.ioctl(target.sock, termios.TIOCOUTQ, b"\0" * 4)
     assert int.from_bytes(unacknowledged, "little") == 0
     target.say(chunk(line("done", result="ok")) + END)
--- a/tests/test_target_crossings.py
+++ b/tests/test_target_crossings.py
@@ -10,8 +10,8 @@
 import pytest
 
 from canvasbeam import interface as ci
-from canvasbeam.net.forward import read_report
 from canvasbeam.net.limits import Limits, seconds
+from canvasbeam.net.load_report import read_report
 from tests.helpers import KEYED, LIMITS, MS, SAFE, UNSAFE
 from tests.loopback import END, HEAD, Peer, Server, World, chunk, done, job, line
 
