--- a/bench/peers.py
+++ b/bench/peers.py
@@ -474,8 +474,8 @@
 
 
 def _with(fleet: PeerFleet, faults: list[LinkFault], seed: int) -> None:
-    links = fleet.board.links
-    fleet.board.links = type(links)(links.zones, faults, seed)
+    links = fleet.relay.links
+    fleet.relay.links = type(links)(links.zones, faults, seed)
 
 
 def _at_a_quarter(fleet: PeerFleet, span_s: float) -> int:
--- a/canvasbeam/lab/emulate.py
+++ b/canvasbeam/lab/emulate.py
@@ -14,7 +14,7 @@
 
 import numpy as np
 
-from canvasbeam.lab.engine_sockets import Order, Theatre
+from canvasbeam.lab.engine_sockets import JobOrder, SocketWorld
 from canvasbeam.lab.model import draw, faults, spec
 from canvasbeam.lab.model.worker import SECOND
 from canvasbeam.lab.wire import Asked
@@ -22,7 +22,7 @@
 DRAWN = 1024
 
 
-class Emulation(Theatre):
+class Emulation(SocketWorld):
     """The emulated world without clients and schedulers of its own."""
 
     def __init__(self, scenario: spec.Scenario, discovery: tuple[str, int], folder: Path) -> None:
@@ -32,7 +32,7 @@
         self._classes = {each.name: place for place, each in enumerate(scenario.classes)}
         self._asked = 0
 
-    def order_of(self, asked: Asked) -> Order | None:
+    def order_of(self, asked: Asked) -> JobOrder | None:
         """Any request with an id is a job; one of an unknown class is of the first."""
         call_id = asked.headers.get("x-call-id")
         if not call_id:
@@ -47,12 +47,12 @@
         request = self.ledger.opened(self._asked, cls, now, now + budget, "by hand")
         work = round(float(self._works[cls][self._asked % DRAWN]) * SECOND)
         sid = asked.path.partition("sid=")[2].partition("&")[0]
-        return Order(request, call_id, cls, max(1, work), 1, sid, now + budget)
+        return JobOrder(request, call_id, cls, max(1, work), 1, sid, now + budget)
 
     @property
     def discovery(self) -> list[tuple[str, int]]:
         """Where discovery's agents listen, one for each scheduler."""
-        return [each.door.address for each in self.agents]
+        return [each.server.address for each in self.agents]
 
     def serve(self, until: Callable[[], bool], with_faults: bool = False) -> None:
         """Stay up until told otherwise; the scenario's faults are played where wanted."""
--- a/canvasbeam/lab/engine_sockets.py
+++ b/canvasbeam/lab/engine_sockets.py
@@ -25,7 +25,7 @@
 
 from canvasbeam.interface import WorkerState
 from canvasbeam.lab import deployment
-from canvasbeam.lab.links import Switchboard, free_address
+from canvasbeam.lab.links import DatagramRelay, free_address
 from canvasbeam.lab.model import faults, spec, worker
 from canvasbeam.lab.model.clients import Try
 from canvasbeam.lab.model.draw import Stream
@@ -33,29 +33,29 @@
 from canvasbeam.lab.model.registry import Listed
 from canvasbeam.lab.model.worker import MS, SECOND, Machine, Said
 from canvasbeam.lab.result import Result
-from canvasbeam.lab.stage import Actor, Stage, result_of
 from canvasbeam.lab.wire import (
     STREAM_END,
     STREAM_HEAD,
     Asked,
     ClientConnection,
-    Door,
     ServerConnection,
+    ServerSocket,
     answer,
     chunk,
     span,
 )
+from canvasbeam.lab.world import EmulatedWorker, World, result_of
 from canvasbeam.net.limits import nanoseconds
 from canvasbeam.net.loop import Loop
 from canvasbeam.net.requests import Answer
 
-# The stage's clock stands here at its start, so that no time is 0, which means long ago.
+# The world's clock stands here at its start, so that no time is 0, which means long ago.
 START = 1_000 * SECOND
 SLOW_PASS = timedelta(seconds=10)
 READY_WITHIN = 20 * SECOND
 LOOK_EVERY = 50 * MS
 LOOK_WITHIN = 500 * MS
-# Where the stage's own lateness passes this at the 99th percentile, a run's figures are not to be trusted.
+# Where the world's own lateness passes this at the 99th percentile, a run's figures are not to be trusted.
 LATE_STAGE = 20 * MS
 MOST_MOVES = 3
 MOST_WORKERS = 200  # one process plays them all
@@ -69,7 +69,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Order:
+class JobOrder:
     """What a worker is to do for a request."""
 
     request: int
@@ -82,10 +82,10 @@
 
 
 @dataclass(slots=True, eq=False)
-class Link:
+class OpenAttempt:
     """An attempt at a worker and the connection that it came on."""
 
-    order: Order
+    order: JobOrder
     connection: ServerConnection
     scheduler: int
     number: int
@@ -98,22 +98,24 @@
         return self.number, self.order.request
 
 
-class SocketWorker(Actor):
-    """An emulated worker behind one door for each scheduler, so that each has its own way to it."""
+class SocketWorker(EmulatedWorker):
+    """An emulated worker behind one server for each scheduler, so that each has its own way to it."""
 
-    stage: Theatre
+    world: SocketWorld
 
-    def __init__(self, stage: Theatre, machine: Machine, place: int) -> None:
-        super().__init__(stage, machine, place)
-        self.stage = stage
-        self.links: dict[int, Link] = {}
+    def __init__(self, world: SocketWorld, machine: Machine, place: int) -> None:
+        super().__init__(world, machine, place)
+        self.world = world
+        self.links: dict[int, OpenAttempt] = {}
         host = f"127.77.{1 + place // 250}.{1 + place % 250}"
-        self.doors = [self._door(host, number) for number in range(stage.scenario.schedulers.count)]
+        self.servers = [self._server_for(host, number) for number in range(world.scenario.schedulers.count)]
 
-    def _door(self, host: str, scheduler: int) -> Door:
-        door = Door(self.stage.loop, (host, 0), partial(self._asked, scheduler), self._came, self._left, self.stage.now)
-        door.mark = deployment.zone_of(self.stage.scenario, scheduler)
-        return door
+    def _server_for(self, host: str, scheduler: int) -> ServerSocket:
+        server = ServerSocket(
+            self.world.loop, (host, 0), partial(self._asked, scheduler), self._came, self._left, self.world.now
+        )
+        server.mark = deployment.zone_of(self.world.scenario, scheduler)
+        return server
 
     # --- connections ------------------------------------------------------------------------------
 
@@ -127,38 +129,38 @@
     def _left(self, connection: ServerConnection) -> None:
         self.model.connections = max(0, self.model.connections - 1)
         link = connection.state
-        if isinstance(link, Link) and self.links.pop(link.number, None) is not None:
+        if isinstance(link, OpenAttempt) and self.links.pop(link.number, None) is not None:
             self.give(worker.Withdrawn(link.ref))
 
     def _asked(self, scheduler: int, connection: ServerConnection, asked: Asked) -> None:
         """A request has come whole; it counts once its way is over."""
-        stage = self.stage
-        way = stage.way(scheduler, self.machine)
+        world = self.world
+        way = world.way(scheduler, self.machine)
         if connection.requests == 1:
-            way += 2 * way * stage.scenario.fleet.handshake_rtts
+            way += 2 * way * world.scenario.fleet.handshake_rtts
         if asked.method == "POST":
-            order = stage.order_of(asked)
+            order = world.order_of(asked)
             if order is None:
                 known = "x-call-id" in asked.headers
                 connection.write(answer("400 Bad Request" if known else "404 Not Found"))
                 return
-            link = connection.state = Link(order, connection, scheduler, stage.next_number())
+            link = connection.state = OpenAttempt(order, connection, scheduler, world.next_number())
             name = faults.scheduler_name(scheduler)
-            stage.ledger.worked(order.request, asked.first_at, What.SENT, self.name, name)
-            stage.after(way, partial(self._offered, link))
+            world.ledger.worked(order.request, asked.first_at, What.SENT, self.name, name)
+            world.after(way, partial(self._offered, link))
         elif asked.path in ("/stats", "/health/live"):
-            stage.after(way, partial(self._probed, scheduler, connection, asked.path))
+            world.after(way, partial(self._probed, scheduler, connection, asked.path))
         else:
             connection.write(answer("404 Not Found"))
 
-    def _offered(self, link: Link) -> None:
-        if link.connection.closed or self.stage.silent(link.connection.door.mark, self):
+    def _offered(self, link: OpenAttempt) -> None:
+        if link.connection.closed or self.world.silent(link.connection.server.mark, self):
             return
-        stage, order = self.stage, link.order
-        cls = stage.scenario.classes[order.cls]
+        world, order = self.world, link.order
+        cls = world.scenario.classes[order.cls]
         self.links[link.number] = link
-        stage.ledger.worked(order.request, stage.now(), What.OFFERED, self.name)
-        stage.recorder.offered(self.name, link.connection.door.mark == self.machine.zone)
+        world.ledger.worked(order.request, world.now(), What.OFFERED, self.name)
+        world.recorder.offered(self.name, link.connection.server.mark == self.machine.zone)
         task = worker.Task(
             link.ref, float(order.work_ns), order.slots, cls.priority, cls.effect == "safe", order.sid,
             float(order.due_ns),
@@ -166,19 +168,19 @@
         self.give(worker.Offered(task))
 
     def _probed(self, scheduler: int, connection: ServerConnection, path: str) -> None:
-        if connection.closed or self.stage.silent(connection.door.mark, self):
+        if connection.closed or self.world.silent(connection.server.mark, self):
             return
-        now = self.stage.now()
-        self.stage.recorder.probes += 1
+        now = self.world.now()
+        self.world.recorder.probes += 1
         well = self.model.probe_answer(now)
         self.give()
         report = ",".join(f"{name}={value}" for name, value in self.model.report(now).items())
         body = report.encode() if path == "/stats" else b""
         data = answer("200 OK" if well else "503 Service Unavailable", body)
-        self.stage.after(self.stage.way(scheduler, self.machine), partial(self._write, connection, data))
+        self.world.after(self.world.way(scheduler, self.machine), partial(self._write, connection, data))
 
     def _write(self, connection: ServerConnection, data: bytes) -> None:
-        if not connection.closed and not self.stage.silent(connection.door.mark, self):
+        if not connection.closed and not self.world.silent(connection.server.mark, self):
             connection.write(data)
 
     # --- what the model says ----------------------------------------------------------------------
@@ -188,19 +190,19 @@
         link = self.links.get(name[0])
         if link is None:
             return
-        stage = self.stage
+        world = self.world
         if said.is_last:
             del self.links[name[0]]
             link.connection.state = None
-        when = max(link.written_at, stage.now() + stage.way(link.scheduler, self.machine))
+        when = max(link.written_at, world.now() + world.way(link.scheduler, self.machine))
         link.written_at = when
         if said is Said.BROKE:
-            stage.after(when - stage.now(), link.connection.reset)
+            world.after(when - world.now(), link.connection.reset)
             return
-        stage.after(when - stage.now(), partial(self._write, link.connection, self._line(link, said, share)))
+        world.after(when - world.now(), partial(self._write, link.connection, self._line(link, said, share)))
 
-    def _line(self, link: Link, said: Said, share: float) -> bytes:
-        report = self.model.report(self.stage.now()) if said.is_last else {}
+    def _line(self, link: OpenAttempt, said: Said, share: float) -> bytes:
+        report = self.model.report(self.world.now()) if said.is_last else {}
         if said is Said.REJECTED:
             told = ",".join(f"{name}={value}" for name, value in report.items())
             extra = "X-Rejected: 1\r\n" + (f"X-Load-Report: {told}\r\n" if told else "")
@@ -224,40 +226,40 @@
     def reset(self) -> None:
         """The process is gone."""
         self.links.clear()
-        for door in self.doors:
-            door.shut()
+        for server in self.servers:
+            server.shut()
         self.model.connections = 0
 
     def begin(self) -> None:
         """A new process listens where the old one did."""
-        self.doors = [door.open_again() for door in self.doors]
-        for door in self.doors:
-            if self.stage.silent(door.mark, self):
-                door.hush()
+        self.servers = [server.open_again() for server in self.servers]
+        for server in self.servers:
+            if self.world.silent(server.mark, self):
+                server.hush()
 
     def hush(self, on: bool) -> None:
         """The machine, or the way to it from some zones, falls silent or is heard again."""
-        for door in self.doors:
-            silent = self.stage.silent(door.mark, self)
-            if door.closed or silent == door.silent:
+        for server in self.servers:
+            silent = self.world.silent(server.mark, self)
+            if server.closed or silent == server.silent:
                 continue
             if silent:
-                door.hush()
+                server.hush()
             else:
-                door.unhush()
+                server.unhush()
 
 
-class Agent:
+class DiscoveryAgent:
     """Discovery's agent at one scheduler: the list as it was sent, and one watch at a time."""
 
-    def __init__(self, stage: Theatre, place: int, address: tuple[str, int]) -> None:
-        self.stage = stage
+    def __init__(self, world: SocketWorld, place: int, address: tuple[str, int]) -> None:
+        self.world = world
         self.place = place
         self.seq = 1
         self.list: dict[str, Listed] = {}
         self.changes: list[tuple[int, Listed]] = []
         self._waiting: list[tuple[ServerConnection, int]] = []
-        self.door = Door(stage.loop, address, self._asked, lambda _: None, self._left, stage.now)
+        self.server = ServerSocket(world.loop, address, self._asked, lambda _: None, self._left, world.now)
 
     def tell(self, entries: Sequence[Listed]) -> None:
         """Something new has been sent to this agent."""
@@ -290,7 +292,7 @@
                 self._answer(connection, since)
             else:
                 self._waiting.append((connection, since))
-                self.stage.after(hold * MS, partial(self._held, connection, since))
+                self.world.after(hold * MS, partial(self._held, connection, since))
 
     def _held(self, connection: ServerConnection, since: int) -> None:
         if (connection, since) in self._waiting:
@@ -304,8 +306,8 @@
         else:
             latest = {each.machine.name: each for seq, each in self.changes if since is not None and seq > since}
             entries = list(latest.values())
-        self.stage.told(faults.scheduler_name(self.place), entries)
-        hosts = [self.stage.host(each, self.place) for each in entries]
+        self.world.told(faults.scheduler_name(self.place), entries)
+        hosts = [self.world.host(each, self.place) for each in entries]
         body = json.dumps({"seq": self.seq, "whole": whole, "hosts": hosts}).encode()
         if not connection.closed:
             connection.write(answer("200 OK", body))
@@ -313,11 +315,11 @@
     def known(self) -> dict[str, Any]:
         """The list for a scheduler that starts again."""
         return {"seq": self.seq, "whole": True,
-                "hosts": [self.stage.host(each, self.place) for each in self.list.values()]}  # fmt: skip
+                "hosts": [self.world.host(each, self.place) for each in self.list.values()]}  # fmt: skip
 
 
 @dataclass(slots=True, eq=False)
-class Process:
+class SchedulerProcess:
     """One scheduler process."""
 
     place: int
@@ -337,8 +339,8 @@
         return self.running is not None and self.running.poll() is None
 
 
-class Theatre(Stage):
-    """A stage in real time."""
+class SocketWorld(World):
+    """A world in real time."""
 
     engine = "sockets"
 
@@ -354,21 +356,21 @@
         self.folder = folder
         self.command = list(command) or [sys.executable, "-m", "canvasbeam"]
         self._numbers = 0
-        self._orders: dict[str, Order] = {}
+        self._orders: dict[str, JobOrder] = {}
         self._jitter = 0.0
         super().__init__(scenario, START)
         self._rng = self.chance.single(Stream.NETWORK)
         self.agents = [
-            Agent(self, place, (discovery[0], discovery[1] + place) if discovery else ("127.77.0.1", 0))
+            DiscoveryAgent(self, place, (discovery[0], discovery[1] + place) if discovery else ("127.77.0.1", 0))
             for place in range(scenario.schedulers.count)
         ]
         for agent in self.agents:
             agent.list = {each.machine.name: each for each in self.registry.whole()}
-        self.processes = [Process(place) for place in range(scenario.schedulers.count)]
-        self.board = Switchboard(self.loop, self.links) if scenario.schedulers.peers else None
-        if self.board is not None:
+        self.processes = [SchedulerProcess(place) for place in range(scenario.schedulers.count)]
+        self.relay = DatagramRelay(self.loop, self.links) if scenario.schedulers.peers else None
+        if self.relay is not None:
             for place, name in enumerate(self.links.zones):
-                self.board.plug_in(name, free_address(f"127.79.{1 + place // 250}.{1 + place % 250}"))
+                self.relay.register(name, free_address(f"127.79.{1 + place // 250}.{1 + place % 250}"))
         self.lateness: list[int] = []
         self._failure: str | None = None
         self._logs: list[Any] = []
@@ -377,7 +379,7 @@
     # --- time -------------------------------------------------------------------------------------
 
     def now(self) -> int:
-        """The real time, in the stage's nanoseconds."""
+        """The real time, in the world's nanoseconds."""
         return START + nanoseconds(self.loop.read_clock())
 
     def after(self, span_ns: int, action: Callable[[], None]) -> None:
@@ -399,19 +401,19 @@
 
     # --- workers and discovery --------------------------------------------------------------------
 
-    def actor(self, machine: Machine, place: int) -> Actor:
+    def make_worker(self, machine: Machine, place: int) -> EmulatedWorker:
         """A worker behind its doors."""
         return SocketWorker(self, machine, place)
 
-    def order_of(self, asked: Asked) -> Order | None:
+    def order_of(self, asked: Asked) -> JobOrder | None:
         """What a request that came to a worker is about; None where no client sent it."""
         return self._orders.get(asked.headers.get("x-call-id", ""))
 
     def host(self, each: Listed, place: int) -> dict[str, Any]:
         """An entry as discovery words it for one scheduler."""
-        actor = self.actors[each.machine.name]
-        assert isinstance(actor, SocketWorker)
-        host, port = actor.doors[place].address
+        emulated = self.emulated_workers[each.machine.name]
+        assert isinstance(emulated, SocketWorker)
+        host, port = emulated.servers[place].address
         born = (each.born_ns + self.born_unix_ns) // MS if each.born_ns else 0
         return {
             "host": each.machine.name, "dial": f"{host}:{port}", "site": each.machine.zone,
@@ -430,10 +432,10 @@
         planned = self.begun + self.jobs.at_ns[attempt.job]
         if attempt.number == 0:
             self.lateness.append(self.now() - planned)
-        place = self.front.pick(attempt.zone, self.now())
+        place = self.load_balancer.pick(attempt.zone, self.now())
         attempt.scheduler = place
         call_id = f"{attempt.request:x}-{self.scenario.seed:x}"
-        self._orders[call_id] = Order(
+        self._orders[call_id] = JobOrder(
             attempt.request, call_id, attempt.cls, attempt.work_ns, attempt.slots, str(attempt.sid), attempt.due_ns
         )
         self.after(self._delay(self.scenario.network.client_ms), partial(self._ask, attempt, call_id, True))
@@ -459,7 +461,7 @@
                     partial(self._broke, process),
                 )
             except OSError:
-                self.audience.lost(attempt)
+                self.clients.lost(attempt)
                 return
         connection.state = (attempt, call_id)
         attempt.core_request = connection
@@ -488,7 +490,7 @@
         return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
     def _answered(
-        self, process: Process, connection: ClientConnection, status: int, headers: dict[str, str], body: bytes
+        self, process: SchedulerProcess, connection: ClientConnection, status: int, headers: dict[str, str], body: bytes
     ) -> None:
         attempt, _ = connection.state
         process.busy.pop(attempt.request, None)
@@ -503,9 +505,9 @@
         else:
             connection.close()
         late = self._delay(self.scenario.network.client_ms)
-        self.after(late, partial(self.audience.answered, attempt, kind, come_back, own))
+        self.after(late, partial(self.clients.answered, attempt, kind, come_back, own))
 
-    def _broke(self, process: Process, connection: ClientConnection) -> None:
+    def _broke(self, process: SchedulerProcess, connection: ClientConnection) -> None:
         if connection.state is None:
             if connection in process.idle:
                 process.idle.remove(connection)
@@ -517,7 +519,7 @@
         if crossed and not attempt.over:
             self._ask(attempt, call_id, False)
         else:
-            self.after(self._delay(self.scenario.network.client_ms), partial(self.audience.lost, attempt))
+            self.after(self._delay(self.scenario.network.client_ms), partial(self.clients.lost, attempt))
 
     def leave(self, attempt: Try) -> None:
         """The client closes its connection."""
@@ -529,11 +531,11 @@
 
     # --- scheduler processes ----------------------------------------------------------------------
 
-    def _spawn(self, process: Process) -> None:
+    def _spawn(self, process: SchedulerProcess) -> None:
         place = process.place
         if not process.address[1]:
             process.address = _free_address(place)
-        agent = self.agents[place].door.address
+        agent = self.agents[place].server.address
         seed = deployment.seed_of(self.chance, place, process.starts)
         told = deployment.configuration(
             self.scenario, self.machines, place, seed, "{}:{}".format(*process.address), "{}:{}".format(*agent),
@@ -547,9 +549,9 @@
         clocks = self.scenario.schedulers.clock_s
         skew = clocks[place] if place < len(clocks) else 0.0
         command = [sys.executable, "-m", "canvasbeam.lab.skewed", str(skew)] if skew else self.command
-        if self.board is not None:
+        if self.relay is not None:
             file = self.folder / f"{faults.scheduler_name(place)}.{os.getpid()}.toml"
-            self.board.write_file(faults.scheduler_name(place), file)
+            self.relay.write_file(faults.scheduler_name(place), file)
             environment["LB_PEERS"] = str(file)
         log = self._log_path(process).open("ab")
         self._logs.append(log)
@@ -560,7 +562,7 @@
         )
         self.after(LOOK_EVERY, partial(self._look_ready, process, process.running))
 
-    def _look_ready(self, process: Process, running: subprocess.Popen[bytes]) -> None:
+    def _look_ready(self, process: SchedulerProcess, running: subprocess.Popen[bytes]) -> None:
         """Ask whether it is ready, until it is."""
         if process.running is not running:
             return
@@ -583,7 +585,7 @@
                 process.ready = True
                 process.ready_at = self.now()
                 if self._playing:
-                    self.front.back(process.place, self.now())
+                    self.load_balancer.back(process.place, self.now())
             else:
                 self.after(LOOK_EVERY, again)
 
@@ -600,10 +602,10 @@
             connection.close()
             again()
 
-    def _log_path(self, process: Process) -> Path:
+    def _log_path(self, process: SchedulerProcess) -> Path:
         return self.folder / f"{faults.scheduler_name(process.place)}.log"
 
-    def _tail(self, process: Process) -> str:
+    def _tail(self, process: SchedulerProcess) -> str:
         path = self._log_path(process)
         lines = path.read_text(errors="replace").splitlines()[-5:] if path.exists() else []
         return "\n".join(f"  {each}" for each in lines) or "  it wrote nothing"
@@ -666,12 +668,12 @@
                 process.ending = True
                 text = f"scheduler n{process.place} ended by itself ({running.returncode}):\n{self._tail(process)}"
                 self.ledger.add(Broken("crash", text))
-                self.front.died(process.place, self.now())
+                self.load_balancer.died(process.place, self.now())
         self.after(4 * LOOK_EVERY, self._watch)
 
     # --- a run ------------------------------------------------------------------------------------
 
-    def play(self, tick: Callable[[float, Theatre], None] | None = None) -> Result:
+    def play(self, tick: Callable[[float, SocketWorld], None] | None = None) -> Result:
         """Start the schedulers, play the scenario, end all that was started; `tick` is called a few times a second."""
         collects = gc.get_threshold()
         # A collection of everything stops the whole world for longer than a start may take, and schedulers would
@@ -693,8 +695,8 @@
                     raise Unplayable(f"not ready within {READY_WITHIN // SECOND} s: {late}")
             self._playing = True
             self.begun = self.recorder.begun = self.now() + 200 * MS
-            if self.board is not None:
-                self.board.began = self.begun - START
+            if self.relay is not None:
+                self.relay.began = self.begun - START
             self.arm()
             self._watch()
             told = 0
@@ -718,12 +720,12 @@
     def _result(self) -> Result:
         late = self.late_ns
         if late > LATE_STAGE:
-            self.recorder.mark(self.now(), f"the stage ran {late / MS:.0f} ms late: do not trust this run")
+            self.recorder.mark(self.now(), f"the world ran {late / MS:.0f} ms late: do not trust this run")
         return self.finish()
 
     @property
     def late_ns(self) -> int:
-        """By how much the stage's own arrivals came late, at the 99th percentile."""
+        """By how much the world's own arrivals came late, at the 99th percentile."""
         late = sorted(self.lateness)
         return late[min(len(late) - 1, len(late) * 99 // 100)] if late else 0
 
@@ -750,8 +752,8 @@
 
 def play(
     scenario: spec.Scenario, folder: Path, command: Sequence[str] = (),
-    tick: Callable[[float, Theatre], None] | None = None,
+    tick: Callable[[float, SocketWorld], None] | None = None,
 ) -> Result:  # fmt: skip
     """Play a scenario in real time; logs and configurations of the schedulers are left in the folder."""
     folder.mkdir(parents=True, exist_ok=True)
-    return Theatre(scenario, folder, command).play(tick)
+    return SocketWorld(scenario, folder, command).play(tick)
--- a/canvasbeam/lab/links.py
+++ b/canvasbeam/lab/links.py
@@ -25,7 +25,7 @@
 
 from canvasbeam.lab.model.links import LinkFault, Links
 from canvasbeam.lab.model.worker import SECOND
-from canvasbeam.lab.wire import Asked, ClientConnection, Door, ServerConnection, answer, span
+from canvasbeam.lab.wire import Asked, ClientConnection, ServerConnection, ServerSocket, answer, span
 from canvasbeam.net.limits import nanoseconds, seconds
 from canvasbeam.net.loop import READ, Endpoint, Loop
 
@@ -36,14 +36,14 @@
 EXAMPLE = ROOT / "example" / "config.json"
 
 
-class Plug(Endpoint):
+class MemberSocket(Endpoint):
     """One member's known address."""
 
-    def __init__(self, board: Switchboard, name: str, host: str) -> None:
+    def __init__(self, relay: DatagramRelay, name: str, host: str) -> None:
         sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         sock.bind((host, 0))
-        super().__init__(board.loop, sock)
-        self.board = board
+        super().__init__(relay.loop, sock)
+        self.relay = relay
         self.name = name
         self.address = "{}:{}".format(*sock.getsockname())
         self.wants(READ)
@@ -56,13 +56,13 @@
                 return
             except OSError:
                 continue
-            self.board.came(self, data, source)
+            self.relay.came(self, data, source)
 
     def on_failure(self) -> None:
         """Guards the run: one datagram that could not be passed on is one that was lost."""
 
 
-class Switchboard:
+class DatagramRelay:
     """All links between the members of a fleet of real processes."""
 
     def __init__(self, loop: Loop, links: Links) -> None:
@@ -71,22 +71,22 @@
         self.began = nanoseconds(loop.now)
         self.real: dict[str, tuple[str, int]] = {}  # where each member's process listens
         self.passed = self.unknown = 0
-        self._plugs = {name: Plug(self, name, f"127.78.{1 + place // 250}.{1 + place % 250}")
+        self._sockets = {name: MemberSocket(self, name, f"127.78.{1 + place // 250}.{1 + place % 250}")
                        for place, name in enumerate(links.zones)}  # fmt: skip
         self._of: dict[tuple[str, int], str] = {}
 
     def known(self, name: str) -> str:
         """The address by which the others know a member."""
-        return self._plugs[name].address
+        return self._sockets[name].address
 
-    def plug_in(self, name: str, real: tuple[str, int]) -> None:
+    def register(self, name: str, real: tuple[str, int]) -> None:
         """A member's process listens here."""
         self.real[name] = real
         self._of[real] = name
 
     def write_file(self, name: str, to: Path, periods: Mapping[str, float] | None = None) -> None:
         """A member's file on peers: the first few are everybody's seeds."""
-        seeds = [each.address for each in list(self._plugs.values())[:SEEDS]]
+        seeds = [each.address for each in list(self._sockets.values())[:SEEDS]]
         lines = [
             'fleet = "lab"', f'address = "{self.known(name)}"', 'listen = "{}:{}"'.format(*self.real[name]),
             f"seeds = {json.dumps(seeds)}", "[periods]",
@@ -94,7 +94,7 @@
         lines += [f"{key} = {value}" for key, value in (periods or {}).items()]
         to.write_text("\n".join(lines) + "\n")
 
-    def came(self, to: Plug, data: bytes, source: tuple[str, int]) -> None:
+    def came(self, to: MemberSocket, data: bytes, source: tuple[str, int]) -> None:
         """A datagram from a member to another; from anywhere else it goes no further."""
         sender = self._of.get(source)
         if sender is None:
@@ -106,7 +106,7 @@
 
     def _deliver(self, sender: str, receiver: str, data: bytes) -> None:
         with suppress(OSError):
-            self._plugs[sender].sock.sendto(data, self.real[receiver])
+            self._sockets[sender].sock.sendto(data, self.real[receiver])
             self.passed += 1
 
 
@@ -139,21 +139,21 @@
         self.loop = Loop(seconds(10))
         self.loop.read_clock()
         self.folder = folder
-        self.board = Switchboard(
+        self.relay = DatagramRelay(
             self.loop, Links({f"n{place}": f"z{place % zones}" for place in range(count)}, faults, seed)
         )
-        self.members = {name: self._member(name, place) for place, name in enumerate(self.board.links.zones)}
+        self.members = {name: self._member(name, place) for place, name in enumerate(self.relay.links.zones)}
         self.periods = dict(periods or {})
         self.looking = True  # GET /peers of all, all the time
         self._look_every = seconds(look_every_s)
-        self._discovery = Door(self.loop, ("127.77.0.1", 0), self._list, _nothing, _nothing, lambda: 0)
+        self._discovery = ServerSocket(self.loop, ("127.77.0.1", 0), self._list, _nothing, _nothing, lambda: 0)
         self._look()
 
     def _member(self, name: str, place: int) -> Member:
         host = f"127.79.{1 + place // 250}.{1 + place % 250}"
         stream = socket.SOCK_STREAM
         member = Member(name, free_address(host, stream), free_address(host, stream), free_address(host))
-        self.board.plug_in(name, member.peers)
+        self.relay.register(name, member.peers)
         return member
 
     def _list(self, connection: ServerConnection, asked: Asked) -> None:
@@ -174,7 +174,7 @@
         config = self.folder / f"{name}.json"
         config.write_text(json.dumps(fields))
         file = self.folder / f"{name}.toml"
-        self.board.write_file(name, file, self.periods)
+        self.relay.write_file(name, file, self.periods)
         environment = {key: value for key, value in os.environ.items() if not key.startswith("LB_")}
         environment |= {"LB_CONFIG": str(config), "LB_PEERS": str(file), "PYTHONPATH": str(ROOT),
                         "TMPDIR": str(self.folder)}  # fmt: skip
--- a/canvasbeam/lab/model/clients.py
+++ b/canvasbeam/lab/model/clients.py
@@ -59,7 +59,7 @@
         """A job's last try ended."""
 
 
-class Audience:
+class Clients:
     """All clients of a run."""
 
     def __init__(
@@ -137,7 +137,7 @@
             self._end(attempt, End.LOST)
             self._maybe_again(attempt, End.LOST, 0)
 
-    def answered(self, attempt: Try, answer: Answer, come_back: int, own: bool = True) -> None:
+    def answered(self, attempt: Try, answer: Answer, retry_after: int, own: bool = True) -> None:
         """A final answer came; `own` says whether a worker made what it holds."""
         end = ENDS[answer]
         if attempt.over:
@@ -148,7 +148,7 @@
         self._ledger.ended(attempt.request, self._now(), end, own)
         self._end(attempt, end)
         if end is not End.SERVED:
-            self._maybe_again(attempt, end, come_back)
+            self._maybe_again(attempt, end, retry_after)
 
     def _end(self, attempt: Try, end: End) -> None:
         attempt.over = True
@@ -163,13 +163,13 @@
             return False
         return end is End.REFUSED or self._scenario.classes[attempt.cls].effect != "unsafe"
 
-    def _maybe_again(self, attempt: Try, end: End, come_back: int) -> None:
+    def _maybe_again(self, attempt: Try, end: End, retry_after: int) -> None:
         if not self._may_again(attempt, end):
             return
         clients = self._scenario.clients
         wait = round(drawn_by(clients.backoff_ms, self._rng) * MS)
-        if come_back and self._jobs.honours[attempt.job]:
-            wait = min(come_back, round(clients.most_wait_s * SECOND))
+        if retry_after and self._jobs.honours[attempt.job]:
+            wait = min(retry_after, round(clients.most_wait_s * SECOND))
         again = Try(
             attempt.job, attempt.number + 1, attempt.cls, attempt.department, attempt.zone, attempt.work_ns,
             attempt.slots, attempt.sid, attempt.hint_ns, marked=clients.marks_repeats,
@@ -178,7 +178,7 @@
 
 
 @dataclass(slots=True)
-class Front:
+class LoadBalancer:
     """The plain layer that spreads clients over the schedulers of their zone, and learns late who has died."""
 
     scenario: spec.Scenario
--- /dev/null
+++ b/canvasbeam/lab/simulated_network.py
@@ -0,0 +1,299 @@
+"""The simulated network between schedulers and workers: connections, the bytes on them, and what is lost.
+
+It must never let one byte of a connection overtake another, or tell a scheduler more than its sockets could.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+from typing import TYPE_CHECKING
+
+from canvasbeam.interface import Outcome
+from canvasbeam.lab.model import worker
+from canvasbeam.lab.model.clients import Try
+from canvasbeam.lab.model.ledger import What
+from canvasbeam.lab.model.worker import MS, Said, Task
+from canvasbeam.lab.simulated_time import EventQueue
+from canvasbeam.lab.world import EmulatedWorker, result_of
+from canvasbeam.net.limits import MICROSECOND, nanoseconds
+from canvasbeam.net.requests import Attempt
+
+if TYPE_CHECKING:
+    from canvasbeam.lab.engine_sim import SimulatedWorld
+    from canvasbeam.lab.simulated_scheduler import SimulatedScheduler
+
+OUTCOMES = {
+    Said.DONE: Outcome.OK,
+    Said.FAILED: Outcome.ERROR,
+    Said.RETURNED: Outcome.FULL,
+    Said.REJECTED: Outcome.FULL,
+    Said.LOST: Outcome.RESET,
+    Said.BROKE: Outcome.BROKEN,
+}
+# The names under which the program knows the values of a load report.
+REPORT = {"qps": "served_per_s", "util": "busy_share", "eps": "errors_per_s", "x0": "free_slots"}
+
+
+@dataclass(slots=True, eq=False)
+class Forward:
+    """One attempt on its simulated connection."""
+
+    attempt: Attempt
+    scheduler: SimulatedScheduler
+    worker: SimulatedWorker
+    request: int
+    number: int  # its name at the worker
+    came_up: bool = False
+    written: bool = False  # the last byte has left
+    arrived: bool = False
+    over: bool = False
+    heard_at: int = 0  # nothing overtakes on a connection
+    broken: bool = False
+    born: int = 0
+
+    @property
+    def ref(self) -> tuple[int, int]:
+        """Its name at the worker's model."""
+        return self.number, self.request
+
+
+class SimulatedWorker(EmulatedWorker):
+    """A worker on the simulated network: the model and its connections."""
+
+    world: SimulatedWorld
+
+    def __init__(self, world: SimulatedWorld, machine: worker.Machine, place: int) -> None:
+        super().__init__(world, machine, place)
+        self.world = world
+        self.forwards: dict[int, Forward] = {}
+
+    def say(self, name: tuple[int, int], said: Said, share: float) -> None:
+        """A line of an answer."""
+        forward = self.forwards.get(name[0])
+        if forward is None:
+            return
+        report: dict[str, float] = {}
+        if said.is_last:
+            del self.forwards[name[0]]
+            report = self.model.report(self.world.queue.now)
+        self.world.network.tell(forward, said, share, report)
+
+    def reset(self) -> None:
+        """The process is gone: every connection of it is reset."""
+        broken, self.forwards = self.forwards, {}
+        for forward in broken.values():
+            self.world.network.break_off(forward)
+        self.world.network.reset_others(self)
+
+    def hush(self, on: bool) -> None:
+        """A machine that is heard again resets its connections; after a cut, those that missed something."""
+        if not on:
+            self.world.network.heard_again(self)
+
+    def begin(self) -> None:
+        """A new process has started: nothing is left of the old one's connections."""
+
+    def hung_up(self, born: int) -> None:
+        """A scheduler closed a connection."""
+        if born == self.model.born_ns and self.model.alive:
+            self.model.connections -= 1
+
+
+class SimulatedNetwork:
+    """What passes between the schedulers and the workers of a run, and how long it takes."""
+
+    def __init__(self, world: SimulatedWorld, queue: EventQueue, rng: random.Random) -> None:
+        self._world = world
+        self._queue = queue
+        self._rng = rng
+        self._forwards = 0
+
+    def next_forward(self) -> int:
+        """A number for a forward: unlike an address in memory it is never used again."""
+        self._forwards += 1
+        return self._forwards
+
+    def latency(self, ms: float) -> int:
+        """A latency of so many milliseconds, with jitter, in nanoseconds."""
+        return round(ms * MS * (1 + self._world.scenario.network.jitter * self._rng.random()))
+
+    def _way(self, scheduler: SimulatedScheduler, to: SimulatedWorker) -> int:
+        """One way between a scheduler and a worker."""
+        return self.latency(self._world.way_ms(scheduler.zone, to.machine))
+
+    def connect(self, forward: Forward, ready: Callable[[Forward, int], None]) -> None:
+        """Open a connection: a round trip, the handshake, and work for the worker."""
+        scheduler, to = forward.scheduler, forward.worker
+        way = self._way(scheduler, to)
+
+        def refused() -> None:
+            if not forward.over and scheduler.alive:
+                forward.over = True
+                scheduler.forwards.pop(forward.number, None)
+                scheduler.core.attempt_ended(forward.attempt, Outcome.CONNECT_FAILED)
+
+        def reached() -> None:
+            if forward.over:
+                return
+            if self._world.silent(scheduler.zone, to):
+                return  # the time-out set below ends it
+            if not to.model.alive or to.model.connections >= to.machine.connections:
+                self._queue.after(way, partial(loop.gate, refused))
+                return
+            to.model.connections += 1
+            forward.born = to.model.born_ns
+            to.give(worker.Connected())
+            took = 2 * way * (1 + self._world.scenario.fleet.handshake_rtts)
+            self._queue.after(took - way, partial(loop.gate, up))
+
+        def up() -> None:
+            if forward.over or not scheduler.alive:
+                to.hung_up(forward.born)
+            elif not forward.came_up:
+                ready(forward, 2 * way * (1 + self._world.scenario.fleet.handshake_rtts))
+
+        def late() -> None:
+            if not forward.came_up:
+                refused()
+
+        loop = scheduler.loop
+        self._queue.after(way, reached)
+        self._queue.after(nanoseconds(scheduler.limits.connect), partial(loop.gate, late))
+
+    def first_byte(self, forward: Forward) -> None:
+        """The first byte of a request leaves."""
+        self._world.ledger.worked(
+            forward.request, self._queue.now, What.SENT, forward.worker.name, forward.scheduler.name
+        )
+
+    def offer(self, forward: Forward) -> None:
+        """The last byte leaves, and comes a little later."""
+        self._queue.after(self._way(forward.scheduler, forward.worker), partial(self._offered, forward))
+
+    def _offered(self, forward: Forward) -> None:
+        to, scheduler = forward.worker, forward.scheduler
+        if self._world.silent(scheduler.zone, to):
+            forward.broken = True
+            return
+        if not to.model.alive or to.model.born_ns != forward.born:
+            if not forward.over:  # its connection was of a process that is gone
+                self.break_off(forward)
+            return
+        if forward.over:
+            return  # closed while it was on its way: the bytes and the end come together
+        cls = self._world.scenario.classes[self._world.ledger.cls[forward.request]]
+        payload = forward.attempt.request.payload
+        assert isinstance(payload, Try)
+        forward.arrived = True
+        to.forwards[forward.number] = forward
+        self._world.ledger.worked(forward.request, self._queue.now, What.OFFERED, to.name)
+        self._world.recorder.offered(to.name, scheduler.zone == to.machine.zone)
+        to.give(
+            worker.Offered(
+                Task(
+                    forward.ref, float(payload.work_ns), payload.slots, cls.priority, cls.effect == "safe",
+                    str(payload.sid), float(payload.due_ns),
+                )
+            )
+        )  # fmt: skip
+
+    def tell(self, forward: Forward, said: Said, share: float, report: dict[str, float]) -> None:
+        """A worker's line, on its way to the scheduler."""
+        if self._world.silent(forward.scheduler.zone, forward.worker):
+            if said.is_last:
+                forward.broken = True  # the connection is reset once the machine is back
+            return
+        when = max(forward.heard_at, self._queue.now + self._way(forward.scheduler, forward.worker))
+        forward.heard_at = when
+        gate = forward.scheduler.loop.gate
+        self._queue.at(when, partial(gate, partial(self._told, forward, said, share, report)))
+
+    def _told(self, forward: Forward, said: Said, share: float, report: dict[str, float]) -> None:
+        if forward.over or not forward.scheduler.alive:
+            return
+        core = forward.scheduler.core
+        if said is Said.STARTED:
+            core.attempt_started(forward.attempt)
+        elif said is Said.RUNNING:
+            core.attempt_progressed(forward.attempt, share)
+        else:
+            result = result_of(forward.request).encode() if said is Said.DONE else b""
+            named = {REPORT[name]: value for name, value in report.items()}
+            forward.scheduler.carrier.ended(forward, OUTCOMES[said], named, result)
+
+    def closed(self, forward: Forward) -> None:
+        """A scheduler closed a connection that was in use; the worker hears of it a little later."""
+        self._queue.after(self._way(forward.scheduler, forward.worker), partial(self._heard_closed, forward))
+
+    def _heard_closed(self, forward: Forward) -> None:
+        to = forward.worker
+        if self._world.silent(forward.scheduler.zone, to):
+            return
+        if forward.came_up:
+            to.hung_up(forward.born)
+        if to.forwards.pop(forward.number, None) is not None:
+            to.give(worker.Withdrawn(forward.ref))
+
+    def break_off(self, forward: Forward) -> None:
+        """The worker's side of a connection is gone: the scheduler reads a reset, unless nothing passes."""
+        if self._world.silent(forward.scheduler.zone, forward.worker):
+            forward.broken = True
+            return
+        gate = forward.scheduler.loop.gate
+        self._queue.after(self._way(forward.scheduler, forward.worker), partial(gate, partial(self._broke, forward)))
+
+    def _broke(self, forward: Forward) -> None:
+        if not forward.over and forward.scheduler.alive:
+            outcome = Outcome.BROKEN if forward.written else Outcome.UNSENT
+            forward.scheduler.carrier.ended(forward, outcome, {}, b"")
+
+    def reset_others(self, to: SimulatedWorker) -> None:
+        """Idle connections to a dead worker end, and so do those whose request has not come whole."""
+        for scheduler in self._world.schedulers:
+            if scheduler.alive:
+                scheduler.carrier.idle.pop(to.name, None)
+                for forward in tuple(scheduler.forwards.values()):
+                    if forward.worker is to and forward.came_up and not forward.arrived:
+                        self.break_off(forward)
+
+    def heard_again(self, to: SimulatedWorker) -> None:
+        """Something passes again: connections on which something was lost meanwhile are reset."""
+        for scheduler in self._world.schedulers:
+            if not scheduler.alive or self._world.silent(scheduler.zone, to):
+                continue
+            for forward in tuple(scheduler.forwards.values()):
+                if forward.worker is to and forward.came_up and forward.broken:
+                    to.forwards.pop(forward.number, None)
+                    to.give(worker.Withdrawn(forward.ref))
+                    way = self._way(scheduler, to)
+                    self._queue.after(way, partial(scheduler.loop.gate, partial(self._broke, forward)))
+
+    def probe(self, scheduler: SimulatedScheduler, name: str) -> None:
+        """A probe: a round trip, on a connection that is there or not; it costs the worker work."""
+        to, begun, loop = self._world.workers[name], self._queue.now, scheduler.loop
+        way = self._way(scheduler, to)
+
+        def ended(outcome: Outcome, report: dict[str, float]) -> None:
+            if loop.frozen:
+                loop.gate(partial(ended, outcome, report))
+            elif scheduler.alive and loop is scheduler.loop:
+                span = (self._queue.now - begun) // 1000 * MICROSECOND
+                scheduler.core.probe_ended(name, outcome, span, report or None)
+
+        def reached() -> None:
+            if self._world.silent(scheduler.zone, to):
+                waits = nanoseconds(scheduler.limits.connect) - way
+                self._queue.after(waits, lambda: ended(Outcome.CONNECT_FAILED, {}))
+            elif not to.model.alive:
+                self._queue.after(way, lambda: ended(Outcome.CONNECT_FAILED, {}))
+            else:
+                self._world.recorder.probes += 1
+                well = to.model.probe_answer(self._queue.now)
+                to.give()
+                told = {REPORT[key]: value for key, value in to.model.report(self._queue.now).items()}
+                self._queue.after(way, lambda: ended(Outcome.OK if well else Outcome.ERROR, told))
+
+        self._queue.after(way, reached)
--- /dev/null
+++ b/canvasbeam/lab/simulated_scheduler.py
@@ -0,0 +1,261 @@
+"""One scheduler of a simulated run: the program's core on a simulated loop, and the carrier in place of its sockets."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Sequence
+from functools import partial
+from typing import TYPE_CHECKING
+
+from canvasbeam.interface import Effect, ListKind, Outcome
+from canvasbeam.lab import deployment
+from canvasbeam.lab.model import faults
+from canvasbeam.lab.model.clients import Try
+from canvasbeam.lab.model.registry import Listed
+from canvasbeam.lab.model.worker import MS
+from canvasbeam.lab.simulated_network import Forward
+from canvasbeam.lab.simulated_time import START, SimulatedLoop
+from canvasbeam.lab.world import result_of
+from canvasbeam.net.limits import MICROSECOND, Limits, nanoseconds
+from canvasbeam.net.requests import Answer, Attempt, FinalAnswer, Request, ShuttingDown
+from canvasbeam.net.target_table import Target
+
+if TYPE_CHECKING:
+    from canvasbeam.lab.engine_sim import SimulatedWorld
+
+
+class SimulatedCarrier:
+    """Forwards and probes of one scheduler over the simulated network."""
+
+    def __init__(self, scheduler: SimulatedScheduler) -> None:
+        self.scheduler = scheduler
+        self.idle: dict[str, list[int]] = {}  # by worker: the births that idle connections belong to
+
+    def send(self, attempt: Attempt, target: Target) -> None:
+        """Start a forward."""
+        scheduler = self.scheduler
+        to = scheduler.world.workers[target.name]
+        payload = attempt.request.payload
+        assert isinstance(payload, Try)
+        forward = Forward(attempt, scheduler, to, payload.request, scheduler.world.network.next_forward())
+        attempt.carrier = forward
+        scheduler.forwards[forward.number] = forward
+        kept = self.idle.get(target.name)
+        if kept:
+            born = kept.pop()
+            forward.came_up, forward.born = True, born
+            self._begin(forward, 0)
+        else:
+            scheduler.world.network.connect(forward, self._begin)
+
+    def _begin(self, forward: Forward, took: int) -> None:
+        """The connection is up: write, but for the last byte of what must not run twice."""
+        core, attempt = self.scheduler.core, forward.attempt
+        if forward.over or attempt.outcome is not None:
+            return
+        forward.came_up = True
+        if not core.may_send(attempt):
+            forward.over = True
+            self.scheduler.forwards.pop(forward.number, None)
+            core.attempt_ended(attempt, Outcome.MOOT)
+            return
+        core.attempt_written(attempt)
+        world = self.scheduler.world
+        world.network.first_byte(forward)
+        if attempt.effect is Effect.SAFE:
+            self._last_byte(forward)
+            return
+        limits = self.scheduler.limits
+        span = min(max(nanoseconds(limits.proof), 2 * took), nanoseconds(limits.longest_proof))
+        world.queue.after(span, partial(self.scheduler.loop.gate, partial(self._last_byte, forward)))
+
+    def _last_byte(self, forward: Forward) -> None:
+        if not forward.over and forward.attempt.outcome is None:
+            forward.written = True
+            self.scheduler.world.network.offer(forward)
+
+    def withdraw(self, attempt: Attempt) -> bool:
+        """Stop a forward by closing its connection."""
+        forward = attempt.carrier
+        if not isinstance(forward, Forward):
+            return attempt.written is not None
+        if not forward.over:
+            forward.over = True
+            self.scheduler.forwards.pop(forward.number, None)
+            self.scheduler.world.network.closed(forward)
+        return forward.written
+
+    def probe(self, target: Target) -> None:
+        """Ask a worker for its load report."""
+        self.scheduler.world.network.probe(self.scheduler, target.name)
+
+    def close_idle(self, target: str) -> None:
+        """Close the idle connections to a worker."""
+        kept = self.idle.pop(target, [])
+        world = self.scheduler.world
+        to = world.workers[target]
+        if kept and to.model.born_ns == kept[-1]:
+            to.model.connections -= sum(each == to.model.born_ns for each in kept)
+
+    def ended(self, forward: Forward, outcome: Outcome, report: dict[str, float], result: bytes) -> None:
+        """A forward ended; its connection stays where its answer was whole."""
+        forward.over = True
+        self.scheduler.forwards.pop(forward.number, None)
+        if outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL, Outcome.RESET):
+            kept = self.idle.setdefault(forward.worker.name, [])
+            kept.append(forward.born)
+            if len(kept) > self.scheduler.limits.kept_idle:
+                born = kept.pop(0)
+                forward.worker.hung_up(born)
+        else:
+            forward.worker.hung_up(forward.born)
+        self.scheduler.core.attempt_ended(forward.attempt, outcome, report or None, result)
+
+
+class SimulatedScheduler:
+    """One scheduler: the program's core on a simulated loop. It may die and begin again from nothing."""
+
+    def __init__(self, world: SimulatedWorld, place: int) -> None:
+        self.world = world
+        self.place = place
+        self.name = faults.scheduler_name(place)
+        self.zone = deployment.zone_of(world.scenario, place)
+        self.settings = deployment.settings(world.scenario, world.machines, place)
+        self.limits: Limits = deployment.limits(world.scenario, self.settings)
+        self.starts = 0
+        self.alive = False
+        self.draining = False
+        self.known: dict[str, Target] = {}
+        self.forwards: dict[int, Forward] = {}
+        self.tries: dict[int, Try] = {}
+        self.decide_ns = 0
+        self.decisions = 0
+
+    def start(self) -> None:
+        """Begin from nothing but the list as last held."""
+        world = self.world
+        self.loop = SimulatedLoop(world.queue, round(world.scenario.schedulers.pass_ms * MS))
+        seed = deployment.seed_of(world.chance, self.place, self.starts)
+        born = START // 1000 * MICROSECOND
+        self.core = world.core_class(self.loop, self.settings, self.limits, seed, born)  # type: ignore[arg-type]
+        self.carrier = SimulatedCarrier(self)
+        self.core.carrier = self.carrier
+        self.loop.end_of_pass = self._pass
+        self.starts += 1
+        self.alive, self.draining = True, False
+        if world.peers is not None:
+            clocks = world.scenario.schedulers.clock_s
+            world.peers.start(self.name, clocks[self.place] if self.place < len(clocks) else 0.0)
+        if self.starts > 1 and self.known:
+            self.core.listed(ListKind.WARM_COPY, list(self.known.values()), 1)
+            world.queue.after(20 * MS, partial(self._whole, self.loop))
+        else:
+            self.heard(ListKind.COMPLETE, world.registry.whole())
+
+    def _whole(self, loop: SimulatedLoop) -> None:
+        if loop is self.loop and self.alive and not self.world.registry.is_stale:
+            self.heard(ListKind.COMPLETE, self.world.registry.whole())
+
+    def _pass(self) -> None:
+        begun = time.perf_counter_ns()
+        self.core.end_of_pass()
+        took = time.perf_counter_ns() - begun
+        self.decide_ns += took
+        self.decisions += 1
+        self.world.passes.record_value(max(1, took // 100))
+        if self.draining and not self.core.open_requests:
+            self.stop()
+
+    def heard(self, kind: ListKind, entries: Sequence[Listed]) -> None:
+        """Discovery tells something, now."""
+        if not self.alive:
+            return
+        if self.loop.frozen:
+            self.loop.gate(partial(self.heard, kind, entries))
+            return
+        self.world.told(self.name, entries)
+        targets = self.world.targets(entries)
+        for each in targets:
+            self.known[each.name] = each
+        self.core.listed(kind, targets, 1)
+
+    def begin_shutdown(self) -> None:
+        """SIGTERM: what cannot be answered in time is refused, and all is answered before the kill."""
+        self.loop.gate(self.core.begin_shutdown)
+        if self.world.peers is not None:
+            self.world.peers.leave(self.name)
+        self.world.queue.after(nanoseconds(self.limits.leave), partial(self.leave, self.starts))
+
+    def leave(self, starts: int) -> None:
+        """The process of that start is gone, by itself or killed."""
+        if starts == self.starts:
+            self.stop()
+
+    def drain(self, starts: int) -> None:
+        """No more comes to the process of that start: it ends with its last answer."""
+        if starts != self.starts:
+            return
+        self.draining = True
+        if not self.core.open_requests:
+            self.stop()
+
+    def stop(self) -> None:
+        """The process ends: what is open is lost."""
+        if not self.alive:
+            return
+        self.alive = False
+        self.loop.stopped = True
+        if self.world.peers is not None:
+            self.world.peers.kill(self.name)
+        for forward in tuple(self.forwards.values()):
+            forward.over = True
+            self.world.network.closed(forward)
+        self.forwards.clear()
+        for name in tuple(self.carrier.idle):
+            self.carrier.close_idle(name)
+        lost, self.tries = self.tries, {}
+        for each in lost.values():
+            self.world.after_client(partial(self.world.clients.lost, each))
+
+    # --- requests ---------------------------------------------------------------------------------
+
+    def submit(self, attempt: Try) -> None:
+        """A client's request has come."""
+        if not self.alive:
+            self.world.after_client(partial(self.world.clients.lost, attempt))
+            return
+        if self.loop.frozen:
+            self.loop.gate(partial(self.submit, attempt))
+            return
+        world = self.world
+        cls = world.scenario.classes[attempt.cls]
+        departments = world.scenario.departments
+        request = Request(
+            identity=str(attempt.request), job_class=cls.name,
+            due=(attempt.due_ns - START) // 1000 * MICROSECOND, payload=attempt,
+            answer=partial(self._answered, attempt),
+            tenant=departments[attempt.department].name if departments else None,
+            key=str(attempt.sid), slots=float(attempt.slots), repeat=attempt.marked,
+            work_hint=attempt.hint_ns // 1000 * MICROSECOND,
+        )  # fmt: skip
+        self.tries[attempt.request] = attempt
+        attempt.core_request = request
+        try:
+            self.core.submit(request)
+        except ShuttingDown:  # refused at once, as the program's listener does
+            self._answered(attempt, FinalAnswer(Answer.REFUSED, retry_after=self.limits.shutdown_retry_after))
+
+    def left(self, attempt: Try) -> None:
+        """The client closed its connection."""
+        if self.alive and self.loop.frozen:
+            self.loop.gate(partial(self.left, attempt))
+        elif self.tries.pop(attempt.request, None) is not None and self.alive:
+            assert isinstance(attempt.core_request, Request)
+            self.core.hang_up(attempt.core_request)
+
+    def _answered(self, attempt: Try, answer: FinalAnswer) -> None:
+        self.tries.pop(attempt.request, None)
+        own = answer.kind is not Answer.SERVED or answer.result == result_of(attempt.request).encode()
+        self.world.after_client(
+            partial(self.world.clients.answered, attempt, answer.kind, nanoseconds(answer.retry_after), own)
+        )
--- a/canvasbeam/lab/theory.py
+++ b/canvasbeam/lab/theory.py
@@ -13,9 +13,9 @@
 
 import numpy as np
 
-from canvasbeam.lab.engine_sim import Queue
 from canvasbeam.lab.model.draw import Floats
 from canvasbeam.lab.model.worker import SECOND, Machine, Offered, Said, Say, Task, Woken, Worker
+from canvasbeam.lab.simulated_time import EventQueue
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,7 +82,7 @@
         name="w", zone="z", cores=servers, slots=servers, queue=10**9, order="priority", cold_ns=0, tells_start=False
     )
     model = Worker(machine, random.Random(seed))
-    queue = Queue()
+    queue = EventQueue()
     begun = queue.now
     came: dict[object, int] = {}
     spent = [0.0] * len(streams)
--- a/canvasbeam/lab/wire.py
+++ b/canvasbeam/lab/wire.py
@@ -48,9 +48,9 @@
 class ServerConnection(Stream):
     """One accepted connection: requests one after another."""
 
-    def __init__(self, door: Door, sock: socket.socket) -> None:
-        super().__init__(door.loop, sock, READ_SIZE)
-        self.door = door
+    def __init__(self, server: ServerSocket, sock: socket.socket) -> None:
+        super().__init__(server.loop, sock, READ_SIZE)
+        self.server = server
         self.requests = 0
         self.state: Any = None  # whatever the owner keeps with it
         self._begin()
@@ -79,11 +79,11 @@
         asked.body = bytes(self._body)
         self._body.clear()
         self.requests += 1
-        self.door.asked(self, asked)
+        self.server.asked(self, asked)
 
     def on_data(self, data: bytes) -> None:
         if not self._asked.first_at:
-            self._asked.first_at = self.door.clock()
+            self._asked.first_at = self.server.clock()
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
@@ -103,11 +103,11 @@
         """Close, and tell the owner once."""
         if not self.closed:
             super().close()
-            self.door.connections.pop(self.handle, None)
-            self.door.left(self)
+            self.server.connections.pop(self.handle, None)
+            self.server.left(self)
 
 
-class Door(Endpoint):
+class ServerSocket(Endpoint):
     """A listening socket that can be shut, so that connections are refused, or made silent."""
 
     def __init__(
@@ -122,7 +122,7 @@
         self.address: tuple[str, int] = sock.getsockname()
         self.asked, self.came, self.left, self.clock = asked, came, left, clock
         self.connections: dict[int, ServerConnection] = {}
-        self.mark = ""  # whose door it is
+        self.mark = ""  # whose server it is
         self.silent = False
         self._fillers: list[socket.socket] = []
         self.wants(READ)
@@ -146,11 +146,11 @@
             connection.reset()
         self.close()
 
-    def open_again(self) -> Door:
-        """A door at the same address, for a new process."""
-        door = Door(self.loop, self.address, self.asked, self.came, self.left, self.clock)
-        door.mark = self.mark
-        return door
+    def open_again(self) -> ServerSocket:
+        """A server at the same address, for a new process."""
+        server = ServerSocket(self.loop, self.address, self.asked, self.came, self.left, self.clock)
+        server.mark = self.mark
+        return server
 
     def hush(self) -> None:
         """New connections never come up from here on; open ones stay, unread.
--- a/canvasbeam/lab/stage.py
+++ b/canvasbeam/lab/world.py
@@ -1,7 +1,7 @@
 """What both engines share: the emulated world with its workers, clients, discovery and faults.
 
-It owns the world's parts and carries out the timetable of faults on them. An engine is a stage that adds time and a
-network: it says how long things take, how bytes travel, and what a scheduler is. The stage must never know which
+It owns the world's parts and carries out the timetable of faults on them. An engine is a world that adds time and a
+network: it says how long things take, how bytes travel, and what a scheduler is. The world must never know which
 engine it is, and an engine must never decide what a worker or a client does.
 """
 
@@ -13,7 +13,7 @@
 
 from canvasbeam.interface import WorkerState
 from canvasbeam.lab.model import draw, faults, spec, worker
-from canvasbeam.lab.model.clients import Audience, Front, Try
+from canvasbeam.lab.model.clients import Clients, LoadBalancer, Try
 from canvasbeam.lab.model.draw import Chance, Stream
 from canvasbeam.lab.model.ledger import Ledger, What
 from canvasbeam.lab.model.links import Links, strip
@@ -30,36 +30,36 @@
     return f"result of {request}"
 
 
-class Actor(ABC):
-    """A worker on a stage: the model, and the wake-ups that it asks for."""
+class EmulatedWorker(ABC):
+    """A worker on a world: the model, and the wake-ups that it asks for."""
 
-    def __init__(self, stage: Stage, machine: Machine, place: int) -> None:
-        self.stage = stage
+    def __init__(self, world: World, machine: Machine, place: int) -> None:
+        self.world = world
         self.name = machine.name
         self.machine = machine
-        self.model = worker.Worker(machine, stage.chance.single(Stream.WORKERS, place))
+        self.model = worker.Worker(machine, world.chance.single(Stream.WORKERS, place))
         self.condition = faults.Condition()
         self._armed = 0
 
     def give(self, *events: worker.Event) -> None:
         """Hand the model events, carry its words to the schedulers, and arm its next wake-up."""
-        stage = self.stage
-        now = stage.now()
+        world = self.world
+        now = world.now()
         for action in self.model.handle(now, events):
             match action:
                 case worker.Say(ref, said, share):
                     self._say(name_of(ref), said, share)
                 case worker.Began(ref):
-                    stage.ledger.worked(name_of(ref)[1], now, What.BEGAN, self.name)
+                    world.ledger.worked(name_of(ref)[1], now, What.BEGAN, self.name)
                 case worker.FellOver():
-                    stage.ledger.fell(self.name, now)
-                    stage.recorder.mark(now, f"{self.name} fell over")
+                    world.ledger.fell(self.name, now)
+                    world.recorder.mark(now, f"{self.name} fell over")
                     self.reset()
         if self.model.next_at < float("inf"):
             when = -(-int(self.model.next_at) // 1000) * 1000
             if not self._armed or when < self._armed or self._armed <= now:
                 self._armed = when
-                stage.after(when - now, partial(self._wake, when))
+                world.after(when - now, partial(self._wake, when))
 
     def _wake(self, when: int) -> None:
         if when == self._armed:
@@ -67,11 +67,11 @@
             self.give(worker.Woken())
 
     def _say(self, name: tuple[int, int], said: Said, share: float) -> None:
-        stage = self.stage
+        world = self.world
         if said.is_last:
             what = What.DONE if said is Said.DONE else What.FAILED if said is Said.FAILED else What.OTHER
-            stage.ledger.worked(name[1], stage.now(), what, self.name)
-            stage.recorder.worked(self.name, said)
+            world.ledger.worked(name[1], world.now(), what, self.name)
+            world.recorder.worked(self.name, said)
         self.say(name, said, share)
 
     @abstractmethod
@@ -97,7 +97,7 @@
     return ref
 
 
-class Stage(ABC):
+class World(ABC):
     """The emulated world of one run."""
 
     engine = ""
@@ -117,10 +117,10 @@
         self.links = Links(zones, scenario.links, scenario.seed, network.same_ms, network.cross_ms, network.jitter)
         self.recorder = Recorder(scenario, self.machines, begun)
         self.cut_zones: dict[str, int] = {}
-        self.actors: dict[str, Actor] = {each.name: self.actor(each, place) for place, each in enumerate(self.machines)}
+        self.emulated_workers = {each.name: self.make_worker(each, place) for place, each in enumerate(self.machines)}
         self.registry = Registry(scenario, self.machines, self.chance, self, self.tell_list, self.after)
-        self.front = Front(scenario, self.chance)
-        self.audience = Audience(
+        self.load_balancer = LoadBalancer(scenario, self.chance)
+        self.clients = Clients(
             scenario, self.jobs, self.ledger, self.recorder, self.chance, self.submit, self.leave, self.after,
             self.now,
         )  # fmt: skip
@@ -136,7 +136,7 @@
         """Do this so many nanoseconds later."""
 
     @abstractmethod
-    def actor(self, machine: Machine, place: int) -> Actor:
+    def make_worker(self, machine: Machine, place: int) -> EmulatedWorker:
         """A worker on this engine's network."""
 
     @abstractmethod
@@ -175,13 +175,13 @@
 
     def state_of(self, name: str) -> tuple[WorkerState, bool, int, float]:
         """What discovery can find out about a worker."""
-        actor = self.actors[name]
+        emulated = self.emulated_workers[name]
         state = WorkerState.LIVE
-        if not actor.model.alive:
+        if not emulated.model.alive:
             state = WorkerState.GONE
-        elif actor.condition.draining:
+        elif emulated.condition.draining:
             state = WorkerState.DRAINING
-        return state, actor.condition.silent, actor.model.born_ns, actor.model.weight()
+        return state, emulated.condition.silent, emulated.model.born_ns, emulated.model.weight()
 
     def told(self, scheduler: str, entries: Sequence[Listed]) -> None:
         """Note what a scheduler knows from now on, for the rule on drains."""
@@ -191,7 +191,7 @@
 
     # --- the network's state ----------------------------------------------------------------------
 
-    def silent(self, zone: str, to: Actor) -> bool:
+    def silent(self, zone: str, to: EmulatedWorker) -> bool:
         """Whether nothing passes between a scheduler's zone and a worker."""
         if to.condition.silent:
             return True
@@ -224,56 +224,56 @@
                 if before != (zone in self.cut_zones):
                     self.cut(zone, not before)
             case _:
-                self._worker_step(self.actors[step.member], step)
+                self._worker_step(self.emulated_workers[step.member], step)
 
     def cut(self, zone: str, on: bool) -> None:
         """A zone is cut off from the others, or joined to them again."""
-        for actor in self.actors.values():
-            actor.hush(on)
+        for emulated in self.emulated_workers.values():
+            emulated.hush(on)
 
-    def _worker_step(self, actor: Actor, step: faults.Step) -> None:
+    def _worker_step(self, emulated: EmulatedWorker, step: faults.Step) -> None:
         told = self.scenario.discovery
-        condition, name = actor.condition, actor.name
+        condition, name = emulated.condition, emulated.name
         was_silent, was_draining = condition.silent, condition.draining
         condition.take(step)
         if step.what == "pause":
-            actor.give(worker.Paused(self.now() + round(step.value * SECOND)))
+            emulated.give(worker.Paused(self.now() + round(step.value * SECOND)))
         elif step.what in ("slow", "errors", "breaks"):
-            actor.give(worker.Slowed(condition.slow), worker.Errs(condition.errors), worker.Breaks(condition.breaks))
+            emulated.give(worker.Slowed(condition.slow), worker.Errs(condition.errors), worker.Breaks(condition.breaks))
         if condition.silent != was_silent:
-            actor.hush(condition.silent)
+            emulated.hush(condition.silent)
             if condition.silent:
                 self.registry.notice(name, WorkerState.GONE, told.silent_notice_s)
             else:
                 self.registry.notice(name, WorkerState.LIVE, told.add_s)
-        if condition.down and actor.model.alive:
-            actor.give(worker.Died())
-            actor.reset()
+        if condition.down and emulated.model.alive:
+            emulated.give(worker.Died())
+            emulated.reset()
             self.registry.notice(name, WorkerState.GONE, told.notice_s)
-        elif step.what == "return" and not condition.down and not actor.model.alive and not actor.model.fallen:
-            actor.give(worker.Born())
-            actor.begin()
+        elif step.what == "return" and not condition.down and not emulated.model.alive and not emulated.model.fallen:
+            emulated.give(worker.Born())
+            emulated.begin()
             self.registry.notice(name, WorkerState.LIVE, told.add_s)
-        if condition.draining != was_draining and actor.model.alive:
-            actor.give(worker.Drains(condition.draining))
+        if condition.draining != was_draining and emulated.model.alive:
+            emulated.give(worker.Drains(condition.draining))
             state = WorkerState.DRAINING if condition.draining else WorkerState.LIVE
             self.registry.notice(name, state, (0.0, 0.1) if condition.draining else told.add_s)
 
     def _scheduler_step(self, step: faults.Step, place: int) -> None:
         if step.what == "kill":
             if self.kill(place):
-                self.front.died(place, self.now())
+                self.load_balancer.died(place, self.now())
         elif step.what == "term":
             if self.term(place):
-                self.front.leaves(place, self.now())
+                self.load_balancer.leaves(place, self.now())
         elif step.what == "stop":
             if self.freeze(place):
                 self.ledger.stopped(step.member, self.now())
-                self.front.died(place, self.now())
+                self.load_balancer.died(place, self.now())
         elif step.what == "go_on":
             if self.thaw(place):
                 self.ledger.goes_on(step.member, self.now())
-                self.front.back(place, self.now())
+                self.load_balancer.back(place, self.now())
         else:
             self.start(place)
 
@@ -291,7 +291,7 @@
             self.after(self.begun + step.at_ns - self.now(), partial(self.carry_out, step))
             self.recorder.step(step)
         self.registry.begin()
-        self.audience.begin(self.begun)
+        self.clients.begin(self.begun)
 
     @property
     def last(self) -> int:
@@ -309,7 +309,7 @@
     @property
     def is_over(self) -> bool:
         """Whether all that was to come has come and is answered."""
-        return self.audience.is_done and self.now() >= self.last
+        return self.clients.is_done and self.now() >= self.last
 
     def finish(self) -> Result:
         """Close the books."""
--- a/tests/test_lab_peers.py
+++ b/tests/test_lab_peers.py
@@ -19,8 +19,8 @@
     return scenarios.load("parted", changes)
 
 
-def played(scenario: spec.Scenario) -> tuple[engine_sim.World, Result]:
-    world = engine_sim.World(scenario)
+def played(scenario: spec.Scenario) -> tuple[engine_sim.SimulatedWorld, Result]:
+    world = engine_sim.SimulatedWorld(scenario)
     return world, world.play()
 
 
@@ -98,12 +98,12 @@
         faults=faults, length_s=10, links=[{"kind": "lose", "at_s": 0, "for_s": 9, "size": 0.1}],
         **{"schedulers.count": 4, "fleet.workers": 8, "traffic.load": 0.3},
     )  # fmt: skip
-    theatre = engine_sockets.Theatre(scenario, tmp_path)
-    result = theatre.play()
+    world = engine_sockets.SocketWorld(scenario, tmp_path)
+    result = world.play()
     assert not [each for each in result.broken if each.rule != "answer"], result.broken[0].text
-    assert theatre.board is not None
-    assert theatre.board.passed > 500
-    assert theatre.links.lost > 30
+    assert world.relay is not None
+    assert world.relay.passed > 500
+    assert world.links.lost > 30
     logs = {name: (tmp_path / f"{name}.log").read_text() for name in ("n0", "n1", "n2", "n3")}
     assert "member n1: dead" in logs["n0"]
     assert "member n2: dead" in logs["n3"]
--- a/tests/test_lab_sockets.py
+++ b/tests/test_lab_sockets.py
@@ -22,7 +22,7 @@
 from canvasbeam.lab import engine_sim, engine_sockets, experiments, report
 from canvasbeam.lab import result as results
 from canvasbeam.lab.load import Load, Plan
-from canvasbeam.lab.wire import Asked, Door, ServerConnection, answer
+from canvasbeam.lab.wire import Asked, ServerConnection, ServerSocket, answer
 from canvasbeam.net.loop import Loop
 from tests.lab import RunsTwice, small
 
@@ -42,7 +42,7 @@
     played = small(CRASH, KILL, silent, drain, restart, length_s=4)
     result = engine_sockets.play(played, tmp_path)
     assert result.broken == []
-    assert result.jobs == len(engine_sim.World(played).jobs)  # both engines play the same draw
+    assert result.jobs == len(engine_sim.SimulatedWorld(played).jobs)  # both engines play the same draw
     assert result.ends["served"] > 0.7 * result.jobs
     assert sum(each.offered for each in result.traffic) >= result.ends["served"]
     assert (tmp_path / "n0.log").read_text().count("listens on") == 2  # it was started again
@@ -83,7 +83,7 @@
         address = self._sock.getsockname()
         self._sock.close()
         self.load = Load(Plan(addresses=(address,), **plan))
-        self.door = Door(self.load.loop, address, self._asked, lambda _: None, lambda _: None, lambda: 1)
+        self.server = ServerSocket(self.load.loop, address, self._asked, lambda _: None, lambda _: None, lambda: 1)
 
     def _asked(self, connection: ServerConnection, asked: Asked) -> None:
         self.seen.append(asked.headers["x-call-id"])
@@ -144,9 +144,10 @@
         Load(Plan(**plan))
 
 
-def test_a_door_beyond_loopback_is_refused() -> None:
+def test_a_server_socket_beyond_loopback_is_refused() -> None:
+    loop = Loop(timedelta(seconds=1))
     with pytest.raises(ValueError, match="not a loopback address"):
-        Door(Loop(timedelta(seconds=1)), ("0.0.0.0", 0), lambda *_: None, lambda _: None, lambda _: None, lambda: 1)
+        ServerSocket(loop, ("0.0.0.0", 0), lambda *_: None, lambda _: None, lambda _: None, lambda: 1)
 
 
 # --- experiments and reports ----------------------------------------------------------------------
--- a/tests/test_peer_processes.py
+++ b/tests/test_peer_processes.py
@@ -24,9 +24,9 @@
 @pytest.fixture
 def fleet(tmp_path: Path) -> Iterator[PeerFleet]:
     made = PeerFleet(len(NAMES) + 1, tmp_path)  # the last place stays free
-    held = Held(made.board.links.zones)
+    held = Held(made.relay.links.zones)
     held.cuts = set()
-    made.board.links = held
+    made.relay.links = held
     try:
         for name in NAMES:
             made.start(name)
@@ -37,8 +37,8 @@
 
 
 def links(fleet: PeerFleet) -> Held:
-    assert isinstance(fleet.board.links, Held)
-    return fleet.board.links
+    assert isinstance(fleet.relay.links, Held)
+    return fleet.relay.links
 
 
 def row(fleet: PeerFleet, of: str, name: str) -> dict[str, object]:
@@ -111,7 +111,7 @@
 def test_of_two_processes_with_one_name_the_newer_is_the_member(fleet: PeerFleet) -> None:
     fleet.start("n5", called="n1")
     fleet.until(lambda: fleet.members["n1"].told["me"]["state"] == "displaced")
-    address = fleet.board.known("n5")
+    address = fleet.relay.known("n5")
     fleet.until(lambda: all(row(fleet, name, "n1")["address"] == address for name in ("n0", "n2", "n3", "n4")))
     assert fleet.members["n5"].told["me"]["state"] == "member"
     assert "a newer process of this name answers" in (fleet.folder / "n1.log").read_text()
