--- a/canvasbeam/lab/emulate.py
+++ b/canvasbeam/lab/emulate.py
@@ -14,9 +14,10 @@
 
 import numpy as np
 
-from canvasbeam.lab.engine_sockets import JobOrder, SocketWorld
+from canvasbeam.lab.engine_sockets import SocketWorld
 from canvasbeam.lab.model import draw, faults, spec
 from canvasbeam.lab.model.worker import SECOND
+from canvasbeam.lab.socket_worker import JobOrder
 from canvasbeam.lab.wire import Asked
 
 DRAWN = 1024
--- a/tests/test_lab_sockets.py
+++ b/tests/test_lab_sockets.py
@@ -19,7 +19,7 @@
 
 from canvasbeam.cli.codes import Code
 from canvasbeam.cli.commands import LAZY, cli
-from canvasbeam.lab import engine_sim, engine_sockets, experiments, report
+from canvasbeam.lab import engine_sim, engine_sockets, experiments, report, scheduler_processes
 from canvasbeam.lab import result as results
 from canvasbeam.lab.load import Load, Plan
 from canvasbeam.lab.wire import Asked, ServerConnection, ServerSocket, answer
@@ -61,9 +61,13 @@
 
 
 def test_a_port_taken_meanwhile_is_left_for_another(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    honest, taken = engine_sockets._free_address, socket.create_server(("127.78.0.1", 0))
+    honest, taken = scheduler_processes.free_loopback_address, socket.create_server(("127.78.0.1", 0))
     found = [taken.getsockname()]
-    monkeypatch.setattr(engine_sockets, "_free_address", lambda place: found.pop() if found else honest(place))
+
+    def taken_first(place: int) -> tuple[str, int]:
+        return found.pop() if found else honest(place)
+
+    monkeypatch.setattr(scheduler_processes, "free_loopback_address", taken_first)
     result = engine_sockets.play(small(length_s=1), tmp_path)
     taken.close()
     assert result.holds
