--- a/canvasbeam/lab/deployment.py
+++ b/canvasbeam/lab/deployment.py
@@ -13,7 +13,8 @@
 from canvasbeam.lab.model import spec
 from canvasbeam.lab.model.draw import Chance, Stream, capacity, mean_work
 from canvasbeam.lab.model.faults import scheduler_name
-from canvasbeam.lab.model.worker import MS, SECOND, Machine
+from canvasbeam.lab.model.machine import Machine
+from canvasbeam.lab.model.units import MS, SECOND
 from canvasbeam.net.limits import Limits
 from canvasbeam.settings import read_settings
 
--- a/canvasbeam/lab/discovery_agent.py
+++ b/canvasbeam/lab/discovery_agent.py
@@ -11,7 +11,7 @@
 from canvasbeam.interface import WorkerState
 from canvasbeam.lab.model import faults
 from canvasbeam.lab.model.registry import Listed
-from canvasbeam.lab.model.worker import MS
+from canvasbeam.lab.model.units import MS
 from canvasbeam.lab.wire import Asked, ServerConnection, ServerSocket, answer
 
 if TYPE_CHECKING:
--- a/canvasbeam/lab/emulate.py
+++ b/canvasbeam/lab/emulate.py
@@ -16,7 +16,7 @@
 
 from canvasbeam.lab.engine_sockets import SocketWorld
 from canvasbeam.lab.model import draw, faults, spec
-from canvasbeam.lab.model.worker import SECOND
+from canvasbeam.lab.model.units import SECOND
 from canvasbeam.lab.socket_worker import JobOrder
 from canvasbeam.lab.wire import Asked
 
--- a/canvasbeam/lab/engine_sim.py
+++ b/canvasbeam/lab/engine_sim.py
@@ -16,11 +16,12 @@
 import msgspec
 
 from canvasbeam.interface import ListKind
-from canvasbeam.lab.model import draw, spec, worker
+from canvasbeam.lab.model import draw, spec
 from canvasbeam.lab.model.clients import STILL_COMES, Try
 from canvasbeam.lab.model.draw import Stream
+from canvasbeam.lab.model.machine import Machine
 from canvasbeam.lab.model.registry import Listed
-from canvasbeam.lab.model.worker import MS, SECOND
+from canvasbeam.lab.model.units import MS, SECOND
 from canvasbeam.lab.peers_sim import Embedded
 from canvasbeam.lab.result import PERCENTILES, Result, histogram
 from canvasbeam.lab.simulated_network import SimulatedNetwork, SimulatedWorker
@@ -42,7 +43,7 @@
 
     def __init__(
         self, scenario: spec.Scenario, core_class: type[Core] = Core,
-        fleet: list[worker.Machine] | None = None, jobs: draw.Jobs | None = None,
+        fleet: list[Machine] | None = None, jobs: draw.Jobs | None = None,
     ) -> None:  # fmt: skip
         self.core_class = core_class
         self.queue = EventQueue()
@@ -64,7 +65,7 @@
         """Do this so much later."""
         self.queue.after(span, action)
 
-    def make_worker(self, machine: worker.Machine, place: int) -> EmulatedWorker:
+    def make_worker(self, machine: Machine, place: int) -> EmulatedWorker:
         """A worker on the simulated network."""
         made = self.workers[machine.name] = SimulatedWorker(self, machine, place)
         return made
@@ -187,7 +188,7 @@
 
 
 def play(
-    scenario: spec.Scenario, core_class: type[Core] = Core, fleet: list[worker.Machine] | None = None,
+    scenario: spec.Scenario, core_class: type[Core] = Core, fleet: list[Machine] | None = None,
     jobs: draw.Jobs | None = None,
 ) -> tuple[Result, Cost]:  # fmt: skip
     """Play a scenario in simulated time: the result, the same for one seed anywhere, and what it cost."""
--- a/canvasbeam/lab/engine_sockets.py
+++ b/canvasbeam/lab/engine_sockets.py
@@ -21,8 +21,9 @@
 from canvasbeam.lab.model import spec
 from canvasbeam.lab.model.clients import Try
 from canvasbeam.lab.model.draw import Stream
+from canvasbeam.lab.model.machine import Machine
 from canvasbeam.lab.model.registry import Listed
-from canvasbeam.lab.model.worker import MS, SECOND, Machine
+from canvasbeam.lab.model.units import MS, SECOND
 from canvasbeam.lab.result import Result
 from canvasbeam.lab.scheduler_processes import SchedulerProcesses
 from canvasbeam.lab.socket_clients import SocketClients
--- a/canvasbeam/lab/links.py
+++ b/canvasbeam/lab/links.py
@@ -24,7 +24,7 @@
 from typing import Any
 
 from canvasbeam.lab.model.links import LinkFault, Links
-from canvasbeam.lab.model.worker import SECOND
+from canvasbeam.lab.model.units import SECOND
 from canvasbeam.lab.wire import Asked, ClientConnection, ServerConnection, ServerSocket, answer, span
 from canvasbeam.net.limits import nanoseconds, seconds
 from canvasbeam.net.loop import READ, Endpoint, Loop
--- a/canvasbeam/lab/load.py
+++ b/canvasbeam/lab/load.py
@@ -21,7 +21,7 @@
 import msgspec
 import numpy as np
 
-from canvasbeam.lab.model.worker import MS, SECOND
+from canvasbeam.lab.model.units import MS, SECOND
 from canvasbeam.lab.result import histogram, percentiles
 from canvasbeam.lab.wire import ClientConnection, span
 from canvasbeam.net.limits import nanoseconds
--- a/canvasbeam/lab/model/clients.py
+++ b/canvasbeam/lab/model/clients.py
@@ -15,7 +15,7 @@
 from canvasbeam.lab.model import spec
 from canvasbeam.lab.model.draw import Chance, Jobs, Stream, drawn_by
 from canvasbeam.lab.model.ledger import End, Ledger
-from canvasbeam.lab.model.worker import MS, SECOND
+from canvasbeam.lab.model.units import MS, SECOND
 from canvasbeam.net.requests import Answer
 
 # At a planned restart new connections still come for so long.
--- a/canvasbeam/lab/model/faults.py
+++ b/canvasbeam/lab/model/faults.py
@@ -14,7 +14,8 @@
 
 from canvasbeam.lab.model import spec
 from canvasbeam.lab.model.draw import Chance, Stream, drawn_by, envelope
-from canvasbeam.lab.model.worker import SECOND, Machine
+from canvasbeam.lab.model.machine import Machine
+from canvasbeam.lab.model.units import SECOND
 
 RAMP_STEPS = 10
 
--- a/canvasbeam/lab/model/ledger.py
+++ b/canvasbeam/lab/model/ledger.py
@@ -14,7 +14,7 @@
 from enum import IntEnum
 
 from canvasbeam.lab.model import spec
-from canvasbeam.lab.model.worker import MS, SECOND
+from canvasbeam.lab.model.units import MS, SECOND
 
 # What an answer may take past the budget: the protocol's slack, for clocks and the way to the client.
 LATE_BY = 50 * MS
--- a/canvasbeam/lab/model/registry.py
+++ b/canvasbeam/lab/model/registry.py
@@ -16,7 +16,8 @@
 from canvasbeam.interface import WorkerState
 from canvasbeam.lab.model import spec
 from canvasbeam.lab.model.draw import Chance, Stream, drawn_by
-from canvasbeam.lab.model.worker import MS, SECOND, Machine
+from canvasbeam.lab.model.machine import Machine
+from canvasbeam.lab.model.units import MS, SECOND
 
 
 @dataclass(frozen=True, slots=True)
--- a/canvasbeam/lab/model/worker.py
+++ b/canvasbeam/lab/model/worker.py
@@ -14,211 +14,39 @@
 from collections import deque
 from collections.abc import Hashable
 from dataclasses import dataclass, field
-from enum import Enum
 from math import ceil, inf
-from typing import Literal
 
-MS = 1_000_000
-SECOND = 1_000 * MS
+from canvasbeam.lab.model.load_reporter import Figures, LoadReporter
+from canvasbeam.lab.model.machine import Machine
+from canvasbeam.lab.model.units import MS, SECOND
+from canvasbeam.lab.model.worker_messages import (
+    Action,
+    Began,
+    Born,
+    Breaks,
+    Connected,
+    Died,
+    Drains,
+    Errs,
+    Event,
+    FellOver,
+    Offered,
+    Paused,
+    Probed,
+    Said,
+    Say,
+    Slowed,
+    Task,
+    Withdrawn,
+    Woken,
+)
+
 # A cold worker's speed is worked out anew so often while it warms.
 WARM_STEP = 50 * MS
 # What a job that fails fast takes.
 FAST_ERROR = 2 * MS
 
 
-class Said(Enum):
-    """What a worker says of a job; the values are the protocol's states."""
-
-    STARTED = "started"
-    RUNNING = "running"
-    DONE = "done"
-    FAILED = "failed"
-    RETURNED = "returned"
-    LOST = "lost"
-    REJECTED = "rejected"  # turned away before the answer's head
-    BROKE = "broke"  # the stream breaks
-
-    @property
-    def is_last(self) -> bool:
-        """Whether nothing follows."""
-        return self not in (Said.STARTED, Said.RUNNING)
-
-
-@dataclass(frozen=True, slots=True)
-class Machine:
-    """What a worker is: fixed for a run, with its true figures drawn."""
-
-    name: str
-    zone: str
-    model: str = ""
-    cell: int = 0
-    cores: int = 4
-    slots: int = 4
-    speed: float = 1.0
-    queue: int = 40
-    order: Literal["fifo", "backfill", "priority"] = "priority"
-    preempt: Literal["none", "suspend", "kill"] = "none"
-    cold_from: float = 0.4
-    cold_ns: int = 6 * SECOND
-    warm_by: Literal["time", "work"] = "time"
-    pause_every_ns: int = 0
-    pause_ns: int = 0
-    error_rate: float = 0.0
-    thrash: float = 0.0
-    thrash_at: float = 10.0
-    cancel_stops_work: bool = True
-    drops_expired: bool = True
-    drain_returns: bool = True
-    tells_start: bool = True
-    progress_ns: int = 0
-    report_period_ns: int = 0  # 0: no reports
-    report_delay_ns: int = 0
-    report_noise: float = 0.0
-    probe_work_ns: int = 0
-    probes_per_s: float = inf
-    keys_kept: int = 0
-    fetch_ns: int = 0
-    connections: int = 4096
-    handshake_work_ns: int = 0
-    tip_multiple: float = inf
-    tip_window_ns: int = 3 * SECOND
-
-    @property
-    def capacity(self) -> float:
-        """Work at speed 1 that it does in a unit of time, when warm."""
-        return self.cores * self.speed
-
-
-@dataclass(slots=True, eq=False)
-class Task:
-    """One job as it stands at a worker. `ref` is the driver's name for the attempt."""
-
-    ref: Hashable
-    work_ns: float
-    slots: int = 1
-    priority: int = 0
-    may_be_killed: bool = True
-    key: str | None = None
-    due_ns: float = inf
-    order: int = 0
-    ends_at: float = 0.0  # on the virtual clock
-    run_from: float = 0.0
-    work_left: float = 0.0
-    running: bool = False
-    over: bool = False
-    told: bool = False
-
-    def __lt__(self, other: Task) -> bool:
-        return (-self.priority, self.order) < (-other.priority, other.order)
-
-
-# --- events ---------------------------------------------------------------------------------------
-
-
-@dataclass(frozen=True, slots=True)
-class Offered:
-    """A job's last byte has come."""
-
-    task: Task
-
-
-@dataclass(frozen=True, slots=True)
-class Withdrawn:
-    """The scheduler closed the connection of an attempt."""
-
-    ref: Hashable
-
-
-@dataclass(frozen=True, slots=True)
-class Woken:
-    """The time that `next_at` asked for has come."""
-
-
-@dataclass(frozen=True, slots=True)
-class Probed:
-    """A probe came; whether it is answered is read from `probe_answer`."""
-
-
-@dataclass(frozen=True, slots=True)
-class Connected:
-    """A new connection costs work."""
-
-
-@dataclass(frozen=True, slots=True)
-class Died:
-    """The process ends, and with it all that it holds."""
-
-
-@dataclass(frozen=True, slots=True)
-class Born:
-    """A process starts, cold."""
-
-
-@dataclass(frozen=True, slots=True)
-class Drains:
-    """The worker takes nothing new from here on, or again."""
-
-    on: bool = True
-
-
-@dataclass(frozen=True, slots=True)
-class Slowed:
-    """It runs this many times slower from here on."""
-
-    times: float
-
-
-@dataclass(frozen=True, slots=True)
-class Errs:
-    """This share of the jobs fails fast from here on."""
-
-    share: float
-
-
-@dataclass(frozen=True, slots=True)
-class Breaks:
-    """This share of the streams breaks from here on."""
-
-    share: float
-
-
-@dataclass(frozen=True, slots=True)
-class Paused:
-    """It stands still until then."""
-
-    until_ns: int
-
-
-Event = Offered | Withdrawn | Woken | Probed | Connected | Died | Born | Drains | Slowed | Errs | Breaks | Paused
-
-
-# --- actions --------------------------------------------------------------------------------------
-
-
-@dataclass(frozen=True, slots=True)
-class Say:
-    """Tell the scheduler something of an attempt."""
-
-    ref: Hashable
-    said: Said
-    share: float = 0.0
-
-
-@dataclass(frozen=True, slots=True)
-class Began:
-    """A job's effect may be there from here on: for the ledger alone, no scheduler hears it."""
-
-    ref: Hashable
-
-
-@dataclass(frozen=True, slots=True)
-class FellOver:
-    """More was sent to it while it was cold than it could bear: it is down for good."""
-
-
-Action = Say | Began | FellOver
-
-
 @dataclass(slots=True)
 class Worker:
     """An emulated worker: events in, actions out. After each call `next_at` says when to wake it."""
@@ -257,15 +85,12 @@
     _sent: deque[tuple[int, float]] = field(default_factory=deque)
     _keys: dict[str, None] = field(default_factory=dict)
     _probes: deque[int] = field(default_factory=deque)
-    _reported: dict[str, float] = field(default_factory=dict)
-    _next_report: dict[str, float] = field(default_factory=dict)
-    _report_at: int = 0
-    _publish_at: int = 0
-    _counted: tuple[int, int, float] = (0, 0, 0.0)
     _busy_ns: float = 0.0
     _out: list[Action] = field(default_factory=list)
+    _reporter: LoadReporter = field(init=False)
 
     def __post_init__(self) -> None:
+        self._reporter = LoadReporter(self.machine, self.rng)
         self._plan_pause(0)
 
     @property
@@ -577,8 +402,7 @@
         self.alive = True
         self.born_ns = max(1, self._now)
         self._warmed_by = 0.0
-        self._reported, self._next_report = {}, {}
-        self._report_at = self._now
+        self._reporter.restart(self._now)
         self._plan_pause(self._now)
 
     def _drain(self, on: bool) -> None:
@@ -620,33 +444,11 @@
         return True
 
     def report(self, now: int) -> dict[str, float]:
-        """The load report as it stands: made now and then, late, and a little noisy. Empty: there is none."""
-        machine = self.machine
-        if not machine.report_period_ns:
-            return {}
-        if self._next_report and now >= self._publish_at:
-            self._reported, self._next_report = self._next_report, {}
-        if now >= self._report_at and not self._next_report:
-            self._next_report = self._measure(now)
-            self._report_at = now + machine.report_period_ns
-            self._publish_at = now + machine.report_delay_ns
-        return self._reported
-
-    def _measure(self, now: int) -> dict[str, float]:
-        since, before, busy = self._counted
-        span = max(1, now - since) / SECOND
-        done = self.served + self.failed
-        self._counted = (now, done, self._busy_ns)
-
-        def noisy(value: float) -> float:
-            return round(max(0.0, value * (1 + self.rng.gauss(0, self.machine.report_noise))), 4)
-
-        return {
-            "qps": noisy((done - before) / span),
-            "util": noisy(min(1.0, (self._busy_ns - busy) / max(1, now - since))),
-            "eps": noisy(self.failed / max(1, done) if done else 0.0),
-            "x0": noisy(max(0, self.machine.slots - self.used)),
-        }
+        """The load report as it stands; empty where the machine makes none."""
+        return self._reporter.report(now, self._figures)
+
+    def _figures(self) -> Figures:
+        return Figures(self.served, self.failed, self._busy_ns, self.machine.slots - self.used)
 
     def weight(self) -> float:
         """The live weight that discovery may tell: nominal size, lowered by what it holds."""
--- a/canvasbeam/lab/peers_sim.py
+++ b/canvasbeam/lab/peers_sim.py
@@ -29,7 +29,7 @@
     Ticked,
 )
 from canvasbeam.lab.model.links import LinkFault, Links
-from canvasbeam.lab.model.worker import MS, SECOND
+from canvasbeam.lab.model.units import MS, SECOND
 
 KERNEL = 200  # datagrams that wait at a socket that nobody reads
 Make = Callable[[Sender, Sequence[str], Terms, int, int], Membership]
--- a/canvasbeam/lab/result.py
+++ b/canvasbeam/lab/result.py
@@ -17,7 +17,9 @@
 
 from canvasbeam.lab.model import draw, faults, spec
 from canvasbeam.lab.model.ledger import MOST_TOLD, End, Ledger
-from canvasbeam.lab.model.worker import SECOND, Machine, Said
+from canvasbeam.lab.model.machine import Machine
+from canvasbeam.lab.model.units import SECOND
+from canvasbeam.lab.model.worker_messages import Said
 
 WINDOW_S = 1.0
 WORST_WINDOW_S = 10
--- a/canvasbeam/lab/scheduler_processes.py
+++ b/canvasbeam/lab/scheduler_processes.py
@@ -20,7 +20,7 @@
 from canvasbeam.lab import deployment
 from canvasbeam.lab.model import faults
 from canvasbeam.lab.model.ledger import Broken
-from canvasbeam.lab.model.worker import MS
+from canvasbeam.lab.model.units import MS
 from canvasbeam.lab.wire import ClientConnection
 
 if TYPE_CHECKING:
--- a/canvasbeam/lab/simulated_network.py
+++ b/canvasbeam/lab/simulated_network.py
@@ -12,10 +12,12 @@
 from typing import TYPE_CHECKING
 
 from canvasbeam.interface import Outcome
-from canvasbeam.lab.model import worker
+from canvasbeam.lab.model import worker_messages
 from canvasbeam.lab.model.clients import Try
 from canvasbeam.lab.model.ledger import What
-from canvasbeam.lab.model.worker import MS, Said, Task
+from canvasbeam.lab.model.machine import Machine
+from canvasbeam.lab.model.units import MS
+from canvasbeam.lab.model.worker_messages import Said, Task
 from canvasbeam.lab.simulated_time import EventQueue
 from canvasbeam.lab.world import EmulatedWorker, result_of
 from canvasbeam.net.limits import MICROSECOND, nanoseconds
@@ -65,7 +67,7 @@
 
     world: SimulatedWorld
 
-    def __init__(self, world: SimulatedWorld, machine: worker.Machine, place: int) -> None:
+    def __init__(self, world: SimulatedWorld, machine: Machine, place: int) -> None:
         super().__init__(world, machine, place)
         self.world = world
         self.forwards: dict[int, Forward] = {}
@@ -145,7 +147,7 @@
                 return
             to.model.connections += 1
             forward.born = to.model.born_ns
-            to.give(worker.Connected())
+            to.give(worker_messages.Connected())
             took = 2 * way * (1 + self._world.scenario.fleet.handshake_rtts)
             self._queue.after(took - way, partial(loop.gate, up))
 
@@ -192,7 +194,7 @@
         self._world.ledger.worked(forward.request, self._queue.now, What.OFFERED, to.name)
         self._world.recorder.offered(to.name, scheduler.zone == to.machine.zone)
         to.give(
-            worker.Offered(
+            worker_messages.Offered(
                 Task(
                     forward.ref, float(payload.work_ns), payload.slots, cls.priority, cls.effect == "safe",
                     str(payload.sid), float(payload.due_ns),
@@ -235,7 +237,7 @@
         if forward.came_up:
             to.hung_up(forward.born)
         if to.forwards.pop(forward.number, None) is not None:
-            to.give(worker.Withdrawn(forward.ref))
+            to.give(worker_messages.Withdrawn(forward.ref))
 
     def break_off(self, forward: Forward) -> None:
         """The worker's side of a connection is gone: the scheduler reads a reset, unless nothing passes."""
@@ -267,7 +269,7 @@
             for forward in tuple(scheduler.forwards.values()):
                 if forward.worker is to and forward.came_up and forward.broken:
                     to.forwards.pop(forward.number, None)
-                    to.give(worker.Withdrawn(forward.ref))
+                    to.give(worker_messages.Withdrawn(forward.ref))
                     way = self._way(scheduler, to)
                     self._queue.after(way, partial(scheduler.loop.gate, partial(self._broke, forward)))
 
--- a/canvasbeam/lab/simulated_scheduler.py
+++ b/canvasbeam/lab/simulated_scheduler.py
@@ -12,7 +12,7 @@
 from canvasbeam.lab.model import faults
 from canvasbeam.lab.model.clients import Try
 from canvasbeam.lab.model.registry import Listed
-from canvasbeam.lab.model.worker import MS
+from canvasbeam.lab.model.units import MS
 from canvasbeam.lab.simulated_network import Forward
 from canvasbeam.lab.simulated_time import START, SimulatedLoop
 from canvasbeam.lab.world import result_of
--- a/canvasbeam/lab/simulated_time.py
+++ b/canvasbeam/lab/simulated_time.py
@@ -10,7 +10,7 @@
 from datetime import timedelta
 from functools import partial
 
-from canvasbeam.lab.model.worker import SECOND
+from canvasbeam.lab.model.units import SECOND
 from canvasbeam.net.limits import MICROSECOND, nanoseconds
 from canvasbeam.net.loop import Deadline
 
--- a/canvasbeam/lab/socket_clients.py
+++ b/canvasbeam/lab/socket_clients.py
@@ -8,7 +8,7 @@
 
 from canvasbeam.lab.model import faults
 from canvasbeam.lab.model.clients import Try
-from canvasbeam.lab.model.worker import SECOND
+from canvasbeam.lab.model.units import SECOND
 from canvasbeam.lab.scheduler_processes import SchedulerProcess
 from canvasbeam.lab.socket_worker import JobOrder
 from canvasbeam.lab.wire import ClientConnection
--- a/canvasbeam/lab/socket_worker.py
+++ b/canvasbeam/lab/socket_worker.py
@@ -8,9 +8,10 @@
 from typing import TYPE_CHECKING, Any
 
 from canvasbeam.lab import deployment
-from canvasbeam.lab.model import faults, worker
+from canvasbeam.lab.model import faults, worker_messages
 from canvasbeam.lab.model.ledger import What
-from canvasbeam.lab.model.worker import Machine, Said
+from canvasbeam.lab.model.machine import Machine
+from canvasbeam.lab.model.worker_messages import Said
 from canvasbeam.lab.wire import (
     STREAM_END,
     STREAM_HEAD,
@@ -82,13 +83,13 @@
             connection.reset()
             return
         self.model.connections += 1
-        self.give(worker.Connected())
+        self.give(worker_messages.Connected())
 
     def _left(self, connection: ServerConnection) -> None:
         self.model.connections = max(0, self.model.connections - 1)
         link = connection.state
         if isinstance(link, OpenAttempt) and self.links.pop(link.number, None) is not None:
-            self.give(worker.Withdrawn(link.ref))
+            self.give(worker_messages.Withdrawn(link.ref))
 
     def _asked(self, scheduler: int, connection: ServerConnection, asked: Asked) -> None:
         """A request has come whole; it counts once its way is over."""
@@ -119,11 +120,11 @@
         self.links[link.number] = link
         world.ledger.worked(order.request, world.now(), What.OFFERED, self.name)
         world.recorder.offered(self.name, link.connection.server.mark == self.machine.zone)
-        task = worker.Task(
+        task = worker_messages.Task(
             link.ref, float(order.work_ns), order.slots, cls.priority, cls.effect == "safe", order.sid,
             float(order.due_ns),
         )  # fmt: skip
-        self.give(worker.Offered(task))
+        self.give(worker_messages.Offered(task))
 
     def _probed(self, scheduler: int, connection: ServerConnection, path: str) -> None:
         if connection.closed or self.world.silent(connection.server.mark, self):
--- a/canvasbeam/lab/theory.py
+++ b/canvasbeam/lab/theory.py
@@ -14,7 +14,10 @@
 import numpy as np
 
 from canvasbeam.lab.model.draw import Floats
-from canvasbeam.lab.model.worker import SECOND, Machine, Offered, Said, Say, Task, Woken, Worker
+from canvasbeam.lab.model.machine import Machine
+from canvasbeam.lab.model.units import SECOND
+from canvasbeam.lab.model.worker import Worker
+from canvasbeam.lab.model.worker_messages import Offered, Said, Say, Task, Woken
 from canvasbeam.lab.simulated_time import EventQueue
 
 
--- a/canvasbeam/lab/world.py
+++ b/canvasbeam/lab/world.py
@@ -12,13 +12,15 @@
 from functools import partial
 
 from canvasbeam.interface import WorkerState
-from canvasbeam.lab.model import draw, faults, spec, worker
+from canvasbeam.lab.model import draw, faults, spec, worker, worker_messages
 from canvasbeam.lab.model.clients import Clients, LoadBalancer, Try
 from canvasbeam.lab.model.draw import Chance, Stream
 from canvasbeam.lab.model.ledger import Ledger, What
 from canvasbeam.lab.model.links import Links, strip
+from canvasbeam.lab.model.machine import Machine
 from canvasbeam.lab.model.registry import Listed, Registry
-from canvasbeam.lab.model.worker import SECOND, Machine, Said
+from canvasbeam.lab.model.units import SECOND
+from canvasbeam.lab.model.worker_messages import Said
 from canvasbeam.lab.result import Recorder, Result
 
 # After the last arrival a run goes on until all is answered, but no longer than this past the longest budget.
@@ -41,17 +43,17 @@
         self.condition = faults.Condition()
         self._armed = 0
 
-    def give(self, *events: worker.Event) -> None:
+    def give(self, *events: worker_messages.Event) -> None:
         """Hand the model events, carry its words to the schedulers, and arm its next wake-up."""
         world = self.world
         now = world.now()
         for action in self.model.handle(now, events):
             match action:
-                case worker.Say(ref, said, share):
+                case worker_messages.Say(ref, said, share):
                     self._say(name_of(ref), said, share)
-                case worker.Began(ref):
+                case worker_messages.Began(ref):
                     world.ledger.worked(name_of(ref)[1], now, What.BEGAN, self.name)
-                case worker.FellOver():
+                case worker_messages.FellOver():
                     world.ledger.fell(self.name, now)
                     world.recorder.mark(now, f"{self.name} fell over")
                     self.reset()
@@ -64,7 +66,7 @@
     def _wake(self, when: int) -> None:
         if when == self._armed:
             self._armed = 0
-            self.give(worker.Woken())
+            self.give(worker_messages.Woken())
 
     def _say(self, name: tuple[int, int], said: Said, share: float) -> None:
         world = self.world
@@ -237,9 +239,13 @@
         was_silent, was_draining = condition.silent, condition.draining
         condition.take(step)
         if step.what == "pause":
-            emulated.give(worker.Paused(self.now() + round(step.value * SECOND)))
+            emulated.give(worker_messages.Paused(self.now() + round(step.value * SECOND)))
         elif step.what in ("slow", "errors", "breaks"):
-            emulated.give(worker.Slowed(condition.slow), worker.Errs(condition.errors), worker.Breaks(condition.breaks))
+            emulated.give(
+                worker_messages.Slowed(condition.slow),
+                worker_messages.Errs(condition.errors),
+                worker_messages.Breaks(condition.breaks),
+            )
         if condition.silent != was_silent:
             emulated.hush(condition.silent)
             if condition.silent:
@@ -247,15 +253,15 @@
             else:
                 self.registry.notice(name, WorkerState.LIVE, told.add_s)
         if condition.down and emulated.model.alive:
-            emulated.give(worker.Died())
+            emulated.give(worker_messages.Died())
             emulated.reset()
             self.registry.notice(name, WorkerState.GONE, told.notice_s)
         elif step.what == "return" and not condition.down and not emulated.model.alive and not emulated.model.fallen:
-            emulated.give(worker.Born())
+            emulated.give(worker_messages.Born())
             emulated.begin()
             self.registry.notice(name, WorkerState.LIVE, told.add_s)
         if condition.draining != was_draining and emulated.model.alive:
-            emulated.give(worker.Drains(condition.draining))
+            emulated.give(worker_messages.Drains(condition.draining))
             state = WorkerState.DRAINING if condition.draining else WorkerState.LIVE
             self.registry.notice(name, state, (0.0, 0.1) if condition.draining else told.add_s)
 
--- a/tests/peering.py
+++ b/tests/peering.py
@@ -9,7 +9,7 @@
 from canvasbeam.decide.member_status import Status
 from canvasbeam.decide.membership import Changed, Membership, Received, Sender
 from canvasbeam.lab.model.links import Links
-from canvasbeam.lab.model.worker import MS, SECOND
+from canvasbeam.lab.model.units import MS, SECOND
 from canvasbeam.lab.peers_sim import Instance, PeerWorld
 
 REACHED_FOR = 6 * SECOND
--- a/tests/test_lab_model.py
+++ b/tests/test_lab_model.py
@@ -12,8 +12,11 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from canvasbeam.lab import theory
-from canvasbeam.lab.model import draw, faults, spec, worker
-from canvasbeam.lab.model.worker import MS, SECOND, Machine, Offered, Said, Say, Task, Woken, Worker
+from canvasbeam.lab.model import draw, faults, spec, worker_messages
+from canvasbeam.lab.model.machine import Machine
+from canvasbeam.lab.model.units import MS, SECOND
+from canvasbeam.lab.model.worker import Worker
+from canvasbeam.lab.model.worker_messages import Offered, Said, Say, Task, Woken
 from tests.lab import small
 
 BEGUN = 100 * SECOND
@@ -30,11 +33,11 @@
         self.began: list[object] = []
         self.fell = False
 
-    def give(self, *events: worker.Event) -> None:
+    def give(self, *events: worker_messages.Event) -> None:
         for action in self.model.handle(self.now, events):
             if isinstance(action, Say):
                 self.said.append((self.now - BEGUN, action.ref, action.said))
-            elif isinstance(action, worker.Began):
+            elif isinstance(action, worker_messages.Began):
                 self.began.append(action.ref)
             else:
                 self.fell = True
@@ -104,7 +107,7 @@
         stand.offer(ref)
     stand.offer("huge", slots=3)
     assert {ref for ref, (_, said) in stand.last().items() if said is Said.REJECTED} == {"d", "huge"}
-    stand.give(worker.Drains())
+    stand.give(worker_messages.Drains())
     assert stand.last()["c"][1] is Said.RETURNED
     stand.offer("e")
     stand.wait(SECOND)
@@ -114,7 +117,7 @@
 
 def test_a_cold_worker_is_slow_warms_up_and_falls_over_when_pushed() -> None:
     stand = Stand(cold_from=0.5, cold_ns=2 * SECOND, tip_multiple=3.0, tip_window_ns=SECOND)
-    stand.give(worker.Died(), worker.Born())
+    stand.give(worker_messages.Died(), worker_messages.Born())
     stand.offer("a", 100 * MS)
     stand.wait(SECOND)
     took = stand.last()["a"][0]
@@ -123,7 +126,7 @@
     stand.offer("b", 100 * MS)
     stand.wait(SECOND)
     assert stand.last()["b"][0] - 3000 == 100
-    stand.give(worker.Died(), worker.Born())
+    stand.give(worker_messages.Died(), worker_messages.Born())
     # Capacity 2 x 0.5 for a second, three times over: 3 s of work may be sent.
     for ref in range(30):
         stand.offer(ref, 100 * MS)
@@ -131,22 +134,22 @@
     stand.offer("one too many", 100 * MS)
     assert stand.fell
     assert not stand.model.alive
-    stand.give(worker.Born())
+    stand.give(worker_messages.Born())
     assert not stand.model.alive
 
 
 def test_nothing_is_said_during_a_pause() -> None:
     stand = Stand()
     stand.offer("a")
-    stand.give(worker.Paused(stand.now + 300 * MS))
+    stand.give(worker_messages.Paused(stand.now + 300 * MS))
     stand.offer("b")
     assert stand.began == ["a"]
     stand.wait(SECOND)
     assert stand.last() == {"a": (400, Said.DONE), "b": (400, Said.DONE)}
 
 
-@pytest.mark.parametrize("end", [worker.Died(), worker.Withdrawn("a")])
-def test_a_job_that_ends_at_the_instant_it_completes_ends_once(end: worker.Event) -> None:
+@pytest.mark.parametrize("end", [worker_messages.Died(), worker_messages.Withdrawn("a")])
+def test_a_job_that_ends_at_the_instant_it_completes_ends_once(end: worker_messages.Event) -> None:
     stand = Stand()
     stand.offer("a", 100 * MS)
     stand.now = BEGUN + 100 * MS
@@ -189,7 +192,7 @@
     def withdraw(self, pick: int) -> None:
         if self.offered:
             self.gone.add(pick % self.offered)
-            self.stand.give(worker.Withdrawn(pick % self.offered))
+            self.stand.give(worker_messages.Withdrawn(pick % self.offered))
 
     @rule(span=st.integers(0, 200))
     def wait(self, span: int) -> None:
@@ -197,16 +200,16 @@
 
     @rule(on=st.booleans())
     def drain(self, on: bool) -> None:
-        self.stand.give(worker.Drains(on))
+        self.stand.give(worker_messages.Drains(on))
 
     @rule()
     def restart(self) -> None:
         self.gone |= set(range(self.offered))
-        self.stand.give(worker.Died(), worker.Born())
+        self.stand.give(worker_messages.Died(), worker_messages.Born())
 
     @rule(share=st.sampled_from([0.0, 0.5, 1.0]))
     def errors(self, share: float) -> None:
-        self.stand.give(worker.Errs(share), worker.Breaks(share))
+        self.stand.give(worker_messages.Errs(share), worker_messages.Breaks(share))
 
     @invariant()
     def slots_are_never_overdrawn(self) -> None:
@@ -219,7 +222,7 @@
         assert max(Counter(self.stand.began).values(), default=0) <= 1
 
     def teardown(self) -> None:
-        self.stand.give(worker.Drains(False), worker.Errs(0.0))
+        self.stand.give(worker_messages.Drains(False), worker_messages.Errs(0.0))
         self.stand.wait(20 * SECOND)
         ended = {ref for _, ref, said in self.stand.said if said.is_last}
         assert set(range(self.offered)) <= ended | self.gone
--- a/tests/test_lab_sim.py
+++ b/tests/test_lab_sim.py
@@ -13,7 +13,7 @@
 
 from canvasbeam.lab import engine_sim, scenario
 from canvasbeam.lab.model.ledger import End, Ledger, What
-from canvasbeam.lab.model.worker import MS, SECOND
+from canvasbeam.lab.model.units import MS, SECOND
 from canvasbeam.net.core import Core
 from canvasbeam.net.requests import Request
 from tests import lab
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -28,7 +28,7 @@
     Ticked,
 )
 from canvasbeam.lab.model.links import LinkFault, Links, problems, strip
-from canvasbeam.lab.model.worker import MS, SECOND
+from canvasbeam.lab.model.units import MS, SECOND
 from canvasbeam.lab.peers_sim import PeerWorld
 from tests.peering import STEPS, WAITS, BrokenError, Fleet, do, torture
 
