--- a/bench/peers.py
+++ b/bench/peers.py
@@ -9,40 +9,37 @@
 from __future__ import annotations
 
 import json
-import os
 import random
-import signal
 import statistics
 import sys
 import tempfile
 import time
 import tracemalloc
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import replace
 from pathlib import Path
-from typing import Any
 
 import click
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
+from peer_processes import Plan, Row, measure
+from peer_schemes import SCHEMES, scheme
+
 from canvasbeam.decide.member_status import Status
 from canvasbeam.decide.membership import (
     MS,
     SECOND,
     Action,
-    Changed,
     Event,
     Fact,
     Kind,
-    Leave,
     Member,
     Membership,
     Message,
     Received,
     Sender,
-    Standing,
     Tell,
     Terms,
 )
@@ -51,106 +48,6 @@
 from canvasbeam.lab.peers_sim import PeerWorld
 from canvasbeam.peers.wire import Codec
 
-Row = dict[str, Any]
-
-
-# --- the others, for comparison ---------------------------------------------------------------------
-
-
-class Heartbeats(Membership):
-    """Everybody tells everybody that it is there; who is silent for a second is dead. The list of all is given."""
-
-    BEAT = 250 * MS
-    everybody: tuple[str, ...] = ()
-
-    def handle(self, now: int, events: Sequence[Event]) -> list[Action]:
-        """Beats in and out."""
-        self._now, self._actions = now, []
-        for event in events:
-            if isinstance(event, Received):
-                self._beat(event.sender, event.message)
-            elif isinstance(event, Leave):
-                self.standing = Standing.LEAVING
-                self._to(self.everybody, Message(Kind.NEWS, facts=(self._self(),)))
-        for member in self.members.values():
-            if member.fact.status is Status.ALIVE and now - member.heard > SECOND:
-                self._become(member, Status.DEAD)
-        if now >= self._next_probe and self.standing is not Standing.LEAVING:
-            self._next_probe = now + self.BEAT
-            self._send_beats()
-        self._wake = max(now + MS, min(self._next_probe, now + 50 * MS))
-        return self._actions
-
-    def _beat(self, sender: Sender, message: Message) -> None:
-        member = self.members.get(sender.name)
-        left = any(each.status is Status.LEFT for each in message.facts if each.name == sender.name)
-        status = Status.LEFT if left else Status.ALIVE
-        fact = Fact(sender.name, sender.address, status, sender.start, 0)
-        if member is None:
-            member = self.members[sender.name] = Member(fact, self._now)
-        member.heard = self._now
-        if member.fact.status is not status:
-            self._become(member, status)
-
-    def _become(self, member: Member, status: Status) -> None:
-        before, member.fact = member.fact.status, replace(member.fact, status=status)
-        self._actions.append(Changed(member.fact.name, before.name.lower(), status.name.lower(), "by its beats"))
-
-    def _send_beats(self) -> None:
-        self._to(self.everybody, Message(Kind.NEWS))
-
-    def _to(self, addresses: Sequence[str], message: Message) -> None:
-        self._actions += [Tell(each, message) for each in addresses if each != self.address]
-
-
-class Leader(Heartbeats):
-    """Each beats to the first that it takes to be there; that one tells all who is."""
-
-    def _first(self) -> str:
-        there = [each.fact.name for each in self.members.values() if each.fact.status is Status.ALIVE]
-        return min([*there, self.name])
-
-    def _send_beats(self) -> None:
-        first = self._first()
-        if first == self.name:
-            facts = tuple(each.fact for each in self.members.values())
-            for begin in range(0, len(facts) or 1, 24):
-                self._to(self.everybody, Message(Kind.NEWS, facts=(self._self(), *facts[begin : begin + 24])))
-        else:
-            known = {each.fact.address for each in self.members.values()}
-            beyond = [each for each in self.everybody if each not in known]
-            self._to([self.members[first].fact.address, *beyond], Message(Kind.NEWS))
-
-    def _beat(self, sender: Sender, message: Message) -> None:
-        super()._beat(sender, message)
-        if sender.name > self._first():
-            return
-        for fact in message.facts:
-            member = self.members.get(fact.name)
-            if fact.name == self.name:
-                continue
-            if member is None:
-                member = self.members[fact.name] = Member(fact, self._now)
-            member.heard = self._now if fact.status is Status.ALIVE else member.heard
-            if member.fact.status is not fact.status and fact.name != sender.name:
-                self._become(member, fact.status)
-
-
-def scheme(name: str, count: int, **more: Any) -> PeerWorld:
-    """A fleet by the name of how it knows itself."""
-    if name == "swim":
-        return PeerWorld(count, **more)
-    if name == "no suspicion":
-        terms = Terms(least_suspicion=1, most_suspicion=1)
-        return PeerWorld(count, terms=terms, **more)
-    kind: type[Heartbeats] = {"heartbeats": Heartbeats, "leader": Leader}[name]
-    everybody = tuple(PeerWorld._address(place) for place in range(count))
-    made = type(kind.__name__, (kind,), {"everybody": everybody})
-    return PeerWorld(count, make=made, **more)
-
-
-SCHEMES = ("swim", "heartbeats", "leader", "no suspicion")
-
 
 def ready(world: PeerWorld) -> PeerWorld:
     """All started within a second; as many seconds more as they take to agree, 20 at most."""
@@ -381,22 +278,6 @@
 # --- real processes -----------------------------------------------------------------------------------
 
 
-def cpu_of(pid: int) -> float:
-    """Processor seconds that a process has used."""
-    fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-
-def resident_mb(pid: int) -> float:
-    """Memory that a process holds."""
-    return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 2**20
-
-
-def spread(values: Sequence[float]) -> str:
-    """Median and worst."""
-    return f"{statistics.median(values):.2f}, {max(values):.2f}"
-
-
 @main.command()
 @click.option("--count", default=5, show_default=True)
 @click.option("--kills", default=50, show_default=True)
@@ -414,91 +295,11 @@
         fleet = PeerFleet(count, Path(folder), look_every_s=look)
         row: Row = {"instances": count}
         try:
-            _play(fleet, row, kills, heals, cut_s, loss_s, quarter_s)
+            measure(fleet, row, Plan(kills, heals, cut_s, loss_s, quarter_s))
         finally:
             fleet.close()
     tell([row], out)
 
 
-def _play(  # noqa: PLR0917
-    fleet: PeerFleet, row: Row, kills: int, heals: int, cut_s: float, loss_s: float, quarter_s: float
-) -> None:
-    rng = random.Random(3)
-    for name in fleet.members:
-        fleet.start(name)
-    row["joined_s"] = round(fleet.until(fleet.agree), 2)
-    fleet.run(3)
-    fleet.looking = False
-    pids = [each.running.pid for each in fleet.members.values() if each.running]
-    before = [cpu_of(pid) for pid in pids]
-    fleet.run(20)
-    used = [(cpu_of(pid) - begun) / 20 for pid, begun in zip(pids, before, strict=True)]
-    row |= {"cpu_share": f"{statistics.median(used):.4f}", "resident_mb": round(max(map(resident_mb, pids)), 1)}
-    fleet.looking = True
-    known = []
-    for _ in range(kills):
-        victim = rng.choice(list(fleet.members))
-        fleet.run(rng.random())
-        fleet.signal(victim, signal.SIGKILL)
-        known.append(fleet.until(lambda victim=victim: fleet.all_know_gone(victim)))  # type: ignore[misc]
-        fleet.start(victim)
-        fleet.until(fleet.agree)
-    if known:
-        row["kill_s"] = spread(known)
-    ends = []
-    for victim in list(fleet.members)[: min(5, len(fleet.members))]:
-        fleet.signal(victim, signal.SIGTERM)
-        ends.append(fleet.until(lambda victim=victim: fleet.all_know_gone(victim)))  # type: ignore[misc]
-        fleet.run(4)
-        fleet.start(victim)
-        fleet.until(fleet.agree)
-    row["leave_s"] = spread(ends)
-    healed = []
-    for number in range(heals):
-        _with(fleet, [LinkFault(kind="cut", at_s=0, for_s=1e6, parts=2)], number)
-        fleet.run(cut_s)
-        _with(fleet, [], number)
-        healed.append(fleet.until(fleet.agree))
-    if healed:
-        row["heal_s"] = spread(healed)
-    deaths = fleet.counted(": dead, before")
-    if loss_s:
-        _with(fleet, [LinkFault(kind="lose", at_s=0, for_s=1e6, size=0.2)], 1)
-        fleet.run(loss_s)
-        _with(fleet, [], 1)
-        row |= {"loss_s": loss_s, "loss_false_deaths": fleet.counted(": dead, before") - deaths}
-        fleet.until(fleet.agree)
-    if quarter_s:
-        row |= {"quarter_s": quarter_s, "quarter_false_deaths": _at_a_quarter(fleet, quarter_s)}
-    row["changes_not_told"] = fleet.counted("more changes of members were not told")
-
-
-def _with(fleet: PeerFleet, faults: list[LinkFault], seed: int) -> None:
-    links = fleet.relay.links
-    fleet.relay.links = type(links)(links.zones, faults, seed)
-
-
-def _at_a_quarter(fleet: PeerFleet, span_s: float) -> int:
-    """Each process is stopped for 75 of each 100 ms, at a time of its own."""
-    deaths = fleet.counted(": dead, before")
-    pids = [each.running.pid for each in fleet.members.values() if each.running]
-    end = time.monotonic() + span_s
-
-    def turn(pid: int, on: bool) -> None:
-        if time.monotonic() > end:
-            os.kill(pid, signal.SIGCONT)
-            return
-        os.kill(pid, signal.SIGCONT if on else signal.SIGSTOP)
-        fleet.later(0.025 if on else 0.075, lambda: turn(pid, not on))
-
-    rng = random.Random(5)
-    starts: list[Callable[[], None]] = [lambda pid=pid: turn(pid, True) for pid in pids]  # type: ignore[misc]
-    for start in starts:
-        fleet.later(0.1 * rng.random(), start)
-    fleet.run(span_s + 1)
-    fleet.until(fleet.agree)
-    return fleet.counted(": dead, before") - deaths
-
-
 if __name__ == "__main__":
     main()
