--- a/canvasbeam/__init__.py
+++ b/canvasbeam/__init__.py
@@ -1,5 +1,19 @@
-"""canvasbeam: the decisions of a dispatcher that pushes jobs to workers in priority rings."""
+"""canvasbeam: the decisions of a dispatcher that pushes jobs to workers in priority rings.
 
-from canvasbeam.choice import Dispatcher
+The dispatcher is imported with its first use: a control process starts faster without it.
+"""
+
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from canvasbeam.choice import Dispatcher
 
 __all__ = ["Dispatcher"]
+
+
+def __getattr__(name: str) -> Any:
+    if name not in __all__:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    from canvasbeam import choice  # noqa: PLC0415
+
+    return getattr(choice, name)
