--- a/canvasbeam/cli/emulate.py
+++ b/canvasbeam/cli/emulate.py
@@ -54,8 +54,8 @@
     if seed is not None:
         changes["seed"] = seed
     with tempfile.TemporaryDirectory() as folder, interrupted() as came:
-        stage = Emulation(load(scenario, changes), address(discovery), Path(folder))
-        places = ", ".join(f"{host}:{port}" for host, port in stage.discovery)
-        click.echo(f"discovery on {places}; {len(stage.machines)} workers in {len(stage.scenario.zones)} zones")
-        stage.serve(came, faults)
+        emulation = Emulation(load(scenario, changes), address(discovery), Path(folder))
+        places = ", ".join(f"{host}:{port}" for host, port in emulation.discovery)
+        click.echo(f"discovery on {places}; {len(emulation.machines)} workers in {len(emulation.scenario.zones)} zones")
+        emulation.serve(came, faults)
     click.echo("ended")
--- a/canvasbeam/cli/lab.py
+++ b/canvasbeam/cli/lab.py
@@ -115,7 +115,7 @@
     with Progress(*columns, transient=True) as bar:
         task = bar.add_task(played.name, total=played.length_s)
 
-        def tick(at: float, stage: Any) -> None:
+        def tick(at: float, world: Any) -> None:
             bar.update(task, completed=max(0.0, at))
 
         return engine_sockets.play(played, folder, tick=tick)
--- a/canvasbeam/decide/budgets.py
+++ b/canvasbeam/decide/budgets.py
@@ -131,7 +131,7 @@
     def __init__(self, terms: Terms, seed: int, now: int) -> None:
         self.terms = terms
         self._rng = random.Random(seed)
-        # Danger: numbers that begin anew at a restart would take an earlier process's grant for an answer.
+        # Numbers that began anew at a restart would take an earlier process's grant for an answer.
         self._number = self._rng.getrandbits(62)
         self._others: tuple[str, ...] = ()
         self._began = now
@@ -175,7 +175,7 @@
     def _pass_time(self, now: int) -> None:
         """Fill the bucket up to now, lease by lease, and let go of what has ended.
 
-        Danger: a long step over the end of a lease must not fill the bucket by it beyond that end.
+        A long step over the end of a lease must not fill the bucket by it beyond that end.
         """
         ends = {each.until for each in (*self._borrowed, *self._lent) if self._filled < each.until < now}
         quarantine = self._began + self.terms.longest
--- a/canvasbeam/lab/links.py
+++ b/canvasbeam/lab/links.py
@@ -112,7 +112,7 @@
 
 @dataclass(slots=True, eq=False)
 class Member:
-    """One process of the fleet, as the stage started it."""
+    """One process of the fleet, as the fleet started it."""
 
     name: str
     listen: tuple[str, int]
--- a/canvasbeam/lab/model/clients.py
+++ b/canvasbeam/lab/model/clients.py
@@ -1,8 +1,8 @@
-"""The emulated clients and the front that spreads them: who asks when, and what they do with an answer.
+"""The emulated clients and the load balancer before the schedulers: who asks when, and what clients do with an answer.
 
-It owns a job's tries, waits, retries and hang-ups, written once for both engines, and the front's picture of which
-schedulers are up. It must never see a scheduler's inside, retry what may not run twice after a failure, or read a
-clock: the engine hands it the time and carries out what it asks for.
+It owns a job's tries, waits, retries and hang-ups, written once for both engines, and the load balancer's view of
+which schedulers are up. It must never see a scheduler's inside, retry what may not run twice after a failure, or read
+a clock: the engine hands it the time and carries out what it asks for.
 """
 
 from __future__ import annotations
@@ -179,7 +179,7 @@
 
 @dataclass(slots=True)
 class LoadBalancer:
-    """The plain layer that spreads clients over the schedulers of their zone, and learns late who has died."""
+    """Spreads clients over the schedulers of their zone, and learns late which have died."""
 
     scenario: spec.Scenario
     chance: Chance
@@ -206,7 +206,7 @@
         self._out_from[place] = now + round(notice * SECOND)
 
     def leaves(self, place: int, now: int) -> None:
-        """A planned end: nothing new comes after a moment."""
+        """A planned shutdown: nothing new comes after a moment."""
         self._out_from[place] = now + STILL_COMES
 
     def back(self, place: int, now: int) -> None:
--- a/canvasbeam/lab/world.py
+++ b/canvasbeam/lab/world.py
@@ -1,8 +1,8 @@
 """What both engines share: the emulated world with its workers, clients, discovery and faults.
 
-It owns the world's parts and carries out the timetable of faults on them. An engine is a world that adds time and a
-network: it says how long things take, how bytes travel, and what a scheduler is. The world must never know which
-engine it is, and an engine must never decide what a worker or a client does.
+It owns the world's parts and carries out the timetable of faults on them. An engine is a subclass of `World` that
+adds time and a network: how long things take, how bytes travel, and what a scheduler is. `World` must never know its
+engine, and an engine must never decide what a worker or a client does.
 """
 
 from __future__ import annotations
@@ -33,7 +33,7 @@
 
 
 class EmulatedWorker(ABC):
-    """A worker on a world: the model, and the wake-ups that it asks for."""
+    """A worker of a world: the model, and the wake-ups that it asks for."""
 
     def __init__(self, world: World, machine: Machine, place: int) -> None:
         self.world = world
--- a/canvasbeam/peers/carrier.py
+++ b/canvasbeam/peers/carrier.py
@@ -29,7 +29,7 @@
 READS_PER_PASS = 32
 LINES_PER_S = 4  # of changes in the log; the rest is counted
 BIND_AGAIN = seconds(0.2)  # while an older process of this name still has the address
-LAST_WORDS = seconds(0.3)  # from the planned end's announcement to the socket's close
+CLOSE_DELAY = seconds(0.3)  # from the announcement of a planned shutdown to the socket's close
 
 
 class Carrier(Endpoint):
@@ -98,7 +98,7 @@
         return None
 
     def leave(self) -> None:
-        """The planned end has begun."""
+        """A planned shutdown has begun."""
         if not self.closed:
             self._decide([Leave()])
 
@@ -175,7 +175,7 @@
 
 
 class Station:
-    """This instance's place among the others: a carrier once the address is free, and none after the planned end."""
+    """This instance's place among the others: a carrier once the address is free, and none after a planned shutdown."""
 
     def __init__(self, loop: Loop, peers: Peers, name: str, start_ms: int) -> None:
         self._loop = loop
@@ -201,11 +201,11 @@
         log.info("peers: %s of fleet %s on %s, %d seeds", self._name, self._peers.fleet, where, len(self._peers.seeds))
 
     def leave(self) -> None:
-        """The planned end has begun: the others are told, and the address is free a moment later."""
+        """A planned shutdown has begun: the others are told, and the address is free a moment later."""
         self._ending = True
         if self.carrier is not None:
             self.carrier.leave()
-            self._loop.after(LAST_WORDS, self.carrier.close, self.carrier)
+            self._loop.after(CLOSE_DELAY, self.carrier.close, self.carrier)
 
     def report(self) -> dict[str, Any]:
         """As the carrier's; while there is none, why."""
--- a/canvasbeam/peers/settings.py
+++ b/canvasbeam/peers/settings.py
@@ -97,7 +97,7 @@
                 found = any(host in each for each in self._networks)
             except ValueError:
                 found = False
-            if len(self._known) >= 4096:  # Danger: one that forges addresses would have us keep them all
+            if len(self._known) >= 4096:  # bounds the memory that forged addresses can take
                 self._known.clear()
             self._known[address] = found
         return found
--- a/canvasbeam/peers/wire.py
+++ b/canvasbeam/peers/wire.py
@@ -150,7 +150,7 @@
     def _takes(self, process: tuple[str, int], number: int) -> bool:
         """No datagram of a process twice.
 
-        Danger: who forges names would have us keep them all; the process heard of the longest ago leaves.
+        Bounds the memory that forged names can take: the process heard of the longest ago is dropped.
         """
         seen = self._seen.pop(process, None)
         taken = seen is None or seen.takes(number)
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -28,7 +28,7 @@
 
 
 def test_full_with_nothing_of_ours_there_is_not_asked_again_at_once() -> None:
-    # Danger: a full worker with none of our jobs would be open again the same instant, for ever.
+    # Regression: a full worker with none of our jobs would be open again the same instant, for ever.
     bench = Bench(entry("a"))
     bench.job()
     assert of(bench.ended("j0", "a", Outcome.FULL), ci.Send) == []
@@ -36,7 +36,7 @@
 
 
 def test_a_fast_failing_worker_does_not_attract_the_work() -> None:
-    # Danger: a worker that answers errors at once is always open and would draw every job.
+    # Regression: a worker that answers errors at once is always open and would draw every job.
     # A job that must not be repeated is lost by each error: one is enough. Others are tried again.
     bench = Bench(entry("a"), entry("b"))
     errors = 0
@@ -70,7 +70,7 @@
 
 
 def test_a_worker_back_from_its_rest_is_rested_again_at_its_next_error() -> None:
-    # Danger: back from each short rest it had three more errors to make.
+    # Regression: back from each short rest it had three more errors to make.
     bench = Bench(entry("a"), entry("b"))
     assert sum(retried(bench) for _ in range(20)) == 3
     for _ in range(2):
@@ -106,7 +106,7 @@
 
 
 def test_a_silent_worker_loses_its_running_job_to_another() -> None:
-    # Danger: a worker that was cut off ends no attempt; only its progress notes stop.
+    # Regression: a worker that was cut off ends no attempt; only its progress notes stop.
     bench = Bench(entry("a"), entry("b"))
     worker = only(bench.job(due=20 * SECOND), ci.Send).worker
     bench.started("j0", worker)
@@ -123,7 +123,7 @@
 
 
 def test_a_job_that_never_starts_is_sent_again_and_keeps_nobody_from_its_worker() -> None:
-    """Danger: its connection fell silent under way; the start that never came shut the worker out."""
+    """Regression: its connection fell silent under way; the start that never came shut the worker out."""
     bench = Bench(entry("a"), entry("b"))
     bench.job("pay", due=60 * SECOND)
     other = only(bench.last, ci.Send).worker
@@ -146,7 +146,7 @@
 
 
 def test_room_is_left_where_others_queue_too() -> None:
-    # Danger: many dispatchers, each keeping one job queued at a worker, outlast every aim together.
+    # Regression: many dispatchers, each keeping one job queued at a worker, outlast every aim together.
     for dispatchers, waits in ((20, True), (2, False)):
         bench = Bench(entry("a"), dispatchers=dispatchers)
         bench.run_job()
@@ -169,7 +169,7 @@
 
 
 def test_a_cold_worker_gets_no_more_than_its_share_in_any_window() -> None:
-    # Danger: all dispatchers together push over a worker that has just started.
+    # Regression: all dispatchers together push over a worker that has just started.
     work, dispatchers = 50 * MS, 3
     hinted = Bench(entry("a", started_ns=START), dispatchers=dispatchers)
     sent: list[int] = []
@@ -206,7 +206,7 @@
 
 
 def test_many_cold_workers_are_not_asked_again_for_every_held_job_and_sweep() -> None:
-    # Danger: a fleet that grows by a hundred workers took more time than there was, and all came late.
+    # Regression: a fleet that grows by a hundred workers took more time than there was, and all came late.
     workers, jobs = 100, 40
     cold = [entry(f"w{each}", started_ns=START) for each in range(workers)]
     bench = Bench(dispatchers=12)
@@ -224,7 +224,7 @@
 
 
 def test_a_cold_worker_without_room_takes_a_job_when_its_share_has_grown() -> None:
-    # Danger: not asked again, it would stay closed for good.
+    # Regression: not asked again, it would stay closed for good.
     patient = replace(SAFE, late_worth=0.5, deadline_ns=60 * SECOND)
     bench = Bench(entry("a", started_ns=START), classes=(patient,))
     assert of(bench.job(work_hint_ns=1500 * MS, due=60 * SECOND), ci.Send) == []  # over .7 x .2 x 3 x 2 s
@@ -242,7 +242,7 @@
 
 
 def test_lost_answers_do_not_keep_a_healed_worker_busy() -> None:
-    # Danger: after a cut the answers of what ran there never come; the worker must not wait for them.
+    # Regression: after a cut the answers of what ran there never come; the worker must not wait for them.
     bench = Bench(entry("a"))
     bench.job("pay", due=60 * SECOND)
     bench.started("j0", "a")
@@ -253,7 +253,7 @@
 
 
 def test_no_sweep_is_asked_for_while_nothing_can_be_due() -> None:
-    # Danger: hundreds of dispatchers that each look every few quanta take more CPU time than there is.
+    # Regression: hundreds of dispatchers that each look every few quanta take more CPU time than there is.
     bench = Bench(entry("a"))
     (sent,) = of(bench.job(), ci.Send)
     bench.give(ci.JobStarted(sent.job, 0, sent.worker))
@@ -263,7 +263,7 @@
 
 
 def test_cold_workers_are_sent_to_in_turns_where_an_equal_part_holds_no_job() -> None:
-    # Danger: among hundreds of dispatchers each part is less than one job, and a returning zone stays unused.
+    # Regression: among hundreds of dispatchers each part is less than one job, and a returning zone stays unused.
     dispatchers, sends = 200, 0
     for number in range(dispatchers):
         bench = Bench(entry("a", started_ns=START), dispatchers=dispatchers, own_number=number)
@@ -279,7 +279,7 @@
 
 
 def test_a_late_start_costs_a_worker_its_next_turn_among_a_crowd() -> None:
-    # Danger: met rarely, slow workers get as many jobs as quick ones, and drown.
+    # Regression: met rarely, slow workers get as many jobs as quick ones, and drown.
     bench = crowd(entry("a"), entry("b"))
     for _ in range(2):
         bench.run_job()
@@ -295,7 +295,7 @@
 
 
 def test_a_waiting_keyed_job_moves_among_a_crowd_while_queues_are_short() -> None:
-    # Danger: moved while cancels leave work behind, every job fills several queues, and all collapse.
+    # Regression: moved while cancels leave work behind, every job fills several queues, and all collapse.
     bench = crowd(*(entry(f"w{each}") for each in range(6)))
     bench.run_job()
     bench.job("book")
@@ -312,7 +312,7 @@
 
 
 def test_what_nobody_took_is_offered_only_where_something_changed() -> None:
-    # Danger: with a hundred workers asked again at every event, a grown deployment was cut off for its CPU.
+    # Regression: with a hundred workers asked again at every event, a grown deployment was cut off for its CPU.
     bench = Bench(*(entry(f"w{each}") for each in range(20)))
     bench.dispatcher = counting = Counting(settings(), 1)
     bench.timers.clear()
@@ -327,7 +327,7 @@
 
 @pytest.mark.parametrize("outcome", [Outcome.BROKEN, Outcome.UNSENT])
 def test_one_broken_connection_rests_nobody_and_two_without_a_sign_of_work_do(outcome: Outcome) -> None:
-    """Danger: jobs are killed and connections break on healthy workers; a rest for each shut those out."""
+    """Regression: jobs are killed and connections break on healthy workers; a rest for each shut those out."""
     bench = Bench(entry("a"), limits=replace(LIMITS, max_attempts=9))
     sent = [each.worker for each in of(bench.job(due=60 * SECOND), ci.Send)]
     again = of(bench.ended("j0", "a", outcome), ci.Send)
@@ -348,7 +348,7 @@
 
 
 def test_a_job_whose_notes_stop_is_sent_again_and_is_no_load_while_its_worker_is_well() -> None:
-    """Danger: an answer's connection may fall silent under one job; counted on, it keeps a slot for ever."""
+    """Regression: an answer's connection may fall silent under one job; counted on, it keeps a slot for ever."""
     bench = Bench(entry("a"), entry("b"))
     worker = only(bench.job(due=4 * SECOND), ci.Send).worker
     bench.started("j0", worker)
