--- a/canvasbeam/lab/world.py
+++ b/canvasbeam/lab/world.py
@@ -21,7 +21,8 @@
 from canvasbeam.lab.model.registry import Listed, Registry
 from canvasbeam.lab.model.units import SECOND
 from canvasbeam.lab.model.worker_messages import Said
-from canvasbeam.lab.result import Recorder, Result
+from canvasbeam.lab.recorder import Recorder
+from canvasbeam.lab.result import Result
 
 # After the last arrival a run goes on until all is answered, but no longer than this past the longest budget.
 TAIL = SECOND
