--- a/canvasbeam/decide/engine_model.py
+++ b/canvasbeam/decide/engine_model.py
@@ -10,8 +10,8 @@
 | our own prompts before it | counted from the send until the first token |
 | other schedulers' prompts before it | those we are told of, until they should be read or a later one was |
 | all else before it | the last first token's delay beyond what was expected; fades |
-| the time to read a token | a prior, corrected by the quickest first tokens |
-| the way there and back | the quickest first token of each worker, less the time to read its prompt |
+| the time to read a token | a prior, corrected by first tokens of long prompts before which nothing waited |
+| the way there and back | likewise, by the first tokens of each worker, less the time to read the prompt |
 | parts that are kept | those of all sends known, the least recently used dropped first |
 """
 
@@ -28,14 +28,18 @@
 # The time to read a token until it was learned, and the least and most that is believed.
 READ_NS = 23_500.0
 LEAST_READ_NS, MOST_READ_NS = READ_NS / 4, READ_NS * 4
-# Prompts shorter than this say little of the time to read a token; the quickest of so many others tells it.
+# Prompts shorter than this say little of the time to read a token.
 TELLING_TOKENS = 4000
-TELLING_PROMPTS = 16
-# A quickest time is forgotten by this much with each slower one.
-FORGET = 1.002
+# A first token tells of reading and of the way where less than this was expected to wait before it.
+LITTLE_WAIT_NS = 20 * MILLISECOND
+# What is learned moves by this part towards a quantile of what is seen: parts that are kept in fact make first tokens
+# come too early, and sends that we were not told of too late.
+LEARN_STEP = 0.12
+LEARN_QUANTILE = 0.4
 # The way to a worker and its first step, until they were learned: in the own region, and in others.
 NEAR_NS = 15 * MILLISECOND
 AWAY_NS = 120 * MILLISECOND
+LEAST_WAY_NS = 2.0 * MILLISECOND
 # The part of what is left of an aim that may be expected to pass: expectations are rough.
 AIM_SHARE = 0.85
 # A job past its aim goes where less reading than this waits, so that it makes no other late.
@@ -63,6 +67,7 @@
     sent_at: int
     tokens_read: int  # that the worker had to read, as far as is known
     tokens_held: int  # of memory, with all of its answer
+    waits_ns: float  # reading expected before its own
     expected_ns: float  # to its first token
     started: bool = False
 
@@ -82,7 +87,6 @@
     kind: str
     near: bool
     way_ns: float
-    way_learned: bool = False
     jobs: dict[str, SentJob] = field(default_factory=dict)
     readings: deque[Reading] = field(default_factory=deque)  # in the order of their sends
     read_at: int = 0  # up to when reading was taken off
@@ -138,7 +142,7 @@
         self._engines: dict[str, Engine] = {}
         self._states: dict[str, EngineState] = {}
         self.on_sent: SentListener | None = None
-        self._samples: dict[str, deque[float]] = {}  # by kind, times to read a token as lately seen
+        self._read_ns: dict[str, float] = {}  # by kind, the time to read a token
 
     def engines(self, engines: Mapping[str, Engine]) -> None:
         """The services of the configuration in force that run language models."""
@@ -172,8 +176,9 @@
             return
         state = self._state(entry)
         to_read = max(1, prompt.tokens_in - _kept_tokens(state, prompt))
-        expected = state.way_ns + state.backlog_ns(now) + to_read * self._read_ns(state.kind)
-        state.jobs[job.job] = SentJob(now, to_read, _tokens_held(prompt), expected)
+        waits = state.backlog_ns(now)
+        expected = state.way_ns + waits + to_read * self._token_ns(state.kind)
+        state.jobs[job.job] = SentJob(now, to_read, _tokens_held(prompt), waits, expected)
         self._add_reading(state, job.job, prompt)
         if self.on_sent is not None:
             self.on_sent(entry, prompt)
@@ -229,29 +234,28 @@
 
     def _reading_ns(self, entry: WorkerEntry, state: EngineState, prompt: PromptEstimate) -> float:
         to_read = prompt.tokens_in - _kept_tokens(state, prompt)
-        return to_read * self._read_ns(entry.kind)
+        return to_read * self._token_ns(entry.kind)
 
-    def _read_ns(self, kind: str) -> float:
+    def _token_ns(self, kind: str) -> float:
         """The time to read a token."""
-        samples = self._samples.get(kind)
-        return min(MOST_READ_NS, max(LEAST_READ_NS, min(samples))) if samples else READ_NS
+        return self._read_ns.get(kind, READ_NS)
 
     def _add_reading(self, state: EngineState, job: str, prompt: PromptEstimate) -> None:
         """A prompt waits at the worker, which keeps it once it is read."""
         to_read = max(1, prompt.tokens_in - _kept_tokens(state, prompt))
-        state.readings.append(Reading(job, to_read * self._read_ns(state.kind)))
+        state.readings.append(Reading(job, to_read * self._token_ns(state.kind)))
         self._keep(state, prompt, self._engines[state.kind])
 
     def _learn(self, state: EngineState, sent: SentJob, took: int) -> None:
-        """Correct the time to read a token, and the way, by the quickest first tokens."""
-        if state.near and sent.tokens_read >= TELLING_TOKENS:
-            samples = self._samples.setdefault(state.kind, deque(maxlen=TELLING_PROMPTS))
-            samples.append(took / sent.tokens_read)
-        way = max(float(MILLISECOND), took - sent.tokens_read * self._read_ns(state.kind))
-        if not state.way_learned or way < state.way_ns:
-            state.way_ns, state.way_learned = min(way, state.way_ns), True
-        else:
-            state.way_ns *= FORGET
+        """Correct the time to read a token, and the way, by a first token that waited for nothing."""
+        if sent.waits_ns > LITTLE_WAIT_NS:
+            return
+        token_ns = self._token_ns(state.kind)
+        if sent.tokens_read >= TELLING_TOKENS:
+            seen = (took - state.way_ns) / sent.tokens_read
+            token_ns = min(MOST_READ_NS, max(LEAST_READ_NS, _toward(token_ns, seen)))
+            self._read_ns[state.kind] = token_ns
+        state.way_ns = max(LEAST_WAY_NS, _toward(state.way_ns, took - sent.tokens_read * token_ns))
 
     # --- kept parts -------------------------------------------------------------------------------
 
@@ -268,6 +272,11 @@
             state.kept_tokens -= tokens
 
 
+def _toward(value: float, seen: float) -> float:
+    """A value that moves towards a quantile of what is seen."""
+    return value * (1 + LEARN_STEP * (LEARN_QUANTILE if seen > value else LEARN_QUANTILE - 1))
+
+
 def _tokens_held(prompt: PromptEstimate) -> int:
     return prompt.tokens_in + prompt.most_tokens_out
 
