Wait up to 1.5 s for the first configuration before a request is refused

A node that starts has its configuration after some 0.7 s. Refused after 0.3 s a request was past the quarter of its aim within which a refusal costs little, and its client's one new try often came too early again.

--- a/canvasbeam/data_plane/ingress.py
+++ b/canvasbeam/data_plane/ingress.py
@@ -37,7 +37,7 @@
     )
 )
 # After its start a node holds a request for so long until a configuration is known: others send it in less.
-FIRST_CONFIGURATION_S = 0.3
+FIRST_CONFIGURATION_S = 1.5
 COME_BACK_AT_ONCE_NS = 50 * MILLISECOND
 BODY_TIMEOUT_S = 10.0
 MAX_REQUEST_ID_BYTES = 256
