--- a/canvasbeam/decide/replication/member.py
+++ b/canvasbeam/decide/replication/member.py
@@ -270,7 +270,7 @@
         return [Send(sender, Fetched(epoch, self.replica.position, self.replica.state))]
 
     def _on_install(self, sender: MemberId, message: Install, now: int) -> list[Action]:
-        if message.epoch < self.witness.promised:
+        if self.witness.refuses(message.epoch):
             return [Send(sender, Refused(message.epoch, self.witness.promised))]
         actions = self._yield_to(message.epoch, sender, now)
         if self.replica.epoch != message.epoch:
@@ -296,7 +296,7 @@
         return [*actions, Send(sender, Accepted(view.epoch, self.witness.settled))]
 
     def _on_append(self, sender: MemberId, message: Append, now: int) -> list[Action]:
-        if message.epoch < self.witness.promised:
+        if self.witness.refuses(message.epoch):
             return [Send(sender, Refused(message.epoch, self.witness.promised))]
         if message.epoch != self.replica.epoch:
             return []
--- a/canvasbeam/decide/replication/witness.py
+++ b/canvasbeam/decide/replication/witness.py
@@ -14,9 +14,13 @@
         self.accepted = accepted
         self.settled = settled
 
+    def refuses(self, epoch: Epoch) -> bool:
+        """Whether a higher epoch was promised."""
+        return epoch < self.promised
+
     def promise(self, epoch: Epoch) -> bool:
         """Promise to refuse all lower epochs; false where a higher one was promised."""
-        if epoch < self.promised:
+        if self.refuses(epoch):
             return False
         self.promised = epoch
         return True
