Call less on a request's usual path

A first attempt repeats nothing, a pass that ends no request removes none, and header names are lowered once for the check on repeats.

--- a/canvasbeam/net/core.py
+++ b/canvasbeam/net/core.py
@@ -195,7 +195,8 @@
         done, self._done = self._done, []
         if self.decisions.has_events:
             self._decide()
-        self._remove_done(done)
+        if done:
+            self._remove_done(done)
 
     def _decide(self) -> None:
         try:
--- a/canvasbeam/net/repeat_rules.py
+++ b/canvasbeam/net/repeat_rules.py
@@ -22,6 +22,8 @@
 
     `second_copies` says whether two attempts of one request may be out at once.
     """
+    if len(attempt.request.attempts) == 1:
+        return True
     others = [each for each in attempt.request.possibly_run() if each is not attempt and each.written is not None]
     if any(each.outcome is None for each in others) and not second_copies:
         return False
--- a/canvasbeam/net/request_headers.py
+++ b/canvasbeam/net/request_headers.py
@@ -29,8 +29,9 @@
     answer: Callable[[FinalAnswer], None],
 ) -> Request:
     """The request as the core takes it; raises RequestRejected where its headers cannot be used."""
+    names = [name.lower() for name, _ in received.headers]
     for name in SINGLE:
-        if received.count(name) > 1:
+        if names.count(name) > 1:
             raise RequestRejected(HTTPStatus.BAD_REQUEST, f"{name.decode()} is given twice")
     call_id, job_class = received.text(b"x-call-id"), received.text(b"x-call-class")
     if not knows_class(job_class):
--- a/canvasbeam/net/request_reader.py
+++ b/canvasbeam/net/request_reader.py
@@ -62,10 +62,6 @@
         """The same as text; empty where it is missing."""
         return (self.value(name) or b"").decode("latin-1").strip()
 
-    def count(self, name: bytes) -> int:
-        """How often this header is given."""
-        return sum(each.lower() == name for each, _ in self.headers)
-
     def end_to_end_headers(self) -> bytes:
         """The header lines that go on to a target, unchanged."""
         lines = [name + b": " + value + b"\r\n" for name, value in self.headers if name.lower() not in HOP_BY_HOP]
