--- a/canvasbeam/data_plane/dispatcher_settings.py
+++ b/canvasbeam/data_plane/dispatcher_settings.py
@@ -27,7 +27,7 @@
     regions = tuple(sorted({settings.region, *settings.zones.values()}))
     limits = ci.Limits(
         cancel=True,
-        probes=False,
+        probes=True,
         retry_advice=True,
         max_retry_advice_ns=RETRY_ADVICE_NS,
         connect_timeout_ns=CONNECT_TIMEOUT_NS,
