--- a/canvasbeam/data_plane/carrier.py
+++ b/canvasbeam/data_plane/carrier.py
@@ -17,19 +17,18 @@
 from canvasbeam.data_plane.health_check import check_health
 from canvasbeam.data_plane.job_classes import prompt_of
 from canvasbeam.data_plane.open_requests import Attempt, Job, ListedWorker, OpenRequest
-from canvasbeam.data_plane.requests import RETRY_LATER_NS, Answer, AnswerState, ClientRequest, own_answer
+from canvasbeam.data_plane.request_table import RequestTable
+from canvasbeam.data_plane.requests import RETRY_LATER_NS, AnswerState, ClientRequest
 from canvasbeam.data_plane.streams import StreamForwarder, may_continue
 from canvasbeam.data_plane.worker_connections import ConnectFailed, WorkerConnections
 from canvasbeam.data_plane.worker_request import worker_request
-from canvasbeam.errors import Failure, ResultCode
+from canvasbeam.errors import ResultCode
 from canvasbeam.interface import Outcome
 from canvasbeam.runtime.logs import get_logger
 from canvasbeam.runtime.settings import MILLISECOND, SECOND
 
 log = get_logger(__name__)
 
-# The worker's own answer at the deadline is waited for so long after it, as far as the client waits.
-AFTER_DUE_NS = 150 * MILLISECOND
 # The dispatcher gives up so long before the deadline at the most.
 NEAR_DUE_NS = 60 * MILLISECOND
 # A request is not sent with less than this left.
@@ -61,7 +60,7 @@
         self._events: list[ci.Event] = []
         self._pass_due = False
         self._jobs: dict[str, Job] = {}
-        self._requests: dict[ClientRequest, OpenRequest] = {}
+        self._requests = RequestTable(clock, self._stop_jobs, self._start)
         self._numbers = 0
         self._workers: dict[str, ListedWorker] = {}
         self._classes: ci.ClassesChanged | None = None
@@ -78,28 +77,30 @@
 
     def submit(self, request: ClientRequest) -> None:
         """Take a request: from here on it is owed one answer."""
-        timer = self._loop.call_later((request.due_ns - self.now_ns()) / SECOND, self._on_due, request)
-        self._requests[request] = OpenRequest(timer)
+        self._requests.open(request)
         self._begin_job(request)
 
     def answer_all(self) -> None:
         """End everything that is open, at the end of the process."""
-        for request in tuple(self._requests):
-            self._fail(request)
+        for request in self._requests.requests():
+            self._requests.fail(request)
 
     def client_left(self, request: ClientRequest) -> None:
         """The client closed its connection: the work for it is stopped."""
         request.answer.client_left()
-        self._close_request(request)
+        self._requests.close(request)
 
     def _begin_job(self, request: ClientRequest) -> None:
+        entry = self._requests.entry(request)
+        if entry is None:
+            return
         if request.job_class not in self._class_names:
-            self._answer_own(request, ResultCode.REQUEST_REFUSED, "the route was removed")
+            self._requests.answer_own(request, ResultCode.REQUEST_REFUSED, "the route was removed")
             return
         self._numbers += 1
         job = Job(str(self._numbers), request)
         self._jobs[job.name] = job
-        self._requests[request].jobs.append(job)
+        entry.jobs.append(job)
         self._tell(
             ci.JobArrived(
                 job.name, request.job_class, request.due_ns, prompt=prompt_of(request), repeat=request.sent > 0
@@ -160,9 +161,9 @@
 
     def _restart(self) -> None:
         """Answer what is open and go on with a new dispatcher that knows the classes and workers."""
-        for request in tuple(self._requests):
+        for request in self._requests.requests():
             if request.answer.state is AnswerState.WAITING:
-                self._fail(request)
+                self._requests.fail(request)
         self._dispatcher = self._make_dispatcher()
         self._events = []
         if self._classes is not None:
@@ -222,12 +223,12 @@
     def _give_up(self, job: Job, come_back_ns: int) -> None:
         """The dispatcher does nothing more for a job; a worker at work until the deadline may still answer itself."""
         job.closed = True
-        request, entry = job.request, self._requests.get(job.request)
+        request, entry = job.request, self._requests.entry(job.request)
         at_work = entry is not None and any(each.written for each in entry.attempts_out())
         if at_work and self.now_ns() >= request.due_ns - NEAR_DUE_NS:
             job.waits_for_worker = True
         else:
-            self._fail(request, come_back_ns)
+            self._requests.fail(request, come_back_ns)
 
     # --- an attempt -------------------------------------------------------------------------------
 
@@ -292,12 +293,12 @@
                 self._count_served(request)
             else:
                 request.answer.abort()
-            self._close_request(request)
+            self._requests.close(request)
         else:
             request.worker_failure = result.answer or request.worker_failure
             self._end_attempt(attempt, result.outcome)
             if attempt.job.waits_for_worker:
-                self._fail(request)
+                self._requests.fail(request)
 
     async def _conclude_stream(self, attempt: Attempt, result: ExchangeResult) -> None:
         request = attempt.job.request
@@ -305,13 +306,13 @@
         if result.outcome is Outcome.OK:
             await request.answer.finish()
             self._count_served(request)
-            self._close_request(request)
+            self._requests.close(request)
         elif may_continue(request):
             log.info("a stream broke and goes on at another worker", extra={"request_id": request.identity.decode()})
             self._begin_job(request)
         else:
             request.answer.abort()
-            self._close_request(request)
+            self._requests.close(request)
 
     def _count_served(self, request: ClientRequest) -> None:
         if self.on_served is not None:
@@ -352,55 +353,9 @@
 
     # --- the end of a request ---------------------------------------------------------------------
 
-    def _on_due(self, request: ClientRequest) -> None:
-        """The time for a request is over; a worker at work gets a moment for its own answer, or a stream its end."""
-        entry = self._requests.get(request)
-        if entry is None:
-            return
-        at_work = any(each.written for each in entry.attempts_out())
-        last_ns = min(request.due_ns + AFTER_DUE_NS, request.client_due_ns)
-        left_ns = last_ns - self.now_ns()
-        if at_work and left_ns > 0:
-            entry.timer = self._loop.call_later(left_ns / SECOND, self._on_due, request)
-            return
-        self._fail(request)
-
-    def _fail(self, request: ClientRequest, come_back_ns: int = RETRY_LATER_NS) -> None:
-        """End a request that no worker answers: with a promise where it is true, else with what is known."""
-        entry = self._requests.get(request)
-        if entry is None:
-            return
-        out = any(each.written for each in entry.attempts_out())
-        if request.answer.state is AnswerState.STREAMING:
-            request.answer.abort()
-            self._close_request(request)
-        elif not out and not request.may_have_run:
-            self._answer_own(request, ResultCode.REQUEST_REFUSED, "no worker could take it in time", come_back_ns)
-        elif request.worker_failure is not None and not out:
-            self._start(self._answer(request, request.worker_failure))
-        elif out or self.now_ns() >= request.due_ns:
-            self._answer_own(request, ResultCode.REQUEST_TIMED_OUT, "no answer came in time")
-        else:
-            self._answer_own(request, ResultCode.REQUEST_FAILED, "the worker gave no usable answer")
-
-    def _answer_own(
-        self, request: ClientRequest, code: ResultCode, reason: str, come_back_ns: int = RETRY_LATER_NS
-    ) -> None:
-        log.info("{}: {}", code.name.lower(), reason, extra={"request_id": request.identity.decode("latin-1")})
-        if request.answer.state is AnswerState.STREAMING:
-            request.answer.abort()
-            self._close_request(request)
-            return
-        self._start(self._answer(request, own_answer(Failure(code, reason), come_back_ns)))
-
-    async def _answer(self, request: ClientRequest, answer: Answer) -> None:
-        self._stop_all(request)
-        await request.answer.send_whole(answer)
-        self._close_request(request)
-
-    def _stop_all(self, request: ClientRequest) -> None:
-        entry = self._requests.get(request)
-        for job in entry.jobs if entry is not None else ():
+    def _stop_jobs(self, entry: OpenRequest) -> None:
+        """Nothing more is sent for a request, and what is out is stopped, before its own answer leaves."""
+        for job in entry.jobs:
             if not job.closed:
                 job.closed = True
                 self._tell(ci.ClientGone(job.name))
@@ -408,13 +363,6 @@
                 self._stop_attempt(attempt)
             self._forget_job(job)
 
-    def _close_request(self, request: ClientRequest) -> None:
-        """Nothing is owed any more."""
-        self._stop_all(request)
-        entry = self._requests.pop(request, None)
-        if entry is not None:
-            entry.timer.cancel()
-
     # --- probes -----------------------------------------------------------------------------------
 
     async def _probe(self, worker: str) -> None:
--- a/canvasbeam/data_plane/ingress.py
+++ b/canvasbeam/data_plane/ingress.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import re
 from collections.abc import Awaitable, Callable, MutableMapping
 from typing import Any
 
@@ -42,6 +43,7 @@
 BODY_TIMEOUT_S = 10.0
 MAX_REQUEST_ID_BYTES = 256
 MAX_DEADLINE_MS = 3_600_000
+_DEADLINE = re.compile(rb"[0-9]{1,12}(\.[0-9]{0,9})?")
 
 
 class _ClientLeft(Exception):
@@ -197,15 +199,15 @@
     if not scope["raw_path"].startswith(b"/"):
         return Failure(ResultCode.REQUEST_INVALID, "the target must be a path")
     deadline = _header(headers, b"x-deadline")
-    if deadline is not None and not deadline.strip().isdigit():
-        return Failure(ResultCode.REQUEST_INVALID, "X-Deadline must be a whole number of milliseconds")
+    if deadline is not None and _DEADLINE.fullmatch(deadline) is None:
+        return Failure(ResultCode.REQUEST_INVALID, "X-Deadline must be a number of milliseconds")
     return None
 
 
 def _client_wait(headers: Headers) -> int:
     """How long the client waits, less the way of its answer."""
     deadline = _header(headers, b"x-deadline")
-    wait_ms = MAX_DEADLINE_MS if deadline is None else min(int(deadline), MAX_DEADLINE_MS)
+    wait_ms = MAX_DEADLINE_MS if deadline is None else min(int(float(deadline)), MAX_DEADLINE_MS)
     return max(0, wait_ms * MILLISECOND - CLIENT_MARGIN_NS)
 
 
--- /dev/null
+++ b/canvasbeam/data_plane/request_table.py
@@ -0,0 +1,111 @@
+"""The open requests of clients: when each is due, and this node's own answers.
+
+A 503 is a promise that the request has not run and never will. It is given only where no attempt was written, and after
+everything that could still be written has been stopped.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from canvasbeam.data_plane.open_requests import OpenRequest
+from canvasbeam.data_plane.requests import RETRY_LATER_NS, Answer, AnswerState, ClientRequest, own_answer
+from canvasbeam.errors import Failure, ResultCode
+from canvasbeam.runtime.logs import get_logger
+from canvasbeam.runtime.settings import MILLISECOND, SECOND
+
+log = get_logger(__name__)
+
+# The worker's own answer at the deadline is waited for so long after it, as far as the client waits.
+AFTER_DUE_NS = 150 * MILLISECOND
+
+
+class RequestTable:
+    """Requests without their whole answer."""
+
+    def __init__(
+        self,
+        now_ns: Callable[[], int],
+        stop_jobs: Callable[[OpenRequest], None],
+        start: Callable[[Coroutine[Any, Any, None]], object],
+    ) -> None:
+        self._now_ns = now_ns
+        self._stop_jobs = stop_jobs
+        self._start = start
+        self._loop = asyncio.get_running_loop()
+        self._entries: dict[ClientRequest, OpenRequest] = {}
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def requests(self) -> tuple[ClientRequest, ...]:
+        """All open requests."""
+        return tuple(self._entries)
+
+    def entry(self, request: ClientRequest) -> OpenRequest | None:
+        """What is kept with a request that is open."""
+        return self._entries.get(request)
+
+    def open(self, request: ClientRequest) -> None:
+        """Take a request, which is answered when it is due at the latest."""
+        delay_s = (request.due_ns - self._now_ns()) / SECOND
+        self._entries[request] = OpenRequest(self._loop.call_later(delay_s, self._on_due, request))
+
+    def close(self, request: ClientRequest) -> None:
+        """Nothing is owed any more."""
+        entry = self._entries.pop(request, None)
+        if entry is not None:
+            entry.timer.cancel()
+            self._stop_jobs(entry)
+
+    def fail(self, request: ClientRequest, come_back_ns: int = RETRY_LATER_NS) -> None:
+        """End a request that no worker answers: with a promise where it is true, else with what is known."""
+        entry = self._entries.get(request)
+        if entry is None:
+            return
+        out = any(each.written for each in entry.attempts_out())
+        if not out and not request.may_have_run:
+            self.answer_own(request, ResultCode.REQUEST_REFUSED, "no worker could take it in time", come_back_ns)
+        elif request.worker_failure is not None and not out:
+            self._answer(entry, request, request.worker_failure)
+        elif out or self._now_ns() >= request.due_ns:
+            self.answer_own(request, ResultCode.REQUEST_TIMED_OUT, "no answer came in time")
+        else:
+            self.answer_own(request, ResultCode.REQUEST_FAILED, "the worker gave no usable answer")
+
+    def answer_own(
+        self, request: ClientRequest, code: ResultCode, reason: str, come_back_ns: int = RETRY_LATER_NS
+    ) -> None:
+        """End a request with this node's own answer, or by a close where a part of an answer is out."""
+        entry = self._entries.get(request)
+        if entry is None:
+            return
+        log.info("{}: {}", code.name.lower(), reason, extra={"request_id": request.identity.decode("latin-1")})
+        self._answer(entry, request, own_answer(Failure(code, reason), come_back_ns))
+
+    def _answer(self, entry: OpenRequest, request: ClientRequest, answer: Answer) -> None:
+        self._stop_jobs(entry)
+        if request.answer.state is AnswerState.WAITING:
+            self._start(self._send_last(request, answer))
+        else:
+            request.answer.abort()
+            self.close(request)
+
+    async def _send_last(self, request: ClientRequest, answer: Answer) -> None:
+        await request.answer.send_whole(answer)
+        self.close(request)
+
+    def _on_due(self, request: ClientRequest) -> None:
+        """The time for a request is over; a worker at work gets a moment for its own answer, or a stream its end."""
+        entry = self._entries.get(request)
+        if entry is None:
+            return
+        at_work = any(each.written for each in entry.attempts_out())
+        last_ns = min(request.due_ns + AFTER_DUE_NS, request.client_due_ns)
+        left_ns = last_ns - self._now_ns()
+        if at_work and left_ns > 0:
+            entry.timer = self._loop.call_later(left_ns / SECOND, self._on_due, request)
+            return
+        self.fail(request)
--- a/tests/test_data_plane_ingress.py
+++ b/tests/test_data_plane_ingress.py
@@ -30,6 +30,7 @@
     "two hosts": HEAD + "Host: b.example\r\nContent-Length: 0\r\n\r\n",
     "a whole address": f"POST http://{HOST}/safe/x HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: r1\r\n\r\n",
     "a bad deadline": HEAD.replace("4000", "soon") + "Content-Length: 0\r\n\r\n",
+    "a negative deadline": HEAD.replace("4000", "-1") + "Content-Length: 0\r\n\r\n",
     "not HTTP": "\x16\x03\x01 hello\r\n\r\n",
     "a head that is too large": HEAD + f"X-Large: {'a' * 20000}\r\nContent-Length: 0\r\n\r\n",
     "a body that is too large": HEAD + f"Content-Length: 1001\r\n\r\n{'a' * 1001}",
@@ -198,3 +199,14 @@
         assert data_plane.memory.held == 0
 
     run(body, worker)
+
+
+def test_a_deadline_may_be_a_fraction() -> None:
+    worker = ScriptedWorker("w1")
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        client = await data_plane.client()
+        assert (await client.request("/safe/x", "id-1", "", "X-Deadline: 3999.5")).status == 200
+        assert 0 < int(worker.received[0].headers["x-deadline"]) < 4000
+
+    run(body, worker)
--- a/tests/test_data_plane_requests.py
+++ b/tests/test_data_plane_requests.py
@@ -343,3 +343,26 @@
         assert (answer.status, answer.headers["x-response-seal"]) == (504, "3e1b.07")
 
     run(body, worker, routes=[make_route("short", "unsafe", timeout_ms=60)])
+
+
+def test_once_a_request_is_refused_nothing_of_it_is_written_though_its_connection_comes_free() -> None:
+    worker = ScriptedWorker("w1")
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        pool = data_plane.connections.pool("w1")
+        assert pool is not None
+        pool.most = 1
+        held = await pool.acquire(unsafe=True)
+        client = await data_plane.client()
+        await client.send(request_bytes("/unsafe/x", "id-1"))
+        while not pool._waiting:
+            await asyncio.sleep(0)
+        pool._idle.append(held)  # as after a whole exchange, at the very moment of the refusal
+        held.idle_since = asyncio.get_running_loop().time()
+        pool._wake_one()
+        data_plane.carrier.answer_all()
+        assert (await client.response()).status == 503
+        assert (await client.request("/unsafe/x", "id-2")).status == 200
+        assert [each.identity for each in worker.received] == ["id-2"]
+
+    run(body, worker)
