--- a/canvasbeam/control_plane/registry.py
+++ b/canvasbeam/control_plane/registry.py
@@ -159,9 +159,13 @@
         return not self._node.in_touch(IN_TOUCH_WITHIN_NS)
 
     def _is_registrar(self) -> bool:
-        """Whether this node is the first of those in contact."""
+        registrar = self._registrar()
+        return registrar is not None and self._is_own(registrar)
+
+    def _registrar(self) -> Member | None:
+        """The first control node of those in contact, this one among them: it judges the silent."""
         nodes = [node for node in self._node.control_nodes() if self._is_own(node) or node.ip in self._in_contact]
-        return bool(nodes) and self._is_own(min(nodes, key=lambda node: node.key))
+        return min(nodes, key=lambda node: node.key, default=None)
 
     def _is_own(self, member: Member) -> bool:
         return member.ip == self._settings.ip
@@ -179,13 +183,20 @@
         self._publish(corrections)
 
     def _tell_heartbeats(self) -> None:
-        """Tell each other control node, also of no heartbeat at all: that this node takes part is told with it."""
+        """Tell the registrar of the heartbeats taken here, and the other control nodes that this one takes part."""
         heartbeats = self._registry.take_untold()
         message = HeardHeartbeats(
             heartbeats=[HeardHeartbeatMessage(id=each.worker_id, sequence=each.sequence) for each in heartbeats]
         )
-        addresses = [self._node.peer_address(node) for node in self._node.control_nodes() if not self._is_own(node)]
-        self._node.transport.send_to_many(addresses, Channel.REGISTRY, message.SerializeToString())
+        registrar = self._registrar()
+        others = [node for node in self._node.control_nodes() if not self._is_own(node)]
+        self._send([node for node in others if node == registrar], message)
+        self._send([node for node in others if node != registrar], HeardHeartbeats())
+
+    def _send(self, nodes: Sequence[Member], message: HeardHeartbeats) -> None:
+        addresses = [self._node.peer_address(node) for node in nodes]
+        if addresses:
+            self._node.transport.send_to_many(addresses, Channel.REGISTRY, message.SerializeToString())
 
     def _on_message(self, sender: PeerInfo, payload: bytes) -> None:
         try:
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -191,6 +191,21 @@
     assert network.nodes[1].state("i-1") is WorkerState.READY
 
 
+def test_next_registrar_judges_nobody_who_beats() -> None:
+    network = make_network("z1", "z2", "z3")
+    for sequence in range(1, 30):
+        if sequence == 10:
+            network.nodes.pop(0)
+            for node in network.nodes:
+                node.live = [each.member for each in network.nodes]
+        network.nodes[-1].heartbeat("i-1", sequence)
+        if sequence < 20:
+            network.nodes[-1].heartbeat("i-2", sequence)
+        network.advance(1000)
+        assert network.nodes[0].state("i-1") is WorkerState.READY
+    assert network.nodes[0].state("i-2") is WorkerState.MISSING
+
+
 def test_node_that_is_cut_off_sends_workers_on_and_judges_nobody() -> None:
     network = make_network("z1", "z2", "z3")
     network.nodes[1].heartbeat("i-1", 1)
