--- a/canvasbeam/decide/engine_model.py
+++ b/canvasbeam/decide/engine_model.py
@@ -12,6 +12,7 @@
 | all else before it | the last first token's delay beyond what was expected; fades |
 | the time to read a token | a prior, corrected by first tokens of long prompts before which nothing waited |
 | the way there and back | likewise, by the first tokens of each worker, less the time to read the prompt |
+| that a worker is cut off or dark | a first token is overdue, and none came since from there |
 | parts that are kept | those of all sends known, the least recently used dropped first |
 """
 
@@ -46,6 +47,9 @@
 LATE_BACKLOG_NS = 60 * MILLISECOND
 # A delay that was not expected fades over about this time.
 FADE_NS = 300 * MILLISECOND
+# A first token is overdue after so many times what was expected, and this.
+OVERDUE_TIMES = 1.5
+OVERDUE_NS = 200 * MILLISECOND
 # Of a worker's memory, what our own running jobs may use, and what known parts are taken to use.
 MEMORY_SHARE = 0.9
 KEPT_SHARE = 0.5
@@ -85,8 +89,9 @@
     """What is known of one worker."""
 
     kind: str
-    near: bool
+    zone: str
     way_ns: float
+    heard_at: int = 0  # its last first token
     jobs: dict[str, SentJob] = field(default_factory=dict)
     readings: deque[Reading] = field(default_factory=deque)  # in the order of their sends
     read_at: int = 0  # up to when reading was taken off
@@ -108,6 +113,15 @@
         while self.readings and not self.readings[0].job and self.readings[0].left_ns <= 0:
             self.readings.popleft()
 
+    def is_overdue(self, now: int, heard_at: int) -> bool:
+        """Whether a first token is overdue though none came since it was asked for."""
+        return any(
+            not each.started
+            and each.sent_at >= heard_at
+            and now - each.sent_at > OVERDUE_TIMES * each.expected_ns + OVERDUE_NS
+            for each in self.jobs.values()
+        )
+
     def backlog_ns(self, now: int) -> float:
         """Reading that waits at the worker, as far as is known."""
         self.read_until(now)
@@ -142,6 +156,9 @@
         self._engines: dict[str, Engine] = {}
         self._states: dict[str, EngineState] = {}
         self.on_sent: SentListener | None = None
+        self._heard_zones: dict[str, int] = {}  # the last first token from each zone
+        self._silent_zones: dict[str, bool] = {}  # as found at `_silent_at`
+        self._silent_at = 0
         self._read_ns: dict[str, float] = {}  # by kind, the time to read a token
 
     def engines(self, engines: Mapping[str, Engine]) -> None:
@@ -155,6 +172,8 @@
         if prompt is None or engine is None:
             return True
         state = self._state(entry)
+        if state.is_overdue(now, state.heard_at) or self._is_silent(now, state.zone):
+            return False
         in_use = sum(each.tokens_held for each in state.jobs.values())
         if in_use and in_use + _tokens_held(prompt) > MEMORY_SHARE * engine.kv_capacity:
             return False
@@ -196,6 +215,7 @@
         if state is None or sent is None or sent.started:
             return
         sent.started = True
+        state.heard_at = self._heard_zones[state.zone] = now
         took = now - sent.sent_at
         self._learn(state, sent, took)
         state.delay_ns, state.delay_at = max(0.0, took - sent.expected_ns), now
@@ -223,11 +243,24 @@
     def _state(self, entry: WorkerEntry) -> EngineState:
         state = self._states.get(entry.worker)
         if state is None:
-            near = entry.zone == self._own_zone
-            state = EngineState(entry.kind, near, float(NEAR_NS if near else AWAY_NS))
+            way = NEAR_NS if entry.zone == self._own_zone else AWAY_NS
+            state = EngineState(entry.kind, entry.zone, float(way))
             self._states[entry.worker] = state
         return state
 
+    def _is_silent(self, now: int, zone: str) -> bool:
+        """Whether another zone may be cut off: its workers share the links."""
+        if zone == self._own_zone:
+            return False
+        if now != self._silent_at:
+            self._silent_at = now
+            self._silent_zones.clear()
+        if zone not in self._silent_zones:
+            heard_at = self._heard_zones.get(zone, 0)
+            there = (each for each in self._states.values() if each.zone == zone)
+            self._silent_zones[zone] = any(each.is_overdue(now, heard_at) for each in there)
+        return self._silent_zones[zone]
+
     def _sent(self, worker: str, job: str) -> tuple[EngineState | None, SentJob | None]:
         state = self._states.get(worker)
         return state, state.jobs.get(job) if state is not None else None
--- a/tests/test_engine_model.py
+++ b/tests/test_engine_model.py
@@ -195,3 +195,43 @@
     assert room_behind(expectations, NEAR, now, 6000, round(true * 1.25 / AIM_SHARE))
     expectations.ended(now, "near", "before")
     assert not room_behind(expectations, NEAR, now, 6000, round(true * 0.8 / AIM_SHARE))
+
+
+def test_a_worker_whose_first_token_is_overdue_has_no_room_until_one_comes() -> None:
+    expectations = model()
+    expectations.sent(NOW, NEAR, job("dark", 100))
+    later = NOW + SECOND
+    assert expectations.has_room(NOW + 100 * MS, NEAR, job("j", 100), AIM)
+    assert not expectations.has_room(later, NEAR, job("j", 100), AIM)
+    expectations.started(later, "near", "dark")
+    assert expectations.has_room(later + SECOND, NEAR, job("j", 100), AIM)
+
+
+def test_a_worker_that_began_a_later_job_is_not_dark() -> None:
+    expectations = model()
+    expectations.sent(NOW, NEAR, job("first", 100))
+    expectations.sent(NOW + MS, NEAR, job("second", 100))
+    expectations.started(NOW + 30 * MS, "near", "second")
+    assert expectations.has_room(NOW + SECOND, NEAR, job("j", 100), AIM)
+
+
+def test_a_silent_worker_shows_its_zone_cut_off_but_not_the_own_one() -> None:
+    expectations = model()
+    other_away, other_near = WorkerEntry("away-2", "there", "llm"), WorkerEntry("near-2", "here", "llm")
+    expectations.sent(NOW, AWAY, job("cut", 100))
+    expectations.sent(NOW, NEAR, job("dark", 100))
+    later = NOW + SECOND
+    assert not expectations.has_room(later, other_away, job("j", 100), AIM)
+    assert expectations.has_room(later, other_near, job("j", 100), AIM)
+    expectations.ended(later, "away", "cut")
+    assert expectations.has_room(later + 1, other_away, job("j", 100), AIM)
+
+
+def test_a_zone_that_is_heard_of_is_not_cut_off() -> None:
+    expectations = model()
+    other = WorkerEntry("away-2", "there", "llm")
+    expectations.sent(NOW, AWAY, job("slow", 100))
+    expectations.sent(NOW + MS, other, job("quick", 100))
+    expectations.started(NOW + 130 * MS, "away-2", "quick")
+    assert expectations.has_room(NOW + SECOND, other, job("j", 100), AIM)
+    assert not expectations.has_room(NOW + SECOND, AWAY, job("j", 100), AIM)
