Tell the committed state at once after a restart, and stand for election sooner

Each member stores the index known to be committed, which nothing waits for. After a loss of all machines the configuration is there before the election.

--- a/canvasbeam/control_plane/member_records.py
+++ b/canvasbeam/control_plane/member_records.py
@@ -5,6 +5,7 @@
 | `member` | the member's id |
 | `witness` | promised epoch, accepted view |
 | `installed` | the epoch of the replica |
+| `committed` | the index up to which everything is known to be committed |
 | `state` | the state at the last snapshot |
 | `change/…` | the changes since, by index |
 """
@@ -25,7 +26,7 @@
     encode_witness,
 )
 from canvasbeam.decide.replication.member import Durable
-from canvasbeam.decide.replication.messages import Save, SaveChange, SaveInstalled, SaveWitness
+from canvasbeam.decide.replication.messages import Save, SaveChange, SaveCommitted, SaveInstalled, SaveWitness
 from canvasbeam.decide.replication.types import Apply, MemberId
 from canvasbeam.errors import Failure, ResultCode
 from canvasbeam.storage.frames import Updates
@@ -33,6 +34,7 @@
 MEMBER = "member"
 WITNESS = "witness"
 INSTALLED = "installed"
+COMMITTED = "committed"
 STATE = "state"
 CHANGE_PREFIX = "change/"
 MAX_CHANGES = 64
@@ -76,6 +78,8 @@
                         self._snapshot(updates, save.state)
                 case SaveChange():
                     self._change(updates, save)
+                case SaveCommitted():
+                    updates[COMMITTED] = str(save.index).encode()
         return updates
 
     def _change(self, updates: dict[str, bytes | None], save: SaveChange) -> None:
@@ -109,7 +113,8 @@
     state = _load_state(stored, codec, apply)
     if isinstance(state, Failure):
         return state
-    durable = Durable(witness.promised, witness.accepted, witness.settled, installed, state)
+    committed = int(stored.get(COMMITTED, b"0"))
+    durable = Durable(witness.promised, witness.accepted, witness.settled, installed, state, committed)
     return Loaded(stored[MEMBER].decode(), durable)
 
 
--- a/canvasbeam/control_plane/replicated_state.py
+++ b/canvasbeam/control_plane/replicated_state.py
@@ -220,6 +220,7 @@
             seed=int.from_bytes(os.urandom(DISK_ID_BYTES), "big"),
         )
         self._member = Member(settings, loaded.durable, self._apply, time.monotonic_ns())
+        self._perform(self._member.begin())
         log.info("member {} begins at index {}", loaded.member, loaded.durable.state.index)
         self._spawn(self._write_saves())
         self._spawn(self._tick())
--- a/canvasbeam/decide/membership.py
+++ b/canvasbeam/decide/membership.py
@@ -405,9 +405,7 @@
         if self.standing is Standing.JOINING:
             self._stand(Standing.MEMBER, f"{sender.name} answered")
         if sender.incarnation > member.fact.incarnation and member.fact.status is not Status.LEFT:
-            self._hear(
-                Fact(sender.name, sender.address, Status.ALIVE, sender.start, sender.incarnation), sender.name
-            )
+            self._hear(Fact(sender.name, sender.address, Status.ALIVE, sender.start, sender.incarnation), sender.name)
         for fact in message.facts:
             self._hear(fact, sender.name)
         match message.kind:
@@ -522,9 +520,7 @@
             # suspect here for a while is dead by hearsay.
             held = self._now - member.since if known.status is Status.SUSPECT and same else 0
             if held < self.terms.least_suspicion // 2:
-                self._hear(
-                    Fact(fact.name, fact.address, Status.SUSPECT, fact.start, fact.incarnation, teller), teller
-                )
+                self._hear(Fact(fact.name, fact.address, Status.SUSPECT, fact.start, fact.incarnation, teller), teller)
                 return
         self._set(member, fact, _why(fact, teller))
 
--- a/canvasbeam/decide/replication/candidate.py
+++ b/canvasbeam/decide/replication/candidate.py
@@ -72,6 +72,7 @@
         self.epoch = Epoch(number, me)
         self.view: View | None = None
         self.phase = Phase.PROBING
+        self.has_prepared = False
         self.source: MemberId = ""
         self.source_position = Position(self.epoch, 0)
         self._plan = plan
@@ -137,6 +138,7 @@
     def _enter(self, phase: Phase, now: int) -> list[Send]:
         """The only place where the phase changes."""
         self.phase = phase
+        self.has_prepared = self.has_prepared or phase is Phase.PREPARING
         self._phase_since = now
         self._quorum_since = None
         return self._ask(now)
--- a/canvasbeam/decide/replication/durability.py
+++ b/canvasbeam/decide/replication/durability.py
@@ -12,9 +12,6 @@
     AFTER_SYNC,
     Action,
     Save,
-    SaveChange,
-    SaveInstalled,
-    SaveWitness,
     Send,
     SendToAddress,
 )
@@ -36,7 +33,7 @@
         """Queue the saves and what waits for them; what may go at once is returned."""
         free: list[Action] = []
         for action in actions:
-            if isinstance(action, SaveWitness | SaveInstalled | SaveChange):
+            if isinstance(action, Save):
                 self._unwritten.append(action)
                 self._saves_seen += 1
             elif isinstance(action, Send | SendToAddress) and self._must_wait(action):
--- a/canvasbeam/decide/replication/member.py
+++ b/canvasbeam/decide/replication/member.py
@@ -42,6 +42,7 @@
     Refused,
     Reply,
     Resign,
+    SaveCommitted,
     SaveInstalled,
     Send,
     SendToAddress,
@@ -85,6 +86,7 @@
     settled: bool = False
     installed: Epoch = NO_EPOCH
     state: ControlState = ControlState()
+    committed: int = 0
 
     @classmethod
     def genesis(cls, view: View) -> Durable:
@@ -110,7 +112,7 @@
         self.me = settings.me
         self.role = Role.FOLLOWER
         self.witness = Witness(durable.promised, durable.accepted, durable.settled)
-        self.replica = Replica(apply, durable.installed, durable.state)
+        self.replica = Replica(apply, durable.installed, durable.state, durable.committed)
         self.contacts = Contacts(settings.timing)
         self.known_view = durable.accepted  # the highest that this member heard of
         self.known_settled = durable.settled
@@ -131,6 +133,11 @@
 
     # --- events -----------------------------------------------------------------------------------------------
 
+    def begin(self) -> list[Action]:
+        """The first event: tell the state that was known to be committed when this member last ran."""
+        committed = self.replica.committed
+        return [Publish(committed)] if committed.index else []
+
     def receive(self, sender: MemberId, message: Message, now: int) -> list[Action]:
         """A message of another member, or of this one."""
         self._note_sender(sender, message, now)
@@ -323,8 +330,12 @@
             NO_EPOCH if accepted is None else accepted.epoch,
             self.witness.settled,
         )
-        newer = self.replica.commit(message.epoch, message.committed)
-        return [*actions, *([] if newer is None else [Publish(newer)]), Send(sender, ack)]
+        return [*actions, Send(sender, ack), *self._commit(message.epoch, message.committed)]
+
+    def _commit(self, epoch: Epoch, index: int) -> list[Action]:
+        """Everything up to an index is committed: tell it, and store that, which nothing waits for."""
+        newer = self.replica.commit(epoch, index)
+        return [] if newer is None else [Publish(newer), SaveCommitted(newer.index)]
 
     def _on_resign(self, sender: MemberId, epoch: Epoch, now: int) -> list[Action]:
         if sender == self.primary_id and epoch >= self.primary_epoch:
@@ -483,7 +494,9 @@
         if candidate.phase is Phase.WON and candidate.view is not None:
             return actions + self._lead(candidate, candidate.view, now)
         if candidate.phase is Phase.LOST:
-            return actions + self._become(Role.FOLLOWER, now)
+            actions += self._become(Role.FOLLOWER, now)
+            if not candidate.has_prepared:
+                self._election_at = now + self._election_delay()  # asking did no harm: ask again soon
         return actions
 
     # --- primary ----------------------------------------------------------------------------------------------
--- a/canvasbeam/decide/replication/messages.py
+++ b/canvasbeam/decide/replication/messages.py
@@ -216,6 +216,13 @@
     state: ControlState
 
 
+@dataclass(frozen=True, slots=True)
+class SaveCommitted:
+    """Store the index up to which everything is committed, so that a restart can tell it at once."""
+
+    index: int
+
+
 @dataclass(frozen=True, slots=True)
 class Reply:
     """Answer the call of that number."""
@@ -231,5 +238,5 @@
     state: ControlState
 
 
-Save = SaveWitness | SaveInstalled | SaveChange
-Action = Send | SendToAddress | SaveWitness | SaveInstalled | SaveChange | Reply | Publish
+Save = SaveWitness | SaveInstalled | SaveChange | SaveCommitted
+Action = Send | SendToAddress | Save | Reply | Publish
--- a/canvasbeam/decide/replication/primary.py
+++ b/canvasbeam/decide/replication/primary.py
@@ -22,6 +22,7 @@
     Publish,
     Reply,
     SaveChange,
+    SaveCommitted,
     Send,
 )
 from canvasbeam.decide.replication.replica import Replica
@@ -218,7 +219,7 @@
 
     def _publish(self) -> list[Action]:
         newer = self._replica.commit(self.view.epoch, self._committed)
-        return [] if newer is None else [Publish(newer)]
+        return [] if newer is None else [Publish(newer), SaveCommitted(newer.index)]
 
     def _note_confirmation(self) -> None:
         rounds = self._rounds
--- a/canvasbeam/decide/replication/replica.py
+++ b/canvasbeam/decide/replication/replica.py
@@ -13,11 +13,11 @@
 class Replica:
     """Changes are applied in order and only within the epoch for which the replica was installed."""
 
-    def __init__(self, apply: Apply, epoch: Epoch, state: ControlState) -> None:
+    def __init__(self, apply: Apply, epoch: Epoch, state: ControlState, committed: int) -> None:
         self._apply = apply
         self.epoch = epoch
         self.state = state
-        self.committed = ControlState()
+        self.committed = state if 0 < state.index <= committed else ControlState()
         self._uncommitted: dict[int, ControlState] = {state.index: state}
 
     @property
--- a/canvasbeam/decide/replication/types.py
+++ b/canvasbeam/decide/replication/types.py
@@ -95,7 +95,7 @@
     silence: int = 600 * MILLISECOND  # after which a member counts as lost
     election: int = 750 * MILLISECOND  # without a heartbeat before the first candidate asks
     election_step: int = 200 * MILLISECOND  # by which each next candidate waits longer
-    first_election: int = 400 * MILLISECOND  # of the first start: the others may start a little later
+    first_election: int = 150 * MILLISECOND  # after a start: a primary that acts is heard by then
     resend: int = 200 * MILLISECOND
     stage: int = 700 * MILLISECOND  # the longest that a candidate waits for anything
     grace: int = 300 * MILLISECOND  # for which a candidate with a quorum waits for the others
--- a/tests/replication_world.py
+++ b/tests/replication_world.py
@@ -21,6 +21,7 @@
     Reply,
     Save,
     SaveChange,
+    SaveCommitted,
     SaveInstalled,
     SaveWitness,
     Send,
@@ -68,6 +69,8 @@
                 durable = replace(durable, installed=save.epoch, state=state)
             case SaveChange():
                 durable = replace(durable, state=save.state)
+            case SaveCommitted():
+                durable = replace(durable, committed=save.index)
     return durable
 
 
@@ -150,6 +153,7 @@
         machine.writing = None
         machine.published = 0
         machine.member = Member(settings, machine.durable, apply_tag, self.now)
+        self._perform(machine, machine.member.begin())
 
     def crash(self, ip: str, keep_unsynced: bool) -> None:
         """The process or the power goes; what was being written is there or not."""
