--- a/canvasbeam/control_plane/disk_worker.py
+++ b/canvasbeam/control_plane/disk_worker.py
@@ -8,8 +8,11 @@
 
 import asyncio
 from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
-from typing import TypeVar
+from contextlib import suppress
+from dataclasses import dataclass
+from queue import SimpleQueue
+from threading import Thread
+from typing import Any, TypeVar
 
 from canvasbeam.errors import Failure, ResultCode
 from canvasbeam.storage.frames import Updates
@@ -23,12 +26,41 @@
 HealthListener = Callable[[Failure | None], None]
 
 
+@dataclass(frozen=True, slots=True)
+class _Call:
+    """A blocking call, and where its outcome goes."""
+
+    call: Callable[[], Any]
+    loop: asyncio.AbstractEventLoop
+    future: asyncio.Future[Any]
+
+    def run(self) -> None:
+        """In the thread: make the call, and hand over the outcome to the loop."""
+        result, error = None, None
+        try:
+            result = self.call()
+        except Exception as raised:  # raised again where the call is awaited
+            error = raised
+        with suppress(RuntimeError):  # the loop was closed meanwhile
+            self.loop.call_soon_threadsafe(self._finish, result, error)
+
+    def _finish(self, result: Any, error: Exception | None) -> None:
+        if self.future.done():
+            return
+        if error is None:
+            self.future.set_result(result)
+        else:
+            self.future.set_exception(error)
+
+
 class DiskWorker:
     """Runs the blocking calls of a store in order, in a thread of its own."""
 
     def __init__(self, on_health: HealthListener) -> None:
         self._on_health = on_health
-        self._executor = ThreadPoolExecutor(max_workers=1, thread_name_prefix="disk")
+        self._calls: SimpleQueue[_Call | None] = SimpleQueue()
+        # A daemon: a disk that stalls must not hold up the end of the process.
+        Thread(target=self._work, name="disk", daemon=True).start()
         self._trouble: Failure | None = None
 
     @property
@@ -38,7 +70,15 @@
 
     async def run(self, call: Callable[[], Result]) -> Result:
         """Run a call in the disk's thread."""
-        return await asyncio.get_running_loop().run_in_executor(self._executor, call)
+        loop = asyncio.get_running_loop()
+        future: asyncio.Future[Result] = loop.create_future()
+        self._calls.put(_Call(call, loop, future))
+        return await future
+
+    def _work(self) -> None:
+        """The thread: one call after the other."""
+        while (call := self._calls.get()) is not None:
+            call.run()
 
     async def write(self, store: Store, updates: Updates) -> None:
         """Return when the updates are durable, however long that takes."""
@@ -66,4 +106,4 @@
 
     def close(self) -> None:
         """Take no more calls; one that is running is not waited for."""
-        self._executor.shutdown(wait=False, cancel_futures=True)
+        self._calls.put(None)
--- a/canvasbeam/control_plane/program.py
+++ b/canvasbeam/control_plane/program.py
@@ -93,6 +93,7 @@
     def change_settings(self, settings: ProcessSettings) -> None:
         """Take changed settings: of those, the seeds may change while a process runs."""
         self._node.set_seeds(settings.seed_peers)
+        self._service.set_seeds(settings.seeds)
 
     async def stop(self) -> None:
         """End in order: calls in progress are answered, the office is handed on, the others are told."""
--- a/canvasbeam/control_plane/replicated_state.py
+++ b/canvasbeam/control_plane/replicated_state.py
@@ -45,6 +45,7 @@
 log = get_logger(__name__)
 
 CommitListener = Callable[[ControlState], None]
+PrimaryListener = Callable[[str | None], None]
 
 
 class ReplicationTransport(Protocol):
@@ -122,10 +123,13 @@
         self._outbox = Outbox()
         self._calls = _Calls()
         self._listeners: list[CommitListener] = []
+        self._primary_listeners: list[PrimaryListener] = []
         self._state = ControlState()
         self._tasks: list[asyncio.Task[None]] = []
         self._unwritten = asyncio.Event()
         self._start_failure: Failure | None = None
+        self._seed_ips = tuple(seed.host for seed in settings.seeds)
+        self._told: tuple[Role, MemberId] | None = None
 
     # --- the service ------------------------------------------------------------------------------------------
 
@@ -164,6 +168,12 @@
         result = await self._result(number, future)
         return result.state if isinstance(result, Committed) else result
 
+    def set_seeds(self, seeds: Sequence[Address]) -> None:
+        """The settings name other seeds now."""
+        self._seed_ips = tuple(seed.host for seed in seeds)
+        if self._member is not None:
+            self._member.seed_ips = self._seed_ips
+
     @property
     def state(self) -> ControlState:
         """The newest state that this node knows to be committed; it may be old."""
@@ -185,6 +195,10 @@
         """Call this with every newer state that this node knows to be committed, in order."""
         self._listeners.append(listener)
 
+    def add_primary_listener(self, listener: PrimaryListener) -> None:
+        """Call this with the address of the primary whenever another one, or none, is known."""
+        self._primary_listeners.append(listener)
+
     @property
     def status(self) -> ReplicationStatus:
         """The view and this member's part in it."""
@@ -214,7 +228,7 @@
             return
         settings = MemberSettings(
             loaded.member,
-            tuple(seed.host for seed in self._settings.seeds),
+            self._seed_ips,
             int(self._settings.tolerate.machines),
             self._timing,
             seed=int.from_bytes(os.urandom(DISK_ID_BYTES), "big"),
@@ -321,6 +335,18 @@
                     self._publish(state)
         if self._outbox.has_unwritten:
             self._unwritten.set()
+        self._tell_change_of_primary()
+
+    def _tell_change_of_primary(self) -> None:
+        """The log and the listeners hear when this member leads, stops leading, or follows another primary."""
+        member = self._member
+        if member is None or (member.role, member.primary_id) == self._told:
+            return
+        before, self._told = self._told, (member.role, member.primary_id)
+        log.info("{} in epoch {} of {}", member.role.name.lower(), member.primary_epoch.number, member.primary_id)
+        if before is None or before[1] != member.primary_id:
+            for listener in self._primary_listeners:
+                listener(self.primary_ip)
 
     def _send(self, action: Held) -> None:
         member = self._member
--- a/canvasbeam/control_plane/replication_codec.py
+++ b/canvasbeam/control_plane/replication_codec.py
@@ -9,6 +9,7 @@
 from google.protobuf.message import DecodeError
 
 from canvasbeam.cluster import replication_pb2 as wire
+from canvasbeam.control_plane.compression import pack, unpack
 from canvasbeam.control_plane.control_state import Change, ChangeKind, ControlState
 from canvasbeam.decide.replication import messages
 from canvasbeam.decide.replication.messages import Message
@@ -51,12 +52,15 @@
     def encode_state(self, state: ControlState) -> bytes:
         """The state's bytes; those of the last one are kept, as it is sent to several replicas."""
         if self._encoded_state is None or self._encoded_state[0] is not state:
-            self._encoded_state = (state, self._encode_state(state))
+            self._encoded_state = (state, pack(self._encode_state(state)))
         return self._encoded_state[1]
 
     def decode_state(self, data: bytes) -> ControlState | Failure:
         """The state of such bytes."""
-        return self._decode_state(data)
+        try:
+            return self._decode_state(unpack(data))
+        except ValueError as error:
+            return Failure(ResultCode.MESSAGE_INVALID, f"a state: {error}")
 
     def encode(self, sender: MemberId, message: Message) -> bytes:
         """A message with its sender."""
@@ -107,7 +111,7 @@
         return messages.Install(epoch_of(part.epoch), _position_of(part.position), state)
 
     def _state_of(self, data: bytes) -> ControlState:
-        state = self._decode_state(data)
+        state = self.decode_state(data)
         if isinstance(state, Failure):
             raise _Undecodable(str(state))
         return state
@@ -265,12 +269,12 @@
 
 def change_record(change: Change) -> wire.ChangeRecord:
     """A change."""
-    return wire.ChangeRecord(kind=int(change.kind), body=change.body, if_match=change.if_match, zone=change.zone)
+    return wire.ChangeRecord(kind=int(change.kind), body=pack(change.body), if_match=change.if_match, zone=change.zone)
 
 
 def change_of(record: wire.ChangeRecord) -> Change:
     """The inverse of `change_record`; raises `ValueError` for an unknown kind."""
-    return Change(ChangeKind(record.kind), record.body, record.if_match, record.zone)
+    return Change(ChangeKind(record.kind), unpack(record.body), record.if_match, record.zone)
 
 
 def encode_witness(promised: Epoch, accepted: View | None, settled: bool) -> bytes:
--- a/canvasbeam/decide/replication/member.py
+++ b/canvasbeam/decide/replication/member.py
@@ -110,6 +110,7 @@
 
     def __init__(self, settings: MemberSettings, durable: Durable, apply: Apply, now: int) -> None:
         self.me = settings.me
+        self.seed_ips = settings.seed_ips  # may change while the member runs
         self.role = Role.FOLLOWER
         self.witness = Witness(durable.promised, durable.accepted, durable.settled)
         self.replica = Replica(apply, durable.installed, durable.state, durable.committed)
@@ -383,7 +384,7 @@
 
     def _say_hello(self, now: int) -> list[Action]:
         self._last_hello = now
-        ips = list(self._settings.seed_ips)
+        ips = list(self.seed_ips)
         if self.known_view is not None:
             ips += [member_ip(each) for each in self.known_view.members]
         my_ip = member_ip(self.me)
--- /dev/null
+++ b/tests/test_replicated_state.py
@@ -0,0 +1,305 @@
+"""The driver of replication over real sockets on loopback, and its disk worker. Nothing here waits by sleeping."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import threading
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import pytest
+
+from canvasbeam.cluster.transport import Channel, Transport
+from canvasbeam.control_plane import disk_worker
+from canvasbeam.control_plane.changes import apply, decode_state, encode_state
+from canvasbeam.control_plane.control_state import Change, ChangeKind, Committed, ControlState
+from canvasbeam.control_plane.disk_worker import DiskWorker
+from canvasbeam.control_plane.replicated_state import ReplicatedControlState
+from canvasbeam.decide.replication.types import MILLISECOND, Timing
+from canvasbeam.errors import Failure, ResultCode
+from canvasbeam.runtime.settings import Address, ProcessSettings
+from canvasbeam.storage.disk import Disk
+from canvasbeam.storage.store import open_store
+
+from .model_disk import ModelDisk
+
+IPS = ("127.0.5.1", "127.0.5.2", "127.0.5.3")
+LIMIT_SECONDS = 20
+QUICK = Timing(
+    heartbeat=20 * MILLISECOND,
+    silence=150 * MILLISECOND,
+    election=200 * MILLISECOND,
+    election_step=60 * MILLISECOND,
+    first_election=10 * MILLISECOND,
+    steady=50 * MILLISECOND,
+    readd=100 * MILLISECOND,
+)
+
+
+class Node:
+    """One member with its transport, and events for what it tells."""
+
+    def __init__(self, ip: str, port: int, disk: Disk, bootstrap: bool) -> None:
+        self.settings = ProcessSettings(
+            node=f"core-{ip}",
+            role="control-plane",
+            node_class="core",
+            serves=("control",),
+            ip=ip,
+            zone="z",
+            region="r",
+            port_range=(port, port + 9),
+            seeds=tuple(Address(each, 8146) for each in IPS),
+            bootstrap=bootstrap,
+        )
+        self.disk = disk
+        self.transport = Transport(self.settings.node, Address(ip, port))
+        self.service = ReplicatedControlState(
+            self.settings, self.transport, apply, encode_state, decode_state, disk=disk, timing=QUICK
+        )
+
+    async def start(self, on_event: Callable[[], None]) -> None:
+        self.service.add_commit_listener(lambda state: on_event())
+        self.service.add_primary_listener(lambda ip: on_event())
+        await self.transport.start()
+        await self.service.start()
+
+    async def stop(self) -> None:
+        await self.service.stop()
+        await self.transport.stop()
+
+
+class System:
+    """Some nodes; `until` waits for their events."""
+
+    def __init__(self) -> None:
+        self.port = free_port()
+        self.nodes: dict[str, Node] = {}
+        self._event = asyncio.Event()
+
+    async def start(self, ip: str, disk: Disk | None = None, bootstrap: bool = True) -> Node:
+        node = self.nodes[ip] = Node(ip, self.port, disk or ModelDisk(), bootstrap)
+        await node.start(self._event.set)
+        return node
+
+    async def stop(self, ip: str) -> None:
+        await self.nodes.pop(ip).stop()
+
+    async def until(self, condition: Callable[[], bool]) -> None:
+        while not condition():
+            await self._event.wait()
+            self._event.clear()
+
+    async def primary(self, other_than: str = "") -> Node:
+        await self.until(lambda: any(self._leads(ip, other_than) for ip in self.nodes))
+        return next(node for ip, node in self.nodes.items() if self._leads(ip, other_than))
+
+    def _leads(self, ip: str, other_than: str) -> bool:
+        return ip != other_than and self.nodes[ip].service.is_primary
+
+    async def evacuate(self, zone: str) -> ControlState:
+        """Order until it is acknowledged, as the operator does."""
+        while True:
+            node = await self.primary()
+            result = await node.service.submit(Change(ChangeKind.START_EVACUATION, zone=zone))
+            if isinstance(result, Committed):
+                return result.state
+            await self.until(lambda: True)
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind((IPS[0], 0))
+        return int(probe.getsockname()[1])
+
+
+def run(work: Callable[[], Awaitable[None]]) -> None:
+    async def limited() -> None:
+        async with asyncio.timeout(LIMIT_SECONDS):
+            await work()
+
+    asyncio.run(limited())
+
+
+async def three() -> System:
+    system = System()
+    for ip in IPS:
+        await system.start(ip)
+    return system
+
+
+async def stop_all(system: System) -> None:
+    for ip in list(system.nodes):
+        await system.stop(ip)
+
+
+def test_a_change_is_on_every_machine_and_only_the_primary_answers() -> None:
+    async def work() -> None:
+        system = await three()
+        state = await system.evacuate("north")
+        assert state.evacuated_zones == ("north",)
+        await system.until(lambda: all(each.service.state == state for each in system.nodes.values()))
+        primary = await system.primary()
+        for node in system.nodes.values():
+            found = await node.service.read()
+            if node is primary:
+                assert found == state
+            else:
+                assert isinstance(found, Failure)
+                assert found.code is ResultCode.NOT_PRIMARY
+                assert node.service.primary_ip == primary.settings.ip
+        assert len(primary.service.status.replicas) == len(IPS)
+        await stop_all(system)
+
+    run(work)
+
+
+def test_another_leads_after_the_primary_resigns() -> None:
+    async def work() -> None:
+        system = await three()
+        await system.evacuate("north")
+        first = await system.primary()
+        await system.stop(first.settings.ip)
+        state = await system.evacuate("south")
+        assert state.evacuated_zones == ("north", "south")
+        await stop_all(system)
+
+    run(work)
+
+
+def test_all_come_back_from_their_disks(tmp_path: Path) -> None:
+    async def work() -> None:
+        system = await three()
+        await system.evacuate("north")
+        disks = {ip: node.disk for ip, node in system.nodes.items()}
+        await stop_all(system)
+        for ip, disk in disks.items():
+            await system.start(ip, disk, bootstrap=False)
+        state = await system.evacuate("south")
+        assert state.evacuated_zones == ("north", "south")
+        await stop_all(system)
+
+    run(work)
+
+
+def test_a_wiped_machine_joins_as_a_new_member() -> None:
+    async def work() -> None:
+        system = await three()
+        await system.evacuate("north")
+        wiped = IPS[2]
+        before = system.nodes[wiped].service.status.member
+        await system.stop(wiped)
+        node = await system.start(wiped, ModelDisk(), bootstrap=False)
+        await system.until(lambda: node.service.state.evacuated_zones == ("north",))
+        assert node.service.status.member != before
+        assert before not in (await system.primary()).service.status.witnesses
+        await stop_all(system)
+
+    run(work)
+
+
+def test_a_primary_whose_disk_is_full_hands_over(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(disk_worker, "RETRY_SECONDS", 0.01)
+
+    async def work() -> None:
+        system = await three()
+        await system.evacuate("north")
+        full = await system.primary()
+        assert isinstance(full.disk, ModelDisk)
+        full.disk.refusing = True
+        order = Change(ChangeKind.START_EVACUATION, zone="south")
+        assert isinstance(await full.service.submit(order), Failure)
+        await system.primary(other_than=full.settings.ip)
+        state = await system.evacuate("south")
+        assert "south" in state.evacuated_zones
+        assert "DISK_FULL" in full.service.status.disk.upper()
+        full.disk.refusing = False
+        await system.until(lambda: full.service.state == state)
+        assert full.service.status.disk == "ok"
+        await stop_all(system)
+
+    run(work)
+
+
+def test_a_damaged_disk_takes_no_part() -> None:
+    async def work() -> None:
+        system = await three()
+        await system.evacuate("north")
+        damaged = IPS[1]
+        disk = system.nodes[damaged].disk
+        assert isinstance(disk, ModelDisk)
+        await system.stop(damaged)
+        flipped = disk.flip("slot-1", 60)  # the only slot that was written yet
+        node = await system.start(damaged, flipped, bootstrap=True)
+        await system.evacuate("south")
+        result = await node.service.submit(Change(ChangeKind.START_EVACUATION, zone="east"))
+        assert isinstance(result, Failure)
+        assert result.code is ResultCode.DISK_CORRUPT
+        assert "DISK_CORRUPT" in node.service.status.disk.upper()
+        await stop_all(system)
+
+    run(work)
+
+
+def test_garbage_from_a_peer_is_dropped() -> None:
+    async def work() -> None:
+        system = await three()
+        await system.evacuate("north")
+        stranger = Transport("stranger", Address("127.0.5.9", system.port))
+        await stranger.start()
+        for payload in (b"", b"\xff" * 40, b"\x0a\x0a127.0.5.1/0\x12\x00"):
+            stranger.send(Address(IPS[0], system.port), Channel.REPLICATION, payload)
+        state = await system.evacuate("south")
+        assert state.evacuated_zones == ("north", "south")
+        await stranger.stop()
+        await stop_all(system)
+
+    run(work)
+
+
+class StallingDisk(ModelDisk):
+    """Syncs wait for a permission."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.permission = threading.Event()
+        self.permission.set()
+
+    def sync(self, name: str) -> None:
+        self.permission.wait(LIMIT_SECONDS)
+        super().sync(name)
+
+
+def test_a_stall_is_told_while_it_lasts_and_the_loop_goes_on(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(disk_worker, "SLOW_SECONDS", 0.0)
+
+    async def work() -> None:
+        told: asyncio.Queue[Failure | None] = asyncio.Queue()
+        worker = DiskWorker(told.put_nowait)
+        disk = StallingDisk()
+        store = await worker.run(lambda: open_store(disk))
+        assert not isinstance(store, Failure)
+        disk.permission.clear()
+        write = asyncio.create_task(worker.write(store, {"name": b"value"}))
+        trouble = await told.get()
+        assert trouble is not None
+        assert trouble.code is ResultCode.DISK_SLOW
+        assert not write.done()
+        disk.permission.set()
+        await write
+        assert await told.get() is None
+        worker.close()
+
+    run(work)
+
+
+def test_a_call_that_raises_does_so_where_it_is_awaited() -> None:
+    async def work() -> None:
+        worker = DiskWorker(lambda trouble: None)
+        with pytest.raises(ZeroDivisionError):
+            await worker.run(lambda: 1 // 0)
+        assert await worker.run(lambda: 3) == 3
+        worker.close()
+
+    run(work)
--- /dev/null
+++ b/tests/test_replication_codec.py
@@ -0,0 +1,145 @@
+"""Messages and records of replication as bytes, and back."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from canvasbeam.control_plane.changes import apply, decode_state, encode_state
+from canvasbeam.control_plane.compression import LEAST_BYTES, pack, unpack
+from canvasbeam.control_plane.control_state import Change, ChangeKind, ControlState
+from canvasbeam.control_plane.member_records import MAX_CHANGES, Loaded, RecordWriter, load_member
+from canvasbeam.control_plane.replication_codec import Received, ReplicationCodec
+from canvasbeam.decide.replication import messages
+from canvasbeam.decide.replication.member import Durable
+from canvasbeam.decide.replication.messages import SaveChange, SaveCommitted, SaveInstalled, SaveWitness
+from canvasbeam.decide.replication.types import NO_EPOCH, Epoch, Position, View
+from canvasbeam.errors import Failure, ResultCode
+from canvasbeam.storage.frames import Updates
+
+EPOCH = Epoch(7, "10.0.0.1/0")
+VIEW = View(
+    EPOCH, "10.0.0.1/0", ("10.0.0.1/0", "10.0.0.2/x"), ("10.0.0.1/0", "10.0.0.2/x", "10.0.0.3/0"), ("10.0.0.1/0",)
+)
+STATE = ControlState(index=3, generation=9, configuration={"generation": 9, "routes": ["r"] * LEAST_BYTES})
+CHANGE = Change(ChangeKind.PUT_CONFIGURATION, b'{"generation":' + b" " * LEAST_BYTES + b"9}", 4, "")
+EVACUATION = Change(ChangeKind.END_EVACUATION, zone="north")
+POSITION = Position(EPOCH, 3)
+
+MESSAGES: tuple[messages.Message, ...] = (
+    messages.Hello(True),
+    messages.ViewTold(VIEW, True),
+    messages.Probe(4),
+    messages.Probed(4, True, False, NO_EPOCH, None, False),
+    messages.Probed(4, False, True, EPOCH, VIEW, True),
+    messages.Prepare(EPOCH),
+    messages.Promise(EPOCH, VIEW, True, POSITION, True),
+    messages.Promise(EPOCH, None, False, Position(NO_EPOCH, 0), False),
+    messages.Refused(EPOCH, replace(EPOCH, number=8)),
+    messages.Fetch(EPOCH),
+    messages.Fetched(EPOCH, POSITION, STATE),
+    messages.Install(EPOCH, POSITION, None),
+    messages.Install(EPOCH, POSITION, STATE),
+    messages.Installed(EPOCH, False),
+    messages.Accept(VIEW, True),
+    messages.Accepted(EPOCH, True),
+    messages.Heartbeat(EPOCH, 12, 3),
+    messages.HeartbeatAck(EPOCH, 12, True, NO_EPOCH, False),
+    messages.Append(EPOCH, 3, (CHANGE, EVACUATION), 2),
+    messages.Appended(EPOCH, 5),
+    messages.Resign(EPOCH),
+)
+
+
+def codec() -> ReplicationCodec:
+    return ReplicationCodec(encode_state, decode_state)
+
+
+@pytest.mark.parametrize("message", MESSAGES, ids=lambda each: type(each).__name__)
+def test_every_message_comes_back(message: messages.Message) -> None:
+    assert codec().decode(codec().encode("10.0.0.1/0", message)) == Received("10.0.0.1/0", message)
+
+
+def test_every_kind_of_message_is_tried() -> None:
+    assert {type(each) for each in MESSAGES} == set(messages.Message.__args__)
+
+
+@pytest.mark.parametrize("data", [b"", b"\xff\xff", b"\x0a\x03abc", b"\x0a\x01a\x92\x01\x02\x08"])
+def test_what_is_no_message_is_a_failure(data: bytes) -> None:
+    found = codec().decode(data)
+    assert isinstance(found, Failure)
+    assert found.code is ResultCode.MESSAGE_INVALID
+
+
+def test_a_garbled_message_never_raises() -> None:
+    for message in MESSAGES:
+        whole = codec().encode("10.0.0.1/0", message)
+        for position in range(0, len(whole), max(1, len(whole) // 60)):
+            damaged = bytearray(whole)
+            damaged[position] ^= 0x41
+            assert isinstance(codec().decode(bytes(damaged)), Received | Failure)
+            assert isinstance(codec().decode(whole[:position]), Received | Failure)
+
+
+def test_large_data_is_compressed_and_checked() -> None:
+    data = b"abc" * LEAST_BYTES
+    assert len(pack(data)) < len(data) // 10
+    assert unpack(pack(data)) == data
+    for wrong in (pack(data)[:-3], b"\x02abc", b"\x01abc"):
+        with pytest.raises(ValueError):  # noqa: PT011
+            unpack(wrong)
+
+
+# --- records on disk ----------------------------------------------------------------------------------------------
+
+
+def evacuated(count: int) -> list[SaveChange]:
+    saves: list[SaveChange] = []
+    state = ControlState()
+    for number in range(count):
+        change = Change(ChangeKind.START_EVACUATION, zone=f"z{number:03d}")
+        after = apply(state, change)
+        assert isinstance(after, ControlState)
+        state = after
+        saves.append(SaveChange(change, state))
+    return saves
+
+
+def test_a_member_is_found_again_as_it_was_saved() -> None:
+    stored: dict[str, bytes] = {}
+    writer = RecordWriter(codec(), stored)
+    keep(stored, writer.first("10.0.0.2/x", Durable()))
+    saves = evacuated(3 * MAX_CHANGES + 5)
+    for save in saves:
+        keep(stored, writer.updates([save]))
+        assert len(stored) <= MAX_CHANGES + 6
+    keep(stored, writer.updates([SaveWitness(EPOCH, VIEW, True), SaveInstalled(EPOCH, None), SaveCommitted(4)]))
+    expected = Durable(EPOCH, VIEW, True, EPOCH, saves[-1].state, 4)
+    assert load_member(stored, codec(), apply) == Loaded("10.0.0.2/x", expected)
+
+
+def test_an_installed_state_replaces_the_changes() -> None:
+    stored: dict[str, bytes] = {}
+    writer = RecordWriter(codec(), stored)
+    keep(stored, writer.first("10.0.0.2/x", Durable()))
+    keep(stored, writer.updates(evacuated(3)))
+    keep(stored, writer.updates([SaveInstalled(EPOCH, STATE)]))
+    loaded = load_member(stored, codec(), apply)
+    assert isinstance(loaded, Loaded)
+    assert loaded.durable.state == STATE
+
+
+def test_an_empty_store_is_no_member_and_a_partial_one_a_failure() -> None:
+    assert load_member({}, codec(), apply) is None
+    found = load_member({"member": b"10.0.0.2/x"}, codec(), apply)
+    assert isinstance(found, Failure)
+    assert found.code is ResultCode.DISK_CORRUPT
+
+
+def keep(stored: dict[str, bytes], updates: Updates) -> None:
+    for name, value in updates.items():
+        if value is None:
+            stored.pop(name, None)
+        else:
+            stored[name] = value
