--- a/canvasbeam/choice.py
+++ b/canvasbeam/choice.py
@@ -641,9 +641,7 @@
 
     def _takes(self, worker: Worker, job: Job) -> bool:
         """Whether this worker may be sent this job."""
-        if job.cls.kind is not None and job.cls.kind != worker.kind:
-            return False
-        if job.cls.homes and worker.zone not in job.cls.homes:
+        if not worker.entry.may_run(job.cls, job.told):
             return False
         if self._governor is not None and not self._governor.may_send_cold(self._now, worker.name):
             return False
--- a/canvasbeam/data_plane/job_classes.py
+++ b/canvasbeam/data_plane/job_classes.py
@@ -48,17 +48,20 @@
 
 def prompt_of(request: ClientRequest) -> ci.PromptEstimate | None:
     """What a request tells of its prompt, where it asks a language model."""
-    tokens = parts = None
+    tokens = parts = model = None
     for name, value in request.headers:
         if name == b"x-tokens":
             tokens = value
         elif name == b"x-prefix-hash":
             parts = value
+        elif name == b"x-model":
+            model = value
     if tokens is None:
         return None
     try:
         tokens_in, _, most_out = tokens.partition(b",")
-        return ci.PromptEstimate(int(tokens_in), int(most_out or 0), _parts(parts or b""))
+        named = (model or b"").decode("latin-1").strip()
+        return ci.PromptEstimate(int(tokens_in), int(most_out or 0), _parts(parts or b""), named)
     except ValueError:
         return None
 
--- a/canvasbeam/data_plane/worker_list.py
+++ b/canvasbeam/data_plane/worker_list.py
@@ -102,6 +102,7 @@
             state=ci.WorkerState.LIVE if takes_requests else ci.WorkerState.DRAINING,
             slots=record.slots,
             cold_until_ns=self._cold_until(item, record),
+            models=record.models,
         )
 
     def _cold_until(self, item: Item, record: WorkerRecord) -> int:
--- a/canvasbeam/data_plane/worker_records.py
+++ b/canvasbeam/data_plane/worker_records.py
@@ -21,6 +21,7 @@
     slots: int
     ready: bool
     cold_left_ms: int = 0
+    models: tuple[str, ...] = ()  # and their adapters
 
 
 def decode_worker(item: Item) -> WorkerRecord | Failure:
@@ -39,4 +40,5 @@
         slots=worker.slots,
         ready=worker.state is WorkerState.READY,
         cold_left_ms=worker.cold_left_ms,
+        models=tuple(name for model in worker.models for name in (model.name, *model.adapters)),
     )
--- a/canvasbeam/interface.py
+++ b/canvasbeam/interface.py
@@ -276,6 +276,7 @@
     """One worker as discovery lists it. `started_ns` is 0 for a start in the distant past.
 
     `slots` is how many jobs it runs at once, or 0 where that is not told; `cold_until_ns` is when it stops being cold.
+    `models` are the language models it holds, or none where that is not told.
     Where the workers' rules are told by a configuration, `kind` is the service and `zone` the region.
     """
 
@@ -288,6 +289,16 @@
     started_ns: int = 0
     slots: int = 0
     cold_until_ns: int = 0
+    models: tuple[str, ...] = ()
+
+    def may_run(self, job_class: JobClass, job: JobArrived) -> bool:
+        """Whether it is of the class's kind, stands in one of its homes, and holds the job's model."""
+        if job_class.kind is not None and job_class.kind != self.kind:
+            return False
+        if job_class.homes and self.zone not in job_class.homes:
+            return False
+        model = job.prompt.model if job.prompt is not None else ""
+        return not model or not self.models or model in self.models
 
 
 @dataclass(frozen=True, slots=True)
@@ -322,6 +333,7 @@
     tokens_in: int
     most_tokens_out: int
     parts: tuple[PromptPart, ...] = ()
+    model: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_data_plane_items.py
+++ b/tests/test_data_plane_items.py
@@ -129,6 +129,10 @@
     assert told is not None
     assert (told.tokens_in, told.most_tokens_out) == (1460, 80)
     assert [(each.name, each.tokens) for each in told.parts] == [("5c", 800), ("91", 410), ("e4", 250)]
+    assert told.model == ""
+    named = prompt_of(request((b"x-tokens", b"1460,80"), (b"x-model", b"m")))
+    assert named is not None
+    assert named.model == "m"
     assert prompt_of(request()) is None
     assert prompt_of(request((b"x-tokens", b"many"))) is None
 
--- a/tests/test_system_placement.py
+++ b/tests/test_system_placement.py
@@ -143,6 +143,19 @@
     assert sent_to(system.job()) == ["b"]
 
 
+def test_a_job_goes_only_to_workers_that_hold_its_model() -> None:
+    system = System(worker("a", models=("other",)), worker("b", "there", models=("wanted", "other")))
+    wanted = replace(prompt(), model="wanted")
+    assert sent_to(system.job(prompt=wanted)) == ["b"]
+    assert sent_to(system.job(prompt=replace(prompt(), model="other"))) == ["a"]
+    assert system.job(prompt=replace(prompt(), model="third")) == []
+
+
+def test_a_worker_that_does_not_tell_its_models_may_hold_any() -> None:
+    system = System(worker("a"))
+    assert sent_to(system.job(prompt=replace(prompt(), model="wanted"))) == ["a"]
+
+
 def test_a_job_goes_to_no_more_workers_than_its_class_permits() -> None:
     system = System(worker("a"), worker("b"), worker("c"))
     first = sent_to(system.job("brief"))[0]
