--- a/canvasbeam/lab/experiments.py
+++ b/canvasbeam/lab/experiments.py
@@ -100,17 +100,7 @@
     progress: Callable[[int, int], None] | None = None,
 ) -> list[Path]:
     """Play what is not there yet; the files of all runs. Interrupted: KeyboardInterrupt came, what is done stays."""
-    base = load(name)
-    for cell in cells(grid, seeds[:1]):
-        load(name, dict(cell.changes))  # a key that leads nowhere must fail now, not in the tenth process
-    folder.mkdir(parents=True, exist_ok=True)
-    manifest = folder / MANIFEST
-    said = Manifest(scenario=name, digest=digest(base), grid=grid, seeds=list(seeds))
-    if manifest.exists():
-        before = msgspec.json.decode(manifest.read_bytes(), type=Manifest)
-        if before.digest != said.digest:
-            raise ValueError(f"{folder} holds runs of another scenario, or of another version of {before.scenario}")
-    manifest.write_bytes(msgspec.json.format(msgspec.json.encode(said), indent=1))
+    _write_manifest(name, grid, seeds, folder)
     todo = cells(grid, seeds)
     missing = [each for each in todo if not _is_whole(each.path(folder))]
     done = len(todo) - len(missing)
@@ -118,22 +108,11 @@
         progress(done, len(todo))
     most = workers or os.cpu_count() or 1
     pool = ProcessPoolExecutor(most, initializer=_leave_interrupts)
-    waiting = iter(missing)
-
-    def begin(count: int) -> set[Future[str]]:
-        return {pool.submit(_play, name, each, str(folder)) for each in itertools.islice(waiting, count)}
-
     try:
-        # No more than there are processes, so that an interrupt has little to wait for.
-        running = begin(most)
-        while running:
-            ended, running = wait(running, return_when=FIRST_COMPLETED)
-            for future in ended:
-                future.result()
-                done += 1
-                if progress is not None:
-                    progress(done, len(todo))
-            running |= begin(len(ended))
+        for _ in _played(pool, most, name, missing, folder):
+            done += 1
+            if progress is not None:
+                progress(done, len(todo))
     except KeyboardInterrupt as error:
         pool.shutdown(wait=True, cancel_futures=True)
         count = sum(_is_whole(each.path(folder)) for each in todo)
@@ -144,6 +123,39 @@
     return [each.path(folder) for each in todo]
 
 
+def _write_manifest(name: str, grid: dict[str, list[Any]], seeds: Sequence[int], folder: Path) -> None:
+    """Say in the folder what is played there; a ValueError where it holds runs of something else."""
+    base = load(name)
+    for cell in cells(grid, seeds[:1]):
+        load(name, dict(cell.changes))  # a key that leads nowhere must fail now, not in the tenth process
+    folder.mkdir(parents=True, exist_ok=True)
+    path = folder / MANIFEST
+    manifest = Manifest(scenario=name, digest=digest(base), grid=grid, seeds=list(seeds))
+    if path.exists():
+        before = msgspec.json.decode(path.read_bytes(), type=Manifest)
+        if before.digest != manifest.digest:
+            raise ValueError(f"{folder} holds runs of another scenario, or of another version of {before.scenario}")
+    path.write_bytes(msgspec.json.format(msgspec.json.encode(manifest), indent=1))
+
+
+def _played(
+    pool: ProcessPoolExecutor, most: int, name: str, missing: Sequence[Cell], folder: Path
+) -> Iterator[Future[str]]:
+    """Play the cells, no more at once than there are processes, so that an interrupt has little to wait for."""
+    waiting = iter(missing)
+
+    def begin(count: int) -> set[Future[str]]:
+        return {pool.submit(_play, name, each, str(folder)) for each in itertools.islice(waiting, count)}
+
+    running = begin(most)
+    while running:
+        ended, running = wait(running, return_when=FIRST_COMPLETED)
+        for future in ended:
+            future.result()
+            yield future
+        running |= begin(len(ended))
+
+
 def _is_whole(path: Path) -> bool:
     if not path.exists():
         return False
--- a/canvasbeam/lab/model/draw.py
+++ b/canvasbeam/lab/model/draw.py
@@ -91,49 +91,47 @@
     counts = _shared_out(fleet.workers, tuple(each.share for each in fleet.models))
     models = [model for model, count in zip(fleet.models, counts, strict=True) for _ in range(count)]
     order = rng.permutation(len(models))
-    made = []
-    for place, zone in enumerate(zones):
-        model = models[int(order[place])]
-        slots = max(1, round(model.cores * model.slots_per_core))
-        made.append(
-            Machine(
-                name=f"s-{place:04d}",
-                zone=zone,
-                model=model.name,
-                cell=place // 6,
-                cores=model.cores,
-                slots=slots,
-                speed=drawn(model.speed, rng),
-                queue=round(model.queue_per_core * model.cores),
-                order=fleet.order,
-                preempt=fleet.preempt,
-                cold_from=model.cold_from,
-                cold_ns=round(model.cold_s * SECOND),
-                warm_by=model.warm_by,
-                pause_every_ns=round(drawn(model.pause_every_s, rng) * SECOND),
-                pause_ns=round(drawn(model.pause_ms, rng) * MS),
-                error_rate=model.error_rate,
-                thrash=model.thrash,
-                thrash_at=model.thrash_at,
-                cancel_stops_work=fleet.cancel_stops_work,
-                drops_expired=fleet.drops_expired,
-                drain_returns=fleet.drain_returns,
-                tells_start=fleet.tells_start,
-                progress_ns=round(fleet.progress_s * SECOND),
-                report_period_ns=round(drawn(fleet.report_period_s, rng) * SECOND) if fleet.report else 0,
-                report_delay_ns=round(drawn(fleet.report_delay_s, rng) * SECOND),
-                report_noise=fleet.report_noise,
-                probe_work_ns=round(fleet.probe_work_ms * MS),
-                probes_per_s=fleet.probes_per_core * model.cores if fleet.probes else 0.0,
-                keys_kept=fleet.keys_kept,
-                fetch_ns=round(fleet.fetch_s * SECOND),
-                connections=fleet.connections_per_core * model.cores,
-                handshake_work_ns=round(fleet.handshake_work_ms * MS),
-                tip_multiple=fleet.tip_multiple,
-                tip_window_ns=round(fleet.tip_window_s * SECOND),
-            )
-        )
-    return made
+    return [_machine(fleet, models[int(order[place])], place, zone, rng) for place, zone in enumerate(zones)]
+
+
+def _machine(fleet: spec.Fleet, model: spec.MachineModel, place: int, zone: str, rng: np.random.Generator) -> Machine:
+    """One worker; its figures are drawn in the order in which they stand here."""
+    return Machine(
+        name=f"s-{place:04d}",
+        zone=zone,
+        model=model.name,
+        cell=place // 6,
+        cores=model.cores,
+        slots=max(1, round(model.cores * model.slots_per_core)),
+        speed=drawn(model.speed, rng),
+        queue=round(model.queue_per_core * model.cores),
+        order=fleet.order,
+        preempt=fleet.preempt,
+        cold_from=model.cold_from,
+        cold_ns=round(model.cold_s * SECOND),
+        warm_by=model.warm_by,
+        pause_every_ns=round(drawn(model.pause_every_s, rng) * SECOND),
+        pause_ns=round(drawn(model.pause_ms, rng) * MS),
+        error_rate=model.error_rate,
+        thrash=model.thrash,
+        thrash_at=model.thrash_at,
+        cancel_stops_work=fleet.cancel_stops_work,
+        drops_expired=fleet.drops_expired,
+        drain_returns=fleet.drain_returns,
+        tells_start=fleet.tells_start,
+        progress_ns=round(fleet.progress_s * SECOND),
+        report_period_ns=round(drawn(fleet.report_period_s, rng) * SECOND) if fleet.report else 0,
+        report_delay_ns=round(drawn(fleet.report_delay_s, rng) * SECOND),
+        report_noise=fleet.report_noise,
+        probe_work_ns=round(fleet.probe_work_ms * MS),
+        probes_per_s=fleet.probes_per_core * model.cores if fleet.probes else 0.0,
+        keys_kept=fleet.keys_kept,
+        fetch_ns=round(fleet.fetch_s * SECOND),
+        connections=fleet.connections_per_core * model.cores,
+        handshake_work_ns=round(fleet.handshake_work_ms * MS),
+        tip_multiple=fleet.tip_multiple,
+        tip_window_ns=round(fleet.tip_window_s * SECOND),
+    )
 
 
 def mean_work(scenario: spec.Scenario) -> float:
--- a/canvasbeam/lab/report.py
+++ b/canvasbeam/lab/report.py
@@ -311,40 +311,7 @@
 
 def page(several: Sequence[Result], cost: Cost | None = None) -> str:
     """The whole page, of one run or of several side by side."""
-    first = several[0]
-    title = first.scenario if len(several) == 1 else f"{len(several)} runs"
-    about = first.about if len(several) == 1 else ", ".join(dict.fromkeys(each.scenario for each in several))
-    facts = f"{first.workers} workers, {first.schedulers} schedulers"
-    if len(several) == 1:
-        facts += f", engine {first.engine}, seed {first.seed}"
-    parts = [f"<h1>{html.escape(title)}</h1>", f'<p class="about">{html.escape(about)}. {html.escape(facts)}.</p>']
-    if len(several) == 1:
-        parts.append(_cards(first))
-    else:
-        rows = "".join(
-            f"<tr><td>{html.escape(each.scenario)}</td><td>{each.engine}</td><td>{each.seed}</td>"
-            f"<td>{each.service:.4f}</td><td>{each.worst_window:.3f}</td><td>{each.g:.4f}</td>"
-            f"<td>{each.broken_count}</td></tr>"
-            for each in several
-        )
-        names = ("scenario", "engine", "seed", "service", "worst 10 s", "G", "broken")
-        head = "".join(f"<th>{each}</th>" for each in names)
-        parts.append(f"<table><tr>{head}</tr>{rows}</table>")
-    parts += [_broken(each) for each in several]
-    notes = [f"{at:.1f} s: {text}" for each in several for at, text in each.marks]
-    if notes:
-        parts.append(f"<pre>{html.escape(chr(10).join(notes))}</pre>")
-    for each in several:
-        if each.strip:
-            drawn = f'<pre class="strip">{html.escape(chr(10).join(each.strip))}</pre>'
-            parts.append(
-                _part(
-                    "Who could hear whom",
-                    drawn,
-                    "A sign for each second: # all others, + at least half of "
-                    "them, . fewer, _ nobody, x the process does not run.",
-                )
-            )
+    parts = [*_heading(several), *_overview(several), *_notes(several), *_hearing(several)]
     parts.append(
         _part(
             "Service over time",
@@ -352,25 +319,85 @@
             "Worth answered in time over worth asked for, over three seconds. What goes wrong is drawn in.",
         )
     )
-    for each in several if len(several) <= 2 else ():
-        suffix = f": {each.scenario}, {each.engine}" if len(several) > 1 else ""
-        parts.append(_part(f"What became of the jobs{suffix}", ends_over_time(each)))
-        parts.append(_part(f"Latency over time{suffix}", latency_over_time(each)))
-    parts.append(_part("Latency by class", latency_by_class(several)))
-    for each in several if len(several) <= 2 else ():
-        suffix = f": {each.scenario}, {each.engine}" if len(several) > 1 else ""
-        pale = "The pale part came from other zones' schedulers."
-        parts.append(_part(f"Traffic by worker{suffix}", traffic(each), pale))
+    parts += _latency(several)
+    parts += _traffic(several)
     if cost is not None and cost.pass_us:
         text = f"Each pass of a scheduler's core: {cost.us_per_pass:g} us on average over {cost.passes:,} passes."
         parts.append(_part("Cost of deciding", decision_cost(cost), text))
     body = "\n".join(each for each in parts if each)
     return (
-        f'<!doctype html><html lang="en"><head><meta charset="utf-8"><title>canvasbeam: {html.escape(title)}</title>'
+        f'<!doctype html><html lang="en"><head><meta charset="utf-8">'
+        f"<title>canvasbeam: {html.escape(_title(several))}</title>"
         f"<style>{STYLE}</style></head><body>{body}</body></html>\n"
     )
 
 
+def _title(several: Sequence[Result]) -> str:
+    return several[0].scenario if len(several) == 1 else f"{len(several)} runs"
+
+
+def _heading(several: Sequence[Result]) -> list[str]:
+    first = several[0]
+    about = first.about if len(several) == 1 else ", ".join(dict.fromkeys(each.scenario for each in several))
+    facts = f"{first.workers} workers, {first.schedulers} schedulers"
+    if len(several) == 1:
+        facts += f", engine {first.engine}, seed {first.seed}"
+    title = html.escape(_title(several))
+    return [f"<h1>{title}</h1>", f'<p class="about">{html.escape(about)}. {html.escape(facts)}.</p>']
+
+
+def _overview(several: Sequence[Result]) -> list[str]:
+    """The figures of one run as cards, of several as a table, and the broken rules."""
+    overview = _cards(several[0]) if len(several) == 1 else _table(several)
+    return [overview, *(_broken(each) for each in several)]
+
+
+def _table(several: Sequence[Result]) -> str:
+    rows = "".join(
+        f"<tr><td>{html.escape(each.scenario)}</td><td>{each.engine}</td><td>{each.seed}</td>"
+        f"<td>{each.service:.4f}</td><td>{each.worst_window:.3f}</td><td>{each.g:.4f}</td>"
+        f"<td>{each.broken_count}</td></tr>"
+        for each in several
+    )
+    names = ("scenario", "engine", "seed", "service", "worst 10 s", "G", "broken")
+    head = "".join(f"<th>{each}</th>" for each in names)
+    return f"<table><tr>{head}</tr>{rows}</table>"
+
+
+def _notes(several: Sequence[Result]) -> list[str]:
+    notes = [f"{at:.1f} s: {text}" for each in several for at, text in each.marks]
+    return [f"<pre>{html.escape(chr(10).join(notes))}</pre>"] if notes else []
+
+
+def _hearing(several: Sequence[Result]) -> list[str]:
+    """Which instances could hear each other, where schedulers know each other."""
+    legend = (
+        "A sign for each second: # all others, + at least half of them, . fewer, _ nobody, x the process does not run."
+    )
+    drawn = [html.escape(chr(10).join(each.strip)) for each in several if each.strip]
+    return [_part("Who could hear whom", f'<pre class="strip">{each}</pre>', legend) for each in drawn]
+
+
+def _drawn_alone(several: Sequence[Result]) -> list[tuple[str, Result]]:
+    """The runs that get pictures of their own, with what tells them apart; none where there are many."""
+    if len(several) == 1:
+        return [("", several[0])]
+    return [(f": {each.scenario}, {each.engine}", each) for each in several] if len(several) == 2 else []
+
+
+def _latency(several: Sequence[Result]) -> list[str]:
+    parts = []
+    for suffix, each in _drawn_alone(several):
+        parts.append(_part(f"What became of the jobs{suffix}", ends_over_time(each)))
+        parts.append(_part(f"Latency over time{suffix}", latency_over_time(each)))
+    return [*parts, _part("Latency by class", latency_by_class(several))]
+
+
+def _traffic(several: Sequence[Result]) -> list[str]:
+    pale = "The pale part came from other zones' schedulers."
+    return [_part(f"Traffic by worker{suffix}", traffic(each), pale) for suffix, each in _drawn_alone(several)]
+
+
 def write(paths: Sequence[Path], to: Path) -> None:
     """The page of these result files."""
     several = [read(each) for each in paths]
