--- a/canvasbeam/control_plane/replicated_state.py
+++ b/canvasbeam/control_plane/replicated_state.py
@@ -20,6 +20,7 @@
 from canvasbeam.control_plane.disk_worker import RETRY_SECONDS, DiskWorker
 from canvasbeam.control_plane.member_records import Loaded, RecordWriter, load_member
 from canvasbeam.control_plane.replication_codec import DecodeState, EncodeState, Received, ReplicationCodec
+from canvasbeam.control_plane.view_log import ViewLog
 from canvasbeam.decide.replication.durability import Held, Outbox
 from canvasbeam.decide.replication.member import Durable, Member, MemberSettings, Role
 from canvasbeam.decide.replication.messages import Action, Message, Publish, Reply, Send, SendToAddress
@@ -122,6 +123,7 @@
         self._member: Member | None = None
         self._outbox = Outbox()
         self._calls = _Calls()
+        self._view_log = ViewLog()
         self._listeners: list[CommitListener] = []
         self._primary_listeners: list[PrimaryListener] = []
         self._state = ControlState()
@@ -335,6 +337,8 @@
                     self._publish(state)
         if self._outbox.has_unwritten:
             self._unwritten.set()
+        if self._member is not None:
+            self._view_log.note(self._member.known_view)
         self._tell_change_of_primary()
 
     def _tell_change_of_primary(self) -> None:
--- /dev/null
+++ b/canvasbeam/control_plane/view_log.py
@@ -0,0 +1,25 @@
+"""The line of the log on each new view that a member hears of."""
+
+from __future__ import annotations
+
+from canvasbeam.decide.replication.types import View
+from canvasbeam.runtime.logs import get_logger
+
+log = get_logger(__name__)
+
+
+class ViewLog:
+    """Compares the view with that of the last call."""
+
+    def __init__(self) -> None:
+        self._view: View | None = None
+
+    def note(self, view: View | None) -> None:
+        """Tell a view that is new; costs one comparison where it is not."""
+        if view is self._view:
+            return
+        if view is not None and view != self._view:
+            replicas, witnesses = ", ".join(view.replicas), ", ".join(view.witnesses)
+            primary = view.primary or "none"
+            log.info("view {}: primary {}, replicas {}, witnesses {}", view.epoch.number, primary, replicas, witnesses)
+        self._view = view
--- a/canvasbeam/lab/model_worker.py
+++ b/canvasbeam/lab/model_worker.py
@@ -59,6 +59,37 @@
     heartbeats: int = 0
 
 
+class StreamGate:
+    """Lets the events of streams pass: all of them while it is open, else as many as were allowed."""
+
+    def __init__(self) -> None:
+        self._is_open = True
+        self._allowed = 0
+        self._changed = asyncio.Event()
+
+    def open(self) -> None:
+        """Let every event pass."""
+        self._is_open = True
+        self._changed.set()
+
+    def close(self) -> None:
+        """Hold the next event, in every stream."""
+        self._is_open = False
+
+    def allow(self, count: int) -> None:
+        """Let so many events pass a closed gate."""
+        self._allowed += count
+        self._changed.set()
+
+    async def wait(self) -> None:
+        """Return when the next event may be sent."""
+        while not self._is_open and self._allowed == 0:
+            self._changed.clear()
+            await self._changed.wait()
+        if not self._is_open:
+            self._allowed -= 1
+
+
 class EmulatedWorker:
     """One worker on the running event loop."""
 
@@ -67,14 +98,18 @@
         self._control = [str(address) for address in control]
         self._server = HttpServer(self._answer, spec.address)
         self._sequence = 0
-        self._active = 0
+        self._running: set[asyncio.Task[None]] = set()
         self._state = "ready"
         self._beating: asyncio.Task[None] | None = None
         self.counts = WorkerCounts()
         self.registered = asyncio.Event()
         self.began = asyncio.Event()  # set by the first request that runs; a test may clear it
-        self.may_go_on = asyncio.Event()  # a stream waits for it between its events; set unless a test clears it
-        self.may_go_on.set()
+        self.gate = StreamGate()
+
+    @property
+    def instance(self) -> str:
+        """The id of this worker."""
+        return self._spec.instance
 
     async def start(self) -> Failure | None:
         """Listen, and register by the first heartbeat."""
@@ -92,10 +127,14 @@
         await self.crash()
 
     async def crash(self) -> None:
-        """End without a word."""
+        """End without a word: connections are reset, and what runs is dropped."""
         if self._beating is not None:
             self._beating.cancel()
-        await self._server.close()
+        closing = asyncio.ensure_future(self._server.close())
+        await asyncio.sleep(0)  # the connections are reset before what runs on them ends
+        for task in tuple(self._running):
+            task.cancel()
+        await closing
 
     # --- registration -----------------------------------------------------------------------------
 
@@ -165,8 +204,10 @@
         after_event = int(headers.get("last-event-id") or 0)
         run = Ran(headers["x-request-id"], scope["path"], body, after_event)
         self.counts.ran.append(run)
+        task = asyncio.current_task()
+        assert task is not None
+        self._running.add(task)
         self.began.set()
-        self._active += 1
         try:
             if "x-tokens" in headers:
                 await self._stream(run, send)
@@ -174,14 +215,14 @@
                 await asyncio.sleep(self._spec.pause_s)
                 await _respond(send, 200, self._head(run), body or b"done\n")
         finally:
-            self._active -= 1
+            self._running.discard(task)
 
     def _refusal(self, headers: Headers) -> int | None:
         if "x-request-id" not in headers:
             return 400
         if headers.get("x-target-instance", self._spec.instance) != self._spec.instance:
             return 421
-        return 503 if self._active >= self._spec.slots or self._state != "ready" else None
+        return 503 if len(self._running) >= self._spec.slots or self._state != "ready" else None
 
     def _head(self, run: Ran) -> Headers:
         seal = f"{self._spec.instance}.{run.request_id}"
@@ -191,7 +232,7 @@
         head = {**self._head(run), "Content-Type": "text/event-stream"}
         await send({"type": "http.response.start", "status": 200, "headers": _encoded(head)})
         for number in range(run.after_event + 1, self._spec.events + 1):
-            await self.may_go_on.wait()
+            await self.gate.wait()
             event = f"id: {number}\ndata: token {number}\n\n".encode()
             await send({"type": "http.response.body", "body": event, "more_body": True})
             await asyncio.sleep(self._spec.pause_s)
@@ -200,7 +241,7 @@
     def _report(self) -> bytes:
         models = [{"name": "m", "generation": 1, "adapters": []}]
         report = {
-            "stage": "hybrid", "models": models, "busy": False, "seq": 0, "queued": 0, "active": self._active,
+            "stage": "hybrid", "models": models, "busy": False, "seq": 0, "queued": 0, "active": len(self._running),
             "kv_used": 0, "kv_total": 200000, "handles": 0,
         }  # fmt: skip
         return json.dumps(report).encode()
--- a/tests/test_cli_system.py
+++ b/tests/test_cli_system.py
@@ -45,9 +45,9 @@
         return f"127.0.0.1:{self.server.server_address[1]}"
 
 
-def error(code: int, reason: str) -> dict[str, Any]:
+def error(code: ResultCode, reason: str) -> dict[str, Any]:
     """The body of a refusal."""
-    return {"error": {"code": code, "name": ResultCode(code).name, "reason": reason}}
+    return {"error": {"code": int(code), "name": code.name, "reason": reason}}
 
 
 def start_control() -> Control:
@@ -140,7 +140,7 @@
 
 def test_a_refused_call_is_not_sent_elsewhere(controls: list[Control]) -> None:
     first, second = controls
-    first.script = lambda method, path: Reply(404, error(212, "there is no zone z9"))
+    first.script = lambda method, path: Reply(404, error(ResultCode.ZONE_UNKNOWN, "there is no zone z9"))
     result = invoke(controls, "evacuate", "end", "z9")
     assert result.exit_code == Code.USAGE
     assert "answered 404: 212 zone_unknown: there is no zone z9" in result.output
@@ -179,7 +179,9 @@
 
 
 def test_a_conflict_has_an_exit_code_of_its_own(controls: list[Control], tmp_path: Path) -> None:
-    controls[0].script = lambda method, path: Reply(412, error(208, "generation 9 is current"))
+    controls[0].script = lambda method, path: Reply(
+        412, error(ResultCode.CONFIG_STALE_MATCH, "generation 9 is current")
+    )
     file = tmp_path / "change.json"
     file.write_text('{"generation": 8}')
     result = invoke(controls, "config", "put", str(file), "--if-match", "7")
@@ -188,7 +190,9 @@
 
 
 def test_an_invalid_configuration_is_a_wrong_call(controls: list[Control], tmp_path: Path) -> None:
-    controls[0].script = lambda method, path: Reply(400, error(203, "route r names service s"))
+    controls[0].script = lambda method, path: Reply(
+        400, error(ResultCode.CONFIG_UNKNOWN_SERVICE, "route r names service s")
+    )
     file = tmp_path / "change.json"
     file.write_text('{"generation": 8}')
     result = invoke(controls, "config", "put", str(file), "--if-match", "7")
--- a/tests/test_model_worker.py
+++ b/tests/test_model_worker.py
@@ -101,12 +101,12 @@
         del registry
         other = await ask(url, "/x", X_Target_Instance="i-2")
         assert (other.status, header(other, "x-instance")) == (421, "i-1")
-        worker.may_go_on.clear()
+        worker.gate.close()
         held = asyncio.create_task(ask(url, "/x", X_Tokens="10,3"))
         await worker.began.wait()
         full = await ask(url, "/x")
         assert (full.status, header(full, "x-not-executed")) == (503, "1")
-        worker.may_go_on.set()
+        worker.gate.open()
         assert (await held).status == 200
         assert worker.counts.refused == 2
 
