Listen before the imports, ask the nearest seed first, and tell readiness at once

Cause: after a kill of all machines clients were refused until each process had imported its program; data-plane nodes then asked a seed drawn at random, and waited 200 ms for a far one before the next; readiness was told every 200 ms.

Seeds whose address begins like the node's own are asked first. The node tells that it is ready when the item comes that makes it so.

--- a/canvasbeam/control_plane/program.py
+++ b/canvasbeam/control_plane/program.py
@@ -18,6 +18,7 @@
 from canvasbeam.errors import Failure, ResultCode
 from canvasbeam.runtime import logs
 from canvasbeam.runtime.http_server import HttpLimits, HttpServer
+from canvasbeam.runtime.listeners import Listeners
 from canvasbeam.runtime.settings import ProcessSettings, load_settings, settings_path
 from canvasbeam.runtime.signals import ProcessSignals, SettingsWatch
 
@@ -36,7 +37,7 @@
 class ControlPlane:
     """All parts of one control node."""
 
-    def __init__(self, settings: ProcessSettings) -> None:
+    def __init__(self, settings: ProcessSettings, listeners: Listeners | None = None) -> None:
         self._node = ClusterNode(settings, is_control=True)
         self._service = ReplicatedControlState(settings, self._node.transport, apply, encode_state, decode_state)
         self._publisher = StatePublisher(self._node)
@@ -46,15 +47,15 @@
         self._operator = OperatorApi(
             settings, self._service, self._is_reachable, lambda: status_document(settings, self._node, self._service)
         )
-        self._servers = self._make_servers(settings)
+        self._servers = self._make_servers(settings, listeners or {})
         self._judging: asyncio.Task[None] | None = None
 
-    def _make_servers(self, settings: ProcessSettings) -> list[HttpServer]:
+    def _make_servers(self, settings: ProcessSettings, listeners: Listeners) -> list[HttpServer]:
         connections = max(64, (settings.limits.max_fds - RESERVED_DESCRIPTORS) // 2)
         limits = HttpLimits(max_connections=connections)
         endpoints = {"control": self._control_endpoints(), "directory": self._directory_endpoints()}
         return [
-            HttpServer(web_app(endpoints[name]), settings.listen[name], limits)
+            HttpServer(web_app(endpoints[name]), settings.listen[name], limits, listeners.get(name))
             for name in endpoints
             if name in settings.listen
         ]
@@ -116,9 +117,9 @@
     return NO_BODY_BYTES
 
 
-async def run(settings: ProcessSettings) -> int:
+async def run(settings: ProcessSettings, listeners: Listeners | None = None) -> int:
     """Run one control node until it is told to end."""
-    control_plane = ControlPlane(settings)
+    control_plane = ControlPlane(settings, listeners)
     watch = SettingsWatch(settings_path(), settings, control_plane.change_settings)
     signals = ProcessSignals.install(watch)
     failure = await control_plane.start()
@@ -131,7 +132,7 @@
     return EXIT_OK
 
 
-def main() -> int:
+def main(listeners: Listeners | None = None) -> int:
     """The program."""
     settings = load_settings(settings_path())
     if isinstance(settings, Failure):
@@ -139,6 +140,6 @@
         return EXIT_SETTINGS
     logs.configure(settings)
     try:
-        return asyncio.run(run(settings))
+        return asyncio.run(run(settings, listeners))
     finally:
         logs.shut_down()
--- a/canvasbeam/data_plane/__main__.py
+++ b/canvasbeam/data_plane/__main__.py
@@ -1,7 +1,21 @@
 """`python3 -m canvasbeam.data_plane`: the process that serves clients."""
 
+import gc
 import sys
 
-from canvasbeam.data_plane.program import main
 
-sys.exit(main())
+def main() -> int:
+    """Listen, import the program without collecting garbage, of which imports leave hardly any, and run it."""
+    gc.disable()
+    from canvasbeam.runtime.listeners import open_listeners  # noqa: PLC0415
+
+    listeners = open_listeners(("front",))
+    from canvasbeam.data_plane import program  # noqa: PLC0415
+
+    gc.freeze()
+    gc.enable()
+    return program.main(listeners)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/canvasbeam/data_plane/program.py
+++ b/canvasbeam/data_plane/program.py
@@ -5,8 +5,11 @@
 import asyncio
 import random
 import sys
+from collections.abc import Sequence
+from contextlib import suppress
 
 from canvasbeam.choice import Dispatcher
+from canvasbeam.cluster.items import Item
 from canvasbeam.cluster.node import ClusterNode
 from canvasbeam.data_plane.carrier import Carrier, monotonic_ns
 from canvasbeam.data_plane.configuration_view import ConfigurationView
@@ -24,6 +27,7 @@
 from canvasbeam.errors import Failure, ResultCode
 from canvasbeam.runtime import logs
 from canvasbeam.runtime.http_server import HttpLimits, HttpServer
+from canvasbeam.runtime.listeners import Listeners
 from canvasbeam.runtime.settings import ProcessSettings, load_settings, settings_path
 from canvasbeam.runtime.signals import ProcessSignals, SettingsWatch
 
@@ -33,7 +37,7 @@
 EXPECTED_NODES = 4  # at the least: members are heard of one after the other
 CLIENT_DESCRIPTORS = 0.65  # of all; the rest is for workers, other nodes and files
 BODY_MEMORY = 0.25  # of the process's memory
-READY_CHECK_S = 0.2
+READY_CHECK_S = 0.2  # at the latest; what makes the node ready is noticed at once
 LEAVE_FLUSH_S = 0.05
 
 log = logs.get_logger(__name__)
@@ -42,7 +46,7 @@
 class DataPlane:
     """All parts of one data-plane node."""
 
-    def __init__(self, settings: ProcessSettings) -> None:
+    def __init__(self, settings: ProcessSettings, listeners: Listeners | None = None) -> None:
         self._settings = settings
         self._cluster = ClusterNode(settings, is_control=False)
         self._connections = WorkerConnections()
@@ -63,9 +67,12 @@
             regions=settings.zones,
             live_nodes=self._live_nodes,
         )
+        self._told_ready = False
+        self._readiness_changed = asyncio.Event()
+        self._cluster.table.add_listener(self._on_items)
         memory = MemoryBudget(round(settings.limits.memory_mb * BODY_MEMORY * MEGABYTE))
         ingress = Ingress(self._view, self._carrier, self._shutdown, memory, random.Random())
-        self._front = HttpServer(ingress, settings.listen["front"])
+        self._front = HttpServer(ingress, settings.listen["front"], listener=(listeners or {}).get("front"))
         self._ready = HttpServer(ReadinessApp(self.is_ready), settings.listen["ready"])
 
     def _make_dispatcher(self) -> Dispatcher:
@@ -90,6 +97,11 @@
         self._engines.engines(engines(configuration.services))
         self._carrier.change_classes(*classes_of(configuration))
 
+    def _on_items(self, items: Sequence[Item]) -> None:
+        """Called after the other parts have taken these items: they may make the node ready."""
+        if not self._told_ready and self.is_ready():
+            self._readiness_changed.set()
+
     def is_ready(self) -> bool:
         """Whether clients may be sent here."""
         return self._view.current is not None and self._carrier.live_workers > 0 and not self._shutdown.begun
@@ -108,13 +120,15 @@
 
     async def tell_readiness(self) -> None:
         """Keep the cluster informed of whether this node is ready."""
-        told = False
         while not self._shutdown.begun:
+            self._readiness_changed.clear()
             ready = self.is_ready()
-            if ready != told:
-                told = ready
+            if ready != self._told_ready:
+                self._told_ready = ready
                 self._cluster.set_ready(ready)
-            await asyncio.sleep(READY_CHECK_S)
+            with suppress(TimeoutError):
+                async with asyncio.timeout(READY_CHECK_S):
+                    await self._readiness_changed.wait()
 
     def change_settings(self, settings: ProcessSettings) -> None:
         """Take changed settings: those of the deployment's shape are used from now on."""
@@ -135,9 +149,9 @@
         self._connections.close()
 
 
-async def run(settings: ProcessSettings) -> int:
+async def run(settings: ProcessSettings, listeners: Listeners | None = None) -> int:
     """Run one data-plane node until it is told to end."""
-    data_plane = DataPlane(settings)
+    data_plane = DataPlane(settings, listeners)
     watch = SettingsWatch(settings_path(), settings, data_plane.change_settings)
     signals = ProcessSignals.install(watch)
     failure = await data_plane.start()
@@ -153,7 +167,7 @@
     return EXIT_OK
 
 
-def main() -> int:
+def main(listeners: Listeners | None = None) -> int:
     """The program."""
     settings = load_settings(settings_path())
     if isinstance(settings, Failure):
@@ -161,6 +175,6 @@
         return EXIT_SETTINGS
     logs.configure(settings)
     try:
-        return asyncio.run(run(settings))
+        return asyncio.run(run(settings, listeners))
     finally:
         logs.shut_down()
--- a/canvasbeam/decide/distribution.py
+++ b/canvasbeam/decide/distribution.py
@@ -30,7 +30,7 @@
     Versions,
 )
 from canvasbeam.decide.parent_link import ParentLink
-from canvasbeam.decide.relay_tree import Place, parent_order
+from canvasbeam.decide.relay_tree import Place, likely_nearest, parent_order
 from canvasbeam.runtime.settings import Address
 
 
@@ -322,7 +322,8 @@
 
     def _parent_order(self) -> tuple[Address, ...]:
         if self._order is None:
-            seeds = sorted(self._seeds, key=lambda each: self._random.random())
+            drawn = sorted(self._seeds, key=lambda each: self._random.random())
+            seeds = likely_nearest(self.me.address, drawn)
             self._order = parent_order(self.me, self._places, seeds)
         return self._order
 
--- a/canvasbeam/decide/relay_tree.py
+++ b/canvasbeam/decide/relay_tree.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
+from itertools import takewhile
 
 from canvasbeam.decide.rendezvous import score
 from canvasbeam.runtime.settings import Address
@@ -54,6 +55,17 @@
     return tuple(each for each in dict.fromkeys(addresses) if each != me.address)
 
 
+def likely_nearest(me: Address, seeds: Iterable[Address]) -> list[Address]:
+    """Seeds whose address begins like ours come first: all that can be told of machines nobody has described yet."""
+    return sorted(seeds, key=lambda each: -_shared_parts(me.host, each.host))
+
+
+def _shared_parts(first: str, second: str) -> int:
+    """How many parts of two IP addresses are the same from the left."""
+    pairs = zip(first.split("."), second.split("."), strict=False)
+    return len(list(takewhile(lambda pair: pair[0] == pair[1], pairs)))
+
+
 def _nearest(me: Place, places: Iterable[Place]) -> list[Place]:
     """Those of the same zone first, then those of the same region; among equals by rendezvous."""
     return sorted(places, key=lambda each: (each.zone != me.zone, each.region != me.region, -score(me.key, each.key)))
--- a/canvasbeam/runtime/http_server.py
+++ b/canvasbeam/runtime/http_server.py
@@ -28,9 +28,9 @@
 from hypercorn.typing import AppWrapper, ConnectionState
 
 from canvasbeam.errors import Failure, ResultCode
+from canvasbeam.runtime.listeners import LISTEN_BACKLOG, open_listener
 from canvasbeam.runtime.settings import Address
 
-LISTEN_BACKLOG = 1024
 FLUSH_BYTES = 65536
 ALWAYS = 0  # answers after this many on a connection carry `Connection: close`
 NEVER = 1 << 62
@@ -57,9 +57,16 @@
 class HttpServer:
     """Serves one ASGI app on one address."""
 
-    def __init__(self, app: App, address: Address, limits: HttpLimits | None = None) -> None:
+    def __init__(
+        self,
+        app: App,
+        address: Address,
+        limits: HttpLimits | None = None,
+        listener: socket.socket | None = None,
+    ) -> None:
         self.app: AppWrapper = ASGIWrapper(app)  # type: ignore[arg-type]
         self._address = address
+        self._listener = listener
         self.context = WorkerContext(None)
         self.config = _hypercorn_config()
         self._server: asyncio.Server | None = None
@@ -92,15 +99,11 @@
         return int(self._server.sockets[0].getsockname()[1])
 
     async def start(self) -> Failure | None:
-        """Bind the address and accept connections."""
-        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        """Accept connections, also those that have waited where a listener was given."""
         try:
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            listener.setblocking(False)
-            listener.bind((self._address.host, self._address.port))
+            listener = self._listener or open_listener(self._address)
             self._server = await asyncio.start_server(self._serve, sock=listener, backlog=LISTEN_BACKLOG)
         except OSError as error:
-            listener.close()
             return Failure(ResultCode.ADDRESS_IN_USE, f"{self._address}: {error}")
         return None
 
