--- /dev/null
+++ b/tests/test_system_placement_property.py
@@ -0,0 +1,241 @@
+"""Whatever happens, placement as the serving system sets it keeps the rules of sends and answers."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass, field, replace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from canvasbeam import choice
+from canvasbeam import interface as ci
+from canvasbeam.choice import Dispatcher
+from canvasbeam.interface import Outcome, WorkerState
+from tests.helpers import MS, SECOND
+from tests.test_system_placement import BRIEF, CHAT, LLM, LOOKUP, READ, System
+
+MODELS = ("m", "n")
+HOME = replace(CHAT, name="home", homes=("there",))
+CLASSES = (CHAT, BRIEF, READ, HOME)
+ENDS = (
+    Outcome.OK, Outcome.OK, Outcome.OK, Outcome.FULL, Outcome.ERROR, Outcome.CONNECT_FAILED, Outcome.UNSENT,
+    Outcome.RESET, Outcome.BROKEN, Outcome.TIMED_OUT, Outcome.MOOT,
+)  # fmt: skip
+
+
+class RuleBroken(AssertionError):
+    """A send or an answer that the rules do not allow."""
+
+
+@dataclass
+class Send:
+    worker: str
+    outcome: Outcome | None = None
+    opened: bool = False
+
+
+@dataclass
+class Request:
+    """What the world outside of the dispatcher knows of a job."""
+
+    job: ci.JobArrived
+    job_class: ci.JobClass
+    sends: list[Send] = field(default_factory=list)
+    answers: int = 0
+
+    def out(self) -> list[int]:
+        return [number for number, each in enumerate(self.sends) if each.outcome is None]
+
+
+class World:
+    """Workers, clients and a carrier that obey the interface; every action is checked."""
+
+    def __init__(self, seed: int) -> None:
+        self.chance = random.Random(seed)
+        self.system = System(classes=CLASSES, affinity_turns=self.chance.choice((0.0, 4.0)))
+        self.entries: dict[str, ci.WorkerEntry] = {}
+        self.requests: dict[str, Request] = {}
+
+    def play(self, steps: int) -> None:
+        for _ in range(6):
+            self.list_worker()
+        for _ in range(steps):
+            self.chance.choices(
+                (self.arrive, self.open_stream, self.end, self.list_worker, self.leave, self.wait),
+                weights=(8, 6, 8, 1, 1, 6),
+            )[0]()
+        self.finish()
+
+    def finish(self) -> None:
+        """Nothing more comes; every job gets its answer before its client gives up."""
+        self.act(self.system.pass_time(20 * SECOND))
+        for name, request in self.requests.items():
+            if request.answers != 1 and not any(each.opened for each in request.sends):
+                raise RuleBroken(f"{name} has {request.answers} answers")
+
+    # --- what happens -----------------------------------------------------------------------------
+
+    def arrive(self) -> None:
+        job_class = self.chance.choice(CLASSES)
+        name = f"j{self.system.made}"
+        self.system.made += 1
+        prompt = None
+        if job_class.kind == LLM:
+            part = ci.PromptPart(f"p{self.chance.randrange(4)}", 2000)
+            tokens = 2000 + self.chance.randrange(10_000)
+            prompt = ci.PromptEstimate(tokens, 200, (part,), self.chance.choice(MODELS))
+        due = self.system.now + self.chance.randrange(10, 5000) * MS
+        job = ci.JobArrived(name, job_class.name, due, prompt=prompt, repeat=self.chance.random() < 0.1)
+        self.requests[name] = Request(job, job_class)
+        self.system.limits.repeats_permitted = self.chance.random() < 0.7
+        self.act(self.system.give(job))
+
+    def running(self) -> Iterator[tuple[str, int]]:
+        for name, request in self.requests.items():
+            for number in request.out():
+                yield name, number
+
+    def some_running(self) -> tuple[str, int] | None:
+        running = list(self.running())
+        return self.chance.choice(running) if running else None
+
+    def open_stream(self) -> None:
+        found = self.some_running()
+        if found is not None:
+            name, number = found
+            send = self.requests[name].sends[number]
+            if not send.opened and self.requests[name].job_class.streams:
+                send.opened = True
+                self.act(self.system.opened(name, send.worker, number))
+
+    def end(self) -> None:
+        found = self.some_running()
+        if found is None:
+            return
+        name, number = found
+        request = self.requests[name]
+        send = request.sends[number]
+        send.outcome = self.chance.choice(ENDS)
+        final = send.outcome is Outcome.OK or send.opened
+        if final:
+            request.answers += not request.answers
+        self.act(self.system.give(ci.AttemptEnded(name, number, send.worker, send.outcome, final=final)))
+
+    def list_worker(self) -> None:
+        name = f"w{self.chance.randrange(8)}"
+        entry = ci.WorkerEntry(
+            name,
+            self.chance.choice(("here", "there")),
+            LLM if int(name[1]) < 6 else LOOKUP,
+            state=self.chance.choice((WorkerState.LIVE, WorkerState.LIVE, WorkerState.DRAINING, WorkerState.GONE)),
+            slots=self.chance.choice((1, 4, 64)),
+            models=self.chance.choice(((), ("m",), MODELS)),
+        )
+        self.entries[name] = entry
+        self.act(self.system.give(ci.WorkersListed(ci.ListKind.CHANGES, (entry,))))
+
+    def leave(self) -> None:
+        waiting = [name for name, request in self.requests.items() if not request.answers]
+        if waiting:
+            name = self.chance.choice(waiting)
+            self.requests[name].answers = 1
+            self.act(self.system.give(ci.ClientGone(name)))
+
+    def wait(self) -> None:
+        self.act(self.system.pass_time(self.chance.choice((1, 20, 300, 1500)) * MS))
+
+    # --- what the dispatcher does -----------------------------------------------------------------
+
+    def act(self, actions: list[ci.Action]) -> None:
+        for action in actions:
+            match action:
+                case ci.Send(name, worker):
+                    self.check_send(name, worker)
+                    self.requests[name].sends.append(Send(worker))
+                case ci.Refuse(name, _) | ci.Fail(name):
+                    self.check_answer(name, isinstance(action, ci.Refuse))
+                    self.requests[name].answers += 1
+                case ci.Cancel(name, number):
+                    send = self.requests[name].sends[number]
+                    if send.outcome is None:
+                        send.outcome = Outcome.CANCELLED
+                        ended = ci.AttemptEnded(name, number, send.worker, Outcome.CANCELLED)
+                        self.act(self.system.give(ended))
+
+    def check_send(self, name: str, worker: str) -> None:
+        request, entry = self.requests[name], self.entries[worker]
+        if request.answers:
+            raise RuleBroken(f"{name} is sent after its answer")
+        if entry.state is not WorkerState.LIVE or not entry.may_run(request.job_class, request.job):
+            raise RuleBroken(f"{name} is sent to a worker that may not run it")
+        if request.out():
+            raise RuleBroken(f"{name} is at two workers at once")
+        not_sent = (Outcome.CONNECT_FAILED, Outcome.UNSENT)
+        counted = [each for each in request.sends if each.outcome not in not_sent]
+        if len(counted) >= max(1, request.job_class.max_attempts):
+            raise RuleBroken(f"{name} is sent to too many workers")
+        may_have_run = [each for each in counted if each.outcome is not None and not each.outcome.never_ran]
+        if request.job_class.effect is ci.Effect.UNSAFE and may_have_run:
+            raise RuleBroken(f"{name} may run twice")
+        if (counted or request.job.repeat) and not self.system.limits.repeats_permitted:
+            raise RuleBroken(f"{name} is repeated without budget")
+
+    def check_answer(self, name: str, promises: bool) -> None:
+        request = self.requests[name]
+        if request.answers:
+            raise RuleBroken(f"{name} is answered twice")
+        may_have_run = any(each.outcome is None or not each.outcome.never_ran for each in request.sends)
+        if promises and may_have_run and request.job_class.effect is not ci.Effect.SAFE:
+            raise RuleBroken(f"{name} may have run and is refused")
+
+
+@settings(max_examples=150, deadline=None)
+@given(st.integers(0, 2**32))
+def test_no_rule_is_broken(seed: int) -> None:
+    World(seed).play(150)
+
+
+def finds_fault() -> bool:
+    for seed in range(60):
+        try:
+            World(seed).play(150)
+        except RuleBroken:
+            return True
+    return False
+
+
+def test_planted_fault_of_an_unsafe_repeat_is_noticed(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(choice.Job, "risky", lambda self: [])
+    assert finds_fault()
+
+
+def test_planted_fault_of_too_many_attempts_is_noticed(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Dispatcher, "_most_attempts", lambda self, job: 5)
+    assert finds_fault()
+
+
+def test_planted_fault_of_a_repeat_without_budget_is_noticed(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Dispatcher, "_repeat_permitted", lambda self, job: True)
+    assert finds_fault()
+
+
+def test_planted_fault_of_a_foreign_worker_is_noticed(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(ci.WorkerEntry, "may_run", lambda self, job_class, job: True)
+    real = World.check_send
+
+    def check(self: World, name: str, worker: str) -> None:
+        request, entry = self.requests[name], self.entries[worker]
+        if request.job_class.kind != entry.kind:
+            raise RuleBroken(f"{name} is sent to another kind of worker")
+        real(self, name, worker)
+
+    monkeypatch.setattr(World, "check_send", check)
+    assert finds_fault()
+
+
+def test_planted_fault_of_a_job_that_is_never_answered_is_noticed(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Dispatcher, "_give_up", lambda self, job: None)
+    assert finds_fault()
