--- a/tests/replication_world.py
+++ b/tests/replication_world.py
@@ -317,9 +317,17 @@
                 break
         else:
             raise Violation(f"no change was acknowledged within 6 s of the end of all trouble: {self.describe()}")
-        self.run(80)
+        for _ in range(80):
+            self.run(1)
+            if self._is_recovered():
+                break
         self._check_whole()
 
+    def _is_recovered(self) -> bool:
+        everybody = {machine.me for machine in self.machines.values()}
+        views = [machine.durable.accepted for machine in self.machines.values()]
+        return all(view is not None and view == views[0] and set(view.replicas) == everybody for view in views)
+
     # --- invariants -------------------------------------------------------------------------------------------
 
     def _check_whole(self) -> None:
