--- a/canvasbeam/control_plane/program.py
+++ b/canvasbeam/control_plane/program.py
@@ -14,7 +14,7 @@
 from canvasbeam.control_plane.registry import INSTANCES_PREFIX, RegistryService
 from canvasbeam.control_plane.replicated_state import ReplicatedControlState
 from canvasbeam.control_plane.status import status_document
-from canvasbeam.control_plane.web import Endpoint, web_app
+from canvasbeam.control_plane.web import Endpoint, WebApp
 from canvasbeam.errors import Failure, ResultCode
 from canvasbeam.runtime import logs
 from canvasbeam.runtime.http_server import HttpLimits, HttpServer
@@ -55,7 +55,7 @@
         limits = HttpLimits(max_connections=connections)
         endpoints = {"control": self._control_endpoints(), "directory": self._directory_endpoints()}
         return [
-            HttpServer(web_app(endpoints[name]), settings.listen[name], limits, listeners.get(name))
+            HttpServer(WebApp(endpoints[name]), settings.listen[name], limits, listeners.get(name))
             for name in endpoints
             if name in settings.listen
         ]
--- a/canvasbeam/control_plane/web.py
+++ b/canvasbeam/control_plane/web.py
@@ -9,10 +9,11 @@
 from urllib.parse import parse_qs
 
 from canvasbeam.errors import Failure, ResultCode
-from canvasbeam.runtime.http_server import App, Receive, Scope, Send
+from canvasbeam.runtime.http_server import Message, Receive, Scope, Send
 
 JSON_CONTENT = (b"content-type", b"application/json")
 DISCARD_BYTES = 64 << 20  # of a body that is too large, so that its sender gets to read the answer
+MOST_HELD_BYTES = 48 << 20  # of all bodies that are being read or handled
 RETRY_SOON = "0.2"
 
 
@@ -36,11 +37,6 @@
     headers: Sequence[tuple[bytes, bytes]] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class ClientGone:
-    """The caller closed the connection before its call was whole."""
-
-
 Handler = Callable[[Request], Awaitable[Answer]]
 
 
@@ -75,24 +71,75 @@
     return Answer(405, headers=((b"allow", ", ".join(allowed).encode()),))
 
 
-def web_app(endpoints: Sequence[Endpoint]) -> App:
+class WebApp:
     """An ASGI app that gives each call to the first endpoint whose prefix begins its path."""
 
-    async def app(scope: Scope, receive: Receive, send: Send) -> None:
+    def __init__(self, endpoints: Sequence[Endpoint]) -> None:
+        self._endpoints = endpoints
+        self._held_bytes = 0
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one call."""
         path = scope["path"]
-        endpoint = next((each for each in endpoints if path.startswith(each.prefix)), None)
+        endpoint = next((each for each in self._endpoints if path.startswith(each.prefix)), None)
         if endpoint is None:
             await _send_answer(send, Answer(404))
             return
-        body = await _read_body(receive, endpoint.most_body_bytes())
-        if isinstance(body, ClientGone):
-            return
-        if isinstance(body, Failure):
-            await _send_answer(send, failure_answer(413, body))
-            return
-        await _send_answer(send, await endpoint.handler(_request(scope, body)))
-
-    return app
+        body = _Body(endpoint.most_body_bytes())
+        try:
+            answer = await self._answer(endpoint, scope, receive, body)
+        finally:
+            self._held_bytes -= body.size
+        if answer is not None:
+            await _send_answer(send, answer)
+
+    async def _answer(self, endpoint: Endpoint, scope: Scope, receive: Receive, body: _Body) -> Answer | None:
+        """None where the caller has gone."""
+        while not body.is_whole:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                return None
+            self._held_bytes += body.take(message)
+            if self._held_bytes > MOST_HELD_BYTES:
+                return unavailable(Failure(ResultCode.OVERLOADED, "too many bodies are being read"))
+        if body.is_too_large:
+            return failure_answer(413, Failure(ResultCode.CONFIG_TOO_LARGE, f"the body exceeds {body.most} bytes"))
+        return await endpoint.handler(_request(scope, body.data()))
+
+
+class _Body:
+    """The body of a call, as far as it has come; one that is too large is read on but not kept."""
+
+    def __init__(self, most: int) -> None:
+        self.most = most
+        self.size = 0  # of what is kept
+        self.is_too_large = False
+        self.is_whole = False
+        self._discarded = 0
+        self._chunks: list[bytes] = []
+
+    def take(self, message: Message) -> int:
+        """Take the next part; tells how many more bytes are kept."""
+        chunk: bytes = message.get("body", b"")
+        self.is_whole = not message.get("more_body", False)
+        former = self.size
+        if self.is_too_large or self.size + len(chunk) > self.most:
+            self._discard(chunk)
+        else:
+            self._chunks.append(chunk)
+            self.size += len(chunk)
+        return self.size - former
+
+    def data(self) -> bytes:
+        """The whole body."""
+        return b"".join(self._chunks)
+
+    def _discard(self, chunk: bytes) -> None:
+        self.is_too_large = True
+        self._chunks.clear()
+        self.size = 0
+        self._discarded += len(chunk)
+        self.is_whole = self.is_whole or self._discarded > DISCARD_BYTES
 
 
 def _request(scope: Scope, body: bytes) -> Request:
@@ -106,26 +153,6 @@
     )
 
 
-async def _read_body(receive: Receive, most: int) -> bytes | Failure | ClientGone:
-    chunks: list[bytes] = []
-    size = 0
-    while True:
-        message = await receive()
-        if message["type"] == "http.disconnect":
-            return ClientGone()
-        chunk = message.get("body", b"")
-        size += len(chunk)
-        if size <= most:
-            chunks.append(chunk)
-        elif size > DISCARD_BYTES:
-            break
-        if not message.get("more_body", False):
-            break
-    if size > most:
-        return Failure(ResultCode.CONFIG_TOO_LARGE, f"the body is larger than {most} bytes")
-    return b"".join(chunks)
-
-
 async def _send_answer(send: Send, answer: Answer) -> None:
     headers = [*answer.headers, (b"content-length", str(len(answer.body)).encode())]
     await send({"type": "http.response.start", "status": answer.status, "headers": headers})
--- a/tests/test_operator_api.py
+++ b/tests/test_operator_api.py
@@ -9,11 +9,11 @@
 
 import pytest
 
-from canvasbeam.control_plane import operator_api
+from canvasbeam.control_plane import operator_api, web
 from canvasbeam.control_plane.changes import apply
 from canvasbeam.control_plane.control_state import Change, Committed, ControlState
 from canvasbeam.control_plane.operator_api import CONFIGURATION_PATH, EVACUATION_PREFIX, STATUS_PATH, OperatorApi
-from canvasbeam.control_plane.web import Endpoint, web_app
+from canvasbeam.control_plane.web import Endpoint, WebApp
 from canvasbeam.errors import Failure, ResultCode
 from canvasbeam.runtime.http_server import Message
 from canvasbeam.runtime.settings import Address, ProcessSettings
@@ -82,7 +82,7 @@
         self.reachable: set[str] = {"10.2.0.30"}
         self.api = OperatorApi(SETTINGS, self.service, self.reachable.__contains__, lambda: {"node": "c1"})
         small = lambda: 1000  # noqa: E731
-        self.app = web_app(
+        self.app = WebApp(
             [
                 Endpoint(CONFIGURATION_PATH, self.api.configuration, self.api.most_body_bytes),
                 Endpoint(EVACUATION_PREFIX, self.api.evacuation, small),
@@ -189,6 +189,25 @@
     run(body)
 
 
+def test_bodies_held_at_once_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(web, "MOST_HELD_BYTES", 1000)
+
+    async def body(caller: Caller) -> None:
+        assert (await caller.put(b" " * 1001)).status == 503
+        assert (await caller.put(CONFIGURATION)).status == 200
+        caller.service.gate = asyncio.Event()
+        waiting = [
+            asyncio.create_task(caller.put(CONFIGURATION | {"x": "y" * 600, "generation": 9 + n}, 7)) for n in range(2)
+        ]
+        await asyncio.sleep(0)
+        caller.service.gate.set()
+        assert sorted([(await task).status for task in waiting]) == [200, 503]
+        caller.service.gate = None
+        assert (await caller.put(CONFIGURATION | {"x": "z" * 600, "generation": 20}, 9)).status == 200
+
+    run(body)
+
+
 def test_limit_of_the_configuration_allows_larger_bodies() -> None:
     async def body(caller: Caller) -> None:
         await caller.put(CONFIGURATION | {"limits": {"max_body_bytes": 8 << 20}})
