--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -1,7 +1,7 @@
 """What the control of a scheduler costs by the size of the system: slopes for docs/CAPACITY.md.
 
 `configuration` times each step that a configuration takes from the operator to a data-plane node, by its number of
-tenants. `items` times one item on its way through a node. `fleet` runs the real distribution and codec of many nodes
+tenants. `items` times one item on its way through a node. `fleet` runs the real decisions and messages of many nodes
 over a simulated network and counts, for each kind of node, messages, bytes and processor time a second. `memory` weighs
 the item table. Nothing is written; `--json` prints the figures for a page.
 """
@@ -17,6 +17,7 @@
 import time
 import tracemalloc
 from collections.abc import Callable, Iterator, Sequence
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -25,17 +26,18 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from canvasbeam.cluster import codec
+from canvasbeam.cluster import codec, membership_pb2
 from canvasbeam.cluster.framing import frame
 from canvasbeam.cluster.items import Item, ItemKind, ItemTable, Version
 from canvasbeam.cluster.member import Member, member_item
+from canvasbeam.cluster.node_core import Action, NodeCore, Ports, ProbeAnswer
 from canvasbeam.cluster.worker_items import worker_item
 from canvasbeam.control_plane.changes import apply, encode_configuration, encode_state
 from canvasbeam.control_plane.control_state import Change, ChangeKind, ControlState
 from canvasbeam.data_plane.routes import parse_configuration
-from canvasbeam.decide.distribution import Distribution, Start
-from canvasbeam.decide.distribution_messages import DistributionTerms, Message, Update
-from canvasbeam.decide.relay_tree import Place
+from canvasbeam.decide.distribution import Start
+from canvasbeam.decide.distribution_messages import Message, Send, Update
+from canvasbeam.decide.monitoring import Probe
 from canvasbeam.decide.worker_registry import Model, Publication, Worker, WorkerVersion
 from canvasbeam.errors import Failure
 from canvasbeam.runtime.settings import Address
@@ -48,8 +50,10 @@
 ROUTES_PER_MODEL = 10
 DELAY = 20 * MILLISECOND
 SETTLE = 20 * SECOND
+PORTS = Ports(control=7660, data=7661)
 
 Row = dict[str, Any]
+Outgoing = tuple[Sequence[Address], bytes, Callable[[NodeCore], None]]
 
 
 # --- what is measured ---------------------------------------------------------------------------------
@@ -223,44 +227,39 @@
 
 @dataclass(slots=True)
 class FleetNode:
-    """One node with its own table."""
+    """One node of the fleet."""
 
-    place: Place
-    distribution: Distribution
+    address: Address
+    is_control: bool
+    core: NodeCore
     traffic: Traffic = field(default_factory=Traffic)
 
 
 class Fleet:
-    """Nodes of the real distribution on a network that delays each message by the same time."""
+    """The real decisions of nodes on a network that delays each message by the same time."""
 
     def __init__(self, controls: int, edges: int, workers: int) -> None:
         self.now = 0
         self._events: list[tuple[int, int, Callable[[], None]]] = []
         self._count = 0
-        self._encoded: dict[int, tuple[Message, bytes]] = {}
+        self._random = random.Random(1)
         members = [member(number, True) for number in range(controls)]
         members += [member(number, False) for number in range(edges)]
-        self.places = [
-            Place(each.key, Address(each.ip, 7660 + (not each.is_control)), each.zone, each.region, each.is_control)
-            for each in members
-        ]
-        seeds = [each.address for each in self.places[:3]]
-        start = random.Random(1)
-        self.nodes = {
-            place.address: FleetNode(
-                place,
-                Distribution(place, seeds, ItemTable(), DistributionTerms(), Start(start.randrange(1 << 30), 0)),
-            )
-            for place in self.places
-        }
-        self.controls = [node for node in self.nodes.values() if node.place.is_control]
-        self.edges = [node for node in self.nodes.values() if not node.place.is_control]
-        first = [member_item(each) for each in members]
+        seeds = [PORTS.address_of(each) for each in members[:3]]
+        self.nodes = {PORTS.address_of(each): self._node(each, seeds) for each in members}
+        self.controls = [node for node in self.nodes.values() if node.is_control]
+        self.edges = [node for node in self.nodes.values() if not node.is_control]
+        first = [node.core.own.item() for node in self.nodes.values()]
         first += [worker_item(worker_publication(number, 1)) for number in range(workers)]
         for node in self.nodes.values():
-            node.distribution.table.merge(first)
-            node.distribution.set_places(0, self.places)
-            self._tick(node)
+            node.core.table.merge(first)
+            node.core.begin(0)
+            self._perform(node)
+            self._at(self._random.randrange(SECOND), lambda node=node: self._tick(node))  # type: ignore[misc]
+
+    def _node(self, of: Member, seeds: Sequence[Address]) -> FleetNode:
+        core = NodeCore(of, PORTS, seeds, Start(self._random.randrange(1 << 30), 0))
+        return FleetNode(PORTS.address_of(of), of.is_control, core)
 
     def run(self, until: int) -> None:
         """Let the time pass."""
@@ -276,52 +275,73 @@
 
     def publish(self, node: FleetNode, items: Sequence[Item]) -> None:
         """A node tells something new."""
-        started = time.process_time_ns()
-        node.distribution.publish(self.now, items)
-        node.traffic.processor_ns += time.process_time_ns() - started
+        with measured(node.traffic):
+            node.core.publish(self.now, items)
         self._perform(node)
 
-    def all_hold(self, item: Item) -> bool:
-        """Whether every node has an item in this version."""
-        tables = [node.distribution.table for node in self.nodes.values()]
-        held = [table.get(item.kind, item.key) for table in tables]
-        return all(each is not None and each.version >= item.version for each in held)
-
     def _at(self, when: int, step: Callable[[], None]) -> None:
         self._count += 1
         heapq.heappush(self._events, (when, self._count, step))
 
     def _tick(self, node: FleetNode) -> None:
-        started = time.process_time_ns()
-        node.distribution.tick(self.now)
-        wake = node.distribution.wake()
-        node.traffic.processor_ns += time.process_time_ns() - started
+        with measured(node.traffic):
+            node.core.tick(self.now)
+            wake = node.core.wake()
         self._perform(node)
         self._at(max(wake, self.now + 5 * MILLISECOND), lambda: self._tick(node))
 
     def _perform(self, node: FleetNode) -> None:
-        for action in node.distribution.take_actions():
-            started = time.process_time_ns()
-            payload = frame(codec.encode(action.message))
-            node.traffic.processor_ns += time.process_time_ns() - started
-            for address in action.addresses:
+        for action in node.core.take_actions():
+            with measured(node.traffic):
+                receivers, payload, receive = self._outgoing(node, action)
+            for address in receivers:
                 node.traffic.bytes_out += len(payload)
-                self._at(self.now + DELAY, self._delivery(node.place.address, address, payload))
-
-    def _delivery(self, sender: Address, receiver: Address, payload: bytes) -> Callable[[], None]:
+                self._at(self.now + DELAY, self._delivery(address, len(payload), receive))
+
+    def _outgoing(self, node: FleetNode, action: Action) -> Outgoing:
+        """The receivers of an action, the bytes, and what a receiver does with them."""
+        sender = node.address
+        match action:
+            case Send():
+                encoded = codec.encode(action.message)
+                return action.addresses, frame(encoded), lambda core: core.receive(self.now, sender, _decoded(encoded))
+            case Probe():
+                probe = membership_pb2.Probe(number=action.number).SerializeToString()
+                return (action.address,), probe, lambda core: core.on_probe(self.now, sender, *_claim(probe))
+            case ProbeAnswer():
+                answer = membership_pb2.Probe(number=action.number, is_answer=True).SerializeToString()
+                return (action.address,), answer, lambda core: _take_answer(core, self.now, sender, answer)
+
+    def _delivery(self, receiver: Address, size: int, receive: Callable[[NodeCore], None]) -> Callable[[], None]:
         def deliver() -> None:
             node = self.nodes[receiver]
-            started = time.process_time_ns()
-            message = _decoded(payload[4:])
-            node.distribution.receive(self.now, sender, message)
-            node.traffic.processor_ns += time.process_time_ns() - started
+            with measured(node.traffic):
+                receive(node.core)
             node.traffic.messages += 1
-            node.traffic.bytes_in += len(payload)
+            node.traffic.bytes_in += size
             self._perform(node)
 
         return deliver
 
 
+@contextmanager
+def measured(traffic: Traffic) -> Iterator[None]:
+    """Charge a node with the processor time of a step."""
+    started = time.process_time_ns()
+    yield
+    traffic.processor_ns += time.process_time_ns() - started
+
+
+def _claim(datagram: bytes) -> tuple[int, Version]:
+    probe = membership_pb2.Probe.FromString(datagram)
+    return probe.number, Version(probe.incarnation, probe.status)
+
+
+def _take_answer(core: NodeCore, now: int, sender: Address, datagram: bytes) -> None:
+    membership_pb2.Probe.FromString(datagram)
+    core.on_answer(now, sender)
+
+
 def fleet_rows(controls: int, edges: int, seconds: int, changes_per_s: float) -> list[Row]:
     """A fleet at rest but for workers that change at this rate, evenly over the control nodes."""
     workers = WORKERS_PER_NODE * edges
@@ -334,8 +354,8 @@
         item = worker_item(worker_publication(sequence % workers, sequence))
         fleet.publish(fleet.controls[sequence % controls], [item])
     fleet.run(end)
-    relays = [node for node in fleet.edges if node.distribution.children]
-    leaves = [node for node in fleet.edges if not node.distribution.children]
+    relays = [node for node in fleet.edges if node.core.distribution.children]
+    leaves = [node for node in fleet.edges if not node.core.distribution.children]
     groups = (("control", fleet.controls), ("relay", relays), ("leaf", leaves))
     rate = {"edges": edges, "workers": workers, "changes_per_s": changes_per_s, "seconds": seconds}
     return [{**rate, "role": role, **_rates(nodes, seconds)} for role, nodes in groups if nodes]
@@ -462,7 +482,7 @@
 @click.option("--changes", default=0.0, show_default=True, help="Worker items that change a second.")
 @json_option
 def fleet(edges: str, controls: int, seconds: int, changes: float, as_json: bool) -> None:
-    """Messages, bytes and processor time of the distribution, by the number of data-plane nodes."""
+    """Messages, bytes and processor time of distribution and monitoring, by the number of data-plane nodes."""
     rows = [row for each in edges.split(",") for row in fleet_rows(controls, int(each), seconds, changes)]
     show(rows, as_json)
 
