--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -1,9 +1,9 @@
 """What the control of a scheduler costs by the size of the system: slopes for docs/CAPACITY.md.
 
 `configuration` times each step that a configuration takes from the operator to a data-plane node, by its number of
-tenants. `items` times one item on its way through a node. `fleet` runs the real decisions and messages of many nodes
-over a simulated network and counts, for each kind of node, messages, bytes and processor time a second. `memory` weighs
-the item table. Nothing is written; `--json` prints the figures for a page.
+tenants. `items` times one item on its way through a node, `notices` a placement notice. `fleet` runs the real decisions
+and messages of many nodes over a simulated network and counts, for each kind of node, messages, bytes and processor
+time a second. `memory` weighs the item table. Nothing is written; `--json` prints the figures for a page.
 """
 
 from __future__ import annotations
@@ -26,20 +26,23 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from canvasbeam.cluster import codec, membership_pb2
+from canvasbeam.cluster import codec, envelope_pb2, membership_pb2
 from canvasbeam.cluster.framing import frame
 from canvasbeam.cluster.items import Item, ItemKind, ItemTable, Version
 from canvasbeam.cluster.member import Member, member_item
 from canvasbeam.cluster.node_core import Action, NodeCore, Ports, ProbeAnswer
+from canvasbeam.cluster.transport import Channel
 from canvasbeam.cluster.worker_items import worker_item
 from canvasbeam.control_plane.changes import apply, encode_configuration, encode_state
 from canvasbeam.control_plane.control_state import Change, ChangeKind, ControlState
+from canvasbeam.data_plane.placement_notices import decode_notice, encode_notice
 from canvasbeam.data_plane.routes import parse_configuration
 from canvasbeam.decide.distribution import Start
 from canvasbeam.decide.distribution_messages import Message, Send, Update
 from canvasbeam.decide.monitoring import Probe
 from canvasbeam.decide.worker_registry import Model, Publication, Worker, WorkerVersion
 from canvasbeam.errors import Failure
+from canvasbeam.interface import PromptEstimate, PromptPart
 from canvasbeam.runtime.settings import Address
 
 MILLISECOND = 1_000_000
@@ -382,6 +385,25 @@
     }
 
 
+# --- placement notices --------------------------------------------------------------------------------
+
+
+def notice_row(parts: int, repeats: int) -> Row:
+    """A notice of one send, as the nodes of a region tell each other."""
+    named = tuple(PromptPart(f"{number:08x}", 400) for number in range(parts))
+    prompt = PromptEstimate(400 * parts, 0, named)
+    payload = encode_notice("i-00000001", prompt)
+    envelope = envelope_pb2.Frame(channel=int(Channel.PLACEMENT), payload=payload)  # type: ignore[arg-type]
+    encode_ms = milliseconds(lambda: [encode_notice("i-00000001", prompt) for _ in range(repeats)], 5)
+    decode_ms = milliseconds(lambda: [decode_notice(payload) for _ in range(repeats)], 5)
+    return {
+        "parts": parts,
+        "bytes": len(frame(envelope.SerializeToString())),
+        "encode_us": 1000 * encode_ms / repeats,
+        "decode_us": 1000 * decode_ms / repeats,
+    }
+
+
 # --- memory -------------------------------------------------------------------------------------------
 
 
@@ -475,6 +497,15 @@
     show([item_row(int(each), repeats) for each in batches.split(",")], as_json)
 
 
+@cli.command()
+@click.option("--parts", default="3,10", show_default=True)
+@click.option("--repeats", default=2000, show_default=True)
+@json_option
+def notices(parts: str, repeats: int, as_json: bool) -> None:
+    """One placement notice, by the parts of its prompt."""
+    show([notice_row(int(each), repeats) for each in parts.split(",")], as_json)
+
+
 @cli.command()
 @click.option("--edges", default="30,100,300", show_default=True)
 @click.option("--controls", default=8, show_default=True)
