--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from abc import ABC, abstractmethod
 from typing import Any
 
 from canvasbeam import Dispatcher
@@ -37,8 +38,30 @@
     return ci.WorkerEntry(worker, zone, **changes)
 
 
-class Bench:
-    """Drives one dispatcher on a clock of its own."""
+class TimedDriver(ABC):
+    """Drives one dispatcher on a clock of its own, and fires the timers that it asks for."""
+
+    now: int
+    timers: list[tuple[int, str]]
+
+    @abstractmethod
+    def give(self, *events: ci.Event) -> list[ci.Action]:
+        """Hand over events at the present time."""
+
+    def pass_time(self, span: int) -> list[ci.Action]:
+        """Let time pass; due timers fire. All actions given meanwhile."""
+        end, given = self.now + span, []
+        while self.timers and min(self.timers)[0] <= end:
+            when, token = min(self.timers)
+            self.timers.remove((when, token))
+            self.now = max(self.now, when)
+            given += self.give(ci.TimerFired(token))
+        self.now = end
+        return given
+
+
+class Bench(TimedDriver):
+    """A dispatcher with the settings above."""
 
     def __init__(self, *workers: ci.WorkerEntry, seed: int = 1, **changes: Any) -> None:
         self.dispatcher = Dispatcher(settings(**changes), seed)
@@ -60,17 +83,6 @@
     def listed(self, *workers: ci.WorkerEntry, kind: ci.ListKind = ci.ListKind.COMPLETE) -> list[ci.Action]:
         return self.give(ci.WorkersListed(kind, workers, 1))
 
-    def pass_time(self, span: int) -> list[ci.Action]:
-        """Let time pass; due timers fire. All actions given meanwhile."""
-        end, given = self.now + span, []
-        while self.timers and min(self.timers)[0] <= end:
-            when, token = min(self.timers)
-            self.timers.remove((when, token))
-            self.now = max(self.now, when)
-            given += self.give(ci.TimerFired(token))
-        self.now = end
-        return given
-
     def job(self, job_class: str = "look", due: int = 5 * SECOND, **fields: Any) -> list[ci.Action]:
         """A job arrives, named j0, j1, ..."""
         name = f"j{self.made}"
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-from typing import Any
-
 import pytest
 from hypothesis import settings as profile
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from canvasbeam.decide import maintenance
+from tests.machines import assert_caught
 
 NAMES = st.sampled_from(["a", "b", "c", "d"])
 
@@ -157,13 +156,7 @@
     class Broken(Machine):
         kind = broken
 
-    case: Any = Broken.TestCase
-    case.settings = profile(
-        max_examples=80, stateful_step_count=30, deadline=None, derandomize=True, database=None,
-        report_multiple_bugs=False,
-    )  # fmt: skip
-    with pytest.raises(AssertionError):
-        case().runTest()
+    assert_caught(Broken, max_examples=80, steps=30)
 
 
 def test_entering_twice_needs_leaving_once_and_the_return_is_a_start() -> None:
--- a/tests/test_planned_shutdown.py
+++ b/tests/test_planned_shutdown.py
@@ -7,7 +7,6 @@
 from dataclasses import replace
 from datetime import timedelta
 from pathlib import Path
-from typing import Any
 
 import pytest
 from hypothesis import settings as profile
@@ -21,6 +20,7 @@
 from canvasbeam.net.target_group import TargetGroup
 from tests.helpers import SAFE, SECOND, settings
 from tests.loopback import Peer, Server, World, done, job
+from tests.machines import assert_caught
 from tests.test_net_loop import host, listing
 from tests.test_upgrade import Fleet, healthy
 from tests.test_upgrade import job as fleet_job
@@ -150,13 +150,7 @@
     class Broken(Machine):
         kind = broken
 
-    case: Any = Broken.TestCase
-    case.settings = profile(
-        max_examples=300, stateful_step_count=40, deadline=None, derandomize=True, database=None,
-        report_multiple_bugs=False,
-    )  # fmt: skip
-    with pytest.raises(AssertionError):
-        case().runTest()
+    assert_caught(Broken, max_examples=300, steps=40)
 
 
 @pytest.mark.parametrize("terms", [(60, 60, 360, 100), (60, 340, 340, 100), (-1, 340, 360, 100), (60, 340, 360, -1)])
--- a/tests/test_system_placement.py
+++ b/tests/test_system_placement.py
@@ -10,7 +10,7 @@
 from canvasbeam import Dispatcher
 from canvasbeam import interface as ci
 from canvasbeam.decide.engine_model import READ_NS, Engine, EngineExpectations
-from tests.helpers import MS, SECOND, START
+from tests.helpers import MS, SECOND, START, TimedDriver
 
 LLM = "llm"
 LOOKUP = "lookup"
@@ -55,7 +55,7 @@
     return ci.PromptEstimate(tokens, 50, tuple(ci.PromptPart(name, size) for name, size in parts))
 
 
-class System:
+class System(TimedDriver):
     """Drives one dispatcher with the system's settings."""
 
     def __init__(
@@ -81,16 +81,6 @@
         self.timers += [(each.when_ns, each.token) for each in actions if isinstance(each, ci.SetTimer)]
         return [each for each in actions if not isinstance(each, ci.SetTimer | ci.Log)]
 
-    def pass_time(self, span: int) -> list[ci.Action]:
-        end, given = self.now + span, []
-        while self.timers and min(self.timers)[0] <= end:
-            when, token = min(self.timers)
-            self.timers.remove((when, token))
-            self.now = max(self.now, when)
-            given += self.give(ci.TimerFired(token))
-        self.now = end
-        return given
-
     def job(self, job_class: str = "chat", due: int = 5 * SECOND, **fields: Any) -> list[ci.Action]:
         """A job arrives, named j0, j1, ..."""
         fields.setdefault("prompt", prompt())
