--- a/canvasbeam/control_plane/member_records.py
+++ b/canvasbeam/control_plane/member_records.py
@@ -25,8 +25,8 @@
     encode_epoch,
     encode_witness,
 )
-from canvasbeam.decide.replication.member import Durable
 from canvasbeam.decide.replication.messages import Save, SaveChange, SaveCommitted, SaveInstalled, SaveWitness
+from canvasbeam.decide.replication.start import Durable
 from canvasbeam.decide.replication.types import Apply, MemberId
 from canvasbeam.errors import Failure, ResultCode
 from canvasbeam.storage.frames import Updates
--- a/canvasbeam/control_plane/replicated_state.py
+++ b/canvasbeam/control_plane/replicated_state.py
@@ -22,8 +22,9 @@
 from canvasbeam.control_plane.replication_codec import DecodeState, EncodeState, Received, ReplicationCodec
 from canvasbeam.control_plane.view_log import ViewLog
 from canvasbeam.decide.replication.durability import Held, Outbox
-from canvasbeam.decide.replication.member import Durable, Member, MemberSettings, Role
+from canvasbeam.decide.replication.member import Member, Role
 from canvasbeam.decide.replication.messages import Action, Message, Publish, Reply, Send, SendToAddress
+from canvasbeam.decide.replication.start import Durable, MemberSettings
 from canvasbeam.decide.replication.types import (
     GENESIS_DISK,
     Apply,
@@ -131,7 +132,7 @@
         self._unwritten = asyncio.Event()
         self._start_failure: Failure | None = None
         self._seed_ips = tuple(seed.host for seed in settings.seeds)
-        self._told: tuple[Role, MemberId] | None = None
+        self._told: tuple[bool, MemberId] | None = None
 
     # --- the service ------------------------------------------------------------------------------------------
 
@@ -344,11 +345,13 @@
     def _tell_change_of_primary(self) -> None:
         """The log and the listeners hear when this member leads, stops leading, or follows another primary."""
         member = self._member
-        if member is None or (member.role, member.primary_id) == self._told:
+        if member is None or (self.is_primary, member.primary_id) == self._told:
             return
-        before, self._told = self._told, (member.role, member.primary_id)
-        log.info("{} in epoch {} of {}", member.role.name.lower(), member.primary_epoch.number, member.primary_id)
-        if before is None or before[1] != member.primary_id:
+        before, self._told = self._told, (self.is_primary, member.primary_id)
+        if before is None or self._told == before:
+            return
+        log.info("{}; the primary is {}", "leads" if self.is_primary else "follows", member.primary_id or "not known")
+        if before[1] != member.primary_id:
             for listener in self._primary_listeners:
                 listener(self.primary_ip)
 
--- a/canvasbeam/decide/replication/member.py
+++ b/canvasbeam/decide/replication/member.py
@@ -14,25 +14,21 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass
 from enum import Enum, auto
 
-from canvasbeam.control_plane.control_state import Change, ControlState
+from canvasbeam.control_plane.control_state import Change
 from canvasbeam.decide.replication.candidate import Candidate, Phase
 from canvasbeam.decide.replication.contacts import Contacts
 from canvasbeam.decide.replication.messages import (
     Accept,
-    Accepted,
     Action,
     Append,
     Appended,
     Fetch,
-    Fetched,
     Heartbeat,
     HeartbeatAck,
     Hello,
     Install,
-    Installed,
     Message,
     Prepare,
     Probe,
@@ -43,21 +39,20 @@
     Reply,
     Resign,
     SaveCommitted,
-    SaveInstalled,
     Send,
     SendToAddress,
     ViewTold,
 )
-from canvasbeam.decide.replication.plan import plan_view
+from canvasbeam.decide.replication.plan import ViewPlanner
 from canvasbeam.decide.replication.primary import PendingCall, Primary
 from canvasbeam.decide.replication.replica import Replica
+from canvasbeam.decide.replication.responder import Responder, ToResponder, epoch_of
+from canvasbeam.decide.replication.start import Durable, MemberSettings
 from canvasbeam.decide.replication.types import (
-    GENESIS_EPOCH,
     NO_EPOCH,
     Apply,
     Epoch,
     MemberId,
-    Timing,
     View,
     member_ip,
 )
@@ -77,34 +72,6 @@
     REFORMING = auto()
 
 
-@dataclass(frozen=True, slots=True)
-class Durable:
-    """What a member finds on its disk at a start."""
-
-    promised: Epoch = NO_EPOCH
-    accepted: View | None = None
-    settled: bool = False
-    installed: Epoch = NO_EPOCH
-    state: ControlState = ControlState()
-    committed: int = 0
-
-    @classmethod
-    def genesis(cls, view: View) -> Durable:
-        """What a member of the genesis view begins with."""
-        return cls(GENESIS_EPOCH, view, True, GENESIS_EPOCH, ControlState())
-
-
-@dataclass(frozen=True, slots=True)
-class MemberSettings:
-    """What a member is told at its start."""
-
-    me: MemberId
-    seed_ips: tuple[str, ...]
-    tolerated_machines: int = 1
-    timing: Timing = Timing()
-    seed: int = 0
-
-
 class Member:
     """See the table at the top."""
 
@@ -114,7 +81,9 @@
         self.role = Role.FOLLOWER
         self.witness = Witness(durable.promised, durable.accepted, durable.settled)
         self.replica = Replica(apply, durable.installed, durable.state, durable.committed)
+        self._responder = Responder(self.witness, self.replica)
         self.contacts = Contacts(settings.timing)
+        self._planner = ViewPlanner(settings.me, self.contacts, settings.tolerated_machines)
         self.known_view = durable.accepted  # the highest that this member heard of
         self.known_settled = durable.settled
         self.primary_id: MemberId = ""
@@ -150,18 +119,10 @@
                 return []
             case Probe():
                 return self._on_probe(sender, message, now)
-            case Prepare():
-                return self._on_prepare(sender, message, now)
-            case Fetch(epoch=epoch):
-                return self._on_fetch(sender, epoch)
-            case Install():
-                return self._on_install(sender, message, now)
-            case Accept():
-                return self._on_accept(sender, message, now)
+            case Prepare() | Fetch() | Install() | Accept() | Append():
+                return self._respond(sender, message, now)
             case Heartbeat():
                 return self._on_heartbeat(sender, message, now)
-            case Append():
-                return self._on_append(sender, message, now)
             case Resign(epoch=epoch):
                 return self._on_resign(sender, epoch, now)
             case HeartbeatAck() | Appended():
@@ -259,61 +220,14 @@
         )
         return [Send(sender, answer)]
 
-    def _on_prepare(self, sender: MemberId, message: Prepare, now: int) -> list[Action]:
-        before = self.witness.promised
-        if not self.witness.promise(message.epoch):
-            return [Send(sender, Refused(message.epoch, before))]
-        actions = self._yield_to(message.epoch, sender, now)
-        if message.epoch != before:
-            actions.append(self.witness.to_save())
-        position = self.replica.position
-        witness = self.witness
-        # Leaves after the promise is synced, and with it every change that the position counts.
-        promise = Promise(message.epoch, witness.accepted, witness.settled, position, self.healthy)
-        return [*actions, Send(sender, promise)]
-
-    def _on_fetch(self, sender: MemberId, epoch: Epoch) -> list[Action]:
-        if epoch != self.witness.promised:
-            return [Send(sender, Refused(epoch, self.witness.promised))]
-        return [Send(sender, Fetched(epoch, self.replica.position, self.replica.state))]
-
-    def _on_install(self, sender: MemberId, message: Install, now: int) -> list[Action]:
-        if self.witness.refuses(message.epoch):
-            return [Send(sender, Refused(message.epoch, self.witness.promised))]
-        actions = self._yield_to(message.epoch, sender, now)
-        if self.replica.epoch != message.epoch:
-            state = message.state
-            if state is None and self.replica.position != message.position:
-                return [*actions, Send(sender, Installed(message.epoch, stored=False))]
-            self.witness.promise(message.epoch)
-            self.replica.install(message.epoch, self.replica.state if state is None else state)
-            actions += [self.witness.to_save(), SaveInstalled(message.epoch, state)]
-        # Leaves after the state and the promise are synced.
-        return [*actions, Send(sender, Installed(message.epoch, stored=True))]
-
-    def _on_accept(self, sender: MemberId, message: Accept, now: int) -> list[Action]:
-        view = message.view
-        before = self.witness.to_save()
-        if not self.witness.accept(view, message.settled):
-            return [Send(sender, Refused(view.epoch, self.witness.promised))]
-        actions = self._yield_to(view.epoch, sender, now)
-        self._learn(view, message.settled)
-        if self.witness.to_save() != before:
-            actions.append(self.witness.to_save())
-        # Leaves after the accepted view is synced.
-        return [*actions, Send(sender, Accepted(view.epoch, self.witness.settled))]
-
-    def _on_append(self, sender: MemberId, message: Append, now: int) -> list[Action]:
-        if self.witness.refuses(message.epoch):
-            return [Send(sender, Refused(message.epoch, self.witness.promised))]
-        if message.epoch != self.replica.epoch:
-            return []
-        outcome = self.replica.append(message.previous, message.changes)
-        if isinstance(outcome, Failure):
-            return []
-        actions: list[Action] = [*outcome]
-        # Leaves after the changes are synced.
-        return [*actions, Send(sender, Appended(message.epoch, self.replica.state.index))]
+    def _respond(self, sender: MemberId, message: ToResponder, now: int) -> list[Action]:
+        """As a witness and a replica: obey whoever leads in an epoch that is not refused."""
+        actions = self._responder.answer(sender, message, self.healthy)
+        if isinstance(message, Prepare | Install | Accept) and not self.witness.refuses(epoch_of(message)):
+            actions = self._yield_to(epoch_of(message), sender, now) + actions
+        if isinstance(message, Accept) and not self.witness.refuses(message.view.epoch):
+            self._learn(message.view, message.settled)
+        return actions
 
     def _on_heartbeat(self, sender: MemberId, message: Heartbeat, now: int) -> list[Action]:
         newest = max(self.witness.promised, self.primary_epoch)
@@ -431,39 +345,12 @@
             self.known_view,
             self.known_settled,
             number=self._highest_number,
-            plan=self._plan,
+            plan=self._planner.plan,
             is_alive=self.contacts.is_alive,
             timing=self._timing,
         )
         return self._follow_candidacy(self._candidate.begin(probe, now), now)
 
-    def _plan(
-        self, base: View, settled: bool, epoch: Epoch, promised: frozenset[MemberId] | None, now: int
-    ) -> View | None:
-        """The view to propose. `promised` are the healthy members that answered a candidate, if there is one."""
-        usable = [each for each in self._candidates_for_replicas(base) if self._is_usable(each, base, promised, now)]
-        return plan_view(
-            base,
-            settled,
-            epoch=epoch,
-            primary=self.me,
-            usable=usable,
-            is_gone=lambda member: self.contacts.is_gone(member, now),
-            tolerated_machines=self._settings.tolerated_machines,
-        )
-
-    def _candidates_for_replicas(self, base: View) -> list[MemberId]:
-        return list(dict.fromkeys((self.me, *base.members, *sorted(self.contacts.known()))))
-
-    def _is_usable(self, member: MemberId, base: View, promised: frozenset[MemberId] | None, now: int) -> bool:
-        if member == self.me:
-            return True
-        if promised is not None and member in base.members:
-            return member in promised and self.contacts.is_alive(member, now)
-        if member in base.replicas:
-            return self.contacts.is_alive(member, now)
-        return self.contacts.is_steady(member, now)
-
     def _on_answer_to_candidate(self, sender: MemberId, message: Message, now: int) -> list[Action]:
         if self._candidate is None:
             return []
@@ -528,16 +415,10 @@
             if member == self.me:
                 return self.resign(now)
             self.contacts.mark_failed(member, now)
-        if self._should_reform(primary.view, now):
+        if self._planner.wants_change(primary.view, now):
             return self._reform(now)
         return primary.tick(now)
 
-    def _should_reform(self, view: View, now: int) -> bool:
-        planned = self._plan(view, True, view.epoch, None, now)
-        if planned is None:
-            return False
-        return set(planned.replicas) != set(view.replicas) or set(planned.witnesses) != set(view.witnesses)
-
     def _on_answer_to_primary(self, sender: MemberId, message: HeartbeatAck | Appended, now: int) -> list[Action]:
         if self._primary is None or message.epoch != self._primary.view.epoch:
             return []
--- a/canvasbeam/decide/replication/plan.py
+++ b/canvasbeam/decide/replication/plan.py
@@ -1,12 +1,53 @@
-"""Whom a new view consists of: a pure function of the view before it and of who is alive."""
+"""Whom a new view consists of, by the view before it and by who is alive."""
 
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
 
+from canvasbeam.decide.replication.contacts import Contacts
 from canvasbeam.decide.replication.types import Epoch, MemberId, View, member_ip
 
 
+class ViewPlanner:
+    """Proposes views of one member as the primary."""
+
+    def __init__(self, me: MemberId, contacts: Contacts, tolerated_machines: int) -> None:
+        self._me = me
+        self._contacts = contacts
+        self._tolerated_machines = tolerated_machines
+
+    def plan(
+        self, base: View, settled: bool, epoch: Epoch, promised: frozenset[MemberId] | None, now: int
+    ) -> View | None:
+        """The view to propose. `promised` are the healthy members that answered a candidate, if there is one."""
+        known = dict.fromkeys((self._me, *base.members, *sorted(self._contacts.known())))
+        return plan_view(
+            base,
+            settled,
+            epoch=epoch,
+            primary=self._me,
+            usable=[each for each in known if self._is_usable(each, base, promised, now)],
+            is_gone=lambda member: self._contacts.is_gone(member, now),
+            tolerated_machines=self._tolerated_machines,
+        )
+
+    def wants_change(self, view: View, now: int) -> bool:
+        """Whether a primary should change its view: a member is silent, is back, or has a successor."""
+        planned = self.plan(view, True, view.epoch, None, now)
+        if planned is None:
+            return False
+        return set(planned.replicas) != set(view.replicas) or set(planned.witnesses) != set(view.witnesses)
+
+    def _is_usable(self, member: MemberId, base: View, promised: frozenset[MemberId] | None, now: int) -> bool:
+        if member == self._me:
+            return True
+        if promised is not None and member in base.members:
+            return member in promised and self._contacts.is_alive(member, now)
+        if member in base.replicas:
+            return self._contacts.is_alive(member, now)
+        return self._contacts.is_steady(member, now)
+
+
 def plan_view(
     base: View,
     settled: bool,
--- /dev/null
+++ b/canvasbeam/decide/replication/responder.py
@@ -0,0 +1,105 @@
+"""The answers of a member's witness and replica to whoever leads or would lead.
+
+One rule for all: what comes in an epoch below the promised one is refused. Every answer that vouches for the disk comes
+after the `Save` that it depends on, and the driver holds it back until that is synced (`durability.Outbox`).
+"""
+
+from __future__ import annotations
+
+from canvasbeam.decide.replication.messages import (
+    Accept,
+    Accepted,
+    Action,
+    Append,
+    Appended,
+    Fetch,
+    Fetched,
+    Install,
+    Installed,
+    Prepare,
+    Promise,
+    Refused,
+    SaveInstalled,
+    Send,
+)
+from canvasbeam.decide.replication.replica import Replica
+from canvasbeam.decide.replication.types import Epoch, MemberId
+from canvasbeam.decide.replication.witness import Witness
+from canvasbeam.errors import Failure
+
+ToResponder = Prepare | Fetch | Install | Accept | Append
+
+
+def epoch_of(message: ToResponder) -> Epoch:
+    """The epoch in which the sender leads or would lead."""
+    return message.view.epoch if isinstance(message, Accept) else message.epoch
+
+
+class Responder:
+    """Changes the witness and the replica as the leading member asks."""
+
+    def __init__(self, witness: Witness, replica: Replica) -> None:
+        self._witness = witness
+        self._replica = replica
+
+    def answer(self, sender: MemberId, message: ToResponder, healthy: bool) -> list[Action]:
+        """Obey a message, or refuse it."""
+        epoch = epoch_of(message)
+        if self._witness.refuses(epoch):
+            return [Send(sender, Refused(epoch, self._witness.promised))]
+        match message:
+            case Prepare():
+                return self._promise(sender, epoch, healthy)
+            case Fetch():
+                return self._give_state(sender, epoch)
+            case Install():
+                return self._install(sender, message)
+            case Accept():
+                return self._accept(sender, message)
+            case Append():
+                return self._append(sender, message)
+
+    def _promise(self, sender: MemberId, epoch: Epoch, healthy: bool) -> list[Action]:
+        witness = self._witness
+        actions: list[Action] = []
+        if epoch != witness.promised:
+            witness.promise(epoch)
+            actions.append(witness.to_save())
+        # Leaves after the promise is synced, and with it every change that the position counts.
+        promise = Promise(epoch, witness.accepted, witness.settled, self._replica.position, healthy)
+        return [*actions, Send(sender, promise)]
+
+    def _give_state(self, sender: MemberId, epoch: Epoch) -> list[Action]:
+        if epoch != self._witness.promised:
+            return []
+        return [Send(sender, Fetched(epoch, self._replica.position, self._replica.state))]
+
+    def _install(self, sender: MemberId, message: Install) -> list[Action]:
+        replica = self._replica
+        actions: list[Action] = []
+        if replica.epoch != message.epoch:
+            if message.state is None and replica.position != message.position:
+                return [Send(sender, Installed(message.epoch, stored=False))]
+            self._witness.promise(message.epoch)
+            replica.install(message.epoch, replica.state if message.state is None else message.state)
+            actions = [self._witness.to_save(), SaveInstalled(message.epoch, message.state)]
+        # Leaves after the state and the promise are synced.
+        return [*actions, Send(sender, Installed(message.epoch, stored=True))]
+
+    def _accept(self, sender: MemberId, message: Accept) -> list[Action]:
+        witness = self._witness
+        before = witness.to_save()
+        witness.accept(message.view, message.settled)
+        actions: list[Action] = [] if witness.to_save() == before else [witness.to_save()]
+        # Leaves after the accepted view is synced.
+        return [*actions, Send(sender, Accepted(message.view.epoch, witness.settled))]
+
+    def _append(self, sender: MemberId, message: Append) -> list[Action]:
+        replica = self._replica
+        if message.epoch != replica.epoch:
+            return []
+        saves = replica.append(message.previous, message.changes)
+        if isinstance(saves, Failure):
+            return []
+        # Leaves after the changes are synced.
+        return [*saves, Send(sender, Appended(message.epoch, replica.state.index))]
--- /dev/null
+++ b/canvasbeam/decide/replication/start.py
@@ -0,0 +1,36 @@
+"""What a member begins with: its settings, and what it finds on its disk."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from canvasbeam.control_plane.control_state import ControlState
+from canvasbeam.decide.replication.types import GENESIS_EPOCH, NO_EPOCH, Epoch, MemberId, Timing, View
+
+
+@dataclass(frozen=True, slots=True)
+class Durable:
+    """What a member finds on its disk at a start."""
+
+    promised: Epoch = NO_EPOCH
+    accepted: View | None = None
+    settled: bool = False
+    installed: Epoch = NO_EPOCH
+    state: ControlState = ControlState()
+    committed: int = 0
+
+    @classmethod
+    def genesis(cls, view: View) -> Durable:
+        """What a member of the genesis view begins with."""
+        return cls(GENESIS_EPOCH, view, True, GENESIS_EPOCH, ControlState())
+
+
+@dataclass(frozen=True, slots=True)
+class MemberSettings:
+    """What a member is told at its start."""
+
+    me: MemberId
+    seed_ips: tuple[str, ...]
+    tolerated_machines: int = 1
+    timing: Timing = Timing()
+    seed: int = 0
--- a/tests/replication_world.py
+++ b/tests/replication_world.py
@@ -12,7 +12,7 @@
 
 from canvasbeam.control_plane.control_state import Change, ChangeKind, Committed, ControlState
 from canvasbeam.decide.replication.durability import Outbox
-from canvasbeam.decide.replication.member import Durable, Member, MemberSettings, Role
+from canvasbeam.decide.replication.member import Member, Role
 from canvasbeam.decide.replication.messages import (
     AFTER_SYNC,
     Action,
@@ -27,6 +27,7 @@
     Send,
     SendToAddress,
 )
+from canvasbeam.decide.replication.start import Durable, MemberSettings
 from canvasbeam.decide.replication.types import (
     GENESIS_DISK,
     Epoch,
--- a/tests/test_replication_codec.py
+++ b/tests/test_replication_codec.py
@@ -12,8 +12,8 @@
 from canvasbeam.control_plane.member_records import MAX_CHANGES, Loaded, RecordWriter, load_member
 from canvasbeam.control_plane.replication_codec import Received, ReplicationCodec
 from canvasbeam.decide.replication import messages
-from canvasbeam.decide.replication.member import Durable
 from canvasbeam.decide.replication.messages import SaveChange, SaveCommitted, SaveInstalled, SaveWitness
+from canvasbeam.decide.replication.start import Durable
 from canvasbeam.decide.replication.types import NO_EPOCH, Epoch, Position, View
 from canvasbeam.errors import Failure, ResultCode
 from canvasbeam.storage.frames import Updates
--- a/tests/test_replication_explorer.py
+++ b/tests/test_replication_explorer.py
@@ -15,9 +15,9 @@
 from canvasbeam.control_plane.control_state import Committed
 from canvasbeam.decide.replication import durability
 from canvasbeam.decide.replication.candidate import Candidate
-from canvasbeam.decide.replication.member import Durable
 from canvasbeam.decide.replication.messages import AFTER_SYNC, Action, Appended, Fetched, Install, Promise, Reply
 from canvasbeam.decide.replication.primary import Primary
+from canvasbeam.decide.replication.start import Durable
 from canvasbeam.decide.replication.types import MemberId, genesis_view
 from canvasbeam.decide.replication.witness import Witness
 
--- a/tests/test_storage_report.py
+++ b/tests/test_storage_report.py
@@ -15,8 +15,8 @@
 from canvasbeam.control_plane.control_state import Change, ChangeKind, ControlState
 from canvasbeam.control_plane.member_records import RecordWriter
 from canvasbeam.control_plane.replication_codec import ReplicationCodec
-from canvasbeam.decide.replication.member import Durable
 from canvasbeam.decide.replication.messages import SaveChange
+from canvasbeam.decide.replication.start import Durable
 from canvasbeam.decide.replication.types import Epoch, View
 from canvasbeam.errors import Failure, ResultCode
 from canvasbeam.storage.disk import FolderDisk
