Give the test of readiness a loopback address of its own

Cause: it failed once with an address in use: its four ports were asked for one after the other, and given back before use. Change: fixed ports on a loopback address of the process alone; what is asserted is the same.

--- a/tests/test_fast_start.py
+++ b/tests/test_fast_start.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
 from pathlib import Path
 
@@ -62,11 +63,12 @@
 
 
 def data_plane_settings() -> ProcessSettings:
-    first = free_port()
+    """Settings on a loopback address of this process alone, so that nobody else has the ports."""
+    ip = f"127.80.{os.getpid() >> 8 & 255}.{os.getpid() & 255 or 1}"
     return ProcessSettings(
-        node="e1", role="edge", node_class="edge", serves=("edge",), ip="127.0.0.1", zone="z1", region="r1",
-        port_range=(first, first + 1), seeds=(), zones={"z1": "r1"},
-        listen={name: Address("127.0.0.1", free_port()) for name in ("front", "ready")},
+        node="e1", role="edge", node_class="edge", serves=("edge",), ip=ip, zone="z1", region="r1",
+        port_range=(7101, 7102), seeds=(), zones={"z1": "r1"},
+        listen={"front": Address(ip, 7103), "ready": Address(ip, 7104)},
     )  # fmt: skip
 
 
