--- a/canvasbeam/lab/model/worker.py
+++ b/canvasbeam/lab/model/worker.py
@@ -11,14 +11,13 @@
 import heapq
 import random
 from bisect import insort
-from collections import deque
 from collections.abc import Hashable
 from dataclasses import dataclass, field
 from math import ceil, inf
 
 from canvasbeam.lab.model.load_reporter import Figures, LoadReporter
 from canvasbeam.lab.model.machine import Machine
-from canvasbeam.lab.model.units import MS, SECOND
+from canvasbeam.lab.model.units import MS
 from canvasbeam.lab.model.worker_messages import (
     Action,
     Began,
@@ -40,6 +39,7 @@
     Withdrawn,
     Woken,
 )
+from canvasbeam.lab.model.worker_parts import ColdOverload, DataSetCache, ProbeLimit
 
 # A cold worker's speed is worked out anew so often while it warms.
 WARM_STEP = 50 * MS
@@ -82,15 +82,18 @@
     _warmed_by: float = 0.0
     _warm: float = 1.0
     _warm_at: float = inf
-    _sent: deque[tuple[int, float]] = field(default_factory=deque)
-    _keys: dict[str, None] = field(default_factory=dict)
-    _probes: deque[int] = field(default_factory=deque)
     _busy_ns: float = 0.0
     _out: list[Action] = field(default_factory=list)
     _reporter: LoadReporter = field(init=False)
+    _data_sets: DataSetCache = field(init=False)
+    _cold_overload: ColdOverload = field(init=False)
+    _probe_limit: ProbeLimit = field(init=False)
 
     def __post_init__(self) -> None:
         self._reporter = LoadReporter(self.machine, self.rng)
+        self._data_sets = DataSetCache(self.machine)
+        self._cold_overload = ColdOverload(self.machine)
+        self._probe_limit = ProbeLimit(self.machine)
         self._plan_pause(0)
 
     @property
@@ -123,7 +126,7 @@
             case Connected():
                 self._lose(self.machine.handshake_work_ns)
             case Probed():
-                self._probes.append(self._now)
+                self._probe_limit.add(self._now)
             case Died():
                 self._die()
             case Born():
@@ -293,7 +296,7 @@
         machine = self.machine
         if task.ref in self._tasks:
             raise ValueError("an attempt was offered twice")
-        if self._warmth_falls(task):
+        if self._falls_over(task):
             return
         self._orders += 1
         task.order = self._orders
@@ -328,7 +331,7 @@
         machine = self.machine
         first = not task.told
         if first and machine.keys_kept and task.key is not None:
-            task.work_left += self._fetch(task.key)
+            task.work_left += self._data_sets.fetch(task.key)
         task.running = True
         task.run_from = self._clock - (task.work_ns - task.work_left)
         task.ends_at = self._clock + task.work_left
@@ -347,15 +350,6 @@
             when = self._now + round(self.rng.random() * task.work_left / pace)
             heapq.heappush(self._ends, (when, task.order, task, Said.BROKE))
 
-    def _fetch(self, key: str) -> float:
-        """What fetching a data set adds to a job; the latest few are kept."""
-        held = key in self._keys
-        self._keys.pop(key, None)
-        self._keys[key] = None
-        while len(self._keys) > self.machine.keys_kept:
-            del self._keys[next(iter(self._keys))]
-        return 0.0 if held else self.machine.fetch_ns
-
     def _suspend(self, task: Task) -> None:
         """It waits again, and goes on later where it stopped."""
         again = Task(task.ref, task.work_ns, task.slots, task.priority, task.may_be_killed, task.key, task.due_ns)
@@ -393,8 +387,8 @@
         self._notes.clear()
         self._ends.clear()
         self._inbox.clear()
-        self._keys.clear()
-        self._sent.clear()
+        self._data_sets.clear()
+        self._cold_overload.clear()
         self.alive, self.draining = False, False
         self.used = self.connections = 0
         self._paused_until = 0
@@ -416,17 +410,9 @@
                     self._end(task, Said.RETURNED)
             self._waiting = [each for each in self._waiting if not each.over]
 
-    def _warmth_falls(self, task: Task) -> bool:
+    def _falls_over(self, task: Task) -> bool:
         """Whether this job is one too many for a cold worker: it falls over, and stays down."""
-        machine = self.machine
-        share = self.warmth()
-        if share >= 1 or machine.tip_multiple == inf:
-            return False
-        self._sent.append((self._now, task.work_ns * task.slots))
-        while self._sent[0][0] <= self._now - machine.tip_window_ns:
-            self._sent.popleft()
-        bears = machine.tip_multiple * machine.capacity * share * machine.tip_window_ns
-        if sum(each for _, each in self._sent) <= bears:
+        if not self._cold_overload.falls(self._now, task.work_ns * task.slots, self.warmth()):
             return False
         self._die()
         self.fallen = True
@@ -437,9 +423,7 @@
 
     def probe_answer(self, now: int) -> bool:
         """Whether a probe that comes now is answered as well; over the worker's limit it is turned away."""
-        while self._probes and self._probes[0] <= now - SECOND:
-            self._probes.popleft()
-        if not self.alive or self.draining or len(self._probes) >= self.machine.probes_per_s:
+        if not self.alive or self.draining or not self._probe_limit.allows(now):
             return False
         self.handle(now, (Probed(),))
         self._lose(self.machine.probe_work_ns)
