--- a/canvasbeam/net/process_signals.py
+++ b/canvasbeam/net/process_signals.py
@@ -17,7 +17,7 @@
 from canvasbeam.net.target_group import TargetGroup
 
 if TYPE_CHECKING:
-    from canvasbeam.peers.carrier import Station
+    from canvasbeam.peers.carrier import PeerNode
 
 log = logging.getLogger(__name__)
 
@@ -33,12 +33,12 @@
         sock: socket.socket,
         listener: Listener,
         group: TargetGroup,
-        station: Station | None = None,
+        peer_node: PeerNode | None = None,
     ) -> None:
         super().__init__(loop, sock)
         self._listener = listener
         self._group = group
-        self._station = station
+        self._peer_node = peer_node
         self.wants(READ)
 
     @classmethod
@@ -56,8 +56,8 @@
         if signal.SIGTERM in numbers or signal.SIGINT in numbers:
             begins = self._listener.drain()
             log.info("draining" if begins else "the end has begun already: nothing changes")
-            if begins and self._station is not None:
-                self._station.leave()
+            if begins and self._peer_node is not None:
+                self._peer_node.leave()
         if signal.SIGHUP in numbers:  # once for many: each reads the same file
             self._reload()
 
--- a/canvasbeam/net/program.py
+++ b/canvasbeam/net/program.py
@@ -22,7 +22,7 @@
 from canvasbeam.net.target_group import TargetGroup
 
 if TYPE_CHECKING:
-    from canvasbeam.peers.carrier import Station
+    from canvasbeam.peers.carrier import PeerNode
     from canvasbeam.peers.settings import Peers
 
 log = logging.getLogger(__name__)
@@ -72,20 +72,20 @@
         whose = f"{configuration.seed:x} {configuration.name}"
         group = TargetGroup(loop, core, limits, configuration.discovery, born, whose=whose)
         group.start(configuration.known)
-        self._station = self._join_peers(peers)
-        Signals(loop, signals, self._listener, group, self._station)
+        self._peer_node = self._join_peers(peers)
+        Signals(loop, signals, self._listener, group, self._peer_node)
         if configuration.mgmt is not None:
             self._listen_for_operators(configuration.mgmt)
 
-    def _join_peers(self, peers: Peers | None) -> Station | None:
+    def _join_peers(self, peers: Peers | None) -> PeerNode | None:
         if peers is None:
             if self._configuration.peers:
                 path = self._configuration.peers
                 log.warning("peers stay off: the settings forbid them, whatever %s says", path)
             return None
-        from canvasbeam.peers.carrier import Station  # noqa: PLC0415
+        from canvasbeam.peers.carrier import PeerNode  # noqa: PLC0415
 
-        return Station(self._loop, peers, self._configuration.name, time.time_ns() // 1_000_000)
+        return PeerNode(self._loop, peers, self._configuration.name, time.time_ns() // 1_000_000)
 
     def _listen_for_operators(self, address: tuple[str, int]) -> None:
         # Imported only where it is asked for: a scheduler without a management address pays nothing for it.
@@ -94,7 +94,7 @@
         from canvasbeam.mgmt.server import ManagementListener  # noqa: PLC0415
 
         handover = Handover(path_for(os.environ.get("TMPDIR") or "/tmp", self._configuration.listen))
-        report = self._station.report if self._station else None
+        report = self._peer_node.report if self._peer_node else None
         operations = SchedulerOperations(self._core, self._listener, handover, report)
         ManagementListener.bind(self._loop, self._limits, operations, address)
         log.info("the management address is %s:%d", *address)
--- a/canvasbeam/peers/carrier.py
+++ b/canvasbeam/peers/carrier.py
@@ -188,8 +188,8 @@
         }
 
 
-class Station:
-    """This instance's place among the others: a carrier once the address is free, and none after a planned shutdown."""
+class PeerNode:
+    """This instance among its peers: a carrier once the address is free, and none after a planned shutdown."""
 
     def __init__(self, loop: Loop, peers: Peers, name: str, start_ms: int) -> None:
         self._loop = loop
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -23,7 +23,7 @@
 from canvasbeam.decide.membership import Fact, Kind, Message, Sender
 from canvasbeam.net.loop import Loop
 from canvasbeam.peers import settings as peer_settings
-from canvasbeam.peers.carrier import Carrier, Station
+from canvasbeam.peers.carrier import Carrier, PeerNode
 from canvasbeam.peers.rates import Bucket, Sources
 from canvasbeam.peers.settings import BadPeers, Peers, Reach, read
 from canvasbeam.peers.wire import LARGEST, Codec, Drop
@@ -202,7 +202,7 @@
 def test_two_carriers_on_one_loop_find_each_other_and_one_leaves() -> None:
     running, one, two = loop(), free_port(), free_port()
     first = Carrier.bind(running, told(one), "a", 1)
-    second = Station(running, told(two, seeds=[f"127.0.0.1:{one}"]), "b", 1)
+    second = PeerNode(running, told(two, seeds=[f"127.0.0.1:{one}"]), "b", 1)
     until(running, lambda: first.report()["there"] == ["a", "b"] == second.report()["there"])
     assert second.report()["members"][0]["state"] == "alive"
     second.leave()
@@ -214,8 +214,8 @@
 
 def test_a_process_beside_an_older_one_waits_for_the_address() -> None:
     running, port = loop(), free_port()
-    old = Station(running, told(port), "a", 1)
-    new = Station(running, told(port), "a", 2)
+    old = PeerNode(running, told(port), "a", 1)
+    new = PeerNode(running, told(port), "a", 2)
     assert new.carrier is None
     assert new.report()["me"]["state"] == "waiting for its address"
     old.leave()
