--- a/tests/replication_world.py
+++ b/tests/replication_world.py
@@ -94,7 +94,6 @@
 
     sender: MemberId
     to_ip: str
-    to: MemberId | None
     message: Message
     sent_at: int
 
@@ -167,6 +166,7 @@
     def remove(self, ip: str) -> None:
         """The machine is gone for good."""
         self.crash(ip, keep_unsynced=False)
+        self.frozen.discard(ip)
         del self.machines[ip]
 
     def add(self, ip: str, seed_ips: tuple[str, ...]) -> str:
@@ -197,15 +197,13 @@
         self._begin_write(machine)
 
     def deliver(self, packet: Packet) -> None:
-        """A packet arrives, unless its way is cut or its receiver is down or another one."""
+        """A packet arrives, unless its way is cut or its receiver is down. It may be for one before it."""
         machine = self.machines.get(packet.to_ip)
         if packet.to_ip in self.frozen:
             self.packets.append(packet)
             return
         if machine is None or machine.member is None or (member_ip(packet.sender), packet.to_ip) in self.cuts:
             return
-        if packet.to is not None and packet.to != machine.me:
-            return
         self._perform(machine, machine.member.receive(packet.sender, packet.message, self.now))
 
     def tick(self, ip: str) -> None:
@@ -428,9 +426,9 @@
 
     def _send(self, machine: Machine, action: Send | SendToAddress) -> None:
         if isinstance(action, SendToAddress):
-            self.packets.append(Packet(machine.me, action.ip, None, action.message, self.now))
+            self.packets.append(Packet(machine.me, action.ip, action.message, self.now))
         else:
-            self.packets.append(Packet(machine.me, member_ip(action.to), action.to, action.message, self.now))
+            self.packets.append(Packet(machine.me, member_ip(action.to), action.message, self.now))
 
     def describe(self) -> str:
         """For the message of a violation."""
@@ -478,7 +476,8 @@
         self.world = World(machines, tolerated, seeds, HASTY if hasty else None)
         self.bearable = not hasty  # no more was lost than is tolerated, so that all must come back
         self._limbo: list[Packet] = []
-        self._kinds = self._chance.sample(range(9), self._chance.randrange(1, 5))
+        self._replaced = 0
+        self._kinds = self._chance.sample(range(10), self._chance.randrange(1, 5))
         self._heal = self._chance.choice((0.02, 0.05, 0.1))
         self._late = self._chance.choice((0.0, 0.0, 0.05))
         self._loss = self._chance.choice((0.0, 0.02, 0.1))
@@ -568,13 +567,13 @@
         world, chance = self.world, self._chance
         other = chance.choice(list(world.machines))
         kind = chance.choice(self._kinds)
-        if kind == 0:
+        if kind in (2, 9):
+            self._lose_disk(ip, replaced=kind == 9)
+        elif kind == 0:
             world.crash(ip, keep_unsynced=chance.random() < 0.5)
         elif kind == 1:
             for each in world.machines:
                 world.crash(each, keep_unsynced=chance.random() < 0.5)
-        elif kind == 2 and self._may_wipe(ip):
-            self._wipe(ip)
         elif kind == 3 and ip != other:
             world.cut(ip, other, both_ways=chance.random() < 0.6)
         elif kind == 4:
@@ -590,6 +589,24 @@
         elif kind == 8:
             self._lose_power_for_a_moment(ip)
 
+    def _lose_disk(self, ip: str, replaced: bool) -> None:
+        if not self._may_wipe(ip):
+            return
+        if replaced:
+            self._replace(ip)
+        else:
+            self._wipe(ip)
+
+    def _replace(self, ip: str) -> None:
+        """A machine is gone for good; an empty one comes at another address, and the seeds may be others."""
+        world, chance = self.world, self._chance
+        world.remove(ip)
+        self._replaced += 1
+        others = list(world.machines)
+        new = world.add(f"10.0.1.{self._replaced}", tuple(chance.sample(others, chance.randrange(1, len(others) + 1))))
+        if chance.random() < 0.5:
+            world.crash(new, keep_unsynced=False)
+
     def _freeze_or_thaw(self, ip: str) -> None:
         """A primary stands still, or goes on and answers calls before it has noticed."""
         frozen = sorted(self.world.frozen)
@@ -608,6 +625,8 @@
             self._strike_after_acknowledgement()
 
     def _lose_power_for_a_moment(self, ip: str) -> None:
+        if ip not in self.world.machines:
+            return
         self.world.crash(ip, keep_unsynced=False)
         self.world.start(ip)
 
