Keep the workers on the control nodes' disks for the next start

Cause: after a restart of all machines no node knows a worker before its next heartbeat, 1.2 s at the most.

Change: each control node writes the workers it knows every 3 s to a file of its own, and publishes them when it starts. The items carry their versions, so that whatever is heard of a worker replaces them; a file that is damaged, of a later time or older than 10 s is left unused.

--- a/canvasbeam/control_plane/program.py
+++ b/canvasbeam/control_plane/program.py
@@ -15,12 +15,14 @@
 from canvasbeam.control_plane.replicated_state import ReplicatedControlState
 from canvasbeam.control_plane.status import status_document
 from canvasbeam.control_plane.web import Endpoint, WebApp
+from canvasbeam.control_plane.worker_snapshot import WorkerSnapshot
 from canvasbeam.errors import Failure, ResultCode
 from canvasbeam.runtime import logs
 from canvasbeam.runtime.http_server import HttpLimits, HttpServer
 from canvasbeam.runtime.listeners import Listeners
 from canvasbeam.runtime.settings import ProcessSettings, load_settings, settings_path
 from canvasbeam.runtime.signals import ProcessSignals, SettingsWatch
+from canvasbeam.storage.disk import FolderDisk
 
 EXIT_OK = 0
 EXIT_SETTINGS = 2
@@ -48,7 +50,9 @@
             settings, self._service, self._is_reachable, lambda: status_document(settings, self._node, self._service)
         )
         self._servers = self._make_servers(settings, listeners or {})
-        self._judging: asyncio.Task[None] | None = None
+        disk = FolderDisk(settings.data_dir) if settings.data_dir is not None else None
+        self._snapshot = WorkerSnapshot(self._node, disk) if disk is not None else None
+        self._tasks: list[asyncio.Task[None]] = []
 
     def _make_servers(self, settings: ProcessSettings, listeners: Listeners) -> list[HttpServer]:
         connections = max(64, (settings.limits.max_fds - RESERVED_DESCRIPTORS) // 2)
@@ -82,12 +86,14 @@
         except OSError as error:
             return Failure(ResultCode.ADDRESS_IN_USE, f"{self._node.address}: {error}")
         await self._service.start()
+        if self._snapshot is not None:
+            self._tasks.append(asyncio.create_task(self._snapshot.run()))
         logs.set_epoch(lambda: self._service.status.epoch)
         for server in self._servers:
             failure = await server.start()
             if failure is not None:
                 return failure
-        self._judging = asyncio.create_task(self._registry.run())
+        self._tasks.append(asyncio.create_task(self._registry.run()))
         self._node.set_ready(True)
         return None
 
@@ -104,8 +110,10 @@
         with suppress(TimeoutError):
             async with asyncio.timeout(RESIGN_S):
                 await self._service.stop()
-        if self._judging is not None:
-            self._judging.cancel()
+        for task in self._tasks:
+            task.cancel()
+        if self._snapshot is not None:
+            self._snapshot.close()
         self._node.leave()
         await asyncio.sleep(LEAVE_FLUSH_S)
         for server in self._servers:
--- /dev/null
+++ b/canvasbeam/control_plane/worker_snapshot.py
@@ -0,0 +1,106 @@
+"""The workers as a control node last knew them, kept on its disk for its next start.
+
+Workers are not part of the replicated state: their heartbeats tell of them again within an interval. After a restart
+of all machines that interval is a time without service, which the snapshot bridges. It is a hint: the item of a worker
+carries the version that it had, so that whatever is heard of the worker replaces it, and a worker that stays silent is
+judged as any other. A snapshot that is damaged, from the future, or older than `MOST_AGE_NS` is left unused.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable, Iterable
+from contextlib import suppress
+from typing import Protocol
+
+from canvasbeam.cluster import codec
+from canvasbeam.cluster.items import Item, ItemKind, ItemTable
+from canvasbeam.control_plane.disk_worker import DiskWorker
+from canvasbeam.decide.distribution_messages import Update
+from canvasbeam.runtime.logs import get_logger
+from canvasbeam.runtime.settings import SECOND
+from canvasbeam.storage.disk import Disk
+from canvasbeam.storage.frames import Frame, decode_frame, encode_frame
+
+FILE = "workers"
+MAGIC = b"CBWK"
+SAVE_S = 3.0
+MOST_AGE_NS = 10 * SECOND
+
+log = get_logger(__name__)
+
+
+class SnapshotNode(Protocol):
+    """What the snapshot needs of `ClusterNode`."""
+
+    table: ItemTable
+
+    def publish(self, items: Iterable[Item]) -> list[Item]:
+        """Merge items and bring them to all nodes."""
+        ...
+
+
+def encode_snapshot(items: Iterable[Item], now_ns: int) -> bytes:
+    """The content of the file."""
+    return encode_frame(MAGIC, Frame(now_ns, 0, codec.encode(Update(tuple(items)))))
+
+
+def decode_snapshot(data: bytes | None, now_ns: int) -> tuple[Item, ...]:
+    """The workers of a file; none where it is absent, damaged, too old or of a later time."""
+    frame = decode_frame(MAGIC, data) if data else None
+    if frame is None or not 0 <= now_ns - frame.generation <= MOST_AGE_NS:
+        return ()
+    message = codec.decode(frame.body)
+    if not isinstance(message, Update):
+        return ()
+    return tuple(item for item in message.items if item.kind is ItemKind.WORKER and not item.deleted)
+
+
+class WorkerSnapshot:
+    """Restores the workers at the start, and saves them every few seconds from then on."""
+
+    def __init__(self, node: SnapshotNode, disk: Disk, clock: Callable[[], int] = time.time_ns) -> None:
+        self._node = node
+        self._disk = disk
+        self._clock = clock
+        self._worker = DiskWorker(lambda _: None)
+        self._has_file = False
+
+    async def run(self) -> None:
+        """Restore, and save until cancelled."""
+        await self.restore()
+        while True:
+            await asyncio.sleep(SAVE_S)
+            await self.save()
+
+    async def restore(self) -> None:
+        """Publish the workers of the last save; what is known already is newer and stays."""
+        with suppress(OSError):
+            data = await self._worker.run(lambda: self._disk.read(FILE))
+            items = decode_snapshot(data, self._clock())
+            if items:
+                self._node.publish(items)
+                log.info("{} workers restored", len(items))
+
+    async def save(self) -> None:
+        """Write the workers known now. A disk that refuses is asked again at the next save."""
+        items = self._node.table.of_kind(ItemKind.WORKER)
+        if not items:
+            return
+        data = encode_snapshot(items, self._clock())
+        with suppress(OSError):
+            await self._worker.run(lambda: self._write(data))
+
+    def close(self) -> None:
+        """End the disk's thread."""
+        self._worker.close()
+
+    def _write(self, data: bytes) -> None:
+        """In the thread: overwrite the file in place; its digest tells whether that was finished."""
+        if not self._has_file:
+            self._disk.create(FILE)
+            self._disk.sync_folder()
+            self._has_file = True
+        self._disk.write(FILE, 0, data)
+        self._disk.sync(FILE)
