Step the clock in the test of a job taken 10 ms before the last call

On a busy machine more than 10 ms passed between the jump of the clock and the request's arrival; the request was then rightly refused and the test hung (shown with a 15 ms pause in its place). Its clock now goes on by 50 us with each reading; what is asserted, and at which instants, is the same.

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import socket
+import time
 from collections.abc import Callable
 from datetime import timedelta
 from typing import Any
@@ -149,6 +151,18 @@
         self.loop._begun -= int(span * 1e9)
         self.loop.one_pass()
 
+    def step_clock(self, step: timedelta) -> None:
+        """From here on the loop's clock goes on by this much with each reading, however busy the machine is."""
+        loop, real = self.loop, time.monotonic_ns
+        readings, started, begun = itertools.count(1), real(), loop._begun
+
+        def read_clock() -> timedelta:
+            skipped = begun - loop._begun
+            loop.now = timedelta(microseconds=(started - begun + skipped) // 1000) + next(readings) * step
+            return loop.now
+
+        loop.read_clock = read_clock  # type: ignore[method-assign]
+
     def client(self, data: bytes = b"") -> Peer:
         """A client that has written this."""
         peer = Peer(socket.create_connection(self.address))
--- a/tests/test_planned_shutdown.py
+++ b/tests/test_planned_shutdown.py
@@ -250,6 +250,7 @@
     world = draining_world(Server(), Server(), look=1, book=1, pay=1)
     client = world.client()
     served(world, client, "c1")
+    world.step_clock(timedelta(microseconds=50))
     world.listener.drain()
     if early:
         last_call = world.core._shutdown.changes()[1] / 1e9
