--- a/canvasbeam/control_plane/program.py
+++ b/canvasbeam/control_plane/program.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import sys
 from contextlib import suppress
 
 from canvasbeam.cluster.node import ClusterNode
@@ -20,13 +19,11 @@
 from canvasbeam.runtime import logs
 from canvasbeam.runtime.http_server import HttpLimits, HttpServer
 from canvasbeam.runtime.listeners import Listeners
-from canvasbeam.runtime.settings import ProcessSettings, load_settings, settings_path
+from canvasbeam.runtime.process import EXIT_OK, EXIT_START, run_process
+from canvasbeam.runtime.settings import ProcessSettings, settings_path
 from canvasbeam.runtime.signals import ProcessSignals, SettingsWatch
 from canvasbeam.storage.disk import FolderDisk
 
-EXIT_OK = 0
-EXIT_SETTINGS = 2
-EXIT_START = 3
 NO_BODY_BYTES = 4096
 RESERVED_DESCRIPTORS = 400
 DRAIN_S = 1.0
@@ -142,12 +139,4 @@
 
 def main(listeners: Listeners | None = None) -> int:
     """The program."""
-    settings = load_settings(settings_path())
-    if isinstance(settings, Failure):
-        print(settings, file=sys.stderr)
-        return EXIT_SETTINGS
-    logs.configure(settings)
-    try:
-        return asyncio.run(run(settings, listeners))
-    finally:
-        logs.shut_down()
+    return run_process(lambda settings: run(settings, listeners))
--- a/canvasbeam/data_plane/program.py
+++ b/canvasbeam/data_plane/program.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import random
-import sys
 from collections.abc import Sequence
 from contextlib import suppress
 
@@ -28,12 +27,10 @@
 from canvasbeam.runtime import logs
 from canvasbeam.runtime.http_server import HttpLimits, HttpServer
 from canvasbeam.runtime.listeners import Listeners
-from canvasbeam.runtime.settings import ProcessSettings, load_settings, settings_path
+from canvasbeam.runtime.process import EXIT_OK, EXIT_START, run_process
+from canvasbeam.runtime.settings import ProcessSettings, settings_path
 from canvasbeam.runtime.signals import ProcessSignals, SettingsWatch
 
-EXIT_OK = 0
-EXIT_SETTINGS = 2
-EXIT_START = 3
 EXPECTED_NODES = 4  # at the least: members are heard of one after the other
 CLIENT_DESCRIPTORS = 0.65  # of all; the rest is for workers, other nodes and files
 BODY_MEMORY = 0.25  # of the process's memory
@@ -169,12 +166,4 @@
 
 def main(listeners: Listeners | None = None) -> int:
     """The program."""
-    settings = load_settings(settings_path())
-    if isinstance(settings, Failure):
-        print(settings, file=sys.stderr)
-        return EXIT_SETTINGS
-    logs.configure(settings)
-    try:
-        return asyncio.run(run(settings, listeners))
-    finally:
-        logs.shut_down()
+    return run_process(lambda settings: run(settings, listeners))
