Move the control state's types below the decisions that use them

Cause: decide/replication imported its types upwards from control_plane. Change: canvasbeam/control_state.py holds the types, control_plane/state_service.py the service's protocol; a test of the shape forbids imports from decide/ upwards.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -34,7 +34,7 @@
 from canvasbeam.cluster.transport import Channel
 from canvasbeam.cluster.worker_items import worker_item
 from canvasbeam.control_plane.changes import apply, encode_configuration, encode_state
-from canvasbeam.control_plane.control_state import Change, ChangeKind, ControlState
+from canvasbeam.control_state import Change, ChangeKind, ControlState
 from canvasbeam.data_plane.placement_notices import decode_notice, encode_notice
 from canvasbeam.data_plane.routes import parse_configuration
 from canvasbeam.decide.distribution import Start
--- a/canvasbeam/cli/validation.py
+++ b/canvasbeam/cli/validation.py
@@ -5,7 +5,7 @@
 import json
 
 from canvasbeam.control_plane.changes import apply
-from canvasbeam.control_plane.control_state import Change, ChangeKind, ControlState
+from canvasbeam.control_state import Change, ChangeKind, ControlState
 from canvasbeam.errors import Failure
 
 PATCH_FIELDS = ("upsert", "remove")
--- a/canvasbeam/control_plane/change_check.py
+++ b/canvasbeam/control_plane/change_check.py
@@ -8,7 +8,7 @@
 
 import asyncio
 
-from canvasbeam.control_plane.control_state import Change, ControlState
+from canvasbeam.control_state import Change, ControlState
 from canvasbeam.decide.replication.types import Apply
 from canvasbeam.errors import Failure
 
--- a/canvasbeam/control_plane/member_records.py
+++ b/canvasbeam/control_plane/member_records.py
@@ -15,7 +15,6 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
-from canvasbeam.control_plane.control_state import ControlState
 from canvasbeam.control_plane.replication_codec import (
     ReplicationCodec,
     decode_change,
@@ -25,6 +24,7 @@
     encode_epoch,
     encode_witness,
 )
+from canvasbeam.control_state import ControlState
 from canvasbeam.decide.replication.messages import Save, SaveChange, SaveCommitted, SaveInstalled, SaveWitness
 from canvasbeam.decide.replication.start import Durable
 from canvasbeam.decide.replication.types import Apply, MemberId
--- a/canvasbeam/control_plane/operator_api.py
+++ b/canvasbeam/control_plane/operator_api.py
@@ -12,7 +12,7 @@
 from typing import Any
 from urllib.parse import quote
 
-from canvasbeam.control_plane.control_state import Change, ChangeKind, Committed, ControlState, ControlStateService
+from canvasbeam.control_plane.state_service import ControlStateService
 from canvasbeam.control_plane.web import (
     Answer,
     Request,
@@ -21,6 +21,7 @@
     method_not_allowed,
     unavailable,
 )
+from canvasbeam.control_state import Change, ChangeKind, Committed, ControlState
 from canvasbeam.errors import Failure, ResultCode
 from canvasbeam.runtime.settings import ProcessSettings
 
--- a/canvasbeam/control_plane/publisher.py
+++ b/canvasbeam/control_plane/publisher.py
@@ -8,7 +8,7 @@
 
 from canvasbeam.cluster.items import Item, ItemKind, Version
 from canvasbeam.control_plane.changes import encode_configuration
-from canvasbeam.control_plane.control_state import ControlState
+from canvasbeam.control_state import ControlState
 
 CURRENT = "current"
 
--- a/canvasbeam/control_plane/replicated_state.py
+++ b/canvasbeam/control_plane/replicated_state.py
@@ -17,11 +17,11 @@
 
 from canvasbeam.cluster.transport import Channel, PeerInfo
 from canvasbeam.control_plane.change_check import ChangeCheck
-from canvasbeam.control_plane.control_state import Change, Committed, ControlState
 from canvasbeam.control_plane.disk_worker import RETRY_SECONDS, DiskWorker
 from canvasbeam.control_plane.member_records import Loaded, RecordWriter, load_member
 from canvasbeam.control_plane.replication_codec import DecodeState, EncodeState, Received, ReplicationCodec
 from canvasbeam.control_plane.view_log import ViewLog
+from canvasbeam.control_state import Change, Committed, ControlState
 from canvasbeam.decide.replication.durability import Held, Outbox
 from canvasbeam.decide.replication.member import Member, Role
 from canvasbeam.decide.replication.messages import Action, Message, Publish, Reply, Send, SendToAddress
--- a/canvasbeam/control_plane/replication_codec.py
+++ b/canvasbeam/control_plane/replication_codec.py
@@ -10,7 +10,7 @@
 
 from canvasbeam.cluster import replication_pb2 as wire
 from canvasbeam.control_plane.compression import pack, unpack
-from canvasbeam.control_plane.control_state import Change, ChangeKind, ControlState
+from canvasbeam.control_state import Change, ChangeKind, ControlState
 from canvasbeam.decide.replication import messages
 from canvasbeam.decide.replication.messages import Message
 from canvasbeam.decide.replication.types import Epoch, MemberId, Position, View
--- a/canvasbeam/control_plane/control_state.py
+++ b/canvasbeam/control_state.py
@@ -1,4 +1,4 @@
-"""The replicated control state and the pure function that applies an operator's change to it.
+"""The types of the replicated control state: the state, and the changes of an operator that lead from one to the next.
 
 The state is the operator's configuration and the zones that are evacuated. Every replica applies the same changes in
 the same order, so this module must be deterministic: no clock, no chance, no iteration over sets.
@@ -9,9 +9,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import IntEnum
-from typing import Any, Protocol
-
-from canvasbeam.errors import Failure
+from typing import Any
 
 
 class ChangeKind(IntEnum):
@@ -51,43 +49,3 @@
     """A change is on the disks of every replica of the view, or was so before."""
 
     state: ControlState
-
-
-class ControlStateService(Protocol):
-    """The replicated control state as the rest of a control process uses it.
-
-    `submit` returns `Committed` only when the change is durable on every replica of the current view; a `Failure` of
-    code `CONFIG_*` or `ZONE_UNKNOWN` means that the change was not and will not be applied; `NOT_PRIMARY` and
-    `NO_PRIMARY` mean the same; `PRIMARY_LOST` and `REPLICATION_TIMEOUT` leave the outcome open.
-    """
-
-    async def start(self) -> None:
-        """Open the storage and begin to take part."""
-        ...
-
-    async def stop(self) -> None:
-        """Resign where this node is the primary, and stop."""
-        ...
-
-    async def submit(self, change: Change) -> Committed | Failure:
-        """Apply a change on every replica of the view."""
-        ...
-
-    async def read(self) -> ControlState | Failure:
-        """The newest state, confirmed with a majority of the witnesses after the call began."""
-        ...
-
-    @property
-    def state(self) -> ControlState:
-        """The newest state that this node knows to be committed; it may be old."""
-        ...
-
-    @property
-    def primary_ip(self) -> str | None:
-        """The IP address of the primary, where one is known."""
-        ...
-
-    @property
-    def is_primary(self) -> bool:
-        """Whether this node is the primary, as far as it knows."""
-        ...
--- a/canvasbeam/decide/replication/candidate.py
+++ b/canvasbeam/decide/replication/candidate.py
@@ -18,7 +18,7 @@
 from collections.abc import Callable, Iterable
 from enum import Enum, auto
 
-from canvasbeam.control_plane.control_state import ControlState
+from canvasbeam.control_state import ControlState
 from canvasbeam.decide.replication.messages import (
     Accept,
     Accepted,
--- a/canvasbeam/decide/replication/member.py
+++ b/canvasbeam/decide/replication/member.py
@@ -16,7 +16,7 @@
 import random
 from enum import Enum, auto
 
-from canvasbeam.control_plane.control_state import Change
+from canvasbeam.control_state import Change
 from canvasbeam.decide.replication.candidate import Candidate, Phase
 from canvasbeam.decide.replication.contacts import Contacts
 from canvasbeam.decide.replication.messages import (
--- a/canvasbeam/decide/replication/messages.py
+++ b/canvasbeam/decide/replication/messages.py
@@ -8,7 +8,7 @@
 
 from dataclasses import dataclass
 
-from canvasbeam.control_plane.control_state import Change, Committed, ControlState
+from canvasbeam.control_state import Change, Committed, ControlState
 from canvasbeam.decide.replication.types import Epoch, MemberId, Position, View
 from canvasbeam.errors import Failure
 
--- a/canvasbeam/decide/replication/primary.py
+++ b/canvasbeam/decide/replication/primary.py
@@ -10,7 +10,7 @@
 
 from dataclasses import dataclass, field
 
-from canvasbeam.control_plane.control_state import Change, Committed
+from canvasbeam.control_state import Change, Committed
 from canvasbeam.decide.replication.contacts import Contacts
 from canvasbeam.decide.replication.messages import (
     Accept,
--- a/canvasbeam/decide/replication/replica.py
+++ b/canvasbeam/decide/replication/replica.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Sequence
 
-from canvasbeam.control_plane.control_state import Change, ControlState
+from canvasbeam.control_state import Change, ControlState
 from canvasbeam.decide.replication.messages import SaveChange
 from canvasbeam.decide.replication.types import NO_EPOCH, Apply, Epoch, Position
 from canvasbeam.errors import Failure
--- a/canvasbeam/decide/replication/start.py
+++ b/canvasbeam/decide/replication/start.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from canvasbeam.control_plane.control_state import ControlState
+from canvasbeam.control_state import ControlState
 from canvasbeam.decide.replication.types import GENESIS_EPOCH, NO_EPOCH, Epoch, MemberId, Timing, View
 
 
--- a/canvasbeam/decide/replication/types.py
+++ b/canvasbeam/decide/replication/types.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
-from canvasbeam.control_plane.control_state import Change, ControlState
+from canvasbeam.control_state import Change, ControlState
 from canvasbeam.errors import Failure
 from canvasbeam.units import MILLISECOND
 
--- a/tests/replication_world.py
+++ b/tests/replication_world.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
-from canvasbeam.control_plane.control_state import Change, ChangeKind, Committed, ControlState
+from canvasbeam.control_state import Change, ChangeKind, Committed, ControlState
 from canvasbeam.decide.replication.durability import Outbox
 from canvasbeam.decide.replication.member import Member, Role
 from canvasbeam.decide.replication.messages import (
--- a/tests/test_change_check.py
+++ b/tests/test_change_check.py
@@ -8,7 +8,7 @@
 
 from canvasbeam.control_plane.change_check import LARGE_BYTES, ChangeCheck
 from canvasbeam.control_plane.changes import apply, apply_checked
-from canvasbeam.control_plane.control_state import Change, ChangeKind, ControlState
+from canvasbeam.control_state import Change, ChangeKind, ControlState
 from canvasbeam.decide.replication.contacts import Contacts
 from canvasbeam.decide.replication.types import Timing
 from canvasbeam.errors import Failure
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -10,7 +10,7 @@
 import pytest
 
 from canvasbeam.control_plane.changes import MOST_TAKEN_ORDERS, apply, decode_state, encode_state
-from canvasbeam.control_plane.control_state import Change, ChangeKind, ControlState
+from canvasbeam.control_state import Change, ChangeKind, ControlState
 from canvasbeam.errors import Failure, ResultCode
 
 Document = dict[str, Any]
--- a/tests/test_control_program.py
+++ b/tests/test_control_program.py
@@ -12,9 +12,9 @@
 import pytest
 
 from canvasbeam.cluster.items import Item, ItemKind, ItemTable, Version
-from canvasbeam.control_plane.control_state import ControlState
 from canvasbeam.control_plane.program import ControlPlane, main
 from canvasbeam.control_plane.publisher import StatePublisher
+from canvasbeam.control_state import ControlState
 from canvasbeam.errors import Failure, ResultCode
 from canvasbeam.runtime.process import EXIT_SETTINGS
 from canvasbeam.runtime.settings import SETTINGS_VARIABLE, Address, ProcessSettings
--- a/tests/test_operator_api.py
+++ b/tests/test_operator_api.py
@@ -11,9 +11,9 @@
 
 from canvasbeam.control_plane import operator_api, web
 from canvasbeam.control_plane.changes import apply
-from canvasbeam.control_plane.control_state import Change, Committed, ControlState
 from canvasbeam.control_plane.operator_api import CONFIGURATION_PATH, EVACUATION_PREFIX, STATUS_PATH, OperatorApi
 from canvasbeam.control_plane.web import Endpoint, WebApp
+from canvasbeam.control_state import Change, Committed, ControlState
 from canvasbeam.errors import Failure, ResultCode
 from canvasbeam.runtime.http_server import Message
 from canvasbeam.runtime.settings import Address, ProcessSettings
--- a/tests/test_replicated_state.py
+++ b/tests/test_replicated_state.py
@@ -13,9 +13,9 @@
 from canvasbeam.cluster.transport import Channel, Transport
 from canvasbeam.control_plane import disk_worker
 from canvasbeam.control_plane.changes import apply, decode_state, encode_state
-from canvasbeam.control_plane.control_state import Change, ChangeKind, Committed, ControlState
 from canvasbeam.control_plane.disk_worker import DiskWorker
 from canvasbeam.control_plane.replicated_state import ReplicatedControlState
+from canvasbeam.control_state import Change, ChangeKind, Committed, ControlState
 from canvasbeam.decide.replication.types import Timing
 from canvasbeam.errors import Failure, ResultCode
 from canvasbeam.runtime.settings import Address, ProcessSettings
--- a/tests/test_replication_codec.py
+++ b/tests/test_replication_codec.py
@@ -8,9 +8,9 @@
 
 from canvasbeam.control_plane.changes import apply, decode_state, encode_state
 from canvasbeam.control_plane.compression import LEAST_BYTES, pack, unpack
-from canvasbeam.control_plane.control_state import Change, ChangeKind, ControlState
 from canvasbeam.control_plane.member_records import MAX_CHANGES, Loaded, RecordWriter, load_member
 from canvasbeam.control_plane.replication_codec import Received, ReplicationCodec
+from canvasbeam.control_state import Change, ChangeKind, ControlState
 from canvasbeam.decide.replication import messages
 from canvasbeam.decide.replication.messages import SaveChange, SaveCommitted, SaveInstalled, SaveWitness
 from canvasbeam.decide.replication.start import Durable
--- a/tests/test_replication_explorer.py
+++ b/tests/test_replication_explorer.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from canvasbeam.control_plane.control_state import Committed
+from canvasbeam.control_state import Committed
 from canvasbeam.decide.replication import durability
 from canvasbeam.decide.replication.candidate import Candidate
 from canvasbeam.decide.replication.messages import AFTER_SYNC, Action, Appended, Fetched, Install, Promise, Reply
--- a/tests/test_replication_plan.py
+++ b/tests/test_replication_plan.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from canvasbeam.control_plane.control_state import Change, ChangeKind, ControlState
+from canvasbeam.control_state import Change, ChangeKind, ControlState
 from canvasbeam.decide.replication.contacts import Contacts
 from canvasbeam.decide.replication.durability import Outbox
 from canvasbeam.decide.replication.messages import Appended, Heartbeat, Promise, SaveChange, SaveWitness, Send
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -38,3 +38,16 @@
     named = [node for node in ast.walk(tree) if isinstance(node, ast.Set | ast.SetComp)]
     loops = [node.iter for node in ast.walk(tree) if isinstance(node, ast.For | ast.comprehension)]
     assert not [each for each in loops if each in named]
+
+
+def test_the_pure_decisions_import_nothing_from_the_programs_around_them() -> None:
+    """`decide/` lies below the programs: what it shares with them lies below both."""
+    above = ("canvasbeam.control_plane", "canvasbeam.data_plane", "canvasbeam.lab", "canvasbeam.cli")
+    folder = Path(__file__).parent.parent / "canvasbeam" / "decide"
+    upward = [
+        f"{path.name}: {node.module}"
+        for path in sorted(folder.rglob("*.py"))
+        for node in ast.walk(ast.parse(path.read_text(encoding="utf-8")))
+        if isinstance(node, ast.ImportFrom) and (node.module or "").startswith(above)
+    ]
+    assert upward == []
--- a/tests/test_storage_report.py
+++ b/tests/test_storage_report.py
@@ -12,9 +12,9 @@
 from canvasbeam.cli.commands import cli
 from canvasbeam.cli.storage_report import ReadOnlyDisk, StorageReport, inspect_storage
 from canvasbeam.control_plane.changes import apply, decode_state, encode_state
-from canvasbeam.control_plane.control_state import Change, ChangeKind, ControlState
 from canvasbeam.control_plane.member_records import RecordWriter
 from canvasbeam.control_plane.replication_codec import ReplicationCodec
+from canvasbeam.control_state import Change, ChangeKind, ControlState
 from canvasbeam.decide.replication.messages import SaveChange
 from canvasbeam.decide.replication.start import Durable
 from canvasbeam.decide.replication.types import Epoch, View
