Let a control process leave only once others hold what it holds

Cause: after SIGTERM a control process resigned and ended 0.3 s later, whether or not a view without it was in force. One that never came back could so take the last but one copy, or a vote that nobody had taken over.

Change: a leaving member tells the others until the primary lets it go (`Leave`, `LeaveGranted`). The next view does without it as a replica, and a spare member takes its vote; without a spare the electorate stays. It is let go when that view is settled. The wait ends 3 s before `grace_s`, and the log says how it ended. Where too few others are usable, the leaving member stays a replica until more are back. A primary answers calls only once the end of a change of the electorate is on the disks of a majority of the new one. The electorate also shrinks by pairs, where fewer are wanted. `canvasbeam system control remove` takes a control process out, refused where nobody could take its place (306, 307); the status tells copies, voters, an open step of membership, and the losses that are bearable.

--- a/canvasbeam/cli/system.py
+++ b/canvasbeam/cli/system.py
@@ -4,6 +4,7 @@
 
 import functools
 import json
+import time
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -19,6 +20,9 @@
 JSON_INDENT = 1
 PRECONDITION_FAILED = 412
 NOT_FOUND = 404
+REMOVAL_PREFIX = "/v1/control/remove/"
+REMOVAL_POLL_S = 0.3
+LEAST_TIMEOUT_S = 0.1
 
 
 @click.group(epilog=TABLE)
@@ -47,7 +51,7 @@
     @click.option(
         "--timeout",
         "timeout_s",
-        type=click.FloatRange(min=0.1),
+        type=click.FloatRange(min=LEAST_TIMEOUT_S),
         default=DEFAULT_TIMEOUT_S,
         show_default=True,
         help="Seconds for which the call is tried at one address after the other.",
@@ -197,6 +201,47 @@
     report({"zone": zone, "evacuated": False}, f"{zone}: in use", as_json)
 
 
+@system.group(epilog=TABLE)
+def control() -> None:
+    """Change which control processes make up the core."""
+
+
+@control.command("remove", epilog=TABLE)
+@click.argument("node_or_ip")
+@control_options
+def control_remove(control: tuple[str, ...], timeout_s: float, as_json: bool, node_or_ip: str) -> None:
+    """Take the control process NODE_OR_IP out for good, and wait until another has its vote and its copy.
+
+    It is refused where no other control process could take its place. The process itself goes on: stop it afterwards.
+
+    \b
+    Example:
+      canvasbeam system control remove core-a1 --timeout 30 --control 127.0.0.11:8146
+    """
+    ip = control_ip(control, timeout_s, node_or_ip)
+    await_removal(control, timeout_s, ip)
+    report({"ip": ip, "removed": True}, f"{ip}: removed; its process may be stopped for good", as_json)
+
+
+def control_ip(control: tuple[str, ...], timeout_s: float, node_or_ip: str) -> str:
+    """The address of a control process by its name; what is no known name is taken for an address."""
+    members = call(control, timeout_s, "GET", "/v1/status").get("members", [])
+    return next((each["ip"] for each in members if each["name"] == node_or_ip and each["is_control"]), node_or_ip)
+
+
+def await_removal(control: tuple[str, ...], timeout_s: float, ip: str) -> None:
+    """Order the removal until it is done."""
+    deadline = time.monotonic() + timeout_s
+    while True:
+        left_s = max(LEAST_TIMEOUT_S, deadline - time.monotonic())
+        answer = call(control, left_s, "POST", f"{REMOVAL_PREFIX}{quote(ip)}")
+        if answer.get("removal") == "done":
+            return
+        if time.monotonic() > deadline:
+            raise fail(Code.UNKNOWN, f"{ip}: the removal is still in progress; give the same command again")
+        time.sleep(REMOVAL_POLL_S)
+
+
 @system.group(epilog=TABLE)
 def storage() -> None:
     """Look at the disk folder of a control process."""
--- a/canvasbeam/control_plane/operator_api.py
+++ b/canvasbeam/control_plane/operator_api.py
@@ -22,11 +22,13 @@
     unavailable,
 )
 from canvasbeam.control_state import Change, ChangeKind, Committed, ControlState
+from canvasbeam.decide.replication.removal import Removal
 from canvasbeam.errors import Failure, ResultCode
 from canvasbeam.runtime.settings import ProcessSettings
 
 CONFIGURATION_PATH = "/v1/config"
 EVACUATION_PREFIX = "/v1/evacuate/"
+REMOVAL_PREFIX = "/v1/control/remove/"
 STATUS_PATH = "/v1/status"
 ANSWER_WITHIN_S = 0.85  # a caller moves on after a second
 MOST_ORDERS_IN_PROGRESS = 64
@@ -49,6 +51,8 @@
     ResultCode.CONFIG_STALE_MATCH: 412,
     ResultCode.CONFIG_TOO_LARGE: 413,
     ResultCode.ZONE_UNKNOWN: 404,
+    ResultCode.MEMBER_UNKNOWN: 404,
+    ResultCode.MEMBER_NEEDED: 409,
 }
 
 StatusSource = Callable[[], Mapping[str, Any]]
@@ -102,6 +106,17 @@
             return self._refusal(request, Failure(ResultCode.ZONE_UNKNOWN, f"there is no zone {zone!r}"))
         return await self._order(request, Change(kind, zone=zone))
 
+    async def removal(self, request: Request) -> Answer:
+        """`/v1/control/remove/IP`: take a control process out for good; sent again, tells how far that is."""
+        if request.method != "POST":
+            return method_not_allowed("POST")
+        ip = request.path.removeprefix(REMOVAL_PREFIX)
+        outcome = self._service.remove(ip)
+        if isinstance(outcome, Failure):
+            return self._refusal(request, outcome)
+        status = 200 if outcome is Removal.DONE else 202
+        return json_answer(status, {"ip": ip, "removal": outcome.value})
+
     async def status(self, request: Request) -> Answer:
         """`/v1/status`: what this node knows of itself and the others."""
         if request.method != "GET":
--- a/canvasbeam/control_plane/program.py
+++ b/canvasbeam/control_plane/program.py
@@ -3,12 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from contextlib import suppress
 
 from canvasbeam.cluster.node import ClusterNode
 from canvasbeam.control_plane.changes import apply, apply_checked, decode_state, encode_state
 from canvasbeam.control_plane.directory import RESOLVE_PATH, Directory
-from canvasbeam.control_plane.operator_api import CONFIGURATION_PATH, EVACUATION_PREFIX, STATUS_PATH, OperatorApi
+from canvasbeam.control_plane.operator_api import (
+    CONFIGURATION_PATH,
+    EVACUATION_PREFIX,
+    REMOVAL_PREFIX,
+    STATUS_PATH,
+    OperatorApi,
+)
 from canvasbeam.control_plane.publisher import StatePublisher
 from canvasbeam.control_plane.registry import INSTANCES_PREFIX, RegistryService
 from canvasbeam.control_plane.replicated_state import ReplicatedControlState
@@ -28,6 +35,8 @@
 RESERVED_DESCRIPTORS = 400
 DRAIN_S = 1.0
 RESIGN_S = 2.0
+LEAVE_MARGIN_S = 3.0  # of `grace_s`, for what follows the leave: `RESIGN_S`, and a second before SIGKILL
+LEAST_LEAVE_S = 0.3
 LEAVE_FLUSH_S = 0.05
 
 log = logs.get_logger(__name__)
@@ -37,6 +46,7 @@
     """All parts of one control node."""
 
     def __init__(self, settings: ProcessSettings, listeners: Listeners | None = None) -> None:
+        self._settings = settings
         self._node = ClusterNode(settings, is_control=True)
         self._service = ReplicatedControlState(
             settings, self._node.transport, apply, encode_state, decode_state, apply_checked=apply_checked
@@ -69,6 +79,7 @@
             Endpoint(INSTANCES_PREFIX, registry.instances, registry.most_body_bytes),
             Endpoint(CONFIGURATION_PATH, operator.configuration, operator.most_body_bytes),
             Endpoint(EVACUATION_PREFIX, operator.evacuation, _no_body),
+            Endpoint(REMOVAL_PREFIX, operator.removal, _no_body),
             Endpoint(STATUS_PATH, operator.status, _no_body),
         ]
 
@@ -102,10 +113,13 @@
         self._service.set_seeds(settings.seeds)
 
     async def stop(self) -> None:
-        """End in order: calls in progress are answered, the office is handed on, the others are told."""
+        """End in order: calls in progress are answered, the view is handed on, the others are told."""
+        began = time.monotonic()
         self._registry.stop()
         self._node.set_ready(False)
         await asyncio.gather(*(server.drain(DRAIN_S) for server in self._servers))
+        leave_by = began + self._settings.bounds.grace_s - LEAVE_MARGIN_S
+        await self._service.leave(max(LEAST_LEAVE_S, leave_by - time.monotonic()))
         with suppress(TimeoutError):
             async with asyncio.timeout(RESIGN_S):
                 await self._service.stop()
--- a/canvasbeam/control_plane/replicated_state.py
+++ b/canvasbeam/control_plane/replicated_state.py
@@ -22,15 +22,19 @@
 from canvasbeam.control_plane.replication_codec import DecodeState, EncodeState, Received, ReplicationCodec
 from canvasbeam.control_plane.view_log import ViewLog
 from canvasbeam.control_state import Change, Committed, ControlState
+from canvasbeam.decide.replication.departure import Leaving
 from canvasbeam.decide.replication.durability import Held, Outbox
 from canvasbeam.decide.replication.member import Member, Role
 from canvasbeam.decide.replication.messages import Action, Message, Publish, Reply, Send, SendToAddress
+from canvasbeam.decide.replication.removal import Removal
+from canvasbeam.decide.replication.resilience import Resilience, resilience_of
 from canvasbeam.decide.replication.start import Durable, MemberSettings
 from canvasbeam.decide.replication.types import (
     GENESIS_DISK,
     Apply,
     MemberId,
     Timing,
+    View,
     genesis_view,
     member_id,
     member_ip,
@@ -76,6 +80,8 @@
     committed_index: int = 0
     stored_index: int = 0
     disk: str = "ok"
+    resilience: Resilience = Resilience()
+    leaving: str = Leaving.STAYING.name.lower()
 
 
 @dataclass(slots=True)
@@ -144,6 +150,44 @@
         self._transport.register(Channel.REPLICATION, self._on_message)
         self._spawn(self._run())
 
+    async def leave(self, within_s: float) -> None:
+        """Hand the view on, and wait until a view without this member holds enough copies, or the time is over."""
+        member = self._member
+        if member is None:
+            return
+        began = time.monotonic()
+        self._perform(member.leave(time.monotonic_ns()))
+        while not member.departure.may_end and time.monotonic() - began < within_s:
+            await asyncio.sleep(TICK_SECONDS)
+        self._log_departure(member, time.monotonic() - began)
+
+    def _log_departure(self, member: Member, waited_s: float) -> None:
+        match member.departure.state:
+            case Leaving.GRANTED:
+                log.info("leaves after {:.1f} s: {} other replicas hold the state", waited_s, member.departure.copies)
+            case Leaving.ALONE:
+                log.info("leaves after {:.1f} s: there is no other member, or all others leave too", waited_s)
+            case _:
+                log.warning("gave up waiting after {:.1f} s: {}", waited_s, self._why_not_let_go(member))
+
+    def _why_not_let_go(self, member: Member) -> str:
+        if not member.primary_id:
+            return "no primary is known"
+        if member.known_view is not None and member.me in member.known_view.replicas:
+            return "too few other replicas are usable to form a view without this member"
+        return f"the primary {member.primary_id} has not settled a view without this member"
+
+    def remove(self, ip: str) -> Removal | Failure:
+        """Take the control process at an address out for good; called again, tells how far that is."""
+        member = self._member
+        if member is None:
+            return self._not_ready()
+        outcome = member.removal(ip, time.monotonic_ns())
+        if not isinstance(outcome, Failure):
+            log.info("the removal of {} is {}", ip, outcome.value)
+            self._perform(member.request_leave(ip))
+        return outcome
+
     async def stop(self) -> None:
         """Resign where this node is the primary, and stop."""
         if self._member is not None:
@@ -229,8 +273,13 @@
             committed_index=self._state.index,
             stored_index=member.replica.state.index,
             disk=disk,
+            resilience=Resilience() if view is None else self._resilience(view, member.is_settled),
+            leaving=member.departure.state.name.lower(),
         )
 
+    def _resilience(self, view: View, is_settled: bool) -> Resilience:
+        return resilience_of(view, is_settled, int(self._settings.tolerate.machines))
+
     # --- start ------------------------------------------------------------------------------------------------
 
     async def _run(self) -> None:
--- a/canvasbeam/control_plane/replication_codec.py
+++ b/canvasbeam/control_plane/replication_codec.py
@@ -185,6 +185,12 @@
         lambda it: wire.AppendedMessage(epoch=epoch_record(it.epoch), index=it.index),
     ),
     messages.Resign: ("resign", lambda it: wire.ResignMessage(epoch=epoch_record(it.epoch))),
+    messages.Leave: ("leave", lambda it: wire.LeaveMessage()),
+    messages.LeaveGranted: (
+        "leave_granted",
+        lambda it: wire.LeaveGrantedMessage(epoch=epoch_record(it.epoch), copies=it.copies),
+    ),
+    messages.LeaveRequested: ("leave_requested", lambda it: wire.LeaveRequestedMessage()),
 }
 _DECODERS: dict[str, Callable[[Any], Message]] = {
     "hello": lambda part: messages.Hello(part.healthy),
@@ -216,6 +222,9 @@
     ),
     "appended": lambda part: messages.Appended(epoch_of(part.epoch), part.index),
     "resign": lambda part: messages.Resign(epoch_of(part.epoch)),
+    "leave": lambda part: messages.Leave(),
+    "leave_granted": lambda part: messages.LeaveGranted(epoch_of(part.epoch), part.copies),
+    "leave_requested": lambda part: messages.LeaveRequested(),
 }
 
 
--- a/canvasbeam/control_plane/state_service.py
+++ b/canvasbeam/control_plane/state_service.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from canvasbeam.control_state import Change, Committed, ControlState
+from canvasbeam.decide.replication.removal import Removal
 from canvasbeam.errors import Failure
 
 
@@ -20,6 +21,14 @@
         """Open the storage and begin to take part."""
         ...
 
+    async def leave(self, within_s: float) -> None:
+        """Hand the view on, and wait until a view without this member holds enough copies, or the time is over."""
+        ...
+
+    def remove(self, ip: str) -> Removal | Failure:
+        """Take the control process at an address out for good; called again, tells how far that is."""
+        ...
+
     async def stop(self) -> None:
         """Resign where this node is the primary, and stop."""
         ...
--- a/canvasbeam/control_plane/status.py
+++ b/canvasbeam/control_plane/status.py
@@ -19,6 +19,7 @@
 def status_document(settings: ProcessSettings, node: ClusterNode, service: ReplicatedControlState) -> Mapping[str, Any]:
     """The status of this node, of the control state as it knows it, and of members and workers."""
     state, replication = service.state, service.status
+    resilience = replication.resilience
     age_ns = node.control_age()
     return {
         "node": settings.node,
@@ -28,6 +29,11 @@
         "primary": replication.primary,
         "replicas": list(replication.replicas),
         "witnesses": list(replication.witnesses),
+        "copies": resilience.copies,
+        "voters": resilience.voters,
+        "membership_step_open": resilience.has_open_step,
+        "bearable_losses": resilience.bearable_losses,
+        "leaving": replication.leaving,
         "committed_index": replication.committed_index,
         "stored_index": replication.stored_index,
         "disk": replication.disk,
--- a/canvasbeam/decide/replication/contacts.py
+++ b/canvasbeam/decide/replication/contacts.py
@@ -15,6 +15,7 @@
     heard_since: int  # the start of the present span without a gap
     healthy: bool = True
     failed_at: int = _NEVER
+    leaving_at: int = _NEVER  # when it last said that it leaves
 
 
 class Contacts:
@@ -39,12 +40,23 @@
         """This member stood still for so long: the others were not silent."""
         for contact in self._contacts.values():
             contact.last_heard += pause
+            contact.leaving_at += pause
 
     def mark_failed(self, member: MemberId, now: int) -> None:
         """The member did not store something in time: it is not used for a while."""
         self.note(member, self.last_heard(member))
         self._contacts[member].failed_at = now
 
+    def mark_leaving(self, member: MemberId, now: int) -> None:
+        """The member said that it leaves."""
+        self.note(member, now)
+        self._contacts[member].leaving_at = now
+
+    def is_leaving(self, member: MemberId) -> bool:
+        """Whether the last that was heard of the member was that it leaves; a restarted one is heard without that."""
+        contact = self._contacts.get(member)
+        return contact is not None and contact.last_heard - contact.leaving_at <= self._timing.silence
+
     def last_heard(self, member: MemberId) -> int:
         """When the member was last heard; far in the past where it never was."""
         contact = self._contacts.get(member)
--- a/canvasbeam/decide/replication/member.py
+++ b/canvasbeam/decide/replication/member.py
@@ -19,8 +19,10 @@
 from canvasbeam.control_state import Change
 from canvasbeam.decide.replication.candidate import Candidate, Phase
 from canvasbeam.decide.replication.contacts import Contacts
+from canvasbeam.decide.replication.departure import Departure
 from canvasbeam.decide.replication.messages import (
     Accept,
+    Accepted,
     Action,
     Append,
     Appended,
@@ -29,6 +31,9 @@
     HeartbeatAck,
     Hello,
     Install,
+    Leave,
+    LeaveGranted,
+    LeaveRequested,
     Message,
     Prepare,
     Probe,
@@ -45,6 +50,7 @@
 )
 from canvasbeam.decide.replication.plan import ViewPlanner
 from canvasbeam.decide.replication.primary import PendingCall, Primary
+from canvasbeam.decide.replication.removal import Removal, at_address, removal_of
 from canvasbeam.decide.replication.replica import Replica
 from canvasbeam.decide.replication.responder import Responder, ToResponder, epoch_of
 from canvasbeam.decide.replication.start import Durable, MemberSettings
@@ -86,6 +92,7 @@
         self._responder = Responder(self.witness, self.replica)
         self.contacts = Contacts(settings.timing)
         self._planner = ViewPlanner(settings.me, self.contacts, settings.tolerated_machines)
+        self.departure = Departure(settings.me, settings.timing)
         self.known_view = durable.accepted  # the highest that this member heard of
         self.known_settled = durable.settled
         self.primary_id: MemberId = ""
@@ -130,6 +137,14 @@
                 return self._on_resign(sender, epoch, now)
             case HeartbeatAck() | Appended():
                 return self._on_answer_to_primary(sender, message, now)
+            case Accepted() if self._primary is not None:
+                return self._on_answer_to_primary(sender, message, now)
+            case Leave():
+                return self._on_leave(sender, now)
+            case LeaveGranted(epoch=epoch, copies=copies):
+                return self._on_leave_granted(epoch, copies)
+            case LeaveRequested():
+                return self.leave(now)
             case Refused():
                 return self._on_refused(sender, message, now)
         return self._on_answer_to_candidate(sender, message, now)
@@ -137,6 +152,10 @@
     def tick(self, now: int) -> list[Action]:
         """Time has passed."""
         self._forgive_own_pause(now)
+        farewells = self.departure.tick(self.known_view, self.contacts.is_leaving, now)
+        return [*farewells, *self._tick_role(now)]
+
+    def _tick_role(self, now: int) -> list[Action]:
         match self.role:
             case Role.PRIMARY:
                 return self._tick_primary(now)
@@ -190,6 +209,38 @@
             actions += [Send(each, Resign(epoch)) for each in others if each != self.me]
         return actions
 
+    def leave(self, now: int) -> list[Action]:
+        """The process is to end, perhaps for good: hand the view on, and ask to be let go (`departure.may_end`)."""
+        farewells = self.departure.begin(self.known_view, self.contacts.is_leaving, now)
+        return [*farewells, *(self.resign(now) if self.role is not Role.FOLLOWER else [])]
+
+    def removal(self, ip: str, now: int) -> Removal | Failure:
+        """As the primary: how far the removal of the member at an address is, or why it may not be removed."""
+        primary = self._primary
+        if primary is None:
+            return self._no_primary_here()
+        return removal_of(
+            ip,
+            primary.view,
+            primary.is_settled,
+            known=self.contacts.known(),
+            can_spare=lambda member: self._planner.can_spare(member, primary.view, now),
+        )
+
+    def request_leave(self, ip: str) -> list[Action]:
+        """Tell the members at an address to leave; it may be this one."""
+        view = self.known_view
+        members = (*(() if view is None else view.members), *self.contacts.known())
+        return [Send(each, LeaveRequested()) for each in at_address(ip, members)]
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether no change of the electorate is open, as far as this member knows."""
+        if self._primary is not None:
+            return self._primary.is_settled
+        view = self.known_view
+        return view is None or self.known_settled or set(view.witnesses) == set(view.previous_witnesses)
+
     # --- the role ---------------------------------------------------------------------------------------------
 
     def _become(self, role: Role, now: int) -> list[Action]:
@@ -220,11 +271,12 @@
         if self.role is Role.REFORMING and len(self._pending) < MAX_PENDING_CALLS:
             self._pending.append(pending)
             return []
+        return [Reply(pending.call, self._no_primary_here())]
+
+    def _no_primary_here(self) -> Failure:
         if self.primary_id and self.primary_id != self.me:
-            failure = Failure(ResultCode.NOT_PRIMARY, f"the primary is {member_ip(self.primary_id)}")
-        else:
-            failure = Failure(ResultCode.NO_PRIMARY, "no primary is known at present")
-        return [Reply(pending.call, failure)]
+            return Failure(ResultCode.NOT_PRIMARY, f"the primary is {member_ip(self.primary_id)}")
+        return Failure(ResultCode.NO_PRIMARY, "no primary is known at present")
 
     # --- witness and replica ----------------------------------------------------------------------------------
 
@@ -274,11 +326,27 @@
     def _on_resign(self, sender: MemberId, epoch: Epoch, now: int) -> list[Action]:
         if sender == self.primary_id and epoch >= self.primary_epoch:
             self.primary_id = ""
-            self.contacts.mark_failed(sender, now)
+            if not self.contacts.is_leaving(sender):
+                self.contacts.mark_failed(sender, now)
             self._last_primary_sign = now - self._timing.election
             self._election_at = now + self._election_delay()
         return []
 
+    def _on_leave(self, sender: MemberId, now: int) -> list[Action]:
+        """A member is to end: the primary lets it go once a settled view does without it, with enough copies."""
+        self.contacts.mark_leaving(sender, now)
+        primary = self._primary
+        if primary is None or sender in primary.view.replicas or not primary.is_settled:
+            return []
+        if self._planner.wants_change(primary.view, primary.is_settled, now):
+            return []
+        return [Send(sender, LeaveGranted(primary.view.epoch, len(primary.view.replicas)))]
+
+    def _on_leave_granted(self, epoch: Epoch, copies: int) -> list[Action]:
+        if epoch >= self.witness.promised:
+            self.departure.take_grant(copies)
+        return []
+
     def _yield_to(self, epoch: Epoch, sender: MemberId, now: int) -> list[Action]:
         """Somebody leads, or is about to, in an epoch that this member does not refuse."""
         self._last_primary_sign = now
@@ -304,7 +372,9 @@
         return []
 
     def _may_lead(self) -> bool:
-        return self.healthy and self.known_view is not None and self.me in self.known_view.witnesses
+        if not self.healthy or self.departure.has_begun:
+            return False
+        return self.known_view is not None and self.me in self.known_view.witnesses
 
     def _election_delay(self) -> int:
         """Later for each member in the agreed order, and latest for the last primary, which has just failed."""
@@ -434,13 +504,17 @@
             if member == self.me:
                 return self.resign(now)
             self.contacts.mark_failed(member, now)
-        if self._planner.wants_change(primary.view, now):
+        if self._planner.wants_change(primary.view, primary.is_settled, now):
             return self._reform(now)
         return primary.tick(now)
 
-    def _on_answer_to_primary(self, sender: MemberId, message: HeartbeatAck | Appended, now: int) -> list[Action]:
+    def _on_answer_to_primary(
+        self, sender: MemberId, message: HeartbeatAck | Appended | Accepted, now: int
+    ) -> list[Action]:
         if self._primary is None or message.epoch != self._primary.view.epoch:
             return []
+        if isinstance(message, Accepted):
+            return self._primary.take_accepted(sender, message)
         if isinstance(message, HeartbeatAck):
             return self._primary.take_heartbeat_ack(sender, message, now)
         return self._primary.take_appended(sender, message, now)
--- a/canvasbeam/decide/replication/messages.py
+++ b/canvasbeam/decide/replication/messages.py
@@ -168,9 +168,28 @@
     epoch: Epoch
 
 
+@dataclass(frozen=True, slots=True)
+class Leave:
+    """The sender is to end, perhaps for good: the others shall do without it. Sent until it is granted."""
+
+
+@dataclass(frozen=True, slots=True)
+class LeaveGranted:
+    """The view of that epoch is in force, does without the receiver, and has so many synced copies of the state."""
+
+    epoch: Epoch
+    copies: int
+
+
+@dataclass(frozen=True, slots=True)
+class LeaveRequested:
+    """The operator takes the receiver out of the core for good."""
+
+
 Message = (
     Hello | ViewTold | Probe | Probed | Prepare | Promise | Refused | Fetch | Fetched | Install | Installed
     | Accept | Accepted | Heartbeat | HeartbeatAck | Append | Appended | Resign
+    | Leave | LeaveGranted | LeaveRequested
 )  # fmt: skip
 AFTER_SYNC = (Prepare, Promise, Installed, Accepted, Appended, Fetched)
 
--- a/canvasbeam/decide/replication/plan.py
+++ b/canvasbeam/decide/replication/plan.py
@@ -19,25 +19,51 @@
     def plan(
         self, base: View, settled: bool, epoch: Epoch, promised: frozenset[MemberId] | None, now: int
     ) -> View | None:
-        """The view to propose. `promised` are the healthy members that answered a candidate, if there is one."""
+        """The view to propose. `promised` are the healthy members that answered a candidate, if there is one.
+
+        It does without the members that leave, unless too few others are usable.
+        """
         known = dict.fromkeys((self._me, *base.members, *sorted(self._contacts.known())))
-        return plan_view(
-            base,
-            settled,
-            epoch=epoch,
-            primary=self._me,
-            usable=[each for each in known if self._is_usable(each, base, promised, now)],
-            is_gone=lambda member: self._contacts.is_gone(member, now),
-            tolerated_machines=self._tolerated_machines,
-        )
+        usable = [each for each in known if self._is_usable(each, base, promised, now)]
+        staying = [each for each in usable if each == self._me or not self._contacts.is_leaving(each)]
+        for candidates in (staying, usable):
+            view = plan_view(
+                base,
+                settled,
+                epoch=epoch,
+                primary=self._me,
+                usable=candidates,
+                is_gone=lambda member: self._is_gone(member, now),
+                tolerated_machines=self._tolerated_machines,
+            )
+            if view is not None:
+                return view
+        return None
 
-    def wants_change(self, view: View, now: int) -> bool:
-        """Whether a primary should change its view: a member is silent, is back, or has a successor."""
-        planned = self.plan(view, True, view.epoch, None, now)
+    def wants_change(self, view: View, settled: bool, now: int) -> bool:
+        """Whether a primary should change its view: a member is silent, is back, leaves, or has a successor."""
+        planned = self.plan(view, settled, view.epoch, None, now)
         if planned is None:
             return False
         return set(planned.replicas) != set(view.replicas) or set(planned.witnesses) != set(view.witnesses)
 
+    def can_spare(self, member: MemberId, view: View, now: int) -> bool:
+        """Whether the others could go on without the member, with as many voters as before."""
+        known = dict.fromkeys((self._me, *view.members, *self._contacts.known()))
+        usable = [each for each in known if self._is_usable(each, view, None, now)]
+        staying = [each for each in usable if each != member and not self._contacts.is_leaving(each)]
+        planned = plan_witnesses(
+            view.witnesses,
+            staying,
+            lambda each: each == member or self._is_gone(each, now),
+            2 * self._tolerated_machines + 1,
+        )
+        copies = sum(1 for each in planned if each in staying)
+        return member not in planned and copies >= fewest_replicas(len(planned), self._tolerated_machines)
+
+    def _is_gone(self, member: MemberId, now: int) -> bool:
+        return self._contacts.is_leaving(member) or self._contacts.is_gone(member, now)
+
     def _is_usable(self, member: MemberId, base: View, promised: frozenset[MemberId] | None, now: int) -> bool:
         if member == self._me:
             return True
@@ -86,7 +112,7 @@
     is_gone: Callable[[MemberId], bool],
     wanted: int,
 ) -> tuple[MemberId, ...]:
-    """Put new members in the places of those that lost their disk or are gone; grow by pairs up to `wanted`."""
+    """Put new members in the places of those that lost their disk or are gone; grow and shrink by pairs to `wanted`."""
     planned = list(witnesses)
     spares = [each for each in usable if each not in planned]
     for spare in list(spares):
@@ -100,7 +126,15 @@
             break
         planned += spares[:step]
         del spares[:step]
-    return tuple(planned)
+    return tuple(_without_surplus(planned, usable, wanted))
+
+
+def _without_surplus(planned: Sequence[MemberId], usable: Sequence[MemberId], wanted: int) -> list[MemberId]:
+    """Drop pairs beyond `wanted`, first those that are not usable, and then the last of the usable ones."""
+    surplus = max(0, len(planned) - wanted) // 2 * 2
+    ranked = sorted(planned, key=lambda each: usable.index(each) if each in usable else len(usable))
+    kept = set(ranked[: len(planned) - surplus])
+    return [each for each in planned if each in kept]
 
 
 def _place_for(
--- a/canvasbeam/decide/replication/primary.py
+++ b/canvasbeam/decide/replication/primary.py
@@ -14,6 +14,7 @@
 from canvasbeam.decide.replication.contacts import Contacts
 from canvasbeam.decide.replication.messages import (
     Accept,
+    Accepted,
     Action,
     Append,
     Appended,
@@ -88,6 +89,7 @@
         self._committed = replica.state.index
         self._progress = {each: _Progress(self._committed) for each in view.replicas}
         self._rounds = _Rounds(answered={})
+        self._settled_on: set[MemberId] = set()  # that have on their disk that the view is in force
         self._confirmed_at = now
         self._last_heartbeat = now
 
@@ -165,10 +167,27 @@
         self._note_confirmation()
         actions: list[Action] = []
         behind = message.accepted < self.view.epoch or not message.settled
+        behind = behind or not (self.is_settled or sender in self._settled_on)
         if behind and sender in self.view.members:
             actions.append(Send(sender, Accept(self.view, settled=True)))
         return actions + self._answer()
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether the end of a change of the electorate is on the disks of a majority of the new one.
+
+        Until then a candidate might need a majority of the old one too, of which some may be gone for good.
+        """
+        if set(self.view.witnesses) == set(self.view.previous_witnesses):
+            return True
+        return is_majority(self._settled_on, self.view.witnesses)
+
+    def take_accepted(self, sender: MemberId, message: Accepted) -> list[Action]:
+        """A witness has on its disk that the view is in force."""
+        if message.settled:
+            self._settled_on.add(sender)
+        return self._answer()
+
     def take_appended(self, sender: MemberId, message: Appended, now: int) -> list[Action]:
         """A replica has the changes up to an index on its disk."""
         progress = self._progress.get(sender)
@@ -246,6 +265,8 @@
         return 0
 
     def _answer(self) -> list[Action]:
+        if not self.is_settled:
+            return []
         confirmed = self._confirmed_round()
         ready = [each for each in self.pending if each.index <= self._committed and each.sequence <= confirmed]
         if not ready:
--- /dev/null
+++ b/canvasbeam/decide/replication/removal.py
@@ -0,0 +1,40 @@
+"""Whether the operator may take a control process out for good, and how far that is."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection
+from enum import Enum
+
+from canvasbeam.decide.replication.types import MemberId, View, member_ip
+from canvasbeam.errors import Failure, ResultCode
+
+
+class Removal(Enum):
+    """How far a removal is."""
+
+    IN_PROGRESS = "in progress"  # the view still counts on the member
+    DONE = "done"  # a settled view does without it
+
+
+def removal_of(
+    ip: str,
+    view: View,
+    is_settled: bool,
+    *,
+    known: Collection[MemberId],
+    can_spare: Callable[[MemberId], bool],
+) -> Removal | Failure:
+    """The removal of whoever is at an address. Refused where the others are too few, or nobody takes over its vote."""
+    present = at_address(ip, (*view.replicas, *view.witnesses))
+    if not present and not at_address(ip, (*view.previous_witnesses, *known)):
+        return Failure(ResultCode.MEMBER_UNKNOWN, f"no control process was ever heard at {ip}")
+    if any(not can_spare(each) for each in present):
+        return Failure(
+            ResultCode.MEMBER_NEEDED, f"no other control process can take the place of {ip}: start one first"
+        )
+    return Removal.DONE if is_settled and not present else Removal.IN_PROGRESS
+
+
+def at_address(ip: str, members: Collection[MemberId]) -> list[MemberId]:
+    """Those of the members that are at an address, each once."""
+    return [each for each in dict.fromkeys(members) if member_ip(each) == ip]
--- /dev/null
+++ b/canvasbeam/decide/replication/resilience.py
@@ -0,0 +1,33 @@
+"""How many further losses a view bears."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from dataclasses import dataclass
+
+from canvasbeam.decide.replication.plan import fewest_replicas
+from canvasbeam.decide.replication.types import MemberId, View
+
+
+@dataclass(frozen=True, slots=True)
+class Resilience:
+    """What an operator wants to know before anything else is stopped."""
+
+    copies: int = 0  # replicas that have every acknowledged change on their disks
+    voters: int = 0
+    has_open_step: bool = False  # a change of the electorate is not settled yet
+    bearable_losses: int = 0  # of members at once, after which the rest goes on without them
+
+
+def resilience_of(view: View, is_settled: bool, tolerated_machines: int) -> Resilience:
+    """Every usable witness is a replica of the view, so the view alone tells how many are there."""
+    margins = [len(view.replicas) - fewest_replicas(len(view.witnesses), tolerated_machines)]
+    margins.append(_majority_margin(view.replicas, view.witnesses))
+    if not is_settled:
+        margins.append(_majority_margin(view.replicas, view.previous_witnesses))
+    return Resilience(len(view.replicas), len(view.witnesses), not is_settled, max(0, min(margins)))
+
+
+def _majority_margin(present: Collection[MemberId], electorate: Collection[MemberId]) -> int:
+    voters = sum(1 for each in electorate if each in present)
+    return voters - (len(electorate) // 2 + 1)
--- a/canvasbeam/errors.py
+++ b/canvasbeam/errors.py
@@ -46,6 +46,8 @@
     PRIMARY_LOST = 303, "the primary lost its epoch before the change was replicated; its outcome is unknown"
     REPLICATION_TIMEOUT = 304, "the replicas did not confirm in time; the outcome is unknown"
     OVERLOADED = 305, "too many calls are in progress"
+    MEMBER_UNKNOWN = 306, "no control process is known at the address"
+    MEMBER_NEEDED = 307, "the control process may not be removed: no other can take its place"
     # 4xx: storage
     DISK_FULL = 401, "the disk takes no more bytes"
     DISK_FAILED = 402, "a disk operation failed"
--- a/tests/test_operator_api.py
+++ b/tests/test_operator_api.py
@@ -11,9 +11,16 @@
 
 from canvasbeam.control_plane import operator_api, web
 from canvasbeam.control_plane.changes import apply
-from canvasbeam.control_plane.operator_api import CONFIGURATION_PATH, EVACUATION_PREFIX, STATUS_PATH, OperatorApi
+from canvasbeam.control_plane.operator_api import (
+    CONFIGURATION_PATH,
+    EVACUATION_PREFIX,
+    REMOVAL_PREFIX,
+    STATUS_PATH,
+    OperatorApi,
+)
 from canvasbeam.control_plane.web import Endpoint, WebApp
 from canvasbeam.control_state import Change, Committed, ControlState
+from canvasbeam.decide.replication.removal import Removal
 from canvasbeam.errors import Failure, ResultCode
 from canvasbeam.runtime.http_server import Message
 from canvasbeam.runtime.settings import Address, ProcessSettings
@@ -35,10 +42,19 @@
         self.failure: Failure | None = None
         self.gate: asyncio.Event | None = None
         self.submitted: list[Change] = []
+        self.removal: Removal | Failure = Removal.IN_PROGRESS
+        self.removed: list[str] = []
 
     async def start(self) -> None:
         pass
 
+    async def leave(self, within_s: float) -> None:
+        pass
+
+    def remove(self, ip: str) -> Removal | Failure:
+        self.removed.append(ip)
+        return self.removal
+
     async def stop(self) -> None:
         pass
 
@@ -86,6 +102,7 @@
             [
                 Endpoint(CONFIGURATION_PATH, self.api.configuration, self.api.most_body_bytes),
                 Endpoint(EVACUATION_PREFIX, self.api.evacuation, small),
+                Endpoint(REMOVAL_PREFIX, self.api.removal, small),
                 Endpoint(STATUS_PATH, self.api.status, small),
             ]
         )
@@ -387,3 +404,31 @@
         assert caller.service.submitted == []
 
     run(body)
+
+
+@pytest.mark.parametrize(
+    ("outcome", "status"),
+    [
+        (Removal.IN_PROGRESS, 202),
+        (Removal.DONE, 200),
+        (Failure(ResultCode.MEMBER_UNKNOWN, "nobody there"), 404),
+        (Failure(ResultCode.MEMBER_NEEDED, "nobody takes over"), 409),
+        (Failure(ResultCode.NO_PRIMARY, "none"), 503),
+    ],
+)
+def test_a_removal_tells_how_far_it_is(outcome: Removal | Failure, status: int) -> None:
+    caller = Caller()
+    caller.service.removal = outcome
+    answered = asyncio.run(caller.call("POST", REMOVAL_PREFIX + "10.2.0.30"))
+    assert answered.status == status
+    assert caller.service.removed == ["10.2.0.30"]
+
+
+def test_a_removal_is_for_the_primary() -> None:
+    caller = Caller()
+    caller.service.primary_ip = "10.2.0.30"
+    caller.service.removal = Failure(ResultCode.NOT_PRIMARY, "the primary is 10.2.0.30")
+    answered = asyncio.run(caller.call("POST", REMOVAL_PREFIX + "10.1.0.38"))
+    assert answered.status == 307
+    assert answered.headers["location"] == "http://10.2.0.30:8146/v1/control/remove/10.1.0.38"
+    assert asyncio.run(caller.call("GET", REMOVAL_PREFIX + "10.1.0.38")).status == 405
--- a/tests/test_replication_codec.py
+++ b/tests/test_replication_codec.py
@@ -49,6 +49,9 @@
     messages.Append(EPOCH, 3, (CHANGE, EVACUATION), 2),
     messages.Appended(EPOCH, 5),
     messages.Resign(EPOCH),
+    messages.Leave(),
+    messages.LeaveGranted(EPOCH, 3),
+    messages.LeaveRequested(),
 )
 
 
