Name the spares when a primary leaves, and test membership moment by moment

Cause: a spare member says hello only to the primary that it hears. When that primary left, the next one did not know the spare, let the old primary go at once, and the vote stayed with one that was gone: a loss right after left no majority.

Change: `Leave` names the usable members without a part in the view; a primary lets the sender go only once it hears all of them steadily. `Resign` reaches them too, so that they say hello at once.

--- a/canvasbeam/control_plane/replication_codec.py
+++ b/canvasbeam/control_plane/replication_codec.py
@@ -185,7 +185,7 @@
         lambda it: wire.AppendedMessage(epoch=epoch_record(it.epoch), index=it.index),
     ),
     messages.Resign: ("resign", lambda it: wire.ResignMessage(epoch=epoch_record(it.epoch))),
-    messages.Leave: ("leave", lambda it: wire.LeaveMessage()),
+    messages.Leave: ("leave", lambda it: wire.LeaveMessage(spares=it.spares)),
     messages.LeaveGranted: (
         "leave_granted",
         lambda it: wire.LeaveGrantedMessage(epoch=epoch_record(it.epoch), copies=it.copies),
@@ -222,7 +222,7 @@
     ),
     "appended": lambda part: messages.Appended(epoch_of(part.epoch), part.index),
     "resign": lambda part: messages.Resign(epoch_of(part.epoch)),
-    "leave": lambda part: messages.Leave(),
+    "leave": lambda part: messages.Leave(tuple(part.spares)),
     "leave_granted": lambda part: messages.LeaveGranted(epoch_of(part.epoch), part.copies),
     "leave_requested": lambda part: messages.LeaveRequested(),
 }
--- a/canvasbeam/decide/replication/contacts.py
+++ b/canvasbeam/decide/replication/contacts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from dataclasses import dataclass
 
 from canvasbeam.decide.replication.types import MemberId, Timing, member_ip
@@ -78,6 +79,14 @@
         """Whether the member has been silent so long that another may take its place."""
         return now - self.last_heard(member) > self._timing.gone
 
+    def usable_besides(self, members: Collection[MemberId], now: int) -> list[MemberId]:
+        """Those that are alive, stay, and are not among the members of a view."""
+        return [
+            each
+            for each in self._contacts
+            if each not in members and self.is_alive(each, now) and not self.is_leaving(each)
+        ]
+
     def known(self) -> list[MemberId]:
         """Everybody who was ever heard, in the order of the first message."""
         return list(self._contacts)
--- a/canvasbeam/decide/replication/departure.py
+++ b/canvasbeam/decide/replication/departure.py
@@ -12,9 +12,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from enum import Enum, auto
 
+from canvasbeam.decide.replication.contacts import Contacts
 from canvasbeam.decide.replication.messages import Leave, Send
 from canvasbeam.decide.replication.types import MemberId, Timing, View
 
@@ -48,22 +48,22 @@
         """Whether there is nothing to wait for any more."""
         return self.state in (Leaving.GRANTED, Leaving.ALONE)
 
-    def begin(self, view: View | None, is_leaving: Callable[[MemberId], bool], now: int) -> list[Send]:
+    def begin(self, view: View | None, contacts: Contacts, now: int) -> list[Send]:
         """The member is to end: tell the others."""
         if self.has_begun:
             return []
         self._enter(Leaving.LEAVING)
-        self._look_around(view, is_leaving)
-        return self._tell(view, now)
+        self._look_around(view, contacts)
+        return self._tell(view, contacts, now)
 
-    def tick(self, view: View | None, is_leaving: Callable[[MemberId], bool], now: int) -> list[Send]:
+    def tick(self, view: View | None, contacts: Contacts, now: int) -> list[Send]:
         """Tell the others again, for as long as the process runs: they take the last word for what is meant."""
         if not self.has_begun:
             return []
-        self._look_around(view, is_leaving)
+        self._look_around(view, contacts)
         if now - self._last_told < self._timing.hello:
             return []
-        return self._tell(view, now)
+        return self._tell(view, contacts, now)
 
     def take_grant(self, copies: int) -> None:
         """The primary does without this member."""
@@ -74,15 +74,17 @@
     def _enter(self, state: Leaving) -> None:
         self.state = state
 
-    def _look_around(self, view: View | None, is_leaving: Callable[[MemberId], bool]) -> None:
+    def _look_around(self, view: View | None, contacts: Contacts) -> None:
         if self.state is Leaving.GRANTED:
             return
-        nobody_stays = all(is_leaving(each) for each in self._others(view))
+        nobody_stays = all(contacts.is_leaving(each) for each in self._others(view))
         self._enter(Leaving.ALONE if nobody_stays else Leaving.LEAVING)
 
-    def _tell(self, view: View | None, now: int) -> list[Send]:
+    def _tell(self, view: View | None, contacts: Contacts, now: int) -> list[Send]:
         self._last_told = now
-        return [Send(each, Leave()) for each in self._others(view)]
+        members = () if view is None else view.members
+        message = Leave(tuple(contacts.usable_besides(members, now)))
+        return [Send(each, message) for each in self._others(view)]
 
     def _others(self, view: View | None) -> list[MemberId]:
         members = () if view is None else view.members
--- a/canvasbeam/decide/replication/member.py
+++ b/canvasbeam/decide/replication/member.py
@@ -14,6 +14,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Collection
 from enum import Enum, auto
 
 from canvasbeam.control_state import Change
@@ -139,8 +140,8 @@
                 return self._on_answer_to_primary(sender, message, now)
             case Accepted() if self._primary is not None:
                 return self._on_answer_to_primary(sender, message, now)
-            case Leave():
-                return self._on_leave(sender, now)
+            case Leave(spares=spares):
+                return self._on_leave(sender, spares, now)
             case LeaveGranted(epoch=epoch, copies=copies):
                 return self._on_leave_granted(epoch, copies)
             case LeaveRequested():
@@ -152,7 +153,7 @@
     def tick(self, now: int) -> list[Action]:
         """Time has passed."""
         self._forgive_own_pause(now)
-        farewells = self.departure.tick(self.known_view, self.contacts.is_leaving, now)
+        farewells = self.departure.tick(self.known_view, self.contacts, now)
         return [*farewells, *self._tick_role(now)]
 
     def _tick_role(self, now: int) -> list[Action]:
@@ -202,7 +203,8 @@
     def resign(self, now: int) -> list[Action]:
         """Stop leading, and let the others know."""
         epoch = self.known_view.epoch if self.known_view is not None else NO_EPOCH
-        others = self.known_view.members if self.known_view is not None else ()
+        members = self.known_view.members if self.known_view is not None else ()
+        others = (*members, *self.contacts.usable_besides(members, now))
         was_primary = self.role in (Role.PRIMARY, Role.REFORMING)
         actions = self._become(Role.FOLLOWER, now)
         if was_primary:
@@ -211,7 +213,7 @@
 
     def leave(self, now: int) -> list[Action]:
         """The process is to end, perhaps for good: hand the view on, and ask to be let go (`departure.may_end`)."""
-        farewells = self.departure.begin(self.known_view, self.contacts.is_leaving, now)
+        farewells = self.departure.begin(self.known_view, self.contacts, now)
         return [*farewells, *(self.resign(now) if self.role is not Role.FOLLOWER else [])]
 
     def removal(self, ip: str, now: int) -> Removal | Failure:
@@ -332,7 +334,7 @@
             self._election_at = now + self._election_delay()
         return []
 
-    def _on_leave(self, sender: MemberId, now: int) -> list[Action]:
+    def _on_leave(self, sender: MemberId, spares: Collection[MemberId], now: int) -> list[Action]:
         """A member is to end: the primary lets it go once a settled view does without it, with enough copies."""
         self.contacts.mark_leaving(sender, now)
         primary = self._primary
@@ -340,6 +342,8 @@
             return []
         if self._planner.wants_change(primary.view, primary.is_settled, now):
             return []
+        if not all(each in primary.view.members or self.contacts.is_steady(each, now) for each in spares):
+            return []  # they are about to say hello, and one of them may take the sender's vote
         return [Send(sender, LeaveGranted(primary.view.epoch, len(primary.view.replicas)))]
 
     def _on_leave_granted(self, epoch: Epoch, copies: int) -> list[Action]:
--- a/canvasbeam/decide/replication/messages.py
+++ b/canvasbeam/decide/replication/messages.py
@@ -170,7 +170,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Leave:
-    """The sender is to end, perhaps for good: the others shall do without it. Sent until it is granted."""
+    """The sender is to end, perhaps for good: the others shall do without it. `spares` are the usable members that it
+    hears and that have no part in the view: a new primary may not know them yet. Sent for as long as it runs."""
+
+    spares: tuple[MemberId, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_replication_codec.py
+++ b/tests/test_replication_codec.py
@@ -49,7 +49,7 @@
     messages.Append(EPOCH, 3, (CHANGE, EVACUATION), 2),
     messages.Appended(EPOCH, 5),
     messages.Resign(EPOCH),
-    messages.Leave(),
+    messages.Leave(spares=("10.0.0.4/a", "10.0.0.5/b")),
     messages.LeaveGranted(EPOCH, 3),
     messages.LeaveRequested(),
 )
