--- a/canvasbeam/decide/replication/member.py
+++ b/canvasbeam/decide/replication/member.py
@@ -92,7 +92,7 @@
         self.replica = Replica(apply_checked, durable.installed, durable.state, durable.committed)
         self._responder = Responder(self.witness, self.replica)
         self.contacts = Contacts(settings.timing)
-        self._planner = ViewPlanner(settings.me, self.contacts, settings.tolerated_machines)
+        self._planner = ViewPlanner(settings.me, self.contacts, settings.tolerated_machines, settings.timing.grace)
         self.departure = Departure(settings.me, settings.timing)
         self.known_view = durable.accepted  # the highest that this member heard of
         self.known_settled = durable.settled
@@ -492,7 +492,9 @@
         self.primary_id = self.me
         self.primary_epoch = view.epoch
         for member in view.witnesses:
-            if member not in view.replicas and self.contacts.is_alive(member, now):
+            if member in view.replicas or self.contacts.is_leaving(member):
+                continue
+            if self.contacts.is_alive(member, now):
                 self.contacts.mark_failed(member, now)  # it answered too late to be a replica: not again at once
         actions += self._become(Role.PRIMARY, now)
         self._primary = Primary(
--- a/canvasbeam/decide/replication/plan.py
+++ b/canvasbeam/decide/replication/plan.py
@@ -5,40 +5,51 @@
 from collections.abc import Callable, Sequence
 
 from canvasbeam.decide.replication.contacts import Contacts
-from canvasbeam.decide.replication.types import Epoch, MemberId, View, member_ip
+from canvasbeam.decide.replication.types import NO_EPOCH, Epoch, MemberId, View, member_ip
 
 
 class ViewPlanner:
     """Proposes views of one member as the primary."""
 
-    def __init__(self, me: MemberId, contacts: Contacts, tolerated_machines: int) -> None:
+    def __init__(self, me: MemberId, contacts: Contacts, tolerated_machines: int, grace: int) -> None:
         self._me = me
         self._contacts = contacts
         self._tolerated_machines = tolerated_machines
+        self._grace = grace
+        self._short_epoch = NO_EPOCH  # of the candidacy for which too few members were found that stay, and since when
+        self._short_since = 0
 
     def plan(
         self, base: View, settled: bool, epoch: Epoch, promised: frozenset[MemberId] | None, now: int
     ) -> View | None:
         """The view to propose. `promised` are the healthy members that answered a candidate, if there is one.
 
-        It does without the members that leave, unless too few others are usable.
+        It does without the members that leave, unless too few others are usable, or answer a candidate within `grace`.
         """
         known = dict.fromkeys((self._me, *base.members, *sorted(self._contacts.known())))
         usable = [each for each in known if self._is_usable(each, base, promised, now)]
         staying = [each for each in usable if each == self._me or not self._contacts.is_leaving(each)]
-        for candidates in (staying, usable):
-            view = plan_view(
-                base,
-                settled,
-                epoch=epoch,
-                primary=self._me,
-                usable=candidates,
-                is_gone=lambda member: self._is_gone(member, now),
-                tolerated_machines=self._tolerated_machines,
-            )
-            if view is not None:
-                return view
-        return None
+        view = self._plan_with(staying, base, settled, epoch, now)
+        if view is None and (promised is None or self._has_waited_for_staying(epoch, now)):
+            view = self._plan_with(usable, base, settled, epoch, now)
+        return view
+
+    def _plan_with(self, usable: Sequence[MemberId], base: View, settled: bool, epoch: Epoch, now: int) -> View | None:
+        return plan_view(
+            base,
+            settled,
+            epoch=epoch,
+            primary=self._me,
+            usable=usable,
+            is_gone=lambda member: self._is_gone(member, now),
+            tolerated_machines=self._tolerated_machines,
+        )
+
+    def _has_waited_for_staying(self, epoch: Epoch, now: int) -> bool:
+        if self._short_epoch != epoch:
+            self._short_epoch = epoch
+            self._short_since = now
+        return now - self._short_since >= self._grace
 
     def wants_change(self, view: View, settled: bool, now: int) -> bool:
         """Whether a primary should change its view: a member is silent, is back, leaves, or has a successor."""
--- a/tests/test_cli_system.py
+++ b/tests/test_cli_system.py
@@ -218,6 +218,40 @@
     assert CliRunner().invoke(cli, ["system", "status"], env=environment).exit_code == Code.OK
 
 
+def test_a_removal_by_name_is_ordered_until_it_is_done(controls: list[Control]) -> None:
+    control = controls[0]
+    states = iter(("in progress", "in progress", "done"))
+
+    def script(method: str, path: str) -> Reply:
+        if method == "GET":
+            return Reply(200, {"members": [{"name": "core-2", "ip": "10.0.0.2", "is_control": True}]})
+        return Reply(200, {"removal": next(states)})
+
+    control.script = script
+    result = invoke([control], "control", "remove", "core-2", "--json")
+    assert result.exit_code == Code.OK
+    assert json.loads(result.output) == {"ip": "10.0.0.2", "removed": True}
+    orders = [(method, path) for method, path, _, _ in control.asked if method == "POST"]
+    assert orders == [("POST", "/v1/control/remove/10.0.0.2")] * 3
+
+
+def test_a_removal_that_does_not_end_is_told_as_unknown(controls: list[Control]) -> None:
+    control = controls[0]
+    control.script = lambda method, path: Reply(200, {"removal": "in progress"})
+    result = invoke([control], "control", "remove", "10.0.0.2", timeout_s=0.1)
+    assert result.exit_code == Code.UNKNOWN
+    assert "still in progress" in result.output
+
+
+def test_a_removal_that_is_refused_is_a_wrong_call(controls: list[Control]) -> None:
+    control = controls[0]
+    refusal = error(ResultCode.MEMBER_NEEDED, "start one first")
+    control.script = lambda method, path: Reply(409 if method == "POST" else 200, refusal)
+    result = invoke([control], "control", "remove", "10.0.0.2")
+    assert result.exit_code == Code.USAGE
+    assert "307 member_needed: start one first" in result.output
+
+
 def test_the_client_pauses_longer_and_longer_between_rounds() -> None:
     now, pauses = [0.0], []
 
--- a/tests/test_replication_membership.py
+++ b/tests/test_replication_membership.py
@@ -18,7 +18,7 @@
 from canvasbeam.decide.replication.candidate import Candidate, Phase
 from canvasbeam.decide.replication.contacts import Contacts
 from canvasbeam.decide.replication.departure import Departure, Leaving
-from canvasbeam.decide.replication.member import Member
+from canvasbeam.decide.replication.member import Member, Role
 from canvasbeam.decide.replication.messages import Accept, Action, Install, Leave, LeaveGranted, Send
 from canvasbeam.decide.replication.plan import plan_witnesses
 from canvasbeam.decide.replication.primary import Primary
@@ -47,7 +47,7 @@
     started,
     view_of,
 )
-from .replication_world import Packet, RandomWalk, Violation, World
+from .replication_world import LATENCY, SYNC_TIME, Packet, RandomWalk, Violation, World
 
 WALKS = int(os.environ.get("EXPLORER_WALKS", "40"))
 A, B, C, D, E, F = (f"10.0.0.{number}/0" for number in range(1, 7))
@@ -77,6 +77,27 @@
     assert electorate(world) == before
 
 
+@pytest.mark.parametrize(("machines", "tolerated"), SIZES)
+def test_how_long_a_member_waits_to_be_let_go(machines: int, tolerated: int) -> None:
+    """Between regions: a view change, and one more round trip to ask for it and to be told."""
+    world = started(machines, tolerated)
+    leave(world, primary := primary_of(world))
+    assert run_until(world, partial(may_end, world, primary), SECOND) is not None
+    world = started(machines, tolerated)
+    leave(world, backup := others(world, primary_of(world))[0])
+    assert run_until(world, partial(may_end, world, backup), 3 * SECOND // 4) is not None
+
+
+def test_the_end_of_a_replacement_is_settled_in_a_round_trip() -> None:
+    world = started()
+    world.add(NEW, (primary_of(world),))
+    world.run_between_regions(CATCH_UP)
+    primary = member_of(world, primary_of(world))
+    leave(world, others(world, primary_of(world), NEW)[0])
+    assert run_until(world, lambda: primary.role is Role.PRIMARY and not primary.is_settled, SECOND) is not None
+    assert run_until(world, lambda: primary.is_settled, 2 * LATENCY + 2 * SYNC_TIME) is not None
+
+
 @pytest.mark.parametrize(("machines", "tolerated"), SIZES)
 def test_all_restart_in_turn(machines: int, tolerated: int) -> None:
     world = started(machines, tolerated)
