Answer a member that leaves, so that old words are not taken for new

Cause: a follower hears the others when they leave, and not when they are back. Leaving at the same time as the primary it could take one that restarted long ago for one that leaves too, and end at once though that one stays.

--- a/canvasbeam/decide/replication/departure.py
+++ b/canvasbeam/decide/replication/departure.py
@@ -3,7 +3,7 @@
 | state | meaning | goes on when |
 | --- | --- | --- |
 | STAYING | it takes part as usual | `begin`: LEAVING |
-| LEAVING | it tells the others, votes and stores on, but does not lead | granted: GRANTED; all others leave: ALONE |
+| LEAVING | it tells the others, votes and stores on, but does not lead | granted: GRANTED; nobody stays: ALONE |
 | GRANTED | a settled view does without it and has enough synced copies | never |
 | ALONE | there is no other member that stays, so that nobody could take over | one stays after all: LEAVING |
 
@@ -37,6 +37,7 @@
         self._me = me
         self._timing = timing
         self._last_told = 0
+        self._nobody_since: int | None = None  # since when no other member seems to stay
 
     @property
     def has_begun(self) -> bool:
@@ -53,14 +54,14 @@
         if self.has_begun:
             return []
         self._enter(Leaving.LEAVING)
-        self._look_around(view, contacts)
+        self._look_around(view, contacts, now)
         return self._tell(view, contacts, now)
 
     def tick(self, view: View | None, contacts: Contacts, now: int) -> list[Send]:
         """Tell the others again, for as long as the process runs: they take the last word for what is meant."""
         if not self.has_begun:
             return []
-        self._look_around(view, contacts)
+        self._look_around(view, contacts, now)
         if now - self._last_told < self._timing.hello:
             return []
         return self._tell(view, contacts, now)
@@ -74,11 +75,19 @@
     def _enter(self, state: Leaving) -> None:
         self.state = state
 
-    def _look_around(self, view: View | None, contacts: Contacts) -> None:
+    def _look_around(self, view: View | None, contacts: Contacts, now: int) -> None:
+        """Whether anybody stays. Those that do answer a `Leave`, so what was heard of them is soon no longer old."""
         if self.state is Leaving.GRANTED:
             return
-        nobody_stays = all(contacts.is_leaving(each) for each in self._others(view))
-        self._enter(Leaving.ALONE if nobody_stays else Leaving.LEAVING)
+        others = self._others(view)
+        if not all(contacts.is_leaving(each) for each in others):
+            self._nobody_since = None
+            self._enter(Leaving.LEAVING)
+            return
+        if self._nobody_since is None:
+            self._nobody_since = now
+        if not others or now - self._nobody_since >= self._timing.silence:
+            self._enter(Leaving.ALONE)
 
     def _tell(self, view: View | None, contacts: Contacts, now: int) -> list[Send]:
         self._last_told = now
--- a/canvasbeam/decide/replication/member.py
+++ b/canvasbeam/decide/replication/member.py
@@ -335,17 +335,21 @@
         return []
 
     def _on_leave(self, sender: MemberId, spares: Collection[MemberId], now: int) -> list[Action]:
-        """A member is to end: the primary lets it go once a settled view does without it, with enough copies."""
+        """A member is to end. It is told the view, and that this member is there; the primary may let it go."""
         self.contacts.mark_leaving(sender, now)
         primary = self._primary
-        if primary is None or sender in primary.view.replicas or not primary.is_settled:
-            return []
-        if self._planner.wants_change(primary.view, primary.is_settled, now):
-            return []
-        if not all(each in primary.view.members or self.contacts.is_steady(each, now) for each in spares):
-            return []  # they are about to say hello, and one of them may take the sender's vote
+        if primary is None or not self._can_do_without(sender, primary, spares, now):
+            return self._on_hello(sender)
         return [Send(sender, LeaveGranted(primary.view.epoch, len(primary.view.replicas)))]
 
+    def _can_do_without(self, member: MemberId, primary: Primary, spares: Collection[MemberId], now: int) -> bool:
+        """A settled view does without the member, and nothing is about to change: no spare will take its vote."""
+        if member in primary.view.replicas or not primary.is_settled:
+            return False
+        if self._planner.wants_change(primary.view, primary.is_settled, now):
+            return False
+        return all(each in primary.view.members or self.contacts.is_steady(each, now) for each in spares)
+
     def _on_leave_granted(self, epoch: Epoch, copies: int) -> list[Action]:
         if epoch >= self.witness.promised:
             self.departure.take_grant(copies)
