Test each mechanism of leaving by what fails without it

Cause: some mechanisms could be broken without a failing test; one of them, a further wait before the next change of the electorate, had no effect, as a primary knows that its own view is in force.

Change: that one is gone. Tests for a leaving member that may not lead, a voter without a copy, lost answers to the end of a change, a removal that is not settled, and a candidate's wait for those that stay.

--- a/canvasbeam/decide/replication/member.py
+++ b/canvasbeam/decide/replication/member.py
@@ -346,7 +346,7 @@
         """A settled view does without the member, and nothing is about to change: no spare will take its vote."""
         if member in primary.view.replicas or not primary.is_settled:
             return False
-        if self._planner.wants_change(primary.view, primary.is_settled, now):
+        if self._planner.wants_change(primary.view, now):
             return False
         return all(each in primary.view.members or self.contacts.is_steady(each, now) for each in spares)
 
@@ -514,7 +514,7 @@
             if member == self.me:
                 return self.resign(now)
             self.contacts.mark_failed(member, now)
-        if self._planner.wants_change(primary.view, primary.is_settled, now):
+        if self._planner.wants_change(primary.view, now):
             return self._reform(now)
         return primary.tick(now)
 
--- a/canvasbeam/decide/replication/plan.py
+++ b/canvasbeam/decide/replication/plan.py
@@ -51,9 +51,9 @@
             self._short_since = now
         return now - self._short_since >= self._grace
 
-    def wants_change(self, view: View, settled: bool, now: int) -> bool:
+    def wants_change(self, view: View, now: int) -> bool:
         """Whether a primary should change its view: a member is silent, is back, leaves, or has a successor."""
-        planned = self.plan(view, settled, view.epoch, None, now)
+        planned = self.plan(view, True, view.epoch, None, now)
         if planned is None:
             return False
         return set(planned.replicas) != set(view.replicas) or set(planned.witnesses) != set(view.witnesses)
--- a/tests/test_replication_membership.py
+++ b/tests/test_replication_membership.py
@@ -19,10 +19,10 @@
 from canvasbeam.decide.replication.contacts import Contacts
 from canvasbeam.decide.replication.departure import Departure, Leaving
 from canvasbeam.decide.replication.member import Member, Role
-from canvasbeam.decide.replication.messages import Accept, Action, Install, Leave, LeaveGranted, Send
-from canvasbeam.decide.replication.plan import plan_witnesses
+from canvasbeam.decide.replication.messages import Accept, Accepted, Action, Install, Leave, LeaveGranted, Send
+from canvasbeam.decide.replication.plan import ViewPlanner, plan_witnesses
 from canvasbeam.decide.replication.primary import Primary
-from canvasbeam.decide.replication.removal import Removal
+from canvasbeam.decide.replication.removal import Removal, removal_of
 from canvasbeam.decide.replication.resilience import Resilience, resilience_of
 from canvasbeam.decide.replication.types import Epoch, MemberId, Timing, View, member_ip
 from canvasbeam.errors import Failure, ResultCode
@@ -142,7 +142,8 @@
     assert all(member_of(world, ip).departure.state is Leaving.ALONE for ip in world.machines)
 
 
-def test_one_that_restarted_long_ago_is_not_taken_for_one_that_leaves() -> None:
+@pytest.mark.parametrize("third_may_lead", [True, False])
+def test_one_that_restarted_long_ago_is_not_taken_for_one_that_leaves(third_may_lead: bool) -> None:
     """The follower that leaves last heard of the third when that left, and would think itself alone."""
     world = started()
     primary = primary_of(world)
@@ -153,6 +154,7 @@
     world.start(third)
     world.run_between_regions(CATCH_UP)
     assert member_of(world, leaving).contacts.is_leaving(world.machines[third].me)
+    world.set_healthy(third, third_may_lead)
     leave(world, primary)
     leave(world, leaving)
 
@@ -162,6 +164,35 @@
     assert run_until(world, is_alone, GRACE) is None
 
 
+def test_a_member_that_leaves_does_not_lead() -> None:
+    world = started()
+    leaving = primary_of(world)
+    leave(world, leaving)
+    for ip in others(world, leaving):
+        world.set_healthy(ip, False)
+    assert run_until(world, lambda: world.primary() is not None, GRACE) is None
+
+
+def test_a_voter_without_a_copy_waits_until_another_has_its_vote() -> None:
+    world = started()
+    world.add(NEW, (primary_of(world),))
+    leaving = others(world, primary_of(world), NEW)[0]
+    world.set_healthy(leaving, False)
+    world.run_between_regions(CATCH_UP)
+    assert leaving in electorate(world) - copies(world)
+    leave_for_good(world, leaving)
+    assert NEW in electorate(world) & copies(world)
+
+
+def test_a_primary_that_leaves_hands_on_in_time_though_it_is_needed() -> None:
+    """The next one counts on it as a replica at once."""
+    world = started()
+    world.crash(others(world, primary_of(world))[0], keep_unsynced=False)
+    acknowledge(world)
+    leave(world, primary_of(world))
+    assert acknowledge(world) <= 3 * SECOND // 2
+
+
 def test_two_that_leave_at_once_are_let_go_one_after_the_other() -> None:
     world = started()
     staying = primary_of(world)
@@ -442,6 +473,16 @@
     return 2 * len(set(told) & set(view.witnesses)) > len(view.witnesses)
 
 
+def test_the_end_of_a_change_is_asked_for_until_it_is_told() -> None:
+    """The answers to it are lost at first; the primary asks again, and then acknowledges what waits."""
+    world = ready_to_replace()
+    lost_until = world.now + SECOND
+    for _ in planned_replacement(world):
+        if world.now < lost_until:
+            lose_packets(world, lambda each: isinstance(each.message, Accepted) and each.message.settled)
+    go_on(world)
+
+
 def test_a_new_member_has_the_state_before_it_votes() -> None:
     new_members_catch_up_first()
 
@@ -642,6 +683,12 @@
     assert found == Resilience(len(view.replicas), len(view.witnesses), not is_settled, bearable)
 
 
+def test_a_removal_is_done_when_the_view_without_it_is_settled() -> None:
+    view = View(Epoch(1, A), A, (A, C, D), (A, C, D), (A, B, C))
+    for is_settled, expected in ((False, Removal.IN_PROGRESS), (True, Removal.DONE)):
+        assert removal_of("10.0.0.2", view, is_settled, known=(B,), can_spare=lambda _: True) is expected
+
+
 # --- the parts ------------------------------------------------------------------------------------------------------
 
 
@@ -650,6 +697,28 @@
     assert plan_witnesses((A, B, C, D), (A, B, C, D), lambda _: False, 3) == (A, B, C, D)
 
 
+def test_a_candidate_waits_a_little_for_those_that_stay() -> None:
+    """It has the promise of a member that leaves already; that of one that stays may be on its way."""
+    timing = Timing()
+    contacts = Contacts(timing)
+    for member in (B, C):
+        contacts.note(member, SECOND)
+    contacts.mark_leaving(B, SECOND)
+    planner = ViewPlanner(A, contacts, 1, timing.grace)
+    view = View(Epoch(1, A), A, (A, B, C), (A, B, C), (A, B, C))
+
+    def planned(promised: Collection[MemberId], now: int) -> View | None:
+        return planner.plan(view, True, Epoch(2, A), frozenset(promised), now)
+
+    assert planned((A, B), SECOND) is None
+    staying = planned((A, B, C), SECOND + 1)
+    assert staying is not None
+    assert staying.replicas == (A, C)
+    leaving = planned((A, B), SECOND + timing.grace)
+    assert leaving is not None
+    assert leaving.replicas == (A, B)
+
+
 def test_a_restarted_member_leaves_no_more() -> None:
     timing = Timing()
     contacts = Contacts(timing)
