Refuse a second removal that the same spare would have to make up for

Cause: whether a member can be spared was asked as if nobody else left; with one spare, two members could be told to leave.

Change: no member that leaves may remain among the planned voters.

--- a/canvasbeam/decide/replication/plan.py
+++ b/canvasbeam/decide/replication/plan.py
@@ -59,7 +59,7 @@
         return set(planned.replicas) != set(view.replicas) or set(planned.witnesses) != set(view.witnesses)
 
     def can_spare(self, member: MemberId, view: View, now: int) -> bool:
-        """Whether the others could go on without the member, with as many voters as before."""
+        """Whether the others could go on without the member and all that leave, with as many voters as before."""
         known = dict.fromkeys((self._me, *view.members, *self._contacts.known()))
         usable = [each for each in known if self._is_usable(each, view, None, now)]
         staying = [each for each in usable if each != member and not self._contacts.is_leaving(each)]
@@ -69,8 +69,10 @@
             lambda each: each == member or self._is_gone(each, now),
             2 * self._tolerated_machines + 1,
         )
+        if any(each == member or self._contacts.is_leaving(each) for each in planned):
+            return False
         copies = sum(1 for each in planned if each in staying)
-        return member not in planned and copies >= fewest_replicas(len(planned), self._tolerated_machines)
+        return copies >= fewest_replicas(len(planned), self._tolerated_machines)
 
     def _is_gone(self, member: MemberId, now: int) -> bool:
         return self._contacts.is_leaving(member) or self._contacts.is_gone(member, now)
--- a/tests/test_replication_membership.py
+++ b/tests/test_replication_membership.py
@@ -19,7 +19,16 @@
 from canvasbeam.decide.replication.contacts import Contacts
 from canvasbeam.decide.replication.departure import Departure, Leaving
 from canvasbeam.decide.replication.member import Member, Role
-from canvasbeam.decide.replication.messages import Accept, Accepted, Action, Install, Leave, LeaveGranted, Send
+from canvasbeam.decide.replication.messages import (
+    Accept,
+    Accepted,
+    Action,
+    Install,
+    Leave,
+    LeaveGranted,
+    Send,
+    ViewTold,
+)
 from canvasbeam.decide.replication.plan import ViewPlanner, plan_witnesses
 from canvasbeam.decide.replication.primary import Primary
 from canvasbeam.decide.replication.removal import Removal, removal_of
@@ -164,13 +173,27 @@
     assert run_until(world, is_alone, GRACE) is None
 
 
-def test_a_member_that_leaves_does_not_lead() -> None:
+def test_a_member_that_leaves_does_not_stand() -> None:
     world = started()
     leaving = primary_of(world)
     leave(world, leaving)
-    for ip in others(world, leaving):
-        world.set_healthy(ip, False)
-    assert run_until(world, lambda: world.primary() is not None, GRACE) is None
+    world.frozen.update(others(world, leaving))
+    assert run_until(world, lambda: member_of(world, leaving).role is not Role.FOLLOWER, GRACE) is None
+
+
+def test_a_member_that_leaves_is_told_the_view_by_those_that_stay() -> None:
+    world = started()
+    member = member_of(world, others(world, primary_of(world))[0])
+    assert member.known_view is not None
+    assert Send(E, ViewTold(member.known_view, member.known_settled)) in member.receive(E, Leave(), world.now)
+
+
+def test_spares_are_told_that_the_primary_resigns() -> None:
+    """They say hello at once, and so the next primary knows them sooner than by its silence."""
+    world = started()
+    world.add(NEW, (primary_of(world),))
+    world.run_between_regions(CATCH_UP)
+    assert leave_for_good(world, primary_of(world)) <= 3 * SECOND // 2
 
 
 def test_a_voter_without_a_copy_waits_until_another_has_its_vote() -> None:
@@ -659,6 +682,20 @@
     assert not any(member_of(world, ip).departure.has_begun for ip in world.machines)
 
 
+def test_one_spare_makes_up_for_one_removal_only() -> None:
+    for first, second in ((1, 2), (2, 1)):
+        world = started()
+        world.add(NEW, (primary_of(world),))
+        world.run_between_regions(CATCH_UP)
+        ips = list(world.machines)
+        assert primary_of(world) == ips[0]
+        assert ask_removal(world, ips[first]) is Removal.IN_PROGRESS
+        world.run_between_regions(2 * LATENCY)
+        outcome = ask_removal(world, ips[second])
+        assert isinstance(outcome, Failure)
+        assert outcome.code is ResultCode.MEMBER_NEEDED
+
+
 def test_a_removal_is_for_the_primary() -> None:
     world = started()
     outcome = member_of(world, others(world, primary_of(world))[0]).removal(NEW, world.now)
