--- a/tests/test_replication_membership.py
+++ b/tests/test_replication_membership.py
@@ -33,7 +33,7 @@
 from canvasbeam.decide.replication.primary import Primary
 from canvasbeam.decide.replication.removal import Removal, removal_of
 from canvasbeam.decide.replication.resilience import Resilience, resilience_of
-from canvasbeam.decide.replication.types import Epoch, MemberId, Timing, View, member_ip
+from canvasbeam.decide.replication.types import Epoch, MemberId, Timing, View, is_majority, member_ip
 from canvasbeam.errors import Failure, ResultCode
 
 from .membership_world import (
@@ -45,6 +45,7 @@
     copies,
     electorate,
     every_event,
+    is_leading,
     leave,
     leave_for_good,
     lose_for_good,
@@ -61,6 +62,7 @@
 WALKS = int(os.environ.get("EXPLORER_WALKS", "40"))
 A, B, C, D, E, F = (f"10.0.0.{number}/0" for number in range(1, 7))
 NEW = "10.0.0.9"
+PARTED_STEPS = 60
 FIRST = "10.0.0.1"  # the first primary
 OLD = "10.0.0.2"  # the one that is replaced in `planned_replacement`
 SIZES = [(3, 1), (5, 2)]
@@ -456,6 +458,32 @@
     hear_nothing_more_of_the_primary_at_every_moment()
 
 
+def part_at_every_moment(stride: int) -> None:
+    """From some moment of a replacement on, the first primary and the new member are parted from the other two.
+
+    Both sides are asked for changes; the world finds two histories.
+    """
+    total = sum(1 for _ in planned_replacement(ready_to_replace()))
+    for moment in range(0, total, stride):
+        world = ready_to_replace()
+        for _ in islice(planned_replacement(world), moment + 1):
+            pass
+        for ip in others(world, FIRST, NEW):
+            world.cut(FIRST, ip)
+            world.cut(NEW, ip)
+        for _ in range(PARTED_STEPS):
+            world.run(1)
+            for ip in world.machines:
+                if is_leading(world, ip):
+                    world.submit(ip)
+        world.cuts.clear()
+        go_on(world)
+
+
+def test_the_system_is_parted_at_moments_of_a_planned_replacement() -> None:
+    part_at_every_moment(stride=11)
+
+
 def test_nothing_is_acknowledged_before_the_change_of_the_electorate_is_settled() -> None:
     """No answer that depends on the new electorate, before a majority of it has on its disk that it is in force."""
     answered = in_the_open_span()
@@ -581,6 +609,19 @@
         hear_nothing_more_of_the_primary_at_every_moment()
 
 
+def quorum_of_the_new_electorate(self: View, votes: Collection[MemberId], settled: bool) -> bool:
+    del settled
+    return is_majority(votes, self.witnesses)
+
+
+def test_a_change_of_the_electorate_without_the_old_one_is_found() -> None:
+    with (
+        mock.patch.object(View, "has_quorum", quorum_of_the_new_electorate),
+        pytest.raises(Violation, match="two histories"),
+    ):
+        part_at_every_moment(stride=3)
+
+
 def test_an_answer_before_the_settled_step_is_found() -> None:
     with without_settled_step():
         assert in_the_open_span() != []
