Test a planned replacement of five with two lost at its moments

Cause: every moment of a replacement was tried with three members only. Change: of five, each pair is lost for good at another moment. Run: the test passes, for a backup and for the primary.

--- a/tests/test_replication_membership.py
+++ b/tests/test_replication_membership.py
@@ -10,7 +10,7 @@
 import os
 from collections.abc import Callable, Collection, Iterator
 from functools import partial
-from itertools import islice
+from itertools import combinations, islice
 from unittest import mock
 
 import pytest
@@ -376,9 +376,9 @@
         world.remove(ip)
 
 
-def ready_to_replace() -> World:
-    world = World()
-    world.run(20)
+def ready_to_replace(machines: int = 3, tolerated: int = 1) -> World:
+    world = World(machines, tolerated, seeds=3)
+    world.run(40)
     world.add(NEW, (primary_of(world),))
     world.run(20)
     world.submit(primary_of(world))
@@ -431,6 +431,21 @@
     assert lose_at_every_moment(VICTIMS[name], old) > 50
 
 
+@pytest.mark.parametrize("old", [OLD, FIRST])
+def test_two_of_five_are_lost_at_moments_of_a_planned_replacement(old: str) -> None:
+    """Each pair in turn, at another moment."""
+    total = sum(1 for _ in planned_replacement(ready_to_replace(5, 2), old))
+    pairs = list(combinations([ip for ip in ready_to_replace(5, 2).machines if ip != old], 2))
+    assert total > 10 * len(pairs)
+    for moment in range(0, total, 7):
+        world = ready_to_replace(5, 2)
+        for _ in islice(planned_replacement(world, old), moment + 1):
+            pass
+        for ip in pairs[moment % len(pairs)]:
+            world.remove(ip)
+        go_on(world)
+
+
 def hear_nothing_more_of_the_primary_at_every_moment() -> None:
     """From some moment on, those that are to stay hear nothing of the primary; half a second later it is gone for good.
 
