--- /dev/null
+++ b/bench/draw_day.py
@@ -0,0 +1,128 @@
+"""Draws a day of trouble: kinds of disruption that may come at any moment, several of them, some twice.
+
+`python bench/draw_day.py SEED > day.toml` writes a day of one's own in the form of the files under `scenarios/system/`.
+Half of the draws come from the kinds that strike the control side, which a plain mix rarely meets twice.
+"""
+
+from __future__ import annotations
+
+import random
+import sys
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+DAY_S = 34.0
+LAST_FAULT_S = 29.0
+LAST_PLAN_S = 30.0
+VICTIMS = ("", "leader", "turn", "reader", "seed")
+AFTERMATHS = ("", "meet", "race", "hard", "drain", "race hard", "race drain hard")
+
+
+@dataclass(frozen=True, slots=True)
+class Kind:
+    """One kind of disruption: its fixed fields, the spans from which others are drawn, and its variants."""
+
+    name: str
+    fixed: tuple[tuple[str, str], ...] = ()
+    spans: tuple[tuple[str, float, float], ...] = ()
+    variants: tuple[str, ...] = ()
+    names_machines: bool = False
+
+    def entry(self, chance: random.Random, at: float) -> str:
+        """This kind at a moment, as an inline table of TOML."""
+        fields = [f"at = {at:.2f}", f'kind = "{self.name}"']
+        fields += [f"{key} = {value}" for key, value in self.fixed]
+        fields += [f"{key} = {chance.uniform(low, high):.2f}" for key, low, high in self.spans]
+        words = [chance.choice(self.variants)] if self.variants else []
+        if self.names_machines:
+            words += [chance.choice(VICTIMS), chance.choice(AFTERMATHS)]
+        how = " ".join(word for word in words if word)
+        if how:
+            fields.append(f'how = "{how}"')
+        return "{ " + ", ".join(fields) + " }"
+
+
+CORE = (("on", '"core"'), ("count", "1"))
+FOR = ("for_s", 1.0, 8.0)
+SHORT = ("for_s", 0.8, 4.0)
+CONTROL_FAULTS = (
+    Kind("core_cut", (("count", "1"),), (("for_s", 2.0, 9.0),),
+         ("", "all", "near", "oldest", "one_way", "one_way near", "seeds", "both", "lure", "reset", "refuse"), True),
+    Kind("core_cut", (("count", "1"),), (("for_s", 8.0, 20.0),), ("one_way", "all", "lure", "both"), True),
+    Kind("node_kill", CORE, (SHORT,), ("", "power"), True),
+    Kind("node_freeze", CORE, (("for_s", 0.5, 6.0),), (), True),
+    Kind("node_slow", CORE, (FOR, ("x", 3.0, 8.0)), (), True),
+    Kind("replace_core", (), (("x", 0.5, 2.0),), ("", "planned", "oldest", "oldest planned")),
+    Kind("after_ack_kill", (), (SHORT,), ("", "kill", "timed", "taken")),
+    Kind("after_ack_wipe", (), (SHORT,), ("", "oldest", "timed")),
+    Kind("disk_slow", (("count", "1"),), (FOR, ("x", 10.0, 60.0)), ("", "leader")),
+    Kind("disk_stall", (("count", "1"),), (("for_s", 1.0, 4.0),), ("", "leader")),
+    Kind("disk_full", (("count", "1"),), (("for_s", 1.0, 5.0),), ("", "leader")),
+    Kind("clock_step", (("share", "0.5"),), (("for_s", 2.0, 6.0), ("x", 1000.0, 5000.0)), ("back", "ahead")),
+    Kind("reset_conns", CORE, (("x", 0.3, 1.0),), (), True),
+    Kind("ack_lost", (), (("for_s", 4.0, 12.0), ("x", 0.5, 0.9))),
+    Kind("herd_kill", (("on", '"core"'),), (SHORT,), ("", "power", "taken")),
+    Kind("roll_term", (("on", '"core"'), ("x", "1.0")), (("share", 0.3, 1.0), ("gap_s", 1.0, 4.0)), ("", "remove")),
+    Kind("srv_cut", (), (("share", 0.1, 0.3), FOR), ("", "one_way", "reset")),
+)  # fmt: skip
+OTHER_FAULTS = (
+    Kind("region_cut", (), (FOR,), ("", "one_way")),
+    Kind("region_loss", (), (FOR,)),
+    Kind("zone_cut", (), (FOR,)),
+    Kind("zone_loss", (), (FOR,)),
+    Kind("node_cut", (), (("share", 0.1, 0.3), FOR), ("", "all", "servers")),
+    Kind("node_kill", (), (("share", 0.1, 0.3), SHORT), ("", "power")),
+    Kind("node_freeze", (), (("share", 0.1, 0.3), ("for_s", 0.5, 6.0))),
+    Kind("node_slow", (), (("share", 0.1, 0.3), FOR, ("x", 3.0, 8.0))),
+    Kind("herd_kill", (), (("share", 0.3, 0.7), SHORT), ("", "power")),
+    Kind("reset_conns", (), (("share", 0.1, 0.5), ("x", 0.3, 0.9))),
+    Kind("hup", (), (("share", 0.2, 1.0), ("gap_s", 0.3, 2.0))),
+    Kind("srv_crash", (), (("share", 0.1, 0.2), FOR), ("", "dark", "gone")),
+    Kind("srv_grey", (), (("share", 0.1, 0.3), ("x", 0.2, 0.5), FOR),
+         ("errors", "shed", "busy", "hang", "reset", "mute")),
+    Kind("answer_lost", (), (("share", 0.3, 0.7), ("x", 0.03, 0.1), FOR)),
+    Kind("garble", (), (("share", 0.3, 0.7), ("x", 0.05, 0.3), FOR), ("", "extra", "unframed", "early")),
+    Kind("scale_in", (), (("share", 0.1, 0.3), ("x", 1.0, 3.0)), ("", "spot")),
+    Kind("replace_with_reuse", (), (("share", 0.1, 0.3),), ("", "drain", "dark")),
+    Kind("give_up", (), (("share", 0.1, 0.4), FOR)),
+    Kind("retry_abuse", (), (("share", 0.1, 0.3), ("x", 1.0, 3.0), FOR)),
+    Kind("burst", (), (("x", 1.3, 2.3), FOR)),
+)  # fmt: skip
+PLANS = (
+    Kind("config_change", (), (), ("route", "weights", "timeout", "idle")),
+    Kind("config_change", (), (), ("route",)),
+    Kind("config_race", (), (("gap_s", 0.4, 1.5),)),
+    Kind("bad_config", (), (("gap_s", 0.5, 1.2),),
+         ("cut_short", "unknown_service", "no_timeout", "old_version", "same_version", "stale_match")),
+    Kind("evacuate", (), (("for_s", 2.0, 9.0),), ("", "warm")),
+    Kind("release", (("x", "1.0"),), (("share", 0.2, 0.5), ("gap_s", 0.8, 1.5))),
+    Kind("roll_term", (("x", "1.0"),), (("share", 0.2, 0.6), ("gap_s", 1.0, 2.0)), ("", "busy")),
+    Kind("seed_turnover"),
+)  # fmt: skip
+CLOSINGS = (
+    'kind = "power_off_all"', 'kind = "kill_all"', 'kind = "wipe_after_ack"', 'kind = "wipe_after_ack", how = "timed"',
+    'kind = "wipe_after_ack", how = "oldest"', 'kind = "power_off_all", how = "taken"',
+)  # fmt: skip
+
+
+def draw_entries(chance: random.Random, kinds: Sequence[Kind], count: int, last_s: float) -> list[str]:
+    """So many disruptions in the order of their moments."""
+    moments = sorted(chance.uniform(1.0, last_s) for _ in range(count))
+    return [chance.choice(kinds).entry(chance, at) for at in moments]
+
+
+def draw_day(seed: int) -> str:
+    """A whole day as TOML."""
+    chance = random.Random(seed)
+    control = draw_entries(chance, CONTROL_FAULTS, chance.randint(2, 5), LAST_FAULT_S)
+    other = draw_entries(chance, OTHER_FAULTS, chance.randint(1, 3), LAST_FAULT_S)
+    plan = draw_entries(chance, PLANS, chance.randint(5, 9), LAST_PLAN_S)
+    lines = [f'name = "drawn-{seed}"', 'slot = "trouble"', f"seed = {seed}"]
+    lines.append(f"closing = {{ {chance.choice(CLOSINGS)}, down_s = {chance.uniform(0.4, 1.2):.2f} }}")
+    for title, entries in (("plan", plan), ("faults", control + other)):
+        lines += [f"{title} = [", *(f"  {entry}," for entry in entries), "]"]
+    return "\n".join(lines) + "\n"
+
+
+if __name__ == "__main__":
+    sys.stdout.write(draw_day(int(sys.argv[1])))
