Contact is a lease that a majority grants, counted from the sending

Cause: a control node counted a majority from what it received. With its own direction cut it still heard the others' probes, took itself for in contact, and kept its children under an old configuration.

Change: decide/control_contact.py holds the contact instant, the sending time of the newest numbered request that a majority of the electorate has granted; it moves only when this node holds what the granters hold. Children have the same instant by keepalives, whose age counts from their sending (decide/peer_clock.py), and are in contact only when they hold what the parent vouched for. A parent whose contact turns stale is left at once for the first candidate in contact; a lost push of the configuration is asked for after the next keepalive.

The test of the scrub now loses the push of a worker: a lost configuration no longer waits for the scrub, which a test of its own shows.

--- a/canvasbeam/cluster/codec.py
+++ b/canvasbeam/cluster/codec.py
@@ -8,10 +8,13 @@
 
 from canvasbeam.cluster import distribution_pb2 as wire
 from canvasbeam.cluster.items import Item, ItemKind, Version
+from canvasbeam.decide.control_contact import ControlVersions
 from canvasbeam.decide.distribution_messages import (
     Compare,
     Digests,
     Keepalive,
+    LeaseGrant,
+    LeaseRequest,
     Message,
     Refuse,
     Renew,
@@ -22,6 +25,7 @@
     VersionRecord,
     Versions,
 )
+from canvasbeam.decide.peer_clock import SendTime
 from canvasbeam.errors import Failure, ResultCode
 from canvasbeam.units import MILLISECOND
 
@@ -34,19 +38,21 @@
     body = wire.DistributionMessage()
     match message:
         case Subscribe():
-            body.subscribe.SetInParent()
-            body.subscribe.digests.extend(_digests(message.digests))
+            body.subscribe.CopyFrom(wire.Subscribe(digests=_digests(message.digests), asked_at=message.asked_at))
         case Keepalive():
-            body.keepalive.control_age_ms = min(message.control_age // MILLISECOND, LONGEST_AGE_MS)
-            body.keepalive.depth = message.depth
-            body.keepalive.digests.extend(_digests(message.digests))
-            body.keepalive.SetInParent()
+            body.keepalive.CopyFrom(_keepalive(message))
+        case LeaseRequest():
+            body.lease_request.number = message.number
+            body.lease_request.items.extend(map(_item, message.items))
+        case LeaseGrant():
+            body.lease_grant.number = message.number
+            body.lease_grant.versions.CopyFrom(_versions(message.versions))
         case Refuse():
             body.refuse.SetInParent()
         case Unsubscribe():
             body.unsubscribe.SetInParent()
         case Renew():
-            body.renew.SetInParent()
+            body.renew.CopyFrom(wire.Renew(asked_at=message.asked_at))
         case Update():
             body.update.items.extend(map(_item, message.items))
         case Versions():
@@ -73,6 +79,22 @@
     return message if message is not None else Failure(ResultCode.MESSAGE_INVALID, f"a message {name!r}")
 
 
+def _keepalive(message: Keepalive) -> wire.Keepalive:
+    return wire.Keepalive(
+        control_age_ms=min(-(-message.control_age // MILLISECOND), LONGEST_AGE_MS),
+        depth=message.depth,
+        digests=_digests(message.digests),
+        versions=_versions(message.versions),
+        sent_at=message.time.sent_at,
+        life=message.time.life,
+        asked_at=message.time.asked_at,
+    )
+
+
+def _versions(versions: ControlVersions) -> wire.ControlVersions:
+    return wire.ControlVersions(configuration=versions.configuration, evacuations=versions.evacuations)
+
+
 def _digests(digests: Digests) -> list[wire.KindDigest]:
     return [wire.KindDigest(kind=int(kind), digest=digest) for kind, digest in digests.items()]
 
@@ -98,15 +120,21 @@
 
 
 def _read_update(body: wire.DistributionMessage) -> Message:
-    return Update(
-        tuple(
-            Item(KINDS[each.kind], each.key, Version(each.major, each.minor), each.payload, each.deleted)
-            for each in body.update.items
-            if each.kind in KINDS
-        )
+    return Update(_read_items(body.update.items))
+
+
+def _read_items(records: Iterable[wire.ItemRecord]) -> tuple[Item, ...]:
+    return tuple(
+        Item(KINDS[each.kind], each.key, Version(each.major, each.minor), each.payload, each.deleted)
+        for each in records
+        if each.kind in KINDS
     )
 
 
+def _read_control_versions(versions: wire.ControlVersions) -> ControlVersions:
+    return ControlVersions(versions.configuration, versions.evacuations)
+
+
 def _read_records(records: Iterable[wire.VersionRecord]) -> tuple[VersionRecord, ...]:
     return tuple(VersionRecord(each.key, Version(each.major, each.minor), each.deleted) for each in records)
 
@@ -121,17 +149,42 @@
     return Request(kind, _read_records(body.request.records)) if kind else None
 
 
+def _read_subscribe(body: wire.DistributionMessage) -> Message:
+    told = body.subscribe
+    return Subscribe(_read_digests(told.digests), told.asked_at if told.HasField("asked_at") else None)
+
+
+def _read_renew(body: wire.DistributionMessage) -> Message:
+    return Renew(body.renew.asked_at if body.renew.HasField("asked_at") else None)
+
+
 def _read_keepalive(body: wire.DistributionMessage) -> Message:
     told = body.keepalive
-    return Keepalive(told.control_age_ms * MILLISECOND, told.depth, _read_digests(told.digests))
+    return Keepalive(
+        told.control_age_ms * MILLISECOND,
+        told.depth,
+        _read_digests(told.digests),
+        _read_control_versions(told.versions),
+        SendTime(told.life, told.sent_at, told.asked_at if told.HasField("asked_at") else None),
+    )
+
+
+def _read_lease_request(body: wire.DistributionMessage) -> Message:
+    return LeaseRequest(body.lease_request.number, _read_items(body.lease_request.items))
+
+
+def _read_lease_grant(body: wire.DistributionMessage) -> Message:
+    return LeaseGrant(body.lease_grant.number, _read_control_versions(body.lease_grant.versions))
 
 
 _READERS: dict[str, Callable[[wire.DistributionMessage], Message | None]] = {
-    "subscribe": lambda body: Subscribe(_read_digests(body.subscribe.digests)),
+    "subscribe": _read_subscribe,
     "keepalive": _read_keepalive,
     "refuse": lambda body: Refuse(),
     "unsubscribe": lambda body: Unsubscribe(),
-    "renew": lambda body: Renew(),
+    "renew": _read_renew,
+    "lease_request": _read_lease_request,
+    "lease_grant": _read_lease_grant,
     "update": _read_update,
     "versions": _read_versions,
     "request": _read_request,
--- a/canvasbeam/cluster/items.py
+++ b/canvasbeam/cluster/items.py
@@ -11,6 +11,8 @@
 from enum import IntEnum
 from hashlib import blake2b
 
+CURRENT = "current"  # the key of the configuration and of the evacuations
+
 
 class ItemKind(IntEnum):
     """What an item tells. The numbers are those of the wire."""
--- a/canvasbeam/control_plane/publisher.py
+++ b/canvasbeam/control_plane/publisher.py
@@ -6,12 +6,10 @@
 from collections.abc import Iterable
 from typing import Protocol
 
-from canvasbeam.cluster.items import Item, ItemKind, Version
+from canvasbeam.cluster.items import CURRENT, Item, ItemKind, Version
 from canvasbeam.control_plane.changes import encode_configuration
 from canvasbeam.control_state import ControlState
 
-CURRENT = "current"
-
 
 class ItemPublisher(Protocol):
     """What is needed of `ClusterNode`."""
--- a/canvasbeam/decide/control_mesh.py
+++ b/canvasbeam/decide/control_mesh.py
@@ -1,7 +1,8 @@
 """The links of a control node to all other control nodes.
 
 Pure: events and the time in, messages out. Every control node sends its changes to every other; those that are silent
-are probed at a slower pace, and compare their tables as soon as they are heard again.
+are probed at a slower pace, and compare their tables as soon as they are heard again. That a peer is heard decides only
+what is sent to it: whether this node is in contact is for `control_contact.py`.
 """
 
 from __future__ import annotations
@@ -26,12 +27,11 @@
 
 
 class ControlMesh:
-    """The other control nodes, and whether most of them are heard."""
+    """The other control nodes, and which of them are heard."""
 
     def __init__(self, terms: DistributionTerms) -> None:
         self.peers: dict[Address, MeshPeer] = {}
         self._terms = terms
-        self._majority_at = NEVER
 
     def list_peers(self, now: int, members: Iterable[Address], seeds: Iterable[Address]) -> None:
         """These control nodes are known. Seeds count until they have stayed silent for long beside a majority."""
@@ -52,7 +52,7 @@
         return was_silent
 
     def heard(self, now: int) -> tuple[Address, ...]:
-        """The peers that are in contact."""
+        """The peers that are heard."""
         return tuple(address for address, peer in self.peers.items() if self._is_heard(now, peer))
 
     def due_probes(self, now: int) -> tuple[Address, ...]:
@@ -65,18 +65,12 @@
         return tuple(due)
 
     def tick(self, now: int) -> None:
-        """Note whether there is a majority, and forget peers that are gone for good."""
+        """Forget peers that are gone for good."""
         heard = 1 + len(self.heard(now))
         total = 1 + len(self.peers)
-        if 2 * heard > total:
-            self._majority_at = now
         if 2 * heard >= total:
             self._forget_lost(now)
 
-    def control_age(self, now: int) -> int:
-        """How long ago most of the control nodes were in contact."""
-        return min(now - self._majority_at, 10**12)
-
     def _forget_lost(self, now: int) -> None:
         for address, peer in tuple(self.peers.items()):
             last = max(peer.heard_at, peer.known_at)
--- a/canvasbeam/decide/distribution.py
+++ b/canvasbeam/decide/distribution.py
@@ -11,13 +11,17 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
-from canvasbeam.cluster.items import Item, ItemKind, ItemTable, Version
+from canvasbeam.cluster.items import CURRENT, Item, ItemKind, ItemTable, Version
 from canvasbeam.decide import reconcile
+from canvasbeam.decide.control_contact import ControlContact, ControlVersions, RelayedContact, Voucher
 from canvasbeam.decide.control_mesh import ControlMesh
 from canvasbeam.decide.distribution_messages import (
+    NO_CONTACT,
     Compare,
     DistributionTerms,
     Keepalive,
+    LeaseGrant,
+    LeaseRequest,
     Message,
     Refuse,
     Renew,
@@ -29,7 +33,8 @@
     VersionRecord,
     Versions,
 )
-from canvasbeam.decide.parent_link import ParentLink
+from canvasbeam.decide.parent_link import Parent, ParentLink
+from canvasbeam.decide.peer_clock import SendTime
 from canvasbeam.decide.relay_tree import Place, likely_nearest, parent_order
 from canvasbeam.runtime.settings import Address
 
@@ -61,6 +66,8 @@
         self.terms = terms
         self.children: dict[Address, Child] = {}
         self.mesh = ControlMesh(terms)
+        self.contact = ControlContact(me.address, seed)
+        self.relayed = RelayedContact()
         self.link = ParentLink(terms, self._parent_order, self._subscribe, seed, now)
         self._seeds = tuple(each for each in seeds if each != me.address)
         self._random = random.Random(seed)
@@ -69,12 +76,19 @@
         self._dirty: dict[tuple[ItemKind, str], tuple[Item, Address | None]] = {}
         self._flushed_at = now - terms.batch
         self._next_keepalive = now
+        self._keepalive_sent_at = now - terms.keepalive
+        self._next_lease_request = now
+        self._electorate: frozenset[Address] = frozenset()  # where a view of the control state is known
+        self._ahead: dict[Address, ControlVersions] = {}  # granters that held more than this node
+        self._life = seed
         self._next_compare = now + terms.compare
+        self._next_child_compare = now + terms.compare
         self._next_far_compare = now + terms.far_compare
         self._tombstones: dict[tuple[ItemKind, str], tuple[Version, int]] = {}
         self._actions: list[Send] = []
         if me.is_control:
-            self.mesh.list_peers(now, (), self._seeds)
+            self._list_mesh(now)
+        table.add_listener(self._on_items)
 
     # --- events -----------------------------------------------------------------------------------
 
@@ -83,7 +97,13 @@
         self._places = tuple(places)
         self._order = None
         if self.me.is_control:
-            self.mesh.list_peers(now, self._control_addresses(), self._seeds)
+            self._list_mesh(now)
+
+    def set_electorate(self, now: int, electorate: Iterable[Address]) -> None:
+        """Most of these control nodes must grant a lease: the witnesses of the newest view that is known."""
+        self._electorate = frozenset(electorate)
+        if self.me.is_control:
+            self._list_mesh(now)
 
     def set_seeds(self, now: int, seeds: Iterable[Address]) -> None:
         """The settings name other seeds now."""
@@ -115,13 +135,16 @@
                 self._on_subscribe(now, sender, message)
             case Keepalive():
                 self._on_keepalive(now, sender, message)
+            case LeaseRequest():
+                self._on_lease_request(now, sender, message)
+            case LeaseGrant():
+                self._on_lease_grant(now, sender, message)
             case Refuse():
                 self.link.on_refuse(now, sender)
             case Unsubscribe():
                 self.children.pop(sender, None)
             case Renew():
-                if sender not in self.children:
-                    self._send((sender,), Refuse())
+                self._on_renew(now, sender, message)
             case Update():
                 self._merge(now, message.items, sender)
             case Versions() | Request() | Compare():
@@ -136,7 +159,7 @@
         """Do what is due."""
         if self.me.is_control:
             self.mesh.tick(now)
-            self._probe_mesh(now)
+            self._request_lease(now)
         else:
             self._actions += self.link.tick(now)
             self._far_compare(now)
@@ -156,7 +179,9 @@
         times = []
         if self.me.is_control or self.children:
             times.append(self._next_keepalive)
-        if not self.me.is_control:
+        if self.me.is_control:
+            times.append(self._next_lease_request)
+        else:
             times.append(self.link.wake())
         if self._dirty:
             times.append(self._flushed_at + self.terms.batch)
@@ -165,8 +190,8 @@
     # --- how this node stands ---------------------------------------------------------------------
 
     def control_age(self, now: int) -> int | None:
-        """How long ago this node was in contact with most of the control nodes, directly or by others."""
-        return self.mesh.control_age(now) if self.me.is_control else self.link.control_age(now)
+        """How long ago this node's contact instant was, directly or by its parents; none before the first."""
+        return self.contact.age(now) if self.me.is_control else self.relayed.age(now)
 
     @property
     def depth(self) -> int:
@@ -185,28 +210,113 @@
         if not self.children:
             self._next_keepalive = min(self._next_keepalive, now + self.terms.keepalive)
         self.children[sender] = Child(now)
-        self._send((sender,), self._keepalive(now))
+        self._send((sender,), self._keepalive(now, asked_at=message.asked_at))
         self._answer(sender, reconcile.answer_digests(self.table, message.digests, self.terms.update_bytes))
 
     def _on_keepalive(self, now: int, sender: Address, message: Keepalive) -> None:
         if self.me.is_control:
-            if sender not in self.mesh.peers:
-                self.mesh.on_heard(now, sender)
-        else:
-            was_stale = self._is_stale(now)
-            self._actions += self.link.on_keepalive(now, sender, message)
-            if was_stale and not self._is_stale(now):
-                self._next_keepalive = now
+            return
+        self._actions += self.link.on_keepalive(now, sender, message)
+        parent = self.link.parent
+        if parent is not None and parent.address == sender:
+            self._on_parent_keepalive(now, parent, message)
         if message.digests:
             self._answer(sender, reconcile.answer_digests(self.table, message.digests, self.terms.update_bytes))
 
+    def _on_parent_keepalive(self, now: int, parent: Parent, message: Keepalive) -> None:
+        is_vouching = message.control_age < NO_CONTACT
+        voucher = Voucher(parent.contact_at, message.versions)
+        if is_vouching and self.relayed.vouch(voucher, ControlVersions.of(self.table)):
+            self._hasten_keepalive(now)
+        if message.time.asked_at is None:
+            self._request_newer(parent.address, message.versions)  # a push before this was lost
+
     def _note_heard(self, now: int, sender: Address) -> None:
         self.link.on_heard(now, sender)
         if sender in self.children:
             self.children[sender].heard_at = now
         if self.me.is_control and sender in self.mesh.peers and self.mesh.on_heard(now, sender):
             self._send((sender,), reconcile.compare(self.table))
-            self._next_keepalive = now
+            self._next_lease_request = now
+
+    def _on_renew(self, now: int, sender: Address, message: Renew) -> None:
+        if sender not in self.children:
+            self._send((sender,), Refuse())
+        elif message.asked_at is not None:
+            self._send((sender,), self._keepalive(now, asked_at=message.asked_at))
+
+    # --- the lease of a control node --------------------------------------------------------------
+
+    def _on_lease_request(self, now: int, sender: Address, message: LeaseRequest) -> None:
+        """Hold the items, and grant at once."""
+        if not self.me.is_control:
+            return
+        if sender not in self.mesh.peers:
+            self.mesh.on_heard(now, sender)
+            self._update_electorate()
+        self._merge(now, message.items, sender)
+        self._send((sender,), LeaseGrant(message.number, ControlVersions.of(self.table)))
+
+    def _on_lease_grant(self, now: int, sender: Address, message: LeaseGrant) -> None:
+        held = ControlVersions.of(self.table)
+        if not held.covers(message.versions):
+            self._ahead[sender] = message.versions
+        if self.contact.on_grant(sender, message.number, message.versions, held):
+            self._hasten_keepalive(now)
+
+    def _on_items(self, items: Sequence[Item]) -> None:
+        """What the others vouched for may be held now."""
+        if any(item.key == CURRENT for item in items):
+            held = ControlVersions.of(self.table)
+            self.contact.settle(held)
+            self.relayed.settle(held)
+
+    def _request_lease(self, now: int) -> None:
+        """Ask the other control nodes for a lease, and for what they hold beyond this node."""
+        if now < self._next_lease_request:
+            return
+        self._next_lease_request = now + self.terms.lease_renewal
+        for granter, versions in self._ahead.items():
+            self._request_newer(granter, versions)
+        self._ahead.clear()
+        number = self.contact.begin_round(now, ControlVersions.of(self.table))
+        heard = self.mesh.heard(now)
+        receivers = [*heard, *self.mesh.due_probes(now)]
+        if receivers:
+            self._send(receivers, LeaseRequest(number))
+        for receiver in receivers:
+            for write, items in self.contact.missing_writes(receiver):
+                self._send((receiver,), LeaseRequest(write, items))
+        if heard and now >= self._next_compare:
+            self._next_compare = now + self.terms.mesh_compare
+            self._send(heard, reconcile.compare(self.table))
+
+    def begin_write(self, now: int, items: Iterable[Item]) -> int:
+        """Have these items held by most of the control nodes; `contact.is_written` tells when they are."""
+        number = self.contact.begin_write(now, items)
+        if self.mesh.peers:
+            self._send(self.mesh.peers, LeaseRequest(number, tuple(items)))
+        return number
+
+    def _list_mesh(self, now: int) -> None:
+        electorate = self._electorate - {self.me.address}
+        self.mesh.list_peers(now, self._control_addresses(), (*self._seeds, *electorate))
+        self._update_electorate()
+
+    def _update_electorate(self) -> None:
+        """Without a view, all control nodes that are known."""
+        self.contact.set_electorate(self._electorate or {self.me.address, *self.mesh.peers})
+
+    def _request_newer(self, sender: Address, versions: ControlVersions) -> None:
+        """Ask for the configuration and the evacuations where the sender holds newer ones."""
+        held = ControlVersions.of(self.table)
+        if versions.configuration > held.configuration:
+            self._request_current(sender, ItemKind.CONFIGURATION, versions.configuration)
+        if versions.evacuations > held.evacuations:
+            self._request_current(sender, ItemKind.EVACUATIONS, versions.evacuations)
+
+    def _request_current(self, sender: Address, kind: ItemKind, index: int) -> None:
+        self._send((sender,), Request(kind, (VersionRecord(CURRENT, Version(index)),)))
 
     def _reconcile(self, sender: Address, message: Versions | Request | Compare) -> None:
         size = self.terms.update_bytes
@@ -222,10 +332,6 @@
         for message in messages:
             self._send((sender,), message)
 
-    def _is_stale(self, now: int) -> bool:
-        age = self.control_age(now)
-        return age is None or age > self.terms.stale
-
     def _is_full(self, sender: Address) -> bool:
         return len(self.children) >= self.terms.max_children and sender not in self.children
 
@@ -275,22 +381,24 @@
     # --- time -------------------------------------------------------------------------------------
 
     def _send_keepalives(self, now: int) -> None:
-        self._next_keepalive = now + self.terms.keepalive
+        self._next_keepalive = now + self.terms.idle_keepalive
+        self._keepalive_sent_at = now
         for address, child in tuple(self.children.items()):
             if now - child.heard_at > self.terms.child_silence:
                 del self.children[address]
-        receivers = [*self.children, *(self.mesh.heard(now) if self.me.is_control else ())]
-        if not receivers:
+        if not self.children:
             return
-        is_comparing = now >= self._next_compare
+        if self._dirty:
+            self.flush(now)  # a keepalive vouches for what came before it
+        is_comparing = now >= self._next_child_compare
         if is_comparing:
-            self._next_compare = now + (self.terms.mesh_compare if self.me.is_control else self.terms.compare)
-        self._send(receivers, self._keepalive(now, is_comparing))
+            self._next_child_compare = now + self.terms.compare
+        self._send(self.children, self._keepalive(now, is_comparing))
 
-    def _probe_mesh(self, now: int) -> None:
-        due = self.mesh.due_probes(now)
-        if due:
-            self._send(due, self._keepalive(now))
+    def _hasten_keepalive(self, now: int) -> None:
+        """The contact instant moved: tell the children, not much more often than at the usual pace."""
+        soon = self._keepalive_sent_at + self.terms.keepalive * 3 // 5
+        self._next_keepalive = min(self._next_keepalive, max(now, soon))
 
     def _far_compare(self, now: int) -> None:
         if now < self._next_far_compare:
@@ -312,10 +420,15 @@
 
     # --- helpers ----------------------------------------------------------------------------------
 
-    def _keepalive(self, now: int, with_digests: bool = False) -> Keepalive:
+    def _keepalive(self, now: int, with_digests: bool = False, asked_at: int | None = None) -> Keepalive:
         age = self.control_age(now)
-        digests = reconcile.digests(self.table) if with_digests else {}
-        return Keepalive(age if age is not None else 10**12, self.depth, digests)
+        return Keepalive(
+            NO_CONTACT if age is None else min(age, NO_CONTACT),
+            self.depth,
+            reconcile.digests(self.table) if with_digests else {},
+            ControlVersions.of(self.table),
+            SendTime(self._life, now, asked_at),
+        )
 
     def _subscribe(self) -> Subscribe:
         return Subscribe(reconcile.digests(self.table))
--- a/canvasbeam/decide/distribution_messages.py
+++ b/canvasbeam/decide/distribution_messages.py
@@ -6,9 +6,13 @@
 from dataclasses import dataclass, field
 
 from canvasbeam.cluster.items import Item, ItemKind, Version
+from canvasbeam.decide.control_contact import ControlVersions
+from canvasbeam.decide.peer_clock import SendTime
 from canvasbeam.runtime.settings import Address
 from canvasbeam.units import MILLISECOND, SECOND
 
+NO_CONTACT = 1_000 * SECOND  # an age beyond all bounds
+
 Digests = Mapping[ItemKind, int]
 
 
@@ -17,15 +21,34 @@
     """A child asks to be sent every change from now on."""
 
     digests: Digests
+    asked_at: int | None = None  # by the child's clock; the answer tells it again
 
 
 @dataclass(frozen=True, slots=True)
 class Keepalive:
     """The answer to `Subscribe`, repeated at short intervals: how the sender stands."""
 
-    control_age: int  # nanoseconds since the sender was last in contact with most of the control nodes
+    control_age: int  # nanoseconds, at the sending, since the sender's contact instant; `NO_CONTACT` before the first
     depth: int  # hops to a control node
     digests: Digests = field(default_factory=dict)
+    versions: ControlVersions = field(default_factory=ControlVersions)  # which the sender holds
+    time: SendTime = field(default_factory=SendTime)
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseRequest:
+    """A control node asks another to confirm that it is heard."""
+
+    number: int
+    items: tuple[Item, ...] = ()  # to be held by the receiver before it grants
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseGrant:
+    """The receiver of a `LeaseRequest` has it, and holds its items."""
+
+    number: int
+    versions: ControlVersions  # which the granter holds
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,6 +65,8 @@
 class Renew:
     """A child is still there."""
 
+    asked_at: int | None = None  # by the child's clock, where it wants a keepalive that tells it again
+
 
 @dataclass(frozen=True, slots=True)
 class Update:
@@ -82,7 +107,19 @@
     digests: Digests
 
 
-Message = Subscribe | Keepalive | Refuse | Unsubscribe | Renew | Update | Versions | Request | Compare
+Message = (
+    Subscribe
+    | Keepalive
+    | LeaseRequest
+    | LeaseGrant
+    | Refuse
+    | Unsubscribe
+    | Renew
+    | Update
+    | Versions
+    | Request
+    | Compare
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,11 +134,14 @@
 class DistributionTerms:
     """Times in nanoseconds, and counts."""
 
-    keepalive: int = 250 * MILLISECOND
+    keepalive: int = 250 * MILLISECOND  # to children, each time the contact instant moved
+    idle_keepalive: int = 375 * MILLISECOND  # to children, where it did not
+    lease_renewal: int = 250 * MILLISECOND  # between the lease requests of a control node
     silence: int = 700 * MILLISECOND  # without a word from a parent or a control node before it counts as lost
     candidate_step: int = 200 * MILLISECOND  # between attempts, while there is no parent
     candidate_patience: int = 600 * MILLISECOND
     avoid: int = 3 * SECOND  # after a parent was lost or did not answer
+    avoid_stale: int = 800 * MILLISECOND  # the same, where the present parent has lost the control nodes
     stall: int = 250 * MILLISECOND  # late by this much, a process was stopped
     calm: int = 20 * SECOND  # with one parent before slow links count as fast again
     improve: int = 2 * SECOND  # between looks for a better parent
--- a/canvasbeam/decide/parent_link.py
+++ b/canvasbeam/decide/parent_link.py
@@ -9,13 +9,17 @@
 
 While detached, candidates are asked one after the other without waiting for the earlier ones, and the first that
 answers is the parent. While attached, a better one is tried now and then, and the old one is kept until that answers.
+
+How long ago a parent was in contact with the control nodes is counted from when it said so, not from when that arrived:
+a keepalive that waited on the way is as old as it is. A parent whose contact is stale is left for the first candidate
+that is in contact.
 """
 
 from __future__ import annotations
 
 import random
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import IntEnum
 
 from canvasbeam.decide.distribution_messages import (
@@ -26,6 +30,7 @@
     Subscribe,
     Unsubscribe,
 )
+from canvasbeam.decide.peer_clock import PeerClocks
 from canvasbeam.runtime.settings import Address
 
 MOST_SLOWNESS = 2
@@ -47,8 +52,7 @@
     address: Address
     since: int
     heard_at: int
-    told_at: int
-    control_age: int
+    contact_at: int  # its contact instant, by our clock
     depth: int
 
 
@@ -60,6 +64,8 @@
     ) -> None:
         self.parent: Parent | None = None
         self.changes = 0
+        self._clocks = PeerClocks(now)
+        self._was_stale = True
         self._terms = terms
         self._order = order
         self._subscribe = subscribe
@@ -78,10 +84,8 @@
         return ParentState.DETACHED if self.parent is None else ParentState.ATTACHED
 
     def control_age(self, now: int) -> int | None:
-        """How long ago the parent, or those above it, heard most of the control nodes; none while detached."""
-        if self.parent is None:
-            return None
-        return self.parent.control_age + now - self.parent.told_at
+        """How long ago the parent's contact instant was; none while detached."""
+        return None if self.parent is None else now - self.parent.contact_at
 
     def is_parent(self, address: Address) -> bool:
         """Whether this address is the parent's."""
@@ -94,6 +98,8 @@
             times.append(self._next_ask)
         else:
             times += [self.parent.heard_at + self._silence(), self._next_improve, self._next_renew]
+            if not self._was_stale:
+                times.append(self.parent.contact_at + self._terms.stale + 1)
         return min(times)
 
     def on_heard(self, now: int, sender: Address) -> None:
@@ -103,25 +109,41 @@
 
     def on_keepalive(self, now: int, sender: Address, message: Keepalive) -> list[Send]:
         """The parent stands as it says, or a candidate has answered."""
+        self._clocks.learn(now, sender, message.time)
+        contact_at = self._contact_at(now, sender, message)
         if self.parent is not None and self.parent.address == sender:
-            self.parent = Parent(sender, self.parent.since, now, now, message.control_age, message.depth)
-            if self._is_stale(now):
-                self._next_improve = min(self._next_improve, now + self._jittered(self._terms.improve_stale))
-            return []
+            return self._on_parent_keepalive(now, self.parent, message, contact_at)
         if sender not in self._candidates:
-            return self._on_late_keepalive(now, sender, message)
+            return self._on_late_keepalive(now, sender, message, contact_at)
+        if contact_at is None:
+            return []  # sent before it was asked
         del self._candidates[sender]
-        if not self._is_better(now, sender, message):
+        if not self._is_better(now, sender, contact_at):
             self._avoid(now, sender)
             return [Send((sender,), Unsubscribe())]
-        return self._attach(now, sender, message)
+        return self._attach(now, sender, message, contact_at)
+
+    def _on_parent_keepalive(self, now: int, parent: Parent, message: Keepalive, contact_at: int | None) -> list[Send]:
+        parent.heard_at = now
+        parent.depth = message.depth
+        if contact_at is None:
+            return [Send((parent.address,), Renew(now))]
+        parent.contact_at = contact_at
+        return []
 
-    def _on_late_keepalive(self, now: int, sender: Address, message: Keepalive) -> list[Send]:
+    def _on_late_keepalive(self, now: int, sender: Address, message: Keepalive, contact_at: int | None) -> list[Send]:
         """A node that was given up serves us still: links are slow. While detached, it is as good as any."""
-        if self.parent is not None:
+        if self.parent is not None and (contact_at is None or not self._is_better(now, sender, contact_at)):
             return [Send((sender,), Unsubscribe())]
+        if contact_at is None:
+            return [Send((sender,), Renew(now))]
         self._slowness = min(self._slowness + 1, MOST_SLOWNESS)
-        return [*self._attach(now, sender, message), Send((sender,), Renew())]
+        return [*self._attach(now, sender, message, contact_at), Send((sender,), Renew())]
+
+    def _contact_at(self, now: int, sender: Address, message: Keepalive) -> int | None:
+        """The sender's contact instant by our clock, not later than it was; none where its clock is not known."""
+        sent_at = self._clocks.sent_at(now, sender, message.time)
+        return None if sent_at is None else sent_at - message.control_age
 
     def on_refuse(self, now: int, sender: Address) -> None:
         """A candidate does not take us, or the parent does not keep us."""
@@ -163,11 +185,13 @@
             self.parent.heard_at = max(self.parent.heard_at, now - self._terms.silence // 2)
         self._candidates = dict.fromkeys(self._candidates, now)
 
-    def _attach(self, now: int, address: Address, message: Keepalive) -> list[Send]:
+    def _attach(self, now: int, address: Address, message: Keepalive, contact_at: int) -> list[Send]:
         """Every change to a parent goes through here."""
         left = [*self._candidates, *([self.parent.address] if self.parent else [])]
         self._candidates.clear()
-        self.parent = Parent(address, now, now, now, message.control_age, message.depth)
+        self._clocks.forget_all_but(address)
+        self.parent = Parent(address, now, now, contact_at, message.depth)
+        self._was_stale = self._is_stale(now)
         self.changes += 1
         self._next_improve = now + self._jittered(self._improve_interval(now))
         self._next_renew = now + self._terms.renew
@@ -178,16 +202,17 @@
         self.parent = None
         self._next_ask = now
 
-    def _is_better(self, now: int, sender: Address, message: Keepalive) -> bool:
+    def _is_better(self, now: int, sender: Address, contact_at: int) -> bool:
         """Contact with the control nodes comes first, then the order of parents."""
         age = self.control_age(now)
         if age is None:
             return True
         stale = self._terms.stale
-        if (age > stale) != (message.control_age > stale):
+        candidate_age = now - contact_at
+        if (age > stale) != (candidate_age > stale):
             return age > stale
         if age > stale:
-            return message.control_age < age // 2
+            return candidate_age < age // 2
         order = list(self._order())
         assert self.parent is not None
         if self.parent.address not in order:
@@ -206,16 +231,20 @@
         return self._ask(now, address)
 
     def _improve(self, now: int) -> list[Send]:
+        is_stale = self._is_stale(now)
+        if is_stale and not self._was_stale:
+            self._next_improve = now
+        self._was_stale = is_stale
         if now < self._next_improve or self.parent is None:
             return []
         self._next_improve = now + self._jittered(self._improve_interval(now))
-        if self._candidates:
+        if self._candidates and not is_stale:
             return []
         for address in self._order():
             if address == self.parent.address:
-                if not self._is_stale(now):
+                if not is_stale:
                     return []
-            elif self._avoided.get(address, 0) <= now:
+            elif address not in self._candidates and self._avoided.get(address, 0) <= now:
                 return self._ask(now, address)
         return []
 
@@ -225,15 +254,17 @@
         if now - self.parent.since >= self._terms.calm:
             self._slowness = 0
         self._next_renew = now + self._terms.renew
-        return [Send((self.parent.address,), Renew())]
+        asked_at = now if self._clocks.is_worth_asking(now, self.parent.address) else None
+        return [Send((self.parent.address,), Renew(asked_at))]
 
     def _ask(self, now: int, address: Address) -> list[Send]:
         self._candidates[address] = now
-        return [Send((address,), self._subscribe())]
+        return [Send((address,), replace(self._subscribe(), asked_at=now))]
 
     def _avoid(self, now: int, address: Address) -> None:
         self._avoided = {each: until for each, until in self._avoided.items() if until > now}
-        self._avoided[address] = now + self._jittered(self._terms.avoid)
+        is_urgent = self.parent is not None and self._is_stale(now)
+        self._avoided[address] = now + self._jittered(self._terms.avoid_stale if is_urgent else self._terms.avoid)
 
     def _is_stale(self, now: int) -> bool:
         age = self.control_age(now)
--- /dev/null
+++ b/canvasbeam/decide/peer_clock.py
@@ -0,0 +1,71 @@
+"""The clocks of other processes, as far as one round trip shows them.
+
+A process cannot compare its monotonic clock with another's, but it knows that an answer was sent after the question.
+With the times of one question (by the own clock) and its answer (by the other's), every later message of that process
+can be given a time, by the own clock, before which it was not sent. Ages that are counted from there are never too
+short; they are too long by the time that the question took, at most.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from canvasbeam.runtime.settings import Address
+from canvasbeam.units import MILLISECOND, SECOND
+
+LEARN_AGAIN = 10 * SECOND  # clocks drift apart
+LARGE_ERROR = 300 * MILLISECOND
+
+
+@dataclass(frozen=True, slots=True)
+class SendTime:
+    """When a message was sent, by the clock of its sender."""
+
+    life: int = 0  # of the sender's process: another life may have another clock
+    sent_at: int = 0
+    asked_at: int | None = None  # when the question was sent that this answers, by the clock of who asked
+
+
+@dataclass(frozen=True, slots=True)
+class _PeerClock:
+    life: int
+    offset: int  # added to a time of sending by the other's clock, a time of ours that is not later
+    learned_at: int
+    error: int  # by how much the offset is too low, at most
+
+
+class PeerClocks:
+    """What this process knows of the clocks of others."""
+
+    def __init__(self, now: int) -> None:
+        self._begun_at = now
+        self._clocks: dict[Address, _PeerClock] = {}
+
+    def learn(self, now: int, address: Address, time: SendTime) -> None:
+        """Take the times of an answer to a question of ours."""
+        if time.asked_at is None or not self._begun_at <= time.asked_at <= now:
+            return
+        learned = _PeerClock(time.life, time.asked_at - time.sent_at, now, now - time.asked_at)
+        known = self._clocks.get(address)
+        if known is None or self._is_outdated(now, known, time.life) or learned.offset > known.offset:
+            self._clocks[address] = learned
+
+    def sent_at(self, now: int, address: Address, time: SendTime) -> int | None:
+        """A time by our own clock before which the message was not sent; none where the clock is not known."""
+        known = self._clocks.get(address)
+        if known is None or known.life != time.life:
+            return None
+        return min(time.sent_at + known.offset, now)
+
+    def is_worth_asking(self, now: int, address: Address) -> bool:
+        """Whether another question would tell more than is known."""
+        known = self._clocks.get(address)
+        return known is None or known.error > LARGE_ERROR or now - known.learned_at >= LEARN_AGAIN
+
+    def forget_all_but(self, address: Address) -> None:
+        """The others are not listened to any more."""
+        known = self._clocks.get(address)
+        self._clocks = {} if known is None else {address: known}
+
+    def _is_outdated(self, now: int, known: _PeerClock, life: int) -> bool:
+        return known.life != life or now - known.learned_at >= LEARN_AGAIN
--- a/tests/cluster_network.py
+++ b/tests/cluster_network.py
@@ -138,6 +138,11 @@
         self._perform(host)
         return item
 
+    def publish_items(self, host: Host, items: Iterable[Item]) -> None:
+        """Any items, published by this node."""
+        host.core.publish(self.now, items)
+        self._perform(host)
+
     def set_ready(self, host: Host, ready: bool) -> None:
         host.core.set_ready(self.now, ready)
         self._perform(host)
--- a/tests/test_cluster_tree.py
+++ b/tests/test_cluster_tree.py
@@ -165,11 +165,28 @@
         return is_lost
 
     network.lose_message = lose
-    item = network.publish(controls[0], 1)
+    worker = Item(ItemKind.WORKER, "w1", Version(1), b"worker")
+    network.publish_items(controls[0], [worker])
     network.run(500 * MS)
     assert lost
-    assert not network.have([edges[0]], item)
-    network.run_until(lambda: network.have([edges[0]], item), 3 * SECOND)
+    assert not network.have([edges[0]], worker)
+    network.run_until(lambda: network.have([edges[0]], worker), 3 * SECOND)
+
+
+def test_a_lost_push_of_a_configuration_is_asked_for_after_the_next_keepalive() -> None:
+    network, controls, edges = small_fleet()
+    lost: list[Message] = []
+
+    def lose(source: Address, target: Address, message: Message) -> bool:
+        is_lost = isinstance(message, Update) and target == edges[0].address and not lost
+        if is_lost:
+            lost.append(message)
+        return is_lost
+
+    network.lose_message = lose
+    item = network.publish(controls[0], 1)
+    assert network.run_until(lambda: network.have([edges[0]], item), SECOND) <= 500 * MS
+    assert lost
 
 
 def test_a_node_behind_a_choked_link_stays_attached() -> None:
--- /dev/null
+++ b/tests/test_control_contact.py
@@ -0,0 +1,237 @@
+"""The lease of a control node, and what its children have of it: pure, with the times given by the test."""
+
+from __future__ import annotations
+
+import pytest
+
+from canvasbeam.cluster.items import Item, ItemKind, Version
+from canvasbeam.decide.control_contact import (
+    MOST_OPEN_ROUNDS,
+    ContactState,
+    ControlContact,
+    ControlVersions,
+    RelayedContact,
+    Voucher,
+    contact_state,
+)
+from canvasbeam.decide.peer_clock import LEARN_AGAIN, PeerClocks, SendTime
+from canvasbeam.runtime.settings import Address
+from canvasbeam.units import MILLISECOND, SECOND
+
+NODES = [Address(f"10.0.0.{number}", 7660) for number in range(1, 6)]
+OLD = ControlVersions(10, 3)
+NEW = ControlVersions(11, 3)
+LEASE = 1_200 * MILLISECOND
+
+
+def contact_of(count: int) -> ControlContact:
+    contact = ControlContact(NODES[0], seed=7)
+    contact.set_electorate(NODES[:count])
+    return contact
+
+
+# --- the lease ------------------------------------------------------------------------------------
+
+
+def test_a_lease_counts_from_the_sending_and_not_from_the_grant() -> None:
+    contact = contact_of(3)
+    number = contact.begin_round(1 * SECOND, OLD)
+    assert contact.on_grant(NODES[1], number, OLD, OLD)
+    assert contact.instant == 1 * SECOND
+    assert contact.age(4 * SECOND) == 3 * SECOND
+
+
+def test_a_majority_of_five_is_two_others() -> None:
+    contact = contact_of(5)
+    number = contact.begin_round(0, OLD)
+    assert not contact.on_grant(NODES[1], number, OLD, OLD)
+    assert not contact.on_grant(NODES[1], number, OLD, OLD)
+    assert contact.on_grant(NODES[2], number, OLD, OLD)
+
+
+def test_grants_of_two_rounds_make_no_majority() -> None:
+    contact = contact_of(5)
+    first, second = contact.begin_round(0, OLD), contact.begin_round(SECOND, OLD)
+    contact.on_grant(NODES[1], first, OLD, OLD)
+    contact.on_grant(NODES[2], second, OLD, OLD)
+    assert contact.instant is None
+
+
+def test_nodes_outside_the_electorate_do_not_count() -> None:
+    contact = contact_of(3)
+    number = contact.begin_round(0, OLD)
+    contact.on_grant(NODES[3], number, OLD, OLD)
+    contact.on_grant(NODES[4], number, OLD, OLD)
+    assert contact.instant is None
+
+
+def test_a_node_outside_the_electorate_needs_a_majority_of_the_others() -> None:
+    contact = contact_of(3)
+    contact.set_electorate(NODES[1:4])
+    number = contact.begin_round(0, OLD)
+    assert not contact.on_grant(NODES[1], number, OLD, OLD)
+    assert contact.on_grant(NODES[2], number, OLD, OLD)
+
+
+def test_an_electorate_that_grows_ends_no_lease_but_is_asked_for_the_next() -> None:
+    contact = contact_of(3)
+    contact.on_grant(NODES[1], contact.begin_round(0, OLD), OLD, OLD)
+    contact.set_electorate(NODES)
+    assert contact.instant == 0
+    number = contact.begin_round(SECOND, OLD)
+    contact.on_grant(NODES[1], number, OLD, OLD)
+    assert contact.instant == 0
+    contact.on_grant(NODES[4], number, OLD, OLD)
+    assert contact.instant == SECOND
+
+
+def test_one_control_node_alone_needs_nobody() -> None:
+    contact = contact_of(1)
+    contact.begin_round(5, OLD)
+    assert contact.instant == 5
+
+
+def test_a_granter_ahead_holds_the_lease_back_until_its_version_is_held() -> None:
+    contact = contact_of(3)
+    contact.on_grant(NODES[1], contact.begin_round(0, OLD), OLD, OLD)
+    number = contact.begin_round(SECOND, OLD)
+    assert not contact.on_grant(NODES[1], number, NEW, OLD)
+    assert contact.instant == 0
+    assert contact.settle(NEW)
+    assert contact.instant == SECOND
+
+
+def test_a_granter_behind_holds_nothing_back() -> None:
+    contact = contact_of(3)
+    assert contact.on_grant(NODES[1], contact.begin_round(0, NEW), OLD, NEW)
+
+
+def test_a_late_grant_moves_the_instant_no_further_than_its_sending_and_never_back() -> None:
+    contact = contact_of(3)
+    first, second = contact.begin_round(0, OLD), contact.begin_round(SECOND, OLD)
+    contact.on_grant(NODES[1], second, OLD, OLD)
+    assert not contact.on_grant(NODES[2], first, OLD, OLD)
+    assert contact.instant == SECOND
+
+
+def test_a_grant_to_an_earlier_life_matches_nothing() -> None:
+    earlier, later = contact_of(3), ControlContact(NODES[0], seed=8)
+    later.set_electorate(NODES[:3])
+    number = earlier.begin_round(0, OLD)
+    later.begin_round(SECOND, OLD)
+    assert not later.on_grant(NODES[1], number, OLD, OLD)
+    assert later.exchanged_at is None
+
+
+def test_rounds_that_nobody_grants_are_bounded() -> None:
+    contact = contact_of(3)
+    numbers = [contact.begin_round(now, OLD) for now in range(MOST_OPEN_ROUNDS + 5)]
+    assert not contact.on_grant(NODES[1], numbers[4], OLD, OLD)
+    assert contact.on_grant(NODES[1], numbers[5], OLD, OLD)
+
+
+def test_a_write_is_done_when_a_majority_has_granted_that_very_request() -> None:
+    item = Item(ItemKind.WORKER, "w", Version(1))
+    contact = contact_of(5)
+    write = contact.begin_write(0, [item])
+    plain = contact.begin_round(SECOND, OLD)
+    for granter in NODES[1:4]:
+        contact.on_grant(granter, plain, OLD, OLD)
+    assert contact.instant == SECOND
+    assert not contact.is_written(write)
+    contact.on_grant(NODES[1], write, OLD, OLD)
+    assert contact.missing_writes(NODES[1]) == []
+    assert contact.missing_writes(NODES[2]) == [(write, (item,))]
+    contact.on_grant(NODES[2], write, OLD, OLD)
+    assert contact.is_written(write)
+    contact.end_write(write)
+    assert not contact.is_written(write)
+
+
+@pytest.mark.parametrize(
+    ("instant", "now", "state"),
+    [
+        (None, 0, ContactState.UNCONFIRMED),
+        (0, LEASE, ContactState.CONFIRMED),
+        (0, LEASE + 1, ContactState.LAPSED),
+    ],
+)
+def test_the_state_follows_from_the_instant_and_the_clock(instant: int | None, now: int, state: ContactState) -> None:
+    assert contact_state(instant, now, LEASE) is state
+
+
+# --- the contact of a child -----------------------------------------------------------------------
+
+
+def test_a_child_is_in_contact_once_it_holds_what_the_parent_vouched_for() -> None:
+    relayed = RelayedContact()
+    assert relayed.vouch(Voucher(0, OLD), OLD)
+    assert not relayed.vouch(Voucher(SECOND, NEW), OLD)
+    assert relayed.instant == 0
+    assert relayed.settle(NEW)
+    assert relayed.instant == SECOND
+
+
+def test_an_older_voucher_takes_nothing_back() -> None:
+    relayed = RelayedContact()
+    relayed.vouch(Voucher(SECOND, OLD), OLD)
+    assert not relayed.vouch(Voucher(0, OLD), OLD)
+    assert relayed.instant == SECOND
+
+
+# --- the clock of another process -----------------------------------------------------------------
+
+PARENT = NODES[1]
+
+
+def test_a_message_that_waited_on_the_way_is_as_old_as_it_is() -> None:
+    clocks = PeerClocks(0)
+    clocks.learn(110, PARENT, SendTime(1, 5_000, asked_at=100))
+    assert clocks.sent_at(110, PARENT, SendTime(1, 5_000)) == 100
+    assert clocks.sent_at(9_000, PARENT, SendTime(1, 5_250)) == 350
+
+
+def test_a_message_is_never_taken_for_younger_than_it_is() -> None:
+    """Whatever the two ways take, the time that is worked out is not after the sending."""
+    for out in (0, 5, 400):
+        for back in (0, 5, 400):
+            clocks = PeerClocks(0)
+            asked, answered = 100, 100 + out  # the parent's clock is ahead by 7,000
+            clocks.learn(answered + back, PARENT, SendTime(1, answered + 7_000, asked_at=asked))
+            for sent in (answered, answered + 250, answered + 5_000):
+                worked_out = clocks.sent_at(sent + back, PARENT, SendTime(1, sent + 7_000))
+                assert worked_out is not None
+                assert sent - out <= worked_out <= sent
+
+
+def test_a_quicker_answer_tells_more_and_a_slower_one_nothing() -> None:
+    clocks = PeerClocks(0)
+    clocks.learn(900, PARENT, SendTime(1, 5_000, asked_at=100))
+    clocks.learn(1_010, PARENT, SendTime(1, 5_205, asked_at=1_000))
+    assert clocks.sent_at(2_000, PARENT, SendTime(1, 5_205)) == 1_000
+    clocks.learn(2_900, PARENT, SendTime(1, 6_900, asked_at=2_000))
+    assert clocks.sent_at(3_000, PARENT, SendTime(1, 5_205)) == 1_000
+
+
+def test_another_life_has_another_clock() -> None:
+    clocks = PeerClocks(0)
+    clocks.learn(110, PARENT, SendTime(1, 5_000, asked_at=100))
+    assert clocks.sent_at(200, PARENT, SendTime(2, 5_050)) is None
+    clocks.learn(310, PARENT, SendTime(2, 50, asked_at=300))
+    assert clocks.sent_at(400, PARENT, SendTime(2, 60)) == 310
+
+
+def test_what_was_asked_by_an_earlier_life_of_this_process_tells_nothing() -> None:
+    clocks = PeerClocks(1_000)
+    clocks.learn(1_100, PARENT, SendTime(1, 5_000, asked_at=900))
+    assert clocks.sent_at(1_100, PARENT, SendTime(1, 5_000)) is None
+
+
+def test_a_clock_is_learned_again_since_clocks_drift() -> None:
+    clocks = PeerClocks(0)
+    clocks.learn(10, PARENT, SendTime(1, 0, asked_at=10))
+    assert not clocks.is_worth_asking(LEARN_AGAIN, PARENT)
+    assert clocks.is_worth_asking(LEARN_AGAIN + 10, PARENT)
+    drifted = LEARN_AGAIN + 10
+    clocks.learn(drifted, PARENT, SendTime(1, drifted + 500, asked_at=drifted))
+    assert clocks.sent_at(drifted, PARENT, SendTime(1, drifted + 500)) == drifted
