Acknowledge a worker's end once a majority holds it; out of contact, hand nobody on

Cause: the acknowledgement of draining and of a worker's end rested on having heard most control nodes lately; a node that they did not hear promised what nobody knew. Callers of the operator's API were sent to a primary that a cut-off node remembered, and the directory answered from any table, however old.

Change: a lease request may carry items, which the receiver holds before it grants; draining and DELETE wait, for 0.7 s at most, until a majority has granted that very request, else 503. The electorate of the lease is that of the newest view known, and also that of the view before until the change is settled. Orders are handed on (307) only in contact, else 503. The directory answers 503 while no message of this node is known to have been heard by anybody within 2 s: right after a pause, and while it is alone, deaf or mute. Nodes log once when contact ends and once when it is back.

The registry's test network learns to write to a majority, as the registry now asks it to.

--- a/canvasbeam/cluster/codec.py
+++ b/canvasbeam/cluster/codec.py
@@ -52,7 +52,7 @@
         case Unsubscribe():
             body.unsubscribe.SetInParent()
         case Renew():
-            body.renew.CopyFrom(wire.Renew(asked_at=message.asked_at))
+            body.renew.CopyFrom(_renew(message))
         case Update():
             body.update.items.extend(map(_item, message.items))
         case Versions():
@@ -91,6 +91,14 @@
     )
 
 
+def _renew(message: Renew) -> wire.Renew:
+    renew = wire.Renew(asked_at=message.asked_at)
+    if message.heard is not None:
+        renew.heard_sent_at = message.heard.sent_at
+        renew.heard_life = message.heard.life
+    return renew
+
+
 def _versions(versions: ControlVersions) -> wire.ControlVersions:
     return wire.ControlVersions(configuration=versions.configuration, evacuations=versions.evacuations)
 
@@ -155,7 +163,9 @@
 
 
 def _read_renew(body: wire.DistributionMessage) -> Message:
-    return Renew(body.renew.asked_at if body.renew.HasField("asked_at") else None)
+    told = body.renew
+    heard = SendTime(told.heard_life, told.heard_sent_at) if told.HasField("heard_sent_at") else None
+    return Renew(told.asked_at if told.HasField("asked_at") else None, heard)
 
 
 def _read_keepalive(body: wire.DistributionMessage) -> Message:
--- a/canvasbeam/cluster/node.py
+++ b/canvasbeam/cluster/node.py
@@ -14,16 +14,20 @@
 from canvasbeam.cluster.member import Member
 from canvasbeam.cluster.node_core import NodeCore, Ports, ProbeAnswer
 from canvasbeam.cluster.transport import Channel, PeerInfo, Transport
+from canvasbeam.decide.control_contact import ControlVersions
 from canvasbeam.decide.distribution import Start
 from canvasbeam.decide.distribution_messages import Send
 from canvasbeam.decide.monitoring import Probe
 from canvasbeam.errors import Failure
+from canvasbeam.runtime.logs import get_logger
 from canvasbeam.runtime.settings import Address, ProcessSettings
 
 NANOSECOND = 1e-9
 LEAST_WAIT_S = 0.005
 IDLE_CHECK_NS = 5_000_000_000
 
+log = get_logger(__name__)
+
 
 class ClusterNode:
     """The part of a process that knows the other nodes and keeps the item table."""
@@ -37,6 +41,8 @@
         start = Start(random.randrange(1 << 32), time.monotonic_ns())
         self._core = NodeCore(member, self._ports, settings.seed_peers, start)
         self.table: ItemTable = self._core.table
+        self._writes: dict[int, asyncio.Future[None]] = {}
+        self._has_contact: bool | None = None  # as the log has it
         self._timer: asyncio.TimerHandle | None = None
         self._next_idle_check = start.now + IDLE_CHECK_NS
         self._is_running = False
@@ -74,6 +80,10 @@
         """Take the peer addresses of other seeds, from changed settings."""
         self._core.distribution.set_seeds(time.monotonic_ns(), seeds)
 
+    def set_electorates(self, electorates: Iterable[Iterable[str]]) -> None:
+        """Take the IP addresses of the control nodes, most of each of which must grant a lease of contact."""
+        self._core.set_electorates(time.monotonic_ns(), electorates)
+
     # --- items ------------------------------------------------------------------------------------
 
     def publish(self, items: Iterable[Item]) -> list[Item]:
@@ -82,6 +92,24 @@
         self._perform()
         return taken
 
+    async def write(self, items: Iterable[Item], within_s: float) -> bool:
+        """Have most of the control nodes hold these items; False where they have not said so in time.
+
+        Without items it tells whether this node is in contact, from the call on.
+        """
+        number = self._core.begin_write(time.monotonic_ns(), items)
+        self._writes[number] = written = asyncio.get_running_loop().create_future()
+        try:
+            self._perform()
+            await asyncio.wait_for(written, within_s)
+        except TimeoutError:
+            return False
+        else:
+            return True
+        finally:
+            del self._writes[number]
+            self._core.end_write(number)
+
     def refresh(self, kind: ItemKind, key: str) -> None:
         """Ask other nodes for a newer version of an item, without waiting for it."""
         self._core.distribution.refresh(kind, key)
@@ -102,14 +130,22 @@
         return self._ports.address_of(member)
 
     def control_age(self) -> int | None:
-        """Nanoseconds since this node was in contact with most control nodes, directly or through others."""
+        """Nanoseconds since this node's contact instant, directly or through others; none before the first."""
         return self._core.control_age(time.monotonic_ns())
 
     def in_touch(self, within: int) -> bool:
-        """Whether most control nodes were in contact within the last so many nanoseconds."""
+        """Whether the contact instant is within the last so many nanoseconds."""
         age = self.control_age()
         return age is not None and age <= within
 
+    def has_majority(self) -> bool:
+        """Whether this node counts as in contact with most control nodes."""
+        return self._core.has_majority(time.monotonic_ns())
+
+    def is_heard(self) -> bool:
+        """Whether anybody at all is known to have had a recent message of this control node."""
+        return self._core.is_heard(time.monotonic_ns())
+
     @property
     def parent(self) -> Address | None:
         """The parent in the relay tree, where there is one."""
@@ -149,6 +185,7 @@
         self._timer = None
         now = time.monotonic_ns()
         self._core.tick(now)
+        self._log_contact(now)
         if now >= self._next_idle_check:
             self._next_idle_check = now + IDLE_CHECK_NS
             self.transport.close_idle()
@@ -167,8 +204,25 @@
                 case ProbeAnswer(address, number):
                     answer = membership_pb2.Probe(is_answer=True, number=number)
                     self.transport.send_datagram(address, answer.SerializeToString())
+        for number, written in self._writes.items():
+            if not written.done() and self._core.is_written(number):
+                written.set_result(None)
         self._schedule()
 
+    def _log_contact(self, now: int) -> None:
+        """One line when contact with the control nodes ends, and one when it is back."""
+        has_contact = self._core.has_majority(now)
+        if has_contact == self._has_contact or (self._has_contact is None and not has_contact):
+            return
+        if self._has_contact is not None:
+            versions = ControlVersions.of(self.table)
+            held = f"configuration {versions.configuration}, evacuations {versions.evacuations}"
+            if has_contact:
+                log.info("in contact with most control nodes again; holds {}", held)
+            else:
+                log.warning("no contact with most control nodes; goes on with {}", held)
+        self._has_contact = has_contact
+
     def _send_probe(self, probe: Probe) -> None:
         message = membership_pb2.Probe(number=probe.number)
         if probe.status:
--- a/canvasbeam/cluster/node_core.py
+++ b/canvasbeam/cluster/node_core.py
@@ -14,6 +14,7 @@
 from canvasbeam.cluster.member import Member
 from canvasbeam.cluster.member_list import MemberList
 from canvasbeam.cluster.own_member import OwnMember
+from canvasbeam.decide.control_contact import ContactState, contact_state
 from canvasbeam.decide.distribution import Distribution, Start
 from canvasbeam.decide.distribution_messages import DistributionTerms, Message, Send
 from canvasbeam.decide.member_status import Status
@@ -77,6 +78,24 @@
         self._now = now
         return self.distribution.publish(now, items)
 
+    def set_electorates(self, now: int, electorates: Iterable[Iterable[str]]) -> None:
+        """The IP addresses of the control nodes, most of which must grant a lease of contact."""
+        addresses = [[Address(ip, self._ports.control) for ip in electorate] for electorate in electorates]
+        self.distribution.set_electorates(now, addresses)
+
+    def begin_write(self, now: int, items: Iterable[Item]) -> int:
+        """Have items held by most of the control nodes; the number is for `is_written` and `end_write`."""
+        self._now = now
+        return self.distribution.begin_write(now, items)
+
+    def is_written(self, number: int) -> bool:
+        """Whether most of the control nodes hold the items of this write."""
+        return self.distribution.contact.is_written(number)
+
+    def end_write(self, number: int) -> None:
+        """Nobody waits for this write any more."""
+        self.distribution.contact.end_write(number)
+
     def set_ready(self, now: int, ready: bool) -> None:
         """Tell the others whether this process takes clients."""
         item = self.own.set_ready(ready)
@@ -143,13 +162,21 @@
         return self._members.alive(now, self.monitoring.is_silent)
 
     def control_age(self, now: int) -> int | None:
-        """How long ago this node was in contact with most control nodes, directly or through others."""
+        """How long ago this node's contact instant was, directly or through others; none before the first."""
         return self.distribution.control_age(now)
 
     def has_majority(self, now: int) -> bool:
         """Whether that is recent."""
-        age = self.control_age(now)
-        return age is not None and age <= self.terms.stale
+        instant = self.distribution.contact_instant
+        return contact_state(instant, now, self.terms.stale) is ContactState.CONFIRMED
+
+    def is_heard(self, now: int) -> bool:
+        """Whether anybody at all is known to have had a recent message of this control node.
+
+        Not so for one that is alone, deaf or mute, nor right after its process stood still.
+        """
+        age = self.distribution.contact.exchange_age(now)
+        return age is not None and age <= self.terms.exchange
 
     # --- members ----------------------------------------------------------------------------------
 
--- a/canvasbeam/control_plane/directory.py
+++ b/canvasbeam/control_plane/directory.py
@@ -17,9 +17,15 @@
 class Directory:
     """Answers `GET /v1/resolve` at one control node."""
 
-    def __init__(self, settings: ProcessSettings, members: Callable[[], Iterable[Member]]) -> None:
+    def __init__(
+        self,
+        settings: ProcessSettings,
+        members: Callable[[], Iterable[Member]],
+        is_heard: Callable[[], bool] = lambda: True,
+    ) -> None:
         self._settings = settings
         self._members = members
+        self._is_heard = is_heard
 
     async def resolve(self, request: Request) -> Answer:
         """The fronts of the data-plane nodes that are alive and ready, those near the client first."""
@@ -27,6 +33,8 @@
             return Answer(404)
         if request.method != "GET":
             return method_not_allowed("GET")
+        if not self._is_heard():
+            return unavailable(Failure(ResultCode.PEER_UNREACHABLE, "no other node is known to hear this one"))
         zone = request.query.get("zone", "")
         region = request.query.get("region") or self._settings.zones.get(zone, "")
         addresses = choose_addresses(self._ready_nodes(), zone, region)
--- a/canvasbeam/control_plane/program.py
+++ b/canvasbeam/control_plane/program.py
@@ -44,7 +44,8 @@
         self._publisher = StatePublisher(self._node)
         self._service.add_commit_listener(self._publisher.on_committed)
         self._registry = RegistryService(settings, self._node)
-        self._directory = Directory(settings, self._node.members)
+        self._service.add_electorate_listener(self._node.set_electorates)
+        self._directory = Directory(settings, self._node.members, self._node.is_heard)
         self._operator = OperatorApi(
             settings, self._service, self._is_reachable, lambda: status_document(settings, self._node, self._service)
         )
@@ -76,7 +77,8 @@
         return [Endpoint(RESOLVE_PATH, self._directory.resolve, _no_body)]
 
     def _is_reachable(self, ip: str) -> bool:
-        return any(member.ip == ip for member in self._node.control_nodes())
+        """Whether a caller may be sent there: what a node out of contact knows of the primary may be old."""
+        return self._node.has_majority() and any(member.ip == ip for member in self._node.control_nodes())
 
     async def start(self) -> Failure | None:
         """Join the cluster, open the storage, and serve."""
--- a/canvasbeam/control_plane/registry.py
+++ b/canvasbeam/control_plane/registry.py
@@ -1,8 +1,9 @@
 """The registry of workers at one control node: heartbeats over HTTP, publications to all nodes.
 
 Every control node takes heartbeats. What a heartbeat changes is published before it is acknowledged, because the
-acknowledgement of `draining` promises that requests cease. A node that has lost contact with most of the control nodes
-cannot promise that: it publishes to whom it reaches, and sends the worker on to another control node.
+acknowledgement of `draining` promises that requests cease: it waits until most of the control nodes hold what it says.
+A node out of contact cannot promise that: it publishes to whom it reaches, and sends the worker on to another control
+node by a 503.
 """
 
 from __future__ import annotations
@@ -23,7 +24,7 @@
 from canvasbeam.control_plane.heartbeats import parse_heartbeat
 from canvasbeam.control_plane.web import Answer, Request, failure_answer, json_answer, method_not_allowed, unavailable
 from canvasbeam.decide.rendezvous import score
-from canvasbeam.decide.worker_registry import HeardHeartbeat, Publication, Worker, WorkerRegistry
+from canvasbeam.decide.worker_registry import HeardHeartbeat, Publication, Worker, WorkerRegistry, WorkerState
 from canvasbeam.errors import Failure, ResultCode
 from canvasbeam.runtime.logs import get_logger
 from canvasbeam.runtime.settings import Address, ProcessSettings
@@ -37,6 +38,7 @@
 LONGEST_TICK_NS = 2 * SECOND  # this process stood still where more time passed between two ticks
 TELLING_SILENCE_NS = 3 * SECOND // 2  # a control node that tells nothing for this long is out of contact
 IN_TOUCH_WITHIN_NS = 600 * MILLISECOND
+WRITE_WITHIN_S = 0.7  # a worker turns to another control node after a second
 
 log = get_logger(__name__)
 
@@ -60,7 +62,11 @@
         ...
 
     def in_touch(self, within: int) -> bool:
-        """Whether most control nodes were in contact within so many nanoseconds."""
+        """Whether the contact instant is within the last so many nanoseconds."""
+        ...
+
+    async def write(self, items: Iterable[Item], within_s: float) -> bool:
+        """Have most of the control nodes hold these items; False where they have not said so in time."""
         ...
 
 
@@ -114,13 +120,13 @@
         if not worker_id or len(worker_id) > LONGEST_ID:
             return failure_answer(400, Failure(ResultCode.REGISTRATION_INVALID, "the id is empty or too long"))
         if request.method == "PUT":
-            return self._take_heartbeat(worker_id, request.body)
+            return await self._take_heartbeat(worker_id, request.body)
         if request.method == "DELETE":
             self._publish(self._registry.goodbye(worker_id, self._clock()))
-            return self._acknowledge({})
+            return await self._acknowledge_end(worker_id, {})
         return method_not_allowed("PUT", "DELETE")
 
-    def _take_heartbeat(self, worker_id: str, body: bytes) -> Answer:
+    async def _take_heartbeat(self, worker_id: str, body: bytes) -> Answer:
         heartbeat = parse_heartbeat(body)
         if isinstance(heartbeat, Failure):
             log.warning("heartbeat of {} refused: {}", worker_id, heartbeat)
@@ -128,12 +134,22 @@
         worker = heartbeat.worker
         self._publish(self._registry.heartbeat(worker_id, heartbeat.sequence, worker, self._clock()))
         address = self._nearest_control_address(worker_id, worker)
-        return self._acknowledge(
-            {} if address is None else {"beat_url": f"http://{address}{INSTANCES_PREFIX}{worker_id}"}
-        )
-
-    def _acknowledge(self, document: dict[str, str]) -> Answer:
-        if not self._node.in_touch(IN_TOUCH_WITHIN_NS):
+        document = {} if address is None else {"beat_url": f"http://{address}{INSTANCES_PREFIX}{worker_id}"}
+        if worker.state is WorkerState.DRAINING:
+            return await self._acknowledge_end(worker_id, document)
+        return self._acknowledge(document, self._node.in_touch(IN_TOUCH_WITHIN_NS))
+
+    async def _acknowledge_end(self, worker_id: str, document: dict[str, str]) -> Answer:
+        """Promise that requests to a worker cease, once most of the control nodes hold what is published of it.
+
+        That holds for one that was published before, too: its publisher may have reached nobody.
+        """
+        item = self._node.table.get(ItemKind.WORKER, worker_id)
+        is_held = await self._node.write([] if item is None else [item], WRITE_WITHIN_S)
+        return self._acknowledge(document, is_held)
+
+    def _acknowledge(self, document: dict[str, str], is_in_contact: bool) -> Answer:
+        if not is_in_contact:
             reason = "this node has no contact with most of the control nodes"
             return unavailable(Failure(ResultCode.PEER_UNREACHABLE, reason))
         return json_answer(200, document)
--- a/canvasbeam/control_plane/replicated_state.py
+++ b/canvasbeam/control_plane/replicated_state.py
@@ -31,6 +31,7 @@
     Apply,
     MemberId,
     Timing,
+    View,
     genesis_view,
     member_id,
     member_ip,
@@ -49,6 +50,7 @@
 
 CommitListener = Callable[[ControlState], None]
 PrimaryListener = Callable[[str | None], None]
+ElectorateListener = Callable[[Sequence[Sequence[str]]], None]
 
 
 class ReplicationTransport(Protocol):
@@ -130,6 +132,8 @@
         self._view_log = ViewLog()
         self._listeners: list[CommitListener] = []
         self._primary_listeners: list[PrimaryListener] = []
+        self._electorate_listeners: list[ElectorateListener] = []
+        self._told_view: tuple[View | None, bool] = (None, False)
         self._state = ControlState()
         self._tasks: list[asyncio.Task[None]] = []
         self._unwritten = asyncio.Event()
@@ -210,6 +214,13 @@
         """Call this with the address of the primary whenever another one, or none, is known."""
         self._primary_listeners.append(listener)
 
+    def add_electorate_listener(self, listener: ElectorateListener) -> None:
+        """Call this with the IP addresses of the witnesses of each newer view that this node hears of.
+
+        There are two electorates while the view is not settled: its witnesses, and those of the view before.
+        """
+        self._electorate_listeners.append(listener)
+
     @property
     def status(self) -> ReplicationStatus:
         """The view and this member's part in it."""
@@ -348,6 +359,7 @@
             self._unwritten.set()
         if self._member is not None:
             self._view_log.note(self._member.known_view)
+            self._tell_electorates(self._member.known_view, self._member.known_settled)
         self._tell_change_of_primary()
 
     def _tell_change_of_primary(self) -> None:
@@ -363,6 +375,16 @@
             for listener in self._primary_listeners:
                 listener(self.primary_ip)
 
+    def _tell_electorates(self, view: View | None, is_settled: bool) -> None:
+        """The listeners hear whose grants count for contact."""
+        if view is None or (view, is_settled) == self._told_view:
+            return
+        self._told_view = (view, is_settled)
+        electorates = [view.witnesses] if is_settled else [view.witnesses, view.previous_witnesses]
+        ips = [[member_ip(each) for each in electorate] for electorate in electorates]
+        for listener in self._electorate_listeners:
+            listener(ips)
+
     def _send(self, action: Held) -> None:
         member = self._member
         if member is None:
--- a/canvasbeam/decide/control_contact.py
+++ b/canvasbeam/decide/control_contact.py
@@ -92,20 +92,19 @@
 
     def __init__(self, me: Address, seed: int) -> None:
         self.instant: int | None = None  # the contact instant
-        self.exchanged_at: int | None = None  # when the newest request was sent that any other node granted
+        self.exchanged_at: int | None = None  # when the newest message was sent that any other node answered
         self._me = me
-        self._electorate = frozenset({me})
+        self._electorates: tuple[frozenset[Address], ...] = (frozenset({me}),)
         self._number = random.Random(seed).getrandbits(REQUEST_NUMBER_BITS)
         self._rounds: dict[int, Round] = {}
         self._writes: dict[int, Round] = {}
 
-    def set_electorate(self, electorate: Iterable[Address]) -> None:
-        """Most of these must grant from now on. What an earlier electorate has granted stands, and grows old."""
-        self._electorate = frozenset(electorate)
+    def set_electorates(self, electorates: Iterable[Iterable[Address]]) -> None:
+        """Most of each of these must grant from now on; two while a change of the view is not settled.
 
-    def age(self, now: int) -> int | None:
-        """How long ago the contact instant was; none before the first."""
-        return None if self.instant is None else now - self.instant
+        What earlier ones have granted stands, and grows old.
+        """
+        self._electorates = tuple(frozenset(each) for each in electorates)
 
     # --- rounds -----------------------------------------------------------------------------------
 
@@ -144,9 +143,21 @@
             return False
         granted.granters.add(granter)
         granted.versions = granted.versions.joined(versions)
-        self.exchanged_at = max(self.exchanged_at or granted.sent_at, granted.sent_at)
+        self.note_exchange(granted.sent_at)
         return self.settle(held)
 
+    def note_exchange(self, sent_at: int) -> None:
+        """Some other node answered what was sent then: a control node's grant, or a child that heard a keepalive."""
+        self.exchanged_at = sent_at if self.exchanged_at is None else max(self.exchanged_at, sent_at)
+
+    def exchange_age(self, now: int) -> int | None:
+        """How long ago the newest message was sent that any other node is known to have had; none before the first.
+
+        A control node that needs nobody else for its lease has it from its lease.
+        """
+        known = [each for each in (self.instant, self.exchanged_at) if each is not None]
+        return now - max(known) if known else None
+
     def settle(self, held: ControlVersions) -> bool:
         """Move the contact instant as far as the grants and what is held here allow; tells whether it moved."""
         complete = [
@@ -168,8 +179,8 @@
         self._rounds = {number: each for number, each in self._rounds.items() if each.sent_at > instant}
 
     def _has_majority(self, granted: Round) -> bool:
-        granters = (granted.granters | {self._me}) & self._electorate
-        return 2 * len(granters) > len(self._electorate)
+        granters = granted.granters | {self._me}
+        return all(2 * len(granters & each) > len(each) for each in self._electorates)
 
     def _next_number(self) -> int:
         self._number += 1
@@ -191,10 +202,6 @@
         self.instant: int | None = None
         self._pending: Voucher | None = None
 
-    def age(self, now: int) -> int | None:
-        """How long ago the contact instant was; none before the first."""
-        return None if self.instant is None else now - self.instant
-
     def vouch(self, voucher: Voucher, held: ControlVersions) -> bool:
         """A parent vouches; tells whether the contact instant moved."""
         self._pending = voucher
--- a/canvasbeam/decide/control_mesh.py
+++ b/canvasbeam/decide/control_mesh.py
@@ -64,18 +64,21 @@
                 due.append(address)
         return tuple(due)
 
-    def tick(self, now: int) -> None:
-        """Forget peers that are gone for good."""
+    def tick(self, now: int) -> bool:
+        """Forget peers that are gone for good; tells whether there were any."""
         heard = 1 + len(self.heard(now))
         total = 1 + len(self.peers)
-        if 2 * heard >= total:
-            self._forget_lost(now)
-
-    def _forget_lost(self, now: int) -> None:
-        for address, peer in tuple(self.peers.items()):
-            last = max(peer.heard_at, peer.known_at)
-            if not peer.is_listed and now - last > self._terms.mesh_forget:
-                del self.peers[address]
+        return 2 * heard >= total and self._forget_lost(now)
+
+    def _forget_lost(self, now: int) -> bool:
+        lost = [
+            address
+            for address, peer in self.peers.items()
+            if not peer.is_listed and now - max(peer.heard_at, peer.known_at) > self._terms.mesh_forget
+        ]
+        for address in lost:
+            del self.peers[address]
+        return bool(lost)
 
     def _is_heard(self, now: int, peer: MeshPeer) -> bool:
         return now - peer.heard_at < self._terms.silence
--- a/canvasbeam/decide/distribution.py
+++ b/canvasbeam/decide/distribution.py
@@ -78,7 +78,7 @@
         self._next_keepalive = now
         self._keepalive_sent_at = now - terms.keepalive
         self._next_lease_request = now
-        self._electorate: frozenset[Address] = frozenset()  # where a view of the control state is known
+        self._electorates: tuple[frozenset[Address], ...] = ()  # where a view of the control state is known
         self._ahead: dict[Address, ControlVersions] = {}  # granters that held more than this node
         self._life = seed
         self._next_compare = now + terms.compare
@@ -99,9 +99,11 @@
         if self.me.is_control:
             self._list_mesh(now)
 
-    def set_electorate(self, now: int, electorate: Iterable[Address]) -> None:
-        """Most of these control nodes must grant a lease: the witnesses of the newest view that is known."""
-        self._electorate = frozenset(electorate)
+    def set_electorates(self, now: int, electorates: Iterable[Iterable[Address]]) -> None:
+        """Most of each must grant a lease: the witnesses of the newest view known, and of the one before it until the
+        change is settled.
+        """
+        self._electorates = tuple(frozenset(each) for each in electorates)
         if self.me.is_control:
             self._list_mesh(now)
 
@@ -158,7 +160,8 @@
     def tick(self, now: int) -> None:
         """Do what is due."""
         if self.me.is_control:
-            self.mesh.tick(now)
+            if self.mesh.tick(now):
+                self._update_electorates()
             self._request_lease(now)
         else:
             self._actions += self.link.tick(now)
@@ -191,7 +194,13 @@
 
     def control_age(self, now: int) -> int | None:
         """How long ago this node's contact instant was, directly or by its parents; none before the first."""
-        return self.contact.age(now) if self.me.is_control else self.relayed.age(now)
+        instant = self.contact_instant
+        return None if instant is None else now - instant
+
+    @property
+    def contact_instant(self) -> int | None:
+        """The contact instant of this node."""
+        return self.contact.instant if self.me.is_control else self.relayed.instant
 
     @property
     def depth(self) -> int:
@@ -242,7 +251,10 @@
     def _on_renew(self, now: int, sender: Address, message: Renew) -> None:
         if sender not in self.children:
             self._send((sender,), Refuse())
-        elif message.asked_at is not None:
+            return
+        if message.heard is not None and message.heard.life == self._life:
+            self.contact.note_exchange(min(message.heard.sent_at, now))
+        if message.asked_at is not None:
             self._send((sender,), self._keepalive(now, asked_at=message.asked_at))
 
     # --- the lease of a control node --------------------------------------------------------------
@@ -253,7 +265,7 @@
             return
         if sender not in self.mesh.peers:
             self.mesh.on_heard(now, sender)
-            self._update_electorate()
+            self._update_electorates()
         self._merge(now, message.items, sender)
         self._send((sender,), LeaseGrant(message.number, ControlVersions.of(self.table)))
 
@@ -299,13 +311,13 @@
         return number
 
     def _list_mesh(self, now: int) -> None:
-        electorate = self._electorate - {self.me.address}
-        self.mesh.list_peers(now, self._control_addresses(), (*self._seeds, *electorate))
-        self._update_electorate()
+        voters = frozenset().union(*self._electorates) - {self.me.address}
+        self.mesh.list_peers(now, self._control_addresses(), (*self._seeds, *voters))
+        self._update_electorates()
 
-    def _update_electorate(self) -> None:
+    def _update_electorates(self) -> None:
         """Without a view, all control nodes that are known."""
-        self.contact.set_electorate(self._electorate or {self.me.address, *self.mesh.peers})
+        self.contact.set_electorates(self._electorates or [{self.me.address, *self.mesh.peers}])
 
     def _request_newer(self, sender: Address, versions: ControlVersions) -> None:
         """Ask for the configuration and the evacuations where the sender holds newer ones."""
--- a/canvasbeam/decide/distribution_messages.py
+++ b/canvasbeam/decide/distribution_messages.py
@@ -66,6 +66,7 @@
     """A child is still there."""
 
     asked_at: int | None = None  # by the child's clock, where it wants a keepalive that tells it again
+    heard: SendTime | None = None  # the newest keepalive of the receiver that the child has
 
 
 @dataclass(frozen=True, slots=True)
@@ -147,6 +148,7 @@
     improve: int = 2 * SECOND  # between looks for a better parent
     improve_stale: int = 400 * MILLISECOND  # the same, where the parent has lost the control nodes
     stale: int = 1_200 * MILLISECOND  # the age of control contact above which a parent is worth leaving
+    exchange: int = 2 * SECOND  # the age of the newest answer of anybody above which a control node directs nobody
     renew: int = SECOND
     child_silence: int = 4 * SECOND
     batch: int = 20 * MILLISECOND  # the least time between two pushes
--- a/canvasbeam/decide/parent_link.py
+++ b/canvasbeam/decide/parent_link.py
@@ -30,7 +30,7 @@
     Subscribe,
     Unsubscribe,
 )
-from canvasbeam.decide.peer_clock import PeerClocks
+from canvasbeam.decide.peer_clock import PeerClocks, SendTime
 from canvasbeam.runtime.settings import Address
 
 MOST_SLOWNESS = 2
@@ -54,6 +54,7 @@
     heard_at: int
     contact_at: int  # its contact instant, by our clock
     depth: int
+    told: SendTime  # when it sent its newest keepalive, by its clock
 
 
 class ParentLink:
@@ -126,6 +127,7 @@
     def _on_parent_keepalive(self, now: int, parent: Parent, message: Keepalive, contact_at: int | None) -> list[Send]:
         parent.heard_at = now
         parent.depth = message.depth
+        parent.told = message.time
         if contact_at is None:
             return [Send((parent.address,), Renew(now))]
         parent.contact_at = contact_at
@@ -190,7 +192,7 @@
         left = [*self._candidates, *([self.parent.address] if self.parent else [])]
         self._candidates.clear()
         self._clocks.forget_all_but(address)
-        self.parent = Parent(address, now, now, contact_at, message.depth)
+        self.parent = Parent(address, now, now, contact_at, message.depth, message.time)
         self._was_stale = self._is_stale(now)
         self.changes += 1
         self._next_improve = now + self._jittered(self._improve_interval(now))
@@ -255,7 +257,7 @@
             self._slowness = 0
         self._next_renew = now + self._terms.renew
         asked_at = now if self._clocks.is_worth_asking(now, self.parent.address) else None
-        return [Send((self.parent.address,), Renew(asked_at))]
+        return [Send((self.parent.address,), Renew(asked_at, self.parent.told))]
 
     def _ask(self, now: int, address: Address) -> list[Send]:
         self._candidates[address] = now
--- a/tests/test_control_contact.py
+++ b/tests/test_control_contact.py
@@ -26,7 +26,7 @@
 
 def contact_of(count: int) -> ControlContact:
     contact = ControlContact(NODES[0], seed=7)
-    contact.set_electorate(NODES[:count])
+    contact.set_electorates([NODES[:count]])
     return contact
 
 
@@ -38,7 +38,7 @@
     number = contact.begin_round(1 * SECOND, OLD)
     assert contact.on_grant(NODES[1], number, OLD, OLD)
     assert contact.instant == 1 * SECOND
-    assert contact.age(4 * SECOND) == 3 * SECOND
+    assert contact_state(contact.instant, 4 * SECOND, LEASE) is ContactState.LAPSED
 
 
 def test_a_majority_of_five_is_two_others() -> None:
@@ -67,7 +67,7 @@
 
 def test_a_node_outside_the_electorate_needs_a_majority_of_the_others() -> None:
     contact = contact_of(3)
-    contact.set_electorate(NODES[1:4])
+    contact.set_electorates([NODES[1:4]])
     number = contact.begin_round(0, OLD)
     assert not contact.on_grant(NODES[1], number, OLD, OLD)
     assert contact.on_grant(NODES[2], number, OLD, OLD)
@@ -76,7 +76,7 @@
 def test_an_electorate_that_grows_ends_no_lease_but_is_asked_for_the_next() -> None:
     contact = contact_of(3)
     contact.on_grant(NODES[1], contact.begin_round(0, OLD), OLD, OLD)
-    contact.set_electorate(NODES)
+    contact.set_electorates([NODES])
     assert contact.instant == 0
     number = contact.begin_round(SECOND, OLD)
     contact.on_grant(NODES[1], number, OLD, OLD)
@@ -85,6 +85,15 @@
     assert contact.instant == SECOND
 
 
+def test_two_electorates_must_both_have_a_majority_while_a_view_is_not_settled() -> None:
+    contact = contact_of(3)
+    contact.set_electorates([NODES[2:5], NODES[:3]])
+    number = contact.begin_round(0, OLD)
+    assert not contact.on_grant(NODES[1], number, OLD, OLD)
+    assert not contact.on_grant(NODES[3], number, OLD, OLD)
+    assert contact.on_grant(NODES[4], number, OLD, OLD)
+
+
 def test_one_control_node_alone_needs_nobody() -> None:
     contact = contact_of(1)
     contact.begin_round(5, OLD)
@@ -116,7 +125,7 @@
 
 def test_a_grant_to_an_earlier_life_matches_nothing() -> None:
     earlier, later = contact_of(3), ControlContact(NODES[0], seed=8)
-    later.set_electorate(NODES[:3])
+    later.set_electorates([NODES[:3]])
     number = earlier.begin_round(0, OLD)
     later.begin_round(SECOND, OLD)
     assert not later.on_grant(NODES[1], number, OLD, OLD)
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -89,6 +89,13 @@
     def in_touch(self, within: int) -> bool:
         return self.member.ip not in self.network.cut_off
 
+    async def write(self, items: Iterable[Item], within_s: float) -> bool:
+        written = tuple(items)
+        reached = [node for node in self.network.nodes if self.network.reach_each_other(self.member.ip, node.member.ip)]
+        for node in reached:
+            node.table.merge(written)
+        return 2 * len(reached) > len(self.network.nodes)
+
     def call(self, method: str, worker_id: str, body: bytes = b"") -> Answer:
         return asyncio.run(self.service.instances(Request(method, INSTANCES_PREFIX + worker_id, body=body)))
 
