Tests of contact under cuts, stalls and pauses, with planted faults that they catch

A stalled direction is new in the simulated network: messages wait while the other direction goes on.

--- a/canvasbeam/decide/control_contact.py
+++ b/canvasbeam/decide/control_contact.py
@@ -106,6 +106,11 @@
         """
         self._electorates = tuple(frozenset(each) for each in electorates)
 
+    @property
+    def has_open_round(self) -> bool:
+        """Whether a request that was sent after the contact instant waits for grants."""
+        return bool(self._rounds)
+
     # --- rounds -----------------------------------------------------------------------------------
 
     def begin_round(self, now: int, held: ControlVersions) -> int:
--- a/tests/cluster_network.py
+++ b/tests/cluster_network.py
@@ -54,6 +54,7 @@
         self._chance = random.Random(seed)
         self._datagram_loss = datagram_loss
         self._cut_since: dict[tuple[Address, Address], int] = {}
+        self._stalled: dict[tuple[Address, Address], list[Message]] = {}
         self._events: list[tuple[int, int, Callable[[], None]]] = []
         self._counter = itertools.count()
         self._extra_delay: dict[Address, int] = {}
@@ -115,6 +116,19 @@
         self.cut(first, second)
         self.cut(second, first)
 
+    def stall(self, sources: Iterable[Host], targets: Iterable[Host]) -> None:
+        """What these send to those waits until `release`; connections stand, and the other direction is well."""
+        for source, target in itertools.product(tuple(sources), tuple(targets)):
+            if source is not target:
+                self._stalled.setdefault((source.address, target.address), [])
+
+    def release(self) -> None:
+        """What waited is on its way; datagrams were lost."""
+        stalled, self._stalled = self._stalled, {}
+        for (source, target), messages in stalled.items():
+            for message in messages:
+                self._send(self.hosts[source], target, message)
+
     def heal(self) -> None:
         """All links are well again."""
         self._cut_since.clear()
@@ -246,6 +260,9 @@
         if self.lose_message(host.address, target, message):
             return
         link = host.address, target
+        if link in self._stalled:
+            self._stalled[link].append(message)
+            return
         arrival = max(self.now + self._delay(*link), self._arrival.get(link, 0))
         self._arrival[link] = arrival
         self._at(arrival, lambda: self._deliver(host, target, message, self.now + USER_TIMEOUT))
@@ -278,6 +295,8 @@
         other = self.hosts.get(target)
         if other is None or not other.is_running or self._is_cut(host.address, target):
             return
+        if (host.address, target) in self._stalled:
+            return
         if target in self._frozen_until:
             self._at(self._frozen_until[target], lambda: self._deliver_datagram(host, target, action))
             return
--- /dev/null
+++ b/tests/test_contact_cuts.py
@@ -0,0 +1,395 @@
+"""Cuts, stalls and pauses in a simulated network: who is in contact, and when a change is in force everywhere."""
+
+from __future__ import annotations
+
+import pytest
+
+from canvasbeam.cluster.items import Item, ItemKind, Version
+from canvasbeam.decide.control_contact import ControlVersions
+from canvasbeam.decide.distribution_messages import LeaseGrant, Message, Update
+from canvasbeam.runtime.settings import Address
+from tests.cluster_network import MS, SECOND, Host, Network
+
+STALE = 1_200 * MS
+IN_FORCE = 3 * SECOND  # what an operator is promised, from the acknowledgement on
+LEFT_WITHIN = 2_500 * MS  # a parent out of contact, the newest configuration included
+SEEDS = range(1, 5)
+
+
+def fleet(regions: int = 3, edges: int = 7, seed: int = 1) -> tuple[Network, list[Host], list[Host]]:
+    network = Network(seed=seed)
+    controls, others = network.fleet(regions=regions, edges=edges)
+    network.run_until(lambda: network.all_know(network.running()), 3 * SECOND)
+    network.run(6 * SECOND)
+    return network, controls, others
+
+
+def is_in_contact(network: Network, host: Host) -> bool:
+    return host.core.has_majority(network.now)
+
+
+def age(network: Network, host: Host) -> int:
+    found = host.core.control_age(network.now)
+    assert found is not None
+    return found
+
+
+def others_than(network: Network, *hosts: Host) -> list[Host]:
+    return [each for each in network.running() if each not in hosts]
+
+
+def children_of(network: Network, host: Host) -> list[Host]:
+    return [each for each in network.running() if each.core.distribution.link.is_parent(host.address)]
+
+
+# --- calm -----------------------------------------------------------------------------------------
+
+
+def test_in_calm_the_ages_stay_well_below_what_a_heartbeat_is_acknowledged_within() -> None:
+    network, controls, edges = fleet()
+    for _ in range(1_000):
+        network.run(7 * MS)
+        assert all(age(network, control) <= 400 * MS for control in controls)
+        assert all(age(network, edge) <= 600 * MS for edge in edges)
+
+
+def test_below_relays_the_ages_stay_below_the_staleness_of_a_parent() -> None:
+    network, controls, edges = fleet(edges=60)
+    deepest = max(edge.core.distribution.depth for edge in edges)
+    assert deepest == 2
+    for _ in range(300):
+        network.run(13 * MS)
+        assert all(age(network, edge) <= 700 * MS for edge in edges)
+
+
+# --- cuts of one control node ---------------------------------------------------------------------
+
+MUTE, DEAF = "its messages are lost", "others' messages are lost"
+MUTE_STALL, DEAF_STALL = "its messages are stalled", "others' messages are stalled"
+ONE_WAY = [MUTE, DEAF, MUTE_STALL, DEAF_STALL]
+
+
+def cut_one_way(network: Network, host: Host, direction: str, others: list[Host]) -> None:
+    """Lost, connections end some time after; stalled, they stand, and the other direction goes on."""
+    match direction:
+        case "its messages are lost":
+            network.cut([host], others)
+        case "others' messages are lost":
+            network.cut(others, [host])
+        case "its messages are stalled":
+            network.stall([host], others)
+        case _:
+            network.stall(others, [host])
+
+
+@pytest.mark.parametrize("direction", ONE_WAY)
+def test_a_control_node_cut_one_way_from_its_peers_is_out_of_contact(direction: str) -> None:
+    network, controls, _ = fleet()
+    cut_one_way(network, controls[0], direction, controls[1:])
+    network.run(STALE + 10 * MS)
+    assert not is_in_contact(network, controls[0])
+    for _ in range(100):
+        network.run(100 * MS)
+        assert not is_in_contact(network, controls[0])
+        assert all(is_in_contact(network, each) for each in controls[1:])
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("direction", ONE_WAY)
+def test_its_children_leave_it_and_have_what_was_acknowledged_since(direction: str, seed: int) -> None:
+    """Only the links among control nodes are cut: its children hear it all the time."""
+    network, controls, _ = fleet(seed=seed)
+    assert children_of(network, controls[0])
+    cut_one_way(network, controls[0], direction, controls[1:])
+    cut_at = network.now
+    item = network.publish(controls[1], 1)
+    others = others_than(network, controls[0])
+    assert network.run_until(lambda: network.have(others, item), 3 * SECOND) <= LEFT_WITHIN
+    network.run_until(lambda: not children_of(network, controls[0]), cut_at + LEFT_WITHIN - network.now)
+    for number in range(2, 10):
+        network.run(SECOND)
+        item = network.publish(controls[number % 2 + 1], number)
+        assert network.run_until(lambda: network.have(others, item), SECOND) <= 200 * MS  # noqa: B023
+        assert not children_of(network, controls[0])
+
+
+@pytest.mark.parametrize("direction", ONE_WAY)
+def test_what_is_published_at_the_very_moment_of_the_cut_is_in_force_in_time(direction: str) -> None:
+    network, controls, edges = fleet()
+    network.run(130 * MS)
+    item = network.publish(controls[1], 1)
+    network.run(10 * MS)
+    cut_one_way(network, controls[0], direction, controls[1:])
+    others = others_than(network, controls[0])
+    assert network.run_until(lambda: network.have(others, item), IN_FORCE) <= LEFT_WITHIN
+
+
+@pytest.mark.parametrize("direction", ONE_WAY)
+def test_a_control_node_cut_one_way_from_everybody_keeps_no_child(direction: str) -> None:
+    network, controls, _ = fleet()
+    others = others_than(network, controls[0])
+    cut_one_way(network, controls[0], direction, others)
+    item = network.publish(controls[2], 1)
+    assert network.run_until(lambda: network.have(others, item), 3 * SECOND) <= LEFT_WITHIN
+
+
+def test_two_control_nodes_of_five_cut_off_together_are_out_of_contact() -> None:
+    network, controls, edges = fleet(regions=5, edges=15)
+    cut, rest = controls[:2], controls[2:]
+    network.cut(cut, rest)
+    network.run(STALE + 10 * MS)
+    assert not any(is_in_contact(network, each) for each in cut)
+    assert all(is_in_contact(network, each) for each in rest)
+    item = network.publish(rest[0], 1)
+    assert network.run_until(lambda: network.have([*rest, *edges], item), 3 * SECOND) <= LEFT_WITHIN - STALE
+    assert all(is_in_contact(network, each) for each in edges)
+
+
+def test_a_node_that_hears_again_is_in_contact_only_with_what_the_majority_holds() -> None:
+    network, controls, _ = fleet()
+    network.cut_both_ways([controls[0]], controls[1:])
+    network.run(3 * SECOND)
+    item = network.publish(controls[1], 1)
+    network.run(100 * MS)
+    is_lost = [True]
+    network.lose_message = lambda source, target, message: (
+        is_lost[0] and target == controls[0].address and isinstance(message, Update)
+    )
+    network.heal()
+    network.run(3 * SECOND)
+    assert not network.have([controls[0]], item)
+    assert not is_in_contact(network, controls[0])
+    is_lost[0] = False
+    network.run_until(lambda: is_in_contact(network, controls[0]), 2 * SECOND)
+    assert network.have([controls[0]], item)
+
+
+def test_only_a_node_in_contact_calls_a_member_dead() -> None:
+    network, controls, _ = fleet()
+    network.cut([controls[0]], controls[1:])
+    network.run(1_500 * MS)
+    others = others_than(network, controls[0])
+    monitoring = controls[0].core.monitoring
+    network.cut(controls[1:], [controls[0]])
+    for _ in range(40):
+        network.run(100 * MS)
+        held = [controls[0].core.table.get(ItemKind.MEMBER, each.member.key) for each in others]
+        assert not any(item is None or item.deleted for item in held)
+    assert any(monitoring.is_silent(each.member.key) for each in controls[1:])
+
+
+# --- stalled directions ---------------------------------------------------------------------------
+
+
+def test_keepalives_that_were_held_on_the_way_are_as_old_as_they_are() -> None:
+    network, controls, edges = fleet()
+    child = children_of(network, controls[0])[0]
+    before = child.core.distribution.contact_instant
+    network.stall(controls, [child])
+    network.run(SECOND)
+    held_until = network.now
+    network.lose_message = lambda source, target, message: target == child.address  # nothing newer comes
+    network.run(2 * SECOND)
+    assert not is_in_contact(network, child)
+    network.lose_message = lambda source, target, message: False
+    network.release()
+    network.lose_message = lambda source, target, message: target == child.address
+    for _ in range(300):
+        network.run(10 * MS)
+        instant = child.core.distribution.contact_instant
+        assert before is not None
+        assert instant is not None
+        assert before <= instant <= held_until
+        assert not is_in_contact(network, child)
+
+
+def test_grants_that_were_held_on_the_way_make_no_lease_that_is_not_old() -> None:
+    network, controls, _ = fleet()
+    network.stall(controls[1:], [controls[0]])
+    network.run(3 * SECOND)
+    assert not is_in_contact(network, controls[0])
+    held_since = network.now
+    network.cut([controls[0]], controls[1:])
+    network.release()
+    network.run(60 * MS)
+    instant = controls[0].core.distribution.contact_instant
+    assert instant is not None
+    assert instant <= held_since
+    network.run(STALE)
+    assert not is_in_contact(network, controls[0])
+
+
+# --- pauses ---------------------------------------------------------------------------------------
+
+
+def test_a_control_node_that_stood_still_has_no_contact_until_a_new_round_is_granted() -> None:
+    network, controls, _ = fleet()
+    contact = controls[0].core.distribution.contact
+    network.run_until(lambda: contact.has_open_round, 300 * MS)  # its grants wait for the thawed process
+    network.freeze(controls[0], 4 * SECOND)
+    frozen_at = network.now
+    network.run(4 * SECOND + MS)
+    assert not is_in_contact(network, controls[0])
+    assert not controls[0].core.is_heard(network.now)
+    instant = controls[0].core.distribution.contact_instant
+    assert instant is not None
+    assert instant <= frozen_at
+    network.run_until(lambda: is_in_contact(network, controls[0]), 500 * MS)
+    assert controls[0].core.is_heard(network.now)
+
+
+def test_a_thawed_parent_vouches_for_nothing_that_it_does_not_know() -> None:
+    network, controls, _ = fleet()
+    child = children_of(network, controls[0])[0]
+    network.cut([child], controls[1:])
+    network.cut(controls[1:], [child])
+    network.run(2 * SECOND)
+    network.freeze(controls[0], 3 * SECOND)
+    network.run(1_500 * MS)
+    item = network.publish(controls[1], 1)
+    for _ in range(500):
+        network.run(10 * MS)
+        assert network.have([child], item) or not is_in_contact(network, child)
+    assert network.have([child], item)
+
+
+def test_below_a_relay_that_stood_still_contact_ends_and_comes_back() -> None:
+    network, controls, edges = fleet(edges=60)
+    relay = next(each for each in edges if children_of(network, each))
+    children = children_of(network, relay)
+    network.freeze(relay, 4 * SECOND)
+    network.run(STALE + 100 * MS)
+    item = network.publish(controls[0], 1)
+    rest = [each for each in edges if each is not relay]
+    assert network.run_until(lambda: network.have(rest, item), 2 * SECOND) <= LEFT_WITHIN - STALE
+    network.run(3 * SECOND)
+    network.run_until(lambda: all(is_in_contact(network, each) for each in [relay, *children]), SECOND)
+    assert network.have(network.running(), item)
+
+
+# --- starts into a cut ----------------------------------------------------------------------------
+
+
+def test_an_edge_restarted_into_the_cut_finds_the_majority() -> None:
+    network, controls, edges = fleet()
+    network.cut([controls[0]], controls[1:])
+    network.run(2 * SECOND)
+    item = network.publish(controls[1], 1)
+    edge = network.restart(edges[0])
+    assert network.run_until(lambda: network.have([edge], item), 3 * SECOND) <= LEFT_WITHIN
+    network.run_until(lambda: is_in_contact(network, edge), SECOND)
+
+
+def test_an_edge_whose_seeds_are_all_on_the_wrong_side_finds_the_majority_by_their_members() -> None:
+    network, controls, edges = fleet()
+    network.cut(controls[:1], controls[1:])
+    item = network.publish(controls[1], 1)
+    network.seeds = [controls[0].address]
+    edge = network.restart(edges[0])
+    assert network.run_until(lambda: network.have([edge], item), 4 * SECOND) <= IN_FORCE
+    network.run_until(lambda: is_in_contact(network, edge), SECOND)
+
+
+def test_an_edge_with_nobody_else_goes_on_with_its_parent_out_of_contact() -> None:
+    network, controls, edges = fleet()
+    side = [controls[0], *(each for each in edges if each.member.region == "region-0")]
+    network.cut_both_ways(side, others_than(network, *side))
+    network.run(8 * SECOND)
+    for edge in side[1:]:
+        assert not is_in_contact(network, edge)
+        assert edge.core.distribution.link.is_parent(controls[0].address)
+    assert controls[0].core.is_heard(network.now)
+    assert {each.member.name for each in side[1:]} <= network.names(controls[0])
+
+
+def test_a_control_node_that_hears_nobody_directs_nobody() -> None:
+    network, controls, _ = fleet()
+    network.cut(others_than(network, controls[0]), [controls[0]])
+    network.run(2_100 * MS)
+    assert not controls[0].core.is_heard(network.now)
+
+
+# --- the electorate -------------------------------------------------------------------------------
+
+
+def test_contact_is_with_the_witnesses_of_the_view_where_one_is_known() -> None:
+    network, controls, _ = fleet(regions=5, edges=10)
+    witnesses = [each.member.ip for each in controls[:3]]
+    for control in controls:
+        control.core.set_electorates(network.now, [witnesses])
+    network.cut_both_ways(controls[1:3], controls[3:])
+    network.cut_both_ways([controls[0]], controls[3:])
+    network.run(2 * SECOND)
+    assert all(is_in_contact(network, each) for each in controls[:3])
+    assert not any(is_in_contact(network, each) for each in controls[3:])
+
+
+def test_an_electorate_that_changes_keeps_contact_where_both_majorities_are_there() -> None:
+    network, controls, _ = fleet(regions=5, edges=10)
+    former, later = controls[:3], controls[2:]
+    network.lose_power(controls[0])
+    for electorates in ([former, later], [later]):
+        for control in controls[1:]:
+            control.core.set_electorates(network.now, [[each.member.ip for each in group] for group in electorates])
+        for _ in range(40):
+            network.run(50 * MS)
+            assert all(is_in_contact(network, each) for each in controls[1:])
+
+
+# --- writes to a majority -------------------------------------------------------------------------
+
+
+def worker(sequence: int) -> Item:
+    return Item(ItemKind.WORKER, "w1", Version(sequence), b"worker")
+
+
+def test_a_write_is_done_soon_and_then_a_majority_holds_the_item() -> None:
+    network, controls, _ = fleet()
+    item = worker(1)
+    network.publish_items(controls[0], [item])
+    number = controls[0].core.begin_write(network.now, [item])
+    network._perform(controls[0])
+    network.run_until(lambda: controls[0].core.is_written(number), 150 * MS)
+    assert sum(network.have([each], item) for each in controls[1:]) >= 1
+    network.run_until(lambda: network.have(network.running(), item), 200 * MS)
+
+
+@pytest.mark.parametrize("direction", ONE_WAY)
+def test_a_write_of_a_node_cut_one_way_is_never_done(direction: str) -> None:
+    network, controls, _ = fleet()
+    cut_one_way(network, controls[0], direction, controls[1:])
+    number = controls[0].core.begin_write(network.now, [worker(1)])
+    network._perform(controls[0])
+    network.run(5 * SECOND)
+    assert not controls[0].core.is_written(number)
+
+
+def test_a_write_whose_first_messages_are_lost_is_sent_again() -> None:
+    network, controls, _ = fleet()
+    lost = [2]
+
+    def lose(source: Address, target: Address, message: Message) -> bool:
+        is_lost = source == controls[0].address and lost[0] > 0
+        lost[0] -= is_lost
+        return is_lost
+
+    network.lose_message = lose
+    number = controls[0].core.begin_write(network.now, [worker(1)])
+    network._perform(controls[0])
+    assert network.run_until(lambda: controls[0].core.is_written(number), SECOND) <= 500 * MS
+    assert any(network.have([each], worker(1)) for each in controls[1:])
+
+
+def test_what_granters_report_is_what_they_hold() -> None:
+    network, controls, _ = fleet()
+    reported: list[ControlVersions] = []
+
+    def watch(source: Address, target: Address, message: Message) -> bool:
+        if isinstance(message, LeaseGrant) and source == controls[1].address:
+            reported.append(message.versions)
+        return False
+
+    network.lose_message = watch
+    network.publish(controls[1], 4)
+    network.run(SECOND)
+    assert reported[-1] == ControlVersions(configuration=4)
--- /dev/null
+++ b/tests/test_contact_faults.py
@@ -0,0 +1,107 @@
+"""Faults that are planted in the contact of nodes: each must fail the test that is named beside it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import partial
+
+import pytest
+
+from canvasbeam.decide.control_contact import ControlContact, ControlVersions
+from canvasbeam.decide.distribution import Distribution
+from canvasbeam.decide.distribution_messages import LeaseGrant, Message
+from canvasbeam.decide.parent_link import ParentLink
+from canvasbeam.decide.peer_clock import PeerClocks
+from canvasbeam.runtime.settings import Address
+from tests import test_contact_cuts as cuts
+from tests import test_control_contact as lease
+
+Plant = Callable[[pytest.MonkeyPatch], None]
+
+
+def contact_from_what_is_heard(patch: pytest.MonkeyPatch) -> None:
+    """A node that hears most control nodes takes itself for in contact."""
+    receive = Distribution.receive
+
+    def broken(self: Distribution, now: int, sender: Address, message: Message) -> None:
+        receive(self, now, sender, message)
+        if 2 * (1 + len(self.mesh.heard(now))) > 1 + len(self.mesh.peers):
+            self.contact.instant = now
+
+    patch.setattr(Distribution, "receive", broken)
+
+
+def lease_counted_from_receipt(patch: pytest.MonkeyPatch) -> None:
+    """A grant is worth as much when it comes as when its request was sent."""
+    on_grant = Distribution._on_lease_grant
+
+    def broken(self: Distribution, now: int, sender: Address, message: LeaseGrant) -> None:
+        before = self.contact.instant
+        on_grant(self, now, sender, message)
+        if self.contact.instant != before:
+            self.contact.instant = now
+
+    patch.setattr(Distribution, "_on_lease_grant", broken)
+
+
+def keepalive_counted_from_receipt(patch: pytest.MonkeyPatch) -> None:
+    """A keepalive is taken as sent when it comes."""
+    patch.setattr(PeerClocks, "sent_at", lambda self, now, address, time: now)
+
+
+def versions_not_compared(patch: pytest.MonkeyPatch) -> None:
+    """A node is in contact whatever it holds."""
+    patch.setattr(ControlVersions, "covers", lambda self, other: True)
+
+
+def one_electorate_of_two(patch: pytest.MonkeyPatch) -> None:
+    """Only the witnesses of the newest view must grant, also before its change is settled."""
+    set_electorates = ControlContact.set_electorates
+    patch.setattr(ControlContact, "set_electorates", lambda self, each: set_electorates(self, list(each)[:1]))
+
+
+def any_round_confirms_a_write(patch: pytest.MonkeyPatch) -> None:
+    """A write counts as done once any later request is granted."""
+    patch.setattr(
+        ControlContact,
+        "is_written",
+        lambda self, number: self.instant is not None and self.instant >= self._writes[number].sent_at,
+    )
+
+
+def stale_parent_is_kept(patch: pytest.MonkeyPatch) -> None:
+    """A parent out of contact is no worse than others."""
+    patch.setattr(ParentLink, "_is_stale", lambda self, now: False)
+
+
+FAULTS: list[tuple[Plant, Callable[[], None]]] = [
+    (contact_from_what_is_heard,
+     partial(cuts.test_a_control_node_cut_one_way_from_its_peers_is_out_of_contact, cuts.MUTE)),
+    (contact_from_what_is_heard,
+     partial(cuts.test_its_children_leave_it_and_have_what_was_acknowledged_since, cuts.MUTE_STALL, 1)),
+    (lease_counted_from_receipt, cuts.test_grants_that_were_held_on_the_way_make_no_lease_that_is_not_old),
+    (lease_counted_from_receipt,
+     cuts.test_a_control_node_that_stood_still_has_no_contact_until_a_new_round_is_granted),
+    (keepalive_counted_from_receipt, cuts.test_keepalives_that_were_held_on_the_way_are_as_old_as_they_are),
+    (versions_not_compared,
+     cuts.test_a_node_that_hears_again_is_in_contact_only_with_what_the_majority_holds),
+    (one_electorate_of_two, lease.test_two_electorates_must_both_have_a_majority_while_a_view_is_not_settled),
+    (any_round_confirms_a_write, lease.test_a_write_is_done_when_a_majority_has_granted_that_very_request),
+    (stale_parent_is_kept,
+     partial(cuts.test_its_children_leave_it_and_have_what_was_acknowledged_since, cuts.MUTE_STALL, 1)),
+]  # fmt: skip
+
+
+def _name(value: object) -> str:
+    function = value.func if isinstance(value, partial) else value
+    return str(getattr(function, "__name__", value)).removeprefix("test_")
+
+
+@pytest.mark.parametrize(("plant", "named_test"), FAULTS, ids=_name)
+def test_a_planted_fault_fails_its_test(
+    plant: Plant, named_test: Callable[[], None], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    named_test()
+    plant(monkeypatch)
+    with pytest.raises(AssertionError):
+        named_test()
--- a/tests/test_control_contact.py
+++ b/tests/test_control_contact.py
@@ -89,9 +89,9 @@
     contact = contact_of(3)
     contact.set_electorates([NODES[2:5], NODES[:3]])
     number = contact.begin_round(0, OLD)
-    assert not contact.on_grant(NODES[1], number, OLD, OLD)
     assert not contact.on_grant(NODES[3], number, OLD, OLD)
-    assert contact.on_grant(NODES[4], number, OLD, OLD)
+    assert not contact.on_grant(NODES[4], number, OLD, OLD)
+    assert contact.on_grant(NODES[1], number, OLD, OLD)
 
 
 def test_one_control_node_alone_needs_nobody() -> None:
