Keep clients of hosts with homes in their region or a home region

Cause: with fewer than two data-plane nodes in the client's region the directory named those of all regions alike and did not look at the host. While one of two nodes of a region restarted, four of five addresses were abroad, also for hosts whose routes must be served at home.

Change: the directory looks up the home regions that all homed routes of the host share, in the configuration that the node holds. With one node left in the client's region it names that one and the nodes of home regions; with none left, those of home regions; all only when none of these is there either. Hosts without homes are answered as before.

--- a/canvasbeam/control_plane/directory.py
+++ b/canvasbeam/control_plane/directory.py
@@ -5,8 +5,9 @@
 from collections.abc import Callable, Iterable
 
 from canvasbeam.cluster.member import Member
+from canvasbeam.control_plane.home_regions import HomeRegions
 from canvasbeam.control_plane.web import Answer, Request, json_answer, method_not_allowed, unavailable
-from canvasbeam.decide.directory import DataPlaneNode, choose_addresses
+from canvasbeam.decide.directory import ClientPlace, DataPlaneNode, choose_addresses
 from canvasbeam.errors import Failure, ResultCode
 from canvasbeam.runtime.settings import ProcessSettings
 
@@ -17,8 +18,9 @@
 class Directory:
     """Answers `GET /v1/resolve` at one control node."""
 
-    def __init__(self, settings: ProcessSettings, members: Callable[[], Iterable[Member]]) -> None:
+    def __init__(self, settings: ProcessSettings, members: Callable[[], Iterable[Member]], homes: HomeRegions) -> None:
         self._settings = settings
+        self._homes = homes
         self._members = members
 
     async def resolve(self, request: Request) -> Answer:
@@ -27,13 +29,16 @@
             return Answer(404)
         if request.method != "GET":
             return method_not_allowed("GET")
-        zone = request.query.get("zone", "")
-        region = request.query.get("region") or self._settings.zones.get(zone, "")
-        addresses = choose_addresses(self._ready_nodes(), zone, region)
+        homes = self._homes.of_host(request.query.get("name", ""))
+        addresses = choose_addresses(self._ready_nodes(), self._client_place(request), homes)
         if not addresses:
             return unavailable(Failure(ResultCode.REQUEST_NOT_READY, "no data-plane node is known to be ready"))
         return json_answer(200, {"addresses": addresses, "ttl_s": min(TTL_S, self._settings.bounds.ttl_max_s)})
 
+    def _client_place(self, request: Request) -> ClientPlace:
+        zone = request.query.get("zone", "")
+        return ClientPlace(zone, request.query.get("region") or self._settings.zones.get(zone, ""))
+
     def _ready_nodes(self) -> Iterable[DataPlaneNode]:
         for member in self._members():
             if member.front and member.ready and not member.is_control:
--- a/canvasbeam/control_plane/program.py
+++ b/canvasbeam/control_plane/program.py
@@ -8,6 +8,7 @@
 from canvasbeam.cluster.node import ClusterNode
 from canvasbeam.control_plane.changes import apply, apply_checked, decode_state, encode_state
 from canvasbeam.control_plane.directory import RESOLVE_PATH, Directory
+from canvasbeam.control_plane.home_regions import HomeRegions
 from canvasbeam.control_plane.operator_api import CONFIGURATION_PATH, EVACUATION_PREFIX, STATUS_PATH, OperatorApi
 from canvasbeam.control_plane.publisher import StatePublisher
 from canvasbeam.control_plane.registry import INSTANCES_PREFIX, RegistryService
@@ -44,7 +45,7 @@
         self._publisher = StatePublisher(self._node)
         self._service.add_commit_listener(self._publisher.on_committed)
         self._registry = RegistryService(settings, self._node)
-        self._directory = Directory(settings, self._node.members)
+        self._directory = Directory(settings, self._node.members, HomeRegions(self._node.table))
         self._operator = OperatorApi(
             settings, self._service, self._is_reachable, lambda: status_document(settings, self._node, self._service)
         )
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -5,10 +5,14 @@
 import asyncio
 import json
 
+import pytest
+
+from canvasbeam.cluster.items import Item, ItemKind, ItemTable, Version
 from canvasbeam.cluster.member import Member
 from canvasbeam.control_plane.directory import Directory
+from canvasbeam.control_plane.home_regions import HomeRegions, home_regions_by_host
 from canvasbeam.control_plane.web import Answer, Request
-from canvasbeam.decide.directory import MOST_ADDRESSES, DataPlaneNode, choose_addresses
+from canvasbeam.decide.directory import MOST_ADDRESSES, ClientPlace, DataPlaneNode, choose_addresses
 from canvasbeam.runtime.settings import Bounds, ProcessSettings
 
 NODES = [
@@ -18,24 +22,56 @@
 
 
 def test_two_nodes_of_the_own_zone_are_enough() -> None:
-    assert choose_addresses(NODES, "z1", "r1") == ["10.1.0.1:80", "10.1.0.2:80"]
+    assert choose_addresses(NODES, ClientPlace("z1", "r1")) == ["10.1.0.1:80", "10.1.0.2:80"]
 
 
 def test_one_node_of_the_own_zone_is_helped_by_its_region() -> None:
-    assert choose_addresses(NODES, "z2", "r1") == ["10.1.0.3:80", "10.1.0.1:80", "10.1.0.2:80"]
+    assert choose_addresses(NODES, ClientPlace("z2", "r1")) == ["10.1.0.3:80", "10.1.0.1:80", "10.1.0.2:80"]
 
 
 def test_one_node_of_the_own_region_is_helped_by_all() -> None:
-    assert choose_addresses(NODES, "z3", "r2") == ["10.2.0.1:80", "10.1.0.1:80", "10.1.0.2:80", "10.1.0.3:80"]
+    assert choose_addresses(NODES, ClientPlace("z3", "r2")) == [
+        "10.2.0.1:80",
+        "10.1.0.1:80",
+        "10.1.0.2:80",
+        "10.1.0.3:80",
+    ]
 
 
 def test_client_from_elsewhere_gets_all() -> None:
-    assert len(choose_addresses(NODES, "", "")) == 4
+    assert len(choose_addresses(NODES, ClientPlace("", ""))) == 4
+
+
+HOMES = [
+    DataPlaneNode("10.1.0.1:80", "z1", "r1"), DataPlaneNode("10.1.0.2:80", "z1", "r1"),
+    DataPlaneNode("10.2.0.1:80", "z2", "r2"), DataPlaneNode("10.2.0.2:80", "z2", "r2"),
+    DataPlaneNode("10.3.0.1:80", "z3", "r3"), DataPlaneNode("10.3.0.2:80", "z3", "r3"),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    ("left", "homes", "regions"),
+    [
+        (2, {"r2"}, {"r1"}),  # enough at home: nobody is sent further
+        (1, {"r1", "r2"}, {"r1", "r2"}),
+        (1, {"r2", "r3"}, {"r1", "r2", "r3"}),  # a client of a region that is no home is served in its own one
+        (1, {"r1"}, {"r1"}),  # one node at home is better than any that must not be called
+        (1, set(), {"r1"}),  # the routes of the host share no home
+        (0, {"r1", "r2"}, {"r2"}),
+        (0, {"r1"}, {"r2", "r3"}),  # nobody is left who is named by the homes
+    ],
+)
+def test_a_client_is_sent_to_its_own_region_or_to_a_home(left: int, homes: set[str], regions: set[str]) -> None:
+    gone = {node.front for node in HOMES[left:2]}
+    nodes = [node for node in HOMES if node.front not in gone]
+    addresses = choose_addresses(nodes, ClientPlace("z1", "r1"), frozenset(homes))
+    assert {node.region for node in nodes if node.front in addresses} == regions
+    assert addresses == sorted(addresses)  # by the test's addresses the own region comes first
 
 
 def test_addresses_are_bounded() -> None:
     many = [DataPlaneNode(f"10.0.{n // 250}.{n % 250}:80", "z1", "r1") for n in range(300)]
-    assert len(choose_addresses(many, "z1", "r1")) == MOST_ADDRESSES
+    assert len(choose_addresses(many, ClientPlace("z1", "r1"))) == MOST_ADDRESSES
 
 
 def settings(ttl_max_s: float = 5) -> ProcessSettings:
@@ -46,12 +82,33 @@
     )  # fmt: skip
 
 
-def member(front: str, *, zone: str = "z1", ready: bool = True, is_control: bool = False) -> Member:
-    return Member(f"n-{front}", "edge", "edge", "10.0.0.1", zone, "r1", front, ready, 1, is_control)
+def member(front: str, *, zone: str = "z1", region: str = "r1", ready: bool = True, is_control: bool = False) -> Member:
+    return Member(f"n-{front}", "edge", "edge", "10.0.0.1", zone, region, front, ready, 1, is_control)
+
+
+def table_with_routes(*routes: dict[str, object], version: int = 1) -> ItemTable:
+    table = ItemTable()
+    configure(table, *routes, version=version)
+    return table
+
+
+def configure(table: ItemTable, *routes: dict[str, object], version: int) -> None:
+    payload = json.dumps({"generation": version, "routes": routes}).encode()
+    table.merge([Item(ItemKind.CONFIGURATION, "current", Version(version), payload)])
+
 
+def route(host: str, *homes: str) -> dict[str, object]:
+    return {"name": f"route-{host}", "host": host, "prefix": "/a/", "home_regions": list(homes)}
 
-def resolve(*members: Member, ttl_max_s: float = 5, method: str = "GET", path: str = "/v1/resolve") -> Answer:
-    directory = Directory(settings(ttl_max_s), lambda: members)
+
+def resolve(
+    *members: Member,
+    ttl_max_s: float = 5,
+    method: str = "GET",
+    path: str = "/v1/resolve",
+    table: ItemTable | None = None,
+) -> Answer:
+    directory = Directory(settings(ttl_max_s), lambda: members, HomeRegions(table or ItemTable()))
     request = Request(method, path, {"name": "a.example", "region": "r1", "zone": "z1"})
     return asyncio.run(directory.resolve(request))
 
@@ -75,3 +132,37 @@
 def test_other_methods_and_paths_are_refused() -> None:
     assert resolve(member("10.1.0.1:80"), method="POST").status == 405
     assert resolve(member("10.1.0.1:80"), path="/v1/resolver").status == 404
+
+
+EDGES = [
+    member("10.1.0.1:80"),
+    member("10.1.0.2:80", ready=False),  # it ends
+    member("10.2.0.1:80", zone="z2", region="r2"),
+    member("10.3.0.1:80", zone="z3", region="r3"),
+]
+
+
+def addresses_with(table: ItemTable) -> list[str]:
+    addresses: list[str] = json.loads(resolve(*EDGES, table=table).body)["addresses"]
+    return addresses
+
+
+def test_while_one_of_two_nodes_ends_clients_of_a_host_with_homes_are_not_sent_elsewhere() -> None:
+    assert addresses_with(table_with_routes(route("A.example", "r1", "r2"))) == ["10.1.0.1:80", "10.2.0.1:80"]
+    assert addresses_with(table_with_routes(route("b.example", "r1", "r2"))) == [
+        "10.1.0.1:80", "10.2.0.1:80", "10.3.0.1:80",
+    ]  # fmt: skip
+
+
+def test_home_regions_are_those_of_the_configuration_now_in_force() -> None:
+    table = table_with_routes(route("a.example", "r1", "r2"))
+    assert len(addresses_with(table)) == 2
+    configure(table, route("a.example", "r1"), version=2)
+    assert addresses_with(table) == ["10.1.0.1:80"]
+    configure(table, route("a.example"), version=3)
+    assert len(addresses_with(table)) == 3
+
+
+def test_home_regions_of_a_host_are_those_that_all_its_routes_with_homes_share() -> None:
+    routes = [route("a", "r1", "r2"), route("a", "r2", "r3"), route("a"), route("b", "r1"), route("c")]
+    assert home_regions_by_host(routes) == {"a": {"r2"}, "b": {"r1"}}
