Refuse as not run before a configuration is known, and what is not whole in time

Cause: with no configuration yet the size of a head was judged by a default limit (431) and the parser kept the limit of the time at which a connection was opened; a body that came too slowly was answered 400 after 10 s, whatever the route's time; during a planned end a stream was taken later than 3 s after the signal though it might be cut at the last moment.

Change: 503 before anything that depends on limits or routes; the parser's limit is never below 64 KiB, the configured one is checked per request; a body is waited for no longer than the route's time and the client's, then 408 (code 709), which is true: nothing has run. From 3 s after the signal a stream is taken only with twice the usual time left.

--- a/canvasbeam/data_plane/ingress.py
+++ b/canvasbeam/data_plane/ingress.py
@@ -18,10 +18,10 @@
     end_to_end,
     own_answer,
 )
-from canvasbeam.data_plane.routes import ClientLimits, Configuration, Route
+from canvasbeam.data_plane.routes import Configuration, Route
 from canvasbeam.data_plane.shutdown import Shutdown
 from canvasbeam.errors import Failure, ResultCode
-from canvasbeam.units import MILLISECOND
+from canvasbeam.units import MILLISECOND, SECOND
 
 Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
 Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
@@ -34,13 +34,14 @@
         ResultCode.REQUEST_INVALID,
         ResultCode.REQUEST_TOO_LARGE,
         ResultCode.REQUEST_HEAD_TOO_LARGE,
+        ResultCode.REQUEST_INCOMPLETE,
         ResultCode.OVERLOADED,
     )
 )
 # After its start a node holds a request for so long until a configuration is known: others send it in less.
 FIRST_CONFIGURATION_S = 1.5
 COME_BACK_AT_ONCE_NS = 50 * MILLISECOND
-BODY_TIMEOUT_S = 10.0
+LONGEST_BODY_NS = 10 * SECOND
 MAX_REQUEST_ID_BYTES = 256
 MAX_DEADLINE_MS = 3_600_000
 _DEADLINE = re.compile(rb"[0-9]{1,12}(\.[0-9]{0,9})?")
@@ -112,17 +113,17 @@
         headers: Headers = list(scope["headers"])
         await self._view.wait_for_first(FIRST_CONFIGURATION_S)
         configuration = self._view.current
-        limits = configuration.limits if configuration is not None else ClientLimits()
-        if _head_bytes(scope, headers) > limits.max_header_bytes:
-            return Failure(
-                ResultCode.REQUEST_HEAD_TOO_LARGE, f"the head is larger than {limits.max_header_bytes} bytes"
-            )
         fault = _find_fault(scope, headers)
         if fault is not None:
             return fault
         if configuration is None:
             return Failure(ResultCode.REQUEST_NOT_READY, "no configuration is known yet")
-        body = await reader.read(headers, limits.max_body_bytes)
+        limits = configuration.limits
+        if _head_bytes(scope, headers) > limits.max_header_bytes:
+            return Failure(
+                ResultCode.REQUEST_HEAD_TOO_LARGE, f"the head is larger than {limits.max_header_bytes} bytes"
+            )
+        body = await reader.read(headers, limits.max_body_bytes, self._body_wait_ns(scope, headers))
         if isinstance(body, Failure):
             return body
         route = self._find_route(scope, headers)
@@ -130,6 +131,12 @@
             return Failure(ResultCode.REQUEST_NO_ROUTE, "no route fits the host and path")
         return self._make_request(scope, body, route, answer, arrived_ns)
 
+    def _body_wait_ns(self, scope: MutableMapping[str, Any], headers: Headers) -> int:
+        """How long the body is waited for: an answer that comes later than the route's time is of no use."""
+        route = self._find_route(scope, headers)
+        longest_ns = LONGEST_BODY_NS if route is None else min(LONGEST_BODY_NS, route.timeout_ns)
+        return min(longest_ns, _client_wait(headers))
+
     def _find_route(self, scope: MutableMapping[str, Any], headers: Headers) -> Route | None:
         """The route by the configuration in force now that the body is there."""
         configuration: Configuration | None = self._view.current
@@ -218,7 +225,7 @@
         self._receive = receive
         self._held = held
 
-    async def read(self, headers: Headers, limit: int) -> bytes | Failure:
+    async def read(self, headers: Headers, limit: int, wait_ns: int) -> bytes | Failure:
         """The whole body, or why it is not taken."""
         stated = int(_header(headers, b"content-length") or 0)
         if stated > limit:
@@ -226,10 +233,10 @@
         if not self._held.grow(REQUEST_BYTES + stated):
             return _OVERLOADED
         try:
-            async with asyncio.timeout(BODY_TIMEOUT_S):
+            async with asyncio.timeout(wait_ns / SECOND):
                 return await self._read_pieces(stated, limit)
         except TimeoutError:
-            return Failure(ResultCode.REQUEST_INVALID, "the body did not come in time")
+            return Failure(ResultCode.REQUEST_INCOMPLETE, "the body did not come in time")
 
     async def _read_pieces(self, stated: int, limit: int) -> bytes | Failure:
         body = bytearray()
--- a/canvasbeam/data_plane/program.py
+++ b/canvasbeam/data_plane/program.py
@@ -33,6 +33,9 @@
 
 EXPECTED_NODES = 4  # at the least: members are heard of one after the other
 CLIENT_DESCRIPTORS = 0.65  # of all; the rest is for workers, other nodes and files
+# A connection keeps the limit of the parser that it was opened with. The configuration's own limit, which may be raised
+# later or not be known yet, is held by `Ingress`.
+LEAST_HEADER_BYTES = 65536
 BODY_MEMORY = 0.25  # of the process's memory
 READY_CHECK_S = 0.2  # at the latest; what makes the node ready is noticed at once
 LEAVE_FLUSH_S = 0.05
@@ -69,7 +72,8 @@
         self._cluster.table.add_listener(self._on_items)
         memory = MemoryBudget(round(settings.limits.memory_mb * BODY_MEMORY * MEGABYTE))
         ingress = Ingress(self._view, self._carrier, self._shutdown, memory, random.Random())
-        self._front = HttpServer(ingress, settings.listen["front"], listener=(listeners or {}).get("front"))
+        first_limits = HttpLimits(max_header_bytes=LEAST_HEADER_BYTES)
+        self._front = HttpServer(ingress, settings.listen["front"], first_limits, (listeners or {}).get("front"))
         self._ready = HttpServer(ReadinessApp(self.is_ready), settings.listen["ready"])
 
     def _make_dispatcher(self) -> Dispatcher:
@@ -84,7 +88,7 @@
         limits = configuration.limits
         self._front.apply_limits(
             HttpLimits(
-                max_header_bytes=limits.max_header_bytes,
+                max_header_bytes=max(LEAST_HEADER_BYTES, limits.max_header_bytes),
                 header_timeout_s=limits.header_timeout_ms / 1000,
                 idle_timeout_s=limits.idle_timeout_ms / 1000,
                 max_connections=round(self._settings.limits.max_fds * CLIENT_DESCRIPTORS),
--- a/canvasbeam/data_plane/requests.py
+++ b/canvasbeam/data_plane/requests.py
@@ -34,6 +34,7 @@
 STATUS_OF_CODE = {
     ResultCode.REQUEST_INVALID: 400,
     ResultCode.REQUEST_NO_ROUTE: 404,
+    ResultCode.REQUEST_INCOMPLETE: 408,
     ResultCode.REQUEST_TOO_LARGE: 413,
     ResultCode.REQUEST_HEAD_TOO_LARGE: 431,
     ResultCode.REQUEST_REFUSED: 503,
--- a/canvasbeam/data_plane/shutdown.py
+++ b/canvasbeam/data_plane/shutdown.py
@@ -29,6 +29,9 @@
 WINDOW_PART = 0.6  # of the grace, at most, for clients to move away
 QUIET_S = 1.0  # without a new request clients are taken to have moved
 CHECK_EVERY_S = 0.1
+# A stream that comes this long after the signal knew of no other node to go to: it must not be cut.
+LATE_STREAM_NS = 3 * SECOND
+LATE_STREAM_MARGIN = 2.0  # so many times the time that most streams of its length need must be left for it
 
 
 def terms_of(settings: ProcessSettings) -> ShutdownTimes:
@@ -65,13 +68,14 @@
         due_ns = self._ending.due(now, request.route.kind.value, request.due_ns)
         if due_ns is None or not self.begun:
             return due_ns
-        if request.route.streams and now + self._stream_ns(request) > due_ns:
+        if request.route.streams and now + self._stream_ns(request, now) > due_ns:
             return None  # it would be cut; its client finds another node at once
         self._last_request_ns = now
         return due_ns
 
-    def _stream_ns(self, request: ClientRequest) -> float:
-        return self._stream_times.expected_ns(request.route.name, _tokens_out(request))
+    def _stream_ns(self, request: ClientRequest, now: int) -> float:
+        margin = LATE_STREAM_MARGIN if self._ending.elapsed(now) >= LATE_STREAM_NS else 1.0
+        return margin * self._stream_times.expected_ns(request.route.name, _tokens_out(request))
 
     def served(self, request: ClientRequest) -> None:
         """A request has its answer from a worker."""
--- a/canvasbeam/decide/shutdown.py
+++ b/canvasbeam/decide/shutdown.py
@@ -80,6 +80,10 @@
             return self.terms.usual
         return sorted(spans)[min(int(len(spans) * self.terms.part), len(spans) - 1)]
 
+    def elapsed(self, now: int) -> int:
+        """How long ago the shutdown began; 0 before it."""
+        return 0 if self._begun is None else now - self._begun
+
     def phase(self, now: int) -> Phase:
         """The phase at this time."""
         if self._begun is None:
--- a/canvasbeam/errors.py
+++ b/canvasbeam/errors.py
@@ -68,6 +68,7 @@
     REQUEST_TIMED_OUT = 706, "no answer came in time; the request may have run"
     REQUEST_NOT_READY = 707, "this node has no configuration yet"
     REQUEST_HEAD_TOO_LARGE = 708, "the head of the request is larger than the limit"
+    REQUEST_INCOMPLETE = 709, "the body of the request did not come in time; it has not run"
 
 
 @dataclass(frozen=True, slots=True)
