Notice a client that leaves while a later request of its connection waits

Cause: behind a request in progress the HTTP server read nothing once more bytes had come (hypercorn waits for the turn of the later request), so that the close of the connection was not seen and the work for the client went on to its end.

Change: while a later request waits, the connection is read on, up to 64 KiB ahead, and its end stops the work.

--- a/canvasbeam/runtime/http_server.py
+++ b/canvasbeam/runtime/http_server.py
@@ -32,6 +32,7 @@
 from canvasbeam.runtime.settings import Address
 
 FLUSH_BYTES = 65536
+MOST_AHEAD_BYTES = 65536  # read from a client while an earlier request of its connection is answered
 ALWAYS = 0  # answers after this many on a connection carry `Connection: close`
 NEVER = 1 << 62
 
@@ -160,6 +161,43 @@
                 self._all_closed.set()
 
 
+class _ClientLeft(Exception):
+    """The client closed its connection while a later request on it waited for its turn."""
+
+
+class _Turn:
+    """Hypercorn's event for the turn of a later request on a connection.
+
+    Hypercorn reads nothing while it waits for this event, and so would not notice that the client leaves.
+    """
+
+    def __init__(self, read_until_left: Callable[[], Awaitable[bool]]) -> None:
+        self._read_until_left = read_until_left
+        self._came = asyncio.Event()
+
+    async def set(self) -> None:
+        """The request before has its answer."""
+        self._came.set()
+
+    async def clear(self) -> None:
+        """A request before has none yet."""
+        self._came.clear()
+
+    async def wait(self) -> None:
+        """Return when the turn has come; raises `_ClientLeft` where the client leaves before that."""
+        came = asyncio.ensure_future(self._came.wait())
+        reading = asyncio.ensure_future(self._read_until_left())
+        try:
+            await asyncio.wait((came, reading), return_when=asyncio.FIRST_COMPLETED)
+            if not came.done() and reading.result():
+                raise _ClientLeft
+            await came
+        finally:
+            came.cancel()
+            reading.cancel()
+            await asyncio.wait((came, reading))  # two may not read from a connection at once
+
+
 class _Connection(TCPServer):
     """One connection of a client."""
 
@@ -169,6 +207,7 @@
         self._server = server
         self._timer: asyncio.TimerHandle | None = None
         self._unsent = bytearray()
+        self._ahead = bytearray()
         self._flush_due = False
         self.busy = False
         self.idle = True
@@ -190,6 +229,7 @@
                     local,
                     self.protocol_send,
                 )
+                self.protocol.can_read = _Turn(self._read_ahead)  # type: ignore[attr-defined]
                 self._become_idle()
                 await self._read_data()
         except OSError:
@@ -220,18 +260,40 @@
                 self._become_busy()
 
     async def _read_data(self) -> None:
-        while not self.reader.at_eof():
+        while self._ahead or not self.reader.at_eof():
             try:
-                data = await self.reader.read(MAX_RECV)
+                data = await self._next_bytes()
             except OSError:
                 break
             if self.writer.is_closing():
                 break
             if self.idle and data:
                 self._await_head()
-            await self.protocol.handle(RawData(data))
+            try:
+                await self.protocol.handle(RawData(data))
+            except _ClientLeft:
+                break
         await self.protocol.handle(Closed())
 
+    async def _next_bytes(self) -> bytes:
+        """What was read ahead, or else what comes next."""
+        if not self._ahead:
+            return await self.reader.read(MAX_RECV)
+        data, self._ahead = bytes(self._ahead), bytearray()
+        return data
+
+    async def _read_ahead(self) -> bool:
+        """Keep what the client sends while it waits; tells whether it left. Beyond a bound nothing is read."""
+        while len(self._ahead) < MOST_AHEAD_BYTES:
+            try:
+                data = await self.reader.read(MAX_RECV)
+            except OSError:
+                return True
+            if not data:
+                return True
+            self._ahead += data
+        return False
+
     async def _send_bytes(self, data: bytes) -> None:
         """Gather what is written in one turn of the loop, so that a short answer leaves in one piece."""
         self._unsent += data
--- /dev/null
+++ b/tests/test_later_sentences.py
@@ -0,0 +1,590 @@
+"""What clients, workers and operators may count on at a data-plane node, one group of tests for each promise."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from canvasbeam.cluster import workers_pb2
+from canvasbeam.cluster.items import Item, ItemKind, Version
+from canvasbeam.data_plane import ingress
+from canvasbeam.data_plane.program import DataPlane
+from canvasbeam.data_plane.requests import ClientAnswer, ClientRequest
+from canvasbeam.data_plane.routes import parse_configuration
+from canvasbeam.data_plane.worker_request import worker_request
+from canvasbeam.runtime.settings import Address, Bounds
+from canvasbeam.units import MILLISECOND, SECOND
+from tests.data_plane_harness import (
+    HOST,
+    ROUTES,
+    Client,
+    DataPlaneUnderTest,
+    ScriptedWorker,
+    WorkerTurn,
+    event,
+    make_route,
+    make_settings,
+    request_bytes,
+)
+from tests.system_processes import host
+from tests.test_data_plane_requests import run
+from tests.test_data_plane_shutdown import Clock
+
+LATE_ANSWER_S = 0.5  # beyond a route's time, when an answer counts as missing
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    """Let the event loop go on until the condition holds."""
+    while not condition():
+        await asyncio.sleep(0)
+
+
+async def let_events_pass(count: int = 50) -> None:
+    """Give everything that is ready to run the time to do so."""
+    for _ in range(count):
+        await asyncio.sleep(0)
+
+
+async def stay(turn: WorkerTurn) -> None:
+    """A worker that works until its caller leaves."""
+    await turn.until_closed()
+
+
+# --- before a first configuration -------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    ("path", "headers"),
+    [
+        ("/safe/x", ()),
+        ("/no-such-route/x", ()),
+        ("/safe/x", ("Authorization: none",)),
+        ("/safe/x", ("X-Large: " + "x" * 20_000,)),  # more than the limit of most configurations
+    ],
+)
+def test_a_node_without_a_configuration_refuses_everything_as_not_run(
+    path: str, headers: tuple[str, ...], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(ingress, "FIRST_CONFIGURATION_S", 0.0)
+    worker = ScriptedWorker("w1")
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        data_plane.view.current = None
+        data_plane.view._adopted.clear()
+        data_plane.server.apply_limits(replace(data_plane.server.limits, max_header_bytes=65536))
+        answer = await (await data_plane.client()).request(path, "id-1", "", *headers)
+        assert answer.status == 503
+        assert float(answer.headers["retry-after"]) > 0
+        assert not worker.received
+
+    run(body, worker)
+
+
+def test_the_parser_takes_any_head_that_a_configuration_may_allow() -> None:
+    async def main() -> None:
+        data_plane = DataPlane(real_settings())
+        assert data_plane._front.limits.max_header_bytes >= 65536
+        data_plane._view._take_configuration(configuration_item(max_header_bytes=1000))
+        assert data_plane._front.limits.max_header_bytes >= 65536
+
+    asyncio.run(main())
+
+
+def test_a_body_that_does_not_come_in_the_routes_time_is_refused_as_not_run() -> None:
+    worker = ScriptedWorker("w1")
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        client = await data_plane.client()
+        head, _, _ = request_bytes("/short/x", "id-1", "hello").partition("hello")
+        began = asyncio.get_running_loop().time()
+        await client.send(head)
+        answer = await client.response()
+        assert answer.status == 408
+        assert asyncio.get_running_loop().time() - began < 0.1 + LATE_ANSWER_S
+        assert await client.closed()
+        assert not worker.received
+
+    run(body, worker, routes=[make_route("short", "unsafe", timeout_ms=100)])
+
+
+# --- the time that a worker is handed ---------------------------------------------------------------
+
+
+def request_of(route: dict[str, Any], client_wait_ms: int | None, now_ns: int) -> ClientRequest:
+    """A request as the ingress makes it, arrived at this time."""
+    document = {"generation": 1, "routes": [route], "services": [{"name": "svc"}]}
+    configuration = parse_configuration(document)
+    headers = [] if client_wait_ms is None else [(b"x-deadline", str(client_wait_ms).encode())]
+    headers += [(b"host", HOST.encode()), (b"x-request-id", b"id-1")]
+    scope = {"headers": headers, "method": "POST", "raw_path": b"/a/x", "query_string": b""}
+    found = configuration.routes[0]
+    maker = ingress.Ingress(None, None, None, None, random.Random(1))  # type: ignore[arg-type]
+    return maker._make_request(scope, b"", found, ClientAnswer(None, None), now_ns)  # type: ignore[arg-type]
+
+
+def handed_ms(request: ClientRequest, now_ns: int) -> list[int]:
+    """Every X-Deadline that a worker would be handed now."""
+    headers = worker_request(request, "w1", now_ns).headers
+    return [int(value) for name, value in headers if name == b"x-deadline"]
+
+
+@pytest.mark.parametrize("kind", ["safe", "unsafe", "streaming"])
+@pytest.mark.parametrize("client_wait_ms", [None, 300, 2000, 100_000])
+def test_a_worker_is_handed_what_is_left_and_less_with_every_send(kind: str, client_wait_ms: int | None) -> None:
+    request = request_of(make_route("a", kind, timeout_ms=5000), client_wait_ms, SECOND)
+    longest = min(5000, 5000 if client_wait_ms is None else client_wait_ms)
+    for passed_ms in (0, 100, 250, 1900, 4999, 6000):
+        (handed,) = handed_ms(request, SECOND + passed_ms * MILLISECOND)
+        assert max(0, longest - passed_ms - 20) <= handed <= max(0, longest - passed_ms)
+
+
+def test_a_stream_that_goes_on_elsewhere_is_handed_what_is_left() -> None:
+    handed: list[int] = []
+
+    async def break_off_first(turn: WorkerTurn) -> None:
+        handed.append(int(turn.request.headers["x-deadline"]))
+        await turn.begin_stream()
+        await turn.event(len(handed))
+        if len(handed) == 1:
+            turn.reset()
+        else:
+            await turn.end_stream()
+
+    first, second = (ScriptedWorker(name, default=break_off_first) for name in ("w1", "w2"))
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        answer = await (await data_plane.client()).request("/resume/x")
+        assert answer.body == (event(1) + event(2)).encode()
+        assert len(handed) == 2
+        assert 4000 >= handed[0] >= handed[1] > 0
+
+    run(body, first, second)
+
+
+# --- clients that leave -----------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("name", ["safe", "unsafe", "stream", "resume"])
+def test_work_stops_as_soon_as_its_client_leaves(name: str) -> None:
+    began, stopped = asyncio.Event(), asyncio.Event()
+
+    async def work(turn: WorkerTurn) -> None:
+        began.set()
+        await turn.until_closed()
+        stopped.set()
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        client = await data_plane.client()
+        await client.send(request_bytes(f"/{name}/x"))
+        await began.wait()
+        client.close()
+        async with asyncio.timeout(LATE_ANSWER_S):
+            await stopped.wait()
+        assert data_plane.carrier.open_requests == 0
+
+    run(body, ScriptedWorker("w1", default=work))
+
+
+def test_work_stops_when_its_client_leaves_behind_another_request_on_the_connection() -> None:
+    began, stopped = asyncio.Event(), asyncio.Event()
+
+    async def work(turn: WorkerTurn) -> None:
+        began.set()
+        await turn.until_closed()
+        stopped.set()
+
+    worker = ScriptedWorker("w1", default=work)
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        client = await data_plane.client()
+        await client.send(request_bytes("/safe/x", "id-1") + request_bytes("/safe/x", "id-2"))
+        await began.wait()
+        client.close()
+        async with asyncio.timeout(LATE_ANSWER_S):
+            await stopped.wait()
+        await until(lambda: data_plane.server.connection_count == 0)
+        assert [each.identity for each in worker.received] == ["id-1"]
+
+    run(body, worker)
+
+
+def test_requests_that_come_while_another_is_answered_are_served_in_their_order() -> None:
+    began, proceed = asyncio.Event(), asyncio.Event()
+
+    async def work(turn: WorkerTurn) -> None:
+        began.set()
+        await proceed.wait()
+        await turn.answer(body=turn.request.identity)
+
+    worker = ScriptedWorker("w1", default=work)
+    later = [f"id-{number}" for number in range(2, 120)]  # more bytes than are read ahead
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        client = await data_plane.client()
+        await client.send(request_bytes("/safe/x", "id-1") + request_bytes("/safe/x", later[0]))
+        await began.wait()
+        sending = asyncio.ensure_future(
+            client.send("".join(request_bytes("/safe/x", identity, "b" * 900) for identity in later[1:]))
+        )
+        await let_events_pass()
+        proceed.set()
+        for identity in ["id-1", *later]:
+            assert (await client.response()).body == identity.encode()
+        await sending
+
+    run(body, worker)
+
+
+@pytest.mark.parametrize("name", ["safe", "unsafe", "resume"])
+def test_nothing_of_a_request_whose_client_left_while_it_was_held_reaches_a_worker(name: str) -> None:
+    worker = ScriptedWorker("w1")
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        data_plane.heartbeat(worker, workers_pb2.WORKER_STATE_DRAINING)
+        client = await data_plane.client()
+        await client.send(request_bytes(f"/{name}/x", "id-1"))
+        await until(lambda: data_plane.carrier.open_requests == 1)
+        client.close()
+        await until(lambda: data_plane.carrier.open_requests == 0)
+        data_plane.heartbeat(worker)
+        assert (await (await data_plane.client()).request("/safe/x", "id-2")).status == 200
+        assert [each.identity for each in worker.received] == ["id-2"]
+
+    run(body, worker, routes=[make_route(each, kind, target_ms=5000, resume=each == "resume") for each, kind in KINDS])
+
+
+KINDS = (("safe", "safe"), ("unsafe", "unsafe"), ("resume", "streaming"))
+
+
+@pytest.mark.parametrize("name", ["safe", "unsafe", "resume"])
+def test_nothing_of_a_request_whose_client_left_while_it_awaited_a_connection_is_written(name: str) -> None:
+    worker = ScriptedWorker("w1")
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        pool = data_plane.connections.pool("w1")
+        assert pool is not None
+        pool.most = 1
+        held = await pool.acquire(unsafe=True)
+        client = await data_plane.client()
+        await client.send(request_bytes(f"/{name}/x", "id-1"))
+        await until(lambda: bool(pool._waiting))
+        client.close()
+        await until(lambda: data_plane.carrier.open_requests == 0)
+        pool.discard(held)
+        assert (await (await data_plane.client()).request("/safe/x", "id-2")).status == 200
+        assert [each.identity for each in worker.received] == ["id-2"]
+
+    run(body, worker)
+
+
+def test_a_request_whose_client_left_before_the_first_configuration_is_not_sent() -> None:
+    worker = ScriptedWorker("w1")
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        data_plane.view.current = None
+        data_plane.view._adopted.clear()
+        client = await data_plane.client()
+        await client.send(request_bytes("/safe/x", "id-1"))
+        await until(lambda: data_plane.server.busy_count == 1)
+        client.close()
+        (connection,) = data_plane.server._connections
+        await until(connection.reader.at_eof)
+        await let_events_pass()
+        data_plane.configure()
+        assert (await (await data_plane.client()).request("/safe/x", "id-2")).status == 200
+        assert [each.identity for each in worker.received] == ["id-2"]
+
+    run(body, worker)
+
+
+def test_a_request_whose_client_left_between_two_sends_is_not_sent_again() -> None:
+    rejected = asyncio.Event()
+
+    async def reject(turn: WorkerTurn) -> None:
+        rejected.set()
+        await turn.reject()
+
+    first, second = ScriptedWorker("w1", default=reject), ScriptedWorker("w2")
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        data_plane.heartbeat(second, workers_pb2.WORKER_STATE_DRAINING)
+        client = await data_plane.client()
+        await client.send(request_bytes("/safe/x", "id-1"))
+        await rejected.wait()
+        client.close()
+        await until(lambda: data_plane.carrier.open_requests == 0)
+        data_plane.heartbeat(second)
+        await let_events_pass()
+        assert not second.received
+
+    run(body, first, second, routes=[make_route("safe", "safe", target_ms=5000)])
+
+
+# --- the route's time -------------------------------------------------------------------------------
+
+
+async def begin_and_stay(turn: WorkerTurn) -> None:
+    await turn.begin_stream()
+    await turn.event(1)
+    await turn.until_closed()
+
+
+async def begin_head_and_stay(turn: WorkerTurn) -> None:
+    await turn.write(f"HTTP/1.1 200 OK\r\nContent-Length: 9\r\nX-Request-Id: {turn.request.identity}\r\n\r\nhalf")
+    await turn.until_closed()
+
+
+@pytest.mark.parametrize("kind", ["safe", "unsafe", "streaming"])
+@pytest.mark.parametrize(
+    "script", [stay, begin_and_stay, begin_head_and_stay, None], ids=["silent", "events", "half", "no worker"]
+)
+def test_every_request_has_its_end_by_the_routes_time(
+    kind: str, script: Callable[[WorkerTurn], Awaitable[None]] | None
+) -> None:
+    worker = ScriptedWorker("w1", default=script or stay)
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        if script is None:
+            data_plane.heartbeat(worker, workers_pb2.WORKER_STATE_DRAINING)
+        client = await data_plane.client()
+        began = asyncio.get_running_loop().time()
+        await client.send(request_bytes("/short/x"))
+        async with asyncio.timeout(0.1 + LATE_ANSWER_S):
+            assert (await client.reader.read(65536)).startswith(b"HTTP/1.1 ")
+            if kind == "streaming" and script is begin_and_stay:
+                while await client.reader.read(65536):
+                    pass
+        assert asyncio.get_running_loop().time() - began < 0.1 + LATE_ANSWER_S
+        await until(lambda: data_plane.carrier.open_requests == 0)
+
+    run(body, worker, routes=[make_route("short", kind, timeout_ms=100, target_ms=5000)])
+
+
+def test_a_request_that_awaits_a_connection_has_its_answer_by_the_routes_time() -> None:
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        pool = data_plane.connections.pool("w1")
+        assert pool is not None
+        pool.most = 1
+        held = await pool.acquire(unsafe=True)
+        client = await data_plane.client()
+        async with asyncio.timeout(0.1 + LATE_ANSWER_S):
+            assert (await client.request("/short/x")).status == 503
+        pool.discard(held)
+
+    run(body, ScriptedWorker("w1"), routes=[make_route("short", "unsafe", timeout_ms=100, target_ms=5000)])
+
+
+# --- planned work -----------------------------------------------------------------------------------
+
+
+async def in_progress(data_plane: DataPlaneUnderTest, *workers: ScriptedWorker) -> tuple[Client, Client]:
+    """A stream in its middle, and a request that a worker has read."""
+    stream, whole = await data_plane.client(), await data_plane.client()
+    await stream.send(request_bytes("/stream/x", "id-1"))
+    await stream.head()
+    await whole.send(request_bytes("/unsafe/x", "id-2"))
+    await until(lambda: sum(len(each.received) for each in workers) == 2)
+    return stream, whole
+
+
+class Gate:
+    """Workers whose answers end when the test says so."""
+
+    def __init__(self) -> None:
+        self.opened = asyncio.Event()
+
+    async def serve(self, turn: WorkerTurn) -> None:
+        streams = turn.request.target.startswith("/stream")
+        if streams:
+            await turn.begin_stream()
+            await turn.event(1)
+        await self.opened.wait()
+        if not streams:
+            await turn.answer()
+            return
+        await turn.event(2)
+        await turn.end_stream()
+
+    async def finish(self, stream: Client, whole: Client) -> None:
+        """Both requests get their whole answer."""
+        self.opened.set()
+        assert [await stream.chunk() for _ in range(3)] == [event(1).encode(), event(2).encode(), b""]
+        answer = await whole.response()
+        assert (answer.status, answer.body) == (200, b"done")
+
+
+def change_everything(data_plane: DataPlaneUnderTest) -> None:
+    data_plane.routes = [make_route("other", "safe", service="other", timeout_ms=50)]
+    data_plane.configure(idle_timeout_ms=1, header_timeout_ms=1)
+
+
+def read_settings_again(data_plane: DataPlaneUnderTest) -> None:
+    data_plane.worker_list.refresh()
+
+
+def say_goodbye(data_plane: DataPlaneUnderTest) -> None:
+    """All workers leave without having said that they drain."""
+    for worker in data_plane.workers:
+        data_plane.table.merge([Item(ItemKind.WORKER, worker.name, Version(1 << 62), b"", deleted=True)])
+
+
+def drain_and_say_goodbye(data_plane: DataPlaneUnderTest) -> None:
+    for worker in data_plane.workers:
+        data_plane.heartbeat(worker, workers_pb2.WORKER_STATE_DRAINING)
+    say_goodbye(data_plane)
+
+
+def evacuate(data_plane: DataPlaneUnderTest) -> None:
+    data_plane.evacuate("z1")
+
+
+@pytest.mark.parametrize(
+    "change", [change_everything, read_settings_again, say_goodbye, drain_and_say_goodbye, evacuate]
+)
+def test_planned_work_cuts_no_request(change: Callable[[DataPlaneUnderTest], None]) -> None:
+    gate = Gate()
+    workers = [ScriptedWorker(name, default=gate.serve) for name in ("w1", "w2")]
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        stream, whole = await in_progress(data_plane, *workers)
+        change(data_plane)
+        await let_events_pass()
+        await gate.finish(stream, whole)
+
+    run(body, *workers)
+
+
+def test_a_request_that_is_held_is_served_though_its_route_is_removed_meanwhile() -> None:
+    worker = ScriptedWorker("w1")
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        data_plane.heartbeat(worker, workers_pb2.WORKER_STATE_DRAINING)
+        client = await data_plane.client()
+        await client.send(request_bytes("/unsafe/x"))
+        await until(lambda: data_plane.carrier.open_requests == 1)
+        await let_events_pass()
+        change_everything(data_plane)
+        data_plane.heartbeat(worker)
+        assert (await client.response()).status == 200
+
+    run(body, worker, routes=[make_route("unsafe", "unsafe", target_ms=5000)])
+
+
+def test_a_worker_that_left_without_draining_gets_nothing_new() -> None:
+    first, second = ScriptedWorker("w1"), ScriptedWorker("w2")
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        data_plane.table.merge([Item(ItemKind.WORKER, "w1", Version(1 << 62), b"", deleted=True)])
+        data_plane.heartbeat(first)  # one that was sent before, and comes late
+        client = await data_plane.client()
+        for number in range(4):
+            assert (await client.request("/safe/x", f"id-{number}")).status == 200
+        assert not first.received
+
+    run(body, first, second)
+
+
+# --- the planned end of a node ----------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(("after_s", "status"), [(0.5, 200), (2.9, 200), (3.1, 503)])
+def test_late_in_a_planned_end_a_stream_is_taken_only_with_time_to_spare(after_s: float, status: int) -> None:
+    async def script(turn: WorkerTurn) -> None:
+        await turn.begin_stream()
+        await turn.event(1)
+        await turn.end_stream()
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        clock = Clock()
+        data_plane.shutdown._stream_times.served("stream", 3 * SECOND)
+        data_plane.shutdown._now_ns = data_plane.carrier.now_ns
+        data_plane.shutdown._ending.begin(data_plane.carrier.now_ns() - round(after_s * SECOND))
+        assert clock.now  # the node's own clock runs; the end began as long ago as the case says
+        answer = await (await data_plane.client()).request("/stream/x")
+        assert answer.status == status
+
+    run(body, ScriptedWorker("w1", default=script), bounds=Bounds(grace_s=8))
+
+
+def real_settings() -> Any:
+    """Settings of a whole data-plane process on loopback."""
+    ip = host(60)
+    listen = {"front": Address(ip, 8144), "ready": Address(ip, 8140)}
+    bounds = Bounds(grace_s=2.0, ttl_max_s=1.0)
+    return replace(make_settings(), ip=ip, listen=listen, bounds=bounds)
+
+
+def configuration_item(**limits: int) -> Item:
+    document = {"generation": 1, "routes": ROUTES, "services": [{"name": "svc"}], "limits": limits}
+    return Item(ItemKind.CONFIGURATION, "current", Version(1), json.dumps(document).encode())
+
+
+async def connect(address: Address) -> Client:
+    return Client(*await asyncio.open_connection(address.host, address.port))
+
+
+async def is_ready(data_plane: DataPlane) -> bool:
+    client = await connect(data_plane._settings.listen["ready"])
+    await client.send("GET /v1/readyz HTTP/1.1\r\nHost: a\r\n\r\n")
+    status = (await client.response()).status
+    client.close()
+    return status == 200
+
+
+def test_a_node_that_ends_is_unready_at_once_and_serves_on_meanwhile() -> None:
+    async def main() -> None:
+        worker = ScriptedWorker("w1")
+        await worker.start()
+        data_plane = DataPlane(real_settings())
+        assert await data_plane.start() is None
+        record = workers_pb2.WorkerRecord(
+            service="svc", address=f"127.0.0.1:{worker.port}", zone="z1", slots=4,
+            state=workers_pb2.WORKER_STATE_READY,
+        )  # fmt: skip
+        data_plane._cluster.publish(
+            [configuration_item(), Item(ItemKind.WORKER, "w1", Version(1), record.SerializeToString())]
+        )
+        assert await is_ready(data_plane)
+        telling = asyncio.ensure_future(data_plane.tell_readiness())
+        await until(lambda: data_plane._cluster.members()[0].ready)
+
+        telling.cancel()
+        ending = asyncio.ensure_future(data_plane.stop())
+        await asyncio.sleep(0)
+        assert not data_plane._cluster.members()[0].ready  # what the directories look at
+        for _ in range(2):
+            assert not await is_ready(data_plane)
+        client = await connect(data_plane._settings.listen["front"])
+        assert (await client.request("/safe/x")).status == 200
+        client.close()
+        await ending
+        await worker.stop()
+
+    asyncio.run(main())
+
+
+# --- what a worker is told of a prompt --------------------------------------------------------------
+
+
+@pytest.mark.parametrize("name", ["safe", "unsafe", "stream"])
+def test_a_worker_reads_what_the_client_said_of_its_prompt(name: str) -> None:
+    said = {"x-model": "M, odd name", "x-tokens": "00120,7", "x-prefix-hash": "1F:100,2a:20"}
+
+    async def serve(turn: WorkerTurn) -> None:
+        await turn.answer()
+
+    worker = ScriptedWorker("w1", default=serve)
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        client = await data_plane.client()
+        await client.request(f"/{name}/x", "id-1", "", *(f"{each.title()}: {value}" for each, value in said.items()))
+        received = worker.received[0].headers
+        assert {each: received[each] for each in said} == said
+
+    run(body, worker)
