--- a/bench/draw_day.py
+++ b/bench/draw_day.py
@@ -1,7 +1,8 @@
 """Draws a day of trouble: kinds of disruption that may come at any moment, several of them, some twice.
 
-`python bench/draw_day.py SEED > day.toml` writes a day of one's own in the form of the files under `scenarios/system/`.
-Half of the draws come from the kinds that strike the control side, which a plain mix rarely meets twice.
+`python bench/draw_day.py PROFILE SEED > day.toml` writes a day of one's own in the form of the files under
+`scenarios/system/`. The profile `any` draws from all kinds, half of them on the control side; each other profile draws
+for one point of `docs/design/hardening.md`: `contact`, `orders`, `membership`, `changes`, `answers`.
 """
 
 from __future__ import annotations
@@ -105,19 +106,58 @@
 )  # fmt: skip
 
 
+@dataclass(frozen=True, slots=True)
+class Profile:
+    """From what a day is drawn, and how many of each: least and most."""
+
+    control: tuple[Kind, ...]
+    controls: tuple[int, int]
+    others: tuple[int, int]
+    plan: tuple[Kind, ...]
+    plans: tuple[int, int]
+
+
+def _picked(kinds: Sequence[Kind], *names: str) -> tuple[Kind, ...]:
+    return tuple(kind for kind in kinds if kind.name in names)
+
+
+ORDERS = _picked(PLANS, "config_change", "config_race", "bad_config", "evacuate")
+ROUTES = (Kind("config_change", (), (), ("route",)), Kind("config_race", (), (("gap_s", 0.4, 1.5),)))
+MANY_CHANGES = (Kind("config_race", (("count", "30"),), (("gap_s", 0.3, 0.9),)),)
+CUTS = (
+    Kind("core_cut", (("count", "1"),), (("for_s", 5.0, 20.0),),
+         ("one_way", "one_way near", "one_way all", "one_way seeds", "one_way lure", "one_way oldest", "one_way both"),
+         True),
+)  # fmt: skip
+FREEZES = _picked(CONTROL_FAULTS, "core_cut", "node_freeze", "node_slow", "clock_step", "srv_cut")
+LOST_ANSWERS = _picked(CONTROL_FAULTS, "ack_lost", "node_kill", "after_ack_kill", "node_freeze", "core_cut")
+LOSSES = _picked(CONTROL_FAULTS, "replace_core", "after_ack_wipe", "node_kill", "roll_term", "herd_kill")
+DISKS = _picked(CONTROL_FAULTS, "after_ack_wipe", "node_kill", "disk_slow", "disk_stall", "disk_full", "replace_core")
+SPOILT = _picked(OTHER_FAULTS, "garble", "answer_lost", "reset_conns", "srv_grey", "give_up", "replace_with_reuse")
+PROFILES = {
+    "any": Profile(CONTROL_FAULTS, (2, 5), (1, 3), PLANS, (5, 9)),
+    "contact": Profile((*CUTS, *CUTS, *FREEZES), (2, 4), (0, 1), ROUTES, (14, 22)),
+    "orders": Profile(LOST_ANSWERS, (3, 5), (0, 1), ORDERS, (16, 26)),
+    "membership": Profile(LOSSES, (3, 6), (0, 1), ROUTES, (8, 14)),
+    "changes": Profile(DISKS, (2, 5), (0, 1), MANY_CHANGES, (4, 6)),
+    "answers": Profile(SPOILT, (4, 7), (1, 2), PLANS, (3, 6)),
+}
+
+
 def draw_entries(chance: random.Random, kinds: Sequence[Kind], count: int, last_s: float) -> list[str]:
     """So many disruptions in the order of their moments."""
     moments = sorted(chance.uniform(1.0, last_s) for _ in range(count))
     return [chance.choice(kinds).entry(chance, at) for at in moments]
 
 
-def draw_day(seed: int) -> str:
+def draw_day(profile_name: str, seed: int) -> str:
     """A whole day as TOML."""
-    chance = random.Random(seed)
-    control = draw_entries(chance, CONTROL_FAULTS, chance.randint(2, 5), LAST_FAULT_S)
-    other = draw_entries(chance, OTHER_FAULTS, chance.randint(1, 3), LAST_FAULT_S)
-    plan = draw_entries(chance, PLANS, chance.randint(5, 9), LAST_PLAN_S)
-    lines = [f'name = "drawn-{seed}"', 'slot = "trouble"', f"seed = {seed}"]
+    chance = random.Random(f"{profile_name}/{seed}")
+    profile = PROFILES[profile_name]
+    control = draw_entries(chance, profile.control, chance.randint(*profile.controls), LAST_FAULT_S)
+    other = draw_entries(chance, OTHER_FAULTS, chance.randint(*profile.others), LAST_FAULT_S)
+    plan = draw_entries(chance, profile.plan, chance.randint(*profile.plans), LAST_PLAN_S)
+    lines = [f'name = "{profile_name}-{seed}"', 'slot = "trouble"', f"seed = {seed}"]
     lines.append(f"closing = {{ {chance.choice(CLOSINGS)}, down_s = {chance.uniform(0.4, 1.2):.2f} }}")
     for title, entries in (("plan", plan), ("faults", control + other)):
         lines += [f"{title} = [", *(f"  {entry}," for entry in entries), "]"]
@@ -125,4 +165,4 @@
 
 
 if __name__ == "__main__":
-    sys.stdout.write(draw_day(int(sys.argv[1])))
+    sys.stdout.write(draw_day(sys.argv[1], int(sys.argv[2])))
