--- a/tests/test_cluster_transport.py
+++ b/tests/test_cluster_transport.py
@@ -9,6 +9,7 @@
 import pytest
 
 from canvasbeam.cluster import connection, envelope_pb2, transport
+from canvasbeam.cluster import node as node_module
 from canvasbeam.cluster.framing import MAX_FRAME_BYTES, FrameDecoder, FrameTooLarge, frame
 from canvasbeam.cluster.items import Item, ItemKind, Version
 from canvasbeam.cluster.node import ClusterNode
@@ -291,6 +292,37 @@
     with_nodes(work)
 
 
+def test_a_write_is_confirmed_by_a_majority_and_never_without_one() -> None:
+    async def work(nodes: list[ClusterNode]) -> None:
+        item = Item(ItemKind.WORKER, "w1", Version(1), b"worker")
+        nodes[0].publish([item])
+        assert await nodes[0].write([item], within_s=20)
+        assert sum(each.table.get(item.kind, item.key) == item for each in nodes[:3]) >= 2
+        assert await nodes[0].write([], within_s=20)
+        assert nodes[0].has_majority()
+        assert nodes[0].is_heard()
+        for each in nodes[1:3]:
+            await each.stop()
+        assert not await nodes[0].write([item], within_s=0.2)
+
+    with_nodes(work)
+
+
+def test_loss_of_contact_is_logged_once_and_so_is_its_return(monkeypatch: pytest.MonkeyPatch) -> None:
+    lines: list[str] = []
+    monkeypatch.setattr(node_module.log, "warning", lambda text, *values: lines.append("lost " + text.format(*values)))
+    monkeypatch.setattr(node_module.log, "info", lambda text, *values: lines.append("back " + text.format(*values)))
+    edge = node(4, 7660, is_control=False)
+    edge.table.merge([Item(ItemKind.CONFIGURATION, "current", Version(7), b"")])
+    for has_majority in (False, False, True, True, False, False, True):
+        monkeypatch.setattr(edge._core, "has_majority", lambda now, answer=has_majority: answer)
+        edge._log_contact(0)
+    assert lines == [
+        "lost no contact with most control nodes; goes on with configuration 7, evacuations 0",
+        "back in contact with most control nodes again; holds configuration 7, evacuations 0",
+    ]
+
+
 def test_a_restarted_control_node_gets_what_the_others_hold() -> None:
     async def work(nodes: list[ClusterNode]) -> None:
         item = Item(ItemKind.CONFIGURATION, "current", Version(7), b"configuration")
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -75,3 +75,15 @@
 def test_other_methods_and_paths_are_refused() -> None:
     assert resolve(member("10.1.0.1:80"), method="POST").status == 405
     assert resolve(member("10.1.0.1:80"), path="/v1/resolver").status == 404
+
+
+def test_a_node_that_nobody_is_known_to_hear_directs_nobody() -> None:
+    """Right after its process stood still, or while it is alone: what it holds of the others may be old."""
+    heard = [False]
+    directory = Directory(settings(), lambda: [member("10.1.0.1:80")], lambda: heard[0])
+    request = Request("GET", "/v1/resolve", {"name": "a.example", "region": "r1", "zone": "z1"})
+    answer = asyncio.run(directory.resolve(request))
+    assert answer.status == 503
+    assert b"addresses" not in answer.body
+    heard[0] = True
+    assert asyncio.run(directory.resolve(request)).status == 200
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+import pytest
+
 from canvasbeam.cluster.items import Item, ItemKind, ItemTable
 from canvasbeam.cluster.member import Member
 from canvasbeam.cluster.transport import Channel, PeerInfo
@@ -50,6 +52,7 @@
     table: ItemTable = field(default_factory=ItemTable)
     callbacks: dict[Channel, Callable[[PeerInfo, bytes], None]] = field(default_factory=dict)
     live: list[Member] = field(default_factory=list)
+    may_write: bool = True  # whether a majority answers to writes
 
     def __post_init__(self) -> None:
         settings = ProcessSettings(
@@ -90,6 +93,8 @@
         return self.member.ip not in self.network.cut_off
 
     async def write(self, items: Iterable[Item], within_s: float) -> bool:
+        if not self.may_write:
+            return False
         written = tuple(items)
         reached = [node for node in self.network.nodes if self.network.reach_each_other(self.member.ip, node.member.ip)]
         for node in reached:
@@ -223,6 +228,30 @@
     assert network.nodes[0].state("i-1") is WorkerState.READY
 
 
+@pytest.mark.parametrize("end", ["draining", "DELETE"])
+def test_the_end_of_a_worker_is_acknowledged_only_when_a_majority_holds_it(end: str) -> None:
+    """The lease may be valid still: it says nothing of what is published now."""
+    network = make_network("z1", "z2", "z3")
+    first, second, third = network.nodes
+
+    def say(node: FakeNode, sequence: int) -> int:
+        if end == "DELETE":
+            return node.call("DELETE", "i-1").status
+        return node.heartbeat("i-1", sequence, state="draining").status
+
+    assert first.heartbeat("i-1", 1).status == 200
+    first.may_write = False
+    assert say(first, 2) == 503
+    assert first.heartbeat("i-2", 1).status == 200
+    assert say(first, 3) == 503  # nothing new to publish, and still nobody is known to hold it
+    first.may_write = True
+    for node in (second, third):
+        node.table.forget(ItemKind.WORKER, "i-1")
+    assert say(first, 4) == 200
+    wanted = None if end == "DELETE" else WorkerState.DRAINING
+    assert [node.state("i-1") for node in network.nodes] == [wanted] * 3
+
+
 def test_workers_of_a_node_that_was_cut_off_have_time_to_call_another() -> None:
     network = make_network("z1", "z2", "z3")
     for sequence in range(1, 4):
--- a/tests/test_replicated_state.py
+++ b/tests/test_replicated_state.py
@@ -5,7 +5,7 @@
 import asyncio
 import socket
 import threading
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from pathlib import Path
 
 import pytest
@@ -81,9 +81,13 @@
 
     async def start(self, ip: str, disk: Disk | None = None, bootstrap: bool = True) -> Node:
         node = self.nodes[ip] = Node(ip, self.port, disk or ModelDisk(), bootstrap)
-        await node.start(self._event.set)
+        await node.start(self.wake)
         return node
 
+    def wake(self) -> None:
+        """Something happened: conditions are looked at again."""
+        self._event.set()
+
     async def stop(self, ip: str) -> None:
         await self.nodes.pop(ip).stop()
 
@@ -156,6 +160,30 @@
     run(work)
 
 
+def test_those_whose_grants_count_for_contact_are_told() -> None:
+    async def work() -> None:
+        system = System()
+        told: dict[str, list[list[set[str]]]] = {ip: [] for ip in IPS}
+
+        def listener(heard: list[list[set[str]]]) -> Callable[[Sequence[Sequence[str]]], None]:
+            def note(electorates: Sequence[Sequence[str]]) -> None:
+                heard.append([set(each) for each in electorates])
+                system.wake()
+
+            return note
+
+        for ip in IPS:
+            node = system.nodes[ip] = Node(ip, system.port, ModelDisk(), bootstrap=True)
+            node.service.add_electorate_listener(listener(told[ip]))
+            await node.start(system.wake)
+        await system.evacuate("north")
+        await system.until(lambda: all(told[ip] and told[ip][-1] == [set(IPS)] for ip in IPS))
+        assert all(each == set(IPS) for ip in IPS for electorates in told[ip] for each in electorates)
+        await stop_all(system)
+
+    run(work)
+
+
 def test_another_leads_after_the_primary_resigns() -> None:
     async def work() -> None:
         system = await three()
