--- a/tests/test_contact_cuts.py
+++ b/tests/test_contact_cuts.py
@@ -12,7 +12,7 @@
 
 STALE = 1_200 * MS
 IN_FORCE = 3 * SECOND  # what an operator is promised, from the acknowledgement on
-LEFT_WITHIN = 2_500 * MS  # a parent out of contact, the newest configuration included
+LEFT_WITHIN = 1_600 * MS  # a parent out of contact, the newest configuration included
 SEEDS = range(1, 5)
 
 
@@ -53,6 +53,24 @@
         assert all(age(network, edge) <= 600 * MS for edge in edges)
 
 
+def test_ways_of_55_ms_among_control_nodes_leave_room() -> None:
+    """A heartbeat is acknowledged while the contact instant is within 600 ms."""
+    network, controls, _ = fleet()
+    for control in controls:
+        network.choke(control, 10 * MS)
+    network.run(SECOND)
+    for _ in range(1_000):
+        network.run(7 * MS)
+        assert all(age(network, control) <= 420 * MS for control in controls)
+
+
+def test_in_calm_nobody_changes_its_parent() -> None:
+    network, _, edges = fleet(edges=60)
+    before = [edge.core.distribution.link.changes for edge in edges]
+    network.run(60 * SECOND)
+    assert [edge.core.distribution.link.changes for edge in edges] == before
+
+
 def test_below_relays_the_ages_stay_below_the_staleness_of_a_parent() -> None:
     network, controls, edges = fleet(edges=60)
     deepest = max(edge.core.distribution.depth for edge in edges)
@@ -113,6 +131,17 @@
         assert not children_of(network, controls[0])
 
 
+@pytest.mark.parametrize("after", range(0, 3_000, 300))
+@pytest.mark.parametrize("direction", ONE_WAY)
+def test_whenever_a_change_is_acknowledged_it_is_in_force_in_time(direction: str, after: int) -> None:
+    network, controls, _ = fleet()
+    others = others_than(network, controls[0])
+    cut_one_way(network, controls[0], direction, controls[1:])
+    network.run(after * MS)
+    item = network.publish(controls[1], 1)
+    assert network.run_until(lambda: network.have(others, item), IN_FORCE) <= LEFT_WITHIN
+
+
 @pytest.mark.parametrize("direction", ONE_WAY)
 def test_what_is_published_at_the_very_moment_of_the_cut_is_in_force_in_time(direction: str) -> None:
     network, controls, edges = fleet()
