--- a/tests/test_contact_faults.py
+++ b/tests/test_contact_faults.py
@@ -7,14 +7,20 @@
 
 import pytest
 
+from canvasbeam.cluster.node_core import NodeCore
+from canvasbeam.control_plane.registry import IN_TOUCH_WITHIN_NS, RegistryService
+from canvasbeam.control_plane.web import Answer
 from canvasbeam.decide.control_contact import ControlContact, ControlVersions
 from canvasbeam.decide.distribution import Distribution
-from canvasbeam.decide.distribution_messages import LeaseGrant, Message
+from canvasbeam.decide.distribution_messages import LeaseGrant, LeaseRequest, Message
+from canvasbeam.decide.monitoring import Monitoring
 from canvasbeam.decide.parent_link import ParentLink
 from canvasbeam.decide.peer_clock import PeerClocks
 from canvasbeam.runtime.settings import Address
+from tests import test_cluster_tree as tree
 from tests import test_contact_cuts as cuts
 from tests import test_control_contact as lease
+from tests import test_registry as registry
 
 Plant = Callable[[pytest.MonkeyPatch], None]
 
@@ -74,6 +80,45 @@
     patch.setattr(ParentLink, "_is_stale", lambda self, now: False)
 
 
+def write_granted_without_holding(patch: pytest.MonkeyPatch) -> None:
+    """A control node grants a write before it holds the items."""
+
+    def broken(self: Distribution, now: int, sender: Address, message: LeaseRequest) -> None:
+        self._send((sender,), LeaseGrant(message.number, ControlVersions.of(self.table)))
+
+    patch.setattr(Distribution, "_on_lease_request", broken)
+
+
+def write_sent_once(patch: pytest.MonkeyPatch) -> None:
+    """A write that was lost on the way is not sent again."""
+    patch.setattr(ControlContact, "missing_writes", lambda self, peer: [])
+
+
+def death_called_without_contact(patch: pytest.MonkeyPatch) -> None:
+    """Any node that hears something calls others dead."""
+    tick = Monitoring.tick
+    patch.setattr(Monitoring, "tick", lambda self, now, has_majority: tick(self, now, True))
+
+
+def lost_push_waits_for_the_scrub(patch: pytest.MonkeyPatch) -> None:
+    """Nobody asks for what a keepalive or a grant names."""
+    patch.setattr(Distribution, "_request_newer", lambda self, sender, versions: None)
+
+
+def end_of_a_worker_by_the_lease(patch: pytest.MonkeyPatch) -> None:
+    """The end of a worker is acknowledged on a lease from before."""
+
+    async def broken(self: RegistryService, worker_id: str, document: dict[str, str]) -> Answer:
+        return self._acknowledge(document, self._node.in_touch(IN_TOUCH_WITHIN_NS))
+
+    patch.setattr(RegistryService, "_acknowledge_end", broken)
+
+
+def pause_leaves_the_directory(patch: pytest.MonkeyPatch) -> None:
+    """A node that has just gone on directs callers as before."""
+    patch.setattr(NodeCore, "is_heard", lambda self, now: True)
+
+
 FAULTS: list[tuple[Plant, Callable[[], None]]] = [
     (contact_from_what_is_heard,
      partial(cuts.test_a_control_node_cut_one_way_from_its_peers_is_out_of_contact, cuts.MUTE)),
@@ -87,6 +132,16 @@
      cuts.test_a_node_that_hears_again_is_in_contact_only_with_what_the_majority_holds),
     (one_electorate_of_two, lease.test_two_electorates_must_both_have_a_majority_while_a_view_is_not_settled),
     (any_round_confirms_a_write, lease.test_a_write_is_done_when_a_majority_has_granted_that_very_request),
+    (write_granted_without_holding, cuts.test_a_write_whose_first_messages_are_lost_is_sent_again),
+    (write_sent_once, cuts.test_a_write_whose_first_messages_are_lost_is_sent_again),
+    (death_called_without_contact, cuts.test_only_a_node_in_contact_calls_a_member_dead),
+    (lost_push_waits_for_the_scrub,
+     tree.test_a_lost_push_of_a_configuration_is_asked_for_after_the_next_keepalive),
+    (end_of_a_worker_by_the_lease,
+     partial(registry.test_the_end_of_a_worker_is_acknowledged_only_when_a_majority_holds_it, "draining")),
+    (pause_leaves_the_directory,
+     cuts.test_a_control_node_that_stood_still_has_no_contact_until_a_new_round_is_granted),
+    (pause_leaves_the_directory, cuts.test_a_control_node_that_hears_nobody_directs_nobody),
     (stale_parent_is_kept,
      partial(cuts.test_its_children_leave_it_and_have_what_was_acknowledged_since, cuts.MUTE_STALL, 1)),
 ]  # fmt: skip
--- a/tests/test_control_program.py
+++ b/tests/test_control_program.py
@@ -12,6 +12,7 @@
 import pytest
 
 from canvasbeam.cluster.items import Item, ItemKind, ItemTable, Version
+from canvasbeam.cluster.member import Member
 from canvasbeam.control_plane.program import ControlPlane, main
 from canvasbeam.control_plane.publisher import StatePublisher
 from canvasbeam.control_state import ControlState
@@ -71,6 +72,19 @@
     asyncio.run(body())
 
 
+def test_callers_are_handed_on_only_in_contact(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def body() -> None:
+        control_plane = ControlPlane(settings(tmp_path))
+        member = Member("c2", "core", "core", "127.0.0.2", "z1", "r1", "", True, 1, True)
+        monkeypatch.setattr(control_plane._node, "control_nodes", lambda: (member,))
+        for has_majority in (False, True):
+            monkeypatch.setattr(control_plane._node, "has_majority", lambda answer=has_majority: answer)
+            assert control_plane._is_reachable("127.0.0.2") is has_majority
+            assert not control_plane._is_reachable("127.0.0.3")
+
+    asyncio.run(body())
+
+
 def test_address_that_is_taken_ends_the_start(tmp_path: Path) -> None:
     async def body() -> None:
         own = settings(tmp_path)
