--- a/tests/test_contact_cuts.py
+++ b/tests/test_contact_cuts.py
@@ -341,28 +341,42 @@
 # --- the electorate -------------------------------------------------------------------------------
 
 
+def set_electorates(network: Network, controls: list[Host], *electorates: list[Host]) -> None:
+    for control in controls:
+        control.core.set_electorates(network.now, [[each.member.ip for each in group] for group in electorates])
+
+
 def test_contact_is_with_the_witnesses_of_the_view_where_one_is_known() -> None:
+    """Most of the control nodes do not help where most of the witnesses are on the other side."""
     network, controls, _ = fleet(regions=5, edges=10)
-    witnesses = [each.member.ip for each in controls[:3]]
-    for control in controls:
-        control.core.set_electorates(network.now, [witnesses])
-    network.cut_both_ways(controls[1:3], controls[3:])
-    network.cut_both_ways([controls[0]], controls[3:])
+    set_electorates(network, controls, controls[:3])
+    network.cut_both_ways(controls[:2], controls[2:])
     network.run(2 * SECOND)
-    assert all(is_in_contact(network, each) for each in controls[:3])
-    assert not any(is_in_contact(network, each) for each in controls[3:])
+    assert all(is_in_contact(network, each) for each in controls[:2])
+    assert not any(is_in_contact(network, each) for each in controls[2:])
 
 
 def test_an_electorate_that_changes_keeps_contact_where_both_majorities_are_there() -> None:
     network, controls, _ = fleet(regions=5, edges=10)
-    former, later = controls[:3], controls[2:]
+    former, later, running = controls[:3], controls[2:], controls[1:]
     network.lose_power(controls[0])
     for electorates in ([former, later], [later]):
-        for control in controls[1:]:
-            control.core.set_electorates(network.now, [[each.member.ip for each in group] for group in electorates])
+        set_electorates(network, running, *electorates)
         for _ in range(40):
             network.run(50 * MS)
-            assert all(is_in_contact(network, each) for each in controls[1:])
+            assert all(is_in_contact(network, each) for each in running)
+
+
+def test_an_electorate_that_changes_ends_contact_where_one_majority_is_lost_until_it_is_settled() -> None:
+    network, controls, _ = fleet(regions=5, edges=10)
+    former, later = controls[:3], controls[2:]
+    set_electorates(network, controls, later, former)
+    network.lose_power(controls[0])
+    network.lose_power(controls[1])
+    network.run(2 * SECOND)
+    assert not any(is_in_contact(network, each) for each in later)
+    set_electorates(network, later, later)
+    network.run_until(lambda: all(is_in_contact(network, each) for each in later), 500 * MS)
 
 
 # --- writes to a majority -------------------------------------------------------------------------
--- a/tests/test_contact_faults.py
+++ b/tests/test_contact_faults.py
@@ -66,6 +66,11 @@
     patch.setattr(ControlContact, "set_electorates", lambda self, each: set_electorates(self, list(each)[:1]))
 
 
+def electorate_ignored(patch: pytest.MonkeyPatch) -> None:
+    """Contact is with most of the control nodes that are known, whoever the witnesses are."""
+    patch.setattr(Distribution, "set_electorates", lambda self, now, electorates: None)
+
+
 def any_round_confirms_a_write(patch: pytest.MonkeyPatch) -> None:
     """A write counts as done once any later request is granted."""
     patch.setattr(
@@ -131,6 +136,9 @@
     (versions_not_compared,
      cuts.test_a_node_that_hears_again_is_in_contact_only_with_what_the_majority_holds),
     (one_electorate_of_two, lease.test_two_electorates_must_both_have_a_majority_while_a_view_is_not_settled),
+    (one_electorate_of_two,
+     cuts.test_an_electorate_that_changes_ends_contact_where_one_majority_is_lost_until_it_is_settled),
+    (electorate_ignored, cuts.test_contact_is_with_the_witnesses_of_the_view_where_one_is_known),
     (any_round_confirms_a_write, lease.test_a_write_is_done_when_a_majority_has_granted_that_very_request),
     (write_granted_without_holding, cuts.test_a_write_whose_first_messages_are_lost_is_sent_again),
     (write_sent_once, cuts.test_a_write_whose_first_messages_are_lost_is_sent_again),
