--- a/tests/cluster_network.py
+++ b/tests/cluster_network.py
@@ -37,6 +37,11 @@
     bytes_sent: int = 0
     messages_sent: int = 0
     adopted: list[Version] = field(default_factory=list)
+    clock_offset: int = 0  # of its monotonic clock; only the network's own calls heed it
+
+    def clock(self, now: int) -> int:
+        """The time by the clock of this machine."""
+        return now + self.clock_offset
 
     @property
     def address(self) -> Address:
@@ -51,6 +56,7 @@
         self.hosts: dict[Address, Host] = {}
         self.seeds: list[Address] = []
         self.lose_message: Callable[[Address, Address, Message], bool] = lambda source, target, message: False
+        self.clock_offset: Callable[[str], int] = lambda name: 0  # of each machine, by its name
         self._chance = random.Random(seed)
         self._datagram_loss = datagram_loss
         self._cut_since: dict[tuple[Address, Address], int] = {}
@@ -77,12 +83,13 @@
         return self._start(host.member)
 
     def _start(self, member: Member) -> Host:
-        core = NodeCore(member, PORTS, self.seeds, Start(self._chance.randrange(1 << 30), self.now))
-        host = Host(member, core)
+        offset = self.clock_offset(member.name)
+        core = NodeCore(member, PORTS, self.seeds, Start(self._chance.randrange(1 << 30), self.now + offset))
+        host = Host(member, core, clock_offset=offset)
         core.table.add_listener(lambda items: host.adopted.extend(
             item.version for item in items if item.kind is CONFIGURATION))  # fmt: skip
         self.hosts[host.address] = host
-        core.begin(self.now)
+        core.begin(host.clock(self.now))
         self._perform(host)
         return host
 
@@ -148,21 +155,21 @@
     def publish(self, host: Host, major: int, size: int = 20_000) -> Item:
         """A new configuration, published by this node."""
         item = Item(CONFIGURATION, "current", Version(major), bytes(size))
-        host.core.publish(self.now, [item])
+        host.core.publish(host.clock(self.now), [item])
         self._perform(host)
         return item
 
     def publish_items(self, host: Host, items: Iterable[Item]) -> None:
         """Any items, published by this node."""
-        host.core.publish(self.now, items)
+        host.core.publish(host.clock(self.now), items)
         self._perform(host)
 
     def set_ready(self, host: Host, ready: bool) -> None:
-        host.core.set_ready(self.now, ready)
+        host.core.set_ready(host.clock(self.now), ready)
         self._perform(host)
 
     def leave(self, host: Host) -> None:
-        host.core.leave(self.now)
+        host.core.leave(host.clock(self.now))
         self._perform(host)
 
     def running(self) -> list[Host]:
@@ -173,7 +180,7 @@
 
     def names(self, host: Host) -> set[str]:
         """The members that this node lists."""
-        return {each.name for each in host.core.members(self.now)}
+        return {each.name for each in host.core.members(host.clock(self.now))}
 
     def all_know(self, hosts: Iterable[Host]) -> bool:
         """Whether these nodes list exactly each other."""
@@ -212,14 +219,14 @@
         self._wake(host)
 
     def _wake(self, host: Host) -> None:
-        when = max(host.core.wake(), self.now + 5 * MS)
+        when = max(host.core.wake() - host.clock_offset, self.now + 5 * MS)
         if host.woken_at <= self.now or when < host.woken_at:
             host.woken_at = when
             self._at(when, lambda: self._tick(host, when))
 
     def _tick(self, host: Host, when: int) -> None:
         if host.is_running and host.woken_at == when and host.address not in self._frozen_until:
-            host.core.tick(self.now)
+            host.core.tick(host.clock(self.now))
             self._perform(host)
 
     # --- links ------------------------------------------------------------------------------------
@@ -232,7 +239,7 @@
 
     def _thaw(self, host: Host) -> None:
         del self._frozen_until[host.address]
-        host.core.tick(self.now)
+        host.core.tick(host.clock(self.now))
         self._perform(host)
 
     def choke(self, host: Host, delay: int) -> None:
@@ -272,7 +279,7 @@
         if target in self._frozen_until:
             self._at(self._frozen_until[target], lambda: self._deliver(host, target, message, until))
         elif other is not None and other.is_running and not self._is_connection_dead(host.address, target):
-            other.core.receive(self.now, host.address, message)
+            other.core.receive(other.clock(self.now), host.address, message)
             self._perform(other)
         elif self.now < until:
             self._at(self.now + 100 * MS, lambda: self._deliver(host, target, message, until))
@@ -282,7 +289,7 @@
     def _disconnect(self, host: Host, address: Address) -> Callable[[], None]:
         def event() -> None:
             if host.is_running:
-                host.core.on_disconnected(self.now, address)
+                host.core.on_disconnected(host.clock(self.now), address)
                 self._perform(host)
 
         return event
@@ -301,8 +308,8 @@
             self._at(self._frozen_until[target], lambda: self._deliver_datagram(host, target, action))
             return
         if isinstance(action, ProbeAnswer):
-            other.core.on_answer(self.now, host.address)
+            other.core.on_answer(other.clock(self.now), host.address)
         else:
             claim = Version(action.incarnation, int(action.status))
-            other.core.on_probe(self.now, host.address, action.number, claim)
+            other.core.on_probe(other.clock(self.now), host.address, action.number, claim)
         self._perform(other)
--- /dev/null
+++ b/tests/test_contact_walks.py
@@ -0,0 +1,192 @@
+"""Random walks through cuts, stalls, pauses, slow links and restarts: what contact promises holds at every step.
+
+Who has a contact instant holds every configuration that a majority of the control nodes held at that instant. Each
+machine has a monotonic clock of its own.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_right
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+import pytest
+from hypothesis import Phase, given, settings
+from hypothesis import strategies as st
+
+from canvasbeam.cluster.items import Item, Version
+from canvasbeam.decide.control_contact import ControlVersions
+from tests import test_contact_faults as faults
+from tests.cluster_network import CONFIGURATION, MS, SECOND, Host, Network
+
+CONTROLS = 3
+EDGES = 7
+STEP = 50 * MS
+HOURS = 3_600 * SECOND
+
+
+@dataclass
+class History:
+    """Since when a majority of the control nodes holds which configuration."""
+
+    network: Network
+    holders: dict[int, set[str]] = field(default_factory=dict)
+    times: list[int] = field(default_factory=list)
+    versions: list[int] = field(default_factory=list)
+
+    def watch(self, control: Host) -> None:
+        """Note what this control node adopts."""
+
+        def note(items: Sequence[Item]) -> None:
+            for item in items:
+                if item.kind is CONFIGURATION:
+                    self._adopted(control, item.version)
+
+        control.core.table.add_listener(note)
+
+    def majority_at(self, time: int) -> int:
+        """The newest configuration that a majority held then."""
+        count = bisect_right(self.times, time)
+        return max(self.versions[:count], default=0)
+
+    def _adopted(self, control: Host, version: Version) -> None:
+        for major in range(1, version.major + 1):
+            holders = self.holders.setdefault(major, set())
+            holders.add(control.member.name)
+            if 2 * len(holders) > CONTROLS and major not in self.versions:
+                self.times.append(self.network.now)
+                self.versions.append(major)
+
+
+class Walk:
+    """One network and its history; `check` is the invariant."""
+
+    def __init__(self, seed: int) -> None:
+        self.network = Network(seed=seed, datagram_loss=0.02)
+        self.network.clock_offset = lambda name: sum(map(ord, name)) % 97 * HOURS
+        self.controls, self.edges = self.network.fleet(regions=CONTROLS, edges=EDGES)
+        self.history = History(self.network)
+        for control in self.controls:
+            self.history.watch(control)
+        self.published = 0
+        self.network.run(2 * SECOND)
+
+    @property
+    def hosts(self) -> list[Host]:
+        return [*self.controls, *self.edges]
+
+    def check(self) -> None:
+        for host in self.hosts:
+            instant = host.core.distribution.contact_instant
+            if instant is None:
+                continue
+            held = ControlVersions.of(host.core.table).configuration
+            assert instant <= host.clock(self.network.now)
+            assert held >= self.history.majority_at(instant - host.clock_offset)
+
+    def run(self, span: int) -> None:
+        for _ in range(span // STEP):
+            self.network.run(STEP)
+            self.check()
+
+    def publish(self, host: Host) -> None:
+        self.published += 1
+        self.network.publish(host, self.published, size=100)
+
+    # --- trouble --------------------------------------------------------------------------------
+
+    def cut(self, one: Host, other: Host) -> None:
+        self.network.cut([one], [other])
+
+    def mute(self, one: Host, other: Host) -> None:
+        self.network.cut([one], self.hosts)
+
+    def deafen(self, one: Host, other: Host) -> None:
+        self.network.cut(self.hosts, [one])
+
+    def stall(self, one: Host, other: Host) -> None:
+        self.network.stall([one], [other])
+
+    def stall_all(self, one: Host, other: Host) -> None:
+        self.network.stall([one], self.hosts)
+
+    def choke(self, one: Host, other: Host) -> None:
+        self.network.choke(one, 400 * MS)
+
+    def freeze(self, one: Host, other: Host) -> None:
+        if one.address not in self.network._frozen_until:
+            self.network.freeze(one, 1_500 * MS)
+
+    def restart(self, one: Host, other: Host) -> None:
+        if one in self.edges and one.address not in self.network._frozen_until:
+            self.edges[self.edges.index(one)] = self.network.restart(one)
+
+    def heal(self, one: Host, other: Host) -> None:
+        self.network.heal()
+        self.network.release()
+        self.network.choke(one, 0)
+
+    def end_troubles(self) -> None:
+        for host in self.hosts:
+            self.heal(host, host)
+
+
+TROUBLES: list[Callable[[Walk, Host, Host], None]] = [
+    Walk.cut, Walk.mute, Walk.deafen, Walk.stall, Walk.stall_all, Walk.choke, Walk.freeze, Walk.restart, Walk.heal,
+    Walk.heal,
+]  # fmt: skip
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(TROUBLES),
+        st.integers(0, CONTROLS + EDGES - 1),
+        st.integers(0, CONTROLS + EDGES - 1),
+        st.integers(0, CONTROLS - 1),
+        st.integers(1, 30),
+    ),
+    min_size=1,
+    max_size=8,
+)
+
+
+Steps = list[tuple[Callable[[Walk, Host, Host], None], int, int, int, int]]
+
+
+def walk_through(seed: int, steps: Steps) -> None:
+    """Go through these troubles, with a change after each; at the end all is well and all agree."""
+    walk = Walk(seed)
+    for trouble, one, other, publisher, span in steps:
+        trouble(walk, walk.hosts[one], walk.hosts[other])
+        walk.publish(walk.controls[publisher])
+        walk.run(span * 100 * MS)
+    walk.end_troubles()
+    walk.run(6 * SECOND)
+    item = Item(CONFIGURATION, "current", Version(walk.published), bytes(100))
+    assert walk.network.have(walk.hosts, item)
+    assert all(host.core.has_majority(host.clock(walk.network.now)) for host in walk.hosts)
+
+
+def many_walks(count: int) -> Callable[[], None]:
+    """The same walks each time."""
+    walks = given(seed=st.integers(0, 1 << 16), steps=STEPS)(walk_through)
+    return settings(max_examples=count, deadline=None, derandomize=True, phases=[Phase.generate])(walks)
+
+
+def test_who_is_in_contact_holds_what_the_majority_held() -> None:
+    many_walks(40)()
+
+
+@pytest.mark.parametrize(
+    "plant",
+    [
+        faults.contact_from_what_is_heard,
+        faults.lease_counted_from_receipt,
+        faults.keepalive_counted_from_receipt,
+        faults.versions_not_compared,
+    ],
+    ids=lambda plant: str(plant.__name__),
+)
+def test_walks_find_a_planted_fault(plant: faults.Plant, monkeypatch: pytest.MonkeyPatch) -> None:
+    plant(monkeypatch)
+    with pytest.raises(AssertionError):
+        many_walks(400)()
