--- a/canvasbeam/decide/distribution.py
+++ b/canvasbeam/decide/distribution.py
@@ -304,10 +304,15 @@
             self._send(heard, reconcile.compare(self.table))
 
     def begin_write(self, now: int, items: Iterable[Item]) -> int:
-        """Have these items held by most of the control nodes; `contact.is_written` tells when they are."""
-        number = self.contact.begin_write(now, items)
-        if self.mesh.peers:
-            self._send(self.mesh.peers, LeaseRequest(number, tuple(items)))
+        """Have these items held by most of the control nodes; `contact.is_written` tells when they are.
+
+        Peers that are silent get them with the next probe.
+        """
+        written = tuple(items)
+        number = self.contact.begin_write(now, written)
+        heard = self.mesh.heard(now)
+        if heard:
+            self._send(heard, LeaseRequest(number, written))
         return number
 
     def _list_mesh(self, now: int) -> None:
