Keep the lease of a control node in a module of its own

Distribution had grown by requests, grants and writes; decide/control_lease.py now holds them with the mesh.

--- a/canvasbeam/decide/control_contact.py
+++ b/canvasbeam/decide/control_contact.py
@@ -137,9 +137,13 @@
         write = self._writes.get(number)
         return write is not None and self._has_majority(write)
 
-    def missing_writes(self, peer: Address) -> list[tuple[int, tuple[Item, ...]]]:
+    def items_of_write(self, number: int) -> tuple[Item, ...]:
+        """The items that a granter of this write holds."""
+        return self._writes[number].items
+
+    def missing_writes(self, peer: Address) -> list[int]:
         """The writes that this peer has not granted yet."""
-        return [(number, each.items) for number, each in self._writes.items() if peer not in each.granters]
+        return [number for number, each in self._writes.items() if peer not in each.granters]
 
     def on_grant(self, granter: Address, number: int, versions: ControlVersions, held: ControlVersions) -> bool:
         """A control node granted a request; tells whether the contact instant moved."""
--- a/canvasbeam/decide/distribution.py
+++ b/canvasbeam/decide/distribution.py
@@ -13,8 +13,8 @@
 
 from canvasbeam.cluster.items import CURRENT, Item, ItemKind, ItemTable, Version
 from canvasbeam.decide import reconcile
-from canvasbeam.decide.control_contact import ControlContact, ControlVersions, RelayedContact, Voucher
-from canvasbeam.decide.control_mesh import ControlMesh
+from canvasbeam.decide.control_contact import ControlVersions, RelayedContact, Voucher
+from canvasbeam.decide.control_lease import ControlLease
 from canvasbeam.decide.distribution_messages import (
     NO_CONTACT,
     Compare,
@@ -65,8 +65,9 @@
         self.table = table
         self.terms = terms
         self.children: dict[Address, Child] = {}
-        self.mesh = ControlMesh(terms)
-        self.contact = ControlContact(me.address, seed)
+        self.lease = ControlLease(me.address, table, terms, seed, now)
+        self.mesh = self.lease.mesh
+        self.contact = self.lease.contact
         self.relayed = RelayedContact()
         self.link = ParentLink(terms, self._parent_order, self._subscribe, seed, now)
         self._seeds = tuple(each for each in seeds if each != me.address)
@@ -77,12 +78,8 @@
         self._flushed_at = now - terms.batch
         self._next_keepalive = now
         self._keepalive_sent_at = now - terms.keepalive
-        self._next_lease_request = now
-        self._electorates: tuple[frozenset[Address], ...] = ()  # where a view of the control state is known
-        self._ahead: dict[Address, ControlVersions] = {}  # granters that held more than this node
         self._life = seed
         self._next_compare = now + terms.compare
-        self._next_child_compare = now + terms.compare
         self._next_far_compare = now + terms.far_compare
         self._tombstones: dict[tuple[ItemKind, str], tuple[Version, int]] = {}
         self._actions: list[Send] = []
@@ -103,9 +100,8 @@
         """Most of each must grant a lease: the witnesses of the newest view known, and of the one before it until the
         change is settled.
         """
-        self._electorates = tuple(frozenset(each) for each in electorates)
         if self.me.is_control:
-            self._list_mesh(now)
+            self.lease.set_electorates(now, electorates)
 
     def set_seeds(self, now: int, seeds: Iterable[Address]) -> None:
         """The settings name other seeds now."""
@@ -160,9 +156,7 @@
     def tick(self, now: int) -> None:
         """Do what is due."""
         if self.me.is_control:
-            if self.mesh.tick(now):
-                self._update_electorates()
-            self._request_lease(now)
+            self._actions += self.lease.tick(now)
         else:
             self._actions += self.link.tick(now)
             self._far_compare(now)
@@ -183,7 +177,7 @@
         if self.me.is_control or self.children:
             times.append(self._next_keepalive)
         if self.me.is_control:
-            times.append(self._next_lease_request)
+            times.append(self.lease.wake())
         else:
             times.append(self.link.wake())
         if self._dirty:
@@ -238,15 +232,15 @@
         if is_vouching and self.relayed.vouch(voucher, ControlVersions.of(self.table)):
             self._hasten_keepalive(now)
         if message.time.asked_at is None:
-            self._request_newer(parent.address, message.versions)  # a push before this was lost
+            # What is not held by now was lost on the way: a push comes before a keepalive that names it.
+            self._answer(parent.address, reconcile.request_newer(self.table, message.versions))
 
     def _note_heard(self, now: int, sender: Address) -> None:
         self.link.on_heard(now, sender)
         if sender in self.children:
             self.children[sender].heard_at = now
-        if self.me.is_control and sender in self.mesh.peers and self.mesh.on_heard(now, sender):
-            self._send((sender,), reconcile.compare(self.table))
-            self._next_lease_request = now
+        if self.me.is_control:
+            self._actions += self.lease.on_heard(now, sender)
 
     def _on_renew(self, now: int, sender: Address, message: Renew) -> None:
         if sender not in self.children:
@@ -261,19 +255,12 @@
 
     def _on_lease_request(self, now: int, sender: Address, message: LeaseRequest) -> None:
         """Hold the items, and grant at once."""
-        if not self.me.is_control:
-            return
-        if sender not in self.mesh.peers:
-            self.mesh.on_heard(now, sender)
-            self._update_electorates()
-        self._merge(now, message.items, sender)
-        self._send((sender,), LeaseGrant(message.number, ControlVersions.of(self.table)))
+        if self.me.is_control:
+            self._merge(now, message.items, sender)
+            self._actions += self.lease.on_request(now, sender, message)
 
     def _on_lease_grant(self, now: int, sender: Address, message: LeaseGrant) -> None:
-        held = ControlVersions.of(self.table)
-        if not held.covers(message.versions):
-            self._ahead[sender] = message.versions
-        if self.contact.on_grant(sender, message.number, message.versions, held):
+        if self.lease.on_grant(sender, message):
             self._hasten_keepalive(now)
 
     def _on_items(self, items: Sequence[Item]) -> None:
@@ -283,57 +270,14 @@
             self.contact.settle(held)
             self.relayed.settle(held)
 
-    def _request_lease(self, now: int) -> None:
-        """Ask the other control nodes for a lease, and for what they hold beyond this node."""
-        if now < self._next_lease_request:
-            return
-        self._next_lease_request = now + self.terms.lease_renewal
-        for granter, versions in self._ahead.items():
-            self._request_newer(granter, versions)
-        self._ahead.clear()
-        number = self.contact.begin_round(now, ControlVersions.of(self.table))
-        heard = self.mesh.heard(now)
-        receivers = [*heard, *self.mesh.due_probes(now)]
-        if receivers:
-            self._send(receivers, LeaseRequest(number))
-        for receiver in receivers:
-            for write, items in self.contact.missing_writes(receiver):
-                self._send((receiver,), LeaseRequest(write, items))
-        if heard and now >= self._next_compare:
-            self._next_compare = now + self.terms.mesh_compare
-            self._send(heard, reconcile.compare(self.table))
-
     def begin_write(self, now: int, items: Iterable[Item]) -> int:
-        """Have these items held by most of the control nodes; `contact.is_written` tells when they are.
-
-        Peers that are silent get them with the next probe.
-        """
-        written = tuple(items)
-        number = self.contact.begin_write(now, written)
-        heard = self.mesh.heard(now)
-        if heard:
-            self._send(heard, LeaseRequest(number, written))
+        """Have these items held by most of the control nodes; `contact.is_written` tells when they are."""
+        number = self.lease.begin_write(now, items)
+        self._actions += self.lease.send_write(now, number)
         return number
 
     def _list_mesh(self, now: int) -> None:
-        voters = frozenset().union(*self._electorates) - {self.me.address}
-        self.mesh.list_peers(now, self._control_addresses(), (*self._seeds, *voters))
-        self._update_electorates()
-
-    def _update_electorates(self) -> None:
-        """Without a view, all control nodes that are known."""
-        self.contact.set_electorates(self._electorates or [{self.me.address, *self.mesh.peers}])
-
-    def _request_newer(self, sender: Address, versions: ControlVersions) -> None:
-        """Ask for the configuration and the evacuations where the sender holds newer ones."""
-        held = ControlVersions.of(self.table)
-        if versions.configuration > held.configuration:
-            self._request_current(sender, ItemKind.CONFIGURATION, versions.configuration)
-        if versions.evacuations > held.evacuations:
-            self._request_current(sender, ItemKind.EVACUATIONS, versions.evacuations)
-
-    def _request_current(self, sender: Address, kind: ItemKind, index: int) -> None:
-        self._send((sender,), Request(kind, (VersionRecord(CURRENT, Version(index)),)))
+        self.lease.list_peers(now, self._control_addresses(), self._seeds)
 
     def _reconcile(self, sender: Address, message: Versions | Request | Compare) -> None:
         size = self.terms.update_bytes
@@ -407,9 +351,9 @@
             return
         if self._dirty:
             self.flush(now)  # a keepalive vouches for what came before it
-        is_comparing = now >= self._next_child_compare
+        is_comparing = now >= self._next_compare
         if is_comparing:
-            self._next_child_compare = now + self.terms.compare
+            self._next_compare = now + self.terms.compare
         self._send(self.children, self._keepalive(now, is_comparing))
 
     def _hasten_keepalive(self, now: int) -> None:
--- a/canvasbeam/decide/reconcile.py
+++ b/canvasbeam/decide/reconcile.py
@@ -7,7 +7,8 @@
 
 from collections.abc import Iterable, Iterator
 
-from canvasbeam.cluster.items import Item, ItemKind, ItemTable
+from canvasbeam.cluster.items import CURRENT, Item, ItemKind, ItemTable, Version
+from canvasbeam.decide.control_contact import ControlVersions
 from canvasbeam.decide.distribution_messages import (
     Compare,
     Digests,
@@ -62,6 +63,15 @@
     yield from updates(items, update_bytes)
 
 
+def request_newer(table: ItemTable, versions: ControlVersions) -> Iterator[Request]:
+    """Ask for the configuration and the evacuations where these versions are newer than what is held."""
+    held = ControlVersions.of(table)
+    if versions.configuration > held.configuration:
+        yield _request_current(ItemKind.CONFIGURATION, versions.configuration)
+    if versions.evacuations > held.evacuations:
+        yield _request_current(ItemKind.EVACUATIONS, versions.evacuations)
+
+
 def compare(table: ItemTable) -> Compare:
     """Ask a node to compare its table with ours."""
     return Compare(digests(table))
@@ -82,6 +92,10 @@
         yield Update(tuple(batch))
 
 
+def _request_current(kind: ItemKind, index: int) -> Request:
+    return Request(kind, (VersionRecord(CURRENT, Version(index)),))
+
+
 def _record(item: Item) -> VersionRecord:
     return VersionRecord(item.key, item.version, item.deleted)
 
--- a/tests/test_contact_faults.py
+++ b/tests/test_contact_faults.py
@@ -10,6 +10,7 @@
 from canvasbeam.cluster.node_core import NodeCore
 from canvasbeam.control_plane.registry import IN_TOUCH_WITHIN_NS, RegistryService
 from canvasbeam.control_plane.web import Answer
+from canvasbeam.decide import reconcile
 from canvasbeam.decide.control_contact import ControlContact, ControlVersions
 from canvasbeam.decide.distribution import Distribution
 from canvasbeam.decide.distribution_messages import LeaseGrant, LeaseRequest, Message
@@ -107,7 +108,7 @@
 
 def lost_push_waits_for_the_scrub(patch: pytest.MonkeyPatch) -> None:
     """Nobody asks for what a keepalive or a grant names."""
-    patch.setattr(Distribution, "_request_newer", lambda self, sender, versions: None)
+    patch.setattr(reconcile, "request_newer", lambda table, versions: ())
 
 
 def end_of_a_worker_by_the_lease(patch: pytest.MonkeyPatch) -> None:
--- a/tests/test_control_contact.py
+++ b/tests/test_control_contact.py
@@ -150,7 +150,8 @@
     assert not contact.is_written(write)
     contact.on_grant(NODES[1], write, OLD, OLD)
     assert contact.missing_writes(NODES[1]) == []
-    assert contact.missing_writes(NODES[2]) == [(write, (item,))]
+    assert contact.missing_writes(NODES[2]) == [write]
+    assert contact.items_of_write(write) == (item,)
     contact.on_grant(NODES[2], write, OLD, OLD)
     assert contact.is_written(write)
     contact.end_write(write)
