Tests of promises to clients: bound the waits for clients that left, keep one look-up of homes

Cause: trials with the mechanisms broken passed: a held request ended by its own time, and each resolve read the configuration anew.

--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -106,9 +106,9 @@
     ttl_max_s: float = 5,
     method: str = "GET",
     path: str = "/v1/resolve",
-    table: ItemTable | None = None,
+    homes: HomeRegions | None = None,
 ) -> Answer:
-    directory = Directory(settings(ttl_max_s), lambda: members, HomeRegions(table or ItemTable()))
+    directory = Directory(settings(ttl_max_s), lambda: members, homes or HomeRegions(ItemTable()))
     request = Request(method, path, {"name": "a.example", "region": "r1", "zone": "z1"})
     return asyncio.run(directory.resolve(request))
 
@@ -142,25 +142,29 @@
 ]
 
 
-def addresses_with(table: ItemTable) -> list[str]:
-    addresses: list[str] = json.loads(resolve(*EDGES, table=table).body)["addresses"]
+def addresses_with(homes: HomeRegions) -> list[str]:
+    addresses: list[str] = json.loads(resolve(*EDGES, homes=homes).body)["addresses"]
     return addresses
 
 
 def test_while_one_of_two_nodes_ends_clients_of_a_host_with_homes_are_not_sent_elsewhere() -> None:
-    assert addresses_with(table_with_routes(route("A.example", "r1", "r2"))) == ["10.1.0.1:80", "10.2.0.1:80"]
-    assert addresses_with(table_with_routes(route("b.example", "r1", "r2"))) == [
+    assert addresses_with(HomeRegions(table_with_routes(route("A.example", "r1", "r2")))) == [
+        "10.1.0.1:80",
+        "10.2.0.1:80",
+    ]
+    assert addresses_with(HomeRegions(table_with_routes(route("b.example", "r1", "r2")))) == [
         "10.1.0.1:80", "10.2.0.1:80", "10.3.0.1:80",
     ]  # fmt: skip
 
 
 def test_home_regions_are_those_of_the_configuration_now_in_force() -> None:
     table = table_with_routes(route("a.example", "r1", "r2"))
-    assert len(addresses_with(table)) == 2
+    homes = HomeRegions(table)
+    assert len(addresses_with(homes)) == 2
     configure(table, route("a.example", "r1"), version=2)
-    assert addresses_with(table) == ["10.1.0.1:80"]
+    assert addresses_with(homes) == ["10.1.0.1:80"]
     configure(table, route("a.example"), version=3)
-    assert len(addresses_with(table)) == 3
+    assert len(addresses_with(homes)) == 3
 
 
 def test_home_regions_of_a_host_are_those_that_all_its_routes_with_homes_share() -> None:
--- a/tests/test_later_sentences.py
+++ b/tests/test_later_sentences.py
@@ -45,6 +45,12 @@
         await asyncio.sleep(0)
 
 
+async def until_nothing_is_open(data_plane: DataPlaneUnderTest) -> None:
+    """Wait until no request is owed an answer, as it must soon be once clients left."""
+    async with asyncio.timeout(LATE_ANSWER_S):
+        await until(lambda: data_plane.carrier.open_requests == 0)
+
+
 async def let_events_pass(count: int = 50) -> None:
     """Give everything that is ready to run the time to do so."""
     for _ in range(count):
@@ -251,7 +257,7 @@
         await client.send(request_bytes(f"/{name}/x", "id-1"))
         await until(lambda: data_plane.carrier.open_requests == 1)
         client.close()
-        await until(lambda: data_plane.carrier.open_requests == 0)
+        await until_nothing_is_open(data_plane)
         data_plane.heartbeat(worker)
         assert (await (await data_plane.client()).request("/safe/x", "id-2")).status == 200
         assert [each.identity for each in worker.received] == ["id-2"]
@@ -275,7 +281,7 @@
         await client.send(request_bytes(f"/{name}/x", "id-1"))
         await until(lambda: bool(pool._waiting))
         client.close()
-        await until(lambda: data_plane.carrier.open_requests == 0)
+        await until_nothing_is_open(data_plane)
         pool.discard(held)
         assert (await (await data_plane.client()).request("/safe/x", "id-2")).status == 200
         assert [each.identity for each in worker.received] == ["id-2"]
@@ -318,7 +324,7 @@
         await client.send(request_bytes("/safe/x", "id-1"))
         await rejected.wait()
         client.close()
-        await until(lambda: data_plane.carrier.open_requests == 0)
+        await until_nothing_is_open(data_plane)
         data_plane.heartbeat(second)
         await let_events_pass()
         assert not second.received
