--- /dev/null
+++ b/tests/test_order_of_classes.py
@@ -0,0 +1,108 @@
+"""A more urgent class of a service is not served less often than a less urgent one, with more work than workers."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import Counter
+from dataclasses import dataclass, replace
+
+import pytest
+
+from canvasbeam import interface as ci
+from canvasbeam.data_plane.dispatcher_settings import HOLD_SHARE
+from tests.helpers import MS, SECOND
+from tests.test_system_placement import CHAT, System, prompt, worker
+
+SPAN = 30 * SECOND
+TOLERATED = 0.05  # of its requests a more urgent class may be served less
+SLOTS = 4
+SERVICE_MS = 300
+CAPACITY_PER_S = 2 * SLOTS * 1000 / SERVICE_MS
+
+
+@dataclass(frozen=True)
+class Kind:
+    """A kind of request: its class, the share of all requests, and the size of its prompts."""
+
+    job_class: ci.JobClass
+    share: float
+    tokens: int = 100
+
+
+def job_class(name: str, priority: int, aim_ms: int, deadline_ms: int, **changes: object) -> ci.JobClass:
+    return replace(
+        CHAT, name=name, priority=9 - priority, aim_ns=aim_ms * MS, deadline_ns=deadline_ms * MS, late_worth=0.3,
+        **changes,  # type: ignore[arg-type]
+    )  # fmt: skip
+
+
+BRIEF = job_class("brief", 0, 800, 4000, effect=ci.Effect.SAFE, max_attempts=2)
+REVIEW = job_class("review", 1, 800, 5000)
+CHATTING = job_class("chatting", 2, 600, 15_000)
+
+
+def served_shares(kinds: list[Kind], load: float, seed: int, urgent_first: bool = True) -> dict[str, float]:
+    """The share of each class's requests that are served at this multiple of what the workers can do."""
+    system = System(
+        worker("a", slots=SLOTS), worker("b", slots=SLOTS), classes=tuple(each.job_class for each in kinds),
+        hold_share=HOLD_SHARE, urgent_first=urgent_first,
+    )  # fmt: skip
+    chance = random.Random(seed)
+    asked: Counter[str] = Counter()
+    served: Counter[str] = Counter()
+    classes: dict[str, str] = {}
+    ends: list[tuple[int, str, str]] = []
+    end = system.now + SPAN
+
+    def take(actions: list[ci.Action]) -> None:
+        for action in actions:
+            if isinstance(action, ci.Send):
+                heapq.heappush(ends, (system.now + round(chance.uniform(0.5, 1.5) * SERVICE_MS * MS), action.job,
+                                      action.worker))  # fmt: skip
+                take(system.opened(action.job, action.worker))
+
+    def serve_until(when: int) -> None:
+        while ends and ends[0][0] <= when:
+            at, job, name = heapq.heappop(ends)
+            take(system.pass_time(max(0, at - system.now)))
+            served[classes[job]] += 1
+            take(system.ended(job, name))
+        take(system.pass_time(max(0, when - system.now)))
+
+    while system.now < end:
+        serve_until(system.now + round(chance.expovariate(load * CAPACITY_PER_S) * SECOND))
+        kind = chance.choices(kinds, [each.share for each in kinds])[0]
+        name = kind.job_class.name
+        asked[name] += 1
+        classes[f"j{system.made}"] = name
+        take(system.job(name, kind.job_class.deadline_ns, prompt=prompt(kind.tokens)))
+    serve_until(end + 20 * SECOND)
+    return {name: served[name] / asked[name] for name in asked}
+
+
+MIXES = {
+    "even": [Kind(BRIEF, 1), Kind(REVIEW, 1), Kind(CHATTING, 1)],
+    "few urgent": [Kind(BRIEF, 1), Kind(CHATTING, 8)],
+    "mostly urgent": [Kind(BRIEF, 8), Kind(CHATTING, 1)],
+    "long urgent prompts": [Kind(REVIEW, 1, tokens=6000), Kind(CHATTING, 3, tokens=100)],
+}
+
+
+@pytest.mark.parametrize("load", [0.8, 1.5, 3.0])
+@pytest.mark.parametrize("mix", list(MIXES))
+def test_a_more_urgent_class_is_not_served_less_often(mix: str, load: float) -> None:
+    kinds = MIXES[mix]
+    shares = served_shares(kinds, load, seed=1)
+    in_order = [shares[each.job_class.name] for each in kinds]
+    for urgent, other in zip(in_order, in_order[1:], strict=False):
+        assert urgent >= other - TOLERATED, shares
+
+
+def test_without_its_order_a_class_with_a_shorter_aim_is_served_more_often() -> None:
+    """The planted fault: priorities are not looked at."""
+    kinds = [Kind(job_class("urgent", 0, 4000, 5000), 1), Kind(job_class("other", 2, 400, 5000), 1)]
+    shares = served_shares(kinds, 3.0, seed=1, urgent_first=False)
+    assert shares["urgent"] < shares["other"] - TOLERATED
+    shares = served_shares(kinds, 3.0, seed=1)
+    assert shares["urgent"] >= shares["other"] - TOLERATED
