Name nodes at home that end before nodes elsewhere, for hosts with homes

Cause: a rolling restart that reaches the next node before the one before is back can leave no ready node in the client's region and the home regions; the directory then named those elsewhere, which may not be sent such requests. Change: a node that ends still takes connections and answers; such nodes are named before those elsewhere.

--- a/canvasbeam/control_plane/directory.py
+++ b/canvasbeam/control_plane/directory.py
@@ -30,7 +30,7 @@
         if request.method != "GET":
             return method_not_allowed("GET")
         homes = self._homes.of_host(request.query.get("name", ""))
-        addresses = choose_addresses(self._ready_nodes(), self._client_place(request), homes)
+        addresses = choose_addresses(self._nodes(), self._client_place(request), homes)
         if not addresses:
             return unavailable(Failure(ResultCode.REQUEST_NOT_READY, "no data-plane node is known to be ready"))
         return json_answer(200, {"addresses": addresses, "ttl_s": min(TTL_S, self._settings.bounds.ttl_max_s)})
@@ -39,7 +39,7 @@
         zone = request.query.get("zone", "")
         return ClientPlace(zone, request.query.get("region") or self._settings.zones.get(zone, ""))
 
-    def _ready_nodes(self) -> Iterable[DataPlaneNode]:
+    def _nodes(self) -> Iterable[DataPlaneNode]:
         for member in self._members():
-            if member.front and member.ready and not member.is_control:
-                yield DataPlaneNode(member.front, member.zone, member.region)
+            if member.front and not member.is_control:
+                yield DataPlaneNode(member.front, member.zone, member.region, member.ready)
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+from dataclasses import replace
 
 import pytest
 
@@ -69,6 +70,28 @@
     assert addresses == sorted(addresses)  # by the test's addresses the own region comes first
 
 
+@pytest.mark.parametrize(
+    ("alive", "homes", "regions"),
+    [
+        ("r1 r2", {"r1", "r2"}, {"r1", "r2"}),  # a rolling restart has reached all of them: they still take connections
+        ("r2", {"r1", "r2"}, {"r2"}),
+        ("r1", {"r2"}, {"r1"}),
+        ("", {"r1", "r2"}, {"r3"}),
+    ],
+)
+def test_nodes_that_end_at_home_go_before_nodes_elsewhere(alive: str, homes: set[str], regions: set[str]) -> None:
+    ending = [replace(node, ready=False) for node in HOMES[:4] if node.region in alive.split()]
+    nodes = [*ending, *HOMES[4:]]
+    addresses = choose_addresses(nodes, ClientPlace("z1", "r1"), frozenset(homes))
+    assert {node.region for node in nodes if node.front in addresses} == regions
+    assert choose_addresses(nodes, ClientPlace("z1", "r1")) == [node.front for node in HOMES[4:]]
+
+
+def test_nodes_that_end_are_not_named_beside_one_that_is_ready() -> None:
+    nodes = [HOMES[0], replace(HOMES[1], ready=False), replace(HOMES[2], ready=False), HOMES[3], HOMES[4]]
+    assert choose_addresses(nodes, ClientPlace("z1", "r1"), frozenset({"r1", "r2"})) == [HOMES[0].front, HOMES[3].front]
+
+
 def test_addresses_are_bounded() -> None:
     many = [DataPlaneNode(f"10.0.{n // 250}.{n % 250}:80", "z1", "r1") for n in range(300)]
     assert len(choose_addresses(many, ClientPlace("z1", "r1"))) == MOST_ADDRESSES
