--- a/canvasbeam/data_plane/shutdown.py
+++ b/canvasbeam/data_plane/shutdown.py
@@ -31,7 +31,7 @@
 CHECK_EVERY_S = 0.1
 # A stream that comes this long after the signal knew of no other node to go to: it must not be cut.
 LATE_STREAM_NS = 3 * SECOND
-LATE_STREAM_MARGIN = 2.0  # so many times the time that most streams of its length need must be left for it
+LATE_STREAM_MARGIN = 1.5  # so many times the time that most streams of its length need must be left for it
 
 
 def terms_of(settings: ProcessSettings) -> ShutdownTimes:
