--- a/tests/test_later_sentences.py
+++ b/tests/test_later_sentences.py
@@ -179,44 +179,49 @@
 # --- clients that leave -----------------------------------------------------------------------------
 
 
-@pytest.mark.parametrize("name", ["safe", "unsafe", "stream", "resume"])
-def test_work_stops_as_soon_as_its_client_leaves(name: str) -> None:
-    began, stopped = asyncio.Event(), asyncio.Event()
+class Work:
+    """A worker that works until the caller of a request leaves; health checks are answered."""
 
-    async def work(turn: WorkerTurn) -> None:
-        began.set()
+    def __init__(self) -> None:
+        self.began = asyncio.Event()
+        self.stopped = asyncio.Event()
+
+    async def serve(self, turn: WorkerTurn) -> None:
+        if turn.request.target == "/healthz":
+            await turn.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Instance: w1\r\n\r\n")
+            return
+        self.began.set()
         await turn.until_closed()
-        stopped.set()
+        self.stopped.set()
+
+
+@pytest.mark.parametrize("name", ["safe", "unsafe", "stream", "resume"])
+def test_work_stops_as_soon_as_its_client_leaves(name: str) -> None:
+    work = Work()
 
     async def body(data_plane: DataPlaneUnderTest) -> None:
         client = await data_plane.client()
         await client.send(request_bytes(f"/{name}/x"))
-        await began.wait()
+        await work.began.wait()
         client.close()
         async with asyncio.timeout(SOON_S):
-            await stopped.wait()
+            await work.stopped.wait()
         assert data_plane.carrier.open_requests == 0
 
-    run(body, ScriptedWorker("w1", default=work))
+    run(body, ScriptedWorker("w1", default=work.serve))
 
 
 def test_work_stops_when_its_client_leaves_behind_another_request_on_the_connection() -> None:
-    began, stopped = asyncio.Event(), asyncio.Event()
-
-    async def work(turn: WorkerTurn) -> None:
-        began.set()
-        await turn.until_closed()
-        stopped.set()
-
-    worker = ScriptedWorker("w1", default=work)
+    work = Work()
+    worker = ScriptedWorker("w1", default=work.serve)
 
     async def body(data_plane: DataPlaneUnderTest) -> None:
         client = await data_plane.client()
         await client.send(request_bytes("/safe/x", "id-1") + request_bytes("/safe/x", "id-2"))
-        await began.wait()
+        await work.began.wait()
         client.close()
         async with asyncio.timeout(SOON_S):
-            await stopped.wait()
+            await work.stopped.wait()
         await until(lambda: data_plane.server.connection_count == 0)
         assert [each.identity for each in worker.received] == ["id-1"]
 
