--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+from dataclasses import replace
 
 import pytest
 
@@ -69,6 +70,28 @@
     assert addresses == sorted(addresses)  # by the test's addresses the own region comes first
 
 
+@pytest.mark.parametrize(
+    ("alive", "homes", "regions"),
+    [
+        ("r1 r2", {"r1", "r2"}, {"r1", "r2"}),  # a rolling restart has reached all of them: they still take connections
+        ("r2", {"r1", "r2"}, {"r2"}),
+        ("r1", {"r2"}, {"r1"}),
+        ("", {"r1", "r2"}, {"r3"}),
+    ],
+)
+def test_nodes_that_end_at_home_go_before_nodes_elsewhere(alive: str, homes: set[str], regions: set[str]) -> None:
+    ending = [replace(node, ready=False) for node in HOMES[:4] if node.region in alive.split()]
+    nodes = [*ending, *HOMES[4:]]
+    addresses = choose_addresses(nodes, ClientPlace("z1", "r1"), frozenset(homes))
+    assert {node.region for node in nodes if node.front in addresses} == regions
+    assert choose_addresses(nodes, ClientPlace("z1", "r1")) == [node.front for node in HOMES[4:]]
+
+
+def test_nodes_that_end_are_not_named_beside_one_that_is_ready() -> None:
+    nodes = [HOMES[0], replace(HOMES[1], ready=False), replace(HOMES[2], ready=False), HOMES[3], HOMES[4]]
+    assert choose_addresses(nodes, ClientPlace("z1", "r1"), frozenset({"r1", "r2"})) == [HOMES[0].front, HOMES[3].front]
+
+
 def test_addresses_are_bounded() -> None:
     many = [DataPlaneNode(f"10.0.{n // 250}.{n % 250}:80", "z1", "r1") for n in range(300)]
     assert len(choose_addresses(many, ClientPlace("z1", "r1"))) == MOST_ADDRESSES
@@ -106,9 +129,9 @@
     ttl_max_s: float = 5,
     method: str = "GET",
     path: str = "/v1/resolve",
-    table: ItemTable | None = None,
+    homes: HomeRegions | None = None,
 ) -> Answer:
-    directory = Directory(settings(ttl_max_s), lambda: members, HomeRegions(table or ItemTable()))
+    directory = Directory(settings(ttl_max_s), lambda: members, homes or HomeRegions(ItemTable()))
     request = Request(method, path, {"name": "a.example", "region": "r1", "zone": "z1"})
     return asyncio.run(directory.resolve(request))
 
@@ -142,25 +165,29 @@
 ]
 
 
-def addresses_with(table: ItemTable) -> list[str]:
-    addresses: list[str] = json.loads(resolve(*EDGES, table=table).body)["addresses"]
+def addresses_with(homes: HomeRegions) -> list[str]:
+    addresses: list[str] = json.loads(resolve(*EDGES, homes=homes).body)["addresses"]
     return addresses
 
 
 def test_while_one_of_two_nodes_ends_clients_of_a_host_with_homes_are_not_sent_elsewhere() -> None:
-    assert addresses_with(table_with_routes(route("A.example", "r1", "r2"))) == ["10.1.0.1:80", "10.2.0.1:80"]
-    assert addresses_with(table_with_routes(route("b.example", "r1", "r2"))) == [
+    assert addresses_with(HomeRegions(table_with_routes(route("A.example", "r1", "r2")))) == [
+        "10.1.0.1:80",
+        "10.2.0.1:80",
+    ]
+    assert addresses_with(HomeRegions(table_with_routes(route("b.example", "r1", "r2")))) == [
         "10.1.0.1:80", "10.2.0.1:80", "10.3.0.1:80",
     ]  # fmt: skip
 
 
 def test_home_regions_are_those_of_the_configuration_now_in_force() -> None:
     table = table_with_routes(route("a.example", "r1", "r2"))
-    assert len(addresses_with(table)) == 2
+    homes = HomeRegions(table)
+    assert len(addresses_with(homes)) == 2
     configure(table, route("a.example", "r1"), version=2)
-    assert addresses_with(table) == ["10.1.0.1:80"]
+    assert addresses_with(homes) == ["10.1.0.1:80"]
     configure(table, route("a.example"), version=3)
-    assert len(addresses_with(table)) == 3
+    assert len(addresses_with(homes)) == 3
 
 
 def test_home_regions_of_a_host_are_those_that_all_its_routes_with_homes_share() -> None:
