Membership: a death by hearsay is a witness, and kills nobody who still answers

An instance believed a death that it was told as soon as it had suspected the member for a quarter of a second, half of the least suspicion, and with no regard to whether it had heard the member meanwhile; and a member that was suspected by hearsay was told so only with the next datagram that it sent itself. After a cut each side tells the other's members' deaths again and again, so who stood still for 0.1 s at the heal was called dead by its own part.

A death that is told is now one more witness of a suspicion; every instance judges by its own suspicion's time, counted from when it last heard the member, and the member is told at once. A newer incarnation that is suspected has the whole time of a suspicion: the time of an older one was counted against it where its refutation got lost.

--- a/canvasbeam/decide/membership.py
+++ b/canvasbeam/decide/membership.py
@@ -8,7 +8,7 @@
 | --- | --- | --- |
 | alive | it answered us, or a member says so | suspect: a probe of ours failed, or a member says so or calls it dead |
 | suspect | | alive: it refuted, with a higher incarnation; dead: nobody heard of it for the suspicion's time |
-| dead | a suspicion ran out, or one suspected here is called dead | alive: it refuted; forgotten after `forget` |
+| dead | a suspicion ran out here | alive: it refuted; forgotten after `forget` |
 | left | it said so at its planned end | alive: a new process of that name; forgotten after `forget_left` |
 
 | state of this instance | from | to |
@@ -20,8 +20,9 @@
 
 What is said of a member is ordered by (start of its process, incarnation, state); of two sayings the higher stands, so
 they may come in any order and any number of times. Sources: Das, Gupta, Motivala, "SWIM" (DSN 2002); Dadgar, Phillips,
-Currey, "Lifeguard" (2017). Beyond both: a death by hearsay is a suspicion first, so that a cut that heals kills nobody;
-the dead and the seeds are asked now and then, so that it heals at all; who hears nothing passes no judgement.
+Currey, "Lifeguard" (2017). Beyond both: a death by hearsay is one witness of a suspicion, so that a cut that heals
+kills nobody; the dead and the seeds are asked now and then, so that it heals at all; who hears nothing passes no
+judgement.
 """
 
 from __future__ import annotations
@@ -513,15 +514,12 @@
             self._confirm(member, fact)
         if fact.rank <= member.fact.rank:
             return
-        known = member.fact
-        same = fact.start == known.start and fact.incarnation == known.incarnation
-        if fact.status is Status.DEAD and known.status <= Status.SUSPECT:
-            # Danger: after a cut each side calls the other dead, its own members by hearsay too. Only who was
-            # suspect here for a while is dead by hearsay.
-            held = self._now - member.since if known.status is Status.SUSPECT and same else 0
-            if held < self.terms.least_suspicion // 2:
-                self._hear(Fact(fact.name, fact.address, Status.SUSPECT, fact.start, fact.incarnation, teller), teller)
-                return
+        if fact.status is Status.DEAD and member.fact.status <= Status.SUSPECT:
+            # Danger: after a cut each side calls the other dead, its own members by hearsay too. Who says it is one
+            # more witness of a suspicion, and the member has the whole time of a suspicion to answer.
+            self._hear(Fact(fact.name, fact.address, Status.SUSPECT, fact.start, fact.incarnation, teller), teller)
+            self._correct(member)
+            return
         self._set(member, fact, _why(fact, teller))
 
     def _hear_of_self(self, fact: Fact) -> None:
@@ -558,7 +556,9 @@
             member.heard = 0
             self._newcomers[fact.address] = self._now + 2 * SECOND
         if fact.status is Status.SUSPECT:
+            # Where an older incarnation was suspect, too: the newer one is suspected from now on, not from then.
             member.confirmers = {fact.by}
+            member.since = self._now
         if fact.status is not before.status:
             member.since = self._now
             self._note(member)
--- /dev/null
+++ b/tests/test_membership_hearsay.py
@@ -0,0 +1,132 @@
+"""Deaths that are merely told: a cut that heals kills nobody who answers within the time of a suspicion.
+
+After a cut each side holds the other dead. What it says of that comes late, and more than once, to instances whose own
+knowledge is newer. `EarlyHearsay` is the rule as it was: a member that was suspect for a quarter of a second was dead
+at the next word of it, however lately it had spoken itself.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from canvasbeam.decide.member_status import Status
+from canvasbeam.decide.membership import Fact, Kind, Membership, Message, Received, Sender, Tell, Terms
+from canvasbeam.lab.model.units import MS, SECOND
+from canvasbeam.lab.peers_sim import Seen
+from tests.peering import Fleet
+
+FEW, MANY = ("n0", "n1"), ("n2", "n3", "n4")
+
+
+class EarlyHearsay(Membership):
+    """Planted fault: takes a death by hearsay for true after half of the least suspicion."""
+
+    def _hear(self, fact: Fact, teller: str) -> None:
+        member = self.members.get(fact.name)
+        if member is not None and fact.status is Status.DEAD and member.fact.status is Status.SUSPECT:
+            same = (fact.start, fact.incarnation) == (member.fact.start, member.fact.incarnation)
+            if same and self._now - member.since >= self.terms.least_suspicion // 2:
+                self._set(member, fact, f"told by {teller}")
+                return
+        super()._hear(fact, teller)
+
+
+class Unrefereed(Fleet):
+    """Without the referee's word on deaths, which forgives them for six seconds after a cut."""
+
+    def _judge(self, each: object, change: object) -> None:
+        pass
+
+
+def deaths_after_the_heal(seed: int, held_up_s: float, make: type[Membership] = Membership) -> list[Seen]:
+    """Two parts heal while one instance stands still for a moment: who is called dead by one of its own part."""
+    fleet = Unrefereed(len(FEW + MANY), make, seed)
+    for name in fleet.instances:
+        fleet.start(name)
+    assert fleet.until(fleet.agree, 10) < 10
+    for one in FEW:
+        for other in MANY:
+            fleet.cut(one, other)
+    parted = fleet.until(lambda: all(fleet.view(name) == (FEW if name in FEW else MANY) for name in FEW + MANY), 20)
+    assert parted < 20
+    healed = fleet.now
+    fleet.heal()
+    fleet.stop("n3")
+    fleet.run(held_up_s)
+    fleet.go_on("n3")
+    assert fleet.until(fleet.agree, 20) < 20
+    deaths = [seen for seen in fleet.seen if seen.after == "dead" and seen.at_ns >= healed]
+    return [seen for seen in deaths if (seen.name in FEW) is (seen.by in FEW)]
+
+
+@pytest.mark.parametrize("held_up_s", [0.0, 0.2, 0.4])
+def test_a_heal_kills_nobody_who_is_held_up_for_less_than_the_least_suspicion(held_up_s: float) -> None:
+    assert Terms().least_suspicion > held_up_s * SECOND
+    assert [death for seed in range(40) for death in deaths_after_the_heal(seed, held_up_s)] == []
+
+
+def test_the_heal_shows_deaths_that_are_believed_too_early() -> None:
+    assert [death for seed in range(40) for death in deaths_after_the_heal(seed, 0.4, EarlyHearsay)]
+
+
+# --- one instance, by hand ----------------------------------------------------------------------------
+
+
+PLACES = {"m0": "127.0.0.2:1000", "m1": "127.0.0.2:1001"}
+
+
+def said(teller: str, incarnation: int = 0, *facts: Fact) -> Received:
+    return Received(Sender(teller, 1, incarnation, PLACES[teller]), Message(Kind.NEWS, facts=facts))
+
+
+def of_m1(status: Status, incarnation: int = 0, by: str = "") -> Fact:
+    return Fact("m1", PLACES["m1"], status, 1, incarnation, by)
+
+
+def with_two_members(make: type[Membership] = Membership) -> Membership:
+    """An instance that has met `m0` and `m1` at the first second; it asks nobody, so its own health stays well."""
+    mine = make(Sender("n0", 100, 0, "127.0.0.1:1"), (), Terms(period=60 * SECOND), 1, SECOND)
+    for name, address in PLACES.items():
+        mine._hear(Fact(name, address, Status.ALIVE, 1, 0), name)
+    mine._on_received(said("m0").sender, Message(Kind.NEWS))
+    return mine
+
+
+def test_a_death_told_again_and_again_is_not_believed_of_one_who_speaks() -> None:
+    mine = with_two_members()
+    for step in range(1, 30):
+        now = SECOND + step * 100 * MS
+        mine.handle(now, [said("m0", 0, of_m1(Status.DEAD)), said("m1")])
+        assert mine.members["m1"].fact.status is Status.SUSPECT
+
+
+def test_the_same_words_kill_where_they_are_believed_too_early() -> None:
+    mine = with_two_members(EarlyHearsay)
+    for step in range(1, 30):
+        mine.handle(SECOND + step * 100 * MS, [said("m0", 0, of_m1(Status.DEAD)), said("m1")])
+    assert mine.members["m1"].fact.status is Status.DEAD
+
+
+def test_who_is_told_dead_is_told_so_at_once_and_its_refutation_outweighs_later_words() -> None:
+    mine = with_two_members()
+    now = SECOND + 100 * MS
+    actions = mine.handle(now, [said("m0", 0, of_m1(Status.DEAD))])
+    told = [each.message for each in actions if isinstance(each, Tell) and each.address == PLACES["m1"]]
+    assert of_m1(Status.SUSPECT, by="m0") in [fact for message in told for fact in message.facts]
+    mine.handle(now + MS, [said("m1", 1)])
+    mine.handle(now + 400 * MS, [said("m0", 0, of_m1(Status.DEAD))])
+    assert (mine.members["m1"].fact.status, mine.members["m1"].fact.incarnation) == (Status.ALIVE, 1)
+
+
+def test_a_newer_incarnation_that_is_suspected_has_the_whole_time_of_a_suspicion() -> None:
+    """Its refutation got lost on the way here; the older suspicion's time is not counted against it."""
+    mine = with_two_members()
+    mine.handle(SECOND, [said("m0", 0, of_m1(Status.SUSPECT, 0, "m0"))])
+    renewed = SECOND + 900 * MS
+    for now in range(SECOND + 50 * MS, renewed, 50 * MS):  # another speaks, so that this instance may judge
+        mine.handle(now, [said("m0")])
+    assert mine.members["m1"].fact.status is Status.SUSPECT
+    mine.handle(renewed, [said("m0", 0, of_m1(Status.SUSPECT, 1, "m0"))])
+    for now in range(renewed, renewed + mine.terms.least_suspicion, 50 * MS):
+        mine.handle(now, [said("m0")])
+        assert mine.members["m1"].fact.status is Status.SUSPECT
