Membership: only who is answered passes judgement; hearsay is believed after the least suspicion

A cut in one direction: an instance that heard one other and was heard by nobody called all the rest dead. It judged because it heard somebody. Who is out of contact says so: `unanswered_s` on GET /peers and in `canvasbeam peers`, and `sure` 0.

--- a/canvasbeam/cli/peers.py
+++ b/canvasbeam/cli/peers.py
@@ -56,10 +56,12 @@
     lines = [f"{me['name']} at {me['address']}: {me['state']}"]
     if "there" not in told:
         return lines[0]
-    silent = told["silent_s"]
+    silent, unanswered = told["silent_s"], told["unanswered_s"]
     lines[0] += f", incarnation {me['incarnation']}, health {me['health']} (0 is well), {100 * told['sure']:.0f}% sure"
     if silent is not None:
         lines.append(f"has heard nothing for {silent:.1f} s")
+    elif unanswered is not None:
+        lines.append(f"hears others, and has been answered by nobody for {unanswered:.1f} s")
     lines.append(f"{len(told['there'])} there, {len(told['gone'])} gone")
     for each in told["members"]:
         heard = "never" if each["heard_s"] is None else f"{each['heard_s']:.1f} s ago"
--- a/canvasbeam/decide/membership.py
+++ b/canvasbeam/decide/membership.py
@@ -1,15 +1,16 @@
 """Which instances of the program there are: SWIM with suspicion, and local health in the manner of Lifeguard.
 
 Pure: events and the time in whole nanoseconds in, actions out; no I/O, no clock, no sockets, chance from a seed. It
-must never call an instance dead while this one hears nothing itself, never go back in an incarnation, never take the
-word of a sender that has not answered a ping of ours, and never send without a bound.
+must never call an instance dead while this one hears nothing itself or is answered by nobody, never go back in an
+incarnation, never take the word of a sender that has not answered a ping of ours, and never send without a bound.
 
 | state of a member | from | to |
 | --- | --- | --- |
 | alive | it answered us, or a member says so | suspect: a probe of ours failed, or a member says so or calls it dead |
 | suspect | | alive: it refuted, with a higher incarnation; dead: nobody heard of it for the suspicion's time |
-| dead | a suspicion ran out here | alive: it refuted; forgotten after `forget` |
-| left | it said so at its planned end | alive: a new process of that name; forgotten after `forget_left` |
+| dead | a suspicion ran out, or one unheard here for the least suspicion is called dead | alive: it refuted |
+| left | it said so at its planned end | alive: a new process of that name |
+| forgotten | dead for `forget`, left for `forget_left` | |
 
 | state of this instance | from | to |
 | --- | --- | --- |
@@ -20,9 +21,9 @@
 
 What is said of a member is ordered by (start of its process, incarnation, state); of two sayings the higher stands, so
 they may come in any order and any number of times. Sources: Das, Gupta, Motivala, "SWIM" (DSN 2002); Dadgar, Phillips,
-Currey, "Lifeguard" (2017). Beyond both: a death by hearsay is one witness of a suspicion, so that a cut that heals
-kills nobody; the dead and the seeds are asked now and then, so that it heals at all; who hears nothing passes no
-judgement.
+Currey, "Lifeguard" (2017). Beyond both: a death by hearsay is a suspicion first, so that a cut that heals kills
+nobody; the dead and the seeds are asked now and then, so that it heals at all; who hears nothing, or is answered by
+nobody, passes no judgement.
 """
 
 from __future__ import annotations
@@ -163,6 +164,7 @@
     join: int = 200 * MS  # between pings to seeds while nobody answered; longer after each
     longest_join: int = 2 * SECOND
     deaf: int = SECOND  # nothing heard for so long: we are cut off
+    contact: int = 3 * SECOND  # no ping of ours answered for so long: nobody may hear us
     alone: int = 10 * SECOND  # nothing heard for so long: suspects are taken for dead all the same
     forget: int = 600 * SECOND  # the dead
     forget_left: int = 60 * SECOND
@@ -231,8 +233,9 @@
 
     there: tuple[str, ...]  # alive or suspect, this instance among them
     gone: tuple[str, ...]  # dead or left, not yet forgotten
-    sure: float  # the part of our last probes that were answered; 0 while nothing is heard
+    sure: float  # the part of our last probes that were answered; 0 while nothing is heard, or nothing answered
     silent_since: int | None  # since when nothing was heard, once that is longer than `deaf`
+    unanswered_since: int | None  # when the last ping that was answered was sent, once that is longer than `contact`
 
 
 class Membership:
@@ -247,6 +250,7 @@
         self.health = 0  # 0 is well
         self.seeds = tuple(each for each in dict.fromkeys(seeds) if each != me.address)
         self.heard_at = self._awake_at = now
+        self.contact_at = now  # when the newest of our pings that were answered was sent
         self._rng = random.Random(seed)
         self._number = self._rng.getrandbits(31)
         self._named_start = me.start  # the latest that was said of our name
@@ -298,10 +302,16 @@
         """Who is there, who was, how sure we are, and since when we have heard nothing."""
         there = sorted(name for name, each in self.members.items() if each.fact.status <= Status.SUSPECT)
         gone = sorted(name for name, each in self.members.items() if each.fact.status > Status.SUSPECT)
-        deaf = self._is_deaf(now)
+        deaf, unanswered = self._is_deaf(now), not self._has_contact(now)
         sure = sum(self._answered) / len(self._answered) if self._answered else 1.0
         mine = [self.name] if self.standing in (Standing.JOINING, Standing.MEMBER) else []
-        return View(tuple(sorted(there + mine)), tuple(gone), 0.0 if deaf else sure, self.heard_at if deaf else None)
+        return View(
+            there=tuple(sorted(there + mine)),
+            gone=tuple(gone),
+            sure=0.0 if deaf or unanswered else sure,
+            silent_since=self.heard_at if deaf else None,
+            unanswered_since=self.contact_at if unanswered else None,
+        )
 
     def knows(self, name: str, start: int) -> bool:
         """Whether this process of that name is one that we have met."""
@@ -361,6 +371,10 @@
     def _is_deaf(self, now: int) -> bool:
         return bool(self.members) and now - self.heard_at > self.terms.deaf
 
+    def _has_contact(self, now: int) -> bool:
+        """Danger: who hears the others may be heard by nobody. Only an answer to a ping of ours shows both ways."""
+        return not self.members or now - self.contact_at <= self.terms.contact
+
     def _patience(self) -> int:
         """How long a probe may take; a process that is slow itself gives others more."""
         return self.terms.probe * (1 + self.health)
@@ -399,9 +413,7 @@
 
     def _on_member(self, member: Member, sender: Sender, message: Message) -> None:
         if self._is_deaf(self._now):
-            # Danger: of what was suspected while nothing was heard nobody had the time to refute it.
-            for suspect in self._suspects.values():
-                suspect.since = self._now
+            self._renew_suspicions()
         self.heard_at = member.heard = self._now
         if self.standing is Standing.JOINING:
             self._stand(Standing.MEMBER, f"{sender.name} answered")
@@ -479,10 +491,24 @@
             self._tell(relay.address, Message(Kind.ACK, relay.number, relay.about), ())
             return
         probe = self._probes.pop(message.number, None)
-        if probe is not None and probe.counts:
+        if probe is None:
+            return
+        self._note_contact(probe)
+        if probe.counts:
             self._judge_self(True)
             self.health = max(0, self.health - 1)
 
+    def _note_contact(self, probe: Probe) -> None:
+        """Counted from when the ping was sent: what came later may have been lost."""
+        if not self._has_contact(self._now):
+            self._renew_suspicions()
+        self.contact_at = max(self.contact_at, probe.begun)
+
+    def _renew_suspicions(self) -> None:
+        """Danger: of what was suspected while this instance was cut off nobody had the time to refute it."""
+        for suspect in self._suspects.values():
+            suspect.since = self._now
+
     def _on_ask(self, sender: Sender, message: Message) -> None:
         if self.standing is not Standing.MEMBER or len(self._relays) >= self.terms.strangers:
             return
@@ -514,14 +540,24 @@
             self._confirm(member, fact)
         if fact.rank <= member.fact.rank:
             return
-        if fact.status is Status.DEAD and member.fact.status <= Status.SUSPECT:
-            # Danger: after a cut each side calls the other dead, its own members by hearsay too. Who says it is one
-            # more witness of a suspicion, and the member has the whole time of a suspicion to answer.
+        if fact.status is Status.DEAD and member.fact.status <= Status.SUSPECT and not self._may_believe(member, fact):
+            # Who says it is one more witness of a suspicion; the member is told at once, so that it can refute it.
             self._hear(Fact(fact.name, fact.address, Status.SUSPECT, fact.start, fact.incarnation, teller), teller)
             self._correct(member)
             return
         self._set(member, fact, _why(fact, teller))
 
+    def _may_believe(self, member: Member, death: Fact) -> bool:
+        """Danger: after a cut each side calls the other dead, its own members by hearsay too.
+
+        Only who was suspect here, and not heard, for the whole least suspicion is dead by hearsay.
+        """
+        known = member.fact
+        if known.status is not Status.SUSPECT or (death.start, death.incarnation) != (known.start, known.incarnation):
+            return False
+        span = self.terms.least_suspicion * (1 + self.health / 4)
+        return self._now >= max(member.since, member.heard) + span
+
     def _hear_of_self(self, fact: Fact) -> None:
         if self.standing in (Standing.LEAVING, Standing.DISPLACED) or fact.start < self.start:
             return
@@ -612,8 +648,12 @@
             self._set(member, dead, f"suspected by {by}, and {heard}")
 
     def _may_judge(self, member: Member) -> bool:
-        """Danger: who is cut off would call everybody dead. Who hears nothing now passes no judgement."""
-        return self.heard_at > member.since and self._now - self.heard_at < self.terms.least_suspicion
+        """Danger: who is cut off, in one direction too, would call everybody dead.
+
+        A judge hears others now, and a ping that it sent since it began to suspect was answered.
+        """
+        hears = self._now - self.heard_at < self.terms.least_suspicion
+        return hears and self.contact_at > member.since and self._has_contact(self._now)
 
     def _judged_at(self, member: Member) -> int:
         """Two instances cannot tell a cut from a death; after `alone` the one that is left takes it for one."""
--- a/canvasbeam/peers/carrier.py
+++ b/canvasbeam/peers/carrier.py
@@ -153,7 +153,6 @@
         """Who is there and what was dropped, as JSON's types; ages in seconds."""
         now, mine = nanoseconds(self.loop.now), self.members
         view = mine.view(now)
-        silent = None if view.silent_since is None else round((now - view.silent_since) / 1e9, 3)
         return {
             "me": {
                 "name": mine.name,
@@ -166,7 +165,8 @@
             "there": list(view.there),
             "gone": list(view.gone),
             "sure": round(view.sure, 3),
-            "silent_s": silent,
+            "silent_s": _age_s(view.silent_since, now),
+            "unanswered_s": _age_s(view.unanswered_since, now),
             "members": [self._row(each, now) for _, each in sorted(mine.members.items())],
             "sent": dict(self.sent),
             "taken": dict(self.taken),
@@ -188,6 +188,10 @@
         }
 
 
+def _age_s(since: int | None, now: int) -> float | None:
+    return None if since is None else round((now - since) / 1e9, 3)
+
+
 class PeerNode:
     """This instance among its peers: a carrier once the address is free, and none after a planned shutdown."""
 
--- /dev/null
+++ b/tests/test_membership_one_way.py
@@ -0,0 +1,89 @@
+"""A cut in one direction, in simulated time: who hears others and is answered by nobody passes no judgement.
+
+Contact is a ping that was answered, counted from when it was sent. `JudgesWithoutContact` is the rule as it was: to
+hear one other was enough.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from canvasbeam.decide.membership import Member, Membership, View
+from canvasbeam.lab.model.units import SECOND
+from tests.peering import Fleet
+
+NAMES = ("n0", "n1", "n2", "n3", "n4")
+CUT_S = 20.0
+
+
+class JudgesWithoutContact(Membership):
+    """Planted fault: takes it for contact that it hears somebody."""
+
+    def _may_judge(self, member: Member) -> bool:
+        return self.heard_at > member.since and self._now - self.heard_at < self.terms.least_suspicion
+
+
+def joined(seed: int, make: type[Membership] = Membership) -> Fleet:
+    fleet = Fleet(len(NAMES), make, seed)
+    for name in NAMES:
+        fleet.start(name)
+    assert fleet.until(fleet.agree, 10) < 10
+    return fleet
+
+
+def mute(fleet: Fleet, name: str, heard: tuple[str, ...] = NAMES) -> None:
+    """Nobody hears this instance; it hears these."""
+    for other in NAMES:
+        if other != name:
+            fleet.cut(name, other, both=other not in heard)
+
+
+def view(fleet: Fleet, name: str) -> View:
+    each = fleet.instances[name]
+    assert each.members is not None
+    return each.members.view(fleet.now + each.base)
+
+
+def deaths_by(fleet: Fleet, name: str) -> list[str]:
+    return [seen.name for seen in fleet.seen if seen.by == name and seen.after == "dead"]
+
+
+@pytest.mark.parametrize("heard", [NAMES, ("n0",), ("n2", "n4")])
+@pytest.mark.parametrize("seed", range(5))
+def test_who_is_heard_by_nobody_calls_nobody_dead(seed: int, heard: tuple[str, ...]) -> None:
+    fleet = joined(seed)
+    mute(fleet, "n1", heard)
+    fleet.run(CUT_S)
+    assert deaths_by(fleet, "n1") == []
+    assert fleet.all_know_gone("n1")
+    assert {name for name in NAMES if name != "n1" and deaths_by(fleet, name) == ["n1"]} == set(NAMES) - {"n1"}
+    fleet.heal()
+    assert fleet.until(fleet.agree, 10) < 3
+    assert deaths_by(fleet, "n1") == []
+
+
+def test_who_is_heard_by_nobody_says_since_when_it_was_not_answered() -> None:
+    fleet = joined(1)
+    cut_at = fleet.now
+    mute(fleet, "n1")
+    fleet.run(CUT_S)
+    told = view(fleet, "n1")
+    base = fleet.instances["n1"].base
+    assert (told.sure, told.silent_since) == (0.0, None)
+    assert told.unanswered_since is not None
+    assert cut_at - SECOND < told.unanswered_since - base <= cut_at
+    assert view(fleet, "n0").unanswered_since is None
+    fleet.heal()
+    assert fleet.until(fleet.agree, 10) < 3
+    assert view(fleet, "n1").unanswered_since is None
+
+
+def test_the_cut_shows_who_judges_by_what_it_merely_hears() -> None:
+    found = []
+    for seed in range(5):
+        fleet = joined(seed, JudgesWithoutContact)
+        mute(fleet, "n1", ("n0",))
+        fleet.run(CUT_S)
+        found += deaths_by(fleet, "n1")
+    assert set(found) <= set(NAMES) - {"n0"}
+    assert found
