Split the membership of instances into small modules, with equal behaviour

One file of 900 lines held messages, terms, table of members, gossip, pings, probing order, contact and suspicion. Each is a module of the package now; `instance.Membership` remains the entry. The planted fault `JudgesWhileDeaf` sits in the contact that it breaks, as strict as before: deaf never, silent never, judges always.

--- a/bench/peer_schemes.py
+++ b/bench/peer_schemes.py
@@ -8,8 +8,6 @@
 
 from canvasbeam.decide.member_status import Status
 from canvasbeam.decide.membership import (
-    MS,
-    SECOND,
     Action,
     Changed,
     Event,
@@ -26,6 +24,8 @@
     Terms,
 )
 from canvasbeam.lab.peers_sim import PeerWorld
+from canvasbeam.units import MILLISECOND as MS
+from canvasbeam.units import SECOND
 
 
 class Heartbeats(Membership):
--- a/bench/peers.py
+++ b/bench/peers.py
@@ -29,8 +29,6 @@
 
 from canvasbeam.decide.member_status import Status
 from canvasbeam.decide.membership import (
-    MS,
-    SECOND,
     Action,
     Event,
     Fact,
@@ -47,6 +45,8 @@
 from canvasbeam.lab.model.links import LinkFault
 from canvasbeam.lab.peers_sim import PeerWorld
 from canvasbeam.peers.wire import Codec
+from canvasbeam.units import MILLISECOND as MS
+from canvasbeam.units import SECOND
 
 
 def ready(world: PeerWorld) -> PeerWorld:
@@ -189,7 +189,7 @@
     tracemalloc.start()
     before = tracemalloc.get_traced_memory()[0]
     copy = Membership(Sender("x", 1, 0, "127.0.0.1:9"), (), Terms(), 1, 0)
-    copy.members = {name: Member(replace(each.fact), each.since) for name, each in inner.members.items()}
+    copy.members.update({name: Member(replace(each.fact), each.since) for name, each in inner.members.items()})
     memory = tracemalloc.get_traced_memory()[0] - before
     tracemalloc.stop()
     return {
--- a/canvasbeam/peers/settings.py
+++ b/canvasbeam/peers/settings.py
@@ -14,7 +14,9 @@
 
 import msgspec
 
-from canvasbeam.decide.membership import MS, SECOND, Terms
+from canvasbeam.decide.membership import Terms
+from canvasbeam.units import MILLISECOND as MS
+from canvasbeam.units import SECOND
 
 Positive = Annotated[float, msgspec.Meta(gt=0, le=86_400)]
 Count = Annotated[int, msgspec.Meta(ge=1, le=100_000)]
@@ -29,7 +31,7 @@
 
 
 class Periods(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
-    """Times in seconds; `canvasbeam/decide/membership.py` says what each is for."""
+    """Times in seconds; `canvasbeam/decide/membership/terms.py` says what each is for."""
 
     probe_every: Positive = DEFAULT.period / SECOND
     answer_within: Positive = DEFAULT.rtt / SECOND
--- a/tests/peering.py
+++ b/tests/peering.py
@@ -107,7 +107,7 @@
 
     def _judge(self, each: Instance, change: Changed) -> None:
         assert each.members is not None
-        silent = self.now + each.base - each.members.heard_at
+        silent = self.now + each.base - each.members.contact.heard_at
         if "suspected by" in change.why and 2 * self.terms.least_suspicion <= silent < self.terms.alone:
             raise BrokenError(f"{each.name} called {change.name} dead and heard nothing itself")
         self.mark()
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -4,7 +4,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from typing import Any
 
 import pytest
@@ -12,12 +12,12 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
-from canvasbeam.decide import membership
 from canvasbeam.decide.member_status import Status
 from canvasbeam.decide.membership import (
     Changed,
     Fact,
     Kind,
+    Member,
     Membership,
     Message,
     Received,
@@ -27,6 +27,7 @@
     Terms,
     Ticked,
 )
+from canvasbeam.decide.membership.contact import Contact
 from canvasbeam.lab.model.links import LinkFault, Links, problems, strip
 from canvasbeam.lab.model.units import MS, SECOND
 from canvasbeam.lab.peers_sim import PeerWorld
@@ -94,15 +95,21 @@
         super()._refute(start, incarnation - 2 if incarnation > 2 else incarnation, why)
 
 
-class JudgesWhileDeaf(Membership):
-    def _may_judge(self, member: membership.Member) -> bool:
-        return True
-
-    def _is_deaf(self, now: int) -> bool:
+class NeverDeaf(Contact):
+    def is_deaf(self, now: int) -> bool:
         return False
 
-    def _quiet_from(self) -> int:
-        return self._now
+    def silent_for(self, now: int) -> int:
+        return 0
+
+
+class JudgesWhileDeaf(Membership):
+    def __init__(self, me: Sender, seeds: Iterable[str], terms: Terms, seed: int, now: int) -> None:
+        super().__init__(me, seeds, terms, seed, now)
+        self.contact = NeverDeaf(terms, self.members, now)
+
+    def _may_judge(self, member: Member) -> bool:
+        return True
 
 
 class TakesTheLower(Membership):
--- a/tests/test_membership_one_way.py
+++ b/tests/test_membership_one_way.py
@@ -20,7 +20,8 @@
     """Planted fault: takes it for contact that it hears somebody."""
 
     def _may_judge(self, member: Member) -> bool:
-        return self.heard_at > member.since and self._now - self.heard_at < self.terms.least_suspicion
+        heard_at = self.contact.heard_at
+        return heard_at > member.since and self._now - heard_at < self.terms.least_suspicion
 
 
 def joined(seed: int, make: type[Membership] = Membership) -> Fleet:
