--- a/canvasbeam/lab/discovery_agent.py
+++ b/canvasbeam/lab/discovery_agent.py
@@ -5,18 +5,16 @@
 import json
 from collections.abc import Sequence
 from functools import partial
-from typing import TYPE_CHECKING, Any
+from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
 from canvasbeam.interface import WorkerState
+from canvasbeam.lab.loop_world import LoopWorld
 from canvasbeam.lab.model import faults
 from canvasbeam.lab.model.registry import Listed
 from canvasbeam.lab.model.units import MS
 from canvasbeam.lab.wire import Asked, ServerConnection, ServerSocket, answer
 
-if TYPE_CHECKING:
-    from canvasbeam.lab.engine_sockets import SocketWorld
-
 KEPT_CHANGES = 4096
 LONGEST_HOLD_MS = 60_000
 
@@ -24,7 +22,7 @@
 class DiscoveryAgent:
     """Discovery's agent at one scheduler: the list as it was sent, and one watch at a time."""
 
-    def __init__(self, world: SocketWorld, place: int, address: tuple[str, int]) -> None:
+    def __init__(self, world: LoopWorld, place: int, address: tuple[str, int]) -> None:
         self.world = world
         self.place = place
         self.seq = 1
--- a/canvasbeam/lab/emulate.py
+++ b/canvasbeam/lab/emulate.py
@@ -15,9 +15,9 @@
 import numpy as np
 
 from canvasbeam.lab.engine_sockets import SocketWorld
+from canvasbeam.lab.loop_world import JobOrder
 from canvasbeam.lab.model import draw, faults, spec
 from canvasbeam.lab.model.units import SECOND
-from canvasbeam.lab.socket_worker import JobOrder
 from canvasbeam.lab.wire import Asked
 
 DRAWN = 1024
--- a/canvasbeam/lab/engine_sim.py
+++ b/canvasbeam/lab/engine_sim.py
@@ -25,9 +25,9 @@
 from canvasbeam.lab.peers_sim import Embedded
 from canvasbeam.lab.result import PERCENTILES, Result, histogram
 from canvasbeam.lab.simulated_network import SimulatedNetwork, SimulatedWorker
-from canvasbeam.lab.simulated_scheduler import SimulatedScheduler
+from canvasbeam.lab.simulated_scheduler import SchedulerWorld, SimulatedScheduler
 from canvasbeam.lab.simulated_time import START, EventQueue
-from canvasbeam.lab.world import EmulatedWorker, World
+from canvasbeam.lab.world import EmulatedWorker
 from canvasbeam.net.core import Core
 from canvasbeam.net.limits import MICROSECOND
 from canvasbeam.net.target_table import Target
@@ -36,7 +36,7 @@
 KEPT_LISTS = 16
 
 
-class SimulatedWorld(World):
+class SimulatedWorld(SchedulerWorld):
     """All that a simulated run consists of."""
 
     engine = "sim"
@@ -56,10 +56,15 @@
         self.passes = histogram()  # what a pass of the core takes, in tenths of a microsecond
         self._translated: dict[int, tuple[Sequence[Listed], list[Target]]] = {}
         self.schedulers = [SimulatedScheduler(self, place) for place in range(scenario.schedulers.count)]
-        self.peers: Embedded | None = None
+        self.peers = None
         if scenario.schedulers.peers:
             self.peers = Embedded(len(self.schedulers), self, self.links, scenario.seed)
 
+    @property
+    def senders(self) -> Sequence[SimulatedScheduler]:
+        """The schedulers."""
+        return self.schedulers
+
     def now(self) -> int:
         """The simulated time."""
         return self.queue.now
--- a/canvasbeam/lab/engine_sockets.py
+++ b/canvasbeam/lab/engine_sockets.py
@@ -18,6 +18,7 @@
 from canvasbeam.lab import deployment
 from canvasbeam.lab.discovery_agent import DiscoveryAgent
 from canvasbeam.lab.links import DatagramRelay, free_address
+from canvasbeam.lab.loop_world import JobOrder, LoopWorld
 from canvasbeam.lab.model import spec
 from canvasbeam.lab.model.clients import Try
 from canvasbeam.lab.model.draw import Stream
@@ -27,9 +28,9 @@
 from canvasbeam.lab.result import Result
 from canvasbeam.lab.scheduler_processes import SchedulerProcesses
 from canvasbeam.lab.socket_clients import SocketClients
-from canvasbeam.lab.socket_worker import JobOrder, SocketWorker
+from canvasbeam.lab.socket_worker import SocketWorker
 from canvasbeam.lab.wire import Asked, span
-from canvasbeam.lab.world import EmulatedWorker, World
+from canvasbeam.lab.world import EmulatedWorker
 from canvasbeam.net.limits import nanoseconds
 from canvasbeam.net.loop import Loop
 
@@ -47,7 +48,7 @@
     """A run that could not be begun or carried through; the message says why."""
 
 
-class SocketWorld(World):
+class SocketWorld(LoopWorld):
     """A world in real time."""
 
     engine = "sockets"
@@ -73,13 +74,12 @@
         ]
         for agent in self.agents:
             agent.list = {each.machine.name: each for each in self.registry.whole()}
-        self.schedulers = SchedulerProcesses(self, folder, command)
-        self.sockets = SocketClients(self)
         self.relay = DatagramRelay(self.loop, self.links) if scenario.schedulers.peers else None
         if self.relay is not None:
             for place, name in enumerate(self.links.zones):
                 self.relay.register(name, free_address(f"127.79.{1 + place // 250}.{1 + place % 250}"))
-        self.playing = False  # once all schedulers are ready
+        self.schedulers = SchedulerProcesses(self, self.agents, self.relay, folder, command)
+        self.sockets = SocketClients(self, self.schedulers.processes)
 
     # --- time -------------------------------------------------------------------------------------
 
--- /dev/null
+++ b/canvasbeam/lab/loop_world.py
@@ -0,0 +1,56 @@
+"""A world in real time, as far as its parts on sockets know it.
+
+It owns what they may ask of each other, so that none of them knows the engine that puts them together.
+"""
+
+from __future__ import annotations
+
+from abc import abstractmethod
+from dataclasses import dataclass
+from typing import Any
+
+from canvasbeam.lab.model.machine import Machine
+from canvasbeam.lab.model.registry import Listed
+from canvasbeam.lab.wire import Asked
+from canvasbeam.lab.world import World
+from canvasbeam.net.loop import Loop
+
+
+@dataclass(frozen=True, slots=True)
+class JobOrder:
+    """What a worker is to do for a request."""
+
+    request: int
+    call_id: str
+    cls: int
+    work_ns: int
+    slots: int
+    sid: str
+    due_ns: int
+
+
+class LoopWorld(World):
+    """A world whose time is that of an event loop over real sockets."""
+
+    loop: Loop
+    playing: bool = False  # once all schedulers are ready
+
+    @abstractmethod
+    def next_number(self) -> int:
+        """A number for an attempt at a worker."""
+
+    @abstractmethod
+    def way(self, scheduler: int, to: Machine) -> int:
+        """One way between a scheduler and a worker, beyond loopback's own."""
+
+    @abstractmethod
+    def delay(self, ms: float) -> int:
+        """A latency of so many milliseconds, with jitter, in nanoseconds."""
+
+    @abstractmethod
+    def order_of(self, asked: Asked) -> JobOrder | None:
+        """What a request that came to a worker is about; None where no client sent it."""
+
+    @abstractmethod
+    def host(self, each: Listed, place: int) -> dict[str, Any]:
+        """An entry as discovery words it for one scheduler."""
--- a/canvasbeam/lab/scheduler_processes.py
+++ b/canvasbeam/lab/scheduler_processes.py
@@ -15,17 +15,17 @@
 from dataclasses import dataclass, field
 from functools import partial
 from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from canvasbeam.lab import deployment
+from canvasbeam.lab.discovery_agent import DiscoveryAgent
+from canvasbeam.lab.links import DatagramRelay
+from canvasbeam.lab.loop_world import LoopWorld
 from canvasbeam.lab.model import faults
 from canvasbeam.lab.model.ledger import Broken
 from canvasbeam.lab.model.units import MS
 from canvasbeam.lab.wire import ClientConnection
 
-if TYPE_CHECKING:
-    from canvasbeam.lab.engine_sockets import SocketWorld
-
 LOOK_EVERY = 50 * MS
 LOOK_WITHIN = 500 * MS
 MOST_MOVES = 3
@@ -66,8 +66,17 @@
 class SchedulerProcesses:
     """All scheduler processes of a run."""
 
-    def __init__(self, world: SocketWorld, folder: Path, command: Sequence[str]) -> None:
+    def __init__(
+        self,
+        world: LoopWorld,
+        agents: Sequence[DiscoveryAgent],
+        relay: DatagramRelay | None,
+        folder: Path,
+        command: Sequence[str],
+    ) -> None:
         self._world = world
+        self._agents = agents
+        self._relay = relay  # between schedulers that know each other
         self._folder = folder
         self._command = list(command) or [sys.executable, "-m", "canvasbeam"]
         self._logs: list[Any] = []
@@ -88,7 +97,7 @@
         place = process.place
         if not process.address[1]:
             process.address = free_loopback_address(place)
-        world, agent = self._world, self._world.agents[place]
+        world, agent = self._world, self._agents[place]
         told = deployment.configuration(
             world.scenario,
             world.machines,
@@ -106,9 +115,9 @@
         clocks = self._world.scenario.schedulers.clock_s
         skew = clocks[place] if place < len(clocks) else 0.0
         command = [sys.executable, "-m", "canvasbeam.lab.skewed", str(skew)] if skew else self._command
-        if self._world.relay is not None:
+        if self._relay is not None:
             file = self._folder / f"{faults.scheduler_name(place)}.{os.getpid()}.toml"
-            self._world.relay.write_file(faults.scheduler_name(place), file)
+            self._relay.write_file(faults.scheduler_name(place), file)
             environment["LB_PEERS"] = str(file)
         log = self._log_path(process).open("ab")
         self._logs.append(log)
--- a/canvasbeam/lab/simulated_network.py
+++ b/canvasbeam/lab/simulated_network.py
@@ -6,10 +6,11 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from abc import abstractmethod
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from functools import partial
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from canvasbeam.interface import Outcome
 from canvasbeam.lab.model import worker_messages
@@ -18,15 +19,12 @@
 from canvasbeam.lab.model.machine import Machine
 from canvasbeam.lab.model.units import MS
 from canvasbeam.lab.model.worker_messages import Said, Task
-from canvasbeam.lab.simulated_time import EventQueue
-from canvasbeam.lab.world import EmulatedWorker, result_of
-from canvasbeam.net.limits import MICROSECOND, nanoseconds
+from canvasbeam.lab.simulated_time import EventQueue, SimulatedLoop
+from canvasbeam.lab.world import EmulatedWorker, World, result_of
+from canvasbeam.net.core import Core
+from canvasbeam.net.limits import MICROSECOND, Limits, nanoseconds
 from canvasbeam.net.requests import Attempt
 
-if TYPE_CHECKING:
-    from canvasbeam.lab.engine_sim import SimulatedWorld
-    from canvasbeam.lab.simulated_scheduler import SimulatedScheduler
-
 OUTCOMES = {
     Said.DONE: Outcome.OK,
     Said.FAILED: Outcome.ERROR,
@@ -44,7 +42,7 @@
     """One attempt on its simulated connection."""
 
     attempt: Attempt
-    scheduler: SimulatedScheduler
+    scheduler: ForwardingScheduler
     worker: SimulatedWorker
     request: int
     number: int  # its name at the worker
@@ -62,12 +60,58 @@
         return self.number, self.request
 
 
+class ForwardingCarrier(Protocol):
+    """What becomes of a scheduler's connections, as far as the network tells it."""
+
+    @property
+    def idle(self) -> dict[str, list[int]]:
+        """By worker: the births that idle connections belong to."""
+        ...
+
+    def ended(self, forward: Forward, outcome: Outcome, report: dict[str, float], result: bytes) -> None:
+        """A forward ended."""
+
+
+class ForwardingScheduler(Protocol):
+    """A scheduler as far as the network knows it."""
+
+    @property
+    def name(self) -> str: ...
+    @property
+    def zone(self) -> str: ...
+    @property
+    def alive(self) -> bool: ...
+    @property
+    def limits(self) -> Limits: ...
+    @property
+    def loop(self) -> SimulatedLoop: ...
+    @property
+    def core(self) -> Core: ...
+    @property
+    def carrier(self) -> ForwardingCarrier: ...
+    @property
+    def forwards(self) -> dict[int, Forward]: ...
+
+
+class NetworkWorld(World):
+    """A world in simulated time, as far as its network knows it."""
+
+    queue: EventQueue
+    network: SimulatedNetwork
+    workers: dict[str, SimulatedWorker]
+
+    @property
+    @abstractmethod
+    def senders(self) -> Sequence[ForwardingScheduler]:
+        """The schedulers that are connected to the workers."""
+
+
 class SimulatedWorker(EmulatedWorker):
     """A worker on the simulated network: the model and its connections."""
 
-    world: SimulatedWorld
+    world: NetworkWorld
 
-    def __init__(self, world: SimulatedWorld, machine: Machine, place: int) -> None:
+    def __init__(self, world: NetworkWorld, machine: Machine, place: int) -> None:
         super().__init__(world, machine, place)
         self.world = world
         self.forwards: dict[int, Forward] = {}
@@ -107,7 +151,7 @@
 class SimulatedNetwork:
     """What passes between the schedulers and the workers of a run, and how long it takes."""
 
-    def __init__(self, world: SimulatedWorld, queue: EventQueue, rng: random.Random) -> None:
+    def __init__(self, world: NetworkWorld, queue: EventQueue, rng: random.Random) -> None:
         self._world = world
         self._queue = queue
         self._rng = rng
@@ -122,7 +166,7 @@
         """A latency of so many milliseconds, with jitter, in nanoseconds."""
         return round(ms * MS * (1 + self._world.scenario.network.jitter * self._rng.random()))
 
-    def _way(self, scheduler: SimulatedScheduler, to: SimulatedWorker) -> int:
+    def _way(self, scheduler: ForwardingScheduler, to: SimulatedWorker) -> int:
         """One way between a scheduler and a worker."""
         return self.latency(self._world.way_ms(scheduler.zone, to.machine))
 
@@ -259,7 +303,7 @@
 
     def reset_others(self, to: SimulatedWorker) -> None:
         """Idle connections to a dead worker end, and so do those whose request has not come whole."""
-        for scheduler in self._world.schedulers:
+        for scheduler in self._world.senders:
             if scheduler.alive:
                 scheduler.carrier.idle.pop(to.name, None)
                 for forward in tuple(scheduler.forwards.values()):
@@ -268,7 +312,7 @@
 
     def heard_again(self, to: SimulatedWorker) -> None:
         """Something passes again: connections on which something was lost meanwhile are reset."""
-        for scheduler in self._world.schedulers:
+        for scheduler in self._world.senders:
             if not scheduler.alive or self._world.silent(scheduler.zone, to):
                 continue
             for forward in tuple(scheduler.forwards.values()):
@@ -278,7 +322,7 @@
                     way = self._way(scheduler, to)
                     self._queue.after(way, partial(scheduler.loop.gate, partial(self._broke, forward)))
 
-    def probe(self, scheduler: SimulatedScheduler, name: str) -> None:
+    def probe(self, scheduler: ForwardingScheduler, name: str) -> None:
         """A probe: a round trip, on a connection that is there or not; it costs the worker work."""
         to, begun, loop = self._world.workers[name], self._queue.now, scheduler.loop
         way = self._way(scheduler, to)
--- a/canvasbeam/lab/simulated_scheduler.py
+++ b/canvasbeam/lab/simulated_scheduler.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Sequence
+from abc import abstractmethod
+from collections.abc import Callable, Sequence
 from functools import partial
-from typing import TYPE_CHECKING
+
+from hdrh.histogram import HdrHistogram
 
 from canvasbeam.interface import Effect, ListKind, Outcome
 from canvasbeam.lab import deployment
@@ -13,15 +15,30 @@
 from canvasbeam.lab.model.clients import Try
 from canvasbeam.lab.model.registry import Listed
 from canvasbeam.lab.model.units import MS
-from canvasbeam.lab.simulated_network import Forward
+from canvasbeam.lab.peers_sim import Embedded
+from canvasbeam.lab.simulated_network import Forward, NetworkWorld
 from canvasbeam.lab.simulated_time import START, SimulatedLoop
 from canvasbeam.lab.world import result_of
+from canvasbeam.net.core import Core
 from canvasbeam.net.limits import MICROSECOND, Limits, nanoseconds
 from canvasbeam.net.requests import Answer, Attempt, FinalAnswer, Request, ShuttingDown
 from canvasbeam.net.target_table import Target
 
-if TYPE_CHECKING:
-    from canvasbeam.lab.engine_sim import SimulatedWorld
+
+class SchedulerWorld(NetworkWorld):
+    """A world in simulated time, as far as its schedulers know it."""
+
+    core_class: type[Core]
+    passes: HdrHistogram  # what a pass of the core takes, in tenths of a microsecond
+    peers: Embedded | None  # the schedulers' knowledge of each other, where they have any
+
+    @abstractmethod
+    def after_client(self, action: Callable[[], None]) -> None:
+        """Do this one way between client and scheduler later."""
+
+    @abstractmethod
+    def targets(self, entries: Sequence[Listed]) -> list[Target]:
+        """Entries of discovery's as the program's core takes them."""
 
 
 class SimulatedCarrier:
@@ -115,7 +132,7 @@
 class SimulatedScheduler:
     """One scheduler: the program's core on a simulated loop. It may die and begin again from nothing."""
 
-    def __init__(self, world: SimulatedWorld, place: int) -> None:
+    def __init__(self, world: SchedulerWorld, place: int) -> None:
         self.world = world
         self.place = place
         self.name = faults.scheduler_name(place)
--- a/canvasbeam/lab/socket_clients.py
+++ b/canvasbeam/lab/socket_clients.py
@@ -2,30 +2,27 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from functools import partial
-from typing import TYPE_CHECKING
 
+from canvasbeam.lab.loop_world import JobOrder, LoopWorld
 from canvasbeam.lab.model import faults
 from canvasbeam.lab.model.clients import Try
 from canvasbeam.lab.model.units import SECOND
 from canvasbeam.lab.scheduler_processes import SchedulerProcess
-from canvasbeam.lab.socket_worker import JobOrder
 from canvasbeam.lab.wire import ClientConnection
 from canvasbeam.lab.world import result_of
 from canvasbeam.net.requests import Answer
 
-if TYPE_CHECKING:
-    from canvasbeam.lab.engine_sockets import SocketWorld
-
 ANSWERS = {200: Answer.SERVED, 429: Answer.REFUSED, 503: Answer.REFUSED, 504: Answer.OVERDUE}
 
 
 class SocketClients:
     """All clients of a run, as their sockets."""
 
-    def __init__(self, world: SocketWorld) -> None:
+    def __init__(self, world: LoopWorld, processes: Sequence[SchedulerProcess]) -> None:
         self._world = world
+        self._processes = processes
         self.orders: dict[str, JobOrder] = {}  # by call id: what workers are to do
         self.lateness: list[int] = []  # by how much each arrival came late
 
@@ -57,7 +54,7 @@
     def _ask(self, attempt: Try, call_id: str, may_reuse: bool) -> None:
         if attempt.over:
             return
-        process = self._world.schedulers.processes[attempt.scheduler]
+        process = self._processes[attempt.scheduler]
         connection = None
         while may_reuse and process.idle and connection is None:
             kept = process.idle.pop()
@@ -140,6 +137,6 @@
         """The client closes its connection."""
         connection = attempt.core_request
         if isinstance(connection, ClientConnection) and not connection.closed:
-            self._world.schedulers.processes[attempt.scheduler].busy.pop(attempt.request, None)
+            self._processes[attempt.scheduler].busy.pop(attempt.request, None)
             if connection.state is not None and connection.state[0] is attempt:
                 connection.close()
--- a/canvasbeam/lab/socket_worker.py
+++ b/canvasbeam/lab/socket_worker.py
@@ -5,9 +5,10 @@
 import json
 from dataclasses import dataclass
 from functools import partial
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from canvasbeam.lab import deployment
+from canvasbeam.lab.loop_world import JobOrder, LoopWorld
 from canvasbeam.lab.model import faults, worker_messages
 from canvasbeam.lab.model.ledger import What
 from canvasbeam.lab.model.machine import Machine
@@ -23,22 +24,6 @@
 )
 from canvasbeam.lab.world import EmulatedWorker, result_of
 
-if TYPE_CHECKING:
-    from canvasbeam.lab.engine_sockets import SocketWorld
-
-
-@dataclass(frozen=True, slots=True)
-class JobOrder:
-    """What a worker is to do for a request."""
-
-    request: int
-    call_id: str
-    cls: int
-    work_ns: int
-    slots: int
-    sid: str
-    due_ns: int
-
 
 @dataclass(slots=True, eq=False)
 class OpenAttempt:
@@ -60,9 +45,9 @@
 class SocketWorker(EmulatedWorker):
     """An emulated worker behind one server for each scheduler, so that each has its own way to it."""
 
-    world: SocketWorld
+    world: LoopWorld
 
-    def __init__(self, world: SocketWorld, machine: Machine, place: int) -> None:
+    def __init__(self, world: LoopWorld, machine: Machine, place: int) -> None:
         super().__init__(world, machine, place)
         self.world = world
         self.links: dict[int, OpenAttempt] = {}
