Refuse an operator's order only where the refusal holds for every copy of it

Cause: an order on a version that was not known yet was refused with 412, and a late copy of it could be taken once that version came. An order acknowledged because it equals the current configuration was not remembered, so it was refused when it came again after the next change; on a stale If-Match it made two winners of one version. An order older than the 4096 that are remembered was refused though it may have been taken. Python's equality took 1, 1.0 and true for one value, and let items through unchecked.

The equal configuration counts only on the version that the current one was built on, and is remembered. The key of a taken order begins with the version that it builds on. Equal means equal as JSON.

--- a/canvasbeam/control_plane/changes.py
+++ b/canvasbeam/control_plane/changes.py
@@ -2,7 +2,10 @@
 
 `apply` is deterministic: every replica applies the same changes in the same order and gets the same state. Where an
 order had been taken before, the same state object is returned: there is nothing to store, and the order is
-acknowledged once more. That holds after a failover too, because the digests of the orders are part of the state.
+acknowledged once more. That holds after a failover too, because the keys of the orders are part of the state.
+
+A failure that this module returns is either true for good, or of a code in `OPEN_FAILURES`: the order was not taken,
+but a copy of it still may be, or may have been long ago. Only the former may be told to an operator as a refusal.
 """
 
 from __future__ import annotations
@@ -23,7 +26,9 @@
 from canvasbeam.errors import Failure, ResultCode
 
 MOST_TAKEN_ORDERS = 4096
+ORDER_VERSION_BYTES = 8
 ORDER_DIGEST_BYTES = 12
+OPEN_FAILURES = frozenset({ResultCode.CONFIG_UNKNOWN_MATCH, ResultCode.CONFIG_FORGOTTEN})
 DEEPEST_NESTING = 100
 MISSING = object()
 NOTHING_CONFIGURED: Mapping[str, Any] = {}
@@ -84,10 +89,16 @@
     )
 
 
-def order_digest(change: Change) -> bytes:
-    """What makes two configuration orders the same one."""
-    head = f"{int(change.kind)}\0{change.if_match}\0".encode()
-    return blake2b(head + change.body, digest_size=ORDER_DIGEST_BYTES).digest()
+def order_key(change: Change) -> bytes:
+    """What makes two configuration orders the same one: the version that they build on, and a digest of the rest."""
+    version = change.if_match.to_bytes(ORDER_VERSION_BYTES)
+    head = f"{int(change.kind)}\0".encode()
+    return version + blake2b(head + change.body, digest_size=ORDER_DIGEST_BYTES).digest()
+
+
+def _version_of(key: bytes) -> int:
+    """The version that an order builds on."""
+    return int.from_bytes(key[:ORDER_VERSION_BYTES])
 
 
 def _with_zones(state: ControlState, zones: set[str]) -> ControlState:
@@ -99,21 +110,60 @@
 
 
 def _apply_configuration(state: ControlState, change: Change, check_structure: bool) -> ControlState | Failure:
-    digest = order_digest(change)
-    if digest in state.taken_orders:
+    key = order_key(change)
+    if key in state.taken_orders:
         return state
+    if _may_be_forgotten(state, change):
+        return Failure(ResultCode.CONFIG_FORGOTTEN, f"orders on generation {change.if_match} are not remembered")
     document = _read_document(change.body)
     if isinstance(document, Failure):
         return document
-    if change.kind is ChangeKind.PUT_CONFIGURATION and document == state.configuration:
-        return state
-    if change.if_match != state.generation:
-        reason = f"If-Match is {change.if_match}, the current generation is {state.generation}"
-        return Failure(ResultCode.CONFIG_STALE_MATCH, reason)
+    if _is_current_configuration(state, change, document):
+        return replace(state, index=state.index + 1, taken_orders=_remembered(state, key))
+    failure = _check_match(state, change)
+    if failure is not None:
+        return failure
     configuration = _next_configuration(state, change.kind, document, check_structure)
     if isinstance(configuration, Failure):
         return configuration
-    return _with_configuration(state, configuration, digest)
+    return _with_configuration(state, configuration, key)
+
+
+def _may_be_forgotten(state: ControlState, change: Change) -> bool:
+    """Whether the order could have been taken so long ago that its key was dropped.
+
+    Each order that is taken builds on a higher version than the one before, so the dropped ones built on lower ones
+    than the oldest that is kept, or on the same.
+    """
+    if len(state.taken_orders) < MOST_TAKEN_ORDERS:
+        return False
+    return change.if_match <= _version_of(state.taken_orders[0])
+
+
+def _is_current_configuration(state: ControlState, change: Change, document: Any) -> bool:
+    """Whether the order asks for the configuration in force, on the version that this one was built on.
+
+    It is then taken too, and remembered as taken. On any other version it would be a second winner of that version.
+    """
+    if change.kind is not ChangeKind.PUT_CONFIGURATION or not state.taken_orders:
+        return False
+    if change.if_match != _version_of(state.taken_orders[-1]) or document != state.configuration:
+        return False
+    return _canonical(document) == _canonical(state.configuration)
+
+
+def _canonical(document: Any) -> str:
+    """A text that differs where JSON does: Python counts 1, 1.0 and true as equal."""
+    return json.dumps(document, sort_keys=True)
+
+
+def _check_match(state: ControlState, change: Change) -> Failure | None:
+    """An older version never returns: the refusal holds for every copy. A higher one may still come."""
+    if change.if_match == state.generation:
+        return None
+    reason = f"If-Match is {change.if_match}, the current generation is {state.generation}"
+    is_old = change.if_match < state.generation
+    return Failure(ResultCode.CONFIG_STALE_MATCH if is_old else ResultCode.CONFIG_UNKNOWN_MATCH, reason)
 
 
 def _next_configuration(
@@ -148,7 +198,12 @@
     if not isinstance(value, list) or not isinstance(known, list):
         return value
     by_name = {_name_of(item): item for item in known}
-    return [item for item in value if item != by_name.get(_name_of(item), MISSING)]
+    return [item for item in value if not _is_identical(item, by_name.get(_name_of(item), MISSING))]
+
+
+def _is_identical(item: Any, known: Any) -> bool:
+    """Equal in their types too: 1, 1.0 and true pass different checks."""
+    return bool(item == known) and repr(item) == repr(known)
 
 
 def _check_generation(state: ControlState, configuration: Mapping[str, Any]) -> Failure | None:
@@ -159,7 +214,7 @@
     return Failure(ResultCode.CONFIG_OLD_GENERATION, reason)
 
 
-def _with_configuration(state: ControlState, configuration: Mapping[str, Any], digest: bytes) -> ControlState:
+def _with_configuration(state: ControlState, configuration: Mapping[str, Any], key: bytes) -> ControlState:
     index = state.index + 1
     return replace(
         state,
@@ -167,10 +222,14 @@
         generation=int(configuration["generation"]),
         configuration=configuration,
         configuration_index=index,
-        taken_orders=(*state.taken_orders, digest)[-MOST_TAKEN_ORDERS:],
+        taken_orders=_remembered(state, key),
     )
 
 
+def _remembered(state: ControlState, key: bytes) -> tuple[bytes, ...]:
+    return (*state.taken_orders, key)[-MOST_TAKEN_ORDERS:]
+
+
 def _patched(base: Mapping[str, Any], patch: Mapping[str, Any]) -> dict[str, Any]:
     """A configuration with named items removed, replaced in their places, and added at the end."""
     configuration = {**base, "generation": patch["generation"]}
--- a/canvasbeam/control_plane/state_service.py
+++ b/canvasbeam/control_plane/state_service.py
@@ -12,8 +12,9 @@
     """The replicated control state as the rest of a control process uses it.
 
     `submit` returns `Committed` only when the change is durable on every replica of the current view; a `Failure` of
-    code `CONFIG_*` or `ZONE_UNKNOWN` means that the change was not and will not be applied; `NOT_PRIMARY` and
-    `NO_PRIMARY` mean the same; `PRIMARY_LOST` and `REPLICATION_TIMEOUT` leave the outcome open.
+    code `CONFIG_*` or `ZONE_UNKNOWN` means that neither the change nor a copy of it was or will be applied, but for
+    those of `changes.OPEN_FAILURES`; `NOT_PRIMARY` and `NO_PRIMARY` mean that this call has no effect; `PRIMARY_LOST`
+    and `REPLICATION_TIMEOUT` leave the outcome open.
     """
 
     async def start(self) -> None:
--- a/canvasbeam/errors.py
+++ b/canvasbeam/errors.py
@@ -40,6 +40,8 @@
     CONFIG_TOO_LARGE = 210, "the body is larger than the limit"
     CONFIG_DUPLICATE_NAME = 211, "two items have the same name"
     ZONE_UNKNOWN = 212, "the zone is not one of the deployment"
+    CONFIG_UNKNOWN_MATCH = 213, "If-Match names a generation that is not known yet; the outcome is open"
+    CONFIG_FORGOTTEN = 214, "the order is too old to tell whether it was taken; the outcome is open"
     # 3xx: replication
     NOT_PRIMARY = 301, "this node is not the primary"
     NO_PRIMARY = 302, "no primary is known at present"
