Give a late copy of an order no effect once its caller has gone

Cause: evacuations have no number. A copy of POST or DELETE that was held up by a cut, or lay in a process that stood still, was acted on after the order had been taken back and acknowledged elsewhere. An evacuation also joined an equal one in progress: at a primary that was replaced and thawed, the new call was acknowledged by the old one's outcome. And an order that was taken under larger limits was refused with 413 once the limits were lowered.

Change: orders wait 20 ms for the end of their connection, and have no effect if it comes (CallerWatch). Evacuations join nothing. The bound on the size of an order is fixed, 16 MiB.

Tests: test_limit_of_the_configuration_allows_larger_bodies, which wanted a bound that follows the state, is replaced by test_orders_larger_than_a_request_of_a_client_are_taken (an order of 8 MiB is really sent) and test_taken_order_is_not_too_large_once_the_limits_are_lowered.

--- a/canvasbeam/control_plane/operator_api.py
+++ b/canvasbeam/control_plane/operator_api.py
@@ -1,8 +1,9 @@
 """The operator's API: the configuration, evacuations, and the status of this node.
 
 Orders and reads of the configuration are for the primary; other nodes send the caller there. An order that takes longer
-than a caller waits goes on here and is answered 503, which leaves its outcome open; the same order sent again finds it
-taken, or still in progress and joins it.
+than a caller waits goes on here and is answered 503, which leaves its outcome open. The same configuration order sent
+again finds it taken, or still in progress and joins it. An evacuation never joins another: it says what shall hold from
+now on, and the earlier one may have been taken back meanwhile under another primary.
 """
 
 from __future__ import annotations
@@ -30,8 +31,8 @@
 STATUS_PATH = "/v1/status"
 ANSWER_WITHIN_S = 0.85  # a caller moves on after a second
 MOST_ORDERS_IN_PROGRESS = 64
-DEFAULT_BODY_BYTES = 4 << 20
-BODY_ALLOWANCE = 64 << 10
+# Of one order. The same on all nodes and for good, so that an order which was taken is never found too large later.
+MOST_ORDER_BYTES = 16 << 20
 
 CHANGE_OF_METHOD = {"PUT": ChangeKind.PUT_CONFIGURATION, "PATCH": ChangeKind.PATCH_CONFIGURATION}
 EVACUATION_OF_METHOD = {"POST": ChangeKind.START_EVACUATION, "DELETE": ChangeKind.END_EVACUATION}
@@ -68,15 +69,13 @@
         self._service = service
         self._is_reachable = is_reachable
         self._status = status
-        self._in_progress: dict[Change, asyncio.Task[Committed | Failure]] = {}
+        self._orders: set[asyncio.Task[Committed | Failure]] = set()  # that are in progress
+        self._configuration_orders: dict[Change, asyncio.Task[Committed | Failure]] = {}  # those that may be joined
         self._reads: set[asyncio.Task[ControlState | Failure]] = set()
 
     def most_body_bytes(self) -> int:
         """How large an order may be."""
-        configuration = self._service.state.configuration or {}
-        limits = configuration.get("limits") or {}
-        configured = int(limits.get("max_body_bytes", 0))
-        return max(DEFAULT_BODY_BYTES, configured) + BODY_ALLOWANCE
+        return MOST_ORDER_BYTES
 
     async def configuration(self, request: Request) -> Answer:
         """`/v1/config`: read it whole, replace it, or change named items."""
@@ -111,9 +110,9 @@
     async def _order(self, request: Request, change: Change) -> Answer:
         if not self._service.is_primary:
             return self._to_primary(request)
-        task = self._in_progress.get(change)
+        task = self._configuration_orders.get(change)
         if task is None:
-            if len(self._in_progress) >= MOST_ORDERS_IN_PROGRESS:
+            if len(self._orders) >= MOST_ORDERS_IN_PROGRESS:
                 return unavailable(Failure(ResultCode.OVERLOADED, "too many orders are in progress"))
             task = self._start(change)
         await asyncio.wait({task}, timeout=ANSWER_WITHIN_S)
@@ -126,8 +125,11 @@
 
     def _start(self, change: Change) -> asyncio.Task[Committed | Failure]:
         task = asyncio.create_task(self._service.submit(change))
-        self._in_progress[change] = task
-        task.add_done_callback(lambda _: self._in_progress.pop(change, None))
+        self._orders.add(task)
+        task.add_done_callback(self._orders.discard)
+        if change.kind in CHANGE_OF_METHOD.values():
+            self._configuration_orders[change] = task
+            task.add_done_callback(lambda _: self._configuration_orders.pop(change, None))
         return task
 
     async def _read(self, request: Request) -> Answer:
--- a/canvasbeam/control_plane/program.py
+++ b/canvasbeam/control_plane/program.py
@@ -67,8 +67,8 @@
         operator, registry = self._operator, self._registry
         return [
             Endpoint(INSTANCES_PREFIX, registry.instances, registry.most_body_bytes),
-            Endpoint(CONFIGURATION_PATH, operator.configuration, operator.most_body_bytes),
-            Endpoint(EVACUATION_PREFIX, operator.evacuation, _no_body),
+            Endpoint(CONFIGURATION_PATH, operator.configuration, operator.most_body_bytes, needs_caller=True),
+            Endpoint(EVACUATION_PREFIX, operator.evacuation, _no_body, needs_caller=True),
             Endpoint(STATUS_PATH, operator.status, _no_body),
         ]
 
--- a/canvasbeam/control_plane/web.py
+++ b/canvasbeam/control_plane/web.py
@@ -1,7 +1,13 @@
-"""The HTTP side of a control process: typed requests and answers over ASGI, and the choice of a handler by path."""
+"""The HTTP side of a control process: typed requests and answers over ASGI, and the choice of a handler by path.
+
+An endpoint may ask that a call has an effect only while its caller waits for it. Callers give up and call elsewhere; a
+copy that was held up on the way, or in a process that stood still, then arrives with the end of its connection behind
+it. Such a late copy is dropped (`CallerWatch`).
+"""
 
 from __future__ import annotations
 
+import asyncio
 import json
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 from dataclasses import dataclass, field
@@ -15,6 +21,8 @@
 DISCARD_BYTES = 64 << 20  # of a body that is too large, so that its sender gets to read the answer
 MOST_HELD_BYTES = 48 << 20  # of all bodies that are being read or handled
 RETRY_SOON = "0.2"
+CALLER_END_S = 0.02  # the end of a connection comes this soon after the bytes that were held up with it
+LOOP_TURNS = 10  # more than lie between the arrival of that end and its notice
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,6 +55,7 @@
     prefix: str
     handler: Handler
     most_body_bytes: Callable[[], int]
+    needs_caller: bool = False  # a call whose caller has gone has no effect
 
 
 def json_answer(status: int, document: Any, headers: Sequence[tuple[bytes, bytes]] = ()) -> Answer:
@@ -104,9 +113,37 @@
                 return unavailable(Failure(ResultCode.OVERLOADED, "too many bodies are being read"))
         if body.is_too_large:
             return failure_answer(413, Failure(ResultCode.CONFIG_TOO_LARGE, f"the body exceeds {body.most} bytes"))
+        has_effect = endpoint.needs_caller and scope["method"] != "GET"
+        if has_effect and await CallerWatch(receive).has_left():
+            return None
         return await endpoint.handler(_request(scope, body.data()))
 
 
+class CallerWatch:
+    """Tells whether the caller of a request that has been read whole still waits for the answer."""
+
+    def __init__(self, receive: Receive) -> None:
+        self._receive = receive
+
+    async def has_left(self) -> bool:
+        """Whether the connection has ended behind the request, or does so at once.
+
+        Where the process stood still meanwhile, the time is over although nothing was read in it: hence the turns.
+        """
+        end = asyncio.create_task(self._end())
+        try:
+            await asyncio.wait({end}, timeout=CALLER_END_S)
+            for _ in range(LOOP_TURNS):
+                await asyncio.sleep(0)
+            return end.done()
+        finally:
+            end.cancel()
+
+    async def _end(self) -> None:
+        while (await self._receive())["type"] != "http.disconnect":
+            pass
+
+
 class _Body:
     """The body of a call, as far as it has come; one that is too large is read on but not kept."""
 
--- /dev/null
+++ b/tests/test_caller_watch.py
@@ -0,0 +1,139 @@
+"""A late copy of an order, with the end of its connection behind it, has no effect: over real sockets on loopback.
+
+Client and server share a thread: while the client's calls block, the server stands still, as a frozen process does.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from canvasbeam.control_plane import web
+from canvasbeam.control_plane.web import Answer, Endpoint, Request, WebApp
+from canvasbeam.runtime.http_server import HttpServer, Message, Receive, Scope, Send
+from canvasbeam.runtime.settings import Address
+
+POST = b"POST /v1/evacuate/z1 HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n"
+Leaves = Callable[[socket.socket], None]
+
+
+def closes(client: socket.socket) -> None:
+    client.close()
+
+
+def resets(client: socket.socket) -> None:
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    client.close()
+
+
+WAYS = pytest.mark.parametrize("leave", [closes, resets])
+
+
+class Site:
+    """A server whose only endpoint counts the calls that have an effect."""
+
+    def __init__(self, needs_caller: bool = True) -> None:
+        self.handled: list[str] = []
+        self.ended = asyncio.Event()
+        self.on_receive: Callable[[int], None] = lambda number: None
+        self._app = WebApp([Endpoint("/v1/evacuate/", self._handle, lambda: 4096, needs_caller)])
+        self.server = HttpServer(self._serve, Address("127.0.0.1", 0))
+
+    async def _handle(self, request: Request) -> Answer:
+        self.handled.append(request.method)
+        return Answer(200)
+
+    async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
+        count = 0
+
+        async def counted() -> Message:
+            nonlocal count
+            count += 1
+            self.on_receive(count)
+            return await receive()
+
+        try:
+            await self._app(scope, counted, send)
+        finally:
+            self.ended.set()
+
+    def client(self) -> socket.socket:
+        """Connect without giving the server a turn."""
+        return socket.create_connection(("127.0.0.1", self.server.port))
+
+
+def run(test: Callable[[Site], Awaitable[None]], needs_caller: bool = True) -> Site:
+    async def body() -> Site:
+        site = Site(needs_caller)
+        assert await site.server.start() is None
+        try:
+            async with asyncio.timeout(10):
+                await test(site)
+        finally:
+            await site.server.close()
+        return site
+
+    return asyncio.run(body())
+
+
+@WAYS
+def test_copy_read_after_its_caller_has_gone_has_no_effect(leave: Leaves) -> None:
+    """The process was frozen, or the copy was held up on the way: both lie in the kernel."""
+
+    async def body(site: Site) -> None:
+        client = site.client()
+        client.sendall(POST)
+        leave(client)
+        other = site.client()
+        other.sendall(POST.replace(b"POST", b"DELETE"))
+        loop = asyncio.get_running_loop()
+        other.setblocking(False)
+        assert (await loop.sock_recv(other, 4096)).startswith(b"HTTP/1.1 200")
+        other.close()
+
+    assert run(body).handled == ["DELETE"]
+
+
+@WAYS
+def test_caller_that_leaves_while_the_process_stands_still_after_reading_is_noticed(
+    leave: Leaves, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(web, "CALLER_END_S", 0.0)  # it is over when the process goes on
+
+    async def body(site: Site) -> None:
+        client = site.client()
+        client.sendall(POST)
+        whole_body = 2
+        site.on_receive = lambda number: leave(client) if number == whole_body else None
+        await site.ended.wait()
+
+    assert run(body).handled == []
+
+
+def test_caller_that_waits_is_answered() -> None:
+    async def body(site: Site) -> None:
+        client = site.client()
+        client.setblocking(False)
+        loop = asyncio.get_running_loop()
+        for _ in range(2):
+            await loop.sock_sendall(client, POST)
+            assert (await loop.sock_recv(client, 4096)).startswith(b"HTTP/1.1 200")
+        client.close()
+
+    assert run(body).handled == ["POST", "POST"]
+
+
+def test_without_the_watch_the_late_copy_has_its_effect() -> None:
+    """What the first test would see otherwise."""
+
+    async def body(site: Site) -> None:
+        client = site.client()
+        client.sendall(POST)
+        client.close()
+        await site.ended.wait()
+
+    assert run(body, needs_caller=False).handled == ["POST"]
--- a/tests/test_operator_api.py
+++ b/tests/test_operator_api.py
@@ -208,10 +208,23 @@
     run(body)
 
 
-def test_limit_of_the_configuration_allows_larger_bodies() -> None:
+def test_orders_larger_than_a_request_of_a_client_are_taken() -> None:
     async def body(caller: Caller) -> None:
         await caller.put(CONFIGURATION | {"limits": {"max_body_bytes": 8 << 20}})
         assert caller.api.most_body_bytes() > 8 << 20
+        assert (await caller.put(CONFIGURATION | {"generation": 8, "x": "y" * (8 << 20)}, 7)).status == 200
+
+    run(body)
+
+
+def test_taken_order_is_not_too_large_once_the_limits_are_lowered() -> None:
+    async def body(caller: Caller) -> None:
+        await caller.put(CONFIGURATION | {"limits": {"max_body_bytes": 8 << 20}})
+        large = CONFIGURATION | {"generation": 8, "x": "y" * (5 << 20), "limits": {"max_body_bytes": 8 << 20}}
+        assert (await caller.put(large, 7)).status == 200
+        assert (await caller.put(CONFIGURATION | {"generation": 9}, 8)).status == 200
+        assert (await caller.put(large, 7)).status == 200
+        assert caller.service.state.generation == 9
 
     run(body)
 
@@ -294,6 +307,34 @@
     run(body)
 
 
+def test_evacuation_joins_no_other(monkeypatch: pytest.MonkeyPatch) -> None:
+    """An earlier one may have been replicated before another primary took it back; this one must be confirmed anew."""
+    monkeypatch.setattr(operator_api, "ANSWER_WITHIN_S", 0.0)
+
+    async def body(caller: Caller) -> None:
+        caller.service.gate = asyncio.Event()
+        for _ in range(2):
+            assert (await caller.call("POST", "/v1/evacuate/z1")).status == 503
+        assert len(caller.service.submitted) == 2
+        caller.service.gate.set()
+
+    run(body)
+
+
+def test_evacuations_at_once_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(operator_api, "ANSWER_WITHIN_S", 0.0)
+    monkeypatch.setattr(operator_api, "MOST_ORDERS_IN_PROGRESS", 8)
+
+    async def body(caller: Caller) -> None:
+        caller.service.gate = asyncio.Event()
+        for _ in range(10):
+            await caller.call("POST", "/v1/evacuate/z1")
+        assert len(caller.service.submitted) == 8
+        caller.service.gate.set()
+
+    run(body)
+
+
 def test_slow_read_is_left_open(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(operator_api, "ANSWER_WITHIN_S", 0.0)
 
