Check histories of operators' calls against a sequential specification

The real operator's API, the real changes and the real replication members run in simulated time, under two or three operators with three tools each, lost answers, copies at once and late, kills, wiped disks, frozen and thawed primaries, and cuts in both and in one direction. Each history is checked: one winner a version and a number, an order that was taken is never refused, a refusal is true between call and answer and for good, a read is the newest, invalid never in force, an evacuation stays as it was acknowledged.

--- /dev/null
+++ b/tests/test_order_histories.py
@@ -0,0 +1,393 @@
+"""Histories of operators' calls against their sequential specification (`order_history`).
+
+Random days by seed, as many as `ORDER_HISTORIES` says; one story for each sentence of the specification; and planted
+faults, each of which a story or the days must find.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+from collections.abc import Callable, Coroutine
+from contextlib import AbstractContextManager, nullcontext, suppress
+from typing import Any
+from unittest import mock
+
+import pytest
+
+from canvasbeam.control_plane import changes, operator_api
+from canvasbeam.control_state import Change, Committed, ControlState
+from canvasbeam.decide.replication.messages import Action, Reply
+from canvasbeam.decide.replication.primary import PendingCall, Primary
+from canvasbeam.errors import Failure, ResultCode
+
+from .order_history import Call, HistoryViolation
+from .order_operators import end_evacuation, evacuate, patch, put, run_day
+from .order_world import IPS, Faults, Node, OrderWorld
+from .virtual_time import run_in_virtual_time
+
+DAYS = int(os.environ.get("ORDER_HISTORIES", "30"))
+DAYS_WITH_A_FAULT = 150
+Story = Callable[[OrderWorld], Coroutine[Any, Any, None]]
+Plant = Callable[[], AbstractContextManager[object]]
+
+
+@pytest.mark.parametrize("seed", range(DAYS))
+def test_random_day(seed: int) -> None:
+    run_day(seed)
+
+
+@pytest.mark.parametrize("seed", range(DAYS // 3))
+def test_random_day_of_two_operators(seed: int) -> None:
+    run_day(10_000 + seed, operators=2)
+
+
+def test_a_day_has_something_of_everything() -> None:
+    calls = [call for seed in range(10) for call in run_day(seed).history.calls]
+    orders = [call for call in calls if call.is_configuration_order]
+    assert {call.status for call in orders} >= {200, 400, 412, 503, None}
+    assert sum(call.status == 200 for call in orders) > 100
+    assert sum(call.status == 412 for call in orders) > 100
+    assert sum(call.status == 200 and call.document is not None for call in calls) > 100
+    assert sum(call.status == 200 and call.change is not None and call.change.zone != "" for call in calls) > 100
+    assert max(sum(each.sent_at <= call.sent_at < each.ended_at for each in calls) for call in calls) >= 8
+
+
+# --- stories ------------------------------------------------------------------------------------------------------
+
+
+def play(story: Story, faults: Faults | None = None, answers_may_differ: bool = False) -> None:
+    """One story from the first start to the check of its history."""
+
+    async def body() -> None:
+        world = OrderWorld(faults=faults)
+        await world.settled_primary()
+        with suppress(AssertionError) if answers_may_differ else nullcontext():
+            await story(world)
+        await asyncio.sleep(5.0)
+        world.check()
+
+    run_in_virtual_time(body())
+
+
+async def until_clear(world: OrderWorld, caller: str, change: Change | None = None, ip: str | None = None) -> Call:
+    """Send a call until it has a clear answer."""
+    while True:
+        for each in (ip,) if ip else IPS:
+            call = await world.call(caller, each, change)
+            if call.status is not None and call.status < 500:
+                return call
+            await asyncio.sleep(0.1)
+
+
+async def other_primary(world: OrderWorld, than: Node) -> Node:
+    while (node := world.primary()) is None or node is than:
+        await asyncio.sleep(0.05)
+    return node
+
+
+async def configured(world: OrderWorld) -> Node:
+    """Version 5 is in force; the primary."""
+    assert (await until_clear(world, "a", put(5, 0))).status == 200
+    primary = world.primary()
+    assert primary is not None
+    return primary
+
+
+async def race_on_one_number(world: OrderWorld) -> None:
+    await configured(world)
+    version, statuses = 5, []
+    for _ in range(5):
+        one, other, higher = version + 2, version + 3, version + 4
+        orders = [put(one, version, "a"), patch(one, version, "b"), put(other, version), patch(higher, version)]
+        racing = [until_clear(world, f"o{number}", each, IPS[number % 3]) for number, each in enumerate(orders)]
+        calls = await asyncio.gather(*racing)
+        statuses.append(sorted(call.status or 0 for call in calls))
+        read = await until_clear(world, "o1")
+        assert read.document is not None
+        version = read.document["generation"]
+    assert statuses == [[200, 412, 412, 412]] * 5
+
+
+async def race_with_equal_bodies(world: OrderWorld) -> None:
+    await configured(world)
+    calls = await asyncio.gather(*(until_clear(world, ip, put(7, 5, "same"), ip) for ip in IPS))
+    assert [call.status for call in calls] == [200, 200, 200]
+    assert sum(each.state.generation == 7 for each in world.history.states.values()) == 1
+
+
+async def answer_lost_and_sent_again_after_a_failover(world: OrderWorld) -> None:
+    primary = await configured(world)
+    order = patch(7, 5, "a")
+    await world.call("a", primary.ip, order, is_answer_lost=True)
+    primary.kill()
+    successor = await other_primary(world, primary)
+    assert (await until_clear(world, "a", order, successor.ip)).status == 200
+    assert (await until_clear(world, "b", put(9, 7, "b"))).status == 200
+    assert (await until_clear(world, "a", order)).status == 200
+    read = await until_clear(world, "a")
+    assert read.document is not None and read.document["generation"] == 9
+
+
+async def sent_again_to_all_at_once_and_late(world: OrderWorld) -> None:
+    await configured(world)
+    order = put(7, 5, "a")
+    calls = await asyncio.gather(*(until_clear(world, ip, order, ip) for ip in (*IPS, *IPS)))
+    assert {call.status for call in calls} == {200}
+    for generation in range(8, 20):
+        assert (await until_clear(world, "b", patch(generation, generation - 1, "b"))).status == 200
+        assert (await until_clear(world, "a", order)).status == 200
+
+
+async def thawed_primary_is_read(world: OrderWorld) -> None:
+    """It answers before it has read that another took over."""
+    old = await configured(world)
+    old.freeze()
+    await other_primary(world, old)
+    assert (await until_clear(world, "b", put(7, 5, "b"))).status == 200
+    reading = asyncio.create_task(world.call("a", old.ip))
+    await asyncio.sleep(0.1)
+    old.thaw(("call", "tick", "message"), messages_after_s=0.2)
+    await reading
+
+
+async def refused_over_a_winner_that_is_lost(world: OrderWorld) -> None:
+    """A cut-off primary holds an order that is never replicated: the other order of that version may yet win."""
+    old = await configured(world)
+    world.cuts |= {(old.ip, each) for each in IPS if each != old.ip}
+    winner = asyncio.create_task(world.call("a", old.ip, put(7, 5, "a")))
+    await asyncio.sleep(0.1)
+    loser = asyncio.create_task(world.call("b", old.ip, put(7, 5, "b")))
+    await asyncio.gather(winner, loser)
+    await other_primary(world, old)
+    assert (await until_clear(world, "b", put(7, 5, "b"))).status == 200
+    assert (await until_clear(world, "a", put(7, 5, "a"))).status == 412
+
+
+async def late_copy_of_an_evacuation(world: OrderWorld) -> None:
+    primary = await configured(world)
+    held = asyncio.create_task(world.call("a", primary.ip, evacuate("z1"), held_s=3.0))
+    await asyncio.sleep(1.0)
+    assert (await until_clear(world, "a", evacuate("z1"))).status == 200
+    assert (await until_clear(world, "a", end_evacuation("z1"))).status == 200
+    await held
+
+
+async def late_copy_of_the_end_of_an_evacuation(world: OrderWorld) -> None:
+    primary = await configured(world)
+    assert (await until_clear(world, "a", evacuate("z1"))).status == 200
+    held = asyncio.create_task(world.call("a", primary.ip, end_evacuation("z1"), held_s=3.0))
+    await asyncio.sleep(1.0)
+    assert (await until_clear(world, "a", end_evacuation("z1"))).status == 200
+    assert (await until_clear(world, "a", evacuate("z1"))).status == 200
+    await held
+
+
+async def evacuation_at_a_thawed_primary(world: OrderWorld) -> None:
+    """It has an equal one in progress, which was stored everywhere and has been taken back by its successor."""
+    old = await configured(world)
+    first = asyncio.create_task(world.call("a", old.ip, evacuate("z1")))
+    while old.member is None or old.member.replica.state.evacuated_zones != ("z1",):
+        await asyncio.sleep(0.001)
+    old.freeze()
+    await first
+    successor = await other_primary(world, old)
+    assert (await until_clear(world, "a", evacuate("z1"), successor.ip)).status == 200
+    assert (await until_clear(world, "a", end_evacuation("z1"), successor.ip)).status == 200
+    again = asyncio.create_task(world.call("a", old.ip, evacuate("z1")))
+    await asyncio.sleep(0.1)
+    world.latency = (0.1, 0.12)  # nobody contradicts it sooner
+    old.thaw(("call", "message", "tick"), messages_after_s=0.03)
+    await again
+
+
+async def order_on_a_version_that_is_still_to_come(world: OrderWorld) -> None:
+    """Two copies at once; one is looked at before the version that it builds on is taken, one after."""
+    primary = await configured(world)
+    follow_up = put(9, 7, "a")
+    early = asyncio.create_task(world.call("a", primary.ip, follow_up))
+    held = asyncio.create_task(world.call("a", primary.ip, follow_up, held_s=0.6))
+    await asyncio.sleep(0.2)
+    assert (await until_clear(world, "a", put(7, 5, "a"), primary.ip)).status == 200
+    assert (await early).status == 503
+    assert (await held).status == 200
+
+
+async def loser_comes_again_after_a_failover(world: OrderWorld) -> None:
+    primary = await configured(world)
+    loser = put(8, 5, "b")
+    assert (await until_clear(world, "a", put(7, 5, "a"))).status == 200
+    assert (await until_clear(world, "b", loser)).status == 412
+    held = [asyncio.create_task(world.call("b", ip, loser, held_s=0.5 + n)) for n, ip in enumerate(IPS)]
+    primary.kill()
+    successor = await other_primary(world, primary)
+    assert (await until_clear(world, "b", loser, successor.ip)).status == 412
+    await asyncio.gather(*held)
+
+
+async def primary_is_wiped_after_its_acknowledgement(world: OrderWorld) -> None:
+    primary = await configured(world)
+    order = put(7, 5, "a")
+    assert (await until_clear(world, "a", order, primary.ip)).status == 200
+    primary.wipe()
+    primary.start()
+    assert (await until_clear(world, "a", order)).status == 200
+    assert (await until_clear(world, "b", put(8, 5, "b"))).status == 412
+    assert (await until_clear(world, "a")).document == changes_document(order)
+
+
+async def all_are_killed_after_an_acknowledgement(world: OrderWorld) -> None:
+    await configured(world)
+    order = patch(7, 5, "a")
+    assert (await until_clear(world, "a", order)).status == 200
+    for node in world.nodes.values():
+        node.kill()
+        node.start()
+    read = await until_clear(world, "b")
+    assert read.document is not None and read.document["generation"] == 7
+    assert (await until_clear(world, "a", order)).status == 200
+
+
+async def invalid_orders(world: OrderWorld) -> None:
+    await configured(world)
+    for order in (put(7, 5, service="nobody"), patch(7, 5, service="nobody"), put(5, 5, "x"), patch(4, 5)):
+        calls = await asyncio.gather(*(until_clear(world, ip, order, ip) for ip in IPS))
+        assert [call.status for call in calls] == [400, 400, 400]
+
+
+STORIES: list[Story] = [
+    race_on_one_number,
+    race_with_equal_bodies,
+    answer_lost_and_sent_again_after_a_failover,
+    sent_again_to_all_at_once_and_late,
+    thawed_primary_is_read,
+    refused_over_a_winner_that_is_lost,
+    late_copy_of_an_evacuation,
+    late_copy_of_the_end_of_an_evacuation,
+    evacuation_at_a_thawed_primary,
+    order_on_a_version_that_is_still_to_come,
+    loser_comes_again_after_a_failover,
+    primary_is_wiped_after_its_acknowledgement,
+    all_are_killed_after_an_acknowledgement,
+    invalid_orders,
+]
+
+
+@pytest.mark.parametrize("story", STORIES, ids=lambda story: story.__name__)
+def test_story(story: Story) -> None:
+    play(story)
+
+
+def test_refused_order_is_not_in_force_though_its_late_copies_have_effect() -> None:
+    """The refusal holds by itself, without the fence for late copies."""
+    play(loser_comes_again_after_a_failover, Faults(needs_caller=False))
+
+
+@pytest.mark.parametrize("ways", ["both", "it is heard", "it hears"])
+def test_cut_off_primary_neither_confirms_nor_refuses_nor_tells(ways: str) -> None:
+    """For twenty seconds, with orders and reads on both sides. It stops leading within 1.5 s."""
+    cut_s, contact_s = 20.0, 1.5
+
+    async def story(world: OrderWorld) -> None:
+        old = await configured(world)
+        others = [each for each in IPS if each != old.ip]
+        if ways != "it is heard":
+            world.cuts |= {(old.ip, each) for each in others}
+        if ways != "it hears":
+            world.cuts |= {(each, old.ip) for each in others}
+        cut_at = world.now()
+        version = 5
+        while world.now() < cut_at + cut_s:
+            orders = (put(version + 1, version, "x"), put(version + 1, version, "y"), evacuate("z2"), None)
+            await asyncio.gather(*(world.call("a", old.ip, each) for each in orders))
+            assert not old.is_primary or world.now() < cut_at + contact_s
+            call = await until_clear(world, "b", put(version + 1, version, "z"), others[0])
+            read = await until_clear(world, "b", None, others[1])
+            assert call.status in (200, 412) and read.document is not None
+            version = read.document["generation"]
+        world.cuts.clear()
+
+    play(story)
+
+
+def changes_document(order: Change) -> Any:
+    state = changes.apply(ControlState(generation=order.if_match), order)
+    assert isinstance(state, ControlState)
+    return state.configuration
+
+
+# --- planted faults -----------------------------------------------------------------------------------------------
+
+
+def any_match(state: ControlState, change: Change) -> Failure | None:
+    """Two winners: any order may win, whatever it builds on."""
+    return None
+
+
+def read_without_confirmation(self: Primary, call: int, now: int) -> list[Action]:
+    return [Reply(call, Committed(self._replica.state_at(self._committed)))]
+
+
+await_confirmation = Primary._await_confirmation
+
+
+def refuse_without_confirmation(self: Primary, pending: PendingCall, now: int) -> list[Action]:
+    if pending.failure is not None:
+        return [Reply(pending.call, pending.failure)]
+    return await_confirmation(self, pending, now)
+
+
+REFUSES_EARLY_ORDERS = {**operator_api.STATUS_OF_CODE, ResultCode.CONFIG_UNKNOWN_MATCH: 412}
+
+
+@pytest.mark.parametrize(
+    ("story", "faults", "plant"),
+    [
+        (race_on_one_number, None, lambda: mock.patch.object(changes, "_check_match", any_match)),
+        (answer_lost_and_sent_again_after_a_failover, Faults(forgets_at_failover=True), nullcontext),
+        (thawed_primary_is_read, None, lambda: mock.patch.object(Primary, "read", read_without_confirmation)),
+        (
+            refused_over_a_winner_that_is_lost,
+            None,
+            lambda: mock.patch.object(Primary, "_await_confirmation", refuse_without_confirmation),
+        ),
+        (late_copy_of_an_evacuation, Faults(needs_caller=False), nullcontext),
+        (late_copy_of_the_end_of_an_evacuation, Faults(needs_caller=False), nullcontext),
+        (evacuation_at_a_thawed_primary, Faults(joins_evacuations=True), nullcontext),
+        (
+            order_on_a_version_that_is_still_to_come,
+            None,
+            lambda: mock.patch.object(operator_api, "STATUS_OF_CODE", REFUSES_EARLY_ORDERS),
+        ),
+    ],
+    ids=[
+        "two winners",
+        "repeats are not remembered across a failover",
+        "a read is not confirmed",
+        "a refusal is not confirmed",
+        "a late copy evacuates",
+        "a late copy ends an evacuation",
+        "an evacuation joins an older one",
+        "an early order is refused",
+    ],
+)
+def test_story_finds_a_planted_fault(story: Story, faults: Faults | None, plant: Plant) -> None:
+    with plant(), pytest.raises(HistoryViolation):
+        play(story, faults, answers_may_differ=True)
+
+
+@pytest.mark.parametrize(
+    ("faults", "plant"),
+    [
+        (None, lambda: mock.patch.object(changes, "_check_match", any_match)),
+        (Faults(forgets_at_failover=True), nullcontext),
+        (Faults(needs_caller=False), nullcontext),
+        (None, lambda: mock.patch.object(Primary, "read", read_without_confirmation)),
+        (None, lambda: mock.patch.object(Primary, "_await_confirmation", refuse_without_confirmation)),
+    ],
+    ids=["two winners", "repeats forgotten", "late copies", "reads not confirmed", "refusals not confirmed"],
+)
+def test_days_find_a_planted_fault(faults: Faults | None, plant: Plant) -> None:
+    with plant(), pytest.raises(HistoryViolation):
+        for seed in range(DAYS_WITH_A_FAULT):
+            run_day(seed, faults=faults)
