Send an evacuation back that may be older than an opposite one

Cause: a late copy whose caller left its connection open, or whose end comes later than 20 ms behind it, still undid a newer order of its zone.

Change: a request is younger than the moment at which its connection came to rest (opened, or its former answer sent). An evacuation order whose connection came to rest before an opposite order for the zone was seen, or before this node began to lead, is answered 503 on a connection that closes (215). Callers that wait send it again on a new one. Orders answer 503 after 0.83 s in place of 0.85, as they wait 20 ms longer before. If-Match may have 19 digits, as generations.

Two new stories (a caller that does not close; a copy at a primary that followed) fail without the rule, and the second also without the begin of the lead; either fence alone keeps out the late copy of a caller that closed.

--- a/canvasbeam/control_plane/operator_api.py
+++ b/canvasbeam/control_plane/operator_api.py
@@ -13,10 +13,12 @@
 from typing import Any
 from urllib.parse import quote
 
+from canvasbeam.control_plane.evacuation_fence import EvacuationFence
 from canvasbeam.control_plane.state_service import ControlStateService
 from canvasbeam.control_plane.web import (
     Answer,
     Request,
+    again_on_a_new_connection,
     failure_answer,
     json_answer,
     method_not_allowed,
@@ -29,8 +31,9 @@
 CONFIGURATION_PATH = "/v1/config"
 EVACUATION_PREFIX = "/v1/evacuate/"
 STATUS_PATH = "/v1/status"
-ANSWER_WITHIN_S = 0.85  # a caller moves on after a second
+ANSWER_WITHIN_S = 0.83  # after the wait for the caller's end; a caller moves on after a second
 MOST_ORDERS_IN_PROGRESS = 64
+MOST_MATCH_DIGITS = 19  # those of the largest generation
 # Of one order. The same on all nodes and for good, so that an order which was taken is never found too large later.
 MOST_ORDER_BYTES = 16 << 20
 
@@ -71,6 +74,7 @@
         self._status = status
         self._orders: set[asyncio.Task[Committed | Failure]] = set()  # that are in progress
         self._configuration_orders: dict[Change, asyncio.Task[Committed | Failure]] = {}  # those that may be joined
+        self._evacuation_fence = EvacuationFence()
         self._reads: set[asyncio.Task[ControlState | Failure]] = set()
 
     def most_body_bytes(self) -> int:
@@ -99,7 +103,7 @@
             return method_not_allowed(*EVACUATION_OF_METHOD)
         if not zone or (self._settings.zones and zone not in self._settings.zones):
             return self._refusal(request, Failure(ResultCode.ZONE_UNKNOWN, f"there is no zone {zone!r}"))
-        return await self._order(request, Change(kind, zone=zone))
+        return await self._evacuate(request, Change(kind, zone=zone))
 
     async def status(self, request: Request) -> Answer:
         """`/v1/status`: what this node knows of itself and the others."""
@@ -107,6 +111,20 @@
             return method_not_allowed("GET")
         return json_answer(200, self._status())
 
+    def on_primary(self, ip: str | None) -> None:
+        """Another node, or this one, is the primary now."""
+        if ip == self._settings.ip:
+            self._evacuation_fence.begin_to_lead(asyncio.get_running_loop().time())
+
+    async def _evacuate(self, request: Request, change: Change) -> Answer:
+        if not self._service.is_primary:
+            return self._to_primary(request)
+        if request.sent_after is not None and self._evacuation_fence.may_be_late(change, request.sent_after):
+            reason = "an opposite order came, or this node began to lead, after the connection came to rest"
+            return again_on_a_new_connection(Failure(ResultCode.ORDER_MAY_BE_LATE, reason))
+        self._evacuation_fence.note(change, asyncio.get_running_loop().time())
+        return await self._order(request, change)
+
     async def _order(self, request: Request, change: Change) -> Answer:
         if not self._service.is_primary:
             return self._to_primary(request)
@@ -170,7 +188,7 @@
     if text is None:
         return Failure(ResultCode.CONFIG_NO_MATCH, "If-Match is missing")
     digits = text.strip().removeprefix("W/").strip('"')
-    if not (digits.isascii() and digits.isdigit()) or len(digits) > 18:
+    if not (digits.isascii() and digits.isdigit()) or len(digits) > MOST_MATCH_DIGITS:
         return Failure(ResultCode.CONFIG_NO_MATCH, "If-Match is not the number of a generation")
     return int(digits)
 
--- a/canvasbeam/control_plane/web.py
+++ b/canvasbeam/control_plane/web.py
@@ -15,7 +15,7 @@
 from urllib.parse import parse_qs
 
 from canvasbeam.errors import Failure, ResultCode
-from canvasbeam.runtime.http_server import Message, Receive, Scope, Send
+from canvasbeam.runtime.http_server import AT_REST_SINCE, Message, Receive, Scope, Send
 
 JSON_CONTENT = (b"content-type", b"application/json")
 DISCARD_BYTES = 64 << 20  # of a body that is too large, so that its sender gets to read the answer
@@ -34,6 +34,7 @@
     query: Mapping[str, str] = field(default_factory=dict)
     headers: Mapping[str, str] = field(default_factory=dict)  # names in lower case
     body: bytes = b""
+    sent_after: float | None = None  # it was not sent before this time of the loop's clock, where that is known
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,6 +76,11 @@
     return failure_answer(503, failure, ((b"retry-after", RETRY_SOON.encode()),))
 
 
+def again_on_a_new_connection(failure: Failure) -> Answer:
+    """The caller should send the same again, not on this connection."""
+    return failure_answer(503, failure, ((b"retry-after", RETRY_SOON.encode()), (b"connection", b"close")))
+
+
 def method_not_allowed(*allowed: str) -> Answer:
     """The path is known, and takes other methods."""
     return Answer(405, headers=((b"allow", ", ".join(allowed).encode()),))
@@ -187,6 +193,7 @@
         query={name: values[0] for name, values in query.items()},
         headers={name.decode("latin-1"): value.decode("latin-1") for name, value in scope["headers"]},
         body=body,
+        sent_after=scope.get("state", {}).get(AT_REST_SINCE),
     )
 
 
--- a/canvasbeam/errors.py
+++ b/canvasbeam/errors.py
@@ -42,6 +42,7 @@
     ZONE_UNKNOWN = 212, "the zone is not one of the deployment"
     CONFIG_UNKNOWN_MATCH = 213, "If-Match names a generation that is not known yet; the outcome is open"
     CONFIG_FORGOTTEN = 214, "the order is too old to tell whether it was taken; the outcome is open"
+    ORDER_MAY_BE_LATE = 215, "the order may have been sent before an opposite one; send it on a new connection"
     # 3xx: replication
     NOT_PRIMARY = 301, "this node is not the primary"
     NO_PRIMARY = 302, "no primary is known at present"
--- a/canvasbeam/runtime/http_server.py
+++ b/canvasbeam/runtime/http_server.py
@@ -34,6 +34,9 @@
 FLUSH_BYTES = 65536
 ALWAYS = 0  # answers after this many on a connection carry `Connection: close`
 NEVER = 1 << 62
+# In the state of a scope: when, by the loop's clock, the connection was opened or its former answer was complete. A
+# client that does not pipeline sent its request after that.
+AT_REST_SINCE = "at_rest_since"
 
 Scope = MutableMapping[str, Any]
 Message = MutableMapping[str, Any]
@@ -167,6 +170,7 @@
         loop = asyncio.get_running_loop()
         super().__init__(server.app, loop, server.config, server.context, {}, reader, writer)
         self._server = server
+        self._state = ConnectionState({})  # of which the scope of each request is given a copy
         self._timer: asyncio.TimerHandle | None = None
         self._unsent = bytearray()
         self._flush_due = False
@@ -184,7 +188,7 @@
                     self.config,
                     self.context,
                     group,
-                    ConnectionState({}),
+                    self._state,
                     False,
                     client,
                     local,
@@ -258,6 +262,7 @@
     def _become_idle(self) -> None:
         self.busy = False
         self.idle = True
+        self._state[AT_REST_SINCE] = self.loop.time()
         self._start_timer(self._server.limits.idle_timeout_s)
 
     def _await_head(self) -> None:
--- a/tests/order_operators.py
+++ b/tests/order_operators.py
@@ -82,7 +82,8 @@
     async def _send(self, change: Change, ip: str) -> Call:
         held_s = self._chance.uniform(0.3, 4.0) if self._chance.random() < 0.1 else 0.0
         is_lost = self._chance.random() < 0.1
-        return await self._world.call(self.name, ip, change, held_s=held_s, is_answer_lost=is_lost)
+        closes = self._chance.random() < 0.7
+        return await self._world.call(self.name, ip, change, held_s=held_s, closes=closes, is_answer_lost=is_lost)
 
     async def read(self, tried_for_s: float = FINAL_TRIED_FOR_S) -> Call | None:
         """Read until the configuration comes."""
--- a/tests/order_world.py
+++ b/tests/order_world.py
@@ -51,7 +51,8 @@
 class Faults:
     """What is planted, for the checks to find."""
 
-    needs_caller: bool = True  # False: late copies have their effect
+    needs_caller: bool = True  # False: a copy has its effect though its connection has ended
+    knows_connections: bool = True  # False: nothing is known of when a copy may have been sent
     joins_evacuations: bool = False
     forgets_at_failover: bool = False
 
@@ -77,10 +78,12 @@
 
 @dataclass
 class Connection:
-    """A connection of a caller: its answer, and whether its end has reached the node."""
+    """A connection of a caller: its answer, and what of it has reached the node."""
 
     answer: asyncio.Future[HttpAnswer | None]
     ended: asyncio.Event = field(default_factory=asyncio.Event)
+    life: int = -1  # of the process that accepted it
+    accepted_at: float = 0.0
 
 
 class JoiningApi(OperatorApi):
@@ -113,6 +116,8 @@
         self._asleep: list[asyncio.Future[None]] = []  # calls that came to the service while the node was frozen
         self._open: list[Connection] = []
         self._app = WebApp([])
+        self._api: OperatorApi | None = None
+        self._told_primary = ""
 
     # --- the machine ------------------------------------------------------------------------------------------
 
@@ -125,6 +130,7 @@
         settings = MemberSettings(self.me, IPS, 1, seed=self._world.chance.randrange(1 << 30))
         self.member = Member(settings, self.durable, self._apply, self._apply, self._world.now_ns())
         self._app = self._make_app()
+        self._told_primary = ""
         self.perform(self.member.begin())
         self._tick(self._life)
 
@@ -215,6 +221,12 @@
                 case Publish(state=state):
                     self._world.note_committed(state)
         self._begin_write()
+        self._tell_primary()
+
+    def _tell_primary(self) -> None:
+        if self.member is not None and self._api is not None and self.member.primary_id != self._told_primary:
+            self._told_primary = self.member.primary_id
+            self._api.on_primary(self.primary_ip)
 
     def _apply(self, state: ControlState, change: Change) -> ControlState | Failure:
         outcome = changes.apply(state, change)
@@ -312,7 +324,7 @@
             port_range=(7660, 7675), seeds=(), zones=ZONES, listen={"control": Address(self.ip, CONTROL_PORT)},
         )  # fmt: skip
         kind = JoiningApi if self._world.faults.joins_evacuations else OperatorApi
-        api = kind(settings, self, lambda ip: True, dict)  # type: ignore[arg-type]
+        api = self._api = kind(settings, self, lambda ip: True, dict)  # type: ignore[arg-type]
         fenced = self._world.faults.needs_caller
         return WebApp(
             [
@@ -321,6 +333,10 @@
             ]
         )
 
+    def accept(self, connection: Connection) -> None:
+        """A connection was accepted."""
+        connection.life, connection.accepted_at = self._life, self._world.now()
+
     def handle(self, message: HttpMessage, connection: Connection) -> None:
         """A call was read."""
         self._open.append(connection)
@@ -343,7 +359,14 @@
         async def send(part: http_server.Message) -> None:
             sent.append(part)
 
-        scope = {"method": message.method, "path": message.path, "query_string": b"", "headers": message.headers}
+        scope: dict[str, Any] = {
+            "method": message.method,
+            "path": message.path,
+            "query_string": b"",
+            "headers": message.headers,
+        }
+        if self._world.faults.knows_connections:
+            scope["state"] = {http_server.AT_REST_SINCE: connection.accepted_at}
         await self._app(scope, receive, send)
         if sent:
             answer = HttpAnswer(sent[0]["status"], dict(sent[0]["headers"]), sent[1]["body"])
@@ -432,35 +455,57 @@
         """An answer, or a reset, is on its way to the caller."""
         self.later(self.chance.uniform(*self.latency), partial(_resolve, connection.answer, answer))
 
-    async def exchange(self, ip: str, message: HttpMessage, held_s: float = 0.0) -> HttpAnswer | None:
-        """One call; None where no answer came in the time that callers wait. `held_s` is lost on the way there."""
+    async def exchange(
+        self, ip: str, message: HttpMessage, held_s: float = 0.0, closes: bool = True
+    ) -> HttpAnswer | None:
+        """One call on a connection of its own; None where no answer came in the time that callers wait.
+
+        `held_s` is lost on the way there. A caller that gives up closes its connection, or leaves it open.
+        """
         node, connection = self.nodes[ip], Connection(self._loop.create_future())
-        arrives_at = self.now() + self.chance.uniform(*self.latency) + held_s
+        opened_at = self.now() + self.chance.uniform(*self.latency)
+        arrives_at = opened_at + self.chance.uniform(*self.latency) + held_s
+
+        def accept() -> None:
+            node.run("call", node.life, partial(node.accept, connection))
 
         def arrive() -> None:
-            if node.member is None:
+            if node.member is None or connection.life not in (-1, node.life):
                 self.answer(connection, None)
             else:
-                node.run("call", node.life, lambda: node.handle(message, connection))
+                node.run("call", node.life, partial(node.handle, message, connection))
 
+        self._loop.call_at(opened_at, accept)
         self._loop.call_at(arrives_at, arrive)
         try:
             async with asyncio.timeout(CALLER_WAITS_S):
                 return await connection.answer
         except TimeoutError:
-            end_at = max(self.now() + self.chance.uniform(*self.latency), arrives_at + self.chance.uniform(1e-6, 0.01))
-            self._loop.call_at(end_at, lambda: node.run("call", node.life, connection.ended.set))
+            if closes:
+                ends_at = max(self.now() + self.chance.uniform(*self.latency), arrives_at) + self._end_delay()
+                self._loop.call_at(ends_at, lambda: node.run("call", node.life, connection.ended.set))
             return None
 
+    def _end_delay(self) -> float:
+        """By which the end of a connection follows the bytes that were held up with it."""
+        return self.chance.uniform(1e-6, 0.01)
+
     async def call(
-        self, caller: str, ip: str, change: Change | None = None, *, held_s: float = 0.0, is_answer_lost: bool = False
+        self,
+        caller: str,
+        ip: str,
+        change: Change | None = None,
+        *,
+        held_s: float = 0.0,
+        closes: bool = True,
+        is_answer_lost: bool = False,
     ) -> Call:
         """One call with its redirects, as the history notes it."""
         message = http_message(change)
         sent_at = self.now()
         number = len(self.history.calls)
         self.history.calls.append(Call(caller, ip, sent_at, change))
-        answer = await self.exchange(ip, message, held_s)
+        answer = await self.exchange(ip, message, held_s, closes)
         for _ in range(MOST_REDIRECTS):
             if answer is None or answer.status != 307:
                 break
--- /dev/null
+++ b/tests/test_evacuation_fence.py
@@ -0,0 +1,122 @@
+"""An evacuation order that may be a late copy is not acted on: the rule alone, and over real sockets on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from canvasbeam.control_plane.evacuation_fence import EvacuationFence
+from canvasbeam.control_plane.operator_api import EVACUATION_PREFIX, OperatorApi
+from canvasbeam.control_plane.web import Endpoint, WebApp
+from canvasbeam.control_state import Change, ChangeKind
+from canvasbeam.runtime.http_server import HttpServer
+from canvasbeam.runtime.settings import Address
+
+from .test_operator_api import SETTINGS, FakeService
+
+START = Change(ChangeKind.START_EVACUATION, zone="z1")
+END = Change(ChangeKind.END_EVACUATION, zone="z1")
+ELSEWHERE = Change(ChangeKind.END_EVACUATION, zone="z2")
+
+
+def test_order_is_late_if_it_may_be_older_than_an_opposite_one() -> None:
+    fence = EvacuationFence()
+    fence.note(END, 10.0)
+    assert fence.may_be_late(START, 9.0)
+    assert not fence.may_be_late(START, 10.5)
+
+
+def test_equal_orders_and_those_of_other_zones_make_none_late() -> None:
+    fence = EvacuationFence()
+    fence.note(START, 10.0)
+    fence.note(ELSEWHERE, 11.0)
+    assert not fence.may_be_late(START, 9.0)
+
+
+def test_order_is_late_if_it_may_be_older_than_the_lead() -> None:
+    fence = EvacuationFence()
+    assert not fence.may_be_late(START, 0.0)
+    fence.begin_to_lead(5.0)
+    assert fence.may_be_late(START, 4.0)
+    assert fence.may_be_late(END, 4.0)
+    assert not fence.may_be_late(START, 5.5)
+
+
+class Client:
+    """One connection of a caller."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._reader = reader
+        self._writer = writer
+
+    @classmethod
+    async def connect(cls, server: HttpServer) -> Client:
+        return cls(*await asyncio.open_connection("127.0.0.1", server.port))
+
+    async def call(self, method: str) -> int:
+        request = f"{method} {EVACUATION_PREFIX}z1 HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n"
+        self._writer.write(request.encode())
+        head = (await self._reader.readuntil(b"\r\n\r\n")).decode().lower()
+        length = next(line for line in head.split("\r\n") if line.startswith("content-length"))
+        await self._reader.readexactly(int(length.partition(":")[2]))
+        return int(head.split()[1])
+
+    async def is_closed(self) -> bool:
+        return await self._reader.read() == b""
+
+    def close(self) -> None:
+        self._writer.close()
+
+
+def run(test: Callable[[HttpServer, OperatorApi], Awaitable[None]]) -> None:
+    async def body() -> None:
+        api = OperatorApi(SETTINGS, FakeService(), lambda ip: True, dict)
+        app = WebApp([Endpoint(EVACUATION_PREFIX, api.evacuation, lambda: 4096, needs_caller=True)])
+        server = HttpServer(app, Address("127.0.0.1", 0))
+        assert await server.start() is None
+        try:
+            async with asyncio.timeout(10):
+                await test(server, api)
+        finally:
+            await server.close()
+
+    asyncio.run(body())
+
+
+def test_orders_one_after_another_on_one_connection_are_taken() -> None:
+    async def body(server: HttpServer, api: OperatorApi) -> None:
+        client = await Client.connect(server)
+        assert [await client.call(method) for method in ("POST", "DELETE", "POST", "DELETE")] == [200] * 4
+        client.close()
+
+    run(body)
+
+
+def test_copy_on_an_older_connection_is_sent_back_and_taken_on_a_new_one() -> None:
+    async def body(server: HttpServer, api: OperatorApi) -> None:
+        older, other = await Client.connect(server), await Client.connect(server)
+        assert [await other.call(method) for method in ("POST", "DELETE")] == [200, 200]
+        assert await older.call("POST") == 503
+        assert await older.is_closed()
+        newer = await Client.connect(server)
+        assert await newer.call("POST") == 200
+        for each in (older, other, newer):
+            each.close()
+
+    run(body)
+
+
+def test_connection_from_before_the_lead_is_not_trusted() -> None:
+    async def body(server: HttpServer, api: OperatorApi) -> None:
+        older = await Client.connect(server)
+        assert await older.call("POST") == 200
+        api.on_primary("10.2.0.30")
+        assert await older.call("POST") == 200
+        api.on_primary(SETTINGS.ip)
+        assert await older.call("DELETE") == 503
+        newer = await Client.connect(server)
+        assert await newer.call("DELETE") == 200
+        for each in (older, newer):
+            each.close()
+
+    run(body)
--- a/tests/test_operator_api.py
+++ b/tests/test_operator_api.py
@@ -181,6 +181,15 @@
     run(body)
 
 
+def test_order_builds_on_the_largest_generation() -> None:
+    async def body(caller: Caller) -> None:
+        largest = 2**63 - 2
+        assert (await caller.put(CONFIGURATION | {"generation": largest})).status == 200
+        assert (await caller.put(CONFIGURATION | {"generation": largest + 1}, largest)).status == 200
+
+    run(body)
+
+
 def test_body_over_the_limit_is_refused_whole() -> None:
     async def body(caller: Caller) -> None:
         assert (await caller.put(b" " * (caller.api.most_body_bytes() + 1))).status == 413
--- a/tests/test_order_histories.py
+++ b/tests/test_order_histories.py
@@ -16,6 +16,7 @@
 import pytest
 
 from canvasbeam.control_plane import changes, operator_api
+from canvasbeam.control_plane.evacuation_fence import EvacuationFence
 from canvasbeam.control_state import Change, Committed, ControlState
 from canvasbeam.decide.replication.messages import Action, Reply
 from canvasbeam.decide.replication.primary import PendingCall, Primary
@@ -29,6 +30,7 @@
 DAYS = int(os.environ.get("ORDER_HISTORIES", "30"))
 DAYS_WITH_A_FAULT = 150
 Story = Callable[[OrderWorld], Coroutine[Any, Any, None]]
+NO_FENCE = Faults(needs_caller=False, knows_connections=False)
 Plant = Callable[[], AbstractContextManager[object]]
 
 
@@ -183,6 +185,33 @@
     await held
 
 
+async def late_copy_of_a_caller_that_does_not_close(world: OrderWorld) -> None:
+    primary = await configured(world)
+    held = asyncio.create_task(world.call("a", primary.ip, evacuate("z1"), held_s=3.0, closes=False))
+    await asyncio.sleep(1.0)
+    assert (await until_clear(world, "a", evacuate("z1"))).status == 200
+    assert (await until_clear(world, "a", end_evacuation("z1"))).status == 200
+    await held
+
+
+async def late_copy_at_a_primary_that_followed(world: OrderWorld) -> None:
+    """The copy is held up on its way to a node that leads only when the order has been taken back."""
+    primary = await configured(world)
+    other = next(each for each in IPS if each != primary.ip)
+    held = [
+        asyncio.create_task(world.call("a", ip, evacuate("z1"), held_s=8.0, closes=False))
+        for ip in IPS
+        if ip != primary.ip
+    ]
+    await asyncio.sleep(0.5)
+    assert (await until_clear(world, "a", evacuate("z1"), other)).status == 200
+    assert (await until_clear(world, "a", end_evacuation("z1"), other)).status == 200
+    primary.kill()
+    await other_primary(world, primary)
+    await asyncio.gather(*held)
+    await asyncio.sleep(8.0)
+
+
 async def evacuation_at_a_thawed_primary(world: OrderWorld) -> None:
     """It has an equal one in progress, which was stored everywhere and has been taken back by its successor."""
     old = await configured(world)
@@ -264,6 +293,8 @@
     refused_over_a_winner_that_is_lost,
     late_copy_of_an_evacuation,
     late_copy_of_the_end_of_an_evacuation,
+    late_copy_of_a_caller_that_does_not_close,
+    late_copy_at_a_primary_that_followed,
     evacuation_at_a_thawed_primary,
     order_on_a_version_that_is_still_to_come,
     loser_comes_again_after_a_failover,
@@ -280,7 +311,13 @@
 
 def test_refused_order_is_not_in_force_though_its_late_copies_have_effect() -> None:
     """The refusal holds by itself, without the fence for late copies."""
-    play(loser_comes_again_after_a_failover, Faults(needs_caller=False))
+    play(loser_comes_again_after_a_failover, NO_FENCE)
+
+
+@pytest.mark.parametrize("story", [late_copy_of_an_evacuation, late_copy_of_the_end_of_an_evacuation])
+@pytest.mark.parametrize("faults", [Faults(needs_caller=False), Faults(knows_connections=False)])
+def test_each_fence_alone_keeps_out_the_late_copy_of_a_caller_that_closed(story: Story, faults: Faults) -> None:
+    play(story, faults)
 
 
 @pytest.mark.parametrize("ways", ["both", "it is heard", "it hears"])
@@ -351,8 +388,15 @@
             None,
             lambda: mock.patch.object(Primary, "_await_confirmation", refuse_without_confirmation),
         ),
-        (late_copy_of_an_evacuation, Faults(needs_caller=False), nullcontext),
-        (late_copy_of_the_end_of_an_evacuation, Faults(needs_caller=False), nullcontext),
+        (late_copy_of_an_evacuation, NO_FENCE, nullcontext),
+        (late_copy_of_the_end_of_an_evacuation, NO_FENCE, nullcontext),
+        (late_copy_of_a_caller_that_does_not_close, Faults(knows_connections=False), nullcontext),
+        (late_copy_at_a_primary_that_followed, Faults(knows_connections=False), nullcontext),
+        (
+            late_copy_at_a_primary_that_followed,
+            None,
+            lambda: mock.patch.object(EvacuationFence, "begin_to_lead", lambda self, now: None),
+        ),
         (evacuation_at_a_thawed_primary, Faults(joins_evacuations=True), nullcontext),
         (
             order_on_a_version_that_is_still_to_come,
@@ -367,6 +411,9 @@
         "a refusal is not confirmed",
         "a late copy evacuates",
         "a late copy ends an evacuation",
+        "a late copy on an open connection",
+        "a late copy at a primary that followed",
+        "the begin of the lead is not noted",
         "an evacuation joins an older one",
         "an early order is refused",
     ],
@@ -381,7 +428,7 @@
     [
         (None, lambda: mock.patch.object(changes, "_check_match", any_match)),
         (Faults(forgets_at_failover=True), nullcontext),
-        (Faults(needs_caller=False), nullcontext),
+        (NO_FENCE, nullcontext),
         (None, lambda: mock.patch.object(Primary, "read", read_without_confirmation)),
         (None, lambda: mock.patch.object(Primary, "_await_confirmation", refuse_without_confirmation)),
     ],
