--- a/canvasbeam/control_plane/changes.py
+++ b/canvasbeam/control_plane/changes.py
@@ -25,7 +25,7 @@
 from canvasbeam.control_state import Change, ChangeKind, ControlState
 from canvasbeam.errors import Failure, ResultCode
 
-MOST_TAKEN_ORDERS = 4096
+MOST_TAKEN_ORDERS = 1024
 ORDER_VERSION_BYTES = 8
 ORDER_DIGEST_BYTES = 12
 OPEN_FAILURES = frozenset({ResultCode.CONFIG_UNKNOWN_MATCH, ResultCode.CONFIG_FORGOTTEN})
