Drop the digests of taken orders that an earlier release stored

Cause: read as keys they name arbitrary versions; a disk with a thousand of them would leave every order open.

Change: decoding keeps keys of the present length only. An order taken before such an upgrade and sent again after it is refused, as it builds on an older version.

--- a/canvasbeam/control_plane/changes.py
+++ b/canvasbeam/control_plane/changes.py
@@ -28,6 +28,7 @@
 MOST_TAKEN_ORDERS = 1024
 ORDER_VERSION_BYTES = 8
 ORDER_DIGEST_BYTES = 12
+ORDER_KEY_BYTES = ORDER_VERSION_BYTES + ORDER_DIGEST_BYTES  # earlier releases stored digests alone: they are dropped
 OPEN_FAILURES = frozenset({ResultCode.CONFIG_UNKNOWN_MATCH, ResultCode.CONFIG_FORGOTTEN})
 DEEPEST_NESTING = 100
 MISSING = object()
@@ -85,7 +86,7 @@
         configuration_index=record.configuration_index,
         evacuated_zones=tuple(record.evacuated_zones),
         evacuation_index=record.evacuation_index,
-        taken_orders=tuple(record.taken_orders),
+        taken_orders=tuple(key for key in record.taken_orders if len(key) == ORDER_KEY_BYTES),
     )
 
 
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -5,6 +5,7 @@
 import copy
 import json
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -418,6 +419,14 @@
         assert decode_state(encode_state(state)) == state
 
 
+def test_keys_of_an_earlier_release_are_dropped() -> None:
+    """Read as keys they would name any version, and leave every order open."""
+    digests = tuple(bytes([255]) * 8 + number.to_bytes(4) for number in range(MOST_TAKEN_ORDERS))
+    state = decode_state(encode_state(replace(CONFIGURED, taken_orders=digests)))
+    assert isinstance(state, ControlState)
+    assert taken(state, put(edited(unchanged), 7)).generation == 9
+
+
 def test_encoding_that_is_damaged_is_a_failure() -> None:
     data = encode_state(CONFIGURED)
     assert isinstance(decode_state(data[: len(data) // 2]), Failure)
