--- a/canvasbeam/runtime/http_server.py
+++ b/canvasbeam/runtime/http_server.py
@@ -35,6 +35,9 @@
 MOST_AHEAD_BYTES = 65536  # read from a client while an earlier request of its connection is answered
 ALWAYS = 0  # answers after this many on a connection carry `Connection: close`
 NEVER = 1 << 62
+# In the state of a scope: when, by the loop's clock, the connection was opened or its former answer was complete. A
+# client that does not pipeline sent its request after that.
+AT_REST_SINCE = "at_rest_since"
 
 Scope = MutableMapping[str, Any]
 Message = MutableMapping[str, Any]
@@ -205,6 +208,7 @@
         loop = asyncio.get_running_loop()
         super().__init__(server.app, loop, server.config, server.context, {}, reader, writer)
         self._server = server
+        self._state = ConnectionState({})  # of which the scope of each request is given a copy
         self._timer: asyncio.TimerHandle | None = None
         self._unsent = bytearray()
         self._ahead = bytearray()
@@ -223,7 +227,7 @@
                     self.config,
                     self.context,
                     group,
-                    ConnectionState({}),
+                    self._state,
                     False,
                     client,
                     local,
@@ -320,6 +324,7 @@
     def _become_idle(self) -> None:
         self.busy = False
         self.idle = True
+        self._state[AT_REST_SINCE] = self.loop.time()
         self._start_timer(self._server.limits.idle_timeout_s)
 
     def _await_head(self) -> None:
