Answers are taken only where they are provably whole and for this request

Cause: a rejection without X-Request-Id counted as one for the present request on a reused connection too, where it may be a surplus answer to an earlier one: the request then ran and was sent again. A second send of a request could take the connection of the first, where a doubled rejection carries the same id. Answers without a length were never taken, and a connection that this side aborted read like one that ended properly. An early answer waited until the worker had read the whole body, and a connection with a part of the body unsent could be kept.

Change: a rejection without an id holds on the first use of a connection only; a connection remembers what it carried and isn't given the same request again; an answer without a length is whole where its connection ends properly, and a stream so too, after a whole event; read ends an aborted connection with an error; an answer is read while the body is still on its way, and the connection is kept only where every byte is out. A health answer that carries an earlier request's id is a surplus one. An unsafe request isn't written while a send of it is out, whatever the dispatcher asks.

--- a/canvasbeam/data_plane/carrier.py
+++ b/canvasbeam/data_plane/carrier.py
@@ -245,7 +245,12 @@
             return False
         if request.due_ns - self.now_ns() < LEAST_LEFT_NS or request.sent >= request.route.retries:
             return False
-        return request.route.idempotent or not request.may_have_run
+        return request.route.idempotent or not (request.may_have_run or self._is_out(request))
+
+    def _is_out(self, request: ClientRequest) -> bool:
+        """Whether a send of a request was written and has no outcome."""
+        entry = self._requests.entry(request)
+        return entry is not None and any(each.written for each in entry.attempts_out())
 
     async def _run(self, attempt: Attempt) -> None:
         request = attempt.job.request
@@ -254,7 +259,7 @@
             self._end_attempt(attempt, Outcome.MOOT)
             return
         try:
-            connection = await pool.acquire(unsafe=not request.route.idempotent)
+            connection = await pool.acquire(not request.route.idempotent, request.identity)
         except ConnectFailed:
             self._end_attempt(attempt, Outcome.CONNECT_FAILED)
             return
--- a/canvasbeam/data_plane/exchange.py
+++ b/canvasbeam/data_plane/exchange.py
@@ -2,6 +2,8 @@
 
 The result tells exactly whether the request ran: `Outcome.never_ran` is claimed only where the worker said so or where
 no byte was written. Whatever is not the worker's whole, sealed answer to this very request is never handed on as one.
+
+Whether a request may be written once more after what became of it is the table of docs/design/hardening/calls.md.
 """
 
 from __future__ import annotations
@@ -88,6 +90,7 @@
 
     async def run(self) -> ExchangeResult:
         """Exchange the request for its answer. The connection is of no use afterwards unless `reusable`."""
+        self._connection.carried.append(self._request.identity)
         try:
             return await self._exchange()
         except (httpcore.NetworkError, httpcore.ProtocolError, _Garbled, EventTooLarge):
@@ -106,7 +109,7 @@
         self._check_head(response.status, headers)
         if self._request.streams and response.status == 200 and _is_event_stream(headers):
             return await self._pass_events(response, headers)
-        body = await self._read_whole(response, headers)
+        body = await self._read_whole(response)
         await self._finish(response)
         return self._judge(response.status, headers, body)
 
@@ -124,17 +127,22 @@
                 connection.stated_idle_s = _stated_idle(value)
 
     def _check_head(self, status: int, headers: Headers) -> None:
-        """The answer must be for this request: a surplus one may come in the place of the one that is due."""
+        """The answer must be for this request: a surplus one may come in the place of the one that is due.
+
+        A rejection without an id is for this request only where the connection carried nothing before.
+        """
+        if status < 200:
+            raise _Garbled("the worker changed the protocol")
         identity = _header(headers, REQUEST_ID)
         rejected = status == MISDIRECTED or _header(headers, NOT_EXECUTED) is not None
-        if identity != self._request.identity and not (identity is None and rejected):
+        is_ours_without_id = identity is None and rejected and self._connection.is_first_use
+        if identity != self._request.identity and not is_ours_without_id:
             raise _Garbled("the answer belongs to another request")
         if _header(headers, b"content-encoding") is not None:
             raise _Garbled("the body was encoded")
 
-    async def _read_whole(self, response: httpcore.Response, headers: Headers) -> bytes:
-        if not _is_framed(response.status, headers):
-            raise _Garbled("the answer has no length")
+    async def _read_whole(self, response: httpcore.Response) -> bytes:
+        """The whole body. Without a length it ends with its connection, which a reset does not end properly."""
         body = bytearray()
         async for chunk in _chunks(response):
             body += chunk
@@ -145,8 +153,7 @@
     async def _finish(self, response: httpcore.Response) -> None:
         """Close the exchange; bytes after the answer belong to no request, and end the connection."""
         await response.aclose()
-        left, _ = self._connection.http._h11_state.trailing_data
-        self._reusable = not left and not self._connection.stream.is_readable()
+        self._reusable = self._connection.is_clean
 
     def _judge(self, status: int, headers: Headers, body: bytes) -> ExchangeResult:
         answer = Answer(status, _answer_headers(headers, len(body)), body)
@@ -165,14 +172,14 @@
     async def _pass_events(self, response: httpcore.Response, headers: Headers) -> ExchangeResult:
         if _header(headers, SEAL) is None:
             raise _Garbled("the stream has no seal")
-        if not _is_framed(response.status, headers):
-            raise _Garbled("the end of the stream could not be told")
         splitter = EventSplitter()
         async for chunk in _chunks(response):
             events = splitter.feed(chunk)
             if events:
                 await self._begin(headers)
                 await self._sink.send_events(events)
+        if not _is_framed(headers) and (splitter.partial or not self.stream_began):
+            raise _Garbled("the connection ended within an event, or before the first")
         await self._begin(headers)
         if splitter.partial:
             await self._sink.send_rest(splitter.partial)
@@ -203,10 +210,8 @@
     return kind is not None and kind.split(b";")[0].strip().lower() == EVENT_STREAM
 
 
-def _is_framed(status: int, headers: Headers) -> bool:
-    """Whether the end of the body can be told from a connection that breaks."""
-    if status in (204, 304):
-        return True
+def _is_framed(headers: Headers) -> bool:
+    """Whether the worker marks the end of the body, other than by the end of its connection."""
     return any(name in (b"content-length", b"transfer-encoding") for name, _ in headers)
 
 
--- a/canvasbeam/data_plane/health_check.py
+++ b/canvasbeam/data_plane/health_check.py
@@ -39,7 +39,11 @@
     except BaseException:
         pool.discard(connection)
         raise
+    headers = {name.lower(): value for name, value in response.headers}
+    if headers.get(b"x-request-id") in connection.carried:
+        pool.discard(connection)  # a surplus answer to an earlier request: the one to this question is still due
+        return Outcome.BROKEN
     pool.release(connection)
-    named = {name.lower(): value for name, value in response.headers}.get(b"x-instance")
+    named = headers.get(b"x-instance")
     well = response.status == 200 and named in (None, worker.encode())
     return Outcome.OK if well else Outcome.ERROR
--- a/canvasbeam/data_plane/network_stream.py
+++ b/canvasbeam/data_plane/network_stream.py
@@ -84,6 +84,7 @@
     def _wake_reader(self) -> None:
         if self._reader is not None and not self._reader.done():
             self._reader.set_result(None)
+        self._wake_writer()  # an answer may come before the request is out
 
     def _wake_writer(self) -> None:
         if self._writer is not None and not self._writer.done():
@@ -92,14 +93,14 @@
     # --- httpcore.AsyncNetworkStream --------------------------------------------------------------
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
-        """Send what was written, and wait for bytes; empty at the end."""
+        """Send what was written, and wait for bytes; empty at the proper end, an error at any other."""
         await self._flush()
         while not self._received and not self._eof and not self._lost:
             self._reader = self._loop.create_future()
             await self._reader
         if not self._received:
-            if self._error is not None:
-                raise httpcore.ReadError(str(self._error))
+            if self._error is not None or not self._eof:
+                raise httpcore.ReadError(str(self._error or "the connection was aborted"))
             return b""
         data = bytes(self._received[:max_bytes])
         del self._received[:max_bytes]
@@ -119,7 +120,7 @@
         data, self._unsent = bytes(self._unsent), bytearray()
         self.bytes_written += len(data)
         self._transport.write(data)
-        while self._write_paused and not self._lost:
+        while self._write_paused and not self._lost and not self._received and not self._eof:
             self._writer = self._loop.create_future()
             await self._writer
 
@@ -146,6 +147,11 @@
         """Whether the connection is known to be of no use."""
         return self._lost or self._eof or self._transport is None or self._transport.is_closing()
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether bytes that were written here are not in the kernel yet."""
+        return bool(self._unsent) or (self._transport is not None and self._transport.get_write_buffer_size() > 0)
+
     def is_readable(self) -> bool:
         """Whether anything is there to read, also in the kernel: on a connection at rest that is its end."""
         if self.closed or self._received:
--- a/canvasbeam/data_plane/worker_connections.py
+++ b/canvasbeam/data_plane/worker_connections.py
@@ -8,7 +8,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import httpcore
 
@@ -23,6 +23,8 @@
 IDLE_MARGIN_S = 0.3
 IDLE_MARGIN_UNSAFE_S = 1.0
 LEAST_CONNECTIONS = 3
+# So many requests a connection remembers: a surplus answer to one of them may still come.
+REMEMBERED_REQUESTS = 64
 
 
 class ConnectFailed(Exception):
@@ -39,6 +41,18 @@
     idle_since: float = 0.0
     used: int = 0
     closing: bool = False  # the worker announced that it closes this connection
+    carried: deque[bytes] = field(default_factory=lambda: deque(maxlen=REMEMBERED_REQUESTS))
+
+    @property
+    def is_first_use(self) -> bool:
+        """Whether nothing was asked on this connection before: every answer on it is to the present request."""
+        return self.used == 0
+
+    @property
+    def is_clean(self) -> bool:
+        """Whether the last request is out to its last byte, and its answer left nothing behind."""
+        left, _ = self.http._h11_state.trailing_data
+        return not left and not self.stream.has_unsent and not self.stream.is_readable()
 
     def may_be_reused(self, now: float, unsafe: bool) -> bool:
         """Whether a connection at rest can be expected to be open when the request reaches the worker."""
@@ -75,10 +89,14 @@
         """Connections at rest."""
         return len(self._idle)
 
-    async def acquire(self, unsafe: bool) -> WorkerConnection:
-        """A connection for one request; raises `ConnectFailed`."""
+    async def acquire(self, unsafe: bool, identity: bytes | None = None) -> WorkerConnection:
+        """A connection for one request; raises `ConnectFailed`.
+
+        A request that is sent again gets a connection that did not carry it: there, a surplus answer to the first send
+        could not be told from the one to the second.
+        """
         while True:
-            connection = self._take_idle(unsafe)
+            connection = self._take_idle(unsafe, identity)
             if connection is not None:
                 return connection
             if self._retired:
@@ -87,15 +105,16 @@
                 return await self._connect()
             await self._wait_for_room()
 
-    def _take_idle(self, unsafe: bool) -> WorkerConnection | None:
+    def _take_idle(self, unsafe: bool, identity: bytes | None) -> WorkerConnection | None:
         now = self._loop.time()
         kept: list[WorkerConnection] = []
         found = None
         while self._idle and found is None:
             connection = self._idle.pop()
-            if connection.may_be_reused(now, unsafe):
+            is_usable = connection.may_be_reused(now, unsafe)
+            if is_usable and identity not in connection.carried:
                 found = connection
-            elif unsafe and connection.may_be_reused(now, unsafe=False):
+            elif is_usable or (unsafe and connection.may_be_reused(now, unsafe=False)):
                 kept.append(connection)
             else:
                 self.discard(connection)
@@ -144,7 +163,7 @@
 
     def release(self, connection: WorkerConnection) -> None:
         """Give a connection back: it is kept where its worker keeps it and its last answer left nothing behind."""
-        if self._retired or connection.closing or not connection.http.is_idle() or connection.stream.closed:
+        if self._retired or connection.closing or not connection.http.is_idle() or not connection.is_clean:
             self.discard(connection)
             return
         connection.idle_since = self._loop.time()
