A table of every way a send can end, tried for each kind of request

Cause: which requests may be written a second time was told nowhere as a whole. A fault found by it: where the dispatcher sends one job to two workers at once, both sends passed the check, since neither had a byte written: an unsafe request ran twice (2 of 2 cases, unsafe and stream).

Change: a send counts as out once it has its connection, so the second one is not written. tests/test_write_again.py tries each row on a fresh and a reused connection, for safe, unsafe, streaming and resumable requests, with the answer late, doubled, cut, rejected, redirected, without an id or for another. tests/test_early_answers.py: early answers by workers and by this node, whose unread bodies hold a request.

--- a/canvasbeam/data_plane/carrier.py
+++ b/canvasbeam/data_plane/carrier.py
@@ -248,9 +248,9 @@
         return request.route.idempotent or not (request.may_have_run or self._is_out(request))
 
     def _is_out(self, request: ClientRequest) -> bool:
-        """Whether a send of a request was written and has no outcome."""
+        """Whether a send of a request has a connection to be written on, and no outcome."""
         entry = self._requests.entry(request)
-        return entry is not None and any(each.written for each in entry.attempts_out())
+        return entry is not None and any(each.exchange is not None for each in entry.attempts_out())
 
     async def _run(self, attempt: Attempt) -> None:
         request = attempt.job.request
--- a/tests/data_plane_harness.py
+++ b/tests/data_plane_harness.py
@@ -273,7 +273,6 @@
     generation: int = 0
     sequence: int = 0
     settings: ProcessSettings = field(default_factory=make_settings)
-    memory_bytes: int = 1 << 20
 
     async def __aenter__(self) -> DataPlaneUnderTest:
         self.connections = WorkerConnections()
@@ -284,7 +283,7 @@
         self.worker_list = WorkerList(
             self.table, self.view, self.carrier, self.connections, regions=self.settings.zones, live_nodes=lambda: 1
         )
-        self.memory = MemoryBudget(self.memory_bytes)
+        self.memory = MemoryBudget(1 << 20)
         ingress = Ingress(self.view, self.carrier, self.shutdown, self.memory, random.Random(1))
         self.server = HttpServer(ingress, Address("127.0.0.1", 0), HttpLimits())
         assert await self.server.start() is None
--- a/tests/test_data_plane_connections.py
+++ b/tests/test_data_plane_connections.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 
+import httpcore
 import pytest
 
 from canvasbeam.data_plane.worker_connections import (
@@ -172,6 +175,27 @@
     run(body)
 
 
+@pytest.mark.parametrize("how", ["aborted here", "reset there"])
+def test_only_an_end_by_the_worker_reads_as_an_end(how: str) -> None:
+    async def body(server: Server, pool: WorkerPool) -> None:
+        connection, ended = await pool.acquire(False), await pool.acquire(False)
+        writer = await server.writer(0)
+        reading = asyncio.ensure_future(connection.stream.read(100))
+        await asyncio.sleep(0)
+        if how == "aborted here":
+            connection.stream.abort()
+        else:
+            option = struct.pack("ii", 1, 0)
+            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+            writer.transport.abort()
+        with pytest.raises(httpcore.ReadError):
+            await reading
+        (await server.writer(1)).close()
+        assert await ended.stream.read(100) == b""
+
+    run(body)
+
+
 def test_the_share_of_a_workers_connections() -> None:
     assert share_of_connections(360, 6) == 60
     assert share_of_connections(96, 350) == 3
--- /dev/null
+++ b/tests/test_early_answers.py
@@ -0,0 +1,182 @@
+"""Answers that come before the request was read: by a worker, while the body is on its way, and by this node."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from canvasbeam.data_plane import ingress
+from tests.data_plane_harness import DataPlaneUnderTest, ScriptedWorker, event, request_bytes
+from tests.test_data_plane_requests import run
+
+LONG_BODY = 24 << 20
+SHORT_BODY = 60_000
+SMALL_BUFFER = 4096
+# Less than the time after which a connection whose other side doesn't read is given up.
+IN_TIME_S = 2.0
+
+
+class EarlyWorker(ScriptedWorker):
+    """Answers each request once it has read its head, and reads on only when told."""
+
+    def __init__(self, name: str, answer: Callable[[str], str]) -> None:
+        super().__init__(name)
+        self.answer = answer
+        self.reads_on = asyncio.Event()
+        self.streams: list[bytearray] = []  # what came on each connection
+
+    async def start(self) -> None:
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER)
+        listener.bind(("127.0.0.1", 0))
+        self.port = listener.getsockname()[1]
+        self._server = await asyncio.start_server(self._serve, sock=listener, limit=SMALL_BUFFER)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        stream = bytearray()
+        self.streams.append(stream)
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                stream += head
+                writer.write(self.answer(_header(head, "x-request-id")).encode())
+                await self.reads_on.wait()
+                await _read(reader, int(_header(head, "content-length")), stream)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass  # the other side is gone
+        finally:
+            writer.close()
+
+
+async def _read(reader: asyncio.StreamReader, size: int, stream: bytearray) -> None:
+    while size:
+        piece = await reader.read(size)
+        if not piece:
+            raise ConnectionResetError
+        stream += piece
+        size -= len(piece)
+
+
+def _header(head: bytes, name: str) -> str:
+    for line in head.decode().split("\r\n"):
+        key, _, value = line.partition(":")
+        if key.lower() == name:
+            return value.strip()
+    return "0"
+
+
+def whole(identity: str) -> str:
+    return f"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-Request-Id: {identity}\r\nX-Response-Seal: a\r\n\r\ndone"
+
+
+def rejection(identity: str) -> str:
+    status = "HTTP/1.1 503 Service Unavailable"
+    return f"{status}\r\nContent-Length: 0\r\nX-Request-Id: {identity}\r\nX-Not-Executed: 1\r\n\r\n"
+
+
+def stream(identity: str) -> str:
+    head = f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: {identity}\r\nX-Response-Seal: a\r\n"
+    body = event(1)
+    return f"{head}Content-Length: {len(body)}\r\n\r\n{body}"
+
+
+def run_early(body: Callable[[DataPlaneUnderTest], Awaitable[None]], worker: ScriptedWorker) -> None:
+    async def main(data_plane: DataPlaneUnderTest) -> None:
+        data_plane.memory._limit = 64 << 20
+        data_plane.configure(max_body_bytes=32 << 20)
+        await body(data_plane)
+
+    run(main, worker)
+
+
+@pytest.mark.parametrize(
+    ("kind", "answer", "status"),
+    [("unsafe", whole, 200), ("safe", whole, 200), ("unsafe", rejection, 503), ("stream", stream, 200)],
+)
+def test_an_early_answer_reaches_the_client_and_its_connection_gets_no_other_bytes(
+    kind: str, answer: Callable[[str], str], status: int
+) -> None:
+    worker = EarlyWorker("w1", answer)
+    long_body = "x" * LONG_BODY
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        client = await data_plane.client()
+        async with asyncio.timeout(IN_TIME_S):
+            first = await client.request(f"/{kind}/x", "r1", long_body)
+        assert first.status == status
+        await client.request(f"/{kind}/x", "r2", "y" * 10)
+        worker.reads_on.set()
+        await data_plane.server.close()
+        data_plane.connections.close()
+        while any(not task.done() for task in tuple(worker._tasks)):
+            await asyncio.sleep(0.01)
+        read = bytes(worker.streams[0])
+        head, _, rest = read.partition(b"\r\n\r\n")
+        assert b"r1" in head
+        assert 0 < len(rest) < LONG_BODY, "the body must be too long for the buffers"
+        assert rest == long_body.encode()[: len(rest)], "other bytes came where the rest of the body was due"
+
+    run_early(body, worker)
+
+
+def test_an_early_answer_to_a_body_that_is_out_keeps_its_connection_in_order() -> None:
+    worker = EarlyWorker("w1", whole)
+    worker.reads_on.set()
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        client = await data_plane.client()
+        for number in range(3):
+            answer = await client.request("/unsafe/x", f"r{number}", "x" * SHORT_BODY)
+            assert (answer.status, answer.body) == (200, b"done")
+        for each in worker.streams:
+            rest = bytes(each)
+            while rest:
+                head, _, rest = rest.partition(b"\r\n\r\n")
+                assert head.startswith(b"POST /unsafe/x HTTP/1.1")
+                due = rest[:SHORT_BODY]
+                assert due == b"x" * len(due)
+                rest = rest[SHORT_BODY:]
+
+    run_early(body, worker)
+
+
+SMUGGLED = request_bytes("/unsafe/smuggled", "smuggled")
+
+
+@pytest.mark.parametrize("case", ["no configuration", "too large", "no id", "two lengths", "memory"])
+def test_a_request_that_is_answered_before_its_body_was_read_does_not_have_its_body_read_as_a_request(
+    case: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(ingress, "FIRST_CONFIGURATION_S", 0.0)
+    worker = ScriptedWorker("w1")
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        length = len(SMUGGLED) + 500
+        head = ["POST /unsafe/x HTTP/1.1", "Host: a.example", f"Content-Length: {length}"]
+        if case != "no id":
+            head.append("X-Request-Id: r1")
+        if case == "no configuration":
+            data_plane.view.current = None
+        if case == "too large":
+            data_plane.configure(max_body_bytes=100)
+        if case == "two lengths":
+            head.append("Transfer-Encoding: chunked")
+        if case == "memory":
+            data_plane.memory._limit = 10
+        client = await data_plane.client()
+        await client.send("\r\n".join(head) + "\r\n\r\n")
+        status, headers = await client.head()
+        assert 400 <= status <= 503
+        await client.reader.readexactly(int(headers.get("content-length", 0)))
+        await client.send(SMUGGLED)
+        assert await client.closed()
+        assert worker.received == []
+
+    run(body, worker)
--- /dev/null
+++ b/tests/test_write_again.py
@@ -0,0 +1,449 @@
+"""Every way in which a send to a worker can end, and whether the request may then be written once more.
+
+The table of docs/design/hardening/calls.md, row by row and kind of request by kind of request. `AGAIN`: it did not run,
+so it goes to another worker. `MAY`: it may have run: only what may run twice is written once more. `ANSWER`: the
+worker's answer is the client's, and nothing is written again.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from enum import Enum, auto
+
+import pytest
+
+from canvasbeam import interface as ci
+from canvasbeam.choice import Dispatcher
+from canvasbeam.data_plane.dispatcher_settings import dispatcher_settings
+from canvasbeam.data_plane.worker_connections import WorkerConnection
+from tests.data_plane_harness import (
+    ClientResponse,
+    DataPlaneUnderTest,
+    Script,
+    ScriptedWorker,
+    WorkerTurn,
+    event,
+    request_bytes,
+)
+from tests.test_data_plane_requests import run
+
+KINDS = ("safe", "unsafe", "stream", "resume")
+MAY_RUN_TWICE = ("safe", "resume")
+STREAMS = ("stream", "resume")
+PROMISES = (408, 421, 429, 503)
+
+
+class Verdict(Enum):
+    """What follows from the way in which a send ended."""
+
+    AGAIN = auto()
+    MAY = auto()
+    ANSWER = auto()
+
+
+async def answer_well(turn: WorkerTurn) -> None:
+    """The right answer to a request of any kind: three events, or a body."""
+    if turn.request.target.split("/")[1] not in STREAMS:
+        await turn.answer()
+        return
+    await turn.begin_stream()
+    first = int(turn.request.headers.get("last-event-id", 0)) + 1
+    for number in range(first, 4):
+        await turn.event(number)
+    await turn.end_stream()
+
+
+def head(turn: WorkerTurn, *headers: str, status: str = "200 OK") -> str:
+    lines = [f"HTTP/1.1 {status}", f"X-Request-Id: {turn.request.identity}", "X-Response-Seal: a", *headers]
+    return "\r\n".join(lines) + "\r\n\r\n"
+
+
+# --- how a send ends ------------------------------------------------------------------------------
+
+
+async def silence(turn: WorkerTurn) -> None:
+    await turn.until_closed()
+
+
+async def reset_before_an_answer(turn: WorkerTurn) -> None:
+    turn.reset()
+
+
+async def end_before_an_answer(turn: WorkerTurn) -> None:
+    turn.writer.close()
+
+
+async def reset_in_the_head(turn: WorkerTurn) -> None:
+    await turn.write(head(turn)[:30])
+    await asyncio.sleep(0)
+    turn.reset()
+
+
+async def end_in_the_head(turn: WorkerTurn) -> None:
+    await turn.write(head(turn)[:30])
+    turn.writer.close()
+
+
+async def reset_in_the_body(turn: WorkerTurn) -> None:
+    await turn.write(head(turn, "Content-Length: 10") + "half")
+    await asyncio.sleep(0)
+    turn.reset()
+
+
+async def end_in_the_body(turn: WorkerTurn) -> None:
+    await turn.write(head(turn, "Content-Length: 10") + "half")
+    turn.writer.close()
+
+
+async def end_in_the_chunks(turn: WorkerTurn) -> None:
+    await turn.write(head(turn, "Transfer-Encoding: chunked") + "4\r\nhalf\r\n")
+    turn.writer.close()
+
+
+async def reset_without_a_length(turn: WorkerTurn) -> None:
+    await turn.write(head(turn) + "half")
+    await asyncio.sleep(0)
+    turn.reset()
+
+
+async def other_bytes(turn: WorkerTurn) -> None:
+    await turn.write("\x00\x01 not an answer\r\n\r\n")
+    turn.writer.close()
+
+
+async def change_of_protocol(turn: WorkerTurn) -> None:
+    await turn.write(head(turn, status="101 Switching Protocols"))
+    turn.writer.close()
+
+
+async def for_another(turn: WorkerTurn) -> None:
+    await turn.answer(identity="another")
+
+
+async def rejection_for_another(turn: WorkerTurn) -> None:
+    await turn.answer("503 Service Unavailable", "", "X-Not-Executed: 1", seal=False, identity="another")
+
+
+async def success_without_an_id(turn: WorkerTurn) -> None:
+    await turn.write("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-Response-Seal: a\r\n\r\ndone")
+
+
+async def unproven_503(turn: WorkerTurn) -> None:
+    await turn.answer("503 Service Unavailable", "", seal=False)
+
+
+async def unproven_429(turn: WorkerTurn) -> None:
+    await turn.answer("429 Too Many Requests", "")
+
+
+async def unproven_408(turn: WorkerTurn) -> None:
+    await turn.answer("408 Request Timeout", "")
+
+
+async def without_a_seal(turn: WorkerTurn) -> None:
+    await turn.answer(seal=False)
+
+
+async def full(turn: WorkerTurn) -> None:
+    await turn.reject()
+
+
+async def rate_limited(turn: WorkerTurn) -> None:
+    await turn.reject("429 Too Many Requests")
+
+
+async def misdirected(turn: WorkerTurn) -> None:
+    await turn.answer("421 Misdirected Request", "", seal=False)
+
+
+async def rejection_without_an_id(turn: WorkerTurn) -> None:
+    await turn.write("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nX-Not-Executed: 1\r\n\r\n")
+
+
+async def misdirected_without_an_id(turn: WorkerTurn) -> None:
+    await turn.write("HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
+
+
+async def doubled_rejection(turn: WorkerTurn) -> None:
+    await turn.reject()
+    await turn.reject()
+
+
+async def redirect(turn: WorkerTurn) -> None:
+    await turn.answer("307 Temporary Redirect", "", "Location: http://127.0.0.1:1/elsewhere")
+
+
+async def refused_by_the_worker(turn: WorkerTurn) -> None:
+    await turn.answer("422 Unprocessable Content", "no")
+
+
+async def doubled(turn: WorkerTurn) -> None:
+    await turn.answer()
+    await turn.answer()
+
+
+async def ended_with_its_connection(turn: WorkerTurn) -> None:
+    await turn.write(head(turn) + "done")
+    turn.writer.close()
+
+
+MAY_HAVE_RUN: list[Script] = [
+    reset_before_an_answer, end_before_an_answer, reset_in_the_head, end_in_the_head, reset_in_the_body,
+    end_in_the_body, end_in_the_chunks, reset_without_a_length, other_bytes, change_of_protocol, for_another,
+    rejection_for_another, success_without_an_id, unproven_503, unproven_429, unproven_408, without_a_seal,
+]  # fmt: skip
+NEVER_RAN: list[Script] = [
+    full, rate_limited, misdirected, rejection_without_an_id, misdirected_without_an_id, doubled_rejection,
+]  # fmt: skip
+ANSWERED: list[Script] = [redirect, refused_by_the_worker, doubled, ended_with_its_connection]
+# On a connection that carried another request before, a rejection without an id may be that one's.
+FOREIGN_WHERE_REUSED = (rejection_without_an_id, misdirected_without_an_id)
+
+TABLE = (
+    [(each, False, Verdict.MAY) for each in MAY_HAVE_RUN]
+    + [(each, False, Verdict.AGAIN) for each in NEVER_RAN]
+    + [(each, False, Verdict.ANSWER) for each in ANSWERED]
+    + [(each, True, Verdict.MAY) for each in (*MAY_HAVE_RUN, *FOREIGN_WHERE_REUSED)]
+    + [(each, True, Verdict.AGAIN) for each in NEVER_RAN if each not in FOREIGN_WHERE_REUSED]
+    + [(each, True, Verdict.ANSWER) for each in ANSWERED]
+)
+
+
+@dataclass
+class Trial:
+    """Two workers: the first request that matters meets a script, every other is answered well."""
+
+    script: Script
+    reused: bool = False
+    workers: list[ScriptedWorker] = field(default_factory=list)
+    armed: bool = False
+
+    def __post_init__(self) -> None:
+        self.workers = [ScriptedWorker(name, default=self._serve) for name in ("w1", "w2")]
+
+    async def _serve(self, turn: WorkerTurn) -> None:
+        if self.armed and turn.request.identity == "r1":
+            self.armed = False
+            await self.script(turn)
+        else:
+            await answer_well(turn)
+
+    async def warm_up(self, data_plane: DataPlaneUnderTest, kind: str) -> None:
+        """Leave a connection at rest with each worker."""
+        clients = [await data_plane.client() for _ in range(4)]
+        rounds = range(4) if self.reused else ()
+        for number in rounds:
+            asked = (each.request(f"/{kind}/x", f"warm-{number}-{place}") for place, each in enumerate(clients))
+            await asyncio.gather(*asked)
+        if self.reused:
+            assert all(each.connections for each in self.workers)
+        self.armed = True
+
+    def runs(self) -> int:
+        """How often the request that matters was written to a worker."""
+        return Counter(each.identity for worker in self.workers for each in worker.received)["r1"]
+
+
+def assert_never_twice(kind: str, verdict: Verdict, runs: int, answer: ClientResponse) -> None:
+    """No request that may run once only is written again after it may have run, or is promised not to have run."""
+    if verdict is Verdict.MAY and kind not in MAY_RUN_TWICE:
+        assert runs == 1, f"{kind} was written {runs} times"
+        assert answer.status not in PROMISES, f"{kind} was promised not to have run"
+
+
+def assert_whole(kind: str, answer: ClientResponse) -> None:
+    body = "".join(map(event, (1, 2, 3))) if kind in STREAMS else "done"
+    assert (answer.status, answer.body, answer.complete) == (200, body.encode(), True)
+
+
+def try_out(script: Script, reused: bool, kind: str) -> tuple[int, ClientResponse]:
+    """How often a request was written whose first send ends by the script, and what its client got."""
+    trial = Trial(script, reused)
+    results: list[ClientResponse] = []
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        await trial.warm_up(data_plane, kind)
+        client = await data_plane.client()
+        results.append(await client.request(f"/{kind}/x", "r1"))
+        # Whatever was left behind by the first answer reaches nobody.
+        for number in range(3):
+            later = await (await data_plane.client()).request(f"/{kind}/x", f"later-{number}")
+            assert later.status in (200, 503)
+            if later.status == 200:
+                assert_whole(kind, later)
+
+    run(body, *trial.workers)
+    return trial.runs(), results[0]
+
+
+@pytest.mark.parametrize("kind", KINDS)
+@pytest.mark.parametrize(("script", "reused", "verdict"), TABLE)
+def test_a_request_is_written_again_only_as_the_table_says(
+    script: Script, reused: bool, verdict: Verdict, kind: str
+) -> None:
+    runs, answer = try_out(script, reused, kind)
+    assert_never_twice(kind, verdict, runs, answer)
+    if verdict is Verdict.ANSWER:
+        assert runs == 1
+    elif verdict is Verdict.AGAIN:
+        assert runs == 2
+        assert_whole(kind, answer)
+    elif kind in MAY_RUN_TWICE:
+        assert runs <= 2
+        if runs == 2:
+            assert_whole(kind, answer)
+    else:
+        assert answer.status == 502
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_no_answer_at_all_is_told_without_a_promise(kind: str) -> None:
+    trial = Trial(silence)
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        trial.armed = True
+        answer = await (await data_plane.client()).request(f"/{kind}/x", "r1", "", "X-Deadline: 400")
+        assert_never_twice(kind, Verdict.MAY, trial.runs(), answer)
+        assert answer.status in ((200, 502, 504) if kind in MAY_RUN_TWICE else (502, 504))
+
+    run(body, *trial.workers)
+
+
+def test_an_answer_that_is_late_reaches_nobody_else() -> None:
+    """The client is told at its deadline; the answer comes after it, and another request is under way."""
+    late = asyncio.Event()
+
+    async def answer_late(turn: WorkerTurn) -> None:
+        await late.wait()
+        await turn.answer("200 OK", "late")
+
+    worker = ScriptedWorker("w1", default=answer_late)
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        first = await data_plane.client()
+        assert (await first.request("/unsafe/x", "r1", "", "X-Deadline: 200")).status == 504
+        worker.default = answer_well
+        late.set()
+        second = await (await data_plane.client()).request("/unsafe/x", "r2")
+        assert (second.status, second.body) == (200, b"done")
+        assert Counter(each.identity for each in worker.received) == {"r1": 1, "r2": 1}
+
+    run(body, worker)
+
+
+# --- the second send of one request ---------------------------------------------------------------
+
+
+def test_a_request_with_the_same_id_does_not_take_the_connection_of_the_first() -> None:
+    """There, a surplus answer to the first would pass for the one to the second."""
+    written: dict[object, str] = {}
+
+    async def answer_with_the_surplus(turn: WorkerTurn) -> None:
+        surplus = written.get(turn.writer)
+        if surplus is not None:
+            await turn.answer("200 OK", surplus)  # the copy of the first answer, late
+        written[turn.writer] = f"body-{len(written)}"
+        await turn.answer("200 OK", written[turn.writer])
+
+    worker = ScriptedWorker("w1", default=answer_with_the_surplus)
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        client = await data_plane.client()
+        for number in range(3):
+            assert (await client.request("/unsafe/x", "r1")).body == f"body-{number}".encode()
+        assert worker.connections == 3
+
+    run(body, worker)
+
+
+class RashDispatcher(Dispatcher):
+    """A planted fault: sends each job to a second worker at once."""
+
+    def handle(self, now_ns: int, events: Sequence[ci.Event]) -> list[ci.Action]:
+        actions = super().handle(now_ns, events)
+        others = {"w1": "w2", "w2": "w1"}
+        doubles = [ci.Send(each.job, others[each.worker]) for each in actions if isinstance(each, ci.Send)]
+        return [*actions, *doubles]
+
+
+@pytest.mark.parametrize(("kind", "most"), [("safe", 2), ("unsafe", 1), ("stream", 1), ("resume", 2)])
+def test_a_dispatcher_that_sends_twice_makes_no_unsafe_request_run_twice(kind: str, most: int) -> None:
+    answers = asyncio.Event()
+
+    async def answer_when_told(turn: WorkerTurn) -> None:
+        await answers.wait()
+        await answer_well(turn)
+
+    workers = [ScriptedWorker(name, default=answer_when_told) for name in ("w1", "w2")]
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        data_plane.carrier._dispatcher = RashDispatcher(dispatcher_settings(data_plane.settings), 1)
+        data_plane.carrier._restart = lambda: None  # type: ignore[method-assign]
+        data_plane.configure()
+        for worker in workers:
+            data_plane.heartbeat(worker)
+        client = await data_plane.client()
+        await client.send(request_bytes(f"/{kind}/x"))
+        while not any(worker.received for worker in workers):
+            await asyncio.sleep(0.001)
+        await asyncio.sleep(0.05)  # the second send, where there is one, is on its way
+        answers.set()
+        assert (await client.response()).status == 200
+        assert 1 <= sum(len(worker.received) for worker in workers) <= most
+
+    run(body, *workers)
+
+
+# --- planted faults: the table's tests find them --------------------------------------------------
+
+
+def test_believing_a_rejection_without_an_id_on_a_reused_connection_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(WorkerConnection, "is_first_use", property(lambda connection: True))
+    runs, answer = try_out(rejection_without_an_id, True, "unsafe")
+    with pytest.raises(AssertionError, match="written 2 times"):
+        assert_never_twice("unsafe", Verdict.MAY, runs, answer)
+
+
+def test_forgetting_what_a_connection_carried_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(WorkerConnection, "carried", property(lambda _: [], lambda *_: None), raising=False)
+    with pytest.raises(AssertionError):
+        test_a_request_with_the_same_id_does_not_take_the_connection_of_the_first()
+
+
+# --- resume ---------------------------------------------------------------------------------------
+
+
+def _break_off(reset: bool, partial: str) -> Script:
+    async def script(turn: WorkerTurn) -> None:
+        await turn.begin_stream()
+        await turn.event(1)
+        if partial:
+            await turn.chunk(partial)
+        if reset:
+            turn.reset()
+        turn.writer.close()
+
+    return script
+
+
+@pytest.mark.parametrize("reset", [False, True])
+@pytest.mark.parametrize("partial", ["", "id: 2\nda"])
+@pytest.mark.parametrize("kind", STREAMS)
+def test_a_broken_stream_is_written_again_only_where_it_may_be_resumed(kind: str, partial: str, reset: bool) -> None:
+    trial = Trial(_break_off(reset, partial))
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        trial.armed = True
+        answer = await (await data_plane.client()).request(f"/{kind}/x", "r1")
+        if kind == "resume":
+            assert_whole(kind, answer)
+            assert trial.runs() == 2
+        else:
+            # After a reset even what came before it may be lost: then nothing of the answer was passed on.
+            assert trial.runs() == 1
+            assert not answer.complete or answer.status == 502
+
+    run(body, *trial.workers)
