Calls between nodes carry the caller's life; answers to another life or call are dropped

Cause: a process that starts anew on the same disk is the same member and may number its probes as the process before it did, because only the promised epoch is stored: a late answer to the earlier life was counted and made the candidate ask for promises. What was queued for a peer that had ended was given to its successor. An answer to a datagram probe counted as a sign of life of now whatever probe it answered.

Change: each process draws a life at its start (decide/calls.py). Replication messages carry it, and an answer carries the caller's back, fixed when the call is taken, not when the disk lets the answer go. The introduction of a connection tells both lives: the queue for an earlier life is dropped, and frames sent before the new life was known are dropped by the receiver. Answers to probes carry life and number; one older than the longest patience says nothing. Within a life a member counts answers to other candidacies and views. The status shows stale_answers and frames_for_another_life.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -341,8 +341,7 @@
 
 
 def _take_answer(core: NodeCore, now: int, sender: Address, datagram: bytes) -> None:
-    membership_pb2.Probe.FromString(datagram)
-    core.on_answer(now, sender)
+    core.on_answer(now, sender, membership_pb2.Probe.FromString(datagram).number)
 
 
 def fleet_rows(controls: int, edges: int, seconds: int, changes_per_s: float) -> list[Row]:
--- a/canvasbeam/cluster/connection.py
+++ b/canvasbeam/cluster/connection.py
@@ -1,4 +1,9 @@
-"""One TCP connection between two nodes: the introduction, frames in both directions, and its end."""
+"""One TCP connection between two nodes: the introduction, frames in both directions, and its end.
+
+The introduction tells each side the life of the other (`decide/calls.py`). Frames that were meant for an earlier life
+of the receiver are dropped: the side that connected says for which life they are, and corrects that once it hears of
+another.
+"""
 
 from __future__ import annotations
 
@@ -11,7 +16,8 @@
 from google.protobuf.message import DecodeError
 
 from canvasbeam.cluster import envelope_pb2
-from canvasbeam.cluster.framing import FrameDecoder, FrameTooLarge
+from canvasbeam.cluster.framing import FrameDecoder, FrameTooLarge, frame
+from canvasbeam.decide.calls import UNKNOWN_LIFE, LifeCheck
 from canvasbeam.runtime.settings import Address
 
 MAGIC = 0x43425631
@@ -26,6 +32,7 @@
 
     name: str
     address: Address
+    life: int = UNKNOWN_LIFE
 
     @property
     def ip(self) -> str:
@@ -36,7 +43,10 @@
 class ConnectionOwner(Protocol):
     """What a connection needs of the transport."""
 
-    hello: bytes
+    lives: LifeCheck
+
+    def hello(self, expected_life: int) -> bytes:
+        """The introduction to a process that is expected to be in this life."""
 
     def time(self) -> float:
         """The time of the event loop."""
@@ -60,9 +70,11 @@
 class Connection(asyncio.Protocol):
     """One TCP connection, opened by either side."""
 
-    def __init__(self, owner: ConnectionOwner, expected: Address | None) -> None:
+    def __init__(self, owner: ConnectionOwner, expected: Address | None, expected_life: int = UNKNOWN_LIFE) -> None:
         self.owner = owner
         self.expected = expected  # where we connected to; None where the other side did
+        self.expected_life = expected_life
+        self._addressed_life = UNKNOWN_LIFE  # for which life of this process the frames that come are
         self.peer: PeerInfo | None = None
         self.transport: asyncio.Transport | None = None
         self.used_at = 0.0
@@ -74,7 +86,7 @@
         self.transport = cast(asyncio.Transport, transport)
         self.used_at = self.owner.time()
         set_socket_options(transport.get_extra_info("socket"))
-        self.transport.write(self.owner.hello)
+        self.transport.write(self.owner.hello(self.expected_life))
         self.owner.on_open(self)
 
     def data_received(self, data: bytes) -> None:
@@ -113,7 +125,10 @@
         if self.peer is None:
             return self._take_hello(message)
         received = envelope_pb2.Frame.FromString(message)
-        self.owner.on_frame(self.peer, received.channel, received.payload)
+        if received.addressed_life:
+            self._addressed_life = received.addressed_life
+        elif self.owner.lives.takes(self._addressed_life):
+            self.owner.on_frame(self.peer, received.channel, received.payload)
         return True
 
     def _take_hello(self, message: bytes) -> bool:
@@ -124,7 +139,11 @@
         peername = self.transport.get_extra_info("peername")
         if peername is None:
             return False
-        self.peer = PeerInfo(hello.node, self.expected or Address(peername[0], hello.listen_port))
+        self.peer = PeerInfo(hello.node, self.expected or Address(peername[0], hello.listen_port), hello.life)
+        self._addressed_life = hello.expected_life
+        if self.expected_life not in (UNKNOWN_LIFE, hello.life):
+            correction = envelope_pb2.Frame(addressed_life=hello.life)
+            self.transport.write(frame(correction.SerializeToString()))
         self.owner.on_introduced(self)
         return True
 
--- a/canvasbeam/cluster/node.py
+++ b/canvasbeam/cluster/node.py
@@ -110,6 +110,11 @@
         age = self.control_age()
         return age is not None and age <= within
 
+    @property
+    def stale_answers(self) -> int:
+        """Answers to probes that came too late to count."""
+        return self._core.monitoring.stale_answers
+
     @property
     def parent(self) -> Address | None:
         """The parent in the relay tree, where there is one."""
@@ -138,9 +143,11 @@
             return
         now = time.monotonic_ns()
         if probe.is_answer:
-            self._core.on_answer(now, sender)
+            if self.transport.lives.takes(probe.life):
+                self._core.on_answer(now, sender, probe.number)
         else:
-            self._core.on_probe(now, sender, probe.number, Version(probe.incarnation, probe.status))
+            claim = Version(probe.incarnation, probe.status)
+            self._core.on_probe(now, sender, probe.number, claim, probe.life)
             self._perform()
 
     # --- time and actions -------------------------------------------------------------------------
@@ -164,13 +171,13 @@
                     self.transport.send_to_many(addresses, Channel.DISTRIBUTION, codec.encode(message))
                 case Probe():
                     self._send_probe(action)
-                case ProbeAnswer(address, number):
-                    answer = membership_pb2.Probe(is_answer=True, number=number)
+                case ProbeAnswer(address, number, life):
+                    answer = membership_pb2.Probe(is_answer=True, number=number, life=life)
                     self.transport.send_datagram(address, answer.SerializeToString())
         self._schedule()
 
     def _send_probe(self, probe: Probe) -> None:
-        message = membership_pb2.Probe(number=probe.number)
+        message = membership_pb2.Probe(number=probe.number, life=self.transport.lives.life)
         if probe.status:
             message.incarnation, message.status = probe.incarnation, int(probe.status)
         self.transport.send_datagram(probe.address, message.SerializeToString())
--- a/canvasbeam/cluster/node_core.py
+++ b/canvasbeam/cluster/node_core.py
@@ -14,6 +14,7 @@
 from canvasbeam.cluster.member import Member
 from canvasbeam.cluster.member_list import MemberList
 from canvasbeam.cluster.own_member import OwnMember
+from canvasbeam.decide.calls import UNKNOWN_LIFE
 from canvasbeam.decide.distribution import Distribution, Start
 from canvasbeam.decide.distribution_messages import DistributionTerms, Message, Send
 from canvasbeam.decide.member_status import Status
@@ -39,10 +40,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ProbeAnswer:
-    """Answer a probe."""
+    """Answer a probe of the process that is in this life."""
 
     address: Address
     number: int
+    asking_life: int = UNKNOWN_LIFE
 
 
 Action = Send | Probe | ProbeAnswer
@@ -98,19 +100,19 @@
         """The connection to a node failed."""
         self.distribution.on_disconnected(now, address)
 
-    def on_probe(self, now: int, sender: Address, number: int, claim: Version) -> None:
+    def on_probe(self, now: int, sender: Address, number: int, claim: Version, asking_life: int = UNKNOWN_LIFE) -> None:
         """A monitor asks whether we are there; its claim is what it holds of us, where that is not alive."""
         self._now = now
         self.monitoring.on_heard(now)
         if self.own.has_left:
             return
-        self._actions.append(ProbeAnswer(sender, number))
+        self._actions.append(ProbeAnswer(sender, number, asking_life))
         if claim.minor:
             self._refute(claim)
 
-    def on_answer(self, now: int, sender: Address) -> None:
-        """A member that we monitor is there."""
-        self.monitoring.on_answer(now, sender)
+    def on_answer(self, now: int, sender: Address, number: int) -> None:
+        """A member that we monitor answers a probe."""
+        self.monitoring.on_answer(now, sender, number)
 
     def tick(self, now: int) -> None:
         """Do what is due."""
--- a/canvasbeam/cluster/transport.py
+++ b/canvasbeam/cluster/transport.py
@@ -31,6 +31,7 @@
     set_socket_options,
 )
 from canvasbeam.cluster.framing import frame
+from canvasbeam.decide.calls import UNKNOWN_LIFE, LifeCheck, draw_life
 from canvasbeam.runtime.settings import Address
 
 __all__ = ["Channel", "PeerInfo", "PeerState", "Transport", "TransportCounters"]
@@ -74,6 +75,7 @@
     invalid: int = 0  # not understood, too large, or of another protocol
     overflowed: int = 0  # the queue to a peer was full, or its connection was ending
     lost: int = 0  # still unsent when the connection failed
+    other_life: int = 0  # still unsent when the peer was found to be in another life
 
 
 class _Datagrams(asyncio.DatagramProtocol):
@@ -93,6 +95,7 @@
     def __init__(self, address: Address, owner: Transport) -> None:
         self.address = address
         self.state = PeerState.IDLE
+        self.life = UNKNOWN_LIFE  # of the process that was there last
         self._owner = owner
         self._connection: Connection | None = None
         self._queue: deque[bytes] = deque()
@@ -116,8 +119,17 @@
     def adopt(self, connection: Connection) -> None:
         """Use this connection, the newest, from now on: an older one may lead to a process that is gone."""
         self._connection = connection
+        if connection.peer is not None:
+            self.meet(connection.peer.life)
         self._enter(PeerState.CONNECTED)
 
+    def meet(self, life: int) -> None:
+        """The process at this address told its life: what waits for an earlier one is dropped."""
+        if self.life not in (UNKNOWN_LIFE, life):
+            self._owner.counters.other_life += len(self._queue)
+            self._clear_queue()
+        self.life = life
+
     def closed(self, connection: Connection) -> None:
         """A connection ended; an older one than ours is of no interest."""
         if connection is self._connection:
@@ -175,6 +187,9 @@
     def _drop_queue(self) -> None:
         """What could not be sent is old by the time that the peer is back."""
         self._owner.counters.lost += len(self._queue)
+        self._clear_queue()
+
+    def _clear_queue(self) -> None:
         self._queue.clear()
         self._queued_bytes = 0
 
@@ -194,8 +209,8 @@
     def __init__(self, node: str, listen: Address) -> None:
         self.listen = listen
         self.counters = TransportCounters()
-        hello = envelope_pb2.Hello(magic=MAGIC, protocol_version=PROTOCOL_VERSION, node=node, listen_port=listen.port)
-        self.hello = frame(hello.SerializeToString())
+        self.lives = LifeCheck(draw_life(random.SystemRandom()))
+        self._node = node
         self._callbacks: dict[int, MessageCallback] = {}
         self._datagram_callback: DatagramCallback | None = None
         self._disconnect_callback: DisconnectCallback | None = None
@@ -270,14 +285,31 @@
 
     # --- what the connections use -----------------------------------------------------------------
 
+    def hello(self, expected_life: int) -> bytes:
+        """The introduction to a process that is expected to be in this life."""
+        hello = envelope_pb2.Hello(
+            magic=MAGIC,
+            protocol_version=PROTOCOL_VERSION,
+            node=self._node,
+            listen_port=self.listen.port,
+            life=self.lives.life,
+            expected_life=expected_life,
+        )
+        return frame(hello.SerializeToString())
+
     def on_open(self, connection: Connection) -> None:
         """A connection came up."""
         self._connections.add(connection)
 
     def on_introduced(self, connection: Connection) -> None:
         """The other side said who it is; what we send it may go back this way."""
-        if connection.expected is None and connection.peer is not None:
-            self._peer(connection.peer.address).adopt(connection)
+        if connection.peer is None:
+            return
+        peer = self._peer(connection.peer.address)
+        if connection.expected is None:
+            peer.adopt(connection)
+        else:
+            peer.meet(connection.peer.life)
 
     def on_closed(self, connection: Connection) -> None:
         """A connection ended."""
@@ -321,13 +353,14 @@
     async def connect(self, address: Address) -> Connection | None:
         """Open a connection from our own address; none where that does not come up in time."""
         loop = asyncio.get_running_loop()
+        life = self._peer(address).life
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
             sock.setblocking(False)
             set_socket_options(sock)
             sock.bind((self.listen.host, 0))
             await asyncio.wait_for(loop.sock_connect(sock, (address.host, address.port)), CONNECT_TIMEOUT)
-            _, connection = await loop.create_connection(lambda: Connection(self, address), sock=sock)
+            _, connection = await loop.create_connection(lambda: Connection(self, address, life), sock=sock)
         except (OSError, TimeoutError):
             sock.close()
             return None
--- a/canvasbeam/control_plane/replicated_state.py
+++ b/canvasbeam/control_plane/replicated_state.py
@@ -9,9 +9,10 @@
 
 import asyncio
 import os
+import random
 import time
 from collections.abc import Callable, Coroutine, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from itertools import count
 from typing import Protocol
 
@@ -22,9 +23,10 @@
 from canvasbeam.control_plane.replication_codec import DecodeState, EncodeState, Received, ReplicationCodec
 from canvasbeam.control_plane.view_log import ViewLog
 from canvasbeam.control_state import Change, Committed, ControlState
+from canvasbeam.decide.calls import UNKNOWN_LIFE, LifeCheck, draw_life
 from canvasbeam.decide.replication.durability import Held, Outbox
 from canvasbeam.decide.replication.member import Member, Role
-from canvasbeam.decide.replication.messages import Action, Message, Publish, Reply, Send, SendToAddress
+from canvasbeam.decide.replication.messages import ANSWERS, Action, Message, Publish, Reply, Send, SendToAddress
 from canvasbeam.decide.replication.start import Durable, MemberSettings
 from canvasbeam.decide.replication.types import (
     GENESIS_DISK,
@@ -76,6 +78,7 @@
     committed_index: int = 0
     stored_index: int = 0
     disk: str = "ok"
+    stale_answers: int = 0
 
 
 @dataclass(slots=True)
@@ -127,6 +130,7 @@
         self._member: Member | None = None
         self._outbox = Outbox()
         self._calls = _Calls()
+        self._life = LifeCheck(draw_life(random.SystemRandom()))
         self._view_log = ViewLog()
         self._listeners: list[CommitListener] = []
         self._primary_listeners: list[PrimaryListener] = []
@@ -229,6 +233,7 @@
             committed_index=self._state.index,
             stored_index=member.replica.state.index,
             disk=disk,
+            stale_answers=member.stale_answers + self._life.dropped,
         )
 
     # --- start ------------------------------------------------------------------------------------------------
@@ -314,11 +319,14 @@
         if member_ip(received.sender) != peer.ip:
             log.warning("dropped: {} says that it is {}", peer.ip, received.sender)
             return
+        if isinstance(received.message, ANSWERS) and not self._life.takes(received.answered_life):
+            return
         self._deliver(received)
 
     def _deliver(self, received: Received) -> None:
         if self._member is not None:
-            self._perform(self._member.receive(received.sender, received.message, time.monotonic_ns()))
+            actions = self._member.receive(received.sender, received.message, time.monotonic_ns())
+            self._perform([_addressed_to_caller(each, received) for each in actions])
 
     async def _tick(self) -> None:
         while self._member is not None:
@@ -371,14 +379,17 @@
             received = Received(member.me, action.message)
             asyncio.get_running_loop().call_soon(self._deliver, received)
             return
-        ip = action.ip if isinstance(action, SendToAddress) else member_ip(action.to)
-        self._send_to(ip, action.message)
+        if isinstance(action, Send):
+            self._send_to(member_ip(action.to), action.message, action.answered_life)
+        else:
+            self._send_to(action.ip, action.message)
 
-    def _send_to(self, ip: str, message: Message) -> None:
+    def _send_to(self, ip: str, message: Message, answered_life: int = UNKNOWN_LIFE) -> None:
         member = self._member
         if member is not None:
             address = Address(ip, self._settings.control_peer_port)
-            self._transport.send(address, Channel.REPLICATION, self._codec.encode(member.me, message))
+            payload = self._codec.encode(member.me, message, self._life.life, answered_life)
+            self._transport.send(address, Channel.REPLICATION, payload)
 
     def _publish(self, state: ControlState) -> None:
         self._state = state
@@ -405,3 +416,10 @@
             return await future
         finally:
             self._calls.waiting.pop(number, None)
+
+
+def _addressed_to_caller(action: Action, call: Received) -> Action:
+    """An answer carries the life of the process that called, however long it waits for the disk."""
+    if isinstance(action, Send) and action.to == call.sender and isinstance(action.message, ANSWERS):
+        return replace(action, answered_life=call.life)
+    return action
--- a/canvasbeam/control_plane/replication_codec.py
+++ b/canvasbeam/control_plane/replication_codec.py
@@ -11,6 +11,7 @@
 from canvasbeam.cluster import replication_pb2 as wire
 from canvasbeam.control_plane.compression import pack, unpack
 from canvasbeam.control_state import Change, ChangeKind, ControlState
+from canvasbeam.decide.calls import UNKNOWN_LIFE
 from canvasbeam.decide.replication import messages
 from canvasbeam.decide.replication.messages import Message
 from canvasbeam.decide.replication.types import Epoch, MemberId, Position, View
@@ -22,10 +23,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Received:
-    """A decoded message and the member that sent it."""
+    """A decoded message, the member that sent it, and the lives of its process and, of an answer, of the caller's."""
 
     sender: MemberId
     message: Message
+    life: int = UNKNOWN_LIFE
+    answered_life: int = UNKNOWN_LIFE
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,9 +65,11 @@
         except ValueError as error:
             return Failure(ResultCode.MESSAGE_INVALID, f"a state: {error}")
 
-    def encode(self, sender: MemberId, message: Message) -> bytes:
+    def encode(
+        self, sender: MemberId, message: Message, life: int = UNKNOWN_LIFE, answered_life: int = UNKNOWN_LIFE
+    ) -> bytes:
         """A message with its sender."""
-        envelope = wire.ReplicationEnvelope(sender=sender)
+        envelope = wire.ReplicationEnvelope(sender=sender, life=life, answered_life=answered_life)
         name, part = self._part_of(message)
         getattr(envelope, name).CopyFrom(part)
         return envelope.SerializeToString()
@@ -73,7 +78,7 @@
         """The inverse of `encode`."""
         try:
             envelope = wire.ReplicationEnvelope.FromString(data)
-            return Received(envelope.sender, self._message_of(envelope))
+            return Received(envelope.sender, self._message_of(envelope), envelope.life, envelope.answered_life)
         except (DecodeError, ValueError, _Undecodable) as error:
             return Failure(ResultCode.MESSAGE_INVALID, f"a replication message: {error}")
 
--- a/canvasbeam/control_plane/status.py
+++ b/canvasbeam/control_plane/status.py
@@ -31,6 +31,8 @@
         "committed_index": replication.committed_index,
         "stored_index": replication.stored_index,
         "disk": replication.disk,
+        "stale_answers": replication.stale_answers + node.stale_answers,
+        "frames_for_another_life": node.transport.lives.dropped + node.transport.counters.other_life,
         "generation": state.generation,
         "evacuated_zones": list(state.evacuated_zones),
         "control_age_ms": None if age_ns is None else age_ns // MILLISECOND,
--- a/canvasbeam/decide/monitoring.py
+++ b/canvasbeam/decide/monitoring.py
@@ -29,6 +29,7 @@
 
 REGION_MONITORS = 2
 ALL_MONITORS = 3
+PROBE_NUMBERS = 1 << 15
 
 
 @dataclass(frozen=True, slots=True)
@@ -151,6 +152,7 @@
         self._is_assigned = True
         self._heard_at = now
         self._number = 0
+        self.stale_answers = 0
         self._next_probe = now + terms.interval
         self._ticked_at = now
 
@@ -179,13 +181,20 @@
 
     def on_message(self, now: int, sender: Address) -> None:
         """A message came over a connection: where a target sends these often, it needs no probe."""
-        self.on_answer(now, sender)
+        self._on_sign_of_life(now, sender)
         target = self._targets_at.get(sender)
         if target is not None:
             target.told_at = now
 
-    def on_answer(self, now: int, sender: Address) -> None:
-        """A target answered a probe."""
+    def on_answer(self, now: int, sender: Address, number: int) -> None:
+        """A target answered a probe; the answer to an old one says nothing of now."""
+        age = (self._number - number) % PROBE_NUMBERS * self.terms.interval
+        if age > self.terms.longest_patience:
+            self.stale_answers += 1
+        else:
+            self._on_sign_of_life(now, sender)
+
+    def _on_sign_of_life(self, now: int, sender: Address) -> None:
         self.on_heard(now)
         target = self._targets_at.get(sender)
         if target is None:
@@ -246,7 +255,7 @@
         return Judge(key, self._members[key].incarnation, Status.DEAD)
 
     def _probes(self, now: int) -> list[Probe]:
-        self._number = self._number + 1 & 0x7FFF
+        self._number = (self._number + 1) % PROBE_NUMBERS
         return [
             Probe(each.known.place.address, self._number, each.known.incarnation, each.known.status)
             for each in self.targets.values()
--- a/canvasbeam/decide/replication/member.py
+++ b/canvasbeam/decide/replication/member.py
@@ -20,8 +20,10 @@
 from canvasbeam.decide.replication.candidate import Candidate, Phase
 from canvasbeam.decide.replication.contacts import Contacts
 from canvasbeam.decide.replication.messages import (
+    ANSWERS,
     Accept,
     Action,
+    Answer,
     Append,
     Appended,
     Fetch,
@@ -91,6 +93,7 @@
         self.primary_id: MemberId = ""
         self.primary_epoch = NO_EPOCH
         self.healthy = True
+        self.stale_answers = 0  # to calls of earlier candidacies and views
         self._settings = settings
         self._timing = settings.timing
         self._apply = apply
@@ -114,6 +117,9 @@
     def receive(self, sender: MemberId, message: Message, now: int) -> list[Action]:
         """A message of another member, or of this one."""
         self._note_sender(sender, message, now)
+        if isinstance(message, ANSWERS) and not self._is_awaited(message):
+            self.stale_answers += 1
+            return []
         match message:
             case Hello():
                 return self._on_hello(sender)
@@ -134,6 +140,15 @@
                 return self._on_refused(sender, message, now)
         return self._on_answer_to_candidate(sender, message, now)
 
+    def _is_awaited(self, message: Answer) -> bool:
+        """Whether an answer is to a call that this member made as the candidate or primary that it is now."""
+        candidate, primary = self._candidate, self._primary
+        if isinstance(message, Probed):
+            return candidate is not None and message.number == candidate.epoch.number
+        if primary is not None:
+            return message.epoch == primary.view.epoch
+        return candidate is not None and message.epoch == candidate.epoch
+
     def tick(self, now: int) -> list[Action]:
         """Time has passed."""
         self._forgive_own_pause(now)
--- a/canvasbeam/decide/replication/messages.py
+++ b/canvasbeam/decide/replication/messages.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from canvasbeam.control_state import Change, Committed, ControlState
+from canvasbeam.decide.calls import UNKNOWN_LIFE
 from canvasbeam.decide.replication.types import Epoch, MemberId, Position, View
 from canvasbeam.errors import Failure
 
@@ -172,15 +173,19 @@
     Hello | ViewTold | Probe | Probed | Prepare | Promise | Refused | Fetch | Fetched | Install | Installed
     | Accept | Accepted | Heartbeat | HeartbeatAck | Append | Appended | Resign
 )  # fmt: skip
+# What answers a call: it counts only for the life and the call that it answers.
+Answer = Probed | Promise | Refused | Fetched | Installed | Accepted | HeartbeatAck | Appended
+ANSWERS = (Probed, Promise, Refused, Fetched, Installed, Accepted, HeartbeatAck, Appended)
 AFTER_SYNC = (Prepare, Promise, Installed, Accepted, Appended, Fetched)
 
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """Send a message to a member."""
+    """Send a message to a member. An answer names the life of the process that called, which the driver fills in."""
 
     to: MemberId
     message: Message
+    answered_life: int = UNKNOWN_LIFE
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/cluster_network.py
+++ b/tests/cluster_network.py
@@ -277,7 +277,7 @@
             self._at(self._frozen_until[target], lambda: self._deliver_datagram(host, target, action))
             return
         if isinstance(action, ProbeAnswer):
-            other.core.on_answer(self.now, host.address)
+            other.core.on_answer(self.now, host.address, action.number)
         else:
             claim = Version(action.incarnation, int(action.status))
             other.core.on_probe(self.now, host.address, action.number, claim)
--- /dev/null
+++ b/tests/test_calls.py
@@ -0,0 +1,354 @@
+"""Calls between nodes: an answer counts only for the life of the process and the call that it answers."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import socket
+import threading
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from canvasbeam.cluster import membership_pb2
+from canvasbeam.cluster.node import ClusterNode
+from canvasbeam.cluster.transport import Channel, PeerInfo, Transport
+from canvasbeam.control_plane.changes import apply, decode_state, encode_state
+from canvasbeam.control_plane.replicated_state import ReplicatedControlState
+from canvasbeam.control_plane.replication_codec import Received, ReplicationCodec
+from canvasbeam.decide.calls import LifeCheck, draw_life
+from canvasbeam.decide.member_status import Status
+from canvasbeam.decide.monitoring import Known, Monitoring, MonitoringTerms
+from canvasbeam.decide.monitoring import Probe as MonitoringProbe
+from canvasbeam.decide.relay_tree import Place
+from canvasbeam.decide.replication.member import Member, Role
+from canvasbeam.decide.replication.messages import (
+    Hello,
+    Message,
+    Prepare,
+    Probe,
+    Probed,
+    Promise,
+    Refused,
+    Send,
+)
+from canvasbeam.decide.replication.start import Durable, MemberSettings
+from canvasbeam.decide.replication.types import (
+    GENESIS_DISK,
+    GENESIS_EPOCH,
+    Epoch,
+    MemberId,
+    Timing,
+    genesis_view,
+    member_id,
+    member_ip,
+)
+from canvasbeam.runtime.settings import Address, ProcessSettings
+from canvasbeam.units import MILLISECOND, SECOND
+from tests.model_disk import ModelDisk
+
+IPS = ("10.0.0.1", "10.0.0.2", "10.0.0.3")
+MEMBERS = tuple(member_id(ip, GENESIS_DISK) for ip in IPS)
+PORT = 7000
+LIMIT_S = 10.0
+QUICK = Timing(first_election=10 * MILLISECOND, election_step=0, resend=20 * MILLISECOND)
+
+
+def run(work: Callable[[], Awaitable[None]]) -> None:
+    async def limited() -> None:
+        async with asyncio.timeout(LIMIT_S):
+            await work()
+
+    asyncio.run(limited())
+
+
+def test_lives_differ_and_are_known() -> None:
+    generator = random.Random(1)
+    lives = {draw_life(generator) for _ in range(1000)}
+    assert len(lives) == 1000
+    assert 0 not in lives
+
+
+class SentMessages:
+    """The transport of one member: what it sends can be awaited, and anything can be delivered to it."""
+
+    def __init__(self) -> None:
+        self.sent: asyncio.Queue[tuple[str, Received]] = asyncio.Queue()
+        self.codec = ReplicationCodec(encode_state, decode_state)
+        self._deliver: Callable[[PeerInfo, bytes], None] | None = None
+
+    def send(self, address: Address, channel: Channel, payload: bytes) -> None:
+        received = self.codec.decode(payload)
+        assert isinstance(received, Received)
+        self.sent.put_nowait((address.host, received))
+
+    def register(self, channel: Channel, callback: Callable[[PeerInfo, bytes], None]) -> None:
+        self._deliver = callback
+
+    def deliver(self, sender: MemberId, message: Message, life: int = 77, answered_life: int = 0) -> None:
+        assert self._deliver is not None
+        peer = PeerInfo(sender, Address(member_ip(sender), PORT))
+        self._deliver(peer, self.codec.encode(sender, message, life, answered_life))
+
+    async def next(self, kind: type[Message], to: str = IPS[1]) -> Received:
+        """The next message of a kind to a member."""
+        while True:
+            ip, received = await self.sent.get()
+            if ip == to and isinstance(received.message, kind):
+                return received
+
+
+async def start_member(disk: ModelDisk) -> tuple[SentMessages, ReplicatedControlState]:
+    transport = SentMessages()
+    settings = ProcessSettings(
+        node="core-1", role="control-plane", node_class="core", serves=("control",), ip=IPS[0], zone="z", region="r",
+        port_range=(PORT, PORT + 9), seeds=tuple(Address(each, 8146) for each in IPS), bootstrap=True,
+    )  # fmt: skip
+    service = ReplicatedControlState(settings, transport, apply, encode_state, decode_state, disk=disk, timing=QUICK)
+    await service.start()
+    return transport, service
+
+
+def missed(number: int) -> Probed:
+    """The answer of a member that misses the primary."""
+    return Probed(number, True, True, GENESIS_EPOCH, genesis_view(IPS), True)
+
+
+async def deliver_answers_to_an_earlier_life() -> None:
+    disk = ModelDisk()
+    transport, service = await start_member(disk)
+    first = await transport.next(Probe)
+    assert isinstance(first.message, Probe)
+    await service.stop()
+    transport, service = await start_member(disk.after_kill())
+    second = await transport.next(Probe)
+    assert second.message == first.message, "the restarted process numbers its calls alike"
+    assert second.life != first.life
+    for member in MEMBERS[1:]:
+        transport.deliver(member, missed(first.message.number), answered_life=first.life)
+    assert not asks_for_promises(service), "an answer to an earlier life was counted"
+    assert service.status.stale_answers == 2
+    for member in MEMBERS[1:]:
+        transport.deliver(member, missed(first.message.number), answered_life=second.life)
+    assert asks_for_promises(service)
+    await service.stop()
+
+
+def asks_for_promises(service: ReplicatedControlState) -> bool:
+    """Whether the member stands as a candidate and was told that a majority misses the primary."""
+    member = service._member
+    return member is not None and member._candidate is not None and member._candidate.has_prepared
+
+
+def test_an_answer_to_an_earlier_life_of_the_process_is_dropped_and_counted() -> None:
+    run(deliver_answers_to_an_earlier_life)
+
+
+def test_a_process_that_ignores_lives_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(LifeCheck, "takes", lambda check, addressed: True)
+    with pytest.raises(AssertionError, match="an answer to an earlier life was counted"):
+        run(deliver_answers_to_an_earlier_life)
+
+
+class WaitingDisk(ModelDisk):
+    """Syncs wait for a permission."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.permission = threading.Event()
+        self.permission.set()
+
+    def sync(self, name: str) -> None:
+        self.permission.wait(LIMIT_S)
+        super().sync(name)
+
+
+def test_an_answer_names_the_life_that_called_however_long_the_disk_takes() -> None:
+    async def work() -> None:
+        disk = WaitingDisk()
+        transport, service = await start_member(disk)
+        await transport.next(Probe)
+        transport.deliver(MEMBERS[1], Probe(5), life=77)
+        assert (await transport.next(Probed)).answered_life == 77
+        disk.permission.clear()
+        transport.deliver(MEMBERS[1], Prepare(Epoch(9, MEMBERS[1])), life=77)
+        transport.deliver(MEMBERS[1], Hello(True), life=78)  # the caller has started anew
+        transport.deliver(MEMBERS[1], Probe(6), life=78)
+        assert (await transport.next(Probed)).answered_life == 78
+        disk.permission.set()
+        assert (await transport.next(Promise)).answered_life == 77
+        await service.stop()
+
+    run(work)
+
+
+def make_member() -> Member:
+    settings = MemberSettings(MEMBERS[0], IPS, timing=QUICK)
+    return Member(settings, Durable.genesis(genesis_view(IPS)), apply, apply, 0)
+
+
+def test_an_answer_to_another_call_changes_nothing_and_is_counted() -> None:
+    member = make_member()
+    sends = [each for each in member.tick(SECOND) if isinstance(each, Send)]
+    probe = sends[0].message
+    assert isinstance(probe, Probe)
+    assert member.role is Role.CANDIDATE
+    for sender in MEMBERS:
+        assert member.receive(sender, missed(probe.number + 1), SECOND) == []
+        assert member.receive(sender, Refused(Epoch(probe.number + 5, MEMBERS[0]), Epoch(99)), SECOND) == []
+    assert member.stale_answers == 6
+    assert member.role is Role.CANDIDATE
+    for sender in MEMBERS[:2]:
+        member.receive(sender, missed(probe.number), SECOND)
+    assert member.stale_answers == 6
+    assert member.witness.promised.candidate == MEMBERS[0], "the candidate went on to ask for promises"
+
+
+# --- between nodes --------------------------------------------------------------------------------
+
+
+class Inbox:
+    """Messages as they come to a transport."""
+
+    def __init__(self, owner: Transport) -> None:
+        self.queue: asyncio.Queue[tuple[PeerInfo, bytes]] = asyncio.Queue()
+        owner.register(Channel.REPLICATION, lambda sender, payload: self.queue.put_nowait((sender, payload)))
+
+    async def next(self) -> tuple[PeerInfo, bytes]:
+        return await self.queue.get()
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.6.1", 0))
+        return int(probe.getsockname()[1])
+
+
+async def restart_between(one: Transport, other: Transport) -> tuple[Transport, Inbox]:
+    """The process at the other address knows the first one, ends, and starts anew."""
+    inbox = Inbox(other)
+    one.send(other.listen, Channel.REPLICATION, b"hello")
+    peer, _ = await inbox.next()
+    assert peer.life == one.lives.life
+    while one._peers[other.listen].life != other.lives.life:
+        await asyncio.sleep(0.001)
+    await other.stop()
+    while one.is_connected(other.listen):
+        await asyncio.sleep(0.001)
+    again = Transport("other", other.listen)
+    return again, Inbox(again)
+
+
+async def two() -> tuple[Transport, Transport]:
+    port = free_port()
+    one, other = Transport("one", Address("127.0.6.1", port)), Transport("other", Address("127.0.6.2", port))
+    await one.start()
+    await other.start()
+    return one, other
+
+
+def test_what_waits_for_an_earlier_life_of_a_peer_is_dropped_when_the_new_one_connects(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def hang(address: Address) -> None:
+        await asyncio.Event().wait()
+
+    async def work() -> None:
+        one, other = await two()
+        again, inbox = await restart_between(one, other)
+        monkeypatch.setattr(one, "connect", hang)
+        one.send(other.listen, Channel.REPLICATION, b"for the earlier life")
+        await again.start()
+        again.send(one.listen, Channel.REPLICATION, b"here again")
+        while one._peers[other.listen].life != again.lives.life:
+            await asyncio.sleep(0.001)
+        one.send(other.listen, Channel.REPLICATION, b"for this life")
+        assert (await inbox.next())[1] == b"for this life"
+        assert one.counters.other_life == 1
+        await one.stop()
+        await again.stop()
+
+    run(work)
+
+
+def send_until_the_new_life_is_known() -> None:
+    async def work() -> None:
+        one, other = await two()
+        earlier_life = other.lives.life
+        again, inbox = await restart_between(one, other)
+        await again.start()
+        one._peers[other.listen].life = earlier_life
+        while again.lives.dropped == 0:
+            one.send(other.listen, Channel.REPLICATION, b"for the earlier life")
+            await asyncio.sleep(0.005)
+        while one._peers[other.listen].life != again.lives.life:
+            await asyncio.sleep(0.001)
+        one.send(other.listen, Channel.REPLICATION, b"for this life")
+        received = await inbox.next()
+        await one.stop()
+        await again.stop()
+        assert received[1] == b"for this life", "a frame for an earlier life was taken"
+
+    run(work)
+
+
+def test_frames_for_an_earlier_life_are_dropped_until_the_sender_has_heard_of_the_new_one() -> None:
+    send_until_the_new_life_is_known()
+
+
+def test_a_transport_that_ignores_lives_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    def count_and_take(check: LifeCheck, addressed_life: int) -> bool:
+        check.dropped += addressed_life != check.life
+        return True
+
+    monkeypatch.setattr(LifeCheck, "takes", count_and_take)
+    with pytest.raises(AssertionError, match="a frame for an earlier life was taken"):
+        send_until_the_new_life_is_known()
+
+
+# --- probes ---------------------------------------------------------------------------------------
+
+
+def make_monitoring() -> tuple[Monitoring, Address, int]:
+    """A node that monitors one member, its address, and the number of the first probe."""
+    me, other = (Place(f"n{number}/control", Address(f"10.0.0.{number}", PORT), "z", "r", True) for number in (1, 2))
+    monitoring = Monitoring(me, MonitoringTerms(), 0)
+    monitoring.set_members(0, [Known(each, 1, Status.ALIVE) for each in (me, other)])
+    probes = [each for each in monitoring.tick(SECOND, has_majority=True) if isinstance(each, MonitoringProbe)]
+    return monitoring, other.address, probes[0].number
+
+
+def test_the_answer_to_an_old_probe_says_nothing_of_now() -> None:
+    monitoring, address, number = make_monitoring()
+    monitoring.on_answer(SECOND, address, number)
+    now = SECOND
+    while now < 10 * SECOND:
+        now += monitoring.terms.interval
+        monitoring.on_heard(now)
+        monitoring.tick(now, has_majority=False)
+    assert monitoring.is_silent("n2/control")
+    monitoring.on_answer(now, address, number)
+    assert monitoring.is_silent("n2/control")
+    assert monitoring.stale_answers == 1
+    newest = monitoring.tick(now + monitoring.terms.interval, has_majority=False)[-1]
+    assert isinstance(newest, MonitoringProbe)
+    monitoring.on_answer(now + SECOND, address, newest.number)
+    assert not monitoring.is_silent("n2/control")
+
+
+def test_the_answer_to_a_probe_of_an_earlier_life_is_dropped(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def work() -> None:
+        settings = ProcessSettings(
+            node="core-1", role="control-plane", node_class="core", serves=("control",), ip=IPS[0], zone="z",
+            region="r", port_range=(PORT, PORT + 9), seeds=(),
+        )  # fmt: skip
+        node = ClusterNode(settings, is_control=True)
+        answered: list[int] = []
+        monkeypatch.setattr(node._core, "on_answer", lambda now, sender, number: answered.append(number))
+        for number, life in enumerate((node.transport.lives.life + 2, node.transport.lives.life)):
+            answer = membership_pb2.Probe(is_answer=True, number=number, life=life)
+            node._on_datagram(Address(IPS[1], PORT), answer.SerializeToString())
+        assert answered == [1]
+        assert node.transport.lives.dropped == 1
+
+    run(work)
