A broken stream to an HTTP/1.0 client is reset, so that it does not look complete

Cause: HTTP/1.0 has no chunks; the end of a stream is that of its connection, and a broken one was closed in an orderly way, as a whole one is. Brought about by a test.

Change: a connection whose answer is broken off without any other mark of its end is reset. A test too for a surplus answer that comes where a health answer is due.

--- a/canvasbeam/runtime/http_server.py
+++ b/canvasbeam/runtime/http_server.py
@@ -12,6 +12,7 @@
 
 import asyncio
 import socket
+import struct
 from collections.abc import Awaitable, Callable, MutableMapping
 from dataclasses import dataclass
 from typing import Any
@@ -34,6 +35,7 @@
 FLUSH_BYTES = 65536
 ALWAYS = 0  # answers after this many on a connection carry `Connection: close`
 NEVER = 1 << 62
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)  # the value of SO_LINGER by which a close resets the connection
 
 Scope = MutableMapping[str, Any]
 Message = MutableMapping[str, Any]
@@ -253,8 +255,23 @@
 
     async def _close(self) -> None:
         self._flush()
+        if self._is_cut_unmarked():
+            self._reset()
         await super()._close()
 
+    def _is_cut_unmarked(self) -> bool:
+        """Whether an answer is broken off whose end would be told by that of the connection: HTTP/1.0 has no chunks."""
+        connection = self.protocol.connection if isinstance(self.protocol, H11Protocol) else None
+        return (
+            connection is not None and connection.our_state is h11.SEND_BODY and connection.their_http_version == b"1.0"
+        )
+
+    def _reset(self) -> None:
+        """End the connection so that nothing of the answer looks complete."""
+        client = self.writer.get_extra_info("socket")
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+        self.abort()
+
     def _become_idle(self) -> None:
         self.busy = False
         self.idle = True
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -9,7 +9,7 @@
 import pytest
 
 from canvasbeam.data_plane import ingress
-from tests.data_plane_harness import DataPlaneUnderTest, ScriptedWorker, event, request_bytes
+from tests.data_plane_harness import DataPlaneUnderTest, ScriptedWorker, WorkerTurn, event, request_bytes
 from tests.test_data_plane_requests import run
 
 LONG_BODY = 24 << 20
@@ -180,3 +180,31 @@
         assert worker.received == []
 
     run(body, worker)
+
+
+@pytest.mark.parametrize("is_whole", [False, True])
+def test_a_broken_stream_does_not_look_complete_to_a_client_that_knows_no_chunks(is_whole: bool) -> None:
+    """Its answer ends with the connection, which a cut would end too."""
+
+    async def stream_one_event(turn: WorkerTurn) -> None:
+        await turn.begin_stream()
+        await turn.event(1)
+        if is_whole:
+            await turn.end_stream()
+        turn.writer.close()
+
+    worker = ScriptedWorker("w1", default=stream_one_event)
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        client = await data_plane.client()
+        await client.send(request_bytes("/stream/x").replace("HTTP/1.1", "HTTP/1.0"))
+        if is_whole:
+            status, headers = await client.head()
+            assert status == 200
+            assert "content-length" not in headers
+            assert await client.reader.read() == event(1).encode()
+        else:
+            with pytest.raises(ConnectionError):
+                await client.reader.read()
+
+    run(body, worker)
--- a/tests/test_write_again.py
+++ b/tests/test_write_again.py
@@ -18,7 +18,9 @@
 from canvasbeam import interface as ci
 from canvasbeam.choice import Dispatcher
 from canvasbeam.data_plane.dispatcher_settings import dispatcher_settings
+from canvasbeam.data_plane.health_check import check_health
 from canvasbeam.data_plane.worker_connections import WorkerConnection
+from canvasbeam.interface import Outcome
 from tests.data_plane_harness import (
     ClientResponse,
     DataPlaneUnderTest,
@@ -447,3 +449,28 @@
             assert not answer.complete or answer.status == 502
 
     run(body, *trial.workers)
+
+
+# --- health checks share the connections ----------------------------------------------------------
+
+
+def test_a_surplus_answer_to_a_request_does_not_pass_for_a_health_answer() -> None:
+    worker = ScriptedWorker("w1")
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        assert (await (await data_plane.client()).request("/unsafe/x", "r1")).status == 200
+        pool = data_plane.connections.pool("w1")
+        assert pool is not None
+
+        async def surplus(turn: WorkerTurn) -> None:
+            await turn.answer(identity="r1")
+
+        async def well(turn: WorkerTurn) -> None:
+            await turn.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Instance: w1\r\n\r\n")
+
+        worker.scripts = [surplus, well]
+        assert await check_health(pool, "w1", "/healthz") is Outcome.BROKEN
+        assert await check_health(pool, "w1", "/healthz") is Outcome.OK
+        assert worker.connections == 2
+
+    run(body, worker)
