--- a/canvasbeam/data_plane/worker_connections.py
+++ b/canvasbeam/data_plane/worker_connections.py
@@ -24,7 +24,7 @@
 IDLE_MARGIN_UNSAFE_S = 1.0
 LEAST_CONNECTIONS = 3
 # So many requests a connection remembers: a surplus answer to one of them may still come.
-REMEMBERED_REQUESTS = 64
+REMEMBERED_REQUESTS = 16
 
 
 class ConnectFailed(Exception):
--- a/tests/test_write_again.py
+++ b/tests/test_write_again.py
@@ -18,6 +18,7 @@
 from canvasbeam import interface as ci
 from canvasbeam.choice import Dispatcher
 from canvasbeam.data_plane.dispatcher_settings import dispatcher_settings
+from canvasbeam.data_plane.exchange import Exchange, ExchangeResult
 from canvasbeam.data_plane.health_check import check_health
 from canvasbeam.data_plane.worker_connections import WorkerConnection
 from canvasbeam.interface import Outcome
@@ -182,6 +183,10 @@
     await turn.answer("422 Unprocessable Content", "no")
 
 
+async def rejected_as_malformed(turn: WorkerTurn) -> None:
+    await turn.answer("400 Bad Request", "", "X-Not-Executed: 1", seal=False)
+
+
 async def doubled(turn: WorkerTurn) -> None:
     await turn.answer()
     await turn.answer()
@@ -200,7 +205,9 @@
 NEVER_RAN: list[Script] = [
     full, rate_limited, misdirected, rejection_without_an_id, misdirected_without_an_id, doubled_rejection,
 ]  # fmt: skip
-ANSWERED: list[Script] = [redirect, refused_by_the_worker, doubled, ended_with_its_connection]
+ANSWERED: list[Script] = [
+    redirect, refused_by_the_worker, rejected_as_malformed, doubled, ended_with_its_connection,
+]  # fmt: skip
 # On a connection that carried another request before, a rejection without an id may be that one's.
 FOREIGN_WHERE_REUSED = (rejection_without_an_id, misdirected_without_an_id)
 
@@ -314,6 +321,29 @@
     run(body, *trial.workers)
 
 
+@pytest.mark.parametrize("kind", KINDS)
+def test_a_connection_that_breaks_before_a_byte_is_written_leaves_the_request_to_the_next(
+    kind: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    trial = Trial(answer_well)
+    broken: list[WorkerConnection] = []
+    exchange = Exchange._exchange
+
+    async def break_the_first(self: Exchange) -> ExchangeResult:
+        if not broken:
+            broken.append(self._connection)
+            self._connection.stream.abort()
+        return await exchange(self)
+
+    monkeypatch.setattr(Exchange, "_exchange", break_the_first)
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        assert_whole(kind, await (await data_plane.client()).request(f"/{kind}/x", "r1"))
+        assert trial.runs() == 1
+
+    run(body, *trial.workers)
+
+
 def test_an_answer_that_is_late_reaches_nobody_else() -> None:
     """The client is told at its deadline; the answer comes after it, and another request is under way."""
     late = asyncio.Event()
