--- a/canvasbeam/runtime/http_server.py
+++ b/canvasbeam/runtime/http_server.py
@@ -12,6 +12,7 @@
 
 import asyncio
 import socket
+import struct
 from collections.abc import Awaitable, Callable, MutableMapping
 from dataclasses import dataclass
 from typing import Any
@@ -38,6 +39,7 @@
 # In the state of a scope: when, by the loop's clock, the connection was opened or its former answer was complete. A
 # client that does not pipeline sent its request after that.
 AT_REST_SINCE = "at_rest_since"
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)  # the value of SO_LINGER by which a close resets the connection
 
 Scope = MutableMapping[str, Any]
 Message = MutableMapping[str, Any]
@@ -319,8 +321,23 @@
 
     async def _close(self) -> None:
         self._flush()
+        if self._is_cut_unmarked():
+            self._reset()
         await super()._close()
 
+    def _is_cut_unmarked(self) -> bool:
+        """Whether an answer is broken off whose end would be told by that of the connection: HTTP/1.0 has no chunks."""
+        connection = self.protocol.connection if isinstance(self.protocol, H11Protocol) else None
+        return (
+            connection is not None and connection.our_state is h11.SEND_BODY and connection.their_http_version == b"1.0"
+        )
+
+    def _reset(self) -> None:
+        """End the connection so that nothing of the answer looks complete."""
+        client = self.writer.get_extra_info("socket")
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+        self.abort()
+
     def _become_idle(self) -> None:
         self.busy = False
         self.idle = True
