Keep a change only while a replica of the view needs it, and bound what is in flight

Cause: the primary kept every change with its body for the life of a view; 64 calls of 4 MB could wait at once. Change: a change log that is trimmed at the commit; at most 8 MiB of uncommitted changes, OVERLOADED beyond it, also for the calls held while a view is reformed. Answers to heartbeats are counted of witnesses alone. Result: after 300 changes in one view no change and one state is kept (tests/test_replication_long_lives.py); with the log trimmed too early the test of a replica that missed changes fails.

--- /dev/null
+++ b/canvasbeam/decide/replication/change_log.py
@@ -0,0 +1,62 @@
+"""The changes that a primary keeps, because a replica may still need them."""
+
+from __future__ import annotations
+
+from collections import deque
+from itertools import islice
+
+from canvasbeam.control_state import Change
+
+MAX_APPEND_BYTES = 1 << 20
+
+
+def change_size(change: Change) -> int:
+    """The bytes that a change holds in memory and on a link, but for its fixed parts."""
+    return len(change.body) + len(change.zone)
+
+
+class ChangeLog:
+    """Consecutive changes. The first of them leads from index `start` to the next."""
+
+    def __init__(self, start: int) -> None:
+        self.start = start
+        self.size = 0
+        self._changes: deque[Change] = deque()
+
+    def __len__(self) -> int:
+        return len(self._changes)
+
+    @property
+    def end(self) -> int:
+        """The index that the last change led to."""
+        return self.start + len(self._changes)
+
+    def append(self, change: Change) -> None:
+        """Keep the next change."""
+        self._changes.append(change)
+        self.size += change_size(change)
+
+    def reaches_back_to(self, index: int) -> bool:
+        """Whether every change after an index is kept."""
+        return index >= self.start
+
+    def after(self, index: int) -> tuple[Change, ...]:
+        """The changes after an index: at least one, and as many more as one message should carry."""
+        taken: list[Change] = []
+        size = 0
+        for change in islice(self._changes, index - self.start, None):
+            if taken and size + change_size(change) > MAX_APPEND_BYTES:
+                break
+            taken.append(change)
+            size += change_size(change)
+        return tuple(taken)
+
+    def size_after(self, index: int) -> int:
+        """The bytes of the changes after an index."""
+        return sum(change_size(each) for each in islice(self._changes, max(0, index - self.start), None))
+
+    def trim(self, index: int) -> None:
+        """Nobody needs the changes up to an index any more."""
+        while self.start < index and self._changes:
+            self.size -= change_size(self._changes.popleft())
+            self.start += 1
--- a/canvasbeam/decide/replication/member.py
+++ b/canvasbeam/decide/replication/member.py
@@ -18,6 +18,7 @@
 
 from canvasbeam.control_state import Change
 from canvasbeam.decide.replication.candidate import Candidate, Phase
+from canvasbeam.decide.replication.change_log import change_size
 from canvasbeam.decide.replication.contacts import Contacts
 from canvasbeam.decide.replication.messages import (
     Accept,
@@ -44,7 +45,7 @@
     ViewTold,
 )
 from canvasbeam.decide.replication.plan import ViewPlanner
-from canvasbeam.decide.replication.primary import PendingCall, Primary
+from canvasbeam.decide.replication.primary import MAX_BYTES_IN_FLIGHT, MAX_PENDING_CALLS, PendingCall, Primary
 from canvasbeam.decide.replication.replica import Replica
 from canvasbeam.decide.replication.responder import Responder, ToResponder, epoch_of
 from canvasbeam.decide.replication.start import Durable, MemberSettings
@@ -59,7 +60,6 @@
 from canvasbeam.decide.replication.witness import Witness
 from canvasbeam.errors import Failure, ResultCode
 
-MAX_PENDING_CALLS = 64
 ELECTION_JITTER_NS = 60_000_000
 
 
@@ -162,8 +162,8 @@
     def submit(self, call: int, change: Change, now: int) -> list[Action]:
         """The operator orders a change."""
         if self.role is Role.PRIMARY and self._primary is not None:
-            if len(self._primary.pending) >= MAX_PENDING_CALLS:
-                return [Reply(call, Failure(ResultCode.OVERLOADED, "too many calls are in progress"))]
+            if not self._primary.has_room_for(change):
+                return [Reply(call, Failure(ResultCode.OVERLOADED, "too many changes are in progress"))]
             return self._primary.submit(call, change, now)
         return self._hold_or_refuse(PendingCall(call, now, change=change))
 
@@ -217,7 +217,7 @@
         return [Reply(each.call, lost if each.change is None else unseen) for each in pending]
 
     def _hold_or_refuse(self, pending: PendingCall) -> list[Action]:
-        if self.role is Role.REFORMING and len(self._pending) < MAX_PENDING_CALLS:
+        if self.role is Role.REFORMING and self._may_hold(pending):
             self._pending.append(pending)
             return []
         if self.primary_id and self.primary_id != self.me:
@@ -226,6 +226,11 @@
             failure = Failure(ResultCode.NO_PRIMARY, "no primary is known at present")
         return [Reply(pending.call, failure)]
 
+    def _may_hold(self, pending: PendingCall) -> bool:
+        """Whether one more call may wait while the view is reformed."""
+        held = [change_size(each.change) for each in (*self._pending, pending) if each.change is not None]
+        return len(self._pending) < MAX_PENDING_CALLS and (len(held) <= 1 or sum(held) <= MAX_BYTES_IN_FLIGHT)
+
     # --- witness and replica ----------------------------------------------------------------------------------
 
     def _on_probe(self, sender: MemberId, message: Probe, now: int) -> list[Action]:
--- a/canvasbeam/decide/replication/primary.py
+++ b/canvasbeam/decide/replication/primary.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 
 from canvasbeam.control_state import Change, Committed
+from canvasbeam.decide.replication.change_log import ChangeLog, change_size
 from canvasbeam.decide.replication.contacts import Contacts
 from canvasbeam.decide.replication.messages import (
     Accept,
@@ -29,7 +30,8 @@
 from canvasbeam.decide.replication.types import Apply, MemberId, Timing, View, is_majority
 from canvasbeam.errors import Failure, ResultCode
 
-MAX_APPEND_BYTES = 1 << 20
+MAX_PENDING_CALLS = 64
+MAX_BYTES_IN_FLIGHT = 8 << 20
 
 
 @dataclass(slots=True)
@@ -83,8 +85,7 @@
         self._apply = apply
         self._contacts = contacts
         self._timing = timing
-        self._first_index = replica.state.index
-        self._changes: list[Change] = []
+        self._log = ChangeLog(replica.state.index)
         self._committed = replica.state.index
         self._progress = {each: _Progress(self._committed) for each in view.replicas}
         self._rounds = _Rounds(answered={})
@@ -124,6 +125,13 @@
         owing = self._progress.items()
         return [each for each, it in owing if it.owes_since is not None and now - it.owes_since > limit]
 
+    def has_room_for(self, change: Change) -> bool:
+        """Whether a change may be added to those that are not committed yet; a first one always may."""
+        if len(self.pending) >= MAX_PENDING_CALLS:
+            return False
+        in_flight = self._log.size_after(self._committed)
+        return in_flight == 0 or in_flight + change_size(change) <= MAX_BYTES_IN_FLIGHT
+
     def submit(self, call: int, change: Change, now: int) -> list[Action]:
         """Apply a change and send it to the replicas."""
         outcome = self._apply(self._replica.state, change)
@@ -132,7 +140,7 @@
         if outcome is self._replica.state:
             return self._await_confirmation(PendingCall(call, now), now)
         self._replica.advance(outcome)
-        self._changes.append(change)
+        self._log.append(change)
         self.pending.append(PendingCall(call, now, index=outcome.index))
         actions: list[Action] = [SaveChange(change, outcome)]
         for member in self.view.replicas:
@@ -161,7 +169,8 @@
     def take_heartbeat_ack(self, sender: MemberId, message: HeartbeatAck, now: int) -> list[Action]:
         """A witness confirms the epoch; it is told the view where it missed it."""
         answered = self._rounds.answered
-        answered[sender] = max(answered.get(sender, 0), message.sequence)
+        if sender in self.view.witnesses:
+            answered[sender] = max(answered.get(sender, 0), message.sequence)
         self._note_confirmation()
         actions: list[Action] = []
         behind = message.accepted < self.view.epoch or not message.settled
@@ -202,25 +211,14 @@
         if member == self.me:
             return [Send(member, Appended(self.view.epoch, tail))]
         previous = tail - 1 if newest_only else progress.index
-        changes = self._limited(self._changes[previous - self._first_index :])
-        return [Send(member, Append(self.view.epoch, previous, changes, self._committed))]
-
-    def _limited(self, changes: list[Change]) -> tuple[Change, ...]:
-        """At least one change, and as many more as one message should carry."""
-        taken: list[Change] = []
-        size = 0
-        for change in changes:
-            if taken and size + len(change.body) > MAX_APPEND_BYTES:
-                break
-            taken.append(change)
-            size += len(change.body)
-        return tuple(taken)
+        return [Send(member, Append(self.view.epoch, previous, self._log.after(previous), self._committed))]
 
     def _commit(self, now: int) -> list[Action]:
         committed = min(each.index for each in self._progress.values())
         if committed <= self._committed:
             return []
         self._committed = committed
+        self._log.trim(committed)
         # Every replica of the view told, after its sync (`durability.Outbox`), that it stored this index.
         return self._answer() + self._publish() + self.new_round(now)
 
--- /dev/null
+++ b/tests/test_replication_long_lives.py
@@ -0,0 +1,128 @@
+"""A view that lives long: what a primary keeps is bounded, and what a replica still needs is kept."""
+
+from __future__ import annotations
+
+from unittest import mock
+
+import pytest
+
+from canvasbeam.control_state import Change, ChangeKind
+from canvasbeam.decide.replication.change_log import MAX_APPEND_BYTES, ChangeLog
+from canvasbeam.decide.replication.member import Member
+from canvasbeam.decide.replication.messages import Action, Reply
+from canvasbeam.decide.replication.primary import MAX_BYTES_IN_FLIGHT, Primary
+from canvasbeam.errors import Failure, ResultCode
+
+from .replication_world import World
+from .test_replication_times import primary_of, started
+
+CHANGES = 300
+
+
+def member_of(world: World, ip: str) -> Member:
+    member = world.machines[ip].member
+    assert member is not None
+    return member
+
+
+def primary_part(world: World) -> Primary:
+    primary = member_of(world, primary_of(world))._primary
+    assert primary is not None
+    return primary
+
+
+def change_many(world: World, count: int = CHANGES) -> None:
+    for _ in range(count):
+        tag = world.submit(primary_of(world))
+        world.settle()
+        assert tag in world.acknowledged
+
+
+# --- the log of the primary ---------------------------------------------------------------------------------------
+
+
+def test_a_log_gives_what_follows_an_index_in_pieces_of_a_message() -> None:
+    log = ChangeLog(5)
+    changes = [Change(ChangeKind.PUT_CONFIGURATION, bytes(MAX_APPEND_BYTES // 2), number) for number in range(5)]
+    for change in changes:
+        log.append(change)
+    assert log.end == 10
+    assert log.after(5) == tuple(changes[:2])
+    assert log.after(9) == tuple(changes[4:])
+    log.trim(8)
+    assert log.after(8) == tuple(changes[3:])
+    assert log.reaches_back_to(8)
+    assert not log.reaches_back_to(7)
+    assert log.size == log.size_after(0) == MAX_APPEND_BYTES
+
+
+def test_a_long_life_keeps_no_change_that_all_replicas_have() -> None:
+    world = started()
+    change_many(world)
+    world.run(1)
+    primary = primary_part(world)
+    assert len(primary._log) == 0
+    assert not primary._rounds.sent_at or len(primary._rounds.sent_at) < 10
+    assert set(primary._rounds.answered) <= set(primary.view.witnesses)
+    for ip in world.machines:
+        assert len(member_of(world, ip).replica._uncommitted) <= 1
+
+
+def test_a_replica_that_missed_changes_gets_them_while_it_is_in_the_view() -> None:
+    a_replica_misses_changes(started())
+
+
+def test_a_trimmed_change_that_is_still_needed_is_found() -> None:
+    """Planted: the primary forgets each change as soon as its own disk has it."""
+
+    original = Primary._commit
+
+    def commit(self: Primary, now: int) -> list[Action]:
+        self._log.trim(self._progress[self.me].index)
+        return original(self, now)
+
+    with mock.patch.object(Primary, "_commit", commit), pytest.raises((AssertionError, IndexError, ValueError)):
+        a_replica_misses_changes(started())
+
+
+def a_replica_misses_changes(world: World) -> None:
+    """The link to one replica loses some changes; it stays in the view and is sent them again."""
+    primary = primary_of(world)
+    view = primary_part(world).view
+    backup = next(ip for ip in world.machines if ip != primary)
+    world.cut(primary, backup, both_ways=False)
+    tags = [world.submit(primary) for _ in range(5)]
+    world.settle()
+    assert not world.acknowledged.intersection(tags)
+    world.cuts.clear()
+    world.run(8)
+    assert world.acknowledged.issuperset(tags)
+    assert primary_part(world).view == view
+
+
+# --- the bound on what is in flight -------------------------------------------------------------------------------
+
+
+def large_change(number: int) -> Change:
+    return Change(ChangeKind.START_EVACUATION, bytes(MAX_BYTES_IN_FLIGHT // 4), -1, f"large-{number}")
+
+
+def test_more_bytes_than_the_bound_are_refused_until_some_are_committed() -> None:
+    world = started()
+    ip = primary_of(world)
+    member = member_of(world, ip)
+    calls = range(1000, 1010)
+    for call in calls:
+        world._perform(world.machines[ip], member.submit(call, large_change(call), world.now))
+    assert primary_part(world)._log.size <= MAX_BYTES_IN_FLIGHT
+    [reply] = member.submit(2000, large_change(2000), world.now)
+    assert isinstance(reply, Reply)
+    assert isinstance(reply.result, Failure)
+    assert reply.result.code is ResultCode.OVERLOADED
+    world.settle()
+    assert primary_part(world).has_room_for(large_change(3000))
+
+
+def test_a_single_change_above_the_bound_is_taken_where_nothing_else_is_in_flight() -> None:
+    primary = primary_part(started())
+    assert primary.has_room_for(Change(ChangeKind.PUT_CONFIGURATION, bytes(2 * MAX_BYTES_IN_FLIGHT)))
