Bring a joining member up to date before the view, in pieces where the state is large

Cause: a state went whole inside the view change that added a member: calls waited for it, a candidate's stage of 0.7 s ended before 4 MB had passed a link of 5 Mbit/s, and a state of more than 4 MiB was dropped by the transport for ever. A stage lasts while pieces move. A member that was only catching up in a view is no source of its state. A joining member with a higher promise gets a higher epoch first.

--- a/canvasbeam/control_plane/replicated_state.py
+++ b/canvasbeam/control_plane/replicated_state.py
@@ -244,7 +244,14 @@
             self._timing,
             seed=int.from_bytes(os.urandom(DISK_ID_BYTES), "big"),
         )
-        self._member = Member(settings, loaded.durable, self._check.apply, self._apply_checked, time.monotonic_ns())
+        self._member = Member(
+            settings,
+            loaded.durable,
+            self._check.apply,
+            self._apply_checked,
+            time.monotonic_ns(),
+            codec=self._codec,
+        )
         self._perform(self._member.begin())
         log.info("member {} begins at index {}", loaded.member, loaded.durable.state.index)
         self._spawn(self._write_saves())
--- a/canvasbeam/control_plane/replication_codec.py
+++ b/canvasbeam/control_plane/replication_codec.py
@@ -12,7 +12,7 @@
 from canvasbeam.control_plane.compression import pack, unpack
 from canvasbeam.control_state import Change, ChangeKind, ControlState
 from canvasbeam.decide.replication import messages
-from canvasbeam.decide.replication.messages import Message
+from canvasbeam.decide.replication.messages import Message, SnapshotId
 from canvasbeam.decide.replication.types import Epoch, MemberId, Position, View
 from canvasbeam.errors import Failure, ResultCode
 
@@ -81,16 +81,14 @@
         """The field of the envelope that a message fills, and its content."""
         match message:
             case messages.Fetched():
-                return "fetched", wire.FetchedMessage(
-                    epoch=epoch_record(message.epoch),
-                    position=_position_record(message.position),
-                    state=self.encode_state(message.state),
+                return "fetched", self._with_state(
+                    wire.FetchedMessage(epoch=epoch_record(message.epoch), position=_position_record(message.position)),
+                    message.state,
                 )
             case messages.Install():
-                return "install", wire.InstallMessage(
-                    epoch=epoch_record(message.epoch),
-                    position=_position_record(message.position),
-                    state=None if message.state is None else self.encode_state(message.state),
+                return "install", self._with_state(
+                    wire.InstallMessage(epoch=epoch_record(message.epoch), position=_position_record(message.position)),
+                    message.state,
                 )
         name, encode = _ENCODERS[type(message)]
         return name, encode(message)
@@ -103,11 +101,24 @@
         decode: Callable[[Any], Message] = _DECODERS.get(name) or getattr(self, f"_decode_{name}")
         return decode(part)
 
+    def _with_state(self, part: Any, state: ControlState | SnapshotId | None) -> Any:
+        """Put a state into a part: itself, or the id of its snapshot."""
+        if isinstance(state, SnapshotId):
+            part.snapshot.CopyFrom(_snapshot_record(state))
+        elif state is not None:
+            part.state = self.encode_state(state)
+        return part
+
     def _decode_fetched(self, part: wire.FetchedMessage) -> Message:
-        return messages.Fetched(epoch_of(part.epoch), _position_of(part.position), self._state_of(part.state))
+        state = _snapshot_of(part.snapshot) if part.HasField("snapshot") else self._state_of(part.state)
+        return messages.Fetched(epoch_of(part.epoch), _position_of(part.position), state)
 
     def _decode_install(self, part: wire.InstallMessage) -> Message:
-        state = self._state_of(part.state) if part.HasField("state") else None
+        state: ControlState | SnapshotId | None = None
+        if part.HasField("snapshot"):
+            state = _snapshot_of(part.snapshot)
+        elif part.HasField("state"):
+            state = self._state_of(part.state)
         return messages.Install(epoch_of(part.epoch), _position_of(part.position), state)
 
     def _state_of(self, data: bytes) -> ControlState:
@@ -150,7 +161,7 @@
     messages.Fetch: ("fetch", lambda it: wire.FetchMessage(epoch=epoch_record(it.epoch))),
     messages.Installed: (
         "installed",
-        lambda it: wire.InstalledMessage(epoch=epoch_record(it.epoch), stored=it.stored),
+        lambda it: wire.InstalledMessage(epoch=epoch_record(it.epoch), stored=it.stored, index=it.index),
     ),
     messages.Accept: ("accept", lambda it: wire.AcceptMessage(view=view_record(it.view), settled=it.settled)),
     messages.Accepted: (
@@ -185,6 +196,16 @@
         lambda it: wire.AppendedMessage(epoch=epoch_record(it.epoch), index=it.index),
     ),
     messages.Resign: ("resign", lambda it: wire.ResignMessage(epoch=epoch_record(it.epoch))),
+    messages.FetchPiece: (
+        "fetch_piece",
+        lambda it: wire.FetchPieceMessage(snapshot=_snapshot_record(it.snapshot), number=it.number),
+    ),
+    messages.Piece: (
+        "piece",
+        lambda it: wire.PieceMessage(
+            snapshot=_snapshot_record(it.snapshot), number=it.number, data=it.data, checksum=it.checksum
+        ),
+    ),
 }
 _DECODERS: dict[str, Callable[[Any], Message]] = {
     "hello": lambda part: messages.Hello(part.healthy),
@@ -204,7 +225,7 @@
     ),
     "refused": lambda part: messages.Refused(epoch_of(part.epoch), epoch_of(part.promised)),
     "fetch": lambda part: messages.Fetch(epoch_of(part.epoch)),
-    "installed": lambda part: messages.Installed(epoch_of(part.epoch), part.stored),
+    "installed": lambda part: messages.Installed(epoch_of(part.epoch), part.stored, part.index),
     "accept": lambda part: messages.Accept(view_of(part.view), part.settled),
     "accepted": lambda part: messages.Accepted(epoch_of(part.epoch), part.settled),
     "heartbeat": lambda part: messages.Heartbeat(epoch_of(part.epoch), part.sequence, part.committed),
@@ -216,6 +237,8 @@
     ),
     "appended": lambda part: messages.Appended(epoch_of(part.epoch), part.index),
     "resign": lambda part: messages.Resign(epoch_of(part.epoch)),
+    "fetch_piece": lambda part: messages.FetchPiece(_snapshot_of(part.snapshot), part.number),
+    "piece": lambda part: messages.Piece(_snapshot_of(part.snapshot), part.number, part.data, part.checksum),
 }
 
 
@@ -267,6 +290,14 @@
     return Position(epoch_of(record.epoch), record.index)
 
 
+def _snapshot_record(snapshot: SnapshotId) -> wire.SnapshotRecord:
+    return wire.SnapshotRecord(digest=snapshot.digest, size=snapshot.size)
+
+
+def _snapshot_of(record: wire.SnapshotRecord) -> SnapshotId:
+    return SnapshotId(record.digest, record.size)
+
+
 def change_record(change: Change) -> wire.ChangeRecord:
     """A change."""
     return wire.ChangeRecord(kind=int(change.kind), body=pack(change.body), if_match=change.if_match, zone=change.zone)
--- a/canvasbeam/decide/replication/candidate.py
+++ b/canvasbeam/decide/replication/candidate.py
@@ -33,7 +33,9 @@
     Promise,
     Refused,
     Send,
+    SnapshotId,
 )
+from canvasbeam.decide.replication.snapshots import SnapshotSource
 from canvasbeam.decide.replication.types import Epoch, MemberId, Position, Timing, View
 
 
@@ -65,6 +67,7 @@
         plan: Planner,
         is_alive: Callable[[MemberId, int], bool],
         timing: Timing,
+        snapshots: SnapshotSource,
     ) -> None:
         self.me = me
         self.base = base
@@ -78,6 +81,7 @@
         self._plan = plan
         self._is_alive = is_alive
         self._timing = timing
+        self._snapshots = snapshots
         self._phase_since = 0
         self._last_sent = 0
         self._quorum_since: int | None = None
@@ -99,8 +103,8 @@
                 return self._take_probed(sender, message, now)
             case Promise(epoch=epoch) if self.phase is Phase.PREPARING and epoch == self.epoch:
                 return self._take_promise(sender, message, now)
-            case Fetched(epoch=epoch, position=position) if self.phase is Phase.FETCHING and epoch == self.epoch:
-                return self._take_state(position, message.state, now)
+            case Fetched(position=position, state=ControlState() as state) if self.awaits(message):
+                return self._take_state(position, state, now)
             case Installed(epoch=epoch, stored=stored) if self.phase is Phase.INSTALLING and epoch == self.epoch:
                 return self._take_installed(sender, stored, now)
             case Accepted(epoch=epoch) if self.phase is Phase.ACCEPTING and epoch == self.epoch:
@@ -117,9 +121,18 @@
             return self._enter(Phase.LOST, now)
         sends = self._advance(now)
         if not sends and now - self._last_sent >= self._timing.resend:
-            sends = self._ask(now)
+            sends = self._ask(now) + self._renew_promises()
         return sends
 
+    def awaits(self, message: Fetched) -> bool:
+        """Whether this is the state that the candidate asked for."""
+        return self.phase is Phase.FETCHING and message.epoch == self.epoch
+
+    def note_progress(self, now: int) -> None:
+        """Pieces of a state still move: the phase has not stalled."""
+        if self.phase in (Phase.FETCHING, Phase.INSTALLING):
+            self._phase_since = now
+
     def late_members(self) -> list[MemberId]:
         """The new replicas that have not stored the state."""
         if self.view is None or self.phase is not Phase.INSTALLING:
@@ -225,11 +238,16 @@
         return self._enter(Phase.FETCHING, now)
 
     def _best_source(self) -> MemberId | None:
-        """The most advanced replica that has promised and holds at least the base view's state; itself where equal."""
+        """The most advanced replica that has promised and holds at least the base view's state; itself where equal.
+
+        A member that was only catching up in the base view may lack what that view acknowledged.
+        """
         best: MemberId | None = None
         for member, answer in self._promises.items():
             if answer.position.epoch < self.base.epoch:
                 continue
+            if answer.position.epoch == self.base.epoch and member not in self.base.replicas:
+                continue
             better = best is None or self._promises[best].position.precedes(answer.position)
             if better or (member == self.me and self._promises[str(best)].position == answer.position):
                 best = member
@@ -248,7 +266,11 @@
         return answer is not None and answer.position == self.source_position
 
     def _install_for(self, member: MemberId) -> Install:
-        state = self._state if member in self._needs_state else None
+        if self._state is None or member not in self._needs_state:
+            return Install(self.epoch, self.source_position, None)
+        state: ControlState | SnapshotId = self._state
+        if member != self.me:
+            state = self._snapshots.offer(self._state)
         return Install(self.epoch, self.source_position, state)
 
     def _take_installed(self, sender: MemberId, stored: bool, now: int) -> list[Send]:
@@ -260,6 +282,13 @@
             return []
         return self._enter(Phase.ACCEPTING, now)
 
+    def _renew_promises(self) -> list[Send]:
+        """While a large state moves: whoever promised shall not take the silence for the loss of a primary."""
+        if self.phase not in (Phase.FETCHING, Phase.INSTALLING):
+            return []
+        late = set(self.late_members())
+        return self._to([each for each in self._promises if each != self.me and each not in late], Prepare(self.epoch))
+
     def _ask_to_accept(self) -> list[Send]:
         if self.view is None:
             return []
--- /dev/null
+++ b/canvasbeam/decide/replication/catch_up.py
@@ -0,0 +1,181 @@
+"""Members that are to join a view catch up first, while the primary goes on without them.
+
+| state | waits for | then |
+| --- | --- | --- |
+| ASKED | whether the member is at the state that the view began with, or at a later one of it | FOLLOWING; INSTALLING |
+| INSTALLING | a state, with its pieces where it is large | FOLLOWING |
+| FOLLOWING | nothing: it gets the changes after its index, in order | INSTALLING, where it is behind the log |
+
+A member that follows closely may join: the view change then brings nothing but what is on its way already. Nothing is
+committed by its confirmations, and it is no source of the view's state before it is a replica (`Candidate`).
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import Enum, auto
+
+from canvasbeam.control_state import ControlState
+from canvasbeam.decide.replication.change_log import ChangeLog
+from canvasbeam.decide.replication.messages import Append, Install, Installed, Send
+from canvasbeam.decide.replication.replica import Replica
+from canvasbeam.decide.replication.snapshots import SnapshotSource
+from canvasbeam.decide.replication.types import Epoch, MemberId, Position, Timing
+
+CLOSE_BYTES = 256 << 10
+BATCH_BYTES = 128 << 10
+SEND_AGAIN_FACTOR = 4  # times the interval of a replica: a batch may take long on a slow link
+
+
+class Stage(Enum):
+    """What a joining member does."""
+
+    ASKED = auto()
+    INSTALLING = auto()
+    FOLLOWING = auto()
+
+
+@dataclass(slots=True)
+class _Joining:
+    """One member: `index` is what it confirmed, `sent` the index of the last change sent."""
+
+    stage: Stage = Stage.ASKED
+    index: int = 0
+    sent: int = 0
+    last_sent: int = 0
+    snapshot: ControlState | None = None
+
+
+class CatchUp:
+    """The joining members of one view."""
+
+    def __init__(
+        self,
+        epoch: Epoch,
+        began_at: Position,
+        *,
+        replica: Replica,
+        log: ChangeLog,
+        snapshots: SnapshotSource,
+        timing: Timing,
+    ) -> None:
+        self._epoch = epoch
+        self._began_at = began_at
+        self._replica = replica
+        self._log = log
+        self._snapshots = snapshots
+        self._timing = timing
+        self._joining: dict[MemberId, _Joining] = {}
+
+    def set_members(self, members: Sequence[MemberId], now: int) -> list[Send]:
+        """These are to join; others that were are forgotten."""
+        for member in [each for each in self._joining if each not in members]:
+            del self._joining[member]
+        sends: list[Send] = []
+        for member in members:
+            if member not in self._joining:
+                self._joining[member] = _Joining()
+                sends.append(self._install(member, now))
+        return sends
+
+    def tick(self, now: int) -> list[Send]:
+        """Send again what was not answered, and begin anew with those that are behind the log."""
+        sends: list[Send] = []
+        for member, joining in self._joining.items():
+            if joining.stage is Stage.FOLLOWING and not self._log.reaches_back_to(joining.index):
+                self._enter(joining, Stage.INSTALLING)
+            patience = self._timing.resend * (SEND_AGAIN_FACTOR if joining.stage is Stage.FOLLOWING else 1)
+            if now - joining.last_sent < patience:
+                continue
+            if joining.stage is Stage.FOLLOWING:
+                joining.sent = joining.index
+                sends += self._next_batch(member, now)
+            else:
+                sends.append(self._install(member, now))
+        return sends
+
+    def on_change(self, now: int) -> list[Send]:
+        """A change was added to the log: those that wait for nothing else get it at once."""
+        sends: list[Send] = []
+        for member, joining in self._joining.items():
+            outstanding = self._log.size_after(joining.index) - self._log.size_after(joining.sent)
+            if joining.stage is Stage.FOLLOWING and outstanding <= BATCH_BYTES:
+                sends += self._next_batch(member, now)
+        return sends
+
+    def take_installed(self, sender: MemberId, message: Installed, now: int) -> list[Send]:
+        """The member has a state of this epoch, or needs one."""
+        joining = self._joining.get(sender)
+        if joining is None or joining.stage is Stage.FOLLOWING:
+            return []
+        if message.stored and self._log.reaches_back_to(message.index):
+            self._enter(joining, Stage.FOLLOWING)
+            joining.index = joining.sent = message.index
+            return self._next_batch(sender, now)
+        if joining.stage is Stage.INSTALLING and not message.stored:
+            return []
+        self._enter(joining, Stage.INSTALLING)
+        return [self._install(sender, now)]
+
+    def take_appended(self, sender: MemberId, index: int, now: int) -> list[Send]:
+        """The member has all changes up to an index."""
+        joining = self._joining.get(sender)
+        if joining is None or joining.stage is not Stage.FOLLOWING or index <= joining.index:
+            return []
+        joining.index = index
+        joining.sent = max(joining.sent, index)
+        return self._next_batch(sender, now) if joining.sent == index else []
+
+    def has(self, member: MemberId) -> bool:
+        """Whether the member is to join."""
+        return member in self._joining
+
+    def is_close(self, member: MemberId) -> bool:
+        """Whether the member may join: what it has not confirmed is little."""
+        joining = self._joining.get(member)
+        if joining is None or joining.stage is not Stage.FOLLOWING or not self._log.reaches_back_to(joining.index):
+            return False
+        return self._log.size_after(joining.index) <= CLOSE_BYTES
+
+    def close_members(self) -> frozenset[MemberId]:
+        """All that may join now."""
+        return frozenset(each for each in self._joining if self.is_close(each))
+
+    def oldest_needed(self) -> int | None:
+        """The changes after this index are still needed by somebody who joins."""
+        followed = [each.index for each in self._joining.values() if each.stage is Stage.FOLLOWING]
+        installed = [each.snapshot.index for each in self._joining.values() if each.snapshot is not None]
+        asked = [self._began_at.index for each in self._joining.values() if each.stage is Stage.ASKED]
+        return min((*followed, *installed, *asked), default=None)
+
+    def _enter(self, joining: _Joining, stage: Stage) -> None:
+        """The only place where the stage changes."""
+        joining.stage = stage
+        joining.snapshot = self._snapshot_for_all() if stage is Stage.INSTALLING else None
+
+    def _snapshot_for_all(self) -> ControlState:
+        """The one that others are installing already, where the log still follows on it; else the newest state."""
+        under_way = [each.snapshot for each in self._joining.values() if each.snapshot is not None]
+        usable = [each for each in under_way if self._log.reaches_back_to(each.index)]
+        return usable[0] if usable else self._replica.state
+
+    def _install(self, member: MemberId, now: int) -> Send:
+        joining = self._joining[member]
+        joining.last_sent = now
+        if joining.snapshot is None:
+            return Send(member, Install(self._epoch, self._began_at, None))
+        if not self._log.reaches_back_to(joining.snapshot.index):
+            joining.snapshot = self._snapshot_for_all()
+        position = Position(self._epoch, joining.snapshot.index)
+        return Send(member, Install(self._epoch, position, self._snapshots.offer(joining.snapshot)))
+
+    def _next_batch(self, member: MemberId, now: int) -> list[Send]:
+        joining = self._joining[member]
+        if joining.sent >= self._log.end or not self._log.reaches_back_to(joining.sent):
+            return []
+        joining.last_sent = now
+        changes = self._log.after(joining.sent, BATCH_BYTES)
+        previous = joining.sent
+        joining.sent += len(changes)
+        return [Send(member, Append(self._epoch, previous, changes, self._replica.committed.index))]
--- a/canvasbeam/decide/replication/change_log.py
+++ b/canvasbeam/decide/replication/change_log.py
@@ -40,12 +40,12 @@
         """Whether every change after an index is kept."""
         return index >= self.start
 
-    def after(self, index: int) -> tuple[Change, ...]:
+    def after(self, index: int, most_bytes: int = MAX_APPEND_BYTES) -> tuple[Change, ...]:
         """The changes after an index: at least one, and as many more as one message should carry."""
         taken: list[Change] = []
         size = 0
         for change in islice(self._changes, index - self.start, None):
-            if taken and size + change_size(change) > MAX_APPEND_BYTES:
+            if taken and size + change_size(change) > most_bytes:
                 break
             taken.append(change)
             size += change_size(change)
@@ -58,5 +58,16 @@
     def trim(self, index: int) -> None:
         """Nobody needs the changes up to an index any more."""
         while self.start < index and self._changes:
-            self.size -= change_size(self._changes.popleft())
-            self.start += 1
+            self._drop_first()
+
+    def trim_to(self, most_bytes: int, committed: int) -> None:
+        """Keep so many bytes of the changes up to an index, the newest of them."""
+        excess = self.size - self.size_after(committed) - most_bytes
+        while excess > 0 and self.start < committed:
+            excess -= self._drop_first()
+
+    def _drop_first(self) -> int:
+        size = change_size(self._changes.popleft())
+        self.size -= size
+        self.start += 1
+        return size
--- a/canvasbeam/decide/replication/member.py
+++ b/canvasbeam/decide/replication/member.py
@@ -26,11 +26,15 @@
     Append,
     Appended,
     Fetch,
+    Fetched,
+    FetchPiece,
     Heartbeat,
     HeartbeatAck,
     Hello,
     Install,
+    Installed,
     Message,
+    Piece,
     Prepare,
     Probe,
     Probed,
@@ -42,12 +46,14 @@
     SaveCommitted,
     Send,
     SendToAddress,
+    SnapshotId,
     ViewTold,
 )
 from canvasbeam.decide.replication.plan import ViewPlanner
 from canvasbeam.decide.replication.primary import MAX_BYTES_IN_FLIGHT, MAX_PENDING_CALLS, PendingCall, Primary
 from canvasbeam.decide.replication.replica import Replica
 from canvasbeam.decide.replication.responder import Responder, ToResponder, epoch_of
+from canvasbeam.decide.replication.snapshots import SnapshotReceiver, SnapshotSource, StateCodec
 from canvasbeam.decide.replication.start import Durable, MemberSettings
 from canvasbeam.decide.replication.types import (
     NO_EPOCH,
@@ -76,16 +82,28 @@
     """See the table at the top."""
 
     def __init__(
-        self, settings: MemberSettings, durable: Durable, apply: Apply, apply_checked: Apply, now: int
+        self,
+        settings: MemberSettings,
+        durable: Durable,
+        apply: Apply,
+        apply_checked: Apply,
+        now: int,
+        *,
+        codec: StateCodec | None = None,
     ) -> None:
         self.me = settings.me
         self.seed_ips = settings.seed_ips  # may change while the member runs
         self.role = Role.FOLLOWER
         self.witness = Witness(durable.promised, durable.accepted, durable.settled)
         self.replica = Replica(apply_checked, durable.installed, durable.state, durable.committed)
-        self._responder = Responder(self.witness, self.replica)
+        self._snapshots = SnapshotSource(codec, settings.piece_bytes)
+        self._receiver = SnapshotReceiver(codec, settings.piece_bytes)
+        self._responder = Responder(self.witness, self.replica, self._snapshots)
         self.contacts = Contacts(settings.timing)
-        self._planner = ViewPlanner(settings.me, self.contacts, settings.tolerated_machines)
+        self._planner = ViewPlanner(
+            settings.me, self.contacts, settings.tolerated_machines, is_caught_up=self._is_caught_up
+        )
+        self._caught_up: frozenset[MemberId] | None = None  # who may join a view that is reformed
         self.known_view = durable.accepted  # the highest that this member heard of
         self.known_settled = durable.settled
         self.primary_id: MemberId = ""
@@ -122,12 +140,16 @@
                 return []
             case Probe():
                 return self._on_probe(sender, message, now)
+            case FetchPiece() | Piece() | Install(state=SnapshotId()) | Fetched(state=SnapshotId()):
+                return self._on_snapshot_message(sender, message, now)
             case Prepare() | Fetch() | Install() | Accept() | Append():
                 return self._respond(sender, message, now)
             case Heartbeat():
                 return self._on_heartbeat(sender, message, now)
             case Resign(epoch=epoch):
                 return self._on_resign(sender, epoch, now)
+            case Installed() if self._primary is not None:
+                return self._on_installed(sender, message, now)
             case HeartbeatAck() | Appended():
                 return self._on_answer_to_primary(sender, message, now)
             case Refused():
@@ -137,6 +159,9 @@
     def tick(self, now: int) -> list[Action]:
         """Time has passed."""
         self._forgive_own_pause(now)
+        return [*self._receiver.tick(now), *self._tick_role(now)]
+
+    def _tick_role(self, now: int) -> list[Action]:
         match self.role:
             case Role.PRIMARY:
                 return self._tick_primary(now)
@@ -200,8 +225,10 @@
             self._election_at = now + self._timing.election + self._election_delay()
             if self.primary_id == self.me:
                 self.primary_id = ""
+        self._caught_up = None
         if role is Role.REFORMING and self._primary is not None:
             self._pending = self._primary.pending
+            self._caught_up = self._primary.catch_up.close_members()
         if role in (Role.FOLLOWER, Role.REFORMING):
             self._primary = None
         if role in (Role.FOLLOWER, Role.PRIMARY):
@@ -292,6 +319,49 @@
             return []
         return self._become(Role.FOLLOWER, now)
 
+    # --- snapshots in pieces ----------------------------------------------------------------------------------
+
+    def _on_snapshot_message(
+        self, sender: MemberId, message: FetchPiece | Piece | Install | Fetched, now: int
+    ) -> list[Action]:
+        match message:
+            case FetchPiece():
+                return self._on_fetch_piece(sender, message, now)
+            case Piece():
+                return self._on_piece(message, now)
+            case Fetched():
+                return self._on_snapshot_fetched(sender, message, now)
+        return self._on_snapshot_offered(sender, message, now)
+
+    def _on_fetch_piece(self, sender: MemberId, message: FetchPiece, now: int) -> list[Action]:
+        """Give a piece; whoever asks for it makes progress."""
+        if self._candidate is not None:
+            self._candidate.note_progress(now)
+        piece = self._snapshots.piece(message)
+        return [] if piece is None else [Send(sender, piece)]
+
+    def _on_piece(self, piece: Piece, now: int) -> list[Action]:
+        """Keep a piece; with the last one, take the message that waited for the state."""
+        if self._candidate is not None:
+            self._candidate.note_progress(now)
+        complete = self._receiver.take_piece(piece, now)
+        if complete is None:
+            return [*self._receiver.tick(now)]
+        source, message = complete
+        return self.receive(source, message, now)
+
+    def _on_snapshot_offered(self, sender: MemberId, message: Install, now: int) -> list[Action]:
+        """Fetch the state that a leading member wants installed, unless its epoch is refused."""
+        if self.witness.refuses(message.epoch) or not self._responder.needs(message):
+            return self._respond(sender, message, now)
+        return [*self._yield_to(message.epoch, sender, now), *self._receiver.take_offer(sender, message, now)]
+
+    def _on_snapshot_fetched(self, sender: MemberId, message: Fetched, now: int) -> list[Action]:
+        """Fetch the state that this candidate asked for."""
+        if self._candidate is None or not self._candidate.awaits(message):
+            return []
+        return [*self._receiver.take_offer(sender, message, now)]
+
     # --- follower ---------------------------------------------------------------------------------------------
 
     def _misses_primary(self, now: int) -> bool:
@@ -372,6 +442,7 @@
             plan=self._planner.plan,
             is_alive=self.contacts.is_alive,
             timing=self._timing,
+            snapshots=self._snapshots,
         )
         return self._follow_candidacy(self._candidate.begin(probe, now), now)
 
@@ -427,7 +498,15 @@
                 self.contacts.mark_failed(member, now)  # it answered too late to be a replica: not again at once
         actions += self._become(Role.PRIMARY, now)
         self._primary = Primary(
-            self.me, view, self.replica, apply=self._apply, contacts=self.contacts, timing=self._timing, now=now
+            self.me,
+            view,
+            self.replica,
+            candidate.source_position,
+            apply=self._apply,
+            contacts=self.contacts,
+            timing=self._timing,
+            snapshots=self._snapshots,
+            now=now,
         )
         return actions + self._primary.begin(now) + self._primary.adopt(pending, now)
 
@@ -441,7 +520,19 @@
             self.contacts.mark_failed(member, now)
         if self._planner.wants_change(primary.view, now):
             return self._reform(now)
-        return primary.tick(now)
+        joining = self._planner.joining(primary.view, now)
+        return [*primary.catch_up.set_members(joining, now), *primary.tick(now)]
+
+    def _is_caught_up(self, member: MemberId) -> bool:
+        """Whether a member may join. A candidate does not know, and takes whoever promised."""
+        if self._primary is not None:
+            return self._primary.catch_up.is_close(member)
+        return self._caught_up is None or member in self._caught_up
+
+    def _on_installed(self, sender: MemberId, message: Installed, now: int) -> list[Action]:
+        if self._primary is None or message.epoch != self._primary.view.epoch:
+            return []
+        return self._primary.take_installed(sender, message, now)
 
     def _on_answer_to_primary(self, sender: MemberId, message: HeartbeatAck | Appended, now: int) -> list[Action]:
         if self._primary is None or message.epoch != self._primary.view.epoch:
@@ -454,6 +545,10 @@
         if self._primary is None:
             return self._on_answer_to_candidate(sender, message, now)
         view = self._primary.view
-        if message.epoch != view.epoch or sender not in view.replicas or message.promised <= view.epoch:
+        if message.epoch != view.epoch or message.promised <= view.epoch:
             return []
-        return self._become(Role.FOLLOWER, now)
+        if sender in view.replicas:
+            return self._become(Role.FOLLOWER, now)
+        if self._primary.catch_up.has(sender) and now - self._primary.began >= self._timing.steady:
+            return self._reform(now)  # nothing but a higher epoch lets this member catch up
+        return []
--- a/canvasbeam/decide/replication/messages.py
+++ b/canvasbeam/decide/replication/messages.py
@@ -81,30 +81,42 @@
     epoch: Epoch
 
 
+@dataclass(frozen=True, slots=True)
+class SnapshotId:
+    """Stands for a state that is fetched in pieces: the digest and the length of its encoding."""
+
+    digest: bytes
+    size: int
+
+
 @dataclass(frozen=True, slots=True)
 class Fetched:
     """The state of a replica that has promised the epoch."""
 
     epoch: Epoch
     position: Position
-    state: ControlState
+    state: ControlState | SnapshotId
 
 
 @dataclass(frozen=True, slots=True)
 class Install:
-    """A replica shall begin the epoch with this state, or with its own where it is at `position` already."""
+    """A replica shall begin the epoch with this state, or with its own where it is at `position` already.
+
+    A primary sends it in its own epoch to a member that is to join, to catch up before the view has it as a replica.
+    """
 
     epoch: Epoch
     position: Position
-    state: ControlState | None
+    state: ControlState | SnapshotId | None
 
 
 @dataclass(frozen=True, slots=True)
 class Installed:
-    """The replica has begun the epoch, on its disk; or it lacks the state (`stored` is false)."""
+    """The replica has begun the epoch, on its disk, and is at `index`; or it lacks the state (`stored` is false)."""
 
     epoch: Epoch
     stored: bool
+    index: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -168,9 +180,27 @@
     epoch: Epoch
 
 
+@dataclass(frozen=True, slots=True)
+class FetchPiece:
+    """The sender wants one piece of a snapshot that it was offered."""
+
+    snapshot: SnapshotId
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Piece:
+    """A piece of a snapshot, and the CRC-32 of its bytes."""
+
+    snapshot: SnapshotId
+    number: int
+    data: bytes
+    checksum: int
+
+
 Message = (
     Hello | ViewTold | Probe | Probed | Prepare | Promise | Refused | Fetch | Fetched | Install | Installed
-    | Accept | Accepted | Heartbeat | HeartbeatAck | Append | Appended | Resign
+    | Accept | Accepted | Heartbeat | HeartbeatAck | Append | Appended | Resign | FetchPiece | Piece
 )  # fmt: skip
 AFTER_SYNC = (Prepare, Promise, Installed, Accepted, Appended, Fetched)
 
--- a/canvasbeam/decide/replication/plan.py
+++ b/canvasbeam/decide/replication/plan.py
@@ -9,24 +9,46 @@
 
 
 class ViewPlanner:
-    """Proposes views of one member as the primary."""
+    """Proposes views of one member as the primary.
 
-    def __init__(self, me: MemberId, contacts: Contacts, tolerated_machines: int) -> None:
+    `is_caught_up` tells of a member that is to join a view whether it has nearly everything: before, it has no part.
+    """
+
+    def __init__(
+        self,
+        me: MemberId,
+        contacts: Contacts,
+        tolerated_machines: int,
+        is_caught_up: Callable[[MemberId], bool] = lambda _: True,
+    ) -> None:
         self._me = me
         self._contacts = contacts
         self._tolerated_machines = tolerated_machines
+        self._is_caught_up = is_caught_up
 
     def plan(
         self, base: View, settled: bool, epoch: Epoch, promised: frozenset[MemberId] | None, now: int
     ) -> View | None:
         """The view to propose. `promised` are the healthy members that answered a candidate, if there is one."""
-        known = dict.fromkeys((self._me, *base.members, *sorted(self._contacts.known())))
+        usable = [each for each in self._known(base) if self._is_usable(each, base, promised, now)]
+        return self._plan_of(base, settled, epoch, usable, now)
+
+    def joining(self, view: View, now: int) -> list[MemberId]:
+        """Who would be a replica if everybody who is heard had caught up: a primary brings these the state."""
+        usable = [each for each in self._known(view) if each == self._me or self._contacts.is_alive(each, now)]
+        planned = self._plan_of(view, True, view.epoch, usable, now)
+        return [] if planned is None else [each for each in planned.replicas if each not in view.replicas]
+
+    def _known(self, base: View) -> list[MemberId]:
+        return list(dict.fromkeys((self._me, *base.members, *sorted(self._contacts.known()))))
+
+    def _plan_of(self, base: View, settled: bool, epoch: Epoch, usable: Sequence[MemberId], now: int) -> View | None:
         return plan_view(
             base,
             settled,
             epoch=epoch,
             primary=self._me,
-            usable=[each for each in known if self._is_usable(each, base, promised, now)],
+            usable=usable,
             is_gone=lambda member: self._contacts.is_gone(member, now),
             tolerated_machines=self._tolerated_machines,
         )
@@ -41,6 +63,8 @@
     def _is_usable(self, member: MemberId, base: View, promised: frozenset[MemberId] | None, now: int) -> bool:
         if member == self._me:
             return True
+        if member not in base.replicas and not self._is_caught_up(member):
+            return False
         if promised is not None and member in base.members:
             return member in promised and self._contacts.is_alive(member, now)
         if member in base.replicas:
--- a/canvasbeam/decide/replication/primary.py
+++ b/canvasbeam/decide/replication/primary.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 
 from canvasbeam.control_state import Change, Committed
+from canvasbeam.decide.replication.catch_up import CatchUp
 from canvasbeam.decide.replication.change_log import ChangeLog, change_size
 from canvasbeam.decide.replication.contacts import Contacts
 from canvasbeam.decide.replication.messages import (
@@ -20,6 +21,7 @@
     Appended,
     Heartbeat,
     HeartbeatAck,
+    Installed,
     Publish,
     Reply,
     SaveChange,
@@ -27,11 +29,13 @@
     Send,
 )
 from canvasbeam.decide.replication.replica import Replica
-from canvasbeam.decide.replication.types import Apply, MemberId, Timing, View, is_majority
+from canvasbeam.decide.replication.snapshots import SnapshotSource
+from canvasbeam.decide.replication.types import Apply, MemberId, Position, Timing, View, is_majority
 from canvasbeam.errors import Failure, ResultCode
 
 MAX_PENDING_CALLS = 64
 MAX_BYTES_IN_FLIGHT = 8 << 20
+MAX_CATCH_UP_BYTES = 8 << 20  # of committed changes, for members that are to join
 
 
 @dataclass(slots=True)
@@ -72,20 +76,26 @@
         me: MemberId,
         view: View,
         replica: Replica,
+        began_at: Position,
         *,
         apply: Apply,
         contacts: Contacts,
         timing: Timing,
+        snapshots: SnapshotSource,
         now: int,
     ) -> None:
         self.me = me
         self.view = view
+        self.began = now
         self.pending: list[PendingCall] = []
         self._replica = replica
         self._apply = apply
         self._contacts = contacts
         self._timing = timing
         self._log = ChangeLog(replica.state.index)
+        self.catch_up = CatchUp(
+            view.epoch, began_at, replica=replica, log=self._log, snapshots=snapshots, timing=timing
+        )
         self._committed = replica.state.index
         self._progress = {each: _Progress(self._committed) for each in view.replicas}
         self._rounds = _Rounds(answered={})
@@ -106,7 +116,7 @@
             progress = self._progress[member]
             if progress.owes_since is not None and now - progress.last_sent >= self._timing.resend:
                 actions += self._append_to(member, now)
-        return actions + self._end_late_calls(now)
+        return actions + self.catch_up.tick(now) + self._end_late_calls(now)
 
     def forgive(self, pause: int) -> None:
         """This member stood still for so long: the others did not fail to answer."""
@@ -148,7 +158,7 @@
             if progress.owes_since is None:
                 progress.owes_since = now
             actions += self._append_to(member, now, newest_only=True)
-        return actions
+        return actions + self.catch_up.on_change(now)
 
     def read(self, call: int, now: int) -> list[Action]:
         """Answer with the committed state, once confirmed."""
@@ -181,12 +191,18 @@
     def take_appended(self, sender: MemberId, message: Appended, now: int) -> list[Action]:
         """A replica has the changes up to an index on its disk."""
         progress = self._progress.get(sender)
-        if progress is None or message.index <= progress.index:
+        if progress is None:
+            return [*self.catch_up.take_appended(sender, message.index, now)]
+        if message.index <= progress.index:
             return []
         progress.index = message.index
         progress.owes_since = now if message.index < self._replica.state.index else None
         return self._commit(now)
 
+    def take_installed(self, sender: MemberId, message: Installed, now: int) -> list[Action]:
+        """A member that is to join tells whether it has a state of this view."""
+        return [*self.catch_up.take_installed(sender, message, now)]
+
     def new_round(self, now: int) -> list[Action]:
         """Send a heartbeat to the members, and to those that would join."""
         self._last_heartbeat = now
@@ -218,10 +234,16 @@
         if committed <= self._committed:
             return []
         self._committed = committed
-        self._log.trim(committed)
+        self._trim_log()
         # Every replica of the view told, after its sync (`durability.Outbox`), that it stored this index.
         return self._answer() + self._publish() + self.new_round(now)
 
+    def _trim_log(self) -> None:
+        """Keep what a replica needs, and a bounded part of what those need that are to join."""
+        needed = self.catch_up.oldest_needed()
+        self._log.trim(self._committed if needed is None else min(needed, self._committed))
+        self._log.trim_to(MAX_CATCH_UP_BYTES, self._committed)
+
     def _publish(self) -> list[Action]:
         newer = self._replica.commit(self.view.epoch, self._committed)
         return [] if newer is None else [Publish(newer), SaveCommitted(newer.index)]
--- a/canvasbeam/decide/replication/responder.py
+++ b/canvasbeam/decide/replication/responder.py
@@ -21,8 +21,10 @@
     Refused,
     SaveInstalled,
     Send,
+    SnapshotId,
 )
 from canvasbeam.decide.replication.replica import Replica
+from canvasbeam.decide.replication.snapshots import SnapshotSource
 from canvasbeam.decide.replication.types import Epoch, MemberId
 from canvasbeam.decide.replication.witness import Witness
 from canvasbeam.errors import Failure
@@ -38,9 +40,10 @@
 class Responder:
     """Changes the witness and the replica as the leading member asks."""
 
-    def __init__(self, witness: Witness, replica: Replica) -> None:
+    def __init__(self, witness: Witness, replica: Replica, snapshots: SnapshotSource) -> None:
         self._witness = witness
         self._replica = replica
+        self._snapshots = snapshots
 
     def answer(self, sender: MemberId, message: ToResponder, healthy: bool) -> list[Action]:
         """Obey a message, or refuse it."""
@@ -72,19 +75,28 @@
     def _give_state(self, sender: MemberId, epoch: Epoch) -> list[Action]:
         if epoch != self._witness.promised:
             return []
-        return [Send(sender, Fetched(epoch, self._replica.position, self._replica.state))]
+        offered = self._snapshots.offer(self._replica.state)
+        return [Send(sender, Fetched(epoch, self._replica.position, offered))]
+
+    def needs(self, message: Install) -> bool:
+        """Whether the replica would change: it is of another epoch, or is behind the state that it gets in its own."""
+        replica = self._replica
+        if replica.epoch != message.epoch:
+            return True
+        return message.state is not None and message.position.index > replica.state.index
 
     def _install(self, sender: MemberId, message: Install) -> list[Action]:
         replica = self._replica
+        state = message.state
         actions: list[Action] = []
-        if replica.epoch != message.epoch:
-            if message.state is None and replica.position != message.position:
+        if self.needs(message):
+            if isinstance(state, SnapshotId) or (state is None and replica.position != message.position):
                 return [Send(sender, Installed(message.epoch, stored=False))]
             self._witness.promise(message.epoch)
-            replica.install(message.epoch, replica.state if message.state is None else message.state)
-            actions = [self._witness.to_save(), SaveInstalled(message.epoch, message.state)]
+            replica.install(message.epoch, replica.state if state is None else state)
+            actions = [self._witness.to_save(), SaveInstalled(message.epoch, state)]
         # Leaves after the state and the promise are synced.
-        return [*actions, Send(sender, Installed(message.epoch, stored=True))]
+        return [*actions, Send(sender, Installed(message.epoch, stored=True, index=replica.state.index))]
 
     def _accept(self, sender: MemberId, message: Accept) -> list[Action]:
         witness = self._witness
--- /dev/null
+++ b/canvasbeam/decide/replication/snapshots.py
@@ -0,0 +1,187 @@
+"""States that are too large for one message, sent in pieces that the receiver asks for.
+
+The sender puts the id of the snapshot (digest and length of the encoded state) in the place of the state. The receiver
+asks for the pieces, a few at a time, so that heartbeats pass between them on a slow link; a piece that does not come or
+is damaged is asked for again. A snapshot is known by its content: pieces are kept when another member offers the same
+one, and dropped when the state has changed.
+"""
+
+from __future__ import annotations
+
+import zlib
+from dataclasses import dataclass, field, replace
+from hashlib import blake2b
+from typing import Protocol
+
+from canvasbeam.control_state import ControlState
+from canvasbeam.decide.replication.messages import Fetched, FetchPiece, Install, Piece, Send, SnapshotId
+from canvasbeam.decide.replication.types import MemberId
+from canvasbeam.errors import Failure
+from canvasbeam.units import MILLISECOND, SECOND
+
+PIECE_BYTES = 32 << 10
+PIECES_IN_FLIGHT = 4
+ASK_AGAIN_NS = 600 * MILLISECOND
+IDLE_NS = 10 * SECOND  # after which an unfinished snapshot is dropped
+KEPT_SNAPSHOTS = 2
+MAX_SNAPSHOT_BYTES = 64 << 20
+DIGEST_BYTES = 16
+
+Offer = Install | Fetched  # what carries a state or the id of a snapshot
+
+
+class StateCodec(Protocol):
+    """A state as bytes."""
+
+    def encode_state(self, state: ControlState) -> bytes:
+        """The bytes of a state."""
+        ...
+
+    def decode_state(self, data: bytes) -> ControlState | Failure:
+        """The inverse."""
+        ...
+
+
+def snapshot_id(data: bytes) -> SnapshotId:
+    """The id of an encoded state."""
+    return SnapshotId(blake2b(data, digest_size=DIGEST_BYTES).digest(), len(data))
+
+
+class SnapshotSource:
+    """Offers states and gives their pieces. The last few snapshots are kept; who needs an older one is offered anew."""
+
+    def __init__(self, codec: StateCodec | None, piece_bytes: int = PIECE_BYTES) -> None:
+        self._codec = codec  # none: every state goes whole
+        self._piece_bytes = piece_bytes
+        self._last_offered: tuple[ControlState, ControlState | SnapshotId] | None = None
+        self._kept: dict[SnapshotId, bytes] = {}
+
+    def offer(self, state: ControlState) -> ControlState | SnapshotId:
+        """What stands for a state in a message: a small one itself."""
+        if self._codec is None:
+            return state
+        if self._last_offered is None or self._last_offered[0] is not state:
+            self._last_offered = (state, self._encoded(self._codec, state))
+        return self._last_offered[1]
+
+    def piece(self, wanted: FetchPiece) -> Piece | None:
+        """One piece; none of a snapshot that is not kept."""
+        data = self._kept.get(wanted.snapshot)
+        begin = wanted.number * self._piece_bytes
+        if data is None or not 0 <= begin < len(data):
+            return None
+        part = data[begin : begin + self._piece_bytes]
+        return Piece(wanted.snapshot, wanted.number, part, zlib.crc32(part))
+
+    def _encoded(self, codec: StateCodec, state: ControlState) -> ControlState | SnapshotId:
+        data = codec.encode_state(state)
+        if len(data) <= self._piece_bytes:
+            return state
+        snapshot = snapshot_id(data)
+        self._kept.pop(snapshot, None)
+        self._kept[snapshot] = data
+        while len(self._kept) > KEPT_SNAPSHOTS:
+            del self._kept[next(iter(self._kept))]
+        return snapshot
+
+
+@dataclass(slots=True)
+class _Incoming:
+    """A snapshot of which pieces are missing, and the message that waits for it."""
+
+    snapshot: SnapshotId
+    source: MemberId
+    offer: Offer
+    progress_at: int
+    pieces: dict[int, bytes] = field(default_factory=dict)
+    asked_at: dict[int, int] = field(default_factory=dict)
+
+
+class SnapshotReceiver:
+    """Collects one snapshot at a time: the one offered last by the newest epoch."""
+
+    def __init__(self, codec: StateCodec | None, piece_bytes: int = PIECE_BYTES) -> None:
+        self._codec = codec
+        self._piece_bytes = piece_bytes
+        self._incoming: _Incoming | None = None
+
+    @property
+    def held_bytes(self) -> int:
+        """How much of an unfinished snapshot is held."""
+        return 0 if self._incoming is None else sum(len(each) for each in self._incoming.pieces.values())
+
+    def take_offer(self, source: MemberId, offer: Offer, now: int) -> list[Send]:
+        """Begin to fetch the snapshot that a message names, or go on where some of it is here."""
+        snapshot = offer.state
+        if not isinstance(snapshot, SnapshotId) or self._is_outdated(offer):
+            return []
+        if not 0 < snapshot.size <= MAX_SNAPSHOT_BYTES:
+            return []
+        incoming = self._incoming
+        if incoming is None or incoming.snapshot != snapshot:
+            incoming = self._incoming = _Incoming(snapshot, source, offer, now)
+        elif incoming.source != source:
+            incoming.asked_at.clear()
+        incoming.source = source
+        incoming.offer = offer
+        return self._ask(incoming, now)
+
+    def take_piece(self, piece: Piece, now: int) -> tuple[MemberId, Offer] | None:
+        """Keep a piece that is intact. After the last one, the message that waited, with the state in it."""
+        incoming = self._incoming
+        if incoming is None or piece.snapshot != incoming.snapshot or not self._is_intact(piece):
+            return None
+        incoming.pieces[piece.number] = piece.data
+        incoming.asked_at.pop(piece.number, None)
+        incoming.progress_at = now
+        if len(incoming.pieces) < self._count(incoming.snapshot):
+            return None
+        self._incoming = None
+        state = self._assembled(incoming)
+        return None if state is None else (incoming.source, replace(incoming.offer, state=state))
+
+    def tick(self, now: int) -> list[Send]:
+        """Ask for what is missing, and again for what did not come; give up what nobody gives any more."""
+        incoming = self._incoming
+        if incoming is None:
+            return []
+        if now - incoming.progress_at > IDLE_NS:
+            self._incoming = None
+            return []
+        return self._ask(incoming, now)
+
+    def _is_outdated(self, offer: Offer) -> bool:
+        if self._incoming is None:
+            return False
+        held = self._incoming.offer
+        return (offer.epoch, offer.position.index) < (held.epoch, held.position.index)
+
+    def _ask(self, incoming: _Incoming, now: int) -> list[Send]:
+        late = [number for number, asked in incoming.asked_at.items() if now - asked >= ASK_AGAIN_NS]
+        for number in late:
+            del incoming.asked_at[number]
+        sends: list[Send] = []
+        for number in range(self._count(incoming.snapshot)):
+            if len(incoming.asked_at) >= PIECES_IN_FLIGHT:
+                break
+            if number in incoming.pieces or number in incoming.asked_at:
+                continue
+            incoming.asked_at[number] = now
+            sends.append(Send(incoming.source, FetchPiece(incoming.snapshot, number)))
+        return sends
+
+    def _count(self, snapshot: SnapshotId) -> int:
+        return -(-snapshot.size // self._piece_bytes)
+
+    def _is_intact(self, piece: Piece) -> bool:
+        begin = piece.number * self._piece_bytes
+        expected = min(self._piece_bytes, piece.snapshot.size - begin)
+        return piece.number >= 0 and len(piece.data) == expected > 0 and zlib.crc32(piece.data) == piece.checksum
+
+    def _assembled(self, incoming: _Incoming) -> ControlState | None:
+        """The state; none where the pieces do not make the snapshot that was offered, which begins anew then."""
+        data = b"".join(incoming.pieces[number] for number in range(self._count(incoming.snapshot)))
+        if self._codec is None or snapshot_id(data) != incoming.snapshot:
+            return None
+        state = self._codec.decode_state(data)
+        return None if isinstance(state, Failure) else state
--- a/canvasbeam/decide/replication/start.py
+++ b/canvasbeam/decide/replication/start.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from canvasbeam.control_state import ControlState
+from canvasbeam.decide.replication.snapshots import PIECE_BYTES
 from canvasbeam.decide.replication.types import GENESIS_EPOCH, NO_EPOCH, Epoch, MemberId, Timing, View
 
 
@@ -34,3 +35,4 @@
     tolerated_machines: int = 1
     timing: Timing = Timing()
     seed: int = 0
+    piece_bytes: int = PIECE_BYTES  # the same at all members
--- a/tests/replication_world.py
+++ b/tests/replication_world.py
@@ -27,6 +27,7 @@
     Send,
     SendToAddress,
 )
+from canvasbeam.decide.replication.snapshots import PIECE_BYTES
 from canvasbeam.decide.replication.start import Durable, MemberSettings
 from canvasbeam.decide.replication.types import (
     GENESIS_DISK,
@@ -59,6 +60,21 @@
     return replace(state, index=state.index + 1, evacuated_zones=(*state.evacuated_zones, change.zone))
 
 
+class TagCodec:
+    """The bytes of a state of tags, with more bytes that depend on it, so that a state may count as large."""
+
+    def __init__(self, more_bytes: int) -> None:
+        self._more_bytes = more_bytes
+
+    def encode_state(self, state: ControlState) -> bytes:
+        text = f"{state.index} {' '.join(state.evacuated_zones)}".encode()
+        return text + b"\0" + random.Random(text).randbytes(self._more_bytes)
+
+    def decode_state(self, data: bytes) -> ControlState | Failure:
+        index, *tags = data.partition(b"\0")[0].decode().split()
+        return ControlState(index=int(index), evacuated_zones=tuple(tags))
+
+
 def stored(durable: Durable, saves: Iterable[Save]) -> Durable:
     """What is on the disk after more saves."""
     for save in saves:
@@ -113,9 +129,19 @@
     """All of it, and the invariants."""
 
     def __init__(
-        self, machines: int = 3, tolerated: int = 1, seeds: int | None = None, timing: Timing | None = None
+        self,
+        machines: int = 3,
+        tolerated: int = 1,
+        seeds: int | None = None,
+        timing: Timing | None = None,
+        *,
+        piece_bytes: int | None = None,
+        state_bytes: int = 0,
     ) -> None:
+        """States go in pieces where `piece_bytes` is given; each counts `state_bytes` more than its tags."""
         self.now = 0
+        self.piece_bytes = piece_bytes
+        self.state_codec = TagCodec(state_bytes) if piece_bytes else None
         self.timing = timing or Timing()
         self.frozen: set[str] = set()
         self.tolerated = tolerated
@@ -148,11 +174,18 @@
         if machine.member is not None:
             return
         self._lives += 1
-        settings = MemberSettings(machine.me, self.seed_ips, self.tolerated, self.timing, seed=self._lives)
+        settings = MemberSettings(
+            machine.me,
+            self.seed_ips,
+            self.tolerated,
+            self.timing,
+            seed=self._lives,
+            piece_bytes=self.piece_bytes or PIECE_BYTES,
+        )
         machine.outbox = Outbox()
         machine.writing = None
         machine.published = 0
-        machine.member = Member(settings, machine.durable, apply_tag, apply_tag, self.now)
+        machine.member = Member(settings, machine.durable, apply_tag, apply_tag, self.now, codec=self.state_codec)
         self._perform(machine, machine.member.begin())
 
     def crash(self, ip: str, keep_unsynced: bool) -> None:
@@ -473,7 +506,8 @@
     def __init__(self, seed: int, machines: int = 3, tolerated: int = 1, seeds: int = 3) -> None:
         self._chance = random.Random(seed)
         hasty = self._chance.random() < 0.4
-        self.world = World(machines, tolerated, seeds, HASTY if hasty else None)
+        piece_bytes = self._chance.choice((None, 16, 100))
+        self.world = World(machines, tolerated, seeds, HASTY if hasty else None, piece_bytes=piece_bytes)
         self.bearable = not hasty  # no more was lost than is tolerated, so that all must come back
         self._limbo: list[Packet] = []
         self._replaced = 0
--- a/tests/test_replication_codec.py
+++ b/tests/test_replication_codec.py
@@ -26,6 +26,7 @@
 CHANGE = Change(ChangeKind.PUT_CONFIGURATION, b'{"generation":' + b" " * LEAST_BYTES + b"9}", 4, "")
 EVACUATION = Change(ChangeKind.END_EVACUATION, zone="north")
 POSITION = Position(EPOCH, 3)
+SNAPSHOT = messages.SnapshotId(b"0123456789abcdef", 1 << 22)
 
 MESSAGES: tuple[messages.Message, ...] = (
     messages.Hello(True),
@@ -41,7 +42,12 @@
     messages.Fetched(EPOCH, POSITION, STATE),
     messages.Install(EPOCH, POSITION, None),
     messages.Install(EPOCH, POSITION, STATE),
+    messages.Fetched(EPOCH, POSITION, SNAPSHOT),
+    messages.Install(EPOCH, POSITION, SNAPSHOT),
     messages.Installed(EPOCH, False),
+    messages.Installed(EPOCH, True, 3),
+    messages.FetchPiece(SNAPSHOT, 2),
+    messages.Piece(SNAPSHOT, 2, b"abc", 891568578),
     messages.Accept(VIEW, True),
     messages.Accepted(EPOCH, True),
     messages.Heartbeat(EPOCH, 12, 3),
