--- a/canvasbeam/decide/replication/member.py
+++ b/canvasbeam/decide/replication/member.py
@@ -159,6 +159,7 @@
     def tick(self, now: int) -> list[Action]:
         """Time has passed."""
         self._forgive_own_pause(now)
+        self._snapshots.tick(now)
         return [*self._receiver.tick(now), *self._tick_role(now)]
 
     def _tick_role(self, now: int) -> list[Action]:
--- a/canvasbeam/decide/replication/snapshots.py
+++ b/canvasbeam/decide/replication/snapshots.py
@@ -48,24 +48,29 @@
 
 
 class SnapshotSource:
-    """Offers states and gives their pieces. The last few snapshots are kept; who needs an older one is offered anew."""
+    """Offers states and gives their pieces. The last few snapshots are kept, until nobody has asked for them for a while;
+    who needs an older one is offered a state anew."""
 
     def __init__(self, codec: StateCodec | None, piece_bytes: int = PIECE_BYTES) -> None:
         self._codec = codec  # none: every state goes whole
         self._piece_bytes = piece_bytes
         self._last_offered: tuple[ControlState, ControlState | SnapshotId] | None = None
         self._kept: dict[SnapshotId, bytes] = {}
+        self._is_used = False  # since the last tick
+        self._used_at = 0
 
     def offer(self, state: ControlState) -> ControlState | SnapshotId:
         """What stands for a state in a message: a small one itself."""
         if self._codec is None:
             return state
+        self._is_used = True
         if self._last_offered is None or self._last_offered[0] is not state:
             self._last_offered = (state, self._encoded(self._codec, state))
         return self._last_offered[1]
 
     def piece(self, wanted: FetchPiece) -> Piece | None:
         """One piece; none of a snapshot that is not kept."""
+        self._is_used = True
         data = self._kept.get(wanted.snapshot)
         begin = wanted.number * self._piece_bytes
         if data is None or not 0 <= begin < len(data):
@@ -73,6 +78,15 @@
         part = data[begin : begin + self._piece_bytes]
         return Piece(wanted.snapshot, wanted.number, part, zlib.crc32(part))
 
+    def tick(self, now: int) -> None:
+        """Drop what nobody has asked for lately."""
+        if self._is_used:
+            self._is_used = False
+            self._used_at = now
+        elif now - self._used_at > IDLE_NS:
+            self._kept.clear()
+            self._last_offered = None
+
     def _encoded(self, codec: StateCodec, state: ControlState) -> ControlState | SnapshotId:
         data = codec.encode_state(state)
         if len(data) <= self._piece_bytes:
--- a/tests/replication_world.py
+++ b/tests/replication_world.py
@@ -142,6 +142,7 @@
         self.now = 0
         self.piece_bytes = piece_bytes
         self.state_codec = TagCodec(state_bytes) if piece_bytes else None
+        self.change_bytes = 0  # of the body of each change
         self.timing = timing or Timing()
         self.frozen: set[str] = set()
         self.tolerated = tolerated
@@ -258,7 +259,7 @@
         machine = self.machines[ip]
         if machine.member is not None and ip not in self.frozen:
             number = self._begin_call(ip, tag, if_match)
-            change = Change(ChangeKind.START_EVACUATION, if_match=if_match, zone=tag)
+            change = Change(ChangeKind.START_EVACUATION, bytes(self.change_bytes), if_match, tag)
             self._perform(machine, machine.member.submit(number, change, self.now))
         return tag
 
--- /dev/null
+++ b/tests/test_replication_restarts.py
@@ -0,0 +1,244 @@
+"""A member that comes back after a long life of the others: it never leads with old state, nor stays behind."""
+
+from __future__ import annotations
+
+import random
+from functools import cache
+from unittest import mock
+
+import pytest
+
+from canvasbeam.control_plane.changes import apply, decode_state, encode_state
+from canvasbeam.control_plane.member_records import Loaded, RecordWriter, load_member
+from canvasbeam.control_plane.replication_codec import ReplicationCodec
+from canvasbeam.control_state import Change, ChangeKind, ControlState
+from canvasbeam.decide.replication.candidate import Candidate
+from canvasbeam.decide.replication.catch_up import CLOSE_BYTES
+from canvasbeam.decide.replication.messages import (
+    Append,
+    SaveChange,
+    SaveInstalled,
+    SaveWitness,
+    Send,
+    SendToAddress,
+)
+from canvasbeam.decide.replication.start import Durable
+from canvasbeam.decide.replication.types import Epoch, MemberId, member_ip
+from canvasbeam.storage.frames import Updates
+from canvasbeam.storage.store import MAX_LOG_BYTES, Store, open_store
+
+from .model_disk import ModelDisk, PowerLost
+from .replication_world import Machine, Violation, World
+from .test_replication_long_lives import change_many
+from .test_replication_times import (
+    REJOIN,
+    SECOND,
+    primary_of,
+    started,
+    time_until_acknowledged,
+    time_until_complete,
+)
+
+HUNDREDS = 300
+
+
+def backups(world: World) -> list[str]:
+    return [ip for ip in world.machines if ip != primary_of(world)]
+
+
+# --- stories ------------------------------------------------------------------------------------------------------
+
+
+def test_a_member_that_missed_hundreds_of_changes_is_a_replica_again() -> None:
+    world = started()
+    late = backups(world)[0]
+    world.crash(late, keep_unsynced=False)
+    world.run_between_regions(2 * SECOND)
+    change_many(world, HUNDREDS)
+    world.start(late)
+    time_until_complete(world, REJOIN)
+    world.recover()
+
+
+def test_a_member_behind_hundreds_of_changes_does_not_lead_when_the_primary_is_lost() -> None:
+    world = started()
+    late, other = backups(world)
+    world.crash(late, keep_unsynced=False)
+    world.run_between_regions(2 * SECOND)
+    change_many(world, HUNDREDS)
+    world.crash(primary_of(world), keep_unsynced=False)
+    world.start(late)
+    time_until_acknowledged(world, 4 * SECOND)
+    assert world.primary() == other
+    world.recover()
+
+
+def test_old_disks_alone_lead_nobody() -> None:
+    """Of five, the only two that have the last hundreds of changes are down: the other three wait for one of them."""
+    world = started(machines=5, tolerated=2)
+    old = backups(world)[:2]
+    for ip in old:
+        world.crash(ip, keep_unsynced=False)
+    world.run_between_regions(3 * SECOND)
+    change_many(world, HUNDREDS)
+    new = [ip for ip in world.machines if ip not in old]
+    for ip in new:
+        world.crash(ip, keep_unsynced=False)
+    for ip in old:
+        world.start(ip)
+    world.run_between_regions(3 * SECOND)
+    assert world.primary() is None
+    world.start(new[0])
+    time_until_acknowledged(world, 4 * SECOND)
+    world.recover()
+
+
+def test_a_member_that_restarts_again_and_again_catches_up_in_the_end() -> None:
+    world = started()
+    late = backups(world)[0]
+    for _ in range(5):
+        world.crash(late, keep_unsynced=False)
+        world.run_between_regions(SECOND)
+        change_many(world, 50)
+        world.start(late)
+        world.run_between_regions(SECOND // 5)
+    time_until_complete(world, REJOIN)
+    world.recover()
+
+
+# --- a member that is catching up is no source --------------------------------------------------------------------
+
+
+class DeafWorld(World):
+    """Changes do not reach one machine; everything else does."""
+
+    deaf = ""
+
+    def _send(self, machine: Machine, action: Send | SendToAddress) -> None:
+        if isinstance(action, Send) and isinstance(action.message, Append) and member_ip(action.to) == self.deaf:
+            return
+        super()._send(machine, action)
+
+
+def test_a_member_that_was_catching_up_does_not_lead_with_old_state() -> None:
+    member_that_was_catching_up_is_left()
+
+
+def any_source_of_the_epoch(self: Candidate) -> MemberId | None:
+    """Planted: whoever has a state of the base view counts, also one that was only catching up."""
+    usable = {each: it for each, it in self._promises.items() if it.position.epoch >= self.base.epoch}
+    return max(usable, key=lambda each: (usable[each].position.epoch, usable[each].position.index), default=None)
+
+
+def test_an_old_snapshot_that_is_led_with_is_found() -> None:
+    with mock.patch.object(Candidate, "_best_source", any_source_of_the_epoch), pytest.raises(Violation):
+        member_that_was_catching_up_is_left()
+
+
+def member_that_was_catching_up_is_left() -> None:
+    """Two of five are replicas, a third has an old snapshot of their view: both are lost, and two old ones come."""
+    world = DeafWorld(5, 1)
+    world.run(30)
+    primary = primary_of(world)
+    third, second, *old = backups(world)
+    for ip in old:
+        world.crash(ip, keep_unsynced=False)
+    world.set_healthy(third, False)
+    world.run(40)
+    view = world.machines[primary].durable.accepted
+    assert view is not None
+    assert {member_ip(each) for each in view.replicas} == {primary, second}
+    world.deaf = third
+    world.change_bytes = CLOSE_BYTES + 1  # one missed change is too much to join
+    change_many(world, 1)
+    world.set_healthy(third, True)
+    for _ in range(20):
+        change_many(world, 1)
+        world.run(1)
+    assert world.machines[third].durable.installed == world.machines[primary].durable.installed
+    assert len(world.machines[third].durable.state.evacuated_zones) < len(world.acknowledged)
+    for ip in (primary, second):
+        world.crash(ip, keep_unsynced=False)
+    for ip in old:
+        world.start(ip)
+    world.run(60)
+    leader = world.primary()
+    if leader is not None:
+        world.submit(leader)
+        world.run(20)
+    assert leader is None
+    world.deaf = ""
+    world.recover()
+
+
+# --- power lost while a snapshot is written -----------------------------------------------------------------------
+
+BEFORE = Epoch(3, "10.0.0.1/0")
+AFTER = Epoch(9, "10.0.0.3/0")
+ME = "10.0.0.2/x"
+
+
+def codec() -> ReplicationCodec:
+    return ReplicationCodec(encode_state, decode_state)
+
+
+def states(count: int) -> list[SaveChange]:
+    saves: list[SaveChange] = []
+    state = ControlState()
+    for number in range(count):
+        change = Change(ChangeKind.START_EVACUATION, zone=f"zone-{number}")
+        outcome = apply(state, change)
+        assert isinstance(outcome, ControlState)
+        state = outcome
+        saves.append(SaveChange(change, state))
+    return saves
+
+
+def opened(disk: ModelDisk) -> Store:
+    store = open_store(disk)
+    assert isinstance(store, Store)
+    return store
+
+
+def with_some_changes() -> tuple[ModelDisk, Durable]:
+    disk = ModelDisk()
+    store = opened(disk)
+    writer = RecordWriter(codec(), store.values)
+    store.update(writer.first(ME, Durable(BEFORE, None, False, BEFORE)))
+    saves = states(5)
+    for save in saves:
+        store.update(writer.updates([save]))
+    return disk, Durable(BEFORE, None, False, BEFORE, saves[-1].state)
+
+
+@cache
+def newer_state(size: int) -> ControlState:
+    configuration = {"generation": 7, "filling": random.Random(size).randbytes(size).hex()}
+    return ControlState(40, 7, configuration, 40, ("north",), 12, (b"digest-of-12",))
+
+
+@cache
+def updates_to(size: int) -> Updates:
+    writer = RecordWriter(codec(), opened(with_some_changes()[0]).values)
+    return writer.updates([SaveWitness(AFTER, None, False), SaveInstalled(AFTER, newer_state(size))])
+
+
+@pytest.mark.parametrize("operation", range(1, 7))
+@pytest.mark.parametrize("size", [10, MAX_LOG_BYTES + 4096])
+def test_a_snapshot_is_on_the_disk_whole_or_not_at_all(operation: int, size: int) -> None:
+    """A small one is a frame of the log, a large one a slot and a mark: four operations of the disk."""
+    for seed in range(20 if size < MAX_LOG_BYTES else 6):
+        disk, before = with_some_changes()
+        store = opened(disk)
+        disk.lose_power_at = disk.operations + operation
+        finished = True
+        try:
+            store.update(updates_to(size))
+        except PowerLost:
+            finished = False
+        left = opened(disk.after_power_loss(random.Random(seed)))
+        loaded = load_member(left.values, codec(), apply)
+        assert isinstance(loaded, Loaded)
+        after = Durable(AFTER, None, False, AFTER, newer_state(size))
+        assert loaded.durable in ((after,) if finished else (before, after))
+        assert finished == (operation > (2 if size < MAX_LOG_BYTES else 4))
--- /dev/null
+++ b/tests/test_replication_snapshots.py
@@ -0,0 +1,291 @@
+"""Snapshots in pieces: lost, damaged, from another source, over slow links and while changes go on."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from dataclasses import replace
+from unittest import mock
+
+import pytest
+
+from canvasbeam.control_plane.changes import apply, decode_state, encode_state
+from canvasbeam.control_plane.replication_codec import ReplicationCodec
+from canvasbeam.control_state import Change, ChangeKind, ControlState
+from canvasbeam.decide.replication import snapshots
+from canvasbeam.decide.replication.candidate import Candidate
+from canvasbeam.decide.replication.messages import Fetched, FetchPiece, Install, Piece, Send, SnapshotId
+from canvasbeam.decide.replication.snapshots import (
+    ASK_AGAIN_NS,
+    IDLE_NS,
+    PIECES_IN_FLIGHT,
+    SnapshotReceiver,
+    SnapshotSource,
+)
+from canvasbeam.decide.replication.types import Epoch, Position
+from canvasbeam.errors import Failure, ResultCode
+
+from .replication_world import TagCodec
+from .slow_links import FIVE_MBIT, SlowWorld
+from .test_replication_times import SECOND, is_complete, primary_of, time_until_acknowledged, time_until_complete
+
+EPOCH = Epoch(3, "10.0.0.1/0")
+PIECE = 100
+CODEC = TagCodec(1000)
+STATE = ControlState(index=2, evacuated_zones=("t1", "t2"))
+LARGE = 4 << 20
+PASSAGE = LARGE * SECOND // FIVE_MBIT  # of a large state over a slow link
+
+
+def offer_of(source: SnapshotSource, state: ControlState = STATE, epoch: Epoch = EPOCH) -> Install:
+    return Install(epoch, Position(epoch, state.index), source.offer(state))
+
+
+def pair() -> tuple[SnapshotSource, SnapshotReceiver]:
+    return SnapshotSource(CODEC, PIECE), SnapshotReceiver(CODEC, PIECE)
+
+
+def pieces_for(source: SnapshotSource, sends: list[Send]) -> list[Piece]:
+    wanted = [each.message for each in sends]
+    assert all(isinstance(each, FetchPiece) for each in wanted)
+    found = [source.piece(each) for each in wanted if isinstance(each, FetchPiece)]
+    return [each for each in found if each is not None]
+
+
+def collect(source: SnapshotSource, receiver: SnapshotReceiver, sends: list[Send], now: int) -> Install | Fetched:
+    """Answer what is asked for until the snapshot is whole."""
+    while sends:
+        for piece in pieces_for(source, sends):
+            complete = receiver.take_piece(piece, now)
+            if complete is not None:
+                return complete[1]
+        sends = receiver.tick(now)
+    raise AssertionError("nothing more was asked for")
+
+
+def test_a_small_state_goes_whole_and_a_large_one_by_its_id() -> None:
+    assert SnapshotSource(TagCodec(10), PIECE).offer(STATE) is STATE
+    assert isinstance(SnapshotSource(CODEC, PIECE).offer(STATE), SnapshotId)
+
+
+def test_all_pieces_make_the_state_again() -> None:
+    source, receiver = pair()
+    sends = receiver.take_offer("a", offer_of(source), 0)
+    assert len(sends) == PIECES_IN_FLIGHT
+    assert collect(source, receiver, sends, 0) == replace(offer_of(source), state=STATE)
+    assert receiver.held_bytes == 0
+
+
+def test_a_lost_piece_is_asked_for_again_alone() -> None:
+    source, receiver = pair()
+    sends = receiver.take_offer("a", offer_of(source), 0)
+    lost, *others = pieces_for(source, sends)
+    for piece in others:
+        receiver.take_piece(piece, 0)
+    more = receiver.tick(ASK_AGAIN_NS - 1)
+    assert FetchPiece(lost.snapshot, lost.number) not in [each.message for each in more]
+    for piece in pieces_for(source, more):
+        receiver.take_piece(piece, ASK_AGAIN_NS - 1)
+    again = receiver.tick(ASK_AGAIN_NS)
+    assert FetchPiece(lost.snapshot, lost.number) in [each.message for each in again]
+    assert collect(source, receiver, again, ASK_AGAIN_NS).state == STATE
+
+
+Damage = Callable[[Piece], Piece]
+
+
+@pytest.mark.parametrize(
+    "damage",
+    [
+        lambda piece: replace(piece, data=piece.data[:-1] + b"?"),
+        lambda piece: replace(piece, data=piece.data[:-1]),
+        lambda piece: replace(piece, number=99),
+        lambda piece: replace(piece, number=-1),
+        lambda piece: replace(piece, snapshot=replace(piece.snapshot, size=7)),
+    ],
+)
+def test_a_damaged_piece_is_not_kept(damage: Damage) -> None:
+    source, receiver = pair()
+    sends = receiver.take_offer("a", offer_of(source), 0)
+    receiver.take_piece(damage(pieces_for(source, sends)[0]), 0)
+    assert receiver.held_bytes == 0
+
+
+def test_pieces_are_kept_when_another_source_offers_the_same_state() -> None:
+    source, receiver = pair()
+    for piece in pieces_for(source, receiver.take_offer("a", offer_of(source), 0)):
+        receiver.take_piece(piece, 0)
+    held = receiver.held_bytes
+    second = SnapshotSource(CODEC, PIECE)
+    offer = offer_of(second, epoch=replace(EPOCH, number=4))
+    sends = receiver.take_offer("b", offer, 0)
+    assert held == PIECES_IN_FLIGHT * PIECE == receiver.held_bytes
+    assert {each.to for each in sends} == {"b"}
+    assert collect(second, receiver, sends, 0) == replace(offer, state=STATE)
+
+
+def test_another_state_begins_anew_and_an_older_offer_changes_nothing() -> None:
+    source, receiver = pair()
+    old = offer_of(source)
+    for piece in pieces_for(source, receiver.take_offer("a", old, 0)):
+        receiver.take_piece(piece, 0)
+    newer = ControlState(index=3, evacuated_zones=("t1", "t2", "t3"))
+    sends = receiver.take_offer("a", offer_of(source, newer), 0)
+    assert receiver.held_bytes == 0
+    assert receiver.take_offer("a", old, 0) == []
+    assert collect(source, receiver, sends, 0).state == newer
+
+
+def test_an_unfinished_snapshot_is_dropped_when_nothing_comes_any_more() -> None:
+    source, receiver = pair()
+    for piece in pieces_for(source, receiver.take_offer("a", offer_of(source), 0)):
+        receiver.take_piece(piece, 0)
+    assert receiver.tick(IDLE_NS + 1) == []
+    assert receiver.held_bytes == 0
+
+
+def test_a_source_keeps_few_snapshots() -> None:
+    source = SnapshotSource(CODEC, PIECE)
+    for index in range(20):
+        source.offer(ControlState(index=index))
+    assert len(source._kept) == snapshots.KEPT_SNAPSHOTS
+    source.tick(0)
+    source.tick(IDLE_NS)
+    assert source._kept
+    source.tick(IDLE_NS + 1)
+    assert not source._kept
+
+
+# --- over slow links ----------------------------------------------------------------------------------------------
+
+
+def slow(machines: int = 3, tolerated: int = 1) -> SlowWorld:
+    world = SlowWorld(machines, tolerated, state_bytes=LARGE)
+    world.run_between_regions(2 * SECOND)
+    time_until_acknowledged(world, 2 * SECOND)
+    assert is_complete(world)
+    return world
+
+
+def wipe_a_backup(world: SlowWorld) -> str:
+    ip = next(each for each in world.machines if each != primary_of(world))
+    world.wipe(ip)
+    world.run_between_regions(SECOND)
+    world.start(ip)
+    return ip
+
+
+def test_changes_go_on_while_a_member_catches_up_over_a_slow_link() -> None:
+    world = slow()
+    wipe_a_backup(world)
+    world.times_to_acknowledge.clear()
+    began = world.now
+    while not is_complete(world):
+        assert world.now - began < PASSAGE + 4 * SECOND, world.describe()
+        world.run_with_changes(SECOND // 2)
+    assert world.now - began > PASSAGE // 2  # the link was the limit
+    assert len(world.times_to_acknowledge) > 20
+    assert max(world.times_to_acknowledge) < 2 * SECOND
+    world.recover()
+
+
+def test_a_snapshot_survives_lost_pieces() -> None:
+    member_joins_although_pieces_are_lost()
+
+
+def test_a_piece_lost_for_ever_is_found() -> None:
+    """Planted: what was asked for once is never asked for again."""
+    never = mock.patch.object(snapshots, "ASK_AGAIN_NS", 1 << 62)
+    with never, pytest.raises(AssertionError):
+        member_joins_although_pieces_are_lost()
+
+
+def member_joins_although_pieces_are_lost() -> None:
+    world = slow()
+    world.lose_one_piece_in = 9
+    wipe_a_backup(world)
+    time_until_complete(world, 2 * PASSAGE)
+
+
+def test_a_large_state_is_installed_when_nothing_else_is_left() -> None:
+    the_rest_must_install_a_large_state()
+
+
+def test_a_stage_that_does_not_wait_for_pieces_is_found() -> None:
+    """Planted: pieces on their way are no progress."""
+    stubborn = mock.patch.object(Candidate, "note_progress", lambda self, now: None)
+    with stubborn, pytest.raises(AssertionError):
+        the_rest_must_install_a_large_state()
+
+
+def the_rest_must_install_a_large_state() -> None:
+    """A machine comes back behind a large state, and the primary is lost at once: the other backup must bring it."""
+    world = slow()
+    primary = primary_of(world)
+    behind, other = (each for each in world.machines if each != primary)
+    world.crash(behind, keep_unsynced=False)
+    world.run_between_regions(2 * SECOND)
+    time_until_acknowledged(world, SECOND)
+    world.crash(primary, keep_unsynced=False)
+    world.start(behind)
+    time_until_acknowledged(world, PASSAGE + 4 * SECOND)
+    assert world.primary() == other
+    world.recover()
+
+
+def test_the_rest_of_five_keeps_calm_while_one_of_them_is_brought_up_to_date() -> None:
+    world = slow(5, 2)
+    primary = primary_of(world)
+    behind, lost, *_ = (each for each in world.machines if each != primary)
+    for ip in (behind, lost):
+        world.crash(ip, keep_unsynced=False)
+    world.run_between_regions(2 * SECOND)
+    time_until_acknowledged(world, SECOND)
+    world.crash(primary, keep_unsynced=False)
+    world.start(behind)
+    time_until_acknowledged(world, PASSAGE + 4 * SECOND)
+    assert len(world.leaders) <= 4, world.leaders
+
+
+# --- what decides repeats -----------------------------------------------------------------------------------------
+
+
+def order(number: int) -> Change:
+    """The same services each time, but another generation, so that an order that comes again is known by its digest."""
+    services = [{"name": f"s{each}", "health_check": f"/{number}/{each}"} for each in range(50)]
+    body = json.dumps({"generation": number, "routes": [], "services": services}).encode()
+    return Change(ChangeKind.PUT_CONFIGURATION, body, number - 1)
+
+
+def state_after(count: int) -> ControlState:
+    state = ControlState()
+    for number in range(1, count + 1):
+        outcome = apply(state, order(number))
+        assert isinstance(outcome, ControlState)
+        state = outcome
+    return state
+
+
+def passed_in_pieces(state: ControlState, encode: Callable[[ControlState], bytes]) -> ControlState:
+    codec = ReplicationCodec(encode, decode_state)
+    source, receiver = SnapshotSource(codec, PIECE), SnapshotReceiver(codec, PIECE)
+    offer = Install(EPOCH, Position(EPOCH, state.index), source.offer(state))
+    received = collect(source, receiver, receiver.take_offer("a", offer, 0), 0).state
+    assert isinstance(received, ControlState)
+    return received
+
+
+def test_a_snapshot_carries_what_decides_repeats() -> None:
+    received = passed_in_pieces(state_after(5), encode_state)
+    assert received == state_after(5)
+    for number in range(1, 6):
+        assert apply(received, order(number)) is received
+    refused = apply(received, replace(order(4), if_match=1))
+    assert isinstance(refused, Failure)
+    assert refused.code is ResultCode.CONFIG_STALE_MATCH
+
+
+def test_a_snapshot_without_the_taken_orders_would_refuse_one_that_was_taken() -> None:
+    """Planted: the digests stay behind."""
+    received = passed_in_pieces(state_after(5), lambda state: encode_state(replace(state, taken_orders=())))
+    assert isinstance(apply(received, order(3)), Failure)
