--- a/canvasbeam/decide/replication/snapshots.py
+++ b/canvasbeam/decide/replication/snapshots.py
@@ -48,8 +48,10 @@
 
 
 class SnapshotSource:
-    """Offers states and gives their pieces. The last few snapshots are kept, until nobody has asked for them for a while;
-    who needs an older one is offered a state anew."""
+    """Offers states and gives their pieces.
+
+    The last few snapshots are kept until nobody has asked for them for a while; who needs another is offered it anew.
+    """
 
     def __init__(self, codec: StateCodec | None, piece_bytes: int = PIECE_BYTES) -> None:
         self._codec = codec  # none: every state goes whole
--- /dev/null
+++ b/tests/test_replicated_snapshots.py
@@ -0,0 +1,71 @@
+"""A large configuration passes in pieces over real sockets on loopback to a machine whose disk was lost."""
+
+from __future__ import annotations
+
+import json
+import random
+
+from canvasbeam.control_plane.replicated_state import ReplicatedControlState
+from canvasbeam.control_state import Change, ChangeKind, Committed, ControlState
+from canvasbeam.decide.replication.messages import Piece
+from canvasbeam.decide.replication.snapshots import PIECE_BYTES
+
+from .model_disk import ModelDisk
+from .test_replicated_state import IPS, System, run, stop_all, three
+
+SERVICES = 4000
+
+
+def large_order() -> Change:
+    chance = random.Random(1)
+    services = [{"name": chance.randbytes(20).hex()} for _ in range(SERVICES)]
+    body = json.dumps({"generation": 1, "routes": [], "services": services}).encode()
+    return Change(ChangeKind.PUT_CONFIGURATION, body, 0)
+
+
+async def acknowledged(system: System, change: Change) -> ControlState:
+    while True:
+        node = await system.primary()
+        result = await node.service.submit(change)
+        if isinstance(result, Committed):
+            return result.state
+        await system.until(lambda: True)
+
+
+def count_pieces(service: ReplicatedControlState) -> list[int]:
+    """Sizes of the pieces that a node sends from now on."""
+    sizes: list[int] = []
+    send_to = service._send_to
+
+    def counted(ip: str, message: object) -> None:
+        if isinstance(message, Piece):
+            sizes.append(len(message.data))
+        send_to(ip, message)  # type: ignore[arg-type]
+
+    service._send_to = counted  # type: ignore[method-assign]
+    return sizes
+
+
+def test_a_wiped_machine_gets_a_large_state_in_pieces_and_knows_the_orders_that_were_taken() -> None:
+    async def work() -> None:
+        system = await three()
+        order = large_order()
+        state = await acknowledged(system, order)
+        primary = await system.primary()
+        wiped, other = (ip for ip in IPS if ip != primary.settings.ip)
+        await system.stop(wiped)
+        sent = count_pieces(primary.service)
+        node = await system.start(wiped, ModelDisk(), bootstrap=False)
+        await system.until(lambda: node.service.state == state)
+        assert len(sent) > 2
+        assert max(sent) <= PIECE_BYTES
+        number = 0
+        while node.service.status.member not in primary.service.status.replicas:
+            number += 1
+            state = await system.evacuate(f"zone-{number}")
+        await system.stop(primary.settings.ip)
+        assert await acknowledged(system, order) == state
+        assert {other, wiped} == set(system.nodes)
+        await stop_all(system)
+
+    run(work)
