Forget members, workers and peers that never return, and repeats behind a stalled disk

Each lost disk left a contact, each worker that left an entry of the registry, each address a peer of the transport, and each repeat of a message one more in the outbox of a stalled disk. tests/test_bounded_memory.py counts them.

--- a/canvasbeam/cluster/transport.py
+++ b/canvasbeam/cluster/transport.py
@@ -263,10 +263,12 @@
         return peer is not None and peer.state is PeerState.CONNECTED
 
     def close_idle(self) -> None:
-        """Close the connections that have carried nothing for a while; called now and then."""
+        """Close the connections that have carried nothing for a while, and forget idle peers; called now and then."""
         since = self.time() - IDLE_TIMEOUT
         for connection in tuple(self._connections):
             connection.close_if_idle(since)
+        for address in [address for address, peer in self._peers.items() if peer.state is PeerState.IDLE]:
+            del self._peers[address]
 
     # --- what the connections use -----------------------------------------------------------------
 
--- a/canvasbeam/control_plane/registry.py
+++ b/canvasbeam/control_plane/registry.py
@@ -99,6 +99,7 @@
     def tick(self) -> None:
         """Tell the other control nodes of the heartbeats taken here, and judge the silent."""
         now_ns = self._clock()
+        self._registry.forget_left(now_ns)
         self._tell_heartbeats()
         if self._has_missed_heartbeats(now_ns):
             self._registry.postpone_judgement(now_ns)
--- a/canvasbeam/decide/replication/contacts.py
+++ b/canvasbeam/decide/replication/contacts.py
@@ -5,8 +5,10 @@
 from dataclasses import dataclass
 
 from canvasbeam.decide.replication.types import MemberId, Timing, member_ip
+from canvasbeam.units import SECOND
 
 _NEVER = -(1 << 62)
+FORGET_NS = 600 * SECOND  # a member silent for so long is as one that was never heard
 
 
 @dataclass(slots=True)
@@ -28,6 +30,7 @@
         """A message of the member came; some tell whether its disk is healthy."""
         contact = self._contacts.get(member)
         if contact is None:
+            self._forget_lost(now)
             contact = self._contacts[member] = _Contact(now, now)
         if now - contact.last_heard > self._timing.silence:
             contact.heard_since = now
@@ -70,6 +73,11 @@
         """Everybody who was ever heard, in the order of the first message."""
         return list(self._contacts)
 
+    def _forget_lost(self, now: int) -> None:
+        """Each disk that is lost leaves a member that never returns."""
+        for member in [each for each, it in self._contacts.items() if now - it.last_heard > FORGET_NS]:
+            del self._contacts[member]
+
     def _is_succeeded(self, member: MemberId) -> bool:
         ip = member_ip(member)
         last = self.last_heard(member)
--- a/canvasbeam/decide/replication/durability.py
+++ b/canvasbeam/decide/replication/durability.py
@@ -37,11 +37,16 @@
                 self._unwritten.append(action)
                 self._saves_seen += 1
             elif isinstance(action, Send | SendToAddress) and self._must_wait(action):
-                self._held.append((self._saves_seen, action))
+                self._hold(action)
             else:
                 free.append(action)
         return free
 
+    def _hold(self, action: Held) -> None:
+        """The same message that waits already vouches for the same: while a disk stalls, repeats do not pile up."""
+        if all(held != action for _, held in self._held):
+            self._held.append((self._saves_seen, action))
+
     def _must_wait(self, action: Held) -> bool:
         return isinstance(action.message, AFTER_SYNC) and self._saves_seen > self._saves_durable
 
--- a/canvasbeam/decide/worker_registry.py
+++ b/canvasbeam/decide/worker_registry.py
@@ -18,9 +18,10 @@
 from dataclasses import dataclass, field, replace
 from enum import IntEnum
 
-from canvasbeam.units import MILLISECOND
+from canvasbeam.units import MILLISECOND, SECOND
 
 COLD_TOLERANCE_MS = 250  # a worker that is cold for less than this longer than expected has not turned cold again
+FORGET_NS = 600 * SECOND  # no call of a worker comes so long after its end
 LEFT_SEQUENCE = 1 << 62  # above all that a worker counts
 TOLD = 0
 JUDGED = 1
@@ -174,6 +175,12 @@
             if entry.worker is not None and self._is_silent(entry, now_ns)
         ]
 
+    def forget_left(self, now_ns: int) -> None:
+        """Drop what is kept of workers that left long ago, or of which nothing but a number was ever heard."""
+        old = [worker_id for worker_id, entry in self._entries.items() if _is_forgettable(entry, now_ns)]
+        for worker_id in old:
+            del self._entries[worker_id]
+
     def _is_silent(self, entry: _Entry, now_ns: int) -> bool:
         if entry.state not in (WorkerState.READY, WorkerState.DRAINING):
             return False
@@ -211,6 +218,10 @@
         return entry
 
 
+def _is_forgettable(entry: _Entry, now_ns: int) -> bool:
+    return entry.worker is None and now_ns - max(entry.heard_at_ns, entry.published_at_ns) > FORGET_NS
+
+
 def _enter(entry: _Entry, version: WorkerVersion, worker: Worker | None, now_ns: int) -> None:
     """Every change of a worker's state goes through here, and each is to a higher version."""
     assert version > entry.version
--- /dev/null
+++ b/tests/test_bounded_memory.py
@@ -0,0 +1,66 @@
+"""What a control process keeps of others is forgotten when it can be of no use any more."""
+
+from __future__ import annotations
+
+import asyncio
+
+from canvasbeam.cluster.transport import Channel, Transport
+from canvasbeam.decide import worker_registry
+from canvasbeam.decide.replication import contacts
+from canvasbeam.decide.replication.contacts import Contacts
+from canvasbeam.decide.replication.durability import Outbox
+from canvasbeam.decide.replication.messages import Appended, SaveCommitted, Send
+from canvasbeam.decide.replication.types import Epoch, Timing
+from canvasbeam.decide.worker_registry import HeardHeartbeat, Worker, WorkerRegistry, WorkerState
+from canvasbeam.runtime.settings import Address
+
+EPOCH = Epoch(1, "10.0.0.1/0")
+WORKER = Worker("llm", "10.0.0.9:8080", "z1")
+
+
+def test_members_whose_disks_were_lost_are_forgotten() -> None:
+    known = Contacts(Timing())
+    for life in range(100):
+        known.note(f"10.0.0.2/{life}", life * contacts.FORGET_NS // 10)
+    assert len(known.known()) <= 11
+    assert known.is_gone("10.0.0.2/0", 10 * contacts.FORGET_NS)
+    assert known.is_alive("10.0.0.2/99", 99 * contacts.FORGET_NS // 10)
+
+
+def test_workers_that_left_are_forgotten_after_a_while_and_those_that_may_return_are_not() -> None:
+    registry = WorkerRegistry(silence_ns=1, judging_since_ns=0)
+    for number in range(100):
+        registry.heartbeat(f"i-{number}", 1, Worker("llm", f"10.0.1.{number}:80", "z1"), 0)
+        registry.goodbye(f"i-{number}", 0)
+    registry.heartbeat("i-silent", 1, WORKER, 0)
+    [missing] = registry.judge(2)
+    assert missing.worker is not None
+    assert missing.worker.state is WorkerState.MISSING
+    registry.heard_elsewhere([HeardHeartbeat("i-unknown", 4)], 0)
+    registry.forget_left(worker_registry.FORGET_NS)
+    assert len(registry._entries) == 102
+    assert registry.heartbeat("i-7", 2, WORKER, worker_registry.FORGET_NS) == []
+    registry.forget_left(worker_registry.FORGET_NS + 1)
+    assert set(registry._entries) == {"i-silent"}
+
+
+def test_repeats_do_not_pile_up_behind_a_disk_that_stalls() -> None:
+    outbox = Outbox()
+    outbox.take([SaveCommitted(1)])
+    for _ in range(100):
+        assert outbox.take([Send("10.0.0.1/0", Appended(EPOCH, 1))]) == []
+    outbox.take([Send("10.0.0.1/0", Appended(EPOCH, 2))])
+    outbox.next_batch()
+    assert outbox.batch_durable() == [Send("10.0.0.1/0", Appended(EPOCH, index)) for index in (1, 2)]
+
+
+def test_a_transport_forgets_peers_to_which_nothing_is_sent() -> None:
+    async def work() -> None:
+        transport = Transport("one", Address("127.0.6.1", 1))
+        transport._peer(Address("127.0.6.2", 1))
+        transport.send(Address("127.0.6.3", 1), Channel.REPLICATION, b"waits")
+        transport.close_idle()
+        assert list(transport._peers) == [Address("127.0.6.3", 1)]
+        await transport.stop()
+
+    asyncio.run(work())
