--- /dev/null
+++ b/bench/long_lives.py
@@ -0,0 +1,279 @@
+"""Memory, disk and the time to catch up of control processes after many changes of a large configuration.
+
+    .venv/bin/python bench/long_lives.py processes --changes 10 --changes 100 --changes 1000 --changes 10000
+    .venv/bin/python bench/long_lives.py links --changes 10 --changes 100 --changes 1000 --changes 10000
+
+Three processes on loopback replicate the control state on disks of a temporary folder. One of them is ended; the other
+two take the changes, each a whole configuration of another content. Then the third is started again with its old disk,
+and the time is taken until the view has it as a replica. `links` takes that time over links of 5 Mbit/s, in the
+simulated world of the tests.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from pathlib import Path
+
+import click
+
+sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
+
+from canvasbeam.cluster.transport import Transport
+from canvasbeam.control_plane.changes import apply, apply_checked, decode_state, encode_state
+from canvasbeam.control_plane.replicated_state import ReplicatedControlState
+from canvasbeam.control_state import Change, ChangeKind, Committed
+from canvasbeam.runtime.settings import Address, ProcessSettings
+from tests.slow_links import SlowWorld
+from tests.test_replication_times import SECOND, is_complete, time_until_complete
+
+LARGE_STATE_BYTES = 4 << 20
+IPS = ("127.0.9.1", "127.0.9.2", "127.0.9.3")
+SERVICE_BYTES = 100
+START_LIMIT_S = 20
+SAMPLE_EVERY = 100
+
+
+def order(generation: int, size: int) -> Change:
+    """A configuration of about so many bytes, which compresses to about half."""
+    chance = random.Random(generation)
+    services = [{"name": f"s{each}-{chance.randbytes(40).hex()}"} for each in range(size // SERVICE_BYTES)]
+    body = json.dumps({"generation": generation, "routes": [], "services": services}).encode()
+    return Change(ChangeKind.PUT_CONFIGURATION, body, generation - 1)
+
+
+def memory_kib(field: str) -> int:
+    """A field of the kernel's figures on this process."""
+    for line in Path("/proc/self/status").read_text().splitlines():
+        if line.startswith(f"{field}:"):
+            return int(line.split()[1])
+    raise ValueError(field)
+
+
+# --- one control process ------------------------------------------------------------------------------------------
+
+
+@dataclass
+class Node:
+    """The replicated state of this process, and what the bench asks of it."""
+
+    service: ReplicatedControlState
+    data_dir: Path
+
+    def status(self) -> dict[str, object]:
+        """Its part in the view, and its figures."""
+        status = self.service.status
+        return {
+            "leads": status.role == "primary",
+            "member": status.member,
+            "replicas": status.replicas,
+            "index": self.service.state.index,
+            "rss_kib": memory_kib("VmRSS"),
+            "peak_kib": memory_kib("VmHWM"),
+            "disk_bytes": sum(each.stat().st_size for each in self.data_dir.iterdir()),
+        }
+
+    async def change(self, first: int, count: int, size: int) -> dict[str, object]:
+        """Order configurations one after the other; each is sent again until it is acknowledged."""
+        began = time.monotonic()
+        most_rss = 0
+        for generation in range(first, first + count):
+            change = order(generation, size)
+            while not isinstance(await self.service.submit(change), Committed):
+                await asyncio.sleep(0.05)
+            if generation % SAMPLE_EVERY == 0:
+                most_rss = max(most_rss, memory_kib("VmRSS"))
+        return {**self.status(), "seconds": time.monotonic() - began, "most_rss_kib": most_rss}
+
+
+async def run_node(ip: str, port: int, data_dir: Path) -> None:
+    """Take part, and answer one line with one."""
+    settings = ProcessSettings(
+        node=f"core-{ip}",
+        role="control-plane",
+        node_class="core",
+        serves=("control",),
+        ip=ip,
+        zone="z",
+        region="r",
+        port_range=(port, port + 9),
+        seeds=tuple(Address(each, port) for each in IPS),
+        bootstrap=True,
+        data_dir=data_dir,
+    )
+    transport = Transport(settings.node, Address(ip, port))
+    service = ReplicatedControlState(
+        settings, transport, apply, encode_state, decode_state, apply_checked=apply_checked
+    )
+    await transport.start()
+    await service.start()
+    node = Node(service, data_dir)
+    while line := await asyncio.to_thread(sys.stdin.readline):
+        command = json.loads(line)
+        answer = await node.change(**command) if command else node.status()
+        print(json.dumps(answer), flush=True)
+
+
+# --- the bench ----------------------------------------------------------------------------------------------------
+
+
+class Process:
+    """A control process that the bench talks to."""
+
+    def __init__(self, ip: str, port: int, folder: Path) -> None:
+        data_dir = folder / ip
+        data_dir.mkdir(exist_ok=True)
+        command = [sys.executable, __file__, "node", ip, str(port), str(data_dir)]
+        self._process = subprocess.Popen(command, stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True)
+
+    def ask(self, **command: int) -> dict[str, object]:
+        """One command, one answer."""
+        assert self._process.stdin is not None
+        assert self._process.stdout is not None
+        self._process.stdin.write(json.dumps(command) + "\n")
+        self._process.stdin.flush()
+        answer: dict[str, object] = json.loads(self._process.stdout.readline())
+        return answer
+
+    def kill(self) -> None:
+        """End it as a loss of the process does."""
+        self._process.kill()
+        self._process.wait()
+
+
+@contextmanager
+def three_processes() -> Iterator[tuple[dict[str, Process], int, Path]]:
+    """Three on free ports, killed in the end."""
+    with socket.socket() as probe:
+        probe.bind((IPS[0], 0))
+        port = int(probe.getsockname()[1])
+    with tempfile.TemporaryDirectory() as name:
+        folder = Path(name)
+        processes = {ip: Process(ip, port, folder) for ip in IPS}
+        try:
+            yield processes, port, folder
+        finally:
+            for process in processes.values():
+                process.kill()
+
+
+def primary_of(processes: dict[str, Process]) -> str:
+    """Who leads, with everybody that runs as a replica."""
+    end = time.monotonic() + START_LIMIT_S
+    while time.monotonic() < end:
+        for ip, process in processes.items():
+            status = process.ask()
+            if status["leads"] and len(status["replicas"]) == len(processes):  # type: ignore[arg-type]
+                return ip
+        time.sleep(0.02)
+    raise TimeoutError("nobody leads")
+
+
+def measure(changes: int, size: int) -> None:
+    """One line of the table."""
+    with three_processes() as (processes, port, folder):
+        first = primary_of(processes)
+        processes[first].ask(first=1, count=1, size=size)
+        late = next(ip for ip in IPS if ip != first)
+        processes.pop(late).kill()
+        primary = primary_of(processes)
+        after = processes[primary].ask(first=2, count=changes, size=size)
+        backup = next(processes[ip].ask() for ip in processes if ip != primary)
+        began = time.monotonic()
+        processes[late] = Process(late, port, folder)
+        while not (status := processes[late].ask())["index"]:
+            time.sleep(0.005)
+        started = time.monotonic()
+        while len(processes[primary].ask()["replicas"]) < len(IPS):  # type: ignore[arg-type]
+            time.sleep(0.005)
+        caught_up = time.monotonic()
+        status = processes[late].ask()
+        assert status["index"] == after["index"], (status, after)
+    click.echo(
+        f"| {changes} | {after['seconds']:.1f} | {after['most_rss_kib'] or after['rss_kib']} / {after['peak_kib']} "
+        f"| {backup['peak_kib']} | {after['disk_bytes']} | {started - began:.2f} | {caught_up - began:.2f} |"
+    )
+
+
+def measure_simulated(changes: int, state_bytes: int) -> None:
+    """The time to catch up over links of 5 Mbit/s, in simulated time."""
+    world = SlowWorld(state_bytes=state_bytes)
+    world.run_between_regions(3 * SECOND)
+    assert is_complete(world)
+    primary = world.primary()
+    late = next(ip for ip in world.machines if ip != primary)
+    world.crash(late, keep_unsynced=False)
+    world.run_between_regions(2 * SECOND)
+    for _ in range(changes):
+        world.submit(world.primary() or "")
+        world.settle()
+    world.start(late)
+    seconds = time_until_complete(world, 60 * SECOND) / SECOND
+    click.echo(f"| {changes} | {state_bytes} | {seconds:.2f} |")
+
+
+CHANGES = click.option("--changes", multiple=True, type=int, default=(10, 100, 1000), show_default=True)
+SIZE = click.option("--size", default=100_000, show_default=True, help="Bytes of a configuration.")
+HEADINGS = (
+    "changes",
+    "s for them",
+    "RSS (highest sampled) / peak of the primary, KiB",
+    "peak of the backup, KiB",
+    "disk of the primary, bytes",
+    "s until the third has read its disk",
+    "s until it is a replica again",
+)
+
+
+def print_headings(*headings: str) -> None:
+    """The head of a table."""
+    click.echo(f"| {' | '.join(headings)} |")
+    click.echo("| --- " * len(headings) + "|")
+
+
+@click.group()
+def main() -> None:
+    """Long lives of control processes."""
+
+
+@main.command()
+@CHANGES
+@SIZE
+def processes(changes: tuple[int, ...], size: int) -> None:
+    """Three processes on loopback."""
+    print_headings(*HEADINGS)
+    for count in changes:
+        measure(count, size)
+
+
+@main.command()
+@CHANGES
+@SIZE
+def links(changes: tuple[int, ...], size: int) -> None:
+    """Links of 5 Mbit/s, in simulated time."""
+    print_headings("changes missed", "bytes of the state", "s until it is a replica again")
+    for count in changes:
+        for state_bytes in (size, LARGE_STATE_BYTES):
+            measure_simulated(count, state_bytes)
+
+
+@main.command(hidden=True)
+@click.argument("ip")
+@click.argument("port", type=int)
+@click.argument("data_dir", type=Path)
+def node(ip: str, port: int, data_dir: Path) -> None:
+    """One of the processes."""
+    asyncio.run(run_node(ip, port, data_dir))
+
+
+if __name__ == "__main__":
+    main()
