--- a/tests/test_replication_long_lives.py
+++ b/tests/test_replication_long_lives.py
@@ -9,11 +9,12 @@
 from canvasbeam.control_state import Change, ChangeKind
 from canvasbeam.decide.replication.change_log import MAX_APPEND_BYTES, ChangeLog
 from canvasbeam.decide.replication.member import Member
-from canvasbeam.decide.replication.messages import Action, Reply
-from canvasbeam.decide.replication.primary import MAX_BYTES_IN_FLIGHT, Primary
+from canvasbeam.decide.replication.messages import Action, Append, Reply, Send, SendToAddress
+from canvasbeam.decide.replication.primary import MAX_BYTES_IN_FLIGHT, MAX_CATCH_UP_BYTES, Primary
+from canvasbeam.decide.replication.types import member_ip
 from canvasbeam.errors import Failure, ResultCode
 
-from .replication_world import World
+from .replication_world import Machine, World
 from .test_replication_times import primary_of, started
 
 CHANGES = 300
@@ -100,6 +101,45 @@
     assert primary_part(world).view == view
 
 
+# --- the bound on what is kept for members that are to join -------------------------------------------------------
+
+
+class DeafWorld(World):
+    """Changes do not reach one machine; everything else does."""
+
+    deaf = ""
+
+    def _send(self, machine: Machine, action: Send | SendToAddress) -> None:
+        if isinstance(action, Send) and isinstance(action.message, Append) and member_ip(action.to) == self.deaf:
+            return
+        super()._send(machine, action)
+
+
+def test_a_member_that_falls_behind_what_is_kept_gets_another_snapshot() -> None:
+    world = DeafWorld()
+    world.run(30)
+    world.change_bytes = 100_000
+    late = next(ip for ip in world.machines if ip != primary_of(world))
+    world.crash(late, keep_unsynced=False)
+    world.run(40)
+    change_many(world, 10)
+    world.deaf = late
+    world.start(late)
+    primary = primary_part(world)
+    most = 0
+    for _ in range(CHANGES // 5):
+        world.run(1)
+        change_many(world, 5)
+        most = max(most, primary._log.size)
+    assert primary is primary_part(world)  # the one that is late held nobody up
+    assert MAX_CATCH_UP_BYTES // 2 < most <= MAX_CATCH_UP_BYTES + world.change_bytes
+    world.deaf = ""
+    world.run(60)
+    assert len(world.machines[late].durable.state.evacuated_zones) == CHANGES + 10
+    assert world.machines[late].me in primary_part(world).view.replicas
+    world.recover()
+
+
 # --- the bound on what is in flight -------------------------------------------------------------------------------
 
 
--- a/tests/test_replication_restarts.py
+++ b/tests/test_replication_restarts.py
@@ -14,22 +14,15 @@
 from canvasbeam.control_state import Change, ChangeKind, ControlState
 from canvasbeam.decide.replication.candidate import Candidate
 from canvasbeam.decide.replication.catch_up import CLOSE_BYTES
-from canvasbeam.decide.replication.messages import (
-    Append,
-    SaveChange,
-    SaveInstalled,
-    SaveWitness,
-    Send,
-    SendToAddress,
-)
+from canvasbeam.decide.replication.messages import SaveChange, SaveInstalled, SaveWitness
 from canvasbeam.decide.replication.start import Durable
 from canvasbeam.decide.replication.types import Epoch, MemberId, member_ip
 from canvasbeam.storage.frames import Updates
 from canvasbeam.storage.store import MAX_LOG_BYTES, Store, open_store
 
 from .model_disk import ModelDisk, PowerLost
-from .replication_world import Machine, Violation, World
-from .test_replication_long_lives import change_many
+from .replication_world import Violation, World
+from .test_replication_long_lives import DeafWorld, change_many
 from .test_replication_times import (
     REJOIN,
     SECOND,
@@ -109,17 +102,6 @@
 # --- a member that is catching up is no source --------------------------------------------------------------------
 
 
-class DeafWorld(World):
-    """Changes do not reach one machine; everything else does."""
-
-    deaf = ""
-
-    def _send(self, machine: Machine, action: Send | SendToAddress) -> None:
-        if isinstance(action, Send) and isinstance(action.message, Append) and member_ip(action.to) == self.deaf:
-            return
-        super()._send(machine, action)
-
-
 def test_a_member_that_was_catching_up_does_not_lead_with_old_state() -> None:
     member_that_was_catching_up_is_left()
 
