--- a/tests/test_replication_times.py
+++ b/tests/test_replication_times.py
@@ -153,3 +153,25 @@
         world.wipe(ip)
         world.start(ip)
     time_until_complete(world, REJOIN)
+
+
+def test_a_member_left_out_of_a_failover_joins_at_once() -> None:
+    world = started(machines=5, tolerated=2)
+    primary = primary_of(world)
+    behind = next(ip for ip in world.machines if ip != primary)
+    world.crash(behind, keep_unsynced=False)
+    world.run_between_regions(2 * SECOND)
+    time_until_acknowledged(world, SECOND)
+    world.start(behind)
+    world.crash(primary, keep_unsynced=False)
+    time_until_acknowledged(world, FAILOVER)
+    began = world.now
+    while not is_replica(world, behind):
+        assert world.now - began < SECOND, world.describe()
+        world.run_between_regions(STEP)
+
+
+def is_replica(world: World, ip: str) -> bool:
+    primary = world.primary()
+    view = None if primary is None else world.machines[primary].durable.accepted
+    return view is not None and world.machines[ip].me in view.replicas
