--- a/canvasbeam/decide/replication/catch_up.py
+++ b/canvasbeam/decide/replication/catch_up.py
@@ -1,4 +1,5 @@
-"""Members that are to join a view catch up first, while the primary goes on without them.
+"""Members that are no replicas catch up while the primary goes on without them: those that are to join the view, and
+spares, which may have to take a place at any moment.
 
 | state | waits for | then |
 | --- | --- | --- |
@@ -48,7 +49,7 @@
 
 
 class CatchUp:
-    """The joining members of one view."""
+    """The members that catch up in one view."""
 
     def __init__(
         self,
@@ -69,7 +70,7 @@
         self._joining: dict[MemberId, _Joining] = {}
 
     def set_members(self, members: Sequence[MemberId], now: int) -> list[Send]:
-        """These are to join; others that were are forgotten."""
+        """These are to be up to date; others that were are forgotten."""
         for member in [each for each in self._joining if each not in members]:
             del self._joining[member]
         sends: list[Send] = []
@@ -128,7 +129,7 @@
         return self._next_batch(sender, now) if joining.sent == index else []
 
     def has(self, member: MemberId) -> bool:
-        """Whether the member is to join."""
+        """Whether the member catches up."""
         return member in self._joining
 
     def is_close(self, member: MemberId) -> bool:
--- a/canvasbeam/decide/replication/member.py
+++ b/canvasbeam/decide/replication/member.py
@@ -522,8 +522,8 @@
             self.contacts.mark_failed(member, now)
         if self._planner.wants_change(primary.view, now):
             return self._reform(now)
-        joining = self._planner.joining(primary.view, now)
-        return [*primary.catch_up.set_members(joining, now), *primary.tick(now)]
+        followers = self._planner.followers(primary.view, now)
+        return [*primary.catch_up.set_members(followers, now), *primary.tick(now)]
 
     def _is_caught_up(self, member: MemberId) -> bool:
         """Whether a member that is to join a view has nearly everything, as far as this member can tell."""
--- a/canvasbeam/decide/replication/plan.py
+++ b/canvasbeam/decide/replication/plan.py
@@ -40,11 +40,10 @@
             view = self._plan_of(base, settled, epoch, usable, now)
         return view
 
-    def joining(self, view: View, now: int) -> list[MemberId]:
-        """Who would be a replica if everybody who is heard had caught up: a primary brings these the state."""
-        usable = [each for each in self._known(view) if each == self._me or self._contacts.is_alive(each, now)]
-        planned = self._plan_of(view, True, view.epoch, usable, now)
-        return [] if planned is None else [each for each in planned.replicas if each not in view.replicas]
+    def followers(self, view: View, now: int) -> list[MemberId]:
+        """Who is heard and no replica: a primary brings these up to date, so that each may join when it has a place."""
+        alive = [each for each in self._known(view) if each != self._me and self._contacts.is_alive(each, now)]
+        return [each for each in alive if each not in view.replicas]
 
     def _known(self, base: View) -> list[MemberId]:
         return list(dict.fromkeys((self._me, *base.members, *sorted(self._contacts.known()))))
--- a/tests/test_replication_restarts.py
+++ b/tests/test_replication_restarts.py
@@ -161,7 +161,11 @@
         world.run(20)
     assert leader is None
     world.deaf = ""
-    world.recover()
+    world.end_trouble()
+    world.run(60)
+    tag = world.submit(primary_of(world))
+    world.settle()
+    assert tag in world.acknowledged  # and the world checks that nothing acknowledged is missing
 
 
 def test_a_late_copy_of_an_install_does_not_take_a_replica_back() -> None:
