--- a/tests/test_replication_restarts.py
+++ b/tests/test_replication_restarts.py
@@ -12,11 +12,12 @@
 from canvasbeam.control_plane.member_records import Loaded, RecordWriter, load_member
 from canvasbeam.control_plane.replication_codec import ReplicationCodec
 from canvasbeam.control_state import Change, ChangeKind, ControlState
-from canvasbeam.decide.replication.candidate import Candidate
+from canvasbeam.decide.replication.candidate import Candidate, Phase
 from canvasbeam.decide.replication.catch_up import CLOSE_BYTES
 from canvasbeam.decide.replication.messages import (
     Install,
     Installed,
+    Promise,
     SaveChange,
     SaveInstalled,
     SaveWitness,
@@ -26,13 +27,13 @@
 from canvasbeam.decide.replication.responder import Responder
 from canvasbeam.decide.replication.snapshots import SnapshotSource
 from canvasbeam.decide.replication.start import Durable
-from canvasbeam.decide.replication.types import Epoch, MemberId, Position, member_ip
+from canvasbeam.decide.replication.types import Epoch, MemberId, Position, Timing, View, member_ip
 from canvasbeam.decide.replication.witness import Witness
 from canvasbeam.storage.frames import Updates
 from canvasbeam.storage.store import MAX_LOG_BYTES, Store, open_store
 
 from .model_disk import ModelDisk, PowerLost
-from .replication_world import Violation, World
+from .replication_world import World
 from .test_replication_long_lives import DeafWorld, change_many
 from .test_replication_times import (
     REJOIN,
@@ -124,8 +125,38 @@
 
 
 def test_an_old_snapshot_that_is_led_with_is_found() -> None:
-    with mock.patch.object(Candidate, "_best_source", any_source_of_the_epoch), pytest.raises(Violation):
-        member_that_was_catching_up_is_left()
+    with mock.patch.object(Candidate, "_best_source", any_source_of_the_epoch), pytest.raises(AssertionError):
+        candidate_finds_no_source_but_a_replica()
+
+
+def test_a_candidate_waits_for_a_replica_of_the_view() -> None:
+    candidate_finds_no_source_but_a_replica()
+
+
+def candidate_finds_no_source_but_a_replica() -> None:
+    """Three of five voters promise: one was catching up in the last view, two are of an older one. Then a replica."""
+    one, two, three, four, five = (f"10.0.0.{number}/0" for number in range(1, 6))
+    voters = (one, two, three, four, five)
+    base = View(Epoch(4, one), one, (one, two), voters, voters)
+    attempt = Epoch(6, four)
+    planned = View(attempt, four, (four, three, two), voters, voters)
+    candidate = Candidate(
+        four,
+        base,
+        True,
+        number=attempt.number,
+        plan=lambda *_: planned,
+        is_alive=lambda *_: True,
+        timing=Timing(grace=0),
+        snapshots=SnapshotSource(None),
+    )
+    candidate.begin(False, 0)
+    promises = {three: Position(base.epoch, 3), four: Position(Epoch(2, one), 1), five: Position(Epoch(2, one), 1)}
+    for member, position in promises.items():
+        candidate.handle(member, Promise(attempt, base, True, position, True), 0)
+    assert candidate.phase is Phase.PREPARING
+    candidate.handle(two, Promise(attempt, base, True, Position(base.epoch, 9), True), 0)
+    assert candidate.source == two
 
 
 def member_that_was_catching_up_is_left() -> None:
