--- a/bench/long_lives.py
+++ b/bench/long_lives.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
 import random
 import socket
@@ -41,6 +42,7 @@
 SERVICE_BYTES = 100
 START_LIMIT_S = 20
 SAMPLE_EVERY = 100
+RETRY_S = 0.05
 
 
 def order(generation: int, size: int) -> Change:
@@ -83,16 +85,23 @@
         }
 
     async def change(self, first: int, count: int, size: int) -> dict[str, object]:
-        """Order configurations one after the other; each is sent again until it is acknowledged."""
-        began = time.monotonic()
-        most_rss = 0
-        for generation in range(first, first + count):
-            change = order(generation, size)
-            while not isinstance(await self.service.submit(change), Committed):
-                await asyncio.sleep(0.05)
-            if generation % SAMPLE_EVERY == 0:
+        """Order configurations one after the other, until this process does not lead any more.
+
+        An order whose outcome is open is sent again, as the operator does.
+        """
+        most_rss = done = 0
+        while done < count:
+            change = order(first + done, size)
+            result = await self.service.submit(change)
+            if isinstance(result, Committed):
+                done += 1
+            elif not self.service.is_primary:
+                break
+            else:
+                await asyncio.sleep(RETRY_S)
+            if done % SAMPLE_EVERY == 0:
                 most_rss = max(most_rss, memory_kib("VmRSS"))
-        return {**self.status(), "seconds": time.monotonic() - began, "most_rss_kib": most_rss}
+        return {**self.status(), "done": done, "most_rss_kib": most_rss}
 
 
 async def run_node(ip: str, port: int, data_dir: Path) -> None:
@@ -178,15 +187,27 @@
     raise TimeoutError("nobody leads")
 
 
+def change(processes: dict[str, Process], first: int, count: int, size: int) -> tuple[str, dict[str, object], int]:
+    """Order so many configurations at whoever leads: the last that led, its figures, and how many led before it."""
+    done = 0
+    for handovers in itertools.count():
+        primary = primary_of(processes)
+        answer = processes[primary].ask(first=first + done, count=count - done, size=size)
+        done += int(str(answer["done"]))
+        if done == count:
+            return primary, answer, handovers
+    raise AssertionError
+
+
 def measure(changes: int, size: int) -> None:
     """One line of the table."""
     with three_processes() as (processes, port, folder):
-        first = primary_of(processes)
-        processes[first].ask(first=1, count=1, size=size)
-        late = next(ip for ip in IPS if ip != first)
+        change(processes, 1, 1, size)
+        late = next(ip for ip in IPS if ip != primary_of(processes))
         processes.pop(late).kill()
-        primary = primary_of(processes)
-        after = processes[primary].ask(first=2, count=changes, size=size)
+        began = time.monotonic()
+        primary, after, handovers = change(processes, 2, changes, size)
+        seconds = time.monotonic() - began
         backup = next(processes[ip].ask() for ip in processes if ip != primary)
         began = time.monotonic()
         processes[late] = Process(late, port, folder)
@@ -199,7 +220,7 @@
         status = processes[late].ask()
         assert status["index"] == after["index"], (status, after)
     click.echo(
-        f"| {changes} | {after['seconds']:.1f} | {after['most_rss_kib'] or after['rss_kib']} / {after['peak_kib']} "
+        f"| {changes} | {seconds:.1f} | {handovers} | {after['most_rss_kib'] or after['rss_kib']} / {after['peak_kib']} "
         f"| {backup['peak_kib']} | {after['disk_bytes']} | {started - began:.2f} | {caught_up - began:.2f} |"
     )
 
@@ -226,6 +247,7 @@
 HEADINGS = (
     "changes",
     "s for them",
+    "changes of the primary meanwhile",
     "RSS (highest sampled) / peak of the primary, KiB",
     "peak of the backup, KiB",
     "disk of the primary, bytes",
