--- a/bench/long_lives.py
+++ b/bench/long_lives.py
@@ -219,8 +219,9 @@
         caught_up = time.monotonic()
         status = processes[late].ask()
         assert status["index"] == after["index"], (status, after)
+    most_rss = after["most_rss_kib"] or after["rss_kib"]
     click.echo(
-        f"| {changes} | {seconds:.1f} | {handovers} | {after['most_rss_kib'] or after['rss_kib']} / {after['peak_kib']} "
+        f"| {changes} | {seconds:.1f} | {handovers} | {most_rss} / {after['peak_kib']} "
         f"| {backup['peak_kib']} | {after['disk_bytes']} | {started - began:.2f} | {caught_up - began:.2f} |"
     )
 
