--- a/canvasbeam/decide/replication/plan.py
+++ b/canvasbeam/decide/replication/plan.py
@@ -9,24 +9,52 @@
 
 
 class ViewPlanner:
-    """Proposes views of one member as the primary."""
+    """Proposes views of one member as the primary.
 
-    def __init__(self, me: MemberId, contacts: Contacts, tolerated_machines: int) -> None:
+    `is_caught_up` tells of a member that is to join a view whether it has nearly everything.
+    """
+
+    def __init__(
+        self,
+        me: MemberId,
+        contacts: Contacts,
+        tolerated_machines: int,
+        is_caught_up: Callable[[MemberId], bool] = lambda _: True,
+    ) -> None:
         self._me = me
         self._contacts = contacts
         self._tolerated_machines = tolerated_machines
+        self._is_caught_up = is_caught_up
 
     def plan(
         self, base: View, settled: bool, epoch: Epoch, promised: frozenset[MemberId] | None, now: int
     ) -> View | None:
-        """The view to propose. `promised` are the healthy members that answered a candidate, if there is one."""
-        known = dict.fromkeys((self._me, *base.members, *sorted(self._contacts.known())))
+        """The view to propose. `promised` are the healthy members that answered a candidate, if there is one.
+
+        Members that are to join and have not caught up are used by a candidate alone, and only where it needs them.
+        """
+        usable = [each for each in self._known(base) if self._is_usable(each, base, promised, now)]
+        ready = [each for each in usable if each in base.replicas or each == self._me or self._is_caught_up(each)]
+        view = self._plan_of(base, settled, epoch, ready, now)
+        if view is None and promised is not None:
+            view = self._plan_of(base, settled, epoch, usable, now)
+        return view
+
+    def followers(self, view: View, now: int) -> list[MemberId]:
+        """Who is heard and no replica: a primary brings these up to date, so that each may join when it has a place."""
+        alive = [each for each in self._known(view) if each != self._me and self._contacts.is_alive(each, now)]
+        return [each for each in alive if each not in view.replicas]
+
+    def _known(self, base: View) -> list[MemberId]:
+        return list(dict.fromkeys((self._me, *base.members, *sorted(self._contacts.known()))))
+
+    def _plan_of(self, base: View, settled: bool, epoch: Epoch, usable: Sequence[MemberId], now: int) -> View | None:
         return plan_view(
             base,
             settled,
             epoch=epoch,
             primary=self._me,
-            usable=[each for each in known if self._is_usable(each, base, promised, now)],
+            usable=usable,
             is_gone=lambda member: self._contacts.is_gone(member, now),
             tolerated_machines=self._tolerated_machines,
         )
