--- a/canvasbeam/control_plane/replication_codec.py
+++ b/canvasbeam/control_plane/replication_codec.py
@@ -211,6 +211,12 @@
             snapshot=_snapshot_record(it.snapshot), number=it.number, data=it.data, checksum=it.checksum
         ),
     ),
+    messages.Leave: ("leave", lambda it: wire.LeaveMessage(spares=it.spares)),
+    messages.LeaveGranted: (
+        "leave_granted",
+        lambda it: wire.LeaveGrantedMessage(epoch=epoch_record(it.epoch), copies=it.copies),
+    ),
+    messages.LeaveRequested: ("leave_requested", lambda it: wire.LeaveRequestedMessage()),
 }
 _DECODERS: dict[str, Callable[[Any], Message]] = {
     "hello": lambda part: messages.Hello(part.healthy),
@@ -244,6 +250,9 @@
     "resign": lambda part: messages.Resign(epoch_of(part.epoch)),
     "fetch_piece": lambda part: messages.FetchPiece(_snapshot_of(part.snapshot), part.number),
     "piece": lambda part: messages.Piece(_snapshot_of(part.snapshot), part.number, part.data, part.checksum),
+    "leave": lambda part: messages.Leave(tuple(part.spares)),
+    "leave_granted": lambda part: messages.LeaveGranted(epoch_of(part.epoch), part.copies),
+    "leave_requested": lambda part: messages.LeaveRequested(),
 }
 
 
--- a/canvasbeam/decide/replication/messages.py
+++ b/canvasbeam/decide/replication/messages.py
@@ -199,13 +199,35 @@
     checksum: int
 
 
+@dataclass(frozen=True, slots=True)
+class Leave:
+    """The sender is to end, perhaps for good: the others shall do without it. `spares` are the usable members that it
+    hears and that have no part in the view: a new primary may not know them yet. Sent for as long as it runs."""
+
+    spares: tuple[MemberId, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class LeaveGranted:
+    """The view of that epoch is in force, does without the receiver, and has so many synced copies of the state."""
+
+    epoch: Epoch
+    copies: int
+
+
+@dataclass(frozen=True, slots=True)
+class LeaveRequested:
+    """The operator takes the receiver out of the core for good."""
+
+
 Message = (
     Hello | ViewTold | Probe | Probed | Prepare | Promise | Refused | Fetch | Fetched | Install | Installed
     | Accept | Accepted | Heartbeat | HeartbeatAck | Append | Appended | Resign | FetchPiece | Piece
+    | Leave | LeaveGranted | LeaveRequested
 )  # fmt: skip
 # What answers a call: it counts only for the life and the call that it answers.
-Answer = Probed | Promise | Refused | Fetched | Installed | Accepted | HeartbeatAck | Appended
-ANSWERS = (Probed, Promise, Refused, Fetched, Installed, Accepted, HeartbeatAck, Appended)
+Answer = Probed | Promise | Refused | Fetched | Installed | Accepted | HeartbeatAck | Appended | LeaveGranted
+ANSWERS = (Probed, Promise, Refused, Fetched, Installed, Accepted, HeartbeatAck, Appended, LeaveGranted)
 AFTER_SYNC = (Prepare, Promise, Installed, Accepted, Appended, Fetched)
 
 
--- a/canvasbeam/decide/replication/plan.py
+++ b/canvasbeam/decide/replication/plan.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Sequence
 
 from canvasbeam.decide.replication.contacts import Contacts
-from canvasbeam.decide.replication.types import Epoch, MemberId, View, member_ip
+from canvasbeam.decide.replication.types import NO_EPOCH, Epoch, MemberId, View, member_ip
 
 
 class ViewPlanner:
@@ -19,52 +19,91 @@
         me: MemberId,
         contacts: Contacts,
         tolerated_machines: int,
+        grace: int,
         is_caught_up: Callable[[MemberId], bool] = lambda _: True,
     ) -> None:
         self._me = me
         self._contacts = contacts
         self._tolerated_machines = tolerated_machines
+        self._grace = grace
         self._is_caught_up = is_caught_up
+        self._short_epoch = NO_EPOCH  # of the candidacy for which too few members were found that stay, and since when
+        self._short_since = 0
 
     def plan(
         self, base: View, settled: bool, epoch: Epoch, promised: frozenset[MemberId] | None, now: int
     ) -> View | None:
         """The view to propose. `promised` are the healthy members that answered a candidate, if there is one.
 
+        It does without the members that leave, unless too few others are usable, or answer a candidate within `grace`.
         Members that are to join and have not caught up are used by a candidate alone, and only where it needs them.
         """
         usable = [each for each in self._known(base) if self._is_usable(each, base, promised, now)]
         ready = [each for each in usable if each in base.replicas or each == self._me or self._is_caught_up(each)]
-        view = self._plan_of(base, settled, epoch, ready, now)
-        if view is None and promised is not None:
-            view = self._plan_of(base, settled, epoch, usable, now)
-        return view
+        view = self._plan_with(self._staying(ready), base, settled, epoch, now)
+        if view is not None:
+            return view
+        if promised is None:
+            return self._plan_with(ready, base, settled, epoch, now)
+        if self._staying(usable) != usable and not self._has_waited_for_staying(epoch, now):
+            return None
+        return self._plan_with(ready, base, settled, epoch, now) or self._plan_with(usable, base, settled, epoch, now)
 
     def followers(self, view: View, now: int) -> list[MemberId]:
         """Who is heard and no replica: a primary brings these up to date, so that each may join when it has a place."""
-        alive = [each for each in self._known(view) if each != self._me and self._contacts.is_alive(each, now)]
-        return [each for each in alive if each not in view.replicas]
+        others = [each for each in self._staying(self._known(view)) if each not in (self._me, *view.replicas)]
+        return [each for each in others if self._contacts.is_alive(each, now)]
 
     def _known(self, base: View) -> list[MemberId]:
         return list(dict.fromkeys((self._me, *base.members, *sorted(self._contacts.known()))))
 
-    def _plan_of(self, base: View, settled: bool, epoch: Epoch, usable: Sequence[MemberId], now: int) -> View | None:
+    def _staying(self, members: Sequence[MemberId]) -> list[MemberId]:
+        return [each for each in members if each == self._me or not self._contacts.is_leaving(each)]
+
+    def _plan_with(self, usable: Sequence[MemberId], base: View, settled: bool, epoch: Epoch, now: int) -> View | None:
         return plan_view(
             base,
             settled,
             epoch=epoch,
             primary=self._me,
             usable=usable,
-            is_gone=lambda member: self._contacts.is_gone(member, now),
+            is_gone=lambda member: self._is_gone(member, now),
             tolerated_machines=self._tolerated_machines,
         )
 
-    def wants_change(self, view: View, now: int) -> bool:
-        """Whether a primary should change its view: a member is silent, is back, or has a successor."""
-        planned = self.plan(view, True, view.epoch, None, now)
-        if planned is None:
-            return False
-        return set(planned.replicas) != set(view.replicas) or set(planned.witnesses) != set(view.witnesses)
+    def _has_waited_for_staying(self, epoch: Epoch, now: int) -> bool:
+        if self._short_epoch != epoch:
+            self._short_epoch = epoch
+            self._short_since = now
+        return now - self._short_since >= self._grace
+
+    def wants_change(self, view: View, settled: bool, now: int) -> bool:
+        """Whether a primary should change its view: a member is silent, is back, leaves, or has a successor."""
+        planned = self.plan(view, settled, view.epoch, None, now)
+        return planned is not None and _differ(planned, view)
+
+    def will_change(self, view: View, settled: bool, now: int) -> bool:
+        """Whether a primary will want to change its view at the latest when those that are to join have caught up."""
+        usable = [each for each in self._known(view) if self._is_usable(each, view, None, now)]
+        planned = self._plan_with(self._staying(usable), view, settled, view.epoch, now)
+        return planned is not None and _differ(planned, view)
+
+    def can_spare(self, member: MemberId, view: View, now: int) -> bool:
+        """Whether the others could go on without the member, with as many voters as before."""
+        known = dict.fromkeys((self._me, *view.members, *self._contacts.known()))
+        usable = [each for each in known if self._is_usable(each, view, None, now)]
+        staying = [each for each in usable if each != member and not self._contacts.is_leaving(each)]
+        planned = plan_witnesses(
+            view.witnesses,
+            staying,
+            lambda each: each == member or self._is_gone(each, now),
+            2 * self._tolerated_machines + 1,
+        )
+        copies = sum(1 for each in planned if each in staying)
+        return member not in planned and copies >= fewest_replicas(len(planned), self._tolerated_machines)
+
+    def _is_gone(self, member: MemberId, now: int) -> bool:
+        return self._contacts.is_leaving(member) or self._contacts.is_gone(member, now)
 
     def _is_usable(self, member: MemberId, base: View, promised: frozenset[MemberId] | None, now: int) -> bool:
         if member == self._me:
@@ -76,6 +115,10 @@
         return self._contacts.is_steady(member, now)
 
 
+def _differ(first: View, second: View) -> bool:
+    return set(first.replicas) != set(second.replicas) or set(first.witnesses) != set(second.witnesses)
+
+
 def plan_view(
     base: View,
     settled: bool,
@@ -114,7 +157,7 @@
     is_gone: Callable[[MemberId], bool],
     wanted: int,
 ) -> tuple[MemberId, ...]:
-    """Put new members in the places of those that lost their disk or are gone; grow by pairs up to `wanted`."""
+    """Put new members in the places of those that lost their disk or are gone; grow and shrink by pairs to `wanted`."""
     planned = list(witnesses)
     spares = [each for each in usable if each not in planned]
     for spare in list(spares):
@@ -128,7 +171,15 @@
             break
         planned += spares[:step]
         del spares[:step]
-    return tuple(planned)
+    return tuple(_without_surplus(planned, usable, wanted))
+
+
+def _without_surplus(planned: Sequence[MemberId], usable: Sequence[MemberId], wanted: int) -> list[MemberId]:
+    """Drop pairs beyond `wanted`, first those that are not usable, and then the last of the usable ones."""
+    surplus = max(0, len(planned) - wanted) // 2 * 2
+    ranked = sorted(planned, key=lambda each: usable.index(each) if each in usable else len(usable))
+    kept = set(ranked[: len(planned) - surplus])
+    return [each for each in planned if each in kept]
 
 
 def _place_for(
--- a/tests/test_replicated_snapshots.py
+++ b/tests/test_replicated_snapshots.py
@@ -7,7 +7,8 @@
 
 from canvasbeam.control_plane.replicated_state import ReplicatedControlState
 from canvasbeam.control_state import Change, ChangeKind, Committed, ControlState
-from canvasbeam.decide.replication.messages import Piece
+from canvasbeam.decide.calls import UNKNOWN_LIFE
+from canvasbeam.decide.replication.messages import Message, Piece
 from canvasbeam.decide.replication.snapshots import PIECE_BYTES
 
 from .model_disk import ModelDisk
@@ -37,10 +38,10 @@
     sizes: list[int] = []
     send_to = service._send_to
 
-    def counted(ip: str, message: object) -> None:
+    def counted(ip: str, message: Message, answered_life: int = UNKNOWN_LIFE) -> None:
         if isinstance(message, Piece):
             sizes.append(len(message.data))
-        send_to(ip, message)  # type: ignore[arg-type]
+        send_to(ip, message, answered_life)
 
     service._send_to = counted  # type: ignore[method-assign]
     return sizes
--- a/tests/test_replication_restarts.py
+++ b/tests/test_replication_restarts.py
@@ -253,7 +253,7 @@
 @cache
 def newer_state(size: int) -> ControlState:
     configuration = {"generation": 7, "filling": random.Random(size).randbytes(size).hex()}
-    return ControlState(40, 7, configuration, 40, ("north",), 12, (b"digest-of-12",))
+    return ControlState(40, 7, configuration, 40, ("north",), 12, (b"key-of-an-order-12b!",))
 
 
 @cache
