--- a/tests/test_membership_hearsay.py
+++ b/tests/test_membership_hearsay.py
@@ -10,7 +10,7 @@
 import pytest
 
 from canvasbeam.decide.member_status import Status
-from canvasbeam.decide.membership import Fact, Kind, Membership, Message, Received, Sender, Tell, Terms
+from canvasbeam.decide.membership import Fact, Kind, Membership, Message, Received, Sender, Tell, Terms, Ticked
 from canvasbeam.lab.model.units import MS, SECOND
 from canvasbeam.lab.peers_sim import Seen
 from tests.peering import Fleet
@@ -118,15 +118,54 @@
     assert (mine.members["m1"].fact.status, mine.members["m1"].fact.incarnation) == (Status.ALIVE, 1)
 
 
+def judging(mine: Membership, now: int, *events: Received) -> None:
+    """Another member speaks, and answered a ping that was sent just before: this instance may judge."""
+    mine.contact.confirm(now - MS)
+    mine.handle(now, [said("m0"), *events])
+
+
+def suspected(incarnation: int = 0) -> Received:
+    return said("m0", 0, of_m1(Status.SUSPECT, incarnation, "m0"))
+
+
+def test_a_suspicion_runs_out_where_another_answers() -> None:
+    mine = with_two_members()
+    judging(mine, SECOND, suspected())
+    for now in range(SECOND, SECOND + mine.terms.most_suspicion + 100 * MS, 50 * MS):
+        judging(mine, now)
+    assert mine.members["m1"].fact.status is Status.DEAD
+
+
 def test_a_newer_incarnation_that_is_suspected_has_the_whole_time_of_a_suspicion() -> None:
     """Its refutation got lost on the way here; the older suspicion's time is not counted against it."""
     mine = with_two_members()
-    mine.handle(SECOND, [said("m0", 0, of_m1(Status.SUSPECT, 0, "m0"))])
+    judging(mine, SECOND, suspected())
     renewed = SECOND + 900 * MS
-    for now in range(SECOND + 50 * MS, renewed, 50 * MS):  # another speaks, so that this instance may judge
-        mine.handle(now, [said("m0")])
+    for now in range(SECOND + 50 * MS, renewed, 50 * MS):
+        judging(mine, now)
     assert mine.members["m1"].fact.status is Status.SUSPECT
-    mine.handle(renewed, [said("m0", 0, of_m1(Status.SUSPECT, 1, "m0"))])
+    judging(mine, renewed, suspected(incarnation=1))
     for now in range(renewed, renewed + mine.terms.least_suspicion, 50 * MS):
-        mine.handle(now, [said("m0")])
+        judging(mine, now)
+        assert mine.members["m1"].fact.status is Status.SUSPECT
+
+
+def test_a_death_of_a_newer_incarnation_is_a_suspicion_of_that_one() -> None:
+    mine = with_two_members()
+    judging(mine, SECOND, suspected())
+    later = SECOND + 700 * MS
+    for now in range(SECOND + 50 * MS, later, 50 * MS):
+        judging(mine, now)
+    judging(mine, later, said("m0", 0, of_m1(Status.DEAD, incarnation=1)))
+    assert (mine.members["m1"].fact.status, mine.members["m1"].fact.incarnation) == (Status.SUSPECT, 1)
+
+
+def test_what_was_suspected_in_the_dark_has_its_time_once_others_are_heard_again() -> None:
+    mine = with_two_members()
+    judging(mine, SECOND, suspected())
+    heard_again = SECOND + mine.terms.deaf + 500 * MS
+    for now in range(SECOND + 50 * MS, heard_again, 50 * MS):
+        mine.handle(now, [Ticked()])
+    for now in range(heard_again, heard_again + mine.terms.least_suspicion, 50 * MS):
+        judging(mine, now)
         assert mine.members["m1"].fact.status is Status.SUSPECT
--- a/tests/test_membership_one_way.py
+++ b/tests/test_membership_one_way.py
@@ -8,8 +8,9 @@
 
 import pytest
 
-from canvasbeam.decide.membership import Member, Membership, View
-from canvasbeam.lab.model.units import SECOND
+from canvasbeam.decide.member_status import Status
+from canvasbeam.decide.membership import Fact, Kind, Member, Membership, Message, Received, Sender, Tell, Terms, View
+from canvasbeam.lab.model.units import MS, SECOND
 from tests.peering import Fleet
 
 NAMES = ("n0", "n1", "n2", "n3", "n4")
@@ -88,3 +89,42 @@
         found += deaths_by(fleet, "n1")
     assert set(found) <= set(NAMES) - {"n0"}
     assert found
+
+
+# --- one instance, by hand ----------------------------------------------------------------------------
+
+OTHER = Sender("m0", 1, 0, "127.0.0.2:1000")
+
+
+def asked_back(mine: Membership, now: int) -> int:
+    """The number under which this instance asks a stranger back."""
+    told = mine.handle(now, [Received(OTHER, Message(Kind.PING, 5))])
+    (ping,) = [each for each in told if isinstance(each, Tell) and each.message.kind is Kind.PING]
+    return ping.message.number
+
+
+def test_contact_counts_from_when_the_answered_ping_was_sent() -> None:
+    mine = Membership(Sender("n0", 100, 0, "127.0.0.1:1"), (), Terms(period=60 * SECOND), 1, SECOND)
+    number = asked_back(mine, SECOND)
+    mine.handle(SECOND + 200 * MS, [Received(OTHER, Message(Kind.ACK, number))])
+    mine.handle(SECOND + mine.terms.contact, [Received(OTHER, Message(Kind.NEWS))])
+    assert mine.view(SECOND + mine.terms.contact).unanswered_since is None
+    later = mine.view(SECOND + mine.terms.contact + MS)  # it hears the other all along
+    assert (later.silent_since, later.unanswered_since, later.sure) == (None, SECOND, 0.0)
+
+
+def test_an_answer_of_long_ago_lets_nobody_judge() -> None:
+    """A suspicion that its member stretched, as it spoke: meanwhile nothing was answered any more."""
+    mine = Membership(Sender("n0", 100, 0, "127.0.0.1:1"), (), Terms(period=60 * SECOND), 1, SECOND)
+    number = asked_back(mine, SECOND)
+    mine.handle(SECOND, [Received(OTHER, Message(Kind.ACK, number))])
+    suspect = Fact("m1", "127.0.0.2:1001", Status.SUSPECT, 1, 0, "m0")
+    mine.handle(SECOND, [Received(OTHER, Message(Kind.NEWS, facts=(suspect,)))])
+    mine.contact.confirm(SECOND + MS)
+    speaks = Received(Sender("m1", 1, 0, suspect.address), Message(Kind.NEWS))
+    stretched = SECOND + 4 * SECOND
+    for now in range(SECOND + 50 * MS, stretched, 50 * MS):
+        mine.handle(now, [Received(OTHER, Message(Kind.NEWS)), speaks])
+    for now in range(stretched, stretched + 4 * SECOND, 50 * MS):
+        mine.handle(now, [Received(OTHER, Message(Kind.NEWS))])
+        assert mine.members["m1"].fact.status is Status.SUSPECT
