--- a/tests/test_replication_snapshots.py
+++ b/tests/test_replication_snapshots.py
@@ -341,3 +341,17 @@
     """Planted: the digests stay behind."""
     received = passed_in_pieces(state_after(5), lambda state: encode_state(replace(state, taken_orders=())))
     assert isinstance(apply(received, order(3)), Failure)
+
+
+def test_a_backup_is_lost_while_the_third_member_catches_up() -> None:
+    world = slow()
+    primary = primary_of(world)
+    behind, lost = (each for each in world.machines if each != primary)
+    world.crash(behind, keep_unsynced=False)
+    world.run_between_regions(2 * SECOND)
+    time_until_acknowledged(world, SECOND)
+    world.start(behind)
+    world.run_between_regions(SECOND)
+    world.crash(lost, keep_unsynced=False)
+    time_until_acknowledged(world, PASSAGE + 4 * SECOND)
+    world.recover()
