Let a spare that caught up join without a second copy of the state, and only when everything was sent to it

A new member is not in the electorate that is asked for promises, so it was sent the whole state once more inside the view change, 7 s on a slow link, in which calls waited.

--- a/canvasbeam/decide/replication/candidate.py
+++ b/canvasbeam/decide/replication/candidate.py
@@ -269,12 +269,13 @@
             return []
         self.source_position = position
         self._state = state
-        self._needs_state = {each for each in self.view.replicas if not self._is_at_source(each)}
+        self._needs_state = {each for each in self.view.replicas if self._is_elsewhere(each)}
         return self._enter(Phase.INSTALLING, now)
 
-    def _is_at_source(self, member: MemberId) -> bool:
+    def _is_elsewhere(self, member: MemberId) -> bool:
+        """Whether the member told that it is not at the position of the source; one that was not asked may be there."""
         answer = self._promises.get(member)
-        return answer is not None and answer.position == self.source_position
+        return answer is not None and answer.position != self.source_position
 
     def _install_for(self, member: MemberId) -> Install:
         if self._state is None or member not in self._needs_state:
--- a/canvasbeam/decide/replication/catch_up.py
+++ b/canvasbeam/decide/replication/catch_up.py
@@ -24,7 +24,7 @@
 from canvasbeam.decide.replication.snapshots import SnapshotSource
 from canvasbeam.decide.replication.types import Epoch, MemberId, Position, Timing
 
-CLOSE_BYTES = 256 << 10
+CLOSE_BYTES = 128 << 10
 BATCH_BYTES = 128 << 10
 SEND_AGAIN_FACTOR = 4  # times the interval of a replica: a batch may take long on a slow link
 
@@ -133,10 +133,12 @@
         return member in self._joining
 
     def is_close(self, member: MemberId) -> bool:
-        """Whether the member may join: what it has not confirmed is little."""
+        """Whether the member may join: it was sent everything, and what it has not confirmed is little."""
         joining = self._joining.get(member)
         if joining is None or joining.stage is not Stage.FOLLOWING or not self._log.reaches_back_to(joining.index):
             return False
+        if joining.sent < self._log.end:
+            return False
         return self._log.size_after(joining.index) <= CLOSE_BYTES
 
     def close_members(self) -> frozenset[MemberId]:
