--- a/canvasbeam/decide/replication/catch_up.py
+++ b/canvasbeam/decide/replication/catch_up.py
@@ -13,22 +13,20 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum, auto
 
 from canvasbeam.control_state import ControlState
+from canvasbeam.decide.replication.change_flow import ChangeFlow
 from canvasbeam.decide.replication.change_log import ChangeLog
 from canvasbeam.decide.replication.messages import Append, Install, Installed, Send
 from canvasbeam.decide.replication.replica import Replica
-from canvasbeam.decide.replication.snapshots import QUICK_NS, SLOW_NS, SnapshotSource
+from canvasbeam.decide.replication.snapshots import SnapshotSource
 from canvasbeam.decide.replication.types import Epoch, MemberId, Position, Timing
 from canvasbeam.units import MILLISECOND
 
 CLOSE_NS = 300 * MILLISECOND
-FEWEST_BYTES = 128 << 10  # on their way to a member, of changes
-MOST_BYTES = 2 << 20
 SEND_AGAIN_FACTOR = 4  # times the interval of a replica: a batch may take long on a slow link
 
 
@@ -42,15 +40,12 @@
 
 @dataclass(slots=True)
 class _Joining:
-    """One member: `index` is what it confirmed, `sent` the index of the last change sent."""
+    """One member: the state that it shall install, or its flow of changes."""
 
     stage: Stage = Stage.ASKED
-    index: int = 0
-    sent: int = 0
     last_sent: int = 0
     snapshot: ControlState | None = None
-    window: int = FEWEST_BYTES  # how many bytes of changes may be on their way
-    batches: deque[tuple[int, int]] = field(default_factory=deque)  # the last index of each, and when it was sent
+    flow: ChangeFlow | None = None  # while it follows
 
 
 class CatchUp:
@@ -89,26 +84,20 @@
         """Send again what was not answered, and begin anew with those that are behind the log."""
         sends: list[Send] = []
         for member, joining in self._joining.items():
-            if joining.stage is Stage.FOLLOWING and not self._log.reaches_back_to(joining.index):
+            if joining.flow is not None and not joining.flow.can_go_on:
                 self._enter(joining, Stage.INSTALLING)
-            patience = self._timing.resend * (SEND_AGAIN_FACTOR if joining.stage is Stage.FOLLOWING else 1)
-            if now - joining.last_sent < patience:
-                continue
-            if joining.stage is Stage.FOLLOWING:
-                joining.sent = joining.index
-                joining.window = FEWEST_BYTES
-                joining.batches.clear()
-                sends += self._next_batch(member, now)
-            else:
+            if joining.flow is not None:
+                sends += self._send_again(member, joining.flow, now)
+            elif now - joining.last_sent >= self._timing.resend:
                 sends.append(self._install(member, now))
         return sends
 
     def on_change(self, now: int) -> list[Send]:
-        """A change was added to the log: those that wait for nothing else get it at once."""
+        """A change was added to the log."""
         sends: list[Send] = []
         for member, joining in self._joining.items():
-            if joining.stage is Stage.FOLLOWING:
-                sends += self._next_batch(member, now)
+            if joining.flow is not None:
+                sends += self._next_batch(member, joining.flow, now)
         return sends
 
     def take_installed(self, sender: MemberId, message: Installed, now: int) -> list[Send]:
@@ -118,8 +107,8 @@
             return []
         if message.stored and self._log.reaches_back_to(message.index):
             self._enter(joining, Stage.FOLLOWING)
-            joining.index = joining.sent = message.index
-            return self._next_batch(sender, now)
+            joining.flow = ChangeFlow(self._log, message.index)
+            return self._next_batch(sender, joining.flow, now)
         if joining.stage is Stage.INSTALLING and not message.stored:
             return []
         self._enter(joining, Stage.INSTALLING)
@@ -128,12 +117,9 @@
     def take_appended(self, sender: MemberId, index: int, now: int) -> list[Send]:
         """The member has all changes up to an index."""
         joining = self._joining.get(sender)
-        if joining is None or joining.stage is not Stage.FOLLOWING or index <= joining.index:
+        if joining is None or joining.flow is None or not joining.flow.confirm(index, now):
             return []
-        joining.index = index
-        joining.sent = max(joining.sent, index)
-        _adapt_window(joining, now)
-        return self._next_batch(sender, now)
+        return self._next_batch(sender, joining.flow, now)
 
     def has(self, member: MemberId) -> bool:
         """Whether the member catches up."""
@@ -142,9 +128,9 @@
     def is_close(self, member: MemberId, now: int) -> bool:
         """Whether the member may join: it was sent everything, and what it has not confirmed is recent."""
         joining = self._joining.get(member)
-        if joining is None or joining.stage is not Stage.FOLLOWING or not self._log.reaches_back_to(joining.index):
+        if joining is None or joining.flow is None or not joining.flow.can_go_on:
             return False
-        return joining.sent == self._log.end and self._log.lag_of(joining.index, now) <= CLOSE_NS
+        return joining.flow.sent == self._log.end and self._log.lag_of(joining.flow.index, now) <= CLOSE_NS
 
     def close_members(self, now: int) -> frozenset[MemberId]:
         """All that may join now."""
@@ -152,7 +138,7 @@
 
     def oldest_needed(self) -> int | None:
         """The changes after this index are still needed by somebody who joins."""
-        followed = [each.index for each in self._joining.values() if each.stage is Stage.FOLLOWING]
+        followed = [each.flow.index for each in self._joining.values() if each.flow is not None]
         installed = [each.snapshot.index for each in self._joining.values() if each.snapshot is not None]
         asked = [self._began_at.index for each in self._joining.values() if each.stage is Stage.ASKED]
         return min((*followed, *installed, *asked), default=None)
@@ -160,6 +146,7 @@
     def _enter(self, joining: _Joining, stage: Stage) -> None:
         """The only place where the stage changes."""
         joining.stage = stage
+        joining.flow = None
         joining.snapshot = self._snapshot_for_all() if stage is Stage.INSTALLING else None
 
     def _snapshot_for_all(self) -> ControlState:
@@ -178,30 +165,14 @@
         position = Position(self._epoch, joining.snapshot.index)
         return Send(member, Install(self._epoch, position, self._snapshots.offer(joining.snapshot)))
 
-    def _next_batch(self, member: MemberId, now: int) -> list[Send]:
-        joining = self._joining[member]
-        if joining.sent >= self._log.end or not self._log.reaches_back_to(joining.sent):
+    def _send_again(self, member: MemberId, flow: ChangeFlow, now: int) -> list[Send]:
+        if now - flow.last_sent < SEND_AGAIN_FACTOR * self._timing.resend:
             return []
-        unsent = self._log.size_after(joining.sent)
-        room = joining.window - (self._log.size_after(joining.index) - unsent)
-        if room <= 0:
+        flow.begin_anew()
+        return self._next_batch(member, flow, now)
+
+    def _next_batch(self, member: MemberId, flow: ChangeFlow, now: int) -> list[Send]:
+        batch = flow.next_batch(now)
+        if batch is None:
             return []
-        joining.last_sent = now
-        changes = self._log.after(joining.sent, room)
-        previous = joining.sent
-        joining.sent += len(changes)
-        joining.batches.append((joining.sent, now))
-        return [Send(member, Append(self._epoch, previous, changes, self._replica.committed.index))]
-
-
-def _adapt_window(joining: _Joining, now: int) -> None:
-    """Twice as much may be on its way where a batch was confirmed quickly, half as much where it took long."""
-    delay = None
-    while joining.batches and joining.batches[0][0] <= joining.index:
-        delay = now - joining.batches.popleft()[1]
-    if delay is None:
-        return
-    if delay <= QUICK_NS:
-        joining.window = min(2 * joining.window, MOST_BYTES)
-    elif delay > SLOW_NS:
-        joining.window = max(joining.window // 2, FEWEST_BYTES)
+        return [Send(member, Append(self._epoch, batch.previous, batch.changes, self._replica.committed.index))]
--- /dev/null
+++ b/canvasbeam/decide/replication/change_flow.py
@@ -0,0 +1,82 @@
+"""How changes flow to one member: what it confirmed, what is on its way, and how much may be.
+
+More may be on its way while batches are confirmed quickly, and less where they queue on a slow link: heartbeats pass on
+the same connection, and a member whose heartbeats are late counts as lost.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+
+from canvasbeam.control_state import Change
+from canvasbeam.decide.replication.change_log import ChangeLog, change_size
+from canvasbeam.decide.replication.snapshots import QUICK_NS, SLOW_NS
+
+FEWEST_BYTES = 128 << 10
+MOST_BYTES = 2 << 20
+
+
+@dataclass(frozen=True, slots=True)
+class Batch:
+    """Changes to send: the first leads from index `previous` to the next."""
+
+    previous: int
+    changes: tuple[Change, ...]
+
+
+class ChangeFlow:
+    """One member's part of the log."""
+
+    def __init__(self, log: ChangeLog, index: int) -> None:
+        self._log = log
+        self.index = index  # confirmed
+        self.sent = index
+        self.last_sent = 0
+        self._window = FEWEST_BYTES
+        self._on_their_way: deque[tuple[int, int]] = deque()  # the last index of each batch, and when it was sent
+
+    @property
+    def can_go_on(self) -> bool:
+        """Whether the log still has every change that the member lacks."""
+        return self._log.reaches_back_to(self.index)
+
+    def next_batch(self, now: int) -> Batch | None:
+        """What is to be sent next: nothing while enough is on its way."""
+        if self.sent >= self._log.end or not self._log.reaches_back_to(self.sent):
+            return None
+        on_their_way = self._log.size_after(self.index) - self._log.size_after(self.sent)
+        changes = self._log.after(self.sent, self._window - on_their_way)
+        if on_their_way and on_their_way + change_size(changes[0]) > self._window:
+            return None
+        batch = Batch(self.sent, changes)
+        self.sent += len(batch.changes)
+        self.last_sent = now
+        self._on_their_way.append((self.sent, now))
+        return batch
+
+    def confirm(self, index: int, now: int) -> bool:
+        """The member has all changes up to an index; false where that is nothing new."""
+        if index <= self.index:
+            return False
+        self.index = index
+        self.sent = max(self.sent, index)
+        self._adapt_window(now)
+        return True
+
+    def begin_anew(self) -> None:
+        """What was on its way is lost: send it again."""
+        self.sent = self.index
+        self._window = FEWEST_BYTES
+        self._on_their_way.clear()
+
+    def _adapt_window(self, now: int) -> None:
+        delay = None
+        while self._on_their_way and self._on_their_way[0][0] <= self.index:
+            delay = now - self._on_their_way.popleft()[1]
+        if delay is None:
+            return
+        if delay <= QUICK_NS:
+            self._window = min(2 * self._window, MOST_BYTES)
+        elif delay > SLOW_NS:
+            self._window = max(self._window // 2, FEWEST_BYTES)
--- a/canvasbeam/decide/replication/primary.py
+++ b/canvasbeam/decide/replication/primary.py
@@ -12,6 +12,7 @@
 
 from canvasbeam.control_state import Change, Committed
 from canvasbeam.decide.replication.catch_up import CatchUp
+from canvasbeam.decide.replication.change_flow import ChangeFlow
 from canvasbeam.decide.replication.change_log import ChangeLog, change_size
 from canvasbeam.decide.replication.contacts import Contacts
 from canvasbeam.decide.replication.messages import (
@@ -54,11 +55,10 @@
 
 @dataclass(slots=True)
 class _Progress:
-    """How far one replica has confirmed, and since when it owes more."""
+    """The changes that one replica has and gets, and since when it owes the confirmation of more."""
 
-    index: int
+    flow: ChangeFlow
     owes_since: int | None = None
-    last_sent: int = 0
 
 
 @dataclass(slots=True)
@@ -99,7 +99,7 @@
             view.epoch, began_at, replica=replica, log=self._log, snapshots=snapshots, timing=timing
         )
         self._committed = replica.state.index
-        self._progress = {each: _Progress(self._committed) for each in view.replicas}
+        self._progress = {each: _Progress(ChangeFlow(self._log, self._committed)) for each in view.replicas}
         self._rounds = _Rounds(answered={})
         self._confirmed_at = now
         self._last_heartbeat = now
@@ -117,7 +117,8 @@
         for member in self.view.replicas:
             progress = self._progress[member]
             patience = self._timing.resend + self._time_to_send(progress)
-            if progress.owes_since is not None and now - progress.last_sent >= patience:
+            if progress.owes_since is not None and now - progress.flow.last_sent >= patience:
+                progress.flow.begin_anew()
                 actions += self._append_to(member, now)
         return actions + self.catch_up.tick(now) + self._end_late_calls(now)
 
@@ -143,7 +144,7 @@
 
     def _time_to_send(self, progress: _Progress) -> int:
         """How long the changes that a replica owes may take on a slow link."""
-        return self._log.size_after(progress.index) * SECOND // SLOW_LINK_BYTES
+        return self._log.size_after(progress.flow.index) * SECOND // SLOW_LINK_BYTES
 
     def has_room_for(self, change: Change) -> bool:
         """Whether a change may be added to those that are not committed yet; a first one always may."""
@@ -167,7 +168,7 @@
             progress = self._progress[member]
             if progress.owes_since is None:
                 progress.owes_since = now
-            actions += self._append_to(member, now, newest_only=True)
+            actions += self._append_to(member, now)
         return actions + self.catch_up.on_change(now)
 
     def read(self, call: int, now: int) -> list[Action]:
@@ -203,11 +204,10 @@
         progress = self._progress.get(sender)
         if progress is None:
             return [*self.catch_up.take_appended(sender, message.index, now)]
-        if message.index <= progress.index:
+        if not progress.flow.confirm(message.index, now):
             return []
-        progress.index = message.index
         progress.owes_since = now if message.index < self._replica.state.index else None
-        return self._commit(now)
+        return [*self._append_to(sender, now), *self._commit(now)]
 
     def take_installed(self, sender: MemberId, message: Installed, now: int) -> list[Action]:
         """A member that is to join tells whether it has a state of this view."""
@@ -230,17 +230,17 @@
         self.pending.append(pending)
         return actions
 
-    def _append_to(self, member: MemberId, now: int, newest_only: bool = False) -> list[Action]:
-        progress = self._progress[member]
-        progress.last_sent = now
-        tail = self._replica.state.index
+    def _append_to(self, member: MemberId, now: int) -> list[Action]:
+        """Send a replica what comes next; this member's own has it already."""
+        batch = self._progress[member].flow.next_batch(now)
+        if batch is None:
+            return []
         if member == self.me:
-            return [Send(member, Appended(self.view.epoch, tail))]
-        previous = tail - 1 if newest_only else progress.index
-        return [Send(member, Append(self.view.epoch, previous, self._log.after(previous), self._committed))]
+            return [Send(member, Appended(self.view.epoch, self._replica.state.index))]
+        return [Send(member, Append(self.view.epoch, batch.previous, batch.changes, self._committed))]
 
     def _commit(self, now: int) -> list[Action]:
-        committed = min(each.index for each in self._progress.values())
+        committed = min(each.flow.index for each in self._progress.values())
         if committed <= self._committed:
             return []
         self._committed = committed
--- a/tests/test_replication_explorer.py
+++ b/tests/test_replication_explorer.py
@@ -45,7 +45,7 @@
 
 
 def commit_without_the_others(self: Primary, now: int) -> list[Action]:
-    committed = self._progress[self.me].index
+    committed = self._progress[self.me].flow.index
     if committed <= self._committed:
         return []
     self._committed = committed
--- a/tests/test_replication_long_lives.py
+++ b/tests/test_replication_long_lives.py
@@ -80,7 +80,7 @@
     original = Primary._commit
 
     def commit(self: Primary, now: int) -> list[Action]:
-        self._log.trim(self._progress[self.me].index)
+        self._log.trim(self._progress[self.me].flow.index)
         return original(self, now)
 
     with mock.patch.object(Primary, "_commit", commit), pytest.raises((AssertionError, IndexError, ValueError)):
