--- a/canvasbeam/decide/replication/change_flow.py
+++ b/canvasbeam/decide/replication/change_flow.py
@@ -25,6 +25,15 @@
     changes: tuple[Change, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class _Sent:
+    """A batch on its way: the index that it leads to, when it was sent, and whether it filled the window by half."""
+
+    index: int
+    at: int
+    is_large: bool
+
+
 class ChangeFlow:
     """One member's part of the log."""
 
@@ -34,7 +43,7 @@
         self.sent = index
         self.last_sent = 0
         self._window = FEWEST_BYTES
-        self._on_their_way: deque[tuple[int, int]] = deque()  # the last index of each batch, and when it was sent
+        self._on_their_way: deque[_Sent] = deque()
 
     @property
     def can_go_on(self) -> bool:
@@ -52,7 +61,8 @@
         batch = Batch(self.sent, changes)
         self.sent += len(batch.changes)
         self.last_sent = now
-        self._on_their_way.append((self.sent, now))
+        is_large = 2 * (self._log.size_after(self.index) - self._log.size_after(self.sent)) >= self._window
+        self._on_their_way.append(_Sent(self.sent, now, is_large))
         return batch
 
     def confirm(self, index: int, now: int) -> bool:
@@ -71,12 +81,14 @@
         self._on_their_way.clear()
 
     def _adapt_window(self, now: int) -> None:
-        delay = None
-        while self._on_their_way and self._on_their_way[0][0] <= self.index:
-            delay = now - self._on_their_way.popleft()[1]
-        if delay is None:
+        """Small batches tell nothing of what the link bears."""
+        confirmed: _Sent | None = None
+        while self._on_their_way and self._on_their_way[0].index <= self.index:
+            confirmed = self._on_their_way.popleft()
+        if confirmed is None:
             return
-        if delay <= QUICK_NS:
+        delay = now - confirmed.at
+        if delay <= QUICK_NS and confirmed.is_large:
             self._window = min(2 * self._window, MOST_BYTES)
         elif delay > SLOW_NS:
             self._window = max(self._window // 2, FEWEST_BYTES)
