--- a/canvasbeam/decide/replication/catch_up.py
+++ b/canvasbeam/decide/replication/catch_up.py
@@ -7,8 +7,8 @@
 | INSTALLING | a state, with its pieces where it is large | FOLLOWING |
 | FOLLOWING | nothing: it gets the changes after its index, in order | INSTALLING, where it is behind the log |
 
-A member that follows closely may join: the view change then brings nothing but what is on its way already. Nothing is
-committed by its confirmations, and it is no source of the view's state before it is a replica (`Candidate`).
+A member that follows within 0.3 s may join: the view change then brings nothing but what is on its way already. Nothing
+is committed by its confirmations, and it is no source of the view's state before it is a replica (`Candidate`).
 """
 
 from __future__ import annotations
@@ -18,14 +18,15 @@
 from enum import Enum, auto
 
 from canvasbeam.control_state import ControlState
+from canvasbeam.decide.replication.change_flow import ChangeFlow
 from canvasbeam.decide.replication.change_log import ChangeLog
 from canvasbeam.decide.replication.messages import Append, Install, Installed, Send
 from canvasbeam.decide.replication.replica import Replica
 from canvasbeam.decide.replication.snapshots import SnapshotSource
 from canvasbeam.decide.replication.types import Epoch, MemberId, Position, Timing
+from canvasbeam.units import MILLISECOND
 
-CLOSE_BYTES = 256 << 10
-BATCH_BYTES = 128 << 10
+CLOSE_NS = 300 * MILLISECOND
 SEND_AGAIN_FACTOR = 4  # times the interval of a replica: a batch may take long on a slow link
 
 
@@ -39,13 +40,12 @@
 
 @dataclass(slots=True)
 class _Joining:
-    """One member: `index` is what it confirmed, `sent` the index of the last change sent."""
+    """One member: the state that it shall install, or its flow of changes."""
 
     stage: Stage = Stage.ASKED
-    index: int = 0
-    sent: int = 0
     last_sent: int = 0
     snapshot: ControlState | None = None
+    flow: ChangeFlow | None = None  # while it follows
 
 
 class CatchUp:
@@ -84,25 +84,20 @@
         """Send again what was not answered, and begin anew with those that are behind the log."""
         sends: list[Send] = []
         for member, joining in self._joining.items():
-            if joining.stage is Stage.FOLLOWING and not self._log.reaches_back_to(joining.index):
+            if joining.flow is not None and not joining.flow.can_go_on:
                 self._enter(joining, Stage.INSTALLING)
-            patience = self._timing.resend * (SEND_AGAIN_FACTOR if joining.stage is Stage.FOLLOWING else 1)
-            if now - joining.last_sent < patience:
-                continue
-            if joining.stage is Stage.FOLLOWING:
-                joining.sent = joining.index
-                sends += self._next_batch(member, now)
-            else:
+            if joining.flow is not None:
+                sends += self._send_again(member, joining.flow, now)
+            elif now - joining.last_sent >= self._timing.resend:
                 sends.append(self._install(member, now))
         return sends
 
     def on_change(self, now: int) -> list[Send]:
-        """A change was added to the log: those that wait for nothing else get it at once."""
+        """A change was added to the log."""
         sends: list[Send] = []
         for member, joining in self._joining.items():
-            outstanding = self._log.size_after(joining.index) - self._log.size_after(joining.sent)
-            if joining.stage is Stage.FOLLOWING and outstanding <= BATCH_BYTES:
-                sends += self._next_batch(member, now)
+            if joining.flow is not None:
+                sends += self._next_batch(member, joining.flow, now)
         return sends
 
     def take_installed(self, sender: MemberId, message: Installed, now: int) -> list[Send]:
@@ -112,8 +107,8 @@
             return []
         if message.stored and self._log.reaches_back_to(message.index):
             self._enter(joining, Stage.FOLLOWING)
-            joining.index = joining.sent = message.index
-            return self._next_batch(sender, now)
+            joining.flow = ChangeFlow(self._log, message.index)
+            return self._next_batch(sender, joining.flow, now)
         if joining.stage is Stage.INSTALLING and not message.stored:
             return []
         self._enter(joining, Stage.INSTALLING)
@@ -122,30 +117,28 @@
     def take_appended(self, sender: MemberId, index: int, now: int) -> list[Send]:
         """The member has all changes up to an index."""
         joining = self._joining.get(sender)
-        if joining is None or joining.stage is not Stage.FOLLOWING or index <= joining.index:
+        if joining is None or joining.flow is None or not joining.flow.confirm(index, now):
             return []
-        joining.index = index
-        joining.sent = max(joining.sent, index)
-        return self._next_batch(sender, now) if joining.sent == index else []
+        return self._next_batch(sender, joining.flow, now)
 
     def has(self, member: MemberId) -> bool:
         """Whether the member catches up."""
         return member in self._joining
 
-    def is_close(self, member: MemberId) -> bool:
-        """Whether the member may join: what it has not confirmed is little."""
+    def is_close(self, member: MemberId, now: int) -> bool:
+        """Whether the member may join: it was sent everything, and what it has not confirmed is recent."""
         joining = self._joining.get(member)
-        if joining is None or joining.stage is not Stage.FOLLOWING or not self._log.reaches_back_to(joining.index):
+        if joining is None or joining.flow is None or not joining.flow.can_go_on:
             return False
-        return self._log.size_after(joining.index) <= CLOSE_BYTES
+        return joining.flow.sent == self._log.end and self._log.lag_of(joining.flow.index, now) <= CLOSE_NS
 
-    def close_members(self) -> frozenset[MemberId]:
+    def close_members(self, now: int) -> frozenset[MemberId]:
         """All that may join now."""
-        return frozenset(each for each in self._joining if self.is_close(each))
+        return frozenset(each for each in self._joining if self.is_close(each, now))
 
     def oldest_needed(self) -> int | None:
         """The changes after this index are still needed by somebody who joins."""
-        followed = [each.index for each in self._joining.values() if each.stage is Stage.FOLLOWING]
+        followed = [each.flow.index for each in self._joining.values() if each.flow is not None]
         installed = [each.snapshot.index for each in self._joining.values() if each.snapshot is not None]
         asked = [self._began_at.index for each in self._joining.values() if each.stage is Stage.ASKED]
         return min((*followed, *installed, *asked), default=None)
@@ -153,6 +146,7 @@
     def _enter(self, joining: _Joining, stage: Stage) -> None:
         """The only place where the stage changes."""
         joining.stage = stage
+        joining.flow = None
         joining.snapshot = self._snapshot_for_all() if stage is Stage.INSTALLING else None
 
     def _snapshot_for_all(self) -> ControlState:
@@ -171,12 +165,14 @@
         position = Position(self._epoch, joining.snapshot.index)
         return Send(member, Install(self._epoch, position, self._snapshots.offer(joining.snapshot)))
 
-    def _next_batch(self, member: MemberId, now: int) -> list[Send]:
-        joining = self._joining[member]
-        if joining.sent >= self._log.end or not self._log.reaches_back_to(joining.sent):
+    def _send_again(self, member: MemberId, flow: ChangeFlow, now: int) -> list[Send]:
+        if now - flow.last_sent < SEND_AGAIN_FACTOR * self._timing.resend:
             return []
-        joining.last_sent = now
-        changes = self._log.after(joining.sent, BATCH_BYTES)
-        previous = joining.sent
-        joining.sent += len(changes)
-        return [Send(member, Append(self._epoch, previous, changes, self._replica.committed.index))]
+        flow.begin_anew()
+        return self._next_batch(member, flow, now)
+
+    def _next_batch(self, member: MemberId, flow: ChangeFlow, now: int) -> list[Send]:
+        batch = flow.next_batch(now)
+        if batch is None:
+            return []
+        return [Send(member, Append(self._epoch, batch.previous, batch.changes, self._replica.committed.index))]
--- a/canvasbeam/decide/replication/primary.py
+++ b/canvasbeam/decide/replication/primary.py
@@ -12,6 +12,7 @@
 
 from canvasbeam.control_state import Change, Committed
 from canvasbeam.decide.replication.catch_up import CatchUp
+from canvasbeam.decide.replication.change_flow import ChangeFlow
 from canvasbeam.decide.replication.change_log import ChangeLog, change_size
 from canvasbeam.decide.replication.contacts import Contacts
 from canvasbeam.decide.replication.messages import (
@@ -33,9 +34,11 @@
 from canvasbeam.decide.replication.snapshots import SnapshotSource
 from canvasbeam.decide.replication.types import Apply, MemberId, Position, Timing, View, is_majority
 from canvasbeam.errors import Failure, ResultCode
+from canvasbeam.units import SECOND
 
 MAX_PENDING_CALLS = 64
 MAX_BYTES_IN_FLIGHT = 8 << 20
+SLOW_LINK_BYTES = 256 << 10  # a second: what a replica is given time for before it counts as stuck
 MAX_CATCH_UP_BYTES = 8 << 20  # of committed changes, for members that are to join
 
 
@@ -53,11 +56,10 @@
 
 @dataclass(slots=True)
 class _Progress:
-    """How far one replica has confirmed, and since when it owes more."""
+    """The changes that one replica has and gets, and since when it owes the confirmation of more."""
 
-    index: int
+    flow: ChangeFlow
     owes_since: int | None = None
-    last_sent: int = 0
 
 
 @dataclass(slots=True)
@@ -98,7 +100,7 @@
             view.epoch, began_at, replica=replica, log=self._log, snapshots=snapshots, timing=timing
         )
         self._committed = replica.state.index
-        self._progress = {each: _Progress(self._committed) for each in view.replicas}
+        self._progress = {each: _Progress(ChangeFlow(self._log, self._committed)) for each in view.replicas}
         self._rounds = _Rounds(answered={})
         self._settled_on: set[MemberId] = set()  # that have on their disk that the view is in force
         self._confirmed_at = now
@@ -116,7 +118,9 @@
             actions += self.new_round(now)
         for member in self.view.replicas:
             progress = self._progress[member]
-            if progress.owes_since is not None and now - progress.last_sent >= self._timing.resend:
+            patience = self._timing.resend + self._time_to_send(progress)
+            if progress.owes_since is not None and now - progress.flow.last_sent >= patience:
+                progress.flow.begin_anew()
                 actions += self._append_to(member, now)
         return actions + self.catch_up.tick(now) + self._end_late_calls(now)
 
@@ -133,9 +137,16 @@
 
     def stuck_replicas(self, now: int) -> list[MemberId]:
         """Replicas that owe the confirmation of a change for too long."""
-        limit = self._timing.silence
-        owing = self._progress.items()
-        return [each for each, it in owing if it.owes_since is not None and now - it.owes_since > limit]
+        return [member for member, progress in self._progress.items() if self._is_stuck(progress, now)]
+
+    def _is_stuck(self, progress: _Progress, now: int) -> bool:
+        if progress.owes_since is None:
+            return False
+        return now - progress.owes_since > self._timing.silence + self._time_to_send(progress)
+
+    def _time_to_send(self, progress: _Progress) -> int:
+        """How long the changes that a replica owes may take on a slow link."""
+        return self._log.size_after(progress.flow.index) * SECOND // SLOW_LINK_BYTES
 
     def has_room_for(self, change: Change) -> bool:
         """Whether a change may be added to those that are not committed yet; a first one always may."""
@@ -152,14 +163,14 @@
         if outcome is self._replica.state:
             return self._await_confirmation(PendingCall(call, now), now)
         self._replica.advance(outcome)
-        self._log.append(change)
+        self._log.append(change, now)
         self.pending.append(PendingCall(call, now, index=outcome.index))
         actions: list[Action] = [SaveChange(change, outcome)]
         for member in self.view.replicas:
             progress = self._progress[member]
             if progress.owes_since is None:
                 progress.owes_since = now
-            actions += self._append_to(member, now, newest_only=True)
+            actions += self._append_to(member, now)
         return actions + self.catch_up.on_change(now)
 
     def read(self, call: int, now: int) -> list[Action]:
@@ -212,11 +223,10 @@
         progress = self._progress.get(sender)
         if progress is None:
             return [*self.catch_up.take_appended(sender, message.index, now)]
-        if message.index <= progress.index:
+        if not progress.flow.confirm(message.index, now):
             return []
-        progress.index = message.index
         progress.owes_since = now if message.index < self._replica.state.index else None
-        return self._commit(now)
+        return [*self._append_to(sender, now), *self._commit(now)]
 
     def take_installed(self, sender: MemberId, message: Installed, now: int) -> list[Action]:
         """A member that is to join tells whether it has a state of this view."""
@@ -239,17 +249,17 @@
         self.pending.append(pending)
         return actions
 
-    def _append_to(self, member: MemberId, now: int, newest_only: bool = False) -> list[Action]:
-        progress = self._progress[member]
-        progress.last_sent = now
-        tail = self._replica.state.index
+    def _append_to(self, member: MemberId, now: int) -> list[Action]:
+        """Send a replica what comes next; this member's own has it already."""
+        batch = self._progress[member].flow.next_batch(now)
+        if batch is None:
+            return []
         if member == self.me:
-            return [Send(member, Appended(self.view.epoch, tail))]
-        previous = tail - 1 if newest_only else progress.index
-        return [Send(member, Append(self.view.epoch, previous, self._log.after(previous), self._committed))]
+            return [Send(member, Appended(self.view.epoch, self._replica.state.index))]
+        return [Send(member, Append(self.view.epoch, batch.previous, batch.changes, self._committed))]
 
     def _commit(self, now: int) -> list[Action]:
-        committed = min(each.index for each in self._progress.values())
+        committed = min(each.flow.index for each in self._progress.values())
         if committed <= self._committed:
             return []
         self._committed = committed
