--- a/tests/soft_state_invariants.py
+++ b/tests/soft_state_invariants.py
@@ -112,6 +112,7 @@
         self.checks = 0
         self._reaches: dict[str, Reach] = {}
         self._edge_touch: dict[Process, Span] = {}
+        self._vouched_at: dict[Process, int] = {}
         self._pairs: dict[tuple[ControlProcess, Process], Span] = {}
         self._leadership: tuple[Process, Epoch] | None = None
         self._stable = Span()
@@ -126,6 +127,10 @@
         """Links or processes change."""
         self.observe()
 
+    def on_parent(self, process: Process) -> None:
+        """Whoever was the parent for a moment may have vouched."""
+        self._observe_parent(process)
+
     def on_adopted(self, process: Process, version: Version) -> None:
         """Adoption is monotone within one life."""
         check_adoption_is_monotone(process, version)
@@ -163,6 +168,10 @@
         """When a control machine had contact with a majority at the latest."""
         return self.reach(machine).contact_at(self._electorates)
 
+    def vouched_at(self, edge: Process) -> int:
+        """The newest contact that any parent of an edge had while it was the parent, or that of its own parents."""
+        return self._vouched_at.get(edge, NEVER)
+
     def is_in_touch(self, edge: Process) -> bool:
         """Whether an edge could reach all that vouch, for long enough, while the core was stable."""
         now = self.world.now
@@ -228,6 +237,18 @@
         knows_one = any(self._knows(edge, each) for each in in_touch)
         span = self._edge_touch.setdefault(edge, Span())
         span.note(now, not edge.is_frozen and reaches_all and knows_one)
+        self._observe_parent(edge)
+
+    def _observe_parent(self, edge: Process) -> None:
+        parent = edge.core.distribution.link.parent
+        if parent is None:
+            return
+        machine = next(each for each in self.world.machines.values() if each.address == parent.address)
+        if machine.is_control:
+            contact_at = self.contact_at(machine)
+        else:
+            contact_at = self._vouched_at.get(machine.process, NEVER) if machine.process is not None else NEVER
+        self._vouched_at[edge] = max(contact_at, self.vouched_at(edge))
 
     def _knows(self, edge: Process, control: ControlProcess) -> bool:
         if control.address in edge.machine.seeds:
@@ -291,22 +312,19 @@
     if control.is_frozen:
         return
     silence = watch.world.now - watch.contact_at(control.machine)
-    if silence > control.core.terms.stale + SLACK and control.core.has_majority(watch.world.now):
+    if silence > control.core.terms.stale + SLACK and control.core.has_majority(control.now):
         raise VouchedWithoutContact(f"{control.machine.name} says so {silence / SECOND:.2f} s after its last contact")
 
 
 def check_edge_is_vouched_for(watch: Invariants, edge: Process) -> None:
-    """The age that reaches an edge is that of its parent's last contact, not of a hop."""
-    now = watch.world.now
-    if edge.is_frozen or not edge.core.has_majority(now):
+    """The age that reaches an edge is that of the last contact of a parent, not of a hop."""
+    if edge.is_frozen or not edge.core.has_majority(edge.now):
         return
-    parent = edge.core.distribution.link.parent
-    machines = [each for each in watch.world.machines.values() if each.is_control]
-    direct = [each for each in machines if parent is not None and each.address == parent.address]
-    silence = now - max(watch.contact_at(each) for each in direct or machines)
+    silence = watch.world.now - watch.vouched_at(edge)
     if silence > edge.core.terms.stale + SLACK:
         raise VouchedWithoutContact(
-            f"{edge.machine.name} takes itself for in touch {silence / SECOND:.2f} s after the last contact of {parent}"
+            f"{edge.machine.name} takes itself for in touch {silence / SECOND:.2f} s after a parent was;"
+            f" the present one: {edge.core.distribution.link.parent}"
         )
 
 
--- a/tests/soft_state_network.py
+++ b/tests/soft_state_network.py
@@ -114,7 +114,8 @@
         """Whether this process may send on it."""
         if self.is_given_up or sender in self.closed:
             return False
-        return sender is self.opener or sender is self.accepter or self.accepter is None
+        is_awaited = self.accepter is None and sender.address == self.target
+        return sender is self.opener or sender is self.accepter or is_awaited
 
 
 class Network:
@@ -220,7 +221,9 @@
     def _open(self, connection: Connection) -> None:
         """The handshake has come round, or is tried again."""
         opener, target = connection.opener, connection.target
-        if connection.is_given_up or not opener.is_running or self._current(connection) is not connection:
+        if not opener.is_running or self._current(connection) is not connection:
+            connection.is_given_up = True
+        if connection.is_given_up:
             return
         accepter = self.endpoints.get(target)
         is_passing = self.is_two_way(opener.address.host, target.host)
@@ -302,12 +305,18 @@
             return
         connection.closed.append(own)
         connection.queues.pop(sender, None)
-        self._tell_disconnected(own, other.address)
+        if self._current(connection) is connection:
+            self._tell_disconnected(own, other.address)
         if self.passage(sender.host, other.address.host) is Passage.OPEN and other not in connection.closed:
             connection.closed.append(other)
             connection.queues.pop(other.address, None)
             delay = self._delay(sender, other.address)
-            self.at(self.now + delay, lambda: self._tell_disconnected(other, sender))
+            self.at(self.now + delay, lambda: self._on_reset(connection, other, sender))
+
+    def _on_reset(self, connection: Connection, endpoint: Endpoint, sender: Address) -> None:
+        """A reset came; that of a connection older than the present one is of no interest."""
+        if self._current(connection) is connection:
+            self._tell_disconnected(endpoint, sender)
 
     def reset_connections(self, ended: Endpoint) -> None:
         """A process ended on a machine that goes on: the others hear of it where packets pass."""
--- a/tests/soft_state_walk.py
+++ b/tests/soft_state_walk.py
@@ -348,7 +348,7 @@
         for edge in world.edge_machines():
             edge.seeds = [*others, new.address]
             if edge.process is not None and edge.process.is_running:
-                edge.process.core.distribution.set_seeds(world.now, edge.seeds)
+                edge.process.core.distribution.set_seeds(edge.process.now, edge.seeds)
 
 
 def an_edge_restarts_into_a_cut(walk: Walk) -> None:
--- a/tests/soft_state_world.py
+++ b/tests/soft_state_world.py
@@ -34,6 +34,7 @@
 from canvasbeam.decide.replication.types import (
     GENESIS_DISK,
     MemberId,
+    View,
     genesis_view,
     member_id,
     member_ip,
@@ -54,6 +55,7 @@
 ZONES_IN_A_REGION = 2
 REGIONS = 3
 OK = 200
+MOST_CLOCK_OFFSET = 100_000 * SECOND
 
 
 @dataclass(frozen=True, slots=True)
@@ -145,6 +147,9 @@
     def on_worker_acknowledged(self, process: ControlProcess) -> None:
         """A control process acknowledged what a worker said."""
 
+    def on_parent(self, process: Process) -> None:
+        """An edge has another parent, or none."""
+
     def on_change(self) -> None:
         """Links or processes are about to change, or have just changed."""
 
@@ -177,12 +182,19 @@
         self.is_running = True
         self.is_frozen = False
         self.began_at = world.now
+        self._clock_offset = world.draw(MOST_CLOCK_OFFSET)
         self.adopted: list[Version] = []
         self.is_ready = False
-        self.core = world.make_core(self._own_member(), machine.seeds, Start(seed, world.now))
+        self.core = world.make_core(self._own_member(), machine.seeds, Start(seed, self.now))
         self._woken_at = -1
+        self._parent_changes = 0
         self.core.table.add_listener(self._on_items)
 
+    @property
+    def now(self) -> int:
+        """The monotonic clock of this process, which says something else than that of any other."""
+        return self.world.now + self._clock_offset
+
     @property
     def has_power(self) -> bool:
         """Whether the machine answers for a process that has ended."""
@@ -190,19 +202,19 @@
 
     def begin(self) -> None:
         """The first event."""
-        self.core.begin(self.world.now)
+        self.core.begin(self.now)
         self.perform()
 
     def set_ready(self) -> None:
         """Tell the others that this process takes clients."""
         if self.is_running and not self.is_frozen:
             self.is_ready = True
-            self.core.set_ready(self.world.now, True)
+            self.core.set_ready(self.now, True)
             self.perform()
 
     def leave(self) -> None:
         """Tell the others that this process ends."""
-        self.core.leave(self.world.now)
+        self.core.leave(self.now)
         self.perform()
 
     # --- the network --------------------------------------------------------------------------------
@@ -210,12 +222,12 @@
     def on_message(self, sender: Address, payload: object) -> None:
         """A message came over a connection."""
         if isinstance(payload, DistributionPayload):
-            self.core.receive(self.world.now, sender, payload.message)  # type: ignore[arg-type]
+            self.core.receive(self.now, sender, payload.message)  # type: ignore[arg-type]
             self.perform()
 
     def on_datagram(self, sender: Address, payload: object) -> None:
         """A probe or its answer came."""
-        now = self.world.now
+        now = self.now
         if isinstance(payload, ProbeAnswer):
             self.core.on_answer(now, sender)
         elif isinstance(payload, Probe):
@@ -224,7 +236,7 @@
 
     def on_disconnected(self, address: Address) -> None:
         """A connection failed."""
-        self.core.on_disconnected(self.world.now, address)
+        self.core.on_disconnected(self.now, address)
         self.perform()
 
     def perform(self) -> None:
@@ -238,25 +250,32 @@
                         network.send(self, address, payload)
                 case Probe(address) | ProbeAnswer(address):
                     network.send_datagram(self, address, action)
+        self._note_parent()
         self._wake()
 
+    def _note_parent(self) -> None:
+        changes = self.core.distribution.link.changes
+        if changes != self._parent_changes:
+            self._parent_changes = changes
+            self.world.watcher.on_parent(self)
+
     def _wake(self) -> None:
         now = self.world.now
-        when = max(self.core.wake(), now + LEAST_WAIT)
+        when = max(self.core.wake() - self._clock_offset, now + LEAST_WAIT)
         if self._woken_at <= now or when < self._woken_at:
             self._woken_at = when
             self.world.network.at(when, lambda: self._tick(when))
 
     def _tick(self, when: int) -> None:
         if self.is_running and not self.is_frozen and self._woken_at == when:
-            self.core.tick(self.world.now)
+            self.core.tick(self.now)
             self.perform()
 
     def thaw(self) -> None:
         """Go on: what is overdue comes first, and then what waited in the sockets."""
         self.is_frozen = False
         self._woken_at = -1
-        self.core.tick(self.world.now)
+        self.core.tick(self.now)
         self.perform()
 
     # --- what the watcher asks ----------------------------------------------------------------------
@@ -296,13 +315,14 @@
         super().__init__(world, machine, seed)
         self._outbox = Outbox()
         self._writing: list[Save] | None = None
+        self._told_view: View | None = None
         self.publisher = StatePublisher(self)
         seed_ips = tuple(each.host for each in machine.seeds)
         settings = MemberSettings(machine.member, seed_ips, world.tolerated, seed=seed)
-        self.member = Member(settings, machine.durable, apply_order, apply_order, world.now)
+        self.member = Member(settings, machine.durable, apply_order, apply_order, self.now)
         self.table = self.core.table
         self._callbacks: dict[Channel, Callable[[PeerInfo, bytes], None]] = {}
-        self.registry = RegistryService(self._settings(), self, lambda: world.now)  # type: ignore[arg-type]
+        self.registry = RegistryService(self._settings(), self, lambda: self.now)  # type: ignore[arg-type]
 
     def begin(self) -> None:
         """The first event of all parts."""
@@ -315,7 +335,7 @@
     def on_message(self, sender: Address, payload: object) -> None:
         """A message came for one of the parts."""
         if isinstance(payload, ReplicationPayload):
-            self._carry_out(self.member.receive(payload.sender, payload.message, self.world.now))
+            self._carry_out(self.member.receive(payload.sender, payload.message, self.now))
         elif isinstance(payload, RegistryPayload):
             self._callbacks[Channel.REGISTRY](PeerInfo("", sender), payload.data)
             self.perform()
@@ -325,7 +345,7 @@
     def _tick_member(self) -> None:
         if self.is_running:
             if not self.is_frozen:
-                self._carry_out(self.member.tick(self.world.now))
+                self._carry_out(self.member.tick(self.now))
             self.world.network.at(self.world.now + REPLICATION_TICK, self._tick_member)
 
     def _tick_registry(self) -> None:
@@ -338,13 +358,13 @@
     def thaw(self) -> None:
         """All parts notice what is overdue."""
         super().thaw()
-        self._carry_out(self.member.tick(self.world.now))
+        self._carry_out(self.member.tick(self.now))
 
     # --- replication --------------------------------------------------------------------------------
 
     def submit(self, call: Call) -> None:
         """An operator orders a change, or reads."""
-        now = self.world.now
+        now = self.now
         if call.change is None:
             self._carry_out(self.member.read(call.number, now))
         else:
@@ -360,8 +380,17 @@
                 case Publish(state=state):
                     self.publisher.on_committed(state)
         self._begin_write()
+        self._tell_electorate()
         self.perform()
 
+    def _tell_electorate(self) -> None:
+        """The witnesses of the newest view grant leases."""
+        view = self.member.known_view
+        if view is not None and view is not self._told_view:
+            self._told_view = view
+            addresses = [Address(member_ip(each), PORTS.control) for each in view.witnesses]
+            self.core.distribution.set_electorate(self.now, addresses)
+
     def _send(self, action: ReplicationSend | SendToAddress) -> None:
         ip = action.ip if isinstance(action, SendToAddress) else member_ip(action.to)
         payload = ReplicationPayload(self.member.me, action.message)
@@ -372,7 +401,7 @@
 
     def _deliver_own(self, payload: ReplicationPayload) -> None:
         if self.is_running:
-            self._carry_out(self.member.receive(payload.sender, payload.message, self.world.now))
+            self._carry_out(self.member.receive(payload.sender, payload.message, self.now))
 
     def _begin_write(self) -> None:
         if self._writing is None and self._outbox.has_unwritten:
@@ -407,11 +436,11 @@
 
     def publish(self, items: Iterable[Item]) -> list[Item]:
         """Merge items and bring them to all nodes."""
-        return self.core.publish(self.world.now, items)
+        return self.core.publish(self.now, items)
 
     def members(self) -> tuple[NodeMember, ...]:
         """The members that are alive and not suspected."""
-        return self.core.members(self.world.now)
+        return self.core.members(self.now)
 
     def control_nodes(self) -> Sequence[NodeMember]:
         """The control nodes among them."""
@@ -423,7 +452,7 @@
 
     def in_touch(self, within: int) -> bool:
         """Whether most control nodes were in contact lately."""
-        age = self.core.control_age(self.world.now)
+        age = self.core.control_age(self.now)
         return age is not None and age <= within
 
     def heartbeat(self, worker: str, sequence: int, state: str) -> bool:
@@ -534,6 +563,10 @@
         self.machines[name] = machine
         return machine
 
+    def draw(self, below: int) -> int:
+        """A number by chance."""
+        return self._chance.randrange(below)
+
     def begin(self) -> None:
         """Start all machines at once."""
         for machine in self.machines.values():
