--- a/tests/soft_state_invariants.py
+++ b/tests/soft_state_invariants.py
@@ -25,6 +25,7 @@
 DIRECTORY_CHECKS = 4  # the directory is asked at every so many checks
 SLACK = 100 * MILLISECOND
 NEVER = -(10**15)
+MOST_HOPS = 4  # more than relays allow
 
 Electorate = frozenset[str]  # the addresses of machines
 
@@ -239,16 +240,18 @@
         span.note(now, not edge.is_frozen and reaches_all and knows_one)
         self._observe_parent(edge)
 
-    def _observe_parent(self, edge: Process) -> None:
+    def _observe_parent(self, edge: Process, hops: int = 0) -> int:
+        """Note what may have been vouched for by now, by way of all parents above an edge."""
         parent = edge.core.distribution.link.parent
-        if parent is None:
-            return
-        machine = next(each for each in self.world.machines.values() if each.address == parent.address)
-        if machine.is_control:
-            contact_at = self.contact_at(machine)
-        else:
-            contact_at = self._vouched_at.get(machine.process, NEVER) if machine.process is not None else NEVER
+        contact_at = NEVER
+        if parent is not None and hops <= MOST_HOPS:
+            machine = next(each for each in self.world.machines.values() if each.address == parent.address)
+            if machine.is_control:
+                contact_at = self.contact_at(machine)
+            elif machine.process is not None:
+                contact_at = self._observe_parent(machine.process, hops + 1)
         self._vouched_at[edge] = max(contact_at, self.vouched_at(edge))
+        return self._vouched_at[edge]
 
     def _knows(self, edge: Process, control: ControlProcess) -> bool:
         if control.address in edge.machine.seeds:
@@ -333,17 +336,17 @@
     if control.is_frozen or not watch.is_control_in_touch(control, NAMED_AFTER_END):
         return
     world = watch.world
-    nodes = control.ready_nodes()
-    named = {each.front for each in nodes}
+    answers = {zone: control.resolve(zone) for zone in sorted(world.zones)}
+    named = {front for answer in answers.values() for front in answer}
     for machine in world.edge_machines():
         is_ended = machine.process is None or not machine.process.is_running
         if f"{machine.ip}:80" in named and is_ended and world.now - machine.ended_at > NAMED_AFTER_END:
             silence = (world.now - machine.ended_at) / SECOND
             raise EndedNodeNamed(f"{control.machine.name} names {machine.name}, which ended {silence:.2f} s ago")
     if any(watch.reaches(control, edge) and edge.is_ready for edge in world.edges()):
-        for zone, region in sorted(world.zones.items()):
-            if not control.resolve(zone, region):
-                raise EmptyDirectory(f"{control.machine.name} names nobody to clients of {zone}")
+        empty = [zone for zone, answer in answers.items() if not answer]
+        if empty:
+            raise EmptyDirectory(f"{control.machine.name} names nobody to clients of {empty}")
 
 
 def check_drained_workers(watch: Invariants, edge: Process) -> None:
--- a/tests/soft_state_walk.py
+++ b/tests/soft_state_walk.py
@@ -179,14 +179,18 @@
         worker.next_beat_at = now + SECOND
         if not controls:
             return
-        process = chance.choice(controls)
-        if not process.heartbeat(worker.name, worker.sequence, "draining" if worker.is_draining else "ready"):
-            worker.next_beat_at = now + 200 * MILLISECOND
-            return
-        self.watch.on_worker_acknowledged(process)
-        if worker.is_draining and not worker.is_acknowledged:
-            worker.is_acknowledged = True
-            self.watch.drained.append(Drained(worker.name, worker.sequence, now))
+        process, sequence, is_draining = chance.choice(controls), worker.sequence, worker.is_draining
+
+        def on_answer(is_acknowledged: bool) -> None:
+            if not is_acknowledged:
+                worker.next_beat_at = min(worker.next_beat_at, self.world.now + 200 * MILLISECOND)
+                return
+            self.watch.on_worker_acknowledged(process)
+            if is_draining and not worker.is_acknowledged:
+                worker.is_acknowledged = True
+                self.watch.drained.append(Drained(worker.name, sequence, self.world.now))
+
+        process.begin_heartbeat(worker.name, sequence, "draining" if is_draining else "ready", on_answer)
 
     # --- trouble ------------------------------------------------------------------------------------
 
--- a/tests/soft_state_world.py
+++ b/tests/soft_state_world.py
@@ -9,18 +9,18 @@
 
 import json
 import random
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Coroutine, Generator, Iterable, Sequence
 from dataclasses import dataclass, field, replace
 
 from canvasbeam.cluster.items import Item, ItemKind, Version
 from canvasbeam.cluster.member import Member as NodeMember
 from canvasbeam.cluster.node_core import NodeCore, Ports, ProbeAnswer
 from canvasbeam.cluster.transport import Channel, PeerInfo
+from canvasbeam.control_plane.directory import RESOLVE_PATH, Directory
 from canvasbeam.control_plane.publisher import StatePublisher
 from canvasbeam.control_plane.registry import INSTANCES_PREFIX, RegistryService
 from canvasbeam.control_plane.web import Answer, Request
 from canvasbeam.control_state import Change, ChangeKind, Committed, ControlState
-from canvasbeam.decide.directory import DataPlaneNode, choose_addresses
 from canvasbeam.decide.distribution import Start
 from canvasbeam.decide.distribution_messages import Send
 from canvasbeam.decide.monitoring import Probe
@@ -171,6 +171,27 @@
     )
 
 
+@dataclass(frozen=True, slots=True)
+class PendingWrite:
+    """What the handling of a call waits for: most of the control nodes hold some items, or the time is over."""
+
+    number: int
+    within: int
+
+    def __await__(self) -> Generator[PendingWrite, bool, bool]:
+        return (yield self)
+
+
+@dataclass(eq=False)
+class Handling:
+    """A call of a worker while it is handled."""
+
+    coroutine: Coroutine[PendingWrite, bool | None, Answer]
+    on_answer: Callable[[Answer], None]
+    write: int = 0
+    is_late: bool = False
+
+
 class Process:
     """One life of a process: an edge, or what an edge and a control process share."""
 
@@ -315,7 +336,8 @@
         super().__init__(world, machine, seed)
         self._outbox = Outbox()
         self._writing: list[Save] | None = None
-        self._told_view: View | None = None
+        self._told_view: tuple[View, bool] | None = None
+        self._waiting: list[Handling] = []
         self.publisher = StatePublisher(self)
         seed_ips = tuple(each.host for each in machine.seeds)
         settings = MemberSettings(machine.member, seed_ips, world.tolerated, seed=seed)
@@ -323,6 +345,7 @@
         self.table = self.core.table
         self._callbacks: dict[Channel, Callable[[PeerInfo, bytes], None]] = {}
         self.registry = RegistryService(self._settings(), self, lambda: self.now)  # type: ignore[arg-type]
+        self.directory = Directory(self._settings(), self.members, lambda: self.core.is_heard(self.now))
 
     def begin(self) -> None:
         """The first event of all parts."""
@@ -380,16 +403,18 @@
                 case Publish(state=state):
                     self.publisher.on_committed(state)
         self._begin_write()
-        self._tell_electorate()
+        self._tell_electorates()
         self.perform()
 
-    def _tell_electorate(self) -> None:
-        """The witnesses of the newest view grant leases."""
-        view = self.member.known_view
-        if view is not None and view is not self._told_view:
-            self._told_view = view
-            addresses = [Address(member_ip(each), PORTS.control) for each in view.witnesses]
-            self.core.distribution.set_electorate(self.now, addresses)
+    def _tell_electorates(self) -> None:
+        """The witnesses of the newest view grant leases; while it is not settled, also those of the one before."""
+        view, is_settled = self.member.known_view, self.member.known_settled
+        if view is None or (view, is_settled) == self._told_view:
+            return
+        self._told_view = view, is_settled
+        electorates = [view.witnesses] if is_settled else [view.witnesses, view.previous_witnesses]
+        ips = [[member_ip(each) for each in electorate] for electorate in electorates]
+        self.core.set_electorates(self.now, ips)
 
     def _send(self, action: ReplicationSend | SendToAddress) -> None:
         ip = action.ip if isinstance(action, SendToAddress) else member_ip(action.to)
@@ -455,8 +480,8 @@
         age = self.core.control_age(self.now)
         return age is not None and age <= within
 
-    def heartbeat(self, worker: str, sequence: int, state: str) -> bool:
-        """A worker's heartbeat over HTTP; tells whether it was acknowledged."""
+    def begin_heartbeat(self, worker: str, sequence: int, state: str, on_answer: Callable[[bool], None]) -> None:
+        """A worker's heartbeat over HTTP; tells whether it was acknowledged, when it is answered."""
         document = {
             "service": "s",
             "address": f"10.9.0.1:{1000 + int(worker.removeprefix('w'))}",
@@ -466,33 +491,57 @@
             "seq": sequence,
         }
         request = Request("PUT", f"{INSTANCES_PREFIX}{worker}", body=json.dumps(document).encode("ascii"))
-        answer = self._answer(request)
+        handling = self.registry.instances(request)
+        self._go_on(Handling(handling, lambda answer: on_answer(answer.status == OK)), None)
         self.perform()
-        return answer.status == OK
 
-    def _answer(self, request: Request) -> Answer:
-        """The registry's answer; it waits for nothing."""
-        handling = self.registry.instances(request)
+    async def write(self, items: Iterable[Item], within_s: float) -> bool:
+        """Have most of the control nodes hold these items; the registry waits for it."""
+        number = self.core.begin_write(self.now, items)
         try:
-            handling.send(None)
+            return await PendingWrite(number, round(within_s * SECOND))
+        finally:
+            self.core.end_write(number)
+
+    def _go_on(self, handling: Handling, is_written: bool | None) -> None:
+        """Run the handling of a call until it waits for a write, or ends."""
+        try:
+            pending = handling.coroutine.send(is_written)
         except StopIteration as done:
-            answer: Answer = done.value
-            return answer
-        raise AssertionError("the registry waits")
+            handling.on_answer(done.value)
+            return
+        handling.write = pending.number
+        self._waiting.append(handling)
+        self.world.network.at(self.world.now + pending.within, lambda: self._end_write(handling, False))
+
+    def _end_write(self, handling: Handling, is_written: bool) -> None:
+        """The wait is over; a process that stands still then finds that out when it goes on."""
+        if handling not in self._waiting or not self.is_running:
+            return
+        if self.is_frozen:
+            handling.is_late = True
+            return
+        self._waiting.remove(handling)
+        self._go_on(handling, is_written)
+
+    def perform(self) -> None:
+        """Also go on with what waited for a majority."""
+        super().perform()
+        for handling in tuple(self._waiting):
+            if handling.is_late or self.core.is_written(handling.write):
+                self._end_write(handling, not handling.is_late)
 
     # --- the directory ------------------------------------------------------------------------------
 
-    def ready_nodes(self) -> list[DataPlaneNode]:
-        """The data-plane nodes that the directory may name now."""
-        return [
-            DataPlaneNode(each.front, each.zone, each.region)
-            for each in self.members()
-            if each.front and each.ready and not each.is_control
-        ]
-
-    def resolve(self, zone: str, region: str) -> list[str]:
-        """What the directory answers a client."""
-        return choose_addresses(self.ready_nodes(), zone, region)
+    def resolve(self, zone: str) -> list[str]:
+        """Whom the directory names to a client in a zone; nobody where it answers 503."""
+        try:
+            self.directory.resolve(Request("GET", RESOLVE_PATH, {"zone": zone})).send(None)
+        except StopIteration as done:
+            answer: Answer = done.value
+            addresses: list[str] = json.loads(answer.body)["addresses"] if answer.status == OK else []
+            return addresses
+        raise AssertionError("the directory waits")
 
     def _settings(self) -> ProcessSettings:
         machine = self.machine
