Explorer of the soft state: random walks, and planted faults that each must be found

The control side's soft state (items, parents, members, registry, directory) over the real replication, in virtual time with one-way loss, held directions, pauses, restarts, wiped disks, replacement and seeds on the wrong side. After each step: in touch means in force within 3 s, adoption is monotone, nobody vouches or answers without contact, the directory names nobody ended, a drained worker is out of use.

Ten planted faults are found, each by its own trouble within 40 walks.

--- a/tests/soft_state_invariants.py
+++ b/tests/soft_state_invariants.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from functools import lru_cache
 
 from canvasbeam.cluster.items import ItemKind, Version
 from canvasbeam.cluster.worker_items import worker_of
@@ -234,10 +235,10 @@
         for control in live:
             span = self._pairs.setdefault((control, edge), Span())
             span.note(now, not edge.is_frozen and network.is_two_way(own, control.machine.ip))
-        reaches_all = all(network.is_two_way(own, each.machine.ip) for each in in_touch)
-        knows_one = any(self._knows(edge, each) for each in in_touch)
+        reaches_all = not edge.is_frozen and all(network.is_two_way(own, each.machine.ip) for each in in_touch)
+        knows_one = reaches_all and any(self._knows(edge, each) for each in in_touch)
         span = self._edge_touch.setdefault(edge, Span())
-        span.note(now, not edge.is_frozen and reaches_all and knows_one)
+        span.note(now, knows_one)
         self._observe_parent(edge)
 
     def _observe_parent(self, edge: Process, hops: int = 0) -> int:
@@ -245,7 +246,7 @@
         parent = edge.core.distribution.link.parent
         contact_at = NEVER
         if parent is not None and hops <= MOST_HOPS:
-            machine = next(each for each in self.world.machines.values() if each.address == parent.address)
+            machine = self.world.machines_by_ip[parent.address.host]
             if machine.is_control:
                 contact_at = self.contact_at(machine)
             elif machine.process is not None:
@@ -365,6 +366,7 @@
 # --- majorities -----------------------------------------------------------------------------------------------------
 
 
+@lru_cache(maxsize=1024)
 def _electorates(view: View) -> list[Electorate]:
     return [frozenset(member_ip(each) for each in witnesses) for witnesses in (view.witnesses, view.previous_witnesses)]
 
--- a/tests/soft_state_walk.py
+++ b/tests/soft_state_walk.py
@@ -5,7 +5,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 from canvasbeam.decide.replication.types import member_ip
@@ -17,12 +17,10 @@
 from .soft_state_world import (
     Call,
     ControlProcess,
-    CoreFactory,
     Drained,
     Machine,
     Shape,
     World,
-    real_core,
     seconds,
 )
 
@@ -39,6 +37,9 @@
 )
 
 
+TroubleKind = Callable[["Walk"], None]
+
+
 @dataclass
 class Worker:
     """A worker, which says once a second how it stands, and drains at some time."""
@@ -61,18 +62,17 @@
 class Walk:
     """One walk: `run` raises a violation where an invariant does not hold."""
 
-    def __init__(self, seed: int, shape: Shape | None = None, make_core: CoreFactory = real_core) -> None:
+    def __init__(self, seed: int, shape: Shape | None = None, kinds: Sequence[TroubleKind] = ()) -> None:
         chance = self.chance = random.Random(seed)
-        self.world = World(seed, shape or chance.choice(SHAPES), make_core)
+        self.world = World(seed, shape or chance.choice(SHAPES))
         self.watch = Invariants(self.world)
         self.story: list[str] = []
         self.events = 0
         self._operator = Operator()
         self._workers = [Worker(f"w{number}", next_beat_at=number * 100 * MILLISECOND) for number in range(4)]
         self._rate = chance.choice((0.02, 0.05, 0.1))  # of trouble in each step
-        self._kinds = chance.sample(list(TROUBLES), chance.randrange(1, 5))
+        self._kinds = kinds or chance.sample(TROUBLES, chance.randrange(1, 5))
         self._ends: list[tuple[int, Callable[[], None]]] = []
-        self._wiped: Machine | None = None
 
     # --- the walk -----------------------------------------------------------------------------------
 
@@ -95,8 +95,8 @@
             self._end_due()
             if with_trouble and len(self._ends) < MOST_TROUBLES and self.chance.random() < self._rate:
                 kind = self.chance.choice(self._kinds)
-                self._tell(kind)
-                TROUBLES[kind](self)
+                self._tell(kind.__name__)
+                kind(self)
 
     def _check_recovered(self) -> None:
         acknowledged = [each for each in self.world.acknowledged if each.at > self.world.now - RECOVERY]
@@ -378,23 +378,19 @@
         walk.until(0.1, 1.0, lambda each=edge: world.start(each))  # type: ignore[misc]
 
 
-Trouble_ = Callable[[Walk], None]
-TROUBLES: dict[str, Trouble_] = {
-    each.__name__: each
-    for each in (
-        a_control_is_cut_from_the_others,
-        a_control_is_cut_from_everybody,
-        a_region_is_cut,
-        any_sides_are_cut,
-        an_edge_is_cut_from_a_control,
-        a_process_stands_still,
-        an_edge_ends,
-        an_edge_loses_power,
-        a_herd_loses_power,
-        a_control_restarts,
-        a_control_loses_its_disk,
-        a_control_is_replaced,
-        an_edge_restarts_into_a_cut,
-        all_seeds_are_on_the_wrong_side,
-    )
-}
+TROUBLES: tuple[TroubleKind, ...] = (
+    a_control_is_cut_from_the_others,
+    a_control_is_cut_from_everybody,
+    a_region_is_cut,
+    any_sides_are_cut,
+    an_edge_is_cut_from_a_control,
+    a_process_stands_still,
+    an_edge_ends,
+    an_edge_loses_power,
+    a_herd_loses_power,
+    a_control_restarts,
+    a_control_loses_its_disk,
+    a_control_is_replaced,
+    an_edge_restarts_into_a_cut,
+    all_seeds_are_on_the_wrong_side,
+)
--- a/tests/soft_state_world.py
+++ b/tests/soft_state_world.py
@@ -11,6 +11,7 @@
 import random
 from collections.abc import Callable, Coroutine, Generator, Iterable, Sequence
 from dataclasses import dataclass, field, replace
+from functools import cached_property
 
 from canvasbeam.cluster.items import Item, ItemKind, Version
 from canvasbeam.cluster.member import Member as NodeMember
@@ -97,7 +98,7 @@
     member: MemberId = ""
     durable: Durable = field(default_factory=Durable)
 
-    @property
+    @cached_property
     def address(self) -> Address:
         """Where its process takes messages."""
         return Address(self.ip, PORTS.control if self.is_control else PORTS.data)
@@ -206,7 +207,7 @@
         self._clock_offset = world.draw(MOST_CLOCK_OFFSET)
         self.adopted: list[Version] = []
         self.is_ready = False
-        self.core = world.make_core(self._own_member(), machine.seeds, Start(seed, self.now))
+        self.core = NodeCore(self._own_member(), PORTS, machine.seeds, Start(seed, self.now))
         self._woken_at = -1
         self._parent_changes = 0
         self.core.table.add_listener(self._on_items)
@@ -552,14 +553,6 @@
         )  # fmt: skip
 
 
-CoreFactory = Callable[[NodeMember, Sequence[Address], Start], NodeCore]
-
-
-def real_core(member: NodeMember, seeds: Sequence[Address], start: Start) -> NodeCore:
-    """The core of the product."""
-    return NodeCore(member, PORTS, seeds, start)
-
-
 @dataclass(frozen=True, slots=True)
 class Shape:
     """How large a world is."""
@@ -577,13 +570,13 @@
 class World:
     """All machines, the network, and what operators and workers were told."""
 
-    def __init__(self, seed: int = 0, shape: Shape | None = None, make_core: CoreFactory = real_core) -> None:
+    def __init__(self, seed: int = 0, shape: Shape | None = None) -> None:
         shape = shape or Shape()
         self.network = Network()
         self.watcher = Watcher()
-        self.make_core = make_core
         self.tolerated = shape.tolerated
         self.machines: dict[str, Machine] = {}
+        self.machines_by_ip: dict[str, Machine] = {}
         self.zones: dict[str, str] = {}
         self.calls: dict[int, Call] = {}
         self.acknowledged: list[Acknowledged] = []
@@ -610,6 +603,7 @@
         self.zones[zone_name] = f"region-{region}"
         machine = Machine(name, ip, zone_name, f"region-{region}", False, list(seeds))
         self.machines[name] = machine
+        self.machines_by_ip[ip] = machine
         return machine
 
     def draw(self, below: int) -> int:
--- a/tests/test_soft_state_explorer.py
+++ b/tests/test_soft_state_explorer.py
@@ -1,38 +1,82 @@
 """The soft state under an explorer: random walks with every kind of trouble, and planted faults that it must find.
 
-`EXPLORER_WALKS` sets the number of walks; what is run here by default takes seconds. A walk is drawn from its seed alone:
-`EXPLORER_SEED=7` tells that one again.
+`EXPLORER_WALKS` sets the number of walks and `EXPLORER_FIRST` the seed of the first; what is run here by default takes
+seconds. A walk is drawn from its seed alone, so that one that failed is told again by its number.
 """
 
 from __future__ import annotations
 
 import os
 import time
-from collections.abc import Callable, Iterable, Sequence
-from contextlib import AbstractContextManager
+from collections.abc import Callable, Iterator
+from contextlib import AbstractContextManager, ExitStack
+from dataclasses import dataclass, field
 from unittest import mock
 
 import pytest
 
-from canvasbeam.cluster.items import Item, ItemTable
+from canvasbeam.cluster import items
+from canvasbeam.cluster.items import Item, ItemKind, ItemTable
+from canvasbeam.cluster.member import Member
 from canvasbeam.cluster.member_list import MemberList
-from canvasbeam.decide import distribution, reconcile
-from canvasbeam.decide.control_contact import ControlContact
+from canvasbeam.control_plane.registry import RegistryService
+from canvasbeam.control_plane.web import Answer
+from canvasbeam.control_state import Committed
+from canvasbeam.decide import reconcile
+from canvasbeam.decide.distribution import Distribution
+from canvasbeam.decide.distribution_messages import LeaseGrant, Message
+from canvasbeam.decide.parent_link import ParentLink
+from canvasbeam.decide.peer_clock import PeerClocks, SendTime
+from canvasbeam.decide.replication.messages import Action, Reply
+from canvasbeam.decide.replication.primary import Primary
+from canvasbeam.runtime.settings import Address
 from canvasbeam.units import SECOND
 
+from . import soft_state_walk as trouble
 from .soft_state_invariants import (
     AdoptionWentBack,
+    AnswerWithoutContact,
+    DrainedWorkerInUse,
+    EmptyDirectory,
     EndedNodeNamed,
     OldConfiguration,
     Violation,
     VouchedWithoutContact,
 )
-from .soft_state_walk import Walk
+from .soft_state_walk import TroubleKind, Walk
 
-WALKS = int(os.environ.get("EXPLORER_WALKS", "24"))
-FIRST = int(os.environ.get("EXPLORER_SEED", "0"))
+WALKS = int(os.environ.get("EXPLORER_WALKS", "20"))
+FIRST = int(os.environ.get("EXPLORER_FIRST", "0"))
 SPAN = 20 * SECOND
-BATCH = 8
+WALKS_TO_FIND = 40
+
+
+@dataclass
+class Pace:
+    """How much was explored, and in what time."""
+
+    began: float = field(default_factory=time.perf_counter)
+    walks: int = 0
+    events: int = 0
+    checks: int = 0
+
+    def __str__(self) -> str:
+        took = time.perf_counter() - self.began
+        return (
+            f"soft state: {self.walks} walks in {took:.1f} s, {self.walks / took:.2f} a second,"
+            f" with {self.events / took:.0f} events and {self.checks / took:.0f} checked states a second"
+        )
+
+
+@pytest.fixture(scope="module")
+def pace(request: pytest.FixtureRequest) -> Iterator[Pace]:
+    """The pace of this run's walks, printed at their end."""
+    pace = Pace()
+    yield pace
+    capture = request.config.pluginmanager.getplugin("capturemanager")
+    assert capture is not None
+    with capture.global_and_fixture_disabled():
+        print(f"\n{pace}")
 
 
 def tell(seed: int) -> Walk:
@@ -42,5 +86,205 @@
         walk.run(SPAN)
     except Violation as violation:
         story = "\n".join(walk.story)
-        raise type(violation)(f"EXPLORER_SEED={seed}: {violation}\n{story}") from violation
+        raise type(violation)(f"EXPLORER_FIRST={seed} EXPLORER_WALKS=1: {violation}\n{story}") from violation
     return walk
+
+
+@pytest.mark.parametrize("seed", range(FIRST, FIRST + WALKS))
+def test_a_walk(seed: int, pace: Pace) -> None:
+    walk = tell(seed)
+    pace.walks += 1
+    pace.events += walk.events
+    pace.checks += walk.watch.checks
+
+
+# --- a walk is told by its seed -------------------------------------------------------------------------------------
+
+
+def test_a_walk_is_the_same_again() -> None:
+    assert trace(5) == trace(5)
+
+
+def test_steps_of_the_time_of_day_change_nothing() -> None:
+    """Nothing reads the time of day, which jumps at every look at it; a pause would show in the monotonic clock."""
+    plain = trace(5)
+    jumps = iter(range(10**9))
+    with (
+        mock.patch.object(time, "time", lambda: (-1) ** next(jumps) * 10.0**6),
+        mock.patch.object(time, "time_ns", lambda: (-1) ** next(jumps) * 10**15),
+    ):
+        assert trace(5) == plain
+
+
+def trace(seed: int) -> list[object]:
+    """What came of a walk."""
+    walk = tell(seed)
+    adopted = [(process.machine.name, tuple(process.adopted)) for process in walk.world.edges()]
+    answers = [(call.number, call.began_at, str(result)) for call, result in walk.world.answers]
+    return [walk.events, walk.story, adopted, answers]
+
+
+# --- planted faults -------------------------------------------------------------------------------------------------
+
+
+def contact_from_what_is_heard(self: Distribution) -> int | None:
+    """The majority of what arrives, whoever may have had our messages."""
+    if not self.me.is_control:
+        return self.relayed.instant
+    heard = sorted((peer.heard_at for peer in self.mesh.peers.values()), reverse=True)
+    return heard[len(heard) // 2 - 1] if len(heard) > 1 else None
+
+
+REAL_ON_GRANT = Distribution._on_lease_grant
+
+
+def lease_counted_from_receipt(self: Distribution, now: int, sender: Address, message: LeaseGrant) -> None:
+    """A grant counts as if its request had been sent when it came."""
+    granted = self.contact._rounds.get(message.number)
+    if granted is not None:
+        granted.sent_at = now
+    REAL_ON_GRANT(self, now, sender, message)
+
+
+def keepalive_counted_from_receipt(self: PeerClocks, now: int, address: Address, time: SendTime) -> int | None:
+    """What waited on the way looks new."""
+    return now
+
+
+def take_any_version(self: ItemTable, item: Item) -> bool:
+    """An item may go back."""
+    held = self._items.get(item.name)
+    if held is not None and held.version == item.version:
+        return False
+    self._items[item.name] = item
+    self._digests[item.kind] ^= items._fingerprint(item) ^ (items._fingerprint(held) if held else 0)
+    return True
+
+
+def list_everybody(self: MemberList, now: int, is_silent: Callable[[str], bool]) -> tuple[Member, ...]:
+    """Neither suspicions nor deaths count."""
+    return tuple(self._members.values())
+
+
+def tell_nothing(*_: object) -> Iterator[Message]:
+    """Digests that differ are passed over."""
+    return iter(())
+
+
+REAL_DIGEST = ItemTable.digest
+
+
+def digest_without_workers(self: ItemTable, kind: ItemKind) -> int:
+    """Tables are compared but for the workers."""
+    return 0 if kind is ItemKind.WORKER else REAL_DIGEST(self, kind)
+
+
+MOST_FIRST_SEQUENCE = 2  # of a worker's heartbeats: every node has heard of it
+REAL_SEND_ITEMS = Distribution._send_items
+
+
+def push_no_workers(self: Distribution, receivers: list[Address], pushed: list[Item]) -> None:
+    """What is new of workers that are known is left to the comparison of tables."""
+    is_first = {each.name for each in pushed if each.version.major <= MOST_FIRST_SEQUENCE}
+    told = [each for each in pushed if each.kind is not ItemKind.WORKER or each.name in is_first]
+    REAL_SEND_ITEMS(self, receivers, told)
+
+
+async def acknowledge_at_once(self: RegistryService, worker_id: str, document: dict[str, str]) -> Answer:
+    """The end of a worker is acknowledged before anybody else holds it."""
+    return self._acknowledge(document, True)
+
+
+def reply_without_confirmation(self: Primary, call: int, now: int) -> list[Action]:
+    """A read is answered from what this node holds."""
+    return [Reply(call, Committed(self._replica.state_at(self._committed)))]
+
+
+Plant = Callable[[], AbstractContextManager[object]]
+
+
+@dataclass(frozen=True)
+class Fault:
+    """A fault, the trouble that brings it to light, and the invariant that it breaks."""
+
+    plants: tuple[Plant, ...]
+    found_as: type[Violation]
+    kinds: tuple[TroubleKind, ...] = ()
+
+
+def plant(owner: object, name: str, broken: object) -> Plant:
+    """Put something broken in the place of an attribute."""
+    return lambda: mock.patch.object(owner, name, broken)
+
+
+FAULTS: dict[str, Fault] = {
+    "contact from what is heard": Fault(
+        (plant(Distribution, "contact_instant", property(contact_from_what_is_heard)),),
+        VouchedWithoutContact,
+        (trouble.a_control_is_cut_from_the_others,),
+    ),
+    "a lease counted from receipt": Fault(
+        (plant(Distribution, "_on_lease_grant", lease_counted_from_receipt),),
+        VouchedWithoutContact,
+        (trouble.a_control_is_cut_from_the_others, trouble.a_process_stands_still),
+    ),
+    "a keepalive counted from receipt": Fault(
+        (plant(PeerClocks, "sent_at", keepalive_counted_from_receipt),),
+        VouchedWithoutContact,
+        (trouble.any_sides_are_cut,),
+    ),
+    "a stale parent is kept": Fault(
+        (plant(ParentLink, "_is_stale", lambda self, now: False),),
+        OldConfiguration,
+        (trouble.a_control_is_cut_from_the_others,),
+    ),
+    "adoption that goes back": Fault(
+        (plant(ItemTable, "_take", take_any_version),),
+        AdoptionWentBack,
+    ),
+    "a directory that ignores suspicions": Fault(
+        (plant(MemberList, "alive", list_everybody), plant(MemberList, "_forget", lambda self, key: None)),
+        EndedNodeNamed,
+        (trouble.an_edge_loses_power,),
+    ),
+    "no scrub after a reconnect": Fault(
+        (plant(reconcile, "answer_digests", tell_nothing),),
+        EmptyDirectory,
+        (trouble.a_control_restarts,),
+    ),
+    "neither pushes nor a scrub of workers": Fault(
+        (plant(ItemTable, "digest", digest_without_workers), plant(Distribution, "_send_items", push_no_workers)),
+        DrainedWorkerInUse,
+        (trouble.an_edge_is_cut_from_a_control,),
+    ),
+    "a worker's end acknowledged at once": Fault(
+        (plant(RegistryService, "_acknowledge_end", acknowledge_at_once),),
+        AnswerWithoutContact,
+        (trouble.a_control_is_cut_from_the_others,),
+    ),
+    "a read without confirmation": Fault(
+        (plant(Primary, "read", reply_without_confirmation),),
+        AnswerWithoutContact,
+        (trouble.a_control_is_cut_from_the_others,),
+    ),
+}
+
+
+@pytest.mark.parametrize("name", FAULTS)
+def test_walks_find_a_planted_fault(name: str) -> None:
+    fault = FAULTS[name]
+    with ExitStack() as stack:
+        for each in fault.plants:
+            stack.enter_context(each())
+        assert any(finds(seed, fault) for seed in range(WALKS_TO_FIND))
+
+
+def finds(seed: int, fault: Fault) -> bool:
+    """Whether a walk through the fault's trouble breaks the invariant."""
+    try:
+        Walk(seed, kinds=fault.kinds).run(SPAN)
+    except fault.found_as:
+        return True
+    except Violation:
+        return False
+    return False
