A control node that knows no view yet is granted contact by nobody

A machine that joins with an empty disk knew no view, so the control nodes that it had heard of, itself among them, made its electorate: with one other of three, which may be cut off as well, it took itself for in contact and vouched for what it held. Found by random walks (a replacement while another machine stood still or was cut off). It now begins with an electorate that nobody can fill, until replication tells it a view.

--- a/canvasbeam/control_plane/program.py
+++ b/canvasbeam/control_plane/program.py
@@ -29,6 +29,7 @@
 DRAIN_S = 1.0
 RESIGN_S = 2.0
 LEAVE_FLUSH_S = 0.05
+NO_ELECTORATE = ((),)  # before it knows a view, a control node may be no member of it: nobody can grant it contact
 
 log = logs.get_logger(__name__)
 
@@ -44,6 +45,7 @@
         self._publisher = StatePublisher(self._node)
         self._service.add_commit_listener(self._publisher.on_committed)
         self._registry = RegistryService(settings, self._node)
+        self._node.set_electorates(NO_ELECTORATE)
         self._service.add_electorate_listener(self._node.set_electorates)
         self._directory = Directory(settings, self._node.members, self._node.is_heard)
         self._operator = OperatorApi(
--- a/tests/soft_state_world.py
+++ b/tests/soft_state_world.py
@@ -18,6 +18,7 @@
 from canvasbeam.cluster.node_core import NodeCore, Ports, ProbeAnswer
 from canvasbeam.cluster.transport import Channel, PeerInfo
 from canvasbeam.control_plane.directory import RESOLVE_PATH, Directory
+from canvasbeam.control_plane.program import NO_ELECTORATE
 from canvasbeam.control_plane.publisher import StatePublisher
 from canvasbeam.control_plane.registry import INSTANCES_PREFIX, RegistryService
 from canvasbeam.control_plane.web import Answer, Request
@@ -350,6 +351,7 @@
 
     def begin(self) -> None:
         """The first event of all parts."""
+        self.core.set_electorates(self.now, NO_ELECTORATE)
         super().begin()
         self._carry_out(self.member.begin())
         self.set_ready()
@@ -709,10 +711,14 @@
         machine.member = member_id(machine.ip, f"w{self._disks}")
         machine.durable = Durable()
 
-    def replace_control(self, machine: Machine, seeds: Sequence[Address]) -> Machine:
-        """A control machine is gone for good; an empty one comes at another address, with its own seeds."""
+    def remove(self, machine: Machine) -> None:
+        """A machine is gone for good."""
         self.lose_power(machine)
         machine.is_removed = True
+
+    def replace_control(self, machine: Machine, seeds: Sequence[Address]) -> Machine:
+        """A control machine is gone for good; an empty one comes at another address, with its own seeds."""
+        self.remove(machine)
         self._disks += 1
         number = len(self.machines)
         ip = f"10.0.3.{self._disks}"
