A primary takes into its view only who answers it

A member whose messages arrive but that hears nothing (a link lost one way) was taken for steady: the primary changed its view for it every 1.5 s, left it out again when it did not answer, and orders waited each time. Only a member that accepted or refused a heartbeat of this primary within the silence counts as one to take in.

In simulated time, 20 s of such a cut: 2 views at the most; more than 10 without the check.

--- a/canvasbeam/decide/replication/contacts.py
+++ b/canvasbeam/decide/replication/contacts.py
@@ -15,10 +15,11 @@
     heard_since: int  # the start of the present span without a gap
     healthy: bool = True
     failed_at: int = _NEVER
+    answered_at: int = _NEVER
 
 
 class Contacts:
-    """What a member knows of the others from their messages alone."""
+    """What a member knows of the others from their messages, and from their answers to its own."""
 
     def __init__(self, timing: Timing) -> None:
         self._timing = timing
@@ -39,12 +40,18 @@
         """This member stood still for so long: the others were not silent."""
         for contact in self._contacts.values():
             contact.last_heard += pause
+            contact.answered_at += pause
 
     def mark_failed(self, member: MemberId, now: int) -> None:
         """The member did not store something in time: it is not used for a while."""
         self.note(member, self.last_heard(member))
         self._contacts[member].failed_at = now
 
+    def note_answer(self, member: MemberId, now: int) -> None:
+        """The member accepted or refused a heartbeat of this primary: both directions of the link work."""
+        self.note(member, now)
+        self._contacts[member].answered_at = now
+
     def last_heard(self, member: MemberId) -> int:
         """When the member was last heard; far in the past where it never was."""
         contact = self._contacts.get(member)
@@ -62,6 +69,11 @@
         contact = self._contacts.get(member)
         return contact is not None and now - contact.heard_since >= self._timing.steady and self.is_alive(member, now)
 
+    def is_answering(self, member: MemberId, now: int) -> bool:
+        """Whether the member answered this primary lately; one that is heard may not hear us."""
+        contact = self._contacts.get(member)
+        return contact is not None and now - contact.answered_at <= self._timing.silence
+
     def is_gone(self, member: MemberId, now: int) -> bool:
         """Whether the member has been silent so long that another may take its place."""
         return now - self.last_heard(member) > self._timing.gone
--- a/canvasbeam/decide/replication/member.py
+++ b/canvasbeam/decide/replication/member.py
@@ -442,6 +442,7 @@
         if self._primary is None or message.epoch != self._primary.view.epoch:
             return []
         if isinstance(message, HeartbeatAck):
+            self.contacts.note_answer(sender, now)
             return self._primary.take_heartbeat_ack(sender, message, now)
         return self._primary.take_appended(sender, message, now)
 
@@ -449,6 +450,8 @@
         if self._primary is None:
             return self._on_answer_to_candidate(sender, message, now)
         view = self._primary.view
+        if message.epoch == view.epoch:
+            self.contacts.note_answer(sender, now)
         if message.epoch != view.epoch or sender not in view.replicas or message.promised <= view.epoch:
             return []
         return self._become(Role.FOLLOWER, now)
--- a/canvasbeam/decide/replication/plan.py
+++ b/canvasbeam/decide/replication/plan.py
@@ -45,7 +45,9 @@
             return member in promised and self._contacts.is_alive(member, now)
         if member in base.replicas:
             return self._contacts.is_alive(member, now)
-        return self._contacts.is_steady(member, now)
+        # A primary takes in only who answers it: a view with a member that it cannot reach would not last.
+        is_reached = promised is not None or self._contacts.is_answering(member, now)
+        return is_reached and self._contacts.is_steady(member, now)
 
 
 def plan_view(
--- /dev/null
+++ b/tests/test_soft_state_stories.py
@@ -0,0 +1,250 @@
+"""Directed stories in the world of the soft-state explorer: what operators met, with every invariant watched."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from pathlib import Path
+from unittest import mock
+
+import pytest
+
+from canvasbeam.cluster.node_core import NodeCore
+from canvasbeam.control_plane.program import ControlPlane
+from canvasbeam.control_state import Committed
+from canvasbeam.decide.replication.contacts import Contacts
+from canvasbeam.runtime.settings import Address, ProcessSettings
+from canvasbeam.units import MILLISECOND, SECOND
+
+from .soft_state_invariants import CONTACT, IN_FORCE, Invariants, Violation, VouchedWithoutContact
+from .soft_state_network import Passage
+from .soft_state_world import Drained, Machine, Process, Shape, World
+
+STEP = 50 * MILLISECOND
+LONG_CUT = 20 * SECOND
+ORDER_EVERY = 10  # steps
+
+
+class Story:
+    """A world that has begun, with its invariants; while time passes, an operator orders at a node that leads."""
+
+    def __init__(self, shape: Shape | None = None) -> None:
+        self.world = World(1, shape or Shape())
+        self.watch = Invariants(self.world)
+        self._steps = 0
+        self._orders = 0
+        self.world.begin()
+        self.run(6 * SECOND)
+
+    def run(self, span: int) -> None:
+        """Let time pass, and check every step."""
+        for _ in range(span // STEP):
+            self.world.run(STEP)
+            self.watch.check()
+            self._steps += 1
+            if self._steps % ORDER_EVERY == 0:
+                self._order()
+
+    def _order(self) -> None:
+        leader = self.world.primary()
+        if leader is not None:
+            self.world.read(leader)
+            self._orders += 1
+            self.world.order(leader, f"order {self._orders}".encode("ascii"), self.world.generation)
+
+    def machine(self, name: str) -> Machine:
+        return self.world.machines[name]
+
+    def control_machines(self, *without: Machine) -> list[Machine]:
+        return [each for each in self.world.control_machines() if each not in without]
+
+    def others(self, *without: Machine) -> list[Machine]:
+        return [each for each in self.world.machines.values() if each not in without and not each.is_removed]
+
+    def primary_machine(self) -> Machine:
+        primary = self.world.primary()
+        assert primary is not None
+        return primary.machine
+
+    def acknowledged_since(self, begun: int) -> int:
+        """How many calls were confirmed since a time."""
+        return sum(each.at >= begun for each in self.world.acknowledged)
+
+    def assert_all_are_up_to_date(self, edges: Iterable[Process]) -> None:
+        wanted = max(each.index for each in self.world.acknowledged if each.at <= self.world.now - IN_FORCE)
+        assert all(each.configuration_index >= wanted for each in edges)
+        assert all(self.watch.is_in_touch(each) for each in edges)
+
+
+@pytest.mark.parametrize("shape", [Shape(controls=3), Shape(controls=5)], ids=["of three", "of five"])
+@pytest.mark.parametrize("passage", [Passage.LOSING, Passage.HOLDING], ids=["lost", "held"])
+@pytest.mark.parametrize("way", ["mute", "deaf", "both"])
+@pytest.mark.parametrize("who", ["the primary", "another"])
+def test_a_control_machine_is_cut_from_the_others_for_twenty_seconds(
+    who: str, way: str, passage: Passage, shape: Shape
+) -> None:
+    """Its children leave it, orders go on elsewhere, and it neither vouches nor answers."""
+    story = Story(shape)
+    primary = story.primary_machine()
+    cut = primary if who == "the primary" else story.control_machines(primary)[0]
+    others = story.control_machines(cut)
+    begun = story.world.now
+    if way in ("mute", "both"):
+        story.world.cut([cut], others, passage)
+    if way in ("deaf", "both"):
+        story.world.cut(others, [cut], passage)
+    story.run(LONG_CUT)
+    assert story.acknowledged_since(begun + 3 * SECOND) > 10
+    story.assert_all_are_up_to_date(story.world.edges())
+    process = cut.process
+    assert process is not None
+    assert not process.core.has_majority(process.now)
+    story.watch.on_change()
+    story.world.network.end_all_trouble()
+    story.run(CONTACT + 2 * SECOND)
+    assert process.core.has_majority(process.now)
+
+
+def test_edges_that_begin_with_seeds_on_the_wrong_side_find_the_others() -> None:
+    """The only seed that they know is cut off from the other control machines, but still knows them."""
+    story = Story()
+    cut = story.machine("core-1")
+    story.world.cut_both_ways([cut], story.control_machines(cut))
+    edges = story.world.edge_machines()[:4]
+    for edge in edges:
+        edge.seeds = [cut.address]
+        story.world.kill(edge)
+        story.run(200 * MILLISECOND)
+        story.world.start(edge)
+    story.run(CONTACT + 2 * SECOND)
+    story.assert_all_are_up_to_date([each.process for each in edges if each.process is not None])
+
+
+def test_a_parent_stands_still_and_goes_on() -> None:
+    """What it says when it goes on is as old as it is."""
+    story = Story()
+    process = story.machine("core-2").process
+    assert process is not None
+    for _ in range(3):
+        story.world.freeze(process)
+        story.run(3 * SECOND)
+        story.world.thaw(process)
+        assert not process.core.has_majority(process.now)
+        story.run(2 * SECOND)
+    story.run(CONTACT + SECOND)
+    story.assert_all_are_up_to_date(story.world.edges())
+
+
+def test_a_worker_drains_at_a_control_machine_that_is_cut_off() -> None:
+    """It is not acknowledged there; elsewhere it is, and every edge knows of it 3 s later."""
+    story = Story()
+    cut = story.machine("core-0")
+    told: list[bool] = []
+    heartbeat(story, "core-1", 1, "ready", told)
+    story.run(SECOND)
+    story.world.cut([cut], story.control_machines(cut), Passage.HOLDING)
+    story.run(2 * SECOND)
+    heartbeat(story, "core-0", 2, "draining", told)
+    story.run(SECOND)
+    heartbeat(story, "core-2", 3, "draining", told)
+    story.run(SECOND)
+    assert told == [True, False, True]
+    story.watch.drained.append(Drained("w0", 3, story.world.now))
+    story.run(IN_FORCE + SECOND)
+
+
+def heartbeat(story: Story, name: str, sequence: int, state: str, told: list[bool]) -> None:
+    process = next(each for each in story.world.controls() if each.machine.name == name)
+    process.begin_heartbeat("w0", sequence, state, told.append)
+
+
+def test_a_cut_off_primary_confirms_and_refuses_nothing() -> None:
+    """Orders and reads that reach it end with an open outcome, or are handed on."""
+    story = Story()
+    cut = story.primary_machine()
+    process = next(each for each in story.world.controls() if each.machine is cut)
+    story.world.cut_both_ways([cut], story.control_machines(cut))
+    before = len(story.world.answers)
+    for number in range(40):
+        story.world.read(process)
+        story.world.order(process, f"at the cut one {number}".encode("ascii"), number % 3)
+        story.run(500 * MILLISECOND)
+    answers = [result for call, result in story.world.answers[before:] if call.process is process]
+    assert len(answers) > 40
+    assert not any(isinstance(each, Committed) for each in answers)
+
+
+# --- a member that is heard and does not hear -----------------------------------------------------------------------
+
+MOST_VIEWS = 2  # the one without the member, and one that another candidacy was ahead of
+
+
+def test_a_member_that_hears_nobody_is_left_out_of_the_view_once() -> None:
+    assert views_while_a_member_hears_nobody() <= MOST_VIEWS
+
+
+def test_taking_in_whoever_is_heard_is_found() -> None:
+    """The view would change again and again, and orders wait each time."""
+    with mock.patch.object(Contacts, "is_answering", lambda self, member, now: True):
+        assert views_while_a_member_hears_nobody() > 5 * MOST_VIEWS
+
+
+def views_while_a_member_hears_nobody() -> int:
+    """How many views there are in twenty seconds."""
+    story = Story()
+    primary = story.primary_machine()
+    deaf = story.control_machines(primary)[0]
+    story.world.cut(story.control_machines(deaf), [deaf], Passage.HOLDING)
+    epochs = set()
+    for _ in range(LONG_CUT // STEP):
+        story.run(STEP)
+        leader = story.world.primary()
+        assert leader is not None
+        epochs.add(leader.member.primary_epoch)
+    return len(epochs)
+
+
+# --- a machine that joins -------------------------------------------------------------------------------------------
+
+
+def test_a_joining_machine_vouches_for_nothing_before_it_knows_a_view() -> None:
+    joins_by_a_cut_off_seed()
+
+
+def test_a_joining_machine_that_counts_itself_is_found() -> None:
+    real = NodeCore.set_electorates
+
+    def ignore_that_there_is_none(self: NodeCore, now: int, electorates: Sequence[Sequence[str]]) -> None:
+        if any(electorates):
+            real(self, now, electorates)
+
+    with mock.patch.object(NodeCore, "set_electorates", ignore_that_there_is_none), pytest.raises(Violation) as found:
+        joins_by_a_cut_off_seed()
+    assert found.type is VouchedWithoutContact
+
+
+def joins_by_a_cut_off_seed() -> None:
+    """One of three is gone for good; a new machine hears only another, which is cut off: they are no majority."""
+    story = Story()
+    seed, gone, far = (story.machine(f"core-{number}") for number in range(3))
+    story.world.remove(gone)
+    story.run(4 * SECOND)
+    story.world.cut_both_ways([seed], [far])
+    new = story.world.replace_control(gone, [seed.address, far.address])
+    story.world.cut_both_ways([new], [far])
+    story.run(5 * SECOND)
+    assert new.process is not None
+    assert not new.process.core.has_majority(new.process.now)
+
+
+def test_the_control_process_begins_with_nobody_who_can_grant_it_contact(tmp_path: Path) -> None:
+    own = Address("127.0.0.1", 8146)
+    settings = ProcessSettings(
+        node="c1", role="core", node_class="core", serves=("control",), ip=own.host, zone="z1", region="r1",
+        port_range=(7660, 7661), seeds=(own,), bootstrap=True, data_dir=tmp_path, zones={"z1": "r1"},
+        listen={"control": own},
+    )  # fmt: skip
+    core = ControlPlane(settings)._node._core
+    number = core.begin_write(0, ())
+    core.tick(0)
+    assert not core.is_written(number)
+    assert core.control_age(0) is None
