--- a/canvasbeam/control_plane/program.py
+++ b/canvasbeam/control_plane/program.py
@@ -39,6 +39,7 @@
 LEAVE_MARGIN_S = 3.0  # of `grace_s`, for what follows the leave: `RESIGN_S`, and a second before SIGKILL
 LEAST_LEAVE_S = 0.3
 LEAVE_FLUSH_S = 0.05
+NO_ELECTORATE = ((),)  # before it knows a view, a control node may be no member of it: nobody can grant it contact
 
 log = logs.get_logger(__name__)
 
@@ -55,6 +56,7 @@
         self._publisher = StatePublisher(self._node)
         self._service.add_commit_listener(self._publisher.on_committed)
         self._registry = RegistryService(settings, self._node)
+        self._node.set_electorates(NO_ELECTORATE)
         self._service.add_electorate_listener(self._node.set_electorates)
         homes = HomeRegions(self._node.table)
         self._directory = Directory(settings, self._node.members, homes, self._node.is_heard)
--- a/canvasbeam/decide/replication/member.py
+++ b/canvasbeam/decide/replication/member.py
@@ -403,7 +403,7 @@
             return False
         if self._planner.will_change(primary.view, primary.is_settled, now):
             return False
-        return all(each in primary.view.members or self.contacts.is_steady(each, now) for each in spares)
+        return all(each in primary.view.members or self.contacts.may_join(each, now) for each in spares)
 
     def _on_leave_granted(self, epoch: Epoch, copies: int) -> list[Action]:
         if epoch >= self.witness.promised:
@@ -654,6 +654,7 @@
         if isinstance(message, Accepted):
             return self._primary.take_accepted(sender, message)
         if isinstance(message, HeartbeatAck):
+            self.contacts.note_answer(sender, now)
             return self._primary.take_heartbeat_ack(sender, message, now)
         return self._primary.take_appended(sender, message, now)
 
@@ -661,7 +662,10 @@
         if self._primary is None:
             return self._on_answer_to_candidate(sender, message, now)
         view = self._primary.view
-        if message.epoch != view.epoch or message.promised <= view.epoch:
+        if message.epoch != view.epoch:
+            return []
+        self.contacts.note_answer(sender, now)
+        if message.promised <= view.epoch:
             return []
         if sender in view.replicas:
             return self._become(Role.FOLLOWER, now)
--- a/canvasbeam/decide/replication/plan.py
+++ b/canvasbeam/decide/replication/plan.py
@@ -112,6 +112,9 @@
             return member in promised and self._contacts.is_alive(member, now)
         if member in base.replicas:
             return self._contacts.is_alive(member, now)
+        # A primary takes in only who answers it: a view with a member that it cannot reach would not last.
+        if promised is None:
+            return self._contacts.may_join(member, now)
         return self._contacts.is_steady(member, now)
 
 
