--- a/canvasbeam/decide/replication/member.py
+++ b/canvasbeam/decide/replication/member.py
@@ -19,23 +19,30 @@
 
 from canvasbeam.control_state import Change
 from canvasbeam.decide.replication.candidate import Candidate, Phase
+from canvasbeam.decide.replication.change_log import change_size
 from canvasbeam.decide.replication.contacts import Contacts
 from canvasbeam.decide.replication.departure import Departure
 from canvasbeam.decide.replication.messages import (
+    ANSWERS,
     Accept,
     Accepted,
     Action,
+    Answer,
     Append,
     Appended,
     Fetch,
+    Fetched,
+    FetchPiece,
     Heartbeat,
     HeartbeatAck,
     Hello,
     Install,
+    Installed,
     Leave,
     LeaveGranted,
     LeaveRequested,
     Message,
+    Piece,
     Prepare,
     Probe,
     Probed,
@@ -47,13 +54,15 @@
     SaveCommitted,
     Send,
     SendToAddress,
+    SnapshotId,
     ViewTold,
 )
 from canvasbeam.decide.replication.plan import ViewPlanner
-from canvasbeam.decide.replication.primary import PendingCall, Primary
+from canvasbeam.decide.replication.primary import MAX_BYTES_IN_FLIGHT, MAX_PENDING_CALLS, PendingCall, Primary
 from canvasbeam.decide.replication.removal import Removal, at_address, removal_of
 from canvasbeam.decide.replication.replica import Replica
 from canvasbeam.decide.replication.responder import Responder, ToResponder, epoch_of
+from canvasbeam.decide.replication.snapshots import SnapshotReceiver, SnapshotSource, StateCodec
 from canvasbeam.decide.replication.start import Durable, MemberSettings
 from canvasbeam.decide.replication.types import (
     NO_EPOCH,
@@ -66,7 +75,6 @@
 from canvasbeam.decide.replication.witness import Witness
 from canvasbeam.errors import Failure, ResultCode
 
-MAX_PENDING_CALLS = 64
 ELECTION_JITTER_NS = 60_000_000
 
 
@@ -83,22 +91,39 @@
     """See the table at the top."""
 
     def __init__(
-        self, settings: MemberSettings, durable: Durable, apply: Apply, apply_checked: Apply, now: int
+        self,
+        settings: MemberSettings,
+        durable: Durable,
+        apply: Apply,
+        apply_checked: Apply,
+        now: int,
+        *,
+        codec: StateCodec | None = None,
     ) -> None:
         self.me = settings.me
         self.seed_ips = settings.seed_ips  # may change while the member runs
         self.role = Role.FOLLOWER
         self.witness = Witness(durable.promised, durable.accepted, durable.settled)
         self.replica = Replica(apply_checked, durable.installed, durable.state, durable.committed)
-        self._responder = Responder(self.witness, self.replica)
+        self._snapshots = SnapshotSource(codec, settings.piece_bytes)
+        self._receiver = SnapshotReceiver(codec, settings.piece_bytes)
+        self._responder = Responder(self.witness, self.replica, self._snapshots)
         self.contacts = Contacts(settings.timing)
-        self._planner = ViewPlanner(settings.me, self.contacts, settings.tolerated_machines, settings.timing.grace)
+        self._planner = ViewPlanner(
+            settings.me,
+            self.contacts,
+            settings.tolerated_machines,
+            settings.timing.grace,
+            is_caught_up=self._is_caught_up,
+        )
+        self._caught_up: frozenset[MemberId] | None = None  # who may join a view that is reformed
         self.departure = Departure(settings.me, settings.timing)
         self.known_view = durable.accepted  # the highest that this member heard of
         self.known_settled = durable.settled
         self.primary_id: MemberId = ""
         self.primary_epoch = NO_EPOCH
         self.healthy = True
+        self.stale_answers = 0  # to calls of earlier candidacies and views
         self._settings = settings
         self._timing = settings.timing
         self._apply = apply
@@ -122,39 +147,51 @@
     def receive(self, sender: MemberId, message: Message, now: int) -> list[Action]:
         """A message of another member, or of this one."""
         self._note_sender(sender, message, now)
+        if isinstance(message, ANSWERS) and not self._is_awaited(message):
+            self.stale_answers += 1
+            return []
         match message:
-            case Hello():
-                return self._on_hello(sender)
-            case ViewTold(view=view, settled=settled):
-                self._learn(view, settled)
-                return []
+            case Hello() | ViewTold():
+                return self._on_acquaintance(sender, message)
             case Probe():
                 return self._on_probe(sender, message, now)
+            case FetchPiece() | Piece() | Install(state=SnapshotId()) | Fetched(state=SnapshotId()):
+                return self._on_snapshot_message(sender, message, now)
             case Prepare() | Fetch() | Install() | Accept() | Append():
                 return self._respond(sender, message, now)
             case Heartbeat():
                 return self._on_heartbeat(sender, message, now)
             case Resign(epoch=epoch):
                 return self._on_resign(sender, epoch, now)
+            case Installed() if self._primary is not None:
+                return self._on_installed(sender, message, now)
             case HeartbeatAck() | Appended():
                 return self._on_answer_to_primary(sender, message, now)
             case Accepted() if self._primary is not None:
                 return self._on_answer_to_primary(sender, message, now)
-            case Leave(spares=spares):
-                return self._on_leave(sender, spares, now)
-            case LeaveGranted(epoch=epoch, copies=copies):
-                return self._on_leave_granted(epoch, copies)
-            case LeaveRequested():
-                return self.leave(now)
+            case Leave() | LeaveGranted() | LeaveRequested():
+                return self._on_leave_message(sender, message, now)
             case Refused():
                 return self._on_refused(sender, message, now)
         return self._on_answer_to_candidate(sender, message, now)
 
+    def _is_awaited(self, message: Answer) -> bool:
+        """Whether an answer is to a call that this member made in the part that it has now."""
+        candidate, primary = self._candidate, self._primary
+        if isinstance(message, LeaveGranted):
+            return self.departure.has_begun
+        if isinstance(message, Probed):
+            return candidate is not None and message.number == candidate.epoch.number
+        if primary is not None:
+            return message.epoch == primary.view.epoch
+        return candidate is not None and message.epoch == candidate.epoch
+
     def tick(self, now: int) -> list[Action]:
         """Time has passed."""
         self._forgive_own_pause(now)
+        self._snapshots.tick(now)
         farewells = self.departure.tick(self.known_view, self.contacts, now)
-        return [*farewells, *self._tick_role(now)]
+        return [*farewells, *self._receiver.tick(now), *self._tick_role(now)]
 
     def _tick_role(self, now: int) -> list[Action]:
         match self.role:
@@ -182,8 +219,8 @@
     def submit(self, call: int, change: Change, now: int) -> list[Action]:
         """The operator orders a change."""
         if self.role is Role.PRIMARY and self._primary is not None:
-            if len(self._primary.pending) >= MAX_PENDING_CALLS:
-                return [Reply(call, Failure(ResultCode.OVERLOADED, "too many calls are in progress"))]
+            if not self._primary.has_room_for(change):
+                return [Reply(call, Failure(ResultCode.OVERLOADED, "too many changes are in progress"))]
             return self._primary.submit(call, change, now)
         return self._hold_or_refuse(PendingCall(call, now, change=change))
 
@@ -253,8 +290,10 @@
             self._election_at = now + self._timing.election + self._election_delay()
             if self.primary_id == self.me:
                 self.primary_id = ""
+        self._caught_up = None
         if role is Role.REFORMING and self._primary is not None:
             self._pending = self._primary.pending
+            self._caught_up = self._primary.catch_up.close_members(now)
         if role in (Role.FOLLOWER, Role.REFORMING):
             self._primary = None
         if role in (Role.FOLLOWER, Role.PRIMARY):
@@ -270,7 +309,7 @@
         return [Reply(each.call, lost if each.change is None else unseen) for each in pending]
 
     def _hold_or_refuse(self, pending: PendingCall) -> list[Action]:
-        if self.role is Role.REFORMING and len(self._pending) < MAX_PENDING_CALLS:
+        if self.role is Role.REFORMING and self._may_hold(pending):
             self._pending.append(pending)
             return []
         return [Reply(pending.call, self._no_primary_here())]
@@ -280,6 +319,11 @@
             return Failure(ResultCode.NOT_PRIMARY, f"the primary is {member_ip(self.primary_id)}")
         return Failure(ResultCode.NO_PRIMARY, "no primary is known at present")
 
+    def _may_hold(self, pending: PendingCall) -> bool:
+        """Whether one more call may wait while the view is reformed."""
+        held = [change_size(each.change) for each in (*self._pending, pending) if each.change is not None]
+        return len(self._pending) < MAX_PENDING_CALLS and (len(held) <= 1 or sum(held) <= MAX_BYTES_IN_FLIGHT)
+
     # --- witness and replica ----------------------------------------------------------------------------------
 
     def _on_probe(self, sender: MemberId, message: Probe, now: int) -> list[Action]:
@@ -334,21 +378,32 @@
             self._election_at = now + self._election_delay()
         return []
 
+    def _on_leave_message(
+        self, sender: MemberId, message: Leave | LeaveGranted | LeaveRequested, now: int
+    ) -> list[Action]:
+        match message:
+            case Leave(spares=spares):
+                return self._on_leave(sender, spares, now)
+            case LeaveGranted(epoch=epoch, copies=copies):
+                return self._on_leave_granted(epoch, copies)
+            case LeaveRequested():
+                return self.leave(now)
+
     def _on_leave(self, sender: MemberId, spares: Collection[MemberId], now: int) -> list[Action]:
         """A member is to end. It is told the view, and that this member is there; the primary may let it go."""
         self.contacts.mark_leaving(sender, now)
         primary = self._primary
         if primary is None or not self._can_do_without(sender, primary, spares, now):
-            return self._on_hello(sender)
+            return self._tell_view(sender)
         return [Send(sender, LeaveGranted(primary.view.epoch, len(primary.view.replicas)))]
 
     def _can_do_without(self, member: MemberId, primary: Primary, spares: Collection[MemberId], now: int) -> bool:
         """A settled view does without the member, and nothing is about to change: no spare will take its vote."""
         if member in primary.view.replicas or not primary.is_settled:
             return False
-        if self._planner.wants_change(primary.view, now):
+        if self._planner.will_change(primary.view, now):
             return False
-        return all(each in primary.view.members or self.contacts.is_steady(each, now) for each in spares)
+        return all(each in primary.view.members or self.contacts.may_join(each, now) for each in spares)
 
     def _on_leave_granted(self, epoch: Epoch, copies: int) -> list[Action]:
         if epoch >= self.witness.promised:
@@ -363,6 +418,49 @@
             return []
         return self._become(Role.FOLLOWER, now)
 
+    # --- snapshots in pieces ----------------------------------------------------------------------------------
+
+    def _on_snapshot_message(
+        self, sender: MemberId, message: FetchPiece | Piece | Install | Fetched, now: int
+    ) -> list[Action]:
+        match message:
+            case FetchPiece():
+                return self._on_fetch_piece(sender, message, now)
+            case Piece():
+                return self._on_piece(message, now)
+            case Fetched():
+                return self._on_snapshot_fetched(sender, message, now)
+        return self._on_snapshot_offered(sender, message, now)
+
+    def _on_fetch_piece(self, sender: MemberId, message: FetchPiece, now: int) -> list[Action]:
+        """Give a piece; whoever asks for it makes progress."""
+        if self._candidate is not None:
+            self._candidate.note_progress(now)
+        piece = self._snapshots.piece(message)
+        return [] if piece is None else [Send(sender, piece)]
+
+    def _on_piece(self, piece: Piece, now: int) -> list[Action]:
+        """Keep a piece; with the last one, take the message that waited for the state."""
+        if self._candidate is not None:
+            self._candidate.note_progress(now)
+        complete = self._receiver.take_piece(piece, now)
+        if complete is None:
+            return [*self._receiver.tick(now)]
+        source, message = complete
+        return self.receive(source, message, now)
+
+    def _on_snapshot_offered(self, sender: MemberId, message: Install, now: int) -> list[Action]:
+        """Fetch the state that a leading member wants installed, unless its epoch is refused."""
+        if self.witness.refuses(message.epoch) or not self._responder.needs(message):
+            return self._respond(sender, message, now)
+        return [*self._yield_to(message.epoch, sender, now), *self._receiver.take_offer(sender, message, now)]
+
+    def _on_snapshot_fetched(self, sender: MemberId, message: Fetched, now: int) -> list[Action]:
+        """Fetch the state that this candidate asked for."""
+        if self._candidate is None or not self._candidate.awaits(message):
+            return []
+        return [*self._receiver.take_offer(sender, message, now)]
+
     # --- follower ---------------------------------------------------------------------------------------------
 
     def _misses_primary(self, now: int) -> bool:
@@ -401,10 +499,17 @@
         my_ip = member_ip(self.me)
         return [SendToAddress(each, Hello(self.healthy)) for each in dict.fromkeys(ips) if each != my_ip]
 
-    def _on_hello(self, sender: MemberId) -> list[Action]:
+    def _on_acquaintance(self, sender: MemberId, message: Hello | ViewTold) -> list[Action]:
+        """One that hears no primary says hello, and is told the highest view known here."""
+        if isinstance(message, ViewTold):
+            self._learn(message.view, message.settled)
+            return []
+        return self._tell_view(sender)
+
+    def _tell_view(self, to: MemberId) -> list[Action]:
         if self.known_view is None:
             return []
-        return [Send(sender, ViewTold(self.known_view, self.known_settled))]
+        return [Send(to, ViewTold(self.known_view, self.known_settled))]
 
     def _learn(self, view: View, settled: bool) -> None:
         known = self.known_view
@@ -445,6 +550,7 @@
             plan=self._planner.plan,
             is_alive=self.contacts.is_alive,
             timing=self._timing,
+            snapshots=self._snapshots,
         )
         return self._follow_candidacy(self._candidate.begin(probe, now), now)
 
@@ -496,13 +602,21 @@
         self.primary_id = self.me
         self.primary_epoch = view.epoch
         for member in view.witnesses:
-            if member in view.replicas or self.contacts.is_leaving(member):
+            if member in view.replicas or self.contacts.is_leaving(member) or candidate.has_promise(member):
                 continue
             if self.contacts.is_alive(member, now):
                 self.contacts.mark_failed(member, now)  # it answered too late to be a replica: not again at once
         actions += self._become(Role.PRIMARY, now)
         self._primary = Primary(
-            self.me, view, self.replica, apply=self._apply, contacts=self.contacts, timing=self._timing, now=now
+            self.me,
+            view,
+            self.replica,
+            candidate.source_position,
+            apply=self._apply,
+            contacts=self.contacts,
+            timing=self._timing,
+            snapshots=self._snapshots,
+            now=now,
         )
         return actions + self._primary.begin(now) + self._primary.adopt(pending, now)
 
@@ -516,7 +630,21 @@
             self.contacts.mark_failed(member, now)
         if self._planner.wants_change(primary.view, now):
             return self._reform(now)
-        return primary.tick(now)
+        followers = self._planner.followers(primary.view, now)
+        return [*primary.catch_up.set_members(followers, now), *primary.tick(now)]
+
+    def _is_caught_up(self, member: MemberId, now: int) -> bool:
+        """Whether a member that is to join a view has nearly everything, as far as this member can tell."""
+        if self._primary is not None:
+            return self._primary.catch_up.is_close(member, now)
+        if self._caught_up is not None:
+            return member in self._caught_up
+        return self._candidate is None or self._candidate.is_near(member)
+
+    def _on_installed(self, sender: MemberId, message: Installed, now: int) -> list[Action]:
+        if self._primary is None or message.epoch != self._primary.view.epoch:
+            return []
+        return self._primary.take_installed(sender, message, now)
 
     def _on_answer_to_primary(
         self, sender: MemberId, message: HeartbeatAck | Appended | Accepted, now: int
@@ -526,6 +654,7 @@
         if isinstance(message, Accepted):
             return self._primary.take_accepted(sender, message)
         if isinstance(message, HeartbeatAck):
+            self.contacts.note_answer(sender, now)
             return self._primary.take_heartbeat_ack(sender, message, now)
         return self._primary.take_appended(sender, message, now)
 
@@ -533,6 +662,13 @@
         if self._primary is None:
             return self._on_answer_to_candidate(sender, message, now)
         view = self._primary.view
-        if message.epoch != view.epoch or sender not in view.replicas or message.promised <= view.epoch:
+        if message.epoch != view.epoch:
             return []
-        return self._become(Role.FOLLOWER, now)
+        self.contacts.note_answer(sender, now)
+        if message.promised <= view.epoch:
+            return []
+        if sender in view.replicas:
+            return self._become(Role.FOLLOWER, now)
+        if self._primary.catch_up.has(sender) and now - self._primary.began >= self._timing.steady:
+            return self._reform(now)  # nothing but a higher epoch lets this member catch up
+        return []
--- a/canvasbeam/decide/replication/plan.py
+++ b/canvasbeam/decide/replication/plan.py
@@ -9,13 +9,24 @@
 
 
 class ViewPlanner:
-    """Proposes views of one member as the primary."""
+    """Proposes views of one member as the primary.
 
-    def __init__(self, me: MemberId, contacts: Contacts, tolerated_machines: int, grace: int) -> None:
+    `is_caught_up` tells of a member that is to join a view whether it has nearly everything.
+    """
+
+    def __init__(
+        self,
+        me: MemberId,
+        contacts: Contacts,
+        tolerated_machines: int,
+        grace: int,
+        is_caught_up: Callable[[MemberId, int], bool] = lambda _member, _now: True,
+    ) -> None:
         self._me = me
         self._contacts = contacts
         self._tolerated_machines = tolerated_machines
         self._grace = grace
+        self._is_caught_up = is_caught_up
         self._short_epoch = NO_EPOCH  # of the candidacy for which too few members were found that stay, and since when
         self._short_since = 0
 
@@ -25,14 +36,29 @@
         """The view to propose. `promised` are the healthy members that answered a candidate, if there is one.
 
         It does without the members that leave, unless too few others are usable, or answer a candidate within `grace`.
+        Members that are to join and have not caught up are used by a candidate alone, and only where it needs them.
         """
-        known = dict.fromkeys((self._me, *base.members, *sorted(self._contacts.known())))
-        usable = [each for each in known if self._is_usable(each, base, promised, now)]
-        staying = [each for each in usable if each == self._me or not self._contacts.is_leaving(each)]
-        view = self._plan_with(staying, base, settled, epoch, now)
-        if view is None and (promised is None or self._has_waited_for_staying(epoch, now)):
-            view = self._plan_with(usable, base, settled, epoch, now)
-        return view
+        usable = [each for each in self._known(base) if self._is_usable(each, base, promised, now)]
+        ready = [each for each in usable if each in base.replicas or each == self._me or self._is_caught_up(each, now)]
+        view = self._plan_with(self._staying(ready), base, settled, epoch, now)
+        if view is not None:
+            return view
+        if promised is None:
+            return self._plan_with(ready, base, settled, epoch, now)
+        if self._staying(usable) != usable and not self._has_waited_for_staying(epoch, now):
+            return None
+        return self._plan_with(ready, base, settled, epoch, now) or self._plan_with(usable, base, settled, epoch, now)
+
+    def followers(self, view: View, now: int) -> list[MemberId]:
+        """Who is heard and no replica: a primary brings these up to date, so that each may join when it has a place."""
+        others = [each for each in self._staying(self._known(view)) if each not in (self._me, *view.replicas)]
+        return [each for each in others if self._contacts.is_alive(each, now)]
+
+    def _known(self, base: View) -> list[MemberId]:
+        return list(dict.fromkeys((self._me, *base.members, *sorted(self._contacts.known()))))
+
+    def _staying(self, members: Sequence[MemberId]) -> list[MemberId]:
+        return [each for each in members if each == self._me or not self._contacts.is_leaving(each)]
 
     def _plan_with(self, usable: Sequence[MemberId], base: View, settled: bool, epoch: Epoch, now: int) -> View | None:
         return plan_view(
@@ -54,15 +80,18 @@
     def wants_change(self, view: View, now: int) -> bool:
         """Whether a primary should change its view: a member is silent, is back, leaves, or has a successor."""
         planned = self.plan(view, True, view.epoch, None, now)
-        if planned is None:
-            return False
-        return set(planned.replicas) != set(view.replicas) or set(planned.witnesses) != set(view.witnesses)
+        return planned is not None and _differ(planned, view)
+
+    def will_change(self, view: View, now: int) -> bool:
+        """Whether a primary will want to change its view at the latest when those that are to join have caught up."""
+        usable = [each for each in self._known(view) if self._is_usable(each, view, None, now)]
+        planned = self._plan_with(self._staying(usable), view, True, view.epoch, now)
+        return planned is not None and _differ(planned, view)
 
     def can_spare(self, member: MemberId, view: View, now: int) -> bool:
         """Whether the others could go on without the member and all that leave, with as many voters as before."""
-        known = dict.fromkeys((self._me, *view.members, *self._contacts.known()))
-        usable = [each for each in known if self._is_usable(each, view, None, now)]
-        staying = [each for each in usable if each != member and not self._contacts.is_leaving(each)]
+        usable = [each for each in self._known(view) if self._is_usable(each, view, None, now)]
+        staying = [each for each in self._staying(usable) if each != member]
         planned = plan_witnesses(
             view.witnesses,
             staying,
@@ -84,9 +113,16 @@
             return member in promised and self._contacts.is_alive(member, now)
         if member in base.replicas:
             return self._contacts.is_alive(member, now)
+        # A primary takes in only who answers it: a view with a member that it cannot reach would not last.
+        if promised is None:
+            return self._contacts.may_join(member, now)
         return self._contacts.is_steady(member, now)
 
 
+def _differ(first: View, second: View) -> bool:
+    return set(first.replicas) != set(second.replicas) or set(first.witnesses) != set(second.witnesses)
+
+
 def plan_view(
     base: View,
     settled: bool,
--- a/canvasbeam/errors.py
+++ b/canvasbeam/errors.py
@@ -40,6 +40,9 @@
     CONFIG_TOO_LARGE = 210, "the body is larger than the limit"
     CONFIG_DUPLICATE_NAME = 211, "two items have the same name"
     ZONE_UNKNOWN = 212, "the zone is not one of the deployment"
+    CONFIG_UNKNOWN_MATCH = 213, "If-Match names a generation that is not known yet; the outcome is open"
+    CONFIG_FORGOTTEN = 214, "the order is too old to tell whether it was taken; the outcome is open"
+    ORDER_MAY_BE_LATE = 215, "the order may have been sent before an opposite one; send it on a new connection"
     # 3xx: replication
     NOT_PRIMARY = 301, "this node is not the primary"
     NO_PRIMARY = 302, "no primary is known at present"
@@ -70,6 +73,7 @@
     REQUEST_TIMED_OUT = 706, "no answer came in time; the request may have run"
     REQUEST_NOT_READY = 707, "this node has no configuration yet"
     REQUEST_HEAD_TOO_LARGE = 708, "the head of the request is larger than the limit"
+    REQUEST_INCOMPLETE = 709, "the body of the request did not come in time; it has not run"
 
 
 @dataclass(frozen=True, slots=True)
--- a/canvasbeam/runtime/http_server.py
+++ b/canvasbeam/runtime/http_server.py
@@ -12,6 +12,7 @@
 
 import asyncio
 import socket
+import struct
 from collections.abc import Awaitable, Callable, MutableMapping
 from dataclasses import dataclass
 from typing import Any
@@ -32,8 +33,13 @@
 from canvasbeam.runtime.settings import Address
 
 FLUSH_BYTES = 65536
+MOST_AHEAD_BYTES = 65536  # read from a client while an earlier request of its connection is answered
 ALWAYS = 0  # answers after this many on a connection carry `Connection: close`
 NEVER = 1 << 62
+# In the state of a scope: when, by the loop's clock, the connection was opened or its former answer was complete. A
+# client that does not pipeline sent its request after that.
+AT_REST_SINCE = "at_rest_since"
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)  # the value of SO_LINGER by which a close resets the connection
 
 Scope = MutableMapping[str, Any]
 Message = MutableMapping[str, Any]
@@ -160,6 +166,43 @@
                 self._all_closed.set()
 
 
+class _ClientLeft(Exception):
+    """The client closed its connection while a later request on it waited for its turn."""
+
+
+class _Turn:
+    """Hypercorn's event for the turn of a later request on a connection.
+
+    Hypercorn reads nothing while it waits for this event, and so would not notice that the client leaves.
+    """
+
+    def __init__(self, read_until_left: Callable[[], Awaitable[bool]]) -> None:
+        self._read_until_left = read_until_left
+        self._came = asyncio.Event()
+
+    async def set(self) -> None:
+        """The request before has its answer."""
+        self._came.set()
+
+    async def clear(self) -> None:
+        """A request before has none yet."""
+        self._came.clear()
+
+    async def wait(self) -> None:
+        """Return when the turn has come; raises `_ClientLeft` where the client leaves before that."""
+        came = asyncio.ensure_future(self._came.wait())
+        reading = asyncio.ensure_future(self._read_until_left())
+        try:
+            await asyncio.wait((came, reading), return_when=asyncio.FIRST_COMPLETED)
+            if not came.done() and reading.result():
+                raise _ClientLeft
+            await came
+        finally:
+            came.cancel()
+            reading.cancel()
+            await asyncio.wait((came, reading))  # two may not read from a connection at once
+
+
 class _Connection(TCPServer):
     """One connection of a client."""
 
@@ -167,8 +210,10 @@
         loop = asyncio.get_running_loop()
         super().__init__(server.app, loop, server.config, server.context, {}, reader, writer)
         self._server = server
+        self._state = ConnectionState({})  # of which the scope of each request is given a copy
         self._timer: asyncio.TimerHandle | None = None
         self._unsent = bytearray()
+        self._ahead = bytearray()
         self._flush_due = False
         self.busy = False
         self.idle = True
@@ -184,12 +229,13 @@
                     self.config,
                     self.context,
                     group,
-                    ConnectionState({}),
+                    self._state,
                     False,
                     client,
                     local,
                     self.protocol_send,
                 )
+                self.protocol.can_read = _Turn(self._read_ahead)  # type: ignore[attr-defined]
                 self._become_idle()
                 await self._read_data()
         except OSError:
@@ -220,18 +266,40 @@
                 self._become_busy()
 
     async def _read_data(self) -> None:
-        while not self.reader.at_eof():
+        while self._ahead or not self.reader.at_eof():
             try:
-                data = await self.reader.read(MAX_RECV)
+                data = await self._next_bytes()
             except OSError:
                 break
             if self.writer.is_closing():
                 break
             if self.idle and data:
                 self._await_head()
-            await self.protocol.handle(RawData(data))
+            try:
+                await self.protocol.handle(RawData(data))
+            except _ClientLeft:
+                break
         await self.protocol.handle(Closed())
 
+    async def _next_bytes(self) -> bytes:
+        """What was read ahead, or else what comes next."""
+        if not self._ahead:
+            return await self.reader.read(MAX_RECV)
+        data, self._ahead = bytes(self._ahead), bytearray()
+        return data
+
+    async def _read_ahead(self) -> bool:
+        """Keep what the client sends while it waits; tells whether it left. Beyond a bound nothing is read."""
+        while len(self._ahead) < MOST_AHEAD_BYTES:
+            try:
+                data = await self.reader.read(MAX_RECV)
+            except OSError:
+                return True
+            if not data:
+                return True
+            self._ahead += data
+        return False
+
     async def _send_bytes(self, data: bytes) -> None:
         """Gather what is written in one turn of the loop, so that a short answer leaves in one piece."""
         self._unsent += data
@@ -253,11 +321,27 @@
 
     async def _close(self) -> None:
         self._flush()
+        if self._is_cut_unmarked():
+            self._reset()
         await super()._close()
 
+    def _is_cut_unmarked(self) -> bool:
+        """Whether an answer is broken off whose end would be told by that of the connection: HTTP/1.0 has no chunks."""
+        connection = self.protocol.connection if isinstance(self.protocol, H11Protocol) else None
+        return (
+            connection is not None and connection.our_state is h11.SEND_BODY and connection.their_http_version == b"1.0"
+        )
+
+    def _reset(self) -> None:
+        """End the connection so that nothing of the answer looks complete."""
+        client = self.writer.get_extra_info("socket")
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+        self.abort()
+
     def _become_idle(self) -> None:
         self.busy = False
         self.idle = True
+        self._state[AT_REST_SINCE] = self.loop.time()
         self._start_timer(self._server.limits.idle_timeout_s)
 
     def _await_head(self) -> None:
