--- a/canvasbeam/decide/replication/member.py
+++ b/canvasbeam/decide/replication/member.py
@@ -401,7 +401,7 @@
         """A settled view does without the member, and nothing is about to change: no spare will take its vote."""
         if member in primary.view.replicas or not primary.is_settled:
             return False
-        if self._planner.will_change(primary.view, primary.is_settled, now):
+        if self._planner.will_change(primary.view, now):
             return False
         return all(each in primary.view.members or self.contacts.may_join(each, now) for each in spares)
 
@@ -628,7 +628,7 @@
             if member == self.me:
                 return self.resign(now)
             self.contacts.mark_failed(member, now)
-        if self._planner.wants_change(primary.view, primary.is_settled, now):
+        if self._planner.wants_change(primary.view, now):
             return self._reform(now)
         followers = self._planner.followers(primary.view, now)
         return [*primary.catch_up.set_members(followers, now), *primary.tick(now)]
--- a/canvasbeam/decide/replication/plan.py
+++ b/canvasbeam/decide/replication/plan.py
@@ -77,30 +77,31 @@
             self._short_since = now
         return now - self._short_since >= self._grace
 
-    def wants_change(self, view: View, settled: bool, now: int) -> bool:
+    def wants_change(self, view: View, now: int) -> bool:
         """Whether a primary should change its view: a member is silent, is back, leaves, or has a successor."""
-        planned = self.plan(view, settled, view.epoch, None, now)
+        planned = self.plan(view, True, view.epoch, None, now)
         return planned is not None and _differ(planned, view)
 
-    def will_change(self, view: View, settled: bool, now: int) -> bool:
+    def will_change(self, view: View, now: int) -> bool:
         """Whether a primary will want to change its view at the latest when those that are to join have caught up."""
         usable = [each for each in self._known(view) if self._is_usable(each, view, None, now)]
-        planned = self._plan_with(self._staying(usable), view, settled, view.epoch, now)
+        planned = self._plan_with(self._staying(usable), view, True, view.epoch, now)
         return planned is not None and _differ(planned, view)
 
     def can_spare(self, member: MemberId, view: View, now: int) -> bool:
-        """Whether the others could go on without the member, with as many voters as before."""
-        known = dict.fromkeys((self._me, *view.members, *self._contacts.known()))
-        usable = [each for each in known if self._is_usable(each, view, None, now)]
-        staying = [each for each in usable if each != member and not self._contacts.is_leaving(each)]
+        """Whether the others could go on without the member and all that leave, with as many voters as before."""
+        usable = [each for each in self._known(view) if self._is_usable(each, view, None, now)]
+        staying = [each for each in self._staying(usable) if each != member]
         planned = plan_witnesses(
             view.witnesses,
             staying,
             lambda each: each == member or self._is_gone(each, now),
             2 * self._tolerated_machines + 1,
         )
+        if any(each == member or self._contacts.is_leaving(each) for each in planned):
+            return False
         copies = sum(1 for each in planned if each in staying)
-        return member not in planned and copies >= fewest_replicas(len(planned), self._tolerated_machines)
+        return copies >= fewest_replicas(len(planned), self._tolerated_machines)
 
     def _is_gone(self, member: MemberId, now: int) -> bool:
         return self._contacts.is_leaving(member) or self._contacts.is_gone(member, now)
