--- /dev/null
+++ b/tests/test_replication_catch_up.py
@@ -0,0 +1,99 @@
+"""When a member that catches up may join, and how many changes are on their way to it."""
+
+from __future__ import annotations
+
+from canvasbeam.control_state import Change, ChangeKind, ControlState
+from canvasbeam.decide.replication.catch_up import CLOSE_NS, CatchUp
+from canvasbeam.decide.replication.change_flow import FEWEST_BYTES, MOST_BYTES, Batch, ChangeFlow
+from canvasbeam.decide.replication.change_log import ChangeLog
+from canvasbeam.decide.replication.messages import Append, Install, Installed, Send
+from canvasbeam.decide.replication.replica import Replica
+from canvasbeam.decide.replication.snapshots import QUICK_NS, SLOW_NS, SnapshotSource
+from canvasbeam.decide.replication.types import Epoch, Position, Timing
+
+from .replication_world import apply_tag
+
+EPOCH = Epoch(4, "10.0.0.1/0")
+BEGAN_AT = Position(Epoch(3, "10.0.0.1/0"), 7)
+MEMBER = "10.0.0.2/x"
+
+
+def change(size: int) -> Change:
+    return Change(ChangeKind.PUT_CONFIGURATION, bytes(size))
+
+
+def following(log: ChangeLog) -> CatchUp:
+    """A member that is at the state with which the view began."""
+    replica = Replica(apply_tag, EPOCH, ControlState(index=BEGAN_AT.index), BEGAN_AT.index)
+    catch_up = CatchUp(EPOCH, BEGAN_AT, replica=replica, log=log, snapshots=SnapshotSource(None), timing=Timing())
+    assert catch_up.set_members([MEMBER], 0) == [Send(MEMBER, Install(EPOCH, BEGAN_AT, None))]
+    assert catch_up.take_installed(MEMBER, Installed(EPOCH, stored=True, index=BEGAN_AT.index), 0) == []
+    return catch_up
+
+
+def test_a_member_that_confirms_in_time_is_close() -> None:
+    log = ChangeLog(BEGAN_AT.index)
+    catch_up = following(log)
+    assert catch_up.is_close(MEMBER, 0)
+    log.append(change(10), 0)
+    [send] = catch_up.on_change(0)
+    assert isinstance(send.message, Append)
+    assert catch_up.is_close(MEMBER, CLOSE_NS)
+    assert not catch_up.is_close(MEMBER, CLOSE_NS + 1)
+    catch_up.take_appended(MEMBER, log.end, CLOSE_NS + 1)
+    assert catch_up.close_members(CLOSE_NS + 1) == {MEMBER}
+
+
+def test_a_member_to_which_not_everything_was_sent_is_not_close() -> None:
+    log = ChangeLog(BEGAN_AT.index)
+    catch_up = following(log)
+    for _ in range(2):
+        log.append(change(FEWEST_BYTES), 0)
+        catch_up.on_change(0)
+    assert not catch_up.is_close(MEMBER, 0)
+    catch_up.take_appended(MEMBER, log.end - 1, 0)
+    assert catch_up.is_close(MEMBER, 0)
+
+
+def test_a_member_without_a_state_of_the_view_gets_one() -> None:
+    log = ChangeLog(BEGAN_AT.index)
+    catch_up = following(log)
+    catch_up.set_members([], 0)
+    catch_up.set_members([MEMBER], 0)
+    [send] = catch_up.take_installed(MEMBER, Installed(EPOCH, stored=False), 0)
+    assert isinstance(send.message, Install)
+    assert send.message.state is not None
+    assert not catch_up.is_close(MEMBER, 0)
+
+
+def test_the_window_follows_what_the_link_bears() -> None:
+    log = ChangeLog(0)
+    flow = ChangeFlow(log, 0)
+    now = 0
+    for _ in range(8):  # quick and full: it doubles up to the most
+        log.append(change(MOST_BYTES), now)
+        assert flow.next_batch(now) is not None
+        now += QUICK_NS
+        flow.confirm(log.end, now)
+    assert flow._window == MOST_BYTES
+    for _ in range(8):
+        log.append(change(MOST_BYTES), now)
+        assert flow.next_batch(now) is not None
+        now += SLOW_NS + 1
+        flow.confirm(log.end, now)
+    assert flow._window == FEWEST_BYTES
+
+
+def test_one_change_is_always_sent_and_no_more_than_the_window() -> None:
+    log = ChangeLog(0)
+    flow = ChangeFlow(log, 0)
+    large, small = change(2 * FEWEST_BYTES), change(10)
+    log.append(large, 0)
+    log.append(small, 0)
+    assert flow.next_batch(0) == Batch(0, (large,))
+    assert flow.next_batch(0) is None
+    assert flow.confirm(1, 0)
+    assert not flow.confirm(1, 0)
+    assert flow.next_batch(0) == Batch(1, (small,))
+    flow.begin_anew()
+    assert flow.next_batch(0) == Batch(1, (small,))
