--- a/bench/long_lives.py
+++ b/bench/long_lives.py
@@ -44,6 +44,7 @@
 START_LIMIT_S = 20
 SAMPLE_EVERY = 100
 RETRY_S = 0.05
+POLL_S = 0.005
 
 
 def order(generation: int, size: int) -> Change:
@@ -212,14 +213,14 @@
         backup = next(processes[ip].ask() for ip in processes if ip != primary)
         began = time.monotonic()
         processes[late] = Process(late, port, folder)
-        while not (status := processes[late].ask())["index"]:
-            time.sleep(0.005)
+        while not processes[late].ask()["index"]:
+            time.sleep(POLL_S)
         started = time.monotonic()
         while len(processes[primary].ask()["replicas"]) < len(IPS):  # type: ignore[arg-type]
-            time.sleep(0.005)
+            time.sleep(POLL_S)
+        while processes[late].ask()["index"] != after["index"]:
+            time.sleep(POLL_S)
         caught_up = time.monotonic()
-        status = processes[late].ask()
-        assert status["index"] == after["index"], (status, after)
     most_rss = after["most_rss_kib"] or after["rss_kib"]
     click.echo(
         f"| {changes} | {seconds:.1f} | {handovers} | {most_rss} / {after['peak_kib']} "
