--- a/bench/long_lives.py
+++ b/bench/long_lives.py
@@ -2,11 +2,12 @@
 
     .venv/bin/python bench/long_lives.py processes --changes 10 --changes 100 --changes 1000 --changes 10000
     .venv/bin/python bench/long_lives.py links --changes 10 --changes 100 --changes 1000 --changes 10000
+    .venv/bin/python bench/long_lives.py loads
 
 Three processes on loopback replicate the control state on disks of a temporary folder. One of them is ended; the other
 two take the changes, each a whole configuration of another content. Then the third is started again with its old disk,
 and the time is taken until the view has it as a replica. `links` takes that time over links of 5 Mbit/s, in the
-simulated world of the tests.
+simulated world of the tests, and `loads` takes it while changes go on.
 """
 
 from __future__ import annotations
@@ -34,8 +35,9 @@
 from canvasbeam.control_plane.replicated_state import ReplicatedControlState
 from canvasbeam.control_state import Change, ChangeKind, Committed
 from canvasbeam.runtime.settings import Address, ProcessSettings
+from tests.replication_world import STEP
 from tests.slow_links import SlowWorld
-from tests.test_replication_times import SECOND, is_complete, time_until_complete
+from tests.test_replication_times import SECOND, is_complete, time_until_acknowledged, time_until_complete
 
 LARGE_STATE_BYTES = 4 << 20
 CHANGE_BYTES = 100_000
@@ -45,6 +47,7 @@
 SAMPLE_EVERY = 100
 RETRY_S = 0.05
 POLL_S = 0.005
+LIMIT_S = 60
 
 
 def order(generation: int, size: int) -> Change:
@@ -252,6 +255,54 @@
     click.echo(f"| {changes} | {most_kept} | {state_bytes} | {seconds:.2f} |")
 
 
+@dataclass(frozen=True)
+class Load:
+    """Links, and the changes that pass on them."""
+
+    megabits: int
+    change_bytes: int
+    steps_between: int
+
+
+LOADS = (
+    Load(5, 20_000, 2),
+    Load(5, 50_000, 10),
+    Load(5, 50_000, 6),
+    Load(5, 100_000, 12),
+    Load(100, 100_000, 2),
+    Load(1000, 100_000, 1),
+)
+
+
+def measure_under_load(load: Load, is_new: bool) -> None:
+    """The time until a member has joined, and whether all changes were acknowledged meanwhile."""
+    world = SlowWorld(state_bytes=LARGE_STATE_BYTES, bytes_a_second=load.megabits * 1_000_000 // 8)
+    world.run_between_regions(2 * SECOND)
+    time_until_acknowledged(world, 2 * SECOND)
+    late = next(ip for ip in world.machines if ip != world.primary())
+    world.crash(late, keep_unsynced=False)
+    world.run_between_regions(2 * SECOND)
+    time_until_acknowledged(world, SECOND)
+    if is_new:
+        world.wipe(late)
+    world.start(late)
+    world.change_bytes = load.change_bytes
+    world.answers.clear()
+    world.times_to_acknowledge.clear()
+    began = world.now
+    while not is_complete(world) and world.now - began < LIMIT_S * SECOND:
+        world.run_with_changes(load.steps_between * STEP, load.steps_between)
+    seconds = (world.now - began) / SECOND
+    world.run_between_regions(2 * SECOND)
+    failed = sum(not isinstance(answer, Committed) for _, answer in world.answers)
+    longest = max(world.times_to_acknowledge) / SECOND
+    every = load.steps_between * STEP / SECOND
+    click.echo(
+        f"| {load.megabits} | {load.change_bytes} | {every:.2f} | {'new' if is_new else 'returning'} "
+        f"| {seconds:.2f} | {len(world.times_to_acknowledge)} | {failed} | {longest:.2f} |"
+    )
+
+
 CHANGES = click.option("--changes", multiple=True, type=int, default=(10, 100, 1000), show_default=True)
 SIZE = click.option("--size", default=100_000, show_default=True, help="Bytes of a configuration.")
 HEADINGS = (
@@ -266,6 +317,16 @@
 )
 
 
+LOAD_HEADINGS = (
+    "Mbit/s of a machine",
+    "bytes of a change",
+    "a change every, s",
+    "member",
+    "s until it is a replica",
+    "changes acknowledged",
+    "changes failed",
+    "longest acknowledgement, s",
+)
 LINK_HEADINGS = (
     "changes missed, all in one view",
     "most bytes of changes that the primary kept",
@@ -306,6 +367,15 @@
             measure_simulated(count, state_bytes)
 
 
+@main.command()
+def loads() -> None:
+    """A state of 4 MiB while changes go on, in simulated time."""
+    print_headings(*LOAD_HEADINGS)
+    for load in LOADS:
+        for is_new in (True, False):
+            measure_under_load(load, is_new)
+
+
 @main.command(hidden=True)
 @click.argument("ip")
 @click.argument("port", type=int)
