--- a/canvasbeam/control_plane/program.py
+++ b/canvasbeam/control_plane/program.py
@@ -53,6 +53,7 @@
         self._operator = OperatorApi(
             settings, self._service, self._is_reachable, lambda: status_document(settings, self._node, self._service)
         )
+        self._service.add_primary_listener(self._operator.on_primary)
         self._servers = self._make_servers(settings, listeners or {})
         disk = FolderDisk(settings.data_dir) if settings.data_dir is not None else None
         self._snapshot = WorkerSnapshot(self._node, disk) if disk is not None else None
@@ -72,8 +73,8 @@
         operator, registry = self._operator, self._registry
         return [
             Endpoint(INSTANCES_PREFIX, registry.instances, registry.most_body_bytes),
-            Endpoint(CONFIGURATION_PATH, operator.configuration, operator.most_body_bytes),
-            Endpoint(EVACUATION_PREFIX, operator.evacuation, _no_body),
+            Endpoint(CONFIGURATION_PATH, operator.configuration, operator.most_body_bytes, needs_caller=True),
+            Endpoint(EVACUATION_PREFIX, operator.evacuation, _no_body, needs_caller=True),
             Endpoint(STATUS_PATH, operator.status, _no_body),
         ]
 
--- a/canvasbeam/decide/replication/contacts.py
+++ b/canvasbeam/decide/replication/contacts.py
@@ -5,8 +5,10 @@
 from dataclasses import dataclass
 
 from canvasbeam.decide.replication.types import MemberId, Timing, member_ip
+from canvasbeam.units import SECOND
 
 _NEVER = -(1 << 62)
+FORGET_NS = 600 * SECOND  # a member silent for so long is as one that was never heard
 
 
 @dataclass(slots=True)
@@ -15,11 +17,10 @@
     heard_since: int  # the start of the present span without a gap
     healthy: bool = True
     failed_at: int = _NEVER
-    answered_at: int = _NEVER
 
 
 class Contacts:
-    """What a member knows of the others from their messages, and from their answers to its own."""
+    """What a member knows of the others from their messages alone."""
 
     def __init__(self, timing: Timing) -> None:
         self._timing = timing
@@ -29,6 +30,7 @@
         """A message of the member came; some tell whether its disk is healthy."""
         contact = self._contacts.get(member)
         if contact is None:
+            self._forget_lost(now)
             contact = self._contacts[member] = _Contact(now, now)
         if now - contact.last_heard > self._timing.silence:
             contact.heard_since = now
@@ -40,18 +42,12 @@
         """This member stood still for so long: the others were not silent."""
         for contact in self._contacts.values():
             contact.last_heard += pause
-            contact.answered_at += pause
 
     def mark_failed(self, member: MemberId, now: int) -> None:
         """The member did not store something in time: it is not used for a while."""
         self.note(member, self.last_heard(member))
         self._contacts[member].failed_at = now
 
-    def note_answer(self, member: MemberId, now: int) -> None:
-        """The member accepted or refused a heartbeat of this primary: both directions of the link work."""
-        self.note(member, now)
-        self._contacts[member].answered_at = now
-
     def last_heard(self, member: MemberId) -> int:
         """When the member was last heard; far in the past where it never was."""
         contact = self._contacts.get(member)
@@ -69,11 +65,6 @@
         contact = self._contacts.get(member)
         return contact is not None and now - contact.heard_since >= self._timing.steady and self.is_alive(member, now)
 
-    def is_answering(self, member: MemberId, now: int) -> bool:
-        """Whether the member answered this primary lately; one that is heard may not hear us."""
-        contact = self._contacts.get(member)
-        return contact is not None and now - contact.answered_at <= self._timing.silence
-
     def is_gone(self, member: MemberId, now: int) -> bool:
         """Whether the member has been silent so long that another may take its place."""
         return now - self.last_heard(member) > self._timing.gone
@@ -82,6 +73,11 @@
         """Everybody who was ever heard, in the order of the first message."""
         return list(self._contacts)
 
+    def _forget_lost(self, now: int) -> None:
+        """Each disk that is lost leaves a member that never returns."""
+        for member in [each for each, it in self._contacts.items() if now - it.last_heard > FORGET_NS]:
+            del self._contacts[member]
+
     def _is_succeeded(self, member: MemberId) -> bool:
         ip = member_ip(member)
         last = self.last_heard(member)
--- a/canvasbeam/runtime/http_server.py
+++ b/canvasbeam/runtime/http_server.py
@@ -12,6 +12,7 @@
 
 import asyncio
 import socket
+import struct
 from collections.abc import Awaitable, Callable, MutableMapping
 from dataclasses import dataclass
 from typing import Any
@@ -35,6 +36,10 @@
 MOST_AHEAD_BYTES = 65536  # read from a client while an earlier request of its connection is answered
 ALWAYS = 0  # answers after this many on a connection carry `Connection: close`
 NEVER = 1 << 62
+# In the state of a scope: when, by the loop's clock, the connection was opened or its former answer was complete. A
+# client that does not pipeline sent its request after that.
+AT_REST_SINCE = "at_rest_since"
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)  # the value of SO_LINGER by which a close resets the connection
 
 Scope = MutableMapping[str, Any]
 Message = MutableMapping[str, Any]
@@ -205,6 +210,7 @@
         loop = asyncio.get_running_loop()
         super().__init__(server.app, loop, server.config, server.context, {}, reader, writer)
         self._server = server
+        self._state = ConnectionState({})  # of which the scope of each request is given a copy
         self._timer: asyncio.TimerHandle | None = None
         self._unsent = bytearray()
         self._ahead = bytearray()
@@ -223,7 +229,7 @@
                     self.config,
                     self.context,
                     group,
-                    ConnectionState({}),
+                    self._state,
                     False,
                     client,
                     local,
@@ -315,11 +321,27 @@
 
     async def _close(self) -> None:
         self._flush()
+        if self._is_cut_unmarked():
+            self._reset()
         await super()._close()
 
+    def _is_cut_unmarked(self) -> bool:
+        """Whether an answer is broken off whose end would be told by that of the connection: HTTP/1.0 has no chunks."""
+        connection = self.protocol.connection if isinstance(self.protocol, H11Protocol) else None
+        return (
+            connection is not None and connection.our_state is h11.SEND_BODY and connection.their_http_version == b"1.0"
+        )
+
+    def _reset(self) -> None:
+        """End the connection so that nothing of the answer looks complete."""
+        client = self.writer.get_extra_info("socket")
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+        self.abort()
+
     def _become_idle(self) -> None:
         self.busy = False
         self.idle = True
+        self._state[AT_REST_SINCE] = self.loop.time()
         self._start_timer(self._server.limits.idle_timeout_s)
 
     def _await_head(self) -> None:
--- a/tests/soft_state_invariants.py
+++ b/tests/soft_state_invariants.py
@@ -190,7 +190,7 @@
         return self.reach(control.machine).in_touch.lasts(self.world.now, duration)
 
     def reaches(self, control: ControlProcess, edge: Process) -> bool:
-        """Whether both had a two-way path to each other for long enough."""
+        """Whether both had a two-way path to each other for long enough, and the edge knew of the control process."""
         span = self._pairs.get((control, edge))
         return span is not None and span.lasts(self.world.now, CONTACT)
 
@@ -246,7 +246,8 @@
         own = edge.machine.ip
         for control in live:
             span = self._pairs.setdefault((control, edge), Span())
-            span.note(now, not edge.is_frozen and network.is_two_way(own, control.machine.ip))
+            is_two_way = not edge.is_frozen and network.is_two_way(own, control.machine.ip)
+            span.note(now, is_two_way and self._knows(edge, control))
         reaches_all = not edge.is_frozen and all(network.is_two_way(own, each.machine.ip) for each in in_touch)
         knows_one = reaches_all and any(self._knows(edge, each) for each in in_touch)
         span = self._edge_touch.setdefault(edge, Span())
--- a/tests/soft_state_world.py
+++ b/tests/soft_state_world.py
@@ -255,7 +255,7 @@
         """A probe or its answer came."""
         now = self.now
         if isinstance(payload, ProbeAnswer):
-            self.core.on_answer(now, sender)
+            self.core.on_answer(now, sender, payload.number)
         elif isinstance(payload, Probe):
             self.core.on_probe(now, sender, payload.number, Version(payload.incarnation, int(payload.status)))
         self.perform()
--- a/tests/test_soft_state_stories.py
+++ b/tests/test_soft_state_stories.py
@@ -11,7 +11,7 @@
 from canvasbeam.cluster.node_core import NodeCore
 from canvasbeam.control_plane.program import ControlPlane
 from canvasbeam.control_state import Committed
-from canvasbeam.decide.replication.contacts import Contacts
+from canvasbeam.decide.replication.catch_up import CatchUp
 from canvasbeam.runtime.settings import Address, ProcessSettings
 from canvasbeam.units import MILLISECOND, SECOND
 
@@ -188,8 +188,8 @@
 
 
 def test_taking_in_whoever_is_heard_is_found() -> None:
-    """The view would change again and again, and orders wait each time."""
-    with mock.patch.object(Contacts, "is_answering", lambda self, member, now: True):
+    """A member that has not caught up, and here cannot, changes the view again and again, and orders wait each time."""
+    with mock.patch.object(CatchUp, "is_close", lambda self, member: True):
         assert views_while_a_member_hears_nobody() > 5 * MOST_VIEWS
 
 
