--- a/canvasbeam/decide/replication/contacts.py
+++ b/canvasbeam/decide/replication/contacts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from dataclasses import dataclass
 
 from canvasbeam.decide.replication.types import MemberId, Timing, member_ip
@@ -17,6 +18,7 @@
     heard_since: int  # the start of the present span without a gap
     healthy: bool = True
     failed_at: int = _NEVER
+    leaving_at: int = _NEVER  # when it last said that it leaves
 
 
 class Contacts:
@@ -42,12 +44,23 @@
         """This member stood still for so long: the others were not silent."""
         for contact in self._contacts.values():
             contact.last_heard += pause
+            contact.leaving_at += pause
 
     def mark_failed(self, member: MemberId, now: int) -> None:
         """The member did not store something in time: it is not used for a while."""
         self.note(member, self.last_heard(member))
         self._contacts[member].failed_at = now
 
+    def mark_leaving(self, member: MemberId, now: int) -> None:
+        """The member said that it leaves."""
+        self.note(member, now)
+        self._contacts[member].leaving_at = now
+
+    def is_leaving(self, member: MemberId) -> bool:
+        """Whether the last that was heard of the member was that it leaves; a restarted one is heard without that."""
+        contact = self._contacts.get(member)
+        return contact is not None and contact.last_heard - contact.leaving_at <= self._timing.silence
+
     def last_heard(self, member: MemberId) -> int:
         """When the member was last heard; far in the past where it never was."""
         contact = self._contacts.get(member)
@@ -69,6 +82,14 @@
         """Whether the member has been silent so long that another may take its place."""
         return now - self.last_heard(member) > self._timing.gone
 
+    def usable_besides(self, members: Collection[MemberId], now: int) -> list[MemberId]:
+        """Those that are alive, stay, and are not among the members of a view."""
+        return [
+            each
+            for each in self._contacts
+            if each not in members and self.is_alive(each, now) and not self.is_leaving(each)
+        ]
+
     def known(self) -> list[MemberId]:
         """Everybody who was ever heard, in the order of the first message."""
         return list(self._contacts)
--- a/tests/test_replication_snapshots.py
+++ b/tests/test_replication_snapshots.py
@@ -12,13 +12,13 @@
 
 from canvasbeam.control_plane.changes import apply, decode_state, encode_state
 from canvasbeam.control_plane.replication_codec import ReplicationCodec
-from canvasbeam.control_state import Change, ChangeKind, ControlState
+from canvasbeam.control_state import Change, ChangeKind, Committed, ControlState
 from canvasbeam.decide.replication import snapshots
 from canvasbeam.decide.replication.candidate import Candidate
 from canvasbeam.decide.replication.messages import Fetched, FetchPiece, Install, Piece, Send, SnapshotId
 from canvasbeam.decide.replication.snapshots import (
     ASK_AGAIN_NS,
-    FEWEST_IN_FLIGHT,
+    FIRST_IN_FLIGHT,
     IDLE_NS,
     SnapshotReceiver,
     SnapshotSource,
@@ -26,7 +26,7 @@
 from canvasbeam.decide.replication.types import Epoch, Position
 from canvasbeam.errors import Failure, ResultCode
 
-from .replication_world import TagCodec
+from .replication_world import STEP, TagCodec
 from .slow_links import FIVE_MBIT, SlowWorld
 from .test_replication_times import SECOND, is_complete, primary_of, time_until_acknowledged, time_until_complete
 
@@ -72,7 +72,7 @@
 def test_all_pieces_make_the_state_again() -> None:
     source, receiver = pair()
     sends = receiver.take_offer("a", offer_of(source), 0)
-    assert len(sends) == FEWEST_IN_FLIGHT
+    assert len(sends) == FIRST_IN_FLIGHT
     assert collect(source, receiver, sends, 0) == replace(offer_of(source), state=STATE)
     assert receiver.held_bytes == 0
 
@@ -132,7 +132,7 @@
     second = SnapshotSource(CODEC, PIECE)
     offer = offer_of(second, epoch=replace(EPOCH, number=4))
     sends = receiver.take_offer("b", offer, 0)
-    assert held == FEWEST_IN_FLIGHT * PIECE == receiver.held_bytes
+    assert held == FIRST_IN_FLIGHT * PIECE == receiver.held_bytes
     assert {each.to for each in sends} == {"b"}
     assert collect(second, receiver, sends, 0) == replace(offer, state=STATE)
 
@@ -192,17 +192,39 @@
     return ip
 
 
-def test_changes_go_on_while_a_member_catches_up_over_a_slow_link() -> None:
+def leave_a_backup_behind(world: SlowWorld) -> None:
+    ip = next(each for each in world.machines if each != primary_of(world))
+    world.crash(ip, keep_unsynced=False)
+    world.run_between_regions(2 * SECOND)
+    time_until_acknowledged(world, SECOND)
+    world.start(ip)
+
+
+@pytest.mark.parametrize(
+    ("change_bytes", "steps_between"), [(0, 4), (10_000, 10), (20_000, 2), (50_000, 6), (100_000, 12)]
+)
+@pytest.mark.parametrize("is_new", [True, False])
+def test_changes_go_on_while_a_member_catches_up_over_a_slow_link(
+    change_bytes: int, steps_between: int, is_new: bool
+) -> None:
     world = slow()
-    wipe_a_backup(world)
+    if is_new:
+        wipe_a_backup(world)
+    else:
+        leave_a_backup_behind(world)
+    world.change_bytes = change_bytes
     world.times_to_acknowledge.clear()
+    world.answers.clear()
     began = world.now
     while not is_complete(world):
-        assert world.now - began < PASSAGE + 4 * SECOND, world.describe()
-        world.run_with_changes(SECOND // 2)
+        assert world.now - began < 4 * PASSAGE, world.describe()
+        world.run_with_changes(steps_between * STEP, steps_between)
     assert world.now - began > PASSAGE // 2  # the link was the limit
-    assert len(world.times_to_acknowledge) > 20
-    assert max(world.times_to_acknowledge) < 2 * SECOND
+    world.change_bytes = 0
+    world.run_between_regions(2 * SECOND)
+    assert all(isinstance(answer, Committed) for _, answer in world.answers)
+    assert len(world.times_to_acknowledge) >= PASSAGE // STEP // steps_between - 1
+    assert max(world.times_to_acknowledge) < SECOND
     world.recover()
 
 
@@ -291,6 +313,35 @@
     assert world.machines[behind].me in view.replicas
 
 
+@pytest.mark.parametrize("is_new", [True, False])
+def test_a_member_joins_over_a_quick_link_under_many_large_changes(is_new: bool) -> None:
+    world = SlowWorld(state_bytes=LARGE, bytes_a_second=FIVE_MBIT * 200)
+    world.run_between_regions(2 * SECOND)
+    time_until_acknowledged(world, 2 * SECOND)
+    if is_new:
+        wipe_a_backup(world)
+    else:
+        leave_a_backup_behind(world)
+    world.change_bytes = 100_000
+    began = world.now
+    while not is_complete(world):
+        assert world.now - began < 4 * SECOND, world.describe()
+        world.run_with_changes(STEP, 1)
+
+
+def test_a_burst_of_large_changes_over_a_slow_link_does_not_change_the_view() -> None:
+    world = SlowWorld(state_bytes=0)
+    world.run_between_regions(2 * SECOND)
+    time_until_acknowledged(world, 2 * SECOND)
+    before = highest_promise(world)
+    world.change_bytes = 100_000
+    primary = primary_of(world)
+    tags = [world.submit(primary) for _ in range(8)]
+    world.run_between_regions(3 * SECOND)
+    assert world.acknowledged.issuperset(tags)
+    assert highest_promise(world) == before
+
+
 def test_more_pieces_are_asked_for_at_a_time_on_a_quick_link() -> None:
     world = SlowWorld(state_bytes=LARGE, bytes_a_second=FIVE_MBIT * 200)
     world.run_between_regions(2 * SECOND)
@@ -341,3 +392,17 @@
     """Planted: the digests stay behind."""
     received = passed_in_pieces(state_after(5), lambda state: encode_state(replace(state, taken_orders=())))
     assert isinstance(apply(received, order(3)), Failure)
+
+
+def test_a_backup_is_lost_while_the_third_member_catches_up() -> None:
+    world = slow()
+    primary = primary_of(world)
+    behind, lost = (each for each in world.machines if each != primary)
+    world.crash(behind, keep_unsynced=False)
+    world.run_between_regions(2 * SECOND)
+    time_until_acknowledged(world, SECOND)
+    world.start(behind)
+    world.run_between_regions(SECOND)
+    world.crash(lost, keep_unsynced=False)
+    time_until_acknowledged(world, PASSAGE + 4 * SECOND)
+    world.recover()
