--- a/tests/test_soft_state_stories.py
+++ b/tests/test_soft_state_stories.py
@@ -189,7 +189,7 @@
 
 def test_taking_in_whoever_is_heard_is_found() -> None:
     """A member that has not caught up, and here cannot, changes the view again and again, and orders wait each time."""
-    with mock.patch.object(CatchUp, "is_close", lambda self, member: True):
+    with mock.patch.object(CatchUp, "is_close", lambda self, member, now: True):
         assert views_while_a_member_hears_nobody() > 5 * MOST_VIEWS
 
 
