Orders of events of a join begin where the view is about to change

The state is brought to a joining machine before the view changes now, so that few events were left at the moment where it is first sent. Time passes between events, too.

--- a/tests/test_join_interleavings.py
+++ b/tests/test_join_interleavings.py
@@ -14,11 +14,11 @@
 import pytest
 
 from canvasbeam.control_state import Change, ControlState
-from canvasbeam.decide.replication.messages import Install
+from canvasbeam.decide.replication.messages import Prepare
 from canvasbeam.errors import Failure, ResultCode
 
 from . import replication_world
-from .replication_world import ANY_VERSION, Violation, World, apply_tag
+from .replication_world import ANY_VERSION, STEP, Violation, World, apply_tag
 from .test_replication_interleavings import begun, moments, take
 
 FULL = bool(os.environ.get("EXPLORER_FULL"))
@@ -86,7 +86,7 @@
 
 
 def test_every_order_of_the_events_of_a_join_with_one_loss() -> None:
-    """The new machine is sent its state: every order of what comes next, with one loss at any place among it."""
+    """The view is about to change: every order of what comes next, with one loss at any place among it."""
     assert sum(1 for _ in orders_of_a_join(())) > 2**DEPTH
 
 
@@ -107,17 +107,17 @@
 
 
 def joining() -> World:
-    """The state for the new machine is on its way."""
+    """The primary asks for promises, to take the new machine into its view."""
     world = begun()
     for _ in join(world):
-        if any(isinstance(packet.message, Install) and packet.to_ip == NEW_IP for packet in world.packets):
+        if any(isinstance(packet.message, Prepare) for packet in world.packets):
             return world
     raise AssertionError(world.describe())
 
 
 def events_of_a_join(world: World, is_lost: bool) -> list[tuple[Callable[[], None], bool]]:
-    """Any message may come, any write end, and one machine may lose power; whether it is the loss."""
-    possible: list[tuple[Callable[[], None], bool]] = []
+    """Time may pass, any message come, any write end, and one machine lose power; whether it is the loss."""
+    possible: list[tuple[Callable[[], None], bool]] = [(lambda: pass_time(world), False)]
     for number in range(len(world.packets)):
         possible.append((lambda number=number: take(world, number), False))  # type: ignore[misc]
     for ip, machine in world.machines.items():
@@ -128,6 +128,12 @@
     return possible
 
 
+def pass_time(world: World) -> None:
+    world.now += STEP
+    for ip in world.machines:
+        world.tick(ip)
+
+
 # --- one order, a resend and a failover -----------------------------------------------------------------------------
 
 
