--- a/canvasbeam/decide/replication/contacts.py
+++ b/canvasbeam/decide/replication/contacts.py
@@ -19,10 +19,11 @@
     healthy: bool = True
     failed_at: int = _NEVER
     leaving_at: int = _NEVER  # when it last said that it leaves
+    answered_at: int = _NEVER
 
 
 class Contacts:
-    """What a member knows of the others from their messages alone."""
+    """What a member knows of the others from their messages, and from their answers to its own."""
 
     def __init__(self, timing: Timing) -> None:
         self._timing = timing
@@ -45,6 +46,7 @@
         for contact in self._contacts.values():
             contact.last_heard += pause
             contact.leaving_at += pause
+            contact.answered_at += pause
 
     def mark_failed(self, member: MemberId, now: int) -> None:
         """The member did not store something in time: it is not used for a while."""
@@ -61,6 +63,11 @@
         contact = self._contacts.get(member)
         return contact is not None and contact.last_heard - contact.leaving_at <= self._timing.silence
 
+    def note_answer(self, member: MemberId, now: int) -> None:
+        """The member accepted or refused a heartbeat of this primary: both directions of the link work."""
+        self.note(member, now)
+        self._contacts[member].answered_at = now
+
     def last_heard(self, member: MemberId) -> int:
         """When the member was last heard; far in the past where it never was."""
         contact = self._contacts.get(member)
@@ -78,6 +85,15 @@
         contact = self._contacts.get(member)
         return contact is not None and now - contact.heard_since >= self._timing.steady and self.is_alive(member, now)
 
+    def is_answering(self, member: MemberId, now: int) -> bool:
+        """Whether the member answered this primary lately; one that is heard may not hear us."""
+        contact = self._contacts.get(member)
+        return contact is not None and now - contact.answered_at <= self._timing.silence
+
+    def may_join(self, member: MemberId, now: int) -> bool:
+        """Whether the member has been heard for a while, and answers this primary."""
+        return self.is_steady(member, now) and self.is_answering(member, now)
+
     def is_gone(self, member: MemberId, now: int) -> bool:
         """Whether the member has been silent so long that another may take its place."""
         return now - self.last_heard(member) > self._timing.gone
