--- a/tests/soft_state_walk.py
+++ b/tests/soft_state_walk.py
@@ -29,6 +29,7 @@
 WARM_UP = 3 * SECOND
 RECOVERY = 12 * SECOND
 LONG_CUT = 20.0
+LONGEST_LEAVE = 7 * SECOND
 MOST_TROUBLES = 3
 SHAPES = (
     Shape(controls=3),
@@ -94,6 +95,8 @@
             self._operate()
             self._beat()
             self._end_due()
+            if not with_trouble:
+                self._start_all()  # one that was still leaving has ended
             if with_trouble and len(self._ends) < MOST_TROUBLES and self.chance.random() < self._rate:
                 kind = self.chance.choice(self._kinds)
                 self._tell(kind.__name__)
@@ -210,6 +213,9 @@
         ends, self._ends = self._ends, []
         for _, end in ends:
             end()
+        self._start_all()
+
+    def _start_all(self) -> None:
         for machine in list(self.world.machines.values()):
             self.world.start(machine)
 
@@ -261,8 +267,8 @@
     def may_stop_a_control(self) -> bool:
         """Whether no more control machines would be without a process than the system bears."""
         machines = self.world.control_machines()
-        down = sum(each.process is None or not each.process.is_running for each in machines)
-        return down < self.world.tolerated
+        up = {each.machine.name for each in self.world.controls() if not each.is_leaving}
+        return sum(each.name not in up for each in machines) < self.world.tolerated
 
 
 def _names(machines: list[Machine]) -> str:
@@ -340,6 +346,16 @@
     walk.until(0.1, 8.0, lambda: walk.world.start(machine))
 
 
+def a_control_ends_as_planned(walk: Walk) -> None:
+    """It asks the others to let it go first, and ends some seconds later in any case."""
+    process = walk.a_control().process
+    if isinstance(process, ControlProcess) and process.is_running and not process.is_frozen:
+        if not walk.may_stop_a_control():
+            return
+        process.leave_view(LONGEST_LEAVE)
+        walk.until(8.0, 16.0, lambda: walk.world.start(process.machine))
+
+
 def a_control_loses_its_disk(walk: Walk) -> None:
     machine = walk.a_control()
     if walk.may_stop_a_control() and walk.world.is_whole(machine):
@@ -395,6 +411,7 @@
     an_edge_loses_power,
     a_herd_loses_power,
     a_control_restarts,
+    a_control_ends_as_planned,
     a_control_loses_its_disk,
     a_control_is_replaced,
     an_edge_restarts_into_a_cut,
--- a/tests/soft_state_world.py
+++ b/tests/soft_state_world.py
@@ -341,6 +341,7 @@
         super().__init__(world, machine, seed)
         self._outbox = Outbox()
         self._writing: list[Save] | None = None
+        self.is_leaving = False
         self._told_view: tuple[View, bool] | None = None
         self._waiting: list[Handling] = []
         self.publisher = StatePublisher(self)
@@ -450,6 +451,23 @@
             self._send(held)
         self._begin_write()
 
+    def leave_view(self, within: int) -> None:
+        """End as planned: ask to be let go, and end when that is granted or the time is over."""
+        self.is_leaving = True
+        self._carry_out(self.member.leave(self.now))
+        self._end_when_let_go(self.world.now + within)
+
+    def _end_when_let_go(self, until: int) -> None:
+        if not self.is_running:
+            return
+        is_let_go = self.member.departure.may_end and not self.is_frozen
+        if not is_let_go and self.world.now < until:
+            self.world.network.at(self.world.now + REPLICATION_TICK, lambda: self._end_when_let_go(until))
+            return
+        if not self.is_frozen:
+            self._carry_out(self.member.resign(self.now))
+        self.world.kill(self.machine, is_planned=True)
+
     # --- the registry -------------------------------------------------------------------------------
 
     @property
