Membership: the judge of suspicions and the local health in modules of their own

The planted faults sit in the parts that they break, as strict as before: the judge who always judges, the judge by what it merely hears.

--- a/canvasbeam/decide/membership/__init__.py
+++ b/canvasbeam/decide/membership/__init__.py
@@ -26,7 +26,8 @@
 nobody, passes no judgement.
 
 `instance.Membership` is the entry: an event and the time in, actions out. It is made of the `MemberTable`, the
-`Contact` with the others, the `Pings` that are out, the `ProbeOrder`, and the `Gossip` on its datagrams.
+`Contact` with the others, the `Pings` that are out, the `ProbeOrder`, the `Gossip` on its datagrams, its `LocalHealth`,
+and the `Judge` of suspicions.
 """
 
 from canvasbeam.decide.membership.instance import Membership
--- a/canvasbeam/decide/membership/instance.py
+++ b/canvasbeam/decide/membership/instance.py
@@ -12,6 +12,8 @@
 from canvasbeam.decide.member_status import Status
 from canvasbeam.decide.membership.contact import Contact
 from canvasbeam.decide.membership.gossip import Gossip
+from canvasbeam.decide.membership.judge import Judge
+from canvasbeam.decide.membership.local_health import LocalHealth
 from canvasbeam.decide.membership.member_table import Member, MemberTable
 from canvasbeam.decide.membership.messages import (
     Action,
@@ -28,12 +30,12 @@
 )
 from canvasbeam.decide.membership.pings import Pings, Probe, Relay
 from canvasbeam.decide.membership.probe_order import ProbeOrder
-from canvasbeam.decide.membership.suspicion import patience, suspicion_span
 from canvasbeam.decide.membership.terms import Terms
 from canvasbeam.decide.membership.view import Standing, View
 from canvasbeam.units import MILLISECOND as MS
 from canvasbeam.units import SECOND
 
+SLOWEST_PROBING = 2  # so many times its period an instance adds between probes at the most, by its ill health
 TOLD_OF_THE_END = 20  # members that are told of our planned end at once
 
 
@@ -46,15 +48,15 @@
         self.start, self.incarnation = me.start, me.incarnation
         self.standing = Standing.JOINING
         self.members = MemberTable()
-        self.health = 0  # 0 is well
+        self.local_health = LocalHealth(terms.health_most)
         self.seeds = tuple(each for each in dict.fromkeys(seeds) if each != me.address)
         self.contact = Contact(terms, self.members, now)
         self._rng = random.Random(seed)
         self._pings = Pings(self._rng.getrandbits(31))
-        self._gossip = Gossip(terms, self.members, self._rng)
+        self.gossip = Gossip(terms, self.members, self._rng)
+        self.judge = Judge(terms, self.members, self.contact, self.local_health, self.gossip)
         self._order = ProbeOrder(me.name, self.members, self._rng)
         self._named_start = me.start  # the latest that was said of our name
-        self._answered: list[bool] = []  # of the last probes
         self._join_wait = terms.join
         self._next_probe = now + self._drawn(terms.period)
         self._next_news = now
@@ -64,7 +66,7 @@
         self._wake = now
         self._now = now
         self._actions: list[Action] = []
-        self._gossip.spread(self._self())
+        self.gossip.spread(self._self())
 
     # --- the entry point --------------------------------------------------------------------------
 
@@ -84,6 +86,11 @@
         self._wake = self._next()
         return self._actions
 
+    @property
+    def health(self) -> int:
+        """How well this instance does itself; 0 is well."""
+        return self.local_health.level
+
     @property
     def wake(self) -> int:
         """When `handle` must be called next, with nothing but the time if need be."""
@@ -94,12 +101,11 @@
         there = [each.fact.name for each in self.members.there()]
         gone = [each.fact.name for each in self.members.gone()]
         deaf, unanswered = self.contact.is_deaf(now), not self.contact.is_confirmed(now)
-        sure = sum(self._answered) / len(self._answered) if self._answered else 1.0
         mine = [self.name] if self.standing in (Standing.JOINING, Standing.MEMBER) else []
         return View(
             there=tuple(sorted(there + mine)),
             gone=tuple(sorted(gone)),
-            sure=0.0 if deaf or unanswered else sure,
+            sure=0.0 if deaf or unanswered else self.local_health.answered_share,
             silent_since=self.contact.heard_at if deaf else None,
             unanswered_since=self.contact.confirmed_at if unanswered else None,
         )
@@ -116,11 +122,10 @@
         late = now - self._wake
         if late < self.terms.stall:
             return
-        self.health = self.terms.health_most
+        self.local_health.fail()
         self.contact.wake_up(now)
         self._pings.forget_counted()
-        for member in self.members.suspects.values():
-            member.since += late
+        self.judge.put_off(late)
 
     def _on_time(self) -> None:
         now = self._now
@@ -128,14 +133,14 @@
         self._time_relays()
         self._time_suspicions()
         if now >= self._next_probe:
-            self._next_probe = now + self._jittered(self.terms.period * (1 + min(self.health, 2)))
+            self._next_probe = now + self._jittered(self.terms.period * (1 + min(self.health, SLOWEST_PROBING)))
             self._probe_next()
         if now >= self._next_revive:
             self._revive()
         if now >= self._next_tidy:
             self._next_tidy = now + SECOND
             self._tidy()
-        if self._gossip.news and now >= self._next_news:
+        if self.gossip.news and now >= self._next_news:
             self._next_news = now + self.terms.news_every
             self._tell_news()
 
@@ -143,12 +148,12 @@
         terms = self.terms
         # The dead, the seeds and the forgetting have their turn with the probes: each wake costs more than its work.
         times = [self._next_probe]
-        if self._gossip.news:
+        if self.gossip.news:
             times.append(self._next_news)
         for probe in self._pings.probes.values():
             times.append(probe.begun + (self._patience() if probe.asked or not probe.counts else terms.rtt))
         times += [each.until for each in self._pings.relays.values()]
-        times += [self._judged_at(each) for each in self.members.suspects.values()]
+        times += [self.judge.due_at(each, self._now) for each in self.members.suspects.values()]
         # Never in the past: what could not be done now is looked at again a little later.
         return max(min(times), self._now + MS)
 
@@ -197,7 +202,7 @@
 
     def _on_member(self, member: Member, sender: Sender, message: Message) -> None:
         if self.contact.is_deaf(self._now):
-            self._renew_suspicions()
+            self.judge.begin_anew(self._now)
         self.contact.heard_at = member.heard = self._now
         if self.standing is Standing.JOINING:
             self._stand(Standing.MEMBER, f"{sender.name} answered")
@@ -272,20 +277,15 @@
             return
         self._note_contact(probe)
         if probe.counts:
-            self._judge_self(True)
-            self.health = max(0, self.health - 1)
+            self.local_health.note_probe(answered=True)
+            self.local_health.improve()
 
     def _note_contact(self, probe: Probe) -> None:
         """Counted from when the ping was sent: what came later may have been lost."""
         if not self.contact.is_confirmed(self._now):
-            self._renew_suspicions()
+            self.judge.begin_anew(self._now)
         self.contact.confirm(probe.begun)
 
-    def _renew_suspicions(self) -> None:
-        """Danger: of what was suspected while this instance was cut off nobody had the time to refute it."""
-        for suspect in self.members.suspects.values():
-            suspect.since = self._now
-
     def _on_ask(self, sender: Sender, message: Message) -> None:
         if self.standing is not Standing.MEMBER or len(self._pings.relays) >= self.terms.strangers:
             return
@@ -307,33 +307,23 @@
             if fact.status <= Status.SUSPECT and self._make_room():
                 member = self.members[fact.name] = Member(fact, self._now, confirmers={fact.by})
                 self._order.add(fact.name)
-                self._gossip.welcome(fact.address, self._now)
+                self.gossip.welcome(fact.address, self._now)
                 self.members.note(member)
                 self._changed(member, "unknown", _why(fact, teller))
-                self._gossip.spread(fact)
+                self.gossip.spread(fact)
             return
         if fact.status is Status.SUSPECT and fact.rank == member.fact.rank:
             self._confirm(member, fact)
         if fact.rank <= member.fact.rank:
             return
-        if fact.status is Status.DEAD and member.fact.status <= Status.SUSPECT and not self._may_believe(member, fact):
+        is_hearsay = fact.status is Status.DEAD and member.is_there
+        if is_hearsay and not self.judge.may_believe(fact, member, self._now):
             # Who says it is one more witness of a suspicion; the member is told at once, so that it can refute it.
             self._hear(Fact(fact.name, fact.address, Status.SUSPECT, fact.start, fact.incarnation, teller), teller)
             self._correct(member)
             return
         self._set(member, fact, _why(fact, teller))
 
-    def _may_believe(self, member: Member, death: Fact) -> bool:
-        """Danger: after a cut each side calls the other dead, its own members by hearsay too.
-
-        Only who was suspect here, and not heard, for the whole least suspicion is dead by hearsay.
-        """
-        known = member.fact
-        if known.status is not Status.SUSPECT or not death.is_of_same_incarnation(known):
-            return False
-        span = self.terms.least_suspicion * patience(self.health)
-        return self._now >= max(member.since, member.heard) + span
-
     def _hear_of_self(self, fact: Fact) -> None:
         if self.standing in (Standing.LEAVING, Standing.DISPLACED) or fact.start < self.start:
             return
@@ -345,7 +335,7 @@
             # Our own past: the clock was set back over a restart, or the other process is gone.
             self._refute(fact.start + 1, 0, "an earlier process of this name started later by its clock")
         elif fact.status is not Status.ALIVE and fact.incarnation >= self.incarnation:
-            self.health = min(self.terms.health_most, self.health + 1)
+            self.local_health.worsen()
             self._refute(self.start, fact.incarnation + 1, f"called {fact.status.name.lower()}")
         elif fact.incarnation > self.incarnation:
             self._refute(self.start, fact.incarnation + 1, "an incarnation that we never had")
@@ -354,7 +344,7 @@
         before = f"incarnation {self.incarnation}"
         self.start, self.incarnation = start, incarnation
         self._actions.append(Changed(self.name, before, f"incarnation {incarnation}", why))
-        self._gossip.spread(self._self())
+        self.gossip.spread(self._self())
         self._next_news = self._now
 
     def _self(self) -> Fact:
@@ -366,7 +356,7 @@
         member.fact = fact
         if fact.start > before.start:
             member.heard = 0
-            self._gossip.welcome(fact.address, self._now)
+            self.gossip.welcome(fact.address, self._now)
         if fact.status is Status.SUSPECT:
             # Where an older incarnation was suspect, too: the newer one is suspected from now on, not from then.
             member.confirmers = {fact.by}
@@ -375,13 +365,13 @@
             member.since = self._now
             self.members.note(member)
             self._changed(member, before.status.name.lower(), why)
-        self._gossip.spread(fact)
+        self.gossip.spread(fact)
 
     def _confirm(self, member: Member, fact: Fact) -> None:
         """Another witness shortens the suspicion; the first few are told on."""
         if fact.by and fact.by not in member.confirmers and len(member.confirmers) <= self.terms.confirmers:
             member.confirmers.add(fact.by)
-            self._gossip.spread(fact)
+            self.gossip.spread(fact)
 
     def _suspect(self, member: Member, why: str) -> None:
         known = member.fact
@@ -392,37 +382,16 @@
             self._set(member, fact, why)
             self._tell(known.address, Message(Kind.NEWS), (fact,))
 
-    def _suspicion_end(self, member: Member) -> int:
-        others = self.members.fleet_size - 1
-        span = suspicion_span(self.terms, len(member.confirmers), others, self.health, self._gossip.news)
-        return round(max(member.since, member.heard) + span)
-
     def _time_suspicions(self) -> None:
         for member in tuple(self.members.suspects.values()):
-            if self._now < self._judged_at(member):
+            if self._now < self.judge.due_at(member, self._now):
                 continue
             known = member.fact
             dead = Fact(known.name, known.address, Status.DEAD, known.start, known.incarnation)
             by = ", ".join(sorted(member.confirmers))
-            heard = "not heard of" if self._may_judge(member) else "nothing heard at all"
+            heard = "not heard of" if self.judge.may_judge(member, self._now) else "nothing heard at all"
             self._set(member, dead, f"suspected by {by}, and {heard}")
 
-    def _may_judge(self, member: Member) -> bool:
-        """Danger: who is cut off, in one direction too, would call everybody dead.
-
-        A judge hears others now, and a ping that it sent since it began to suspect was answered.
-        """
-        contact = self.contact
-        hears = self._now - contact.heard_at < self.terms.least_suspicion
-        return hears and contact.confirmed_at > member.since and contact.is_confirmed(self._now)
-
-    def _judged_at(self, member: Member) -> int:
-        """Two instances cannot tell a cut from a death; after `alone` the one that is left takes it for one."""
-        if self._may_judge(member):
-            return self._suspicion_end(member)
-        alone = self.terms.alone - self.contact.silent_for(self._now)
-        return max(self._suspicion_end(member), self._now + alone)
-
     def _changed(self, member: Member, before: str, why: str) -> None:
         self._actions.append(Changed(member.fact.name, before, member.fact.status.name.lower(), why))
 
@@ -442,7 +411,7 @@
 
     def _forget(self, name: str) -> None:
         self.members.forget(name)
-        self._gossip.drop(name)
+        self.gossip.drop(name)
 
     def _tidy(self) -> None:
         for member in self.members.gone():
@@ -450,7 +419,7 @@
             span = self.terms.forget_left if left else self.terms.forget
             if self._now - member.since >= span:
                 self._forget(member.fact.name)
-        self._gossip.tidy(self._now)
+        self.gossip.tidy(self._now)
         if self.standing is Standing.DISPLACED and self._now >= self._next_challenge:
             self._next_challenge = self._now + 10 * self.terms.revive
             self._stand(Standing.JOINING, "the other process of this name answers no more")
@@ -492,10 +461,10 @@
             return
         if not probe.counts:
             return
-        self._judge_self(False)
+        self.local_health.note_probe(answered=False)
         # Lifeguard: helpers that could not reach it say so; where they are silent too, it may be us.
         if probe.nacks < probe.helpers or not probe.helpers:
-            self.health = min(self.terms.health_most, self.health + 1)
+            self.local_health.worsen()
         member = self.members.get(probe.name)
         # Danger: who is cut off suspects itself first, and the others only once that has gone on for long.
         silent = self.contact.silent_for(self._now)
@@ -503,10 +472,6 @@
             return
         self._suspect(member, "it answered neither us nor others for us")
 
-    def _judge_self(self, answered: bool) -> None:
-        self._answered.append(answered)
-        del self._answered[:-16]
-
     def _time_relays(self) -> None:
         for number, relay in tuple(self._pings.relays.items()):
             if self._now >= relay.until:
@@ -534,7 +499,7 @@
 
     def _tell_news(self) -> None:
         for member in self.members.sample(self.terms.fanout, self._rng):
-            if not self._gossip.news:
+            if not self.gossip.news:
                 return
             self._tell(member.fact.address, Message(Kind.NEWS), ())
 
@@ -543,12 +508,12 @@
         if self.standing is Standing.DISPLACED:
             self._actions.append(Tell(address, message))
             return
-        facts = self._gossip.piggyback(self._self(), address, first)
+        facts = self.gossip.piggyback(self._self(), address, first)
         self._actions.append(Tell(address, replace(message, facts=facts)))
 
     def _greet(self, address: str) -> None:
         """The whole list to who has just joined through us."""
-        for facts in self._gossip.whole_list(self._self()):
+        for facts in self.gossip.whole_list(self._self()):
             self._actions.append(Tell(address, Message(Kind.NEWS, facts=facts)))
 
     def _on_leave(self) -> None:
@@ -559,7 +524,7 @@
         self._stand(Standing.LEAVING, "the planned end")
         if displaced:
             return
-        self._gossip.spread_alone(self._self())
+        self.gossip.spread_alone(self._self())
         for member in self.members.sample(TOLD_OF_THE_END, self._rng):
             self._actions.append(Tell(member.fact.address, Message(Kind.NEWS, facts=(self._self(),))))
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -28,6 +28,7 @@
     Ticked,
 )
 from canvasbeam.decide.membership.contact import Contact
+from canvasbeam.decide.membership.judge import Judge
 from canvasbeam.lab.model.links import LinkFault, Links, problems, strip
 from canvasbeam.lab.model.units import MS, SECOND
 from canvasbeam.lab.peers_sim import PeerWorld
@@ -103,13 +104,16 @@
         return 0
 
 
+class AlwaysJudges(Judge):
+    def may_judge(self, member: Member, now: int) -> bool:
+        return True
+
+
 class JudgesWhileDeaf(Membership):
     def __init__(self, me: Sender, seeds: Iterable[str], terms: Terms, seed: int, now: int) -> None:
         super().__init__(me, seeds, terms, seed, now)
         self.contact = NeverDeaf(terms, self.members, now)
-
-    def _may_judge(self, member: Member) -> bool:
-        return True
+        self.judge = AlwaysJudges(terms, self.members, self.contact, self.local_health, self.gossip)
 
 
 class TakesTheLower(Membership):
--- a/tests/test_membership_one_way.py
+++ b/tests/test_membership_one_way.py
@@ -6,10 +6,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 import pytest
 
 from canvasbeam.decide.member_status import Status
 from canvasbeam.decide.membership import Fact, Kind, Member, Membership, Message, Received, Sender, Tell, Terms, View
+from canvasbeam.decide.membership.judge import Judge
 from canvasbeam.lab.model.units import MS, SECOND
 from tests.peering import Fleet
 
@@ -17,12 +20,18 @@
 CUT_S = 20.0
 
 
+class HearingJudge(Judge):
+    def may_judge(self, member: Member, now: int) -> bool:
+        heard_at = self._contact.heard_at
+        return heard_at > member.since and now - heard_at < self._terms.least_suspicion
+
+
 class JudgesWithoutContact(Membership):
     """Planted fault: takes it for contact that it hears somebody."""
 
-    def _may_judge(self, member: Member) -> bool:
-        heard_at = self.contact.heard_at
-        return heard_at > member.since and self._now - heard_at < self.terms.least_suspicion
+    def __init__(self, me: Sender, seeds: Iterable[str], terms: Terms, seed: int, now: int) -> None:
+        super().__init__(me, seeds, terms, seed, now)
+        self.judge = HearingJudge(terms, self.members, self.contact, self.local_health, self.gossip)
 
 
 def joined(seed: int, make: type[Membership] = Membership) -> Fleet:
