--- a/canvasbeam/cli/load.py
+++ b/canvasbeam/cli/load.py
@@ -54,7 +54,8 @@
     """
     import msgspec  # noqa: PLC0415
 
-    from canvasbeam.lab.load import Load, Plan, raise_descriptors  # noqa: PLC0415
+    from canvasbeam.lab.load import Load, raise_descriptors  # noqa: PLC0415
+    from canvasbeam.lab.load_plan import Plan  # noqa: PLC0415
 
     if (rate is None) == (clients is None):
         raise click.UsageError("give either --rate or --clients")
--- a/canvasbeam/lab/load.py
+++ b/canvasbeam/lab/load.py
@@ -13,100 +13,23 @@
 import time
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from datetime import timedelta
 from functools import partial
-from typing import Any
 
-import msgspec
 import numpy as np
 
+from canvasbeam.lab.load_plan import Plan
+from canvasbeam.lab.load_tally import Ended, Summary, Tally
 from canvasbeam.lab.model.units import MS, SECOND
-from canvasbeam.lab.result import histogram, percentiles
 from canvasbeam.lab.wire import ClientConnection, span
 from canvasbeam.net.limits import nanoseconds
 from canvasbeam.net.loop import Loop
 
-LONGEST_S = 3600.0
-MOST_REQUESTS = 10_000_000
-# Behind its plan by more than this at the 99th percentile, a run is marked.
-BEHIND = 10 * MS
 TICK = 250 * MS
 # After the last send, answers are awaited for the budget and this.
 GRACE = SECOND
-
-
-class Plan(msgspec.Struct, frozen=True, kw_only=True):
-    """What to send. Either `rate` (open arrivals, a second) or `clients` (closed loops) is above 0."""
-
-    addresses: tuple[tuple[str, int], ...]
-    rate: float = 0.0
-    clients: int = 0
-    seconds: float = 10.0
-    seed: int = 1
-    evenly: bool = False  # evenly spaced arrivals, not a Poisson process
-    classes: tuple[tuple[str, float], ...] = (("file-read", 1.0),)
-    departments: tuple[tuple[str, float], ...] = ()
-    keyed: tuple[str, ...] = ("hours-entry",)  # classes whose requests carry a key
-    budget_s: float = 5.0
-    body_bytes: int = 16
-    connections: int = 512
-
-    def problems(self) -> list[str]:
-        """What is wrong with it."""
-        found = []
-        if not self.addresses:
-            found.append("no address to load")
-        for host, _ in self.addresses:
-            if not host.startswith("127."):
-                found.append(f"{host} is not a loopback address (127.0.0.0/8)")
-        if (self.rate > 0) == (self.clients > 0):
-            found.append("either a rate or a number of clients must be given")
-        if not 0 < self.seconds <= LONGEST_S:
-            found.append(f"the time must lie between 0 and {LONGEST_S:g} s")
-        if self.rate * self.seconds > MOST_REQUESTS:
-            found.append(f"at most {MOST_REQUESTS} requests may be planned")
-        if self.clients > self.connections:
-            found.append("there must be as many connections as clients")
-        if not 0 < self.budget_s <= LONGEST_S:
-            found.append(f"the budget must lie between 0 and {LONGEST_S:g} s")
-        if min((share for _, share in (*self.classes, *self.departments)), default=1.0) < 0:
-            found.append("shares must not be negative")
-        return found
-
-
-class Row(msgspec.Struct, kw_only=True):
-    """The figures of one class or department."""
-
-    name: str
-    sent: int = 0
-    served: int = 0
-    refused: int = 0
-    failed: int = 0
-    unanswered: int = 0
-    latency_ms: dict[str, float] = {}
-
-
-class Summary(msgspec.Struct, kw_only=True):
-    """What came of a run."""
-
-    planned: int = 0
-    sent: int = 0
-    served: int = 0
-    refused: int = 0
-    failed: int = 0
-    unanswered: int = 0
-    seconds: float = 0.0
-    per_s: float = 0.0
-    latency_ms: dict[str, float] = {}
-    classes: list[Row] = []
-    departments: list[Row] = []
-    behind_ms: dict[str, float] = {}
-    cpu_share: float = 0.0
-    us_per_request: float = 0.0
-    connections: int = 0
-    fell_behind: bool = False
-    marks: list[str] = []
+ENDED_BY_STATUS = {200: Ended.SERVED, 429: Ended.REFUSED, 503: Ended.REFUSED}
 
 
 @dataclass(slots=True)
@@ -123,12 +46,6 @@
     connection: ClientConnection | None = None
 
 
-@dataclass(slots=True)
-class _Count:
-    row: Row
-    made: Any = field(default_factory=histogram)
-
-
 class Load:
     """One run of the tool."""
 
@@ -141,10 +58,7 @@
         self.loop.read_clock()
         self._tick = tick
         self._rng = np.random.Generator(np.random.PCG64(plan.seed))
-        self._classes = [_Count(Row(name=name)) for name, _ in plan.classes]
-        self._departments = [_Count(Row(name=name)) for name, _ in plan.departments]
-        self._all = _Count(Row(name="all"))
-        self._behind = histogram()
+        self._tally = Tally(plan)
         self._idle: list[list[ClientConnection]] = [[] for _ in plan.addresses]
         self._connections = 0
         self._most_connections = 0
@@ -250,8 +164,7 @@
 
     def _send(self, ask: Ask) -> None:
         self._open += 1
-        for count in self._counts(ask):
-            count.row.sent += 1
+        self._tally.sent(ask.cls, ask.department)
         self.loop.after(span(round(self.plan.budget_s * SECOND) + GRACE // 2), partial(self._late, ask))
         self._put(ask)
 
@@ -260,8 +173,7 @@
         if connection is None:
             self._waiting.append(ask)
             return
-        now = self._now()
-        self._behind.record_value(max(1, (now - ask.meant_at) // 1000))
+        self._tally.left((self._now() - ask.meant_at) // 1000)
         self._numbers += 1
         ask.call_id = f"{self._token}-{self._numbers:x}"
         ask.connection = connection
@@ -311,7 +223,7 @@
         else:
             self._drop(connection)
         if isinstance(ask, Ask):
-            self._end_ask(ask, "served" if status == 200 else "refused" if status in (429, 503) else "failed")
+            self._end_ask(ask, ENDED_BY_STATUS.get(status, Ended.FAILED))
 
     def _broke(self, connection: ClientConnection) -> None:
         ask, connection.state = connection.state, None
@@ -320,7 +232,7 @@
             if connection in idle:
                 idle.remove(connection)
         if isinstance(ask, Ask):
-            self._end_ask(ask, "failed")
+            self._end_ask(ask, Ended.FAILED)
 
     def _late(self, ask: Ask) -> None:
         if ask.over:
@@ -328,66 +240,31 @@
         if ask.connection is not None:
             ask.connection.state = None
             self._drop(ask.connection)
-        self._end_ask(ask, "unanswered")
+        self._end_ask(ask, Ended.UNANSWERED)
 
-    def _end_ask(self, ask: Ask, how: str) -> None:
+    def _end_ask(self, ask: Ask, how: Ended) -> None:
         if ask.over:
             return
         ask.over = True
         self._open -= 1
-        took = max(1, (self._now() - ask.meant_at) // 1000)
-        for count in self._counts(ask):
-            setattr(count.row, how, getattr(count.row, how) + 1)
-            if how == "served":
-                count.made.record_value(min(took, 3_600_000_000))
+        self._tally.ended(ask.cls, ask.department, how, (self._now() - ask.meant_at) // 1000)
         while self._waiting:
             waiting = self._waiting.popleft()
             if not waiting.over:
                 self._put(waiting)
                 break
         if ask.client >= 0:
-            if how == "failed":
+            if how is Ended.FAILED:
                 # A scheduler that is not there answers at once: a closed loop must not spin on it.
                 self.loop.after(span(10 * MS), partial(self._ask_next, ask.client))
             else:
                 self._ask_next(ask.client)
 
-    def _counts(self, ask: Ask) -> list[_Count]:
-        own = [self._departments[ask.department]] if self._departments else []
-        return [self._all, self._classes[ask.cls], *own]
-
-    # --- figures ----------------------------------------------------------------------------------
-
     def summary(self) -> Summary:
         """The figures so far."""
-        for count in (self._all, *self._classes, *self._departments):
-            count.row.latency_ms = percentiles(count.made)
-        row = self._all.row
         seconds = min((self._now() - self._begun) / SECOND, self.plan.seconds)
-        behind = percentiles(self._behind)
-        fell = behind.get("p99", 0.0) * MS > BEHIND
-        marks = []
-        if fell:
-            marks.append(f"fell behind its plan: 1% of the sends left {behind['p99']:.0f} ms late or more")
-        if self._most_connections >= self.plan.connections:
-            marks.append(f"all {self.plan.connections} connections were in use at once: requests waited for one")
-        return Summary(
-            planned=len(self._times) if self.plan.rate else row.sent,
-            sent=row.sent,
-            served=row.served,
-            refused=row.refused,
-            failed=row.failed,
-            unanswered=row.unanswered,
-            seconds=round(seconds, 3),
-            per_s=round(row.served / seconds, 1) if seconds else 0.0,
-            latency_ms=row.latency_ms,
-            classes=[each.row for each in self._classes],
-            departments=[each.row for each in self._departments],
-            behind_ms=behind,
-            connections=self._most_connections,
-            fell_behind=fell,
-            marks=marks,
-        )
+        planned = len(self._times) if self.plan.rate else None
+        return self._tally.summary(seconds, planned, self._most_connections)
 
 
 def raise_descriptors(wanted: int) -> None:
--- a/tests/test_lab_sockets.py
+++ b/tests/test_lab_sockets.py
@@ -21,7 +21,8 @@
 from canvasbeam.cli.commands import LAZY, cli
 from canvasbeam.lab import engine_sim, engine_sockets, experiments, report, scheduler_processes
 from canvasbeam.lab import result as results
-from canvasbeam.lab.load import Load, Plan
+from canvasbeam.lab.load import Load
+from canvasbeam.lab.load_plan import Plan
 from canvasbeam.lab.wire import Asked, ServerConnection, ServerSocket, answer
 from canvasbeam.net.loop import Loop
 from tests.lab import RunsTwice, small
