--- a/canvasbeam/cluster/node_core.py
+++ b/canvasbeam/cluster/node_core.py
@@ -14,6 +14,8 @@
 from canvasbeam.cluster.member import Member
 from canvasbeam.cluster.member_list import MemberList
 from canvasbeam.cluster.own_member import OwnMember
+from canvasbeam.decide.calls import UNKNOWN_LIFE
+from canvasbeam.decide.control_contact import ContactState, contact_state
 from canvasbeam.decide.distribution import Distribution, Start
 from canvasbeam.decide.distribution_messages import DistributionTerms, Message, Send
 from canvasbeam.decide.member_status import Status
@@ -39,10 +41,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ProbeAnswer:
-    """Answer a probe."""
+    """Answer a probe of the process that is in this life."""
 
     address: Address
     number: int
+    asking_life: int = UNKNOWN_LIFE
 
 
 Action = Send | Probe | ProbeAnswer
@@ -77,6 +80,24 @@
         self._now = now
         return self.distribution.publish(now, items)
 
+    def set_electorates(self, now: int, electorates: Iterable[Iterable[str]]) -> None:
+        """The IP addresses of the control nodes, most of which must grant a lease of contact."""
+        addresses = [[Address(ip, self._ports.control) for ip in electorate] for electorate in electorates]
+        self.distribution.set_electorates(now, addresses)
+
+    def begin_write(self, now: int, items: Iterable[Item]) -> int:
+        """Have items held by most of the control nodes; the number is for `is_written` and `end_write`."""
+        self._now = now
+        return self.distribution.begin_write(now, items)
+
+    def is_written(self, number: int) -> bool:
+        """Whether most of the control nodes hold the items of this write."""
+        return self.distribution.contact.is_written(number)
+
+    def end_write(self, number: int) -> None:
+        """Nobody waits for this write any more."""
+        self.distribution.contact.end_write(number)
+
     def set_ready(self, now: int, ready: bool) -> None:
         """Tell the others whether this process takes clients."""
         item = self.own.set_ready(ready)
@@ -98,19 +119,19 @@
         """The connection to a node failed."""
         self.distribution.on_disconnected(now, address)
 
-    def on_probe(self, now: int, sender: Address, number: int, claim: Version) -> None:
+    def on_probe(self, now: int, sender: Address, number: int, claim: Version, asking_life: int = UNKNOWN_LIFE) -> None:
         """A monitor asks whether we are there; its claim is what it holds of us, where that is not alive."""
         self._now = now
         self.monitoring.on_heard(now)
         if self.own.has_left:
             return
-        self._actions.append(ProbeAnswer(sender, number))
+        self._actions.append(ProbeAnswer(sender, number, asking_life))
         if claim.minor:
             self._refute(claim)
 
-    def on_answer(self, now: int, sender: Address) -> None:
-        """A member that we monitor is there."""
-        self.monitoring.on_answer(now, sender)
+    def on_answer(self, now: int, sender: Address, number: int) -> None:
+        """A member that we monitor answers a probe."""
+        self.monitoring.on_answer(now, sender, number)
 
     def tick(self, now: int) -> None:
         """Do what is due."""
@@ -143,13 +164,21 @@
         return self._members.alive(now, self.monitoring.is_silent)
 
     def control_age(self, now: int) -> int | None:
-        """How long ago this node was in contact with most control nodes, directly or through others."""
+        """How long ago this node's contact instant was, directly or through others; none before the first."""
         return self.distribution.control_age(now)
 
     def has_majority(self, now: int) -> bool:
         """Whether that is recent."""
-        age = self.control_age(now)
-        return age is not None and age <= self.terms.stale
+        instant = self.distribution.contact_instant
+        return contact_state(instant, now, self.terms.stale) is ContactState.CONFIRMED
+
+    def is_heard(self, now: int) -> bool:
+        """Whether anybody at all is known to have had a recent message of this control node.
+
+        Not so for one that is alone, deaf or mute, nor right after its process stood still.
+        """
+        age = self.distribution.contact.exchange_age(now)
+        return age is not None and age <= self.terms.exchange
 
     # --- members ----------------------------------------------------------------------------------
 
--- a/canvasbeam/control_plane/operator_api.py
+++ b/canvasbeam/control_plane/operator_api.py
@@ -1,8 +1,9 @@
 """The operator's API: the configuration, evacuations, and the status of this node.
 
 Orders and reads of the configuration are for the primary; other nodes send the caller there. An order that takes longer
-than a caller waits goes on here and is answered 503, which leaves its outcome open; the same order sent again finds it
-taken, or still in progress and joins it.
+than a caller waits goes on here and is answered 503, which leaves its outcome open. The same configuration order sent
+again finds it taken, or still in progress and joins it. An evacuation never joins another: it says what shall hold from
+now on, and the earlier one may have been taken back meanwhile under another primary.
 """
 
 from __future__ import annotations
@@ -12,26 +13,31 @@
 from typing import Any
 from urllib.parse import quote
 
+from canvasbeam.control_plane.evacuation_fence import EvacuationFence
 from canvasbeam.control_plane.state_service import ControlStateService
 from canvasbeam.control_plane.web import (
     Answer,
     Request,
+    again_on_a_new_connection,
     failure_answer,
     json_answer,
     method_not_allowed,
     unavailable,
 )
 from canvasbeam.control_state import Change, ChangeKind, Committed, ControlState
+from canvasbeam.decide.replication.removal import Removal
 from canvasbeam.errors import Failure, ResultCode
 from canvasbeam.runtime.settings import ProcessSettings
 
 CONFIGURATION_PATH = "/v1/config"
 EVACUATION_PREFIX = "/v1/evacuate/"
+REMOVAL_PREFIX = "/v1/control/remove/"
 STATUS_PATH = "/v1/status"
-ANSWER_WITHIN_S = 0.85  # a caller moves on after a second
+ANSWER_WITHIN_S = 0.83  # after the wait for the caller's end; a caller moves on after a second
 MOST_ORDERS_IN_PROGRESS = 64
-DEFAULT_BODY_BYTES = 4 << 20
-BODY_ALLOWANCE = 64 << 10
+MOST_MATCH_DIGITS = 19  # those of the largest generation
+# Of one order. The same on all nodes and for good, so that an order which was taken is never found too large later.
+MOST_ORDER_BYTES = 16 << 20
 
 CHANGE_OF_METHOD = {"PUT": ChangeKind.PUT_CONFIGURATION, "PATCH": ChangeKind.PATCH_CONFIGURATION}
 EVACUATION_OF_METHOD = {"POST": ChangeKind.START_EVACUATION, "DELETE": ChangeKind.END_EVACUATION}
@@ -49,6 +55,8 @@
     ResultCode.CONFIG_STALE_MATCH: 412,
     ResultCode.CONFIG_TOO_LARGE: 413,
     ResultCode.ZONE_UNKNOWN: 404,
+    ResultCode.MEMBER_UNKNOWN: 404,
+    ResultCode.MEMBER_NEEDED: 409,
 }
 
 StatusSource = Callable[[], Mapping[str, Any]]
@@ -68,15 +76,14 @@
         self._service = service
         self._is_reachable = is_reachable
         self._status = status
-        self._in_progress: dict[Change, asyncio.Task[Committed | Failure]] = {}
+        self._orders: set[asyncio.Task[Committed | Failure]] = set()  # that are in progress
+        self._configuration_orders: dict[Change, asyncio.Task[Committed | Failure]] = {}  # those that may be joined
+        self._evacuation_fence = EvacuationFence()
         self._reads: set[asyncio.Task[ControlState | Failure]] = set()
 
     def most_body_bytes(self) -> int:
         """How large an order may be."""
-        configuration = self._service.state.configuration or {}
-        limits = configuration.get("limits") or {}
-        configured = int(limits.get("max_body_bytes", 0))
-        return max(DEFAULT_BODY_BYTES, configured) + BODY_ALLOWANCE
+        return MOST_ORDER_BYTES
 
     async def configuration(self, request: Request) -> Answer:
         """`/v1/config`: read it whole, replace it, or change named items."""
@@ -100,7 +107,18 @@
             return method_not_allowed(*EVACUATION_OF_METHOD)
         if not zone or (self._settings.zones and zone not in self._settings.zones):
             return self._refusal(request, Failure(ResultCode.ZONE_UNKNOWN, f"there is no zone {zone!r}"))
-        return await self._order(request, Change(kind, zone=zone))
+        return await self._evacuate(request, Change(kind, zone=zone))
+
+    async def removal(self, request: Request) -> Answer:
+        """`/v1/control/remove/IP`: take a control process out for good; sent again, tells how far that is."""
+        if request.method != "POST":
+            return method_not_allowed("POST")
+        ip = request.path.removeprefix(REMOVAL_PREFIX)
+        outcome = self._service.remove(ip)
+        if isinstance(outcome, Failure):
+            return self._refusal(request, outcome)
+        status = 200 if outcome is Removal.DONE else 202
+        return json_answer(status, {"ip": ip, "removal": outcome.value})
 
     async def status(self, request: Request) -> Answer:
         """`/v1/status`: what this node knows of itself and the others."""
@@ -108,12 +126,26 @@
             return method_not_allowed("GET")
         return json_answer(200, self._status())
 
+    def on_primary(self, ip: str | None) -> None:
+        """Another node, or this one, is the primary now."""
+        if ip == self._settings.ip:
+            self._evacuation_fence.begin_to_lead(asyncio.get_running_loop().time())
+
+    async def _evacuate(self, request: Request, change: Change) -> Answer:
+        if not self._service.is_primary:
+            return self._to_primary(request)
+        if request.sent_after is not None and self._evacuation_fence.may_be_late(change, request.sent_after):
+            reason = "an opposite order came, or this node began to lead, after the connection came to rest"
+            return again_on_a_new_connection(Failure(ResultCode.ORDER_MAY_BE_LATE, reason))
+        self._evacuation_fence.note(change, asyncio.get_running_loop().time())
+        return await self._order(request, change)
+
     async def _order(self, request: Request, change: Change) -> Answer:
         if not self._service.is_primary:
             return self._to_primary(request)
-        task = self._in_progress.get(change)
+        task = self._configuration_orders.get(change)
         if task is None:
-            if len(self._in_progress) >= MOST_ORDERS_IN_PROGRESS:
+            if len(self._orders) >= MOST_ORDERS_IN_PROGRESS:
                 return unavailable(Failure(ResultCode.OVERLOADED, "too many orders are in progress"))
             task = self._start(change)
         await asyncio.wait({task}, timeout=ANSWER_WITHIN_S)
@@ -126,8 +158,11 @@
 
     def _start(self, change: Change) -> asyncio.Task[Committed | Failure]:
         task = asyncio.create_task(self._service.submit(change))
-        self._in_progress[change] = task
-        task.add_done_callback(lambda _: self._in_progress.pop(change, None))
+        self._orders.add(task)
+        task.add_done_callback(self._orders.discard)
+        if change.kind in CHANGE_OF_METHOD.values():
+            self._configuration_orders[change] = task
+            task.add_done_callback(lambda _: self._configuration_orders.pop(change, None))
         return task
 
     async def _read(self, request: Request) -> Answer:
@@ -168,7 +203,7 @@
     if text is None:
         return Failure(ResultCode.CONFIG_NO_MATCH, "If-Match is missing")
     digits = text.strip().removeprefix("W/").strip('"')
-    if not (digits.isascii() and digits.isdigit()) or len(digits) > 18:
+    if not (digits.isascii() and digits.isdigit()) or len(digits) > MOST_MATCH_DIGITS:
         return Failure(ResultCode.CONFIG_NO_MATCH, "If-Match is not the number of a generation")
     return int(digits)
 
--- a/canvasbeam/control_plane/program.py
+++ b/canvasbeam/control_plane/program.py
@@ -3,12 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from contextlib import suppress
 
 from canvasbeam.cluster.node import ClusterNode
 from canvasbeam.control_plane.changes import apply, apply_checked, decode_state, encode_state
 from canvasbeam.control_plane.directory import RESOLVE_PATH, Directory
-from canvasbeam.control_plane.operator_api import CONFIGURATION_PATH, EVACUATION_PREFIX, STATUS_PATH, OperatorApi
+from canvasbeam.control_plane.home_regions import HomeRegions
+from canvasbeam.control_plane.operator_api import (
+    CONFIGURATION_PATH,
+    EVACUATION_PREFIX,
+    REMOVAL_PREFIX,
+    STATUS_PATH,
+    OperatorApi,
+)
 from canvasbeam.control_plane.publisher import StatePublisher
 from canvasbeam.control_plane.registry import INSTANCES_PREFIX, RegistryService
 from canvasbeam.control_plane.replicated_state import ReplicatedControlState
@@ -28,7 +36,10 @@
 RESERVED_DESCRIPTORS = 400
 DRAIN_S = 1.0
 RESIGN_S = 2.0
+LEAVE_MARGIN_S = 3.0  # of `grace_s`, for what follows the leave: `RESIGN_S`, and a second before SIGKILL
+LEAST_LEAVE_S = 0.3
 LEAVE_FLUSH_S = 0.05
+NO_ELECTORATE = ((),)  # before it knows a view, a control node may be no member of it: nobody can grant it contact
 
 log = logs.get_logger(__name__)
 
@@ -37,6 +48,7 @@
     """All parts of one control node."""
 
     def __init__(self, settings: ProcessSettings, listeners: Listeners | None = None) -> None:
+        self._settings = settings
         self._node = ClusterNode(settings, is_control=True)
         self._service = ReplicatedControlState(
             settings, self._node.transport, apply, encode_state, decode_state, apply_checked=apply_checked
@@ -44,10 +56,14 @@
         self._publisher = StatePublisher(self._node)
         self._service.add_commit_listener(self._publisher.on_committed)
         self._registry = RegistryService(settings, self._node)
-        self._directory = Directory(settings, self._node.members)
+        self._node.set_electorates(NO_ELECTORATE)
+        self._service.add_electorate_listener(self._node.set_electorates)
+        homes = HomeRegions(self._node.table)
+        self._directory = Directory(settings, self._node.members, homes, self._node.is_heard)
         self._operator = OperatorApi(
             settings, self._service, self._is_reachable, lambda: status_document(settings, self._node, self._service)
         )
+        self._service.add_primary_listener(self._operator.on_primary)
         self._servers = self._make_servers(settings, listeners or {})
         disk = FolderDisk(settings.data_dir) if settings.data_dir is not None else None
         self._snapshot = WorkerSnapshot(self._node, disk) if disk is not None else None
@@ -67,8 +83,9 @@
         operator, registry = self._operator, self._registry
         return [
             Endpoint(INSTANCES_PREFIX, registry.instances, registry.most_body_bytes),
-            Endpoint(CONFIGURATION_PATH, operator.configuration, operator.most_body_bytes),
-            Endpoint(EVACUATION_PREFIX, operator.evacuation, _no_body),
+            Endpoint(CONFIGURATION_PATH, operator.configuration, operator.most_body_bytes, needs_caller=True),
+            Endpoint(EVACUATION_PREFIX, operator.evacuation, _no_body, needs_caller=True),
+            Endpoint(REMOVAL_PREFIX, operator.removal, _no_body, needs_caller=True),
             Endpoint(STATUS_PATH, operator.status, _no_body),
         ]
 
@@ -76,7 +93,8 @@
         return [Endpoint(RESOLVE_PATH, self._directory.resolve, _no_body)]
 
     def _is_reachable(self, ip: str) -> bool:
-        return any(member.ip == ip for member in self._node.control_nodes())
+        """Whether a caller may be sent there: what a node out of contact knows of the primary may be old."""
+        return self._node.has_majority() and any(member.ip == ip for member in self._node.control_nodes())
 
     async def start(self) -> Failure | None:
         """Join the cluster, open the storage, and serve."""
@@ -102,10 +120,13 @@
         self._service.set_seeds(settings.seeds)
 
     async def stop(self) -> None:
-        """End in order: calls in progress are answered, the office is handed on, the others are told."""
+        """End in order: calls in progress are answered, the view is handed on, the others are told."""
+        began = time.monotonic()
         self._registry.stop()
         self._node.set_ready(False)
         await asyncio.gather(*(server.drain(DRAIN_S) for server in self._servers))
+        leave_by = began + self._settings.bounds.grace_s - LEAVE_MARGIN_S
+        await self._service.leave(max(LEAST_LEAVE_S, leave_by - time.monotonic()))
         with suppress(TimeoutError):
             async with asyncio.timeout(RESIGN_S):
                 await self._service.stop()
--- a/canvasbeam/control_plane/replicated_state.py
+++ b/canvasbeam/control_plane/replicated_state.py
@@ -9,9 +9,10 @@
 
 import asyncio
 import os
+import random
 import time
 from collections.abc import Callable, Coroutine, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from itertools import count
 from typing import Protocol
 
@@ -22,15 +23,20 @@
 from canvasbeam.control_plane.replication_codec import DecodeState, EncodeState, Received, ReplicationCodec
 from canvasbeam.control_plane.view_log import ViewLog
 from canvasbeam.control_state import Change, Committed, ControlState
+from canvasbeam.decide.calls import UNKNOWN_LIFE, LifeCheck, draw_life
+from canvasbeam.decide.replication.departure import Leaving
 from canvasbeam.decide.replication.durability import Held, Outbox
 from canvasbeam.decide.replication.member import Member, Role
-from canvasbeam.decide.replication.messages import Action, Message, Publish, Reply, Send, SendToAddress
+from canvasbeam.decide.replication.messages import ANSWERS, Action, Message, Publish, Reply, Send, SendToAddress
+from canvasbeam.decide.replication.removal import Removal
+from canvasbeam.decide.replication.resilience import Resilience, resilience_of
 from canvasbeam.decide.replication.start import Durable, MemberSettings
 from canvasbeam.decide.replication.types import (
     GENESIS_DISK,
     Apply,
     MemberId,
     Timing,
+    View,
     genesis_view,
     member_id,
     member_ip,
@@ -49,6 +55,7 @@
 
 CommitListener = Callable[[ControlState], None]
 PrimaryListener = Callable[[str | None], None]
+ElectorateListener = Callable[[Sequence[Sequence[str]]], None]
 
 
 class ReplicationTransport(Protocol):
@@ -76,6 +83,9 @@
     committed_index: int = 0
     stored_index: int = 0
     disk: str = "ok"
+    stale_answers: int = 0
+    resilience: Resilience = Resilience()
+    leaving: str = Leaving.STAYING.name.lower()
 
 
 @dataclass(slots=True)
@@ -127,9 +137,12 @@
         self._member: Member | None = None
         self._outbox = Outbox()
         self._calls = _Calls()
+        self._life = LifeCheck(draw_life(random.SystemRandom()))
         self._view_log = ViewLog()
         self._listeners: list[CommitListener] = []
         self._primary_listeners: list[PrimaryListener] = []
+        self._electorate_listeners: list[ElectorateListener] = []
+        self._told_view: tuple[View | None, bool] = (None, False)
         self._state = ControlState()
         self._tasks: list[asyncio.Task[None]] = []
         self._unwritten = asyncio.Event()
@@ -144,6 +157,44 @@
         self._transport.register(Channel.REPLICATION, self._on_message)
         self._spawn(self._run())
 
+    async def leave(self, within_s: float) -> None:
+        """Hand the view on, and wait until a view without this member holds enough copies, or the time is over."""
+        member = self._member
+        if member is None:
+            return
+        began = time.monotonic()
+        self._perform(member.leave(time.monotonic_ns()))
+        while not member.departure.may_end and time.monotonic() - began < within_s:
+            await asyncio.sleep(TICK_SECONDS)
+        self._log_departure(member, time.monotonic() - began)
+
+    def _log_departure(self, member: Member, waited_s: float) -> None:
+        match member.departure.state:
+            case Leaving.GRANTED:
+                log.info("leaves after {:.1f} s: {} other replicas hold the state", waited_s, member.departure.copies)
+            case Leaving.ALONE:
+                log.info("leaves after {:.1f} s: there is no other member, or all others leave too", waited_s)
+            case _:
+                log.warning("gave up waiting after {:.1f} s: {}", waited_s, self._why_not_let_go(member))
+
+    def _why_not_let_go(self, member: Member) -> str:
+        if not member.primary_id:
+            return "no primary is known"
+        if member.known_view is not None and member.me in member.known_view.replicas:
+            return "too few other replicas are usable to form a view without this member"
+        return f"the primary {member.primary_id} has not settled a view without this member"
+
+    def remove(self, ip: str) -> Removal | Failure:
+        """Take the control process at an address out for good; called again, tells how far that is."""
+        member = self._member
+        if member is None:
+            return self._not_ready()
+        outcome = member.removal(ip, time.monotonic_ns())
+        if not isinstance(outcome, Failure):
+            log.info("the removal of {} is {}", ip, outcome.value)
+            self._perform(member.request_leave(ip))
+        return outcome
+
     async def stop(self) -> None:
         """Resign where this node is the primary, and stop."""
         if self._member is not None:
@@ -210,6 +261,13 @@
         """Call this with the address of the primary whenever another one, or none, is known."""
         self._primary_listeners.append(listener)
 
+    def add_electorate_listener(self, listener: ElectorateListener) -> None:
+        """Call this with the IP addresses of the witnesses of each newer view that this node hears of.
+
+        There are two electorates while the view is not settled: its witnesses, and those of the view before.
+        """
+        self._electorate_listeners.append(listener)
+
     @property
     def status(self) -> ReplicationStatus:
         """The view and this member's part in it."""
@@ -229,8 +287,14 @@
             committed_index=self._state.index,
             stored_index=member.replica.state.index,
             disk=disk,
+            stale_answers=member.stale_answers + self._life.dropped,
+            resilience=Resilience() if view is None else self._resilience(view, member.is_settled),
+            leaving=member.departure.state.name.lower(),
         )
 
+    def _resilience(self, view: View, is_settled: bool) -> Resilience:
+        return resilience_of(view, is_settled, int(self._settings.tolerate.machines))
+
     # --- start ------------------------------------------------------------------------------------------------
 
     async def _run(self) -> None:
@@ -244,7 +308,14 @@
             self._timing,
             seed=int.from_bytes(os.urandom(DISK_ID_BYTES), "big"),
         )
-        self._member = Member(settings, loaded.durable, self._check.apply, self._apply_checked, time.monotonic_ns())
+        self._member = Member(
+            settings,
+            loaded.durable,
+            self._check.apply,
+            self._apply_checked,
+            time.monotonic_ns(),
+            codec=self._codec,
+        )
         self._perform(self._member.begin())
         log.info("member {} begins at index {}", loaded.member, loaded.durable.state.index)
         self._spawn(self._write_saves())
@@ -314,11 +385,14 @@
         if member_ip(received.sender) != peer.ip:
             log.warning("dropped: {} says that it is {}", peer.ip, received.sender)
             return
+        if isinstance(received.message, ANSWERS) and not self._life.takes(received.answered_life):
+            return
         self._deliver(received)
 
     def _deliver(self, received: Received) -> None:
         if self._member is not None:
-            self._perform(self._member.receive(received.sender, received.message, time.monotonic_ns()))
+            actions = self._member.receive(received.sender, received.message, time.monotonic_ns())
+            self._perform([_addressed_to_caller(each, received) for each in actions])
 
     async def _tick(self) -> None:
         while self._member is not None:
@@ -348,6 +422,7 @@
             self._unwritten.set()
         if self._member is not None:
             self._view_log.note(self._member.known_view)
+            self._tell_electorates(self._member.known_view, self._member.known_settled)
         self._tell_change_of_primary()
 
     def _tell_change_of_primary(self) -> None:
@@ -363,6 +438,16 @@
             for listener in self._primary_listeners:
                 listener(self.primary_ip)
 
+    def _tell_electorates(self, view: View | None, is_settled: bool) -> None:
+        """The listeners hear whose grants count for contact."""
+        if view is None or (view, is_settled) == self._told_view:
+            return
+        self._told_view = (view, is_settled)
+        electorates = [view.witnesses] if is_settled else [view.witnesses, view.previous_witnesses]
+        ips = [[member_ip(each) for each in electorate] for electorate in electorates]
+        for listener in self._electorate_listeners:
+            listener(ips)
+
     def _send(self, action: Held) -> None:
         member = self._member
         if member is None:
@@ -371,14 +456,17 @@
             received = Received(member.me, action.message)
             asyncio.get_running_loop().call_soon(self._deliver, received)
             return
-        ip = action.ip if isinstance(action, SendToAddress) else member_ip(action.to)
-        self._send_to(ip, action.message)
+        if isinstance(action, Send):
+            self._send_to(member_ip(action.to), action.message, action.answered_life)
+        else:
+            self._send_to(action.ip, action.message)
 
-    def _send_to(self, ip: str, message: Message) -> None:
+    def _send_to(self, ip: str, message: Message, answered_life: int = UNKNOWN_LIFE) -> None:
         member = self._member
         if member is not None:
             address = Address(ip, self._settings.control_peer_port)
-            self._transport.send(address, Channel.REPLICATION, self._codec.encode(member.me, message))
+            payload = self._codec.encode(member.me, message, self._life.life, answered_life)
+            self._transport.send(address, Channel.REPLICATION, payload)
 
     def _publish(self, state: ControlState) -> None:
         self._state = state
@@ -405,3 +493,10 @@
             return await future
         finally:
             self._calls.waiting.pop(number, None)
+
+
+def _addressed_to_caller(action: Action, call: Received) -> Action:
+    """An answer carries the life of the process that called, however long it waits for the disk."""
+    if isinstance(action, Send) and action.to == call.sender and isinstance(action.message, ANSWERS):
+        return replace(action, answered_life=call.life)
+    return action
--- a/canvasbeam/control_plane/replication_codec.py
+++ b/canvasbeam/control_plane/replication_codec.py
@@ -11,8 +11,9 @@
 from canvasbeam.cluster import replication_pb2 as wire
 from canvasbeam.control_plane.compression import pack, unpack
 from canvasbeam.control_state import Change, ChangeKind, ControlState
+from canvasbeam.decide.calls import UNKNOWN_LIFE
 from canvasbeam.decide.replication import messages
-from canvasbeam.decide.replication.messages import Message
+from canvasbeam.decide.replication.messages import Message, SnapshotId
 from canvasbeam.decide.replication.types import Epoch, MemberId, Position, View
 from canvasbeam.errors import Failure, ResultCode
 
@@ -22,10 +23,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Received:
-    """A decoded message and the member that sent it."""
+    """A decoded message, the member that sent it, and the lives of its process and, of an answer, of the caller's."""
 
     sender: MemberId
     message: Message
+    life: int = UNKNOWN_LIFE
+    answered_life: int = UNKNOWN_LIFE
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,9 +65,11 @@
         except ValueError as error:
             return Failure(ResultCode.MESSAGE_INVALID, f"a state: {error}")
 
-    def encode(self, sender: MemberId, message: Message) -> bytes:
+    def encode(
+        self, sender: MemberId, message: Message, life: int = UNKNOWN_LIFE, answered_life: int = UNKNOWN_LIFE
+    ) -> bytes:
         """A message with its sender."""
-        envelope = wire.ReplicationEnvelope(sender=sender)
+        envelope = wire.ReplicationEnvelope(sender=sender, life=life, answered_life=answered_life)
         name, part = self._part_of(message)
         getattr(envelope, name).CopyFrom(part)
         return envelope.SerializeToString()
@@ -73,7 +78,7 @@
         """The inverse of `encode`."""
         try:
             envelope = wire.ReplicationEnvelope.FromString(data)
-            return Received(envelope.sender, self._message_of(envelope))
+            return Received(envelope.sender, self._message_of(envelope), envelope.life, envelope.answered_life)
         except (DecodeError, ValueError, _Undecodable) as error:
             return Failure(ResultCode.MESSAGE_INVALID, f"a replication message: {error}")
 
@@ -81,16 +86,14 @@
         """The field of the envelope that a message fills, and its content."""
         match message:
             case messages.Fetched():
-                return "fetched", wire.FetchedMessage(
-                    epoch=epoch_record(message.epoch),
-                    position=_position_record(message.position),
-                    state=self.encode_state(message.state),
+                return "fetched", self._with_state(
+                    wire.FetchedMessage(epoch=epoch_record(message.epoch), position=_position_record(message.position)),
+                    message.state,
                 )
             case messages.Install():
-                return "install", wire.InstallMessage(
-                    epoch=epoch_record(message.epoch),
-                    position=_position_record(message.position),
-                    state=None if message.state is None else self.encode_state(message.state),
+                return "install", self._with_state(
+                    wire.InstallMessage(epoch=epoch_record(message.epoch), position=_position_record(message.position)),
+                    message.state,
                 )
         name, encode = _ENCODERS[type(message)]
         return name, encode(message)
@@ -103,11 +106,24 @@
         decode: Callable[[Any], Message] = _DECODERS.get(name) or getattr(self, f"_decode_{name}")
         return decode(part)
 
+    def _with_state(self, part: Any, state: ControlState | SnapshotId | None) -> Any:
+        """Put a state into a part: itself, or the id of its snapshot."""
+        if isinstance(state, SnapshotId):
+            part.snapshot.CopyFrom(_snapshot_record(state))
+        elif state is not None:
+            part.state = self.encode_state(state)
+        return part
+
     def _decode_fetched(self, part: wire.FetchedMessage) -> Message:
-        return messages.Fetched(epoch_of(part.epoch), _position_of(part.position), self._state_of(part.state))
+        state = _snapshot_of(part.snapshot) if part.HasField("snapshot") else self._state_of(part.state)
+        return messages.Fetched(epoch_of(part.epoch), _position_of(part.position), state)
 
     def _decode_install(self, part: wire.InstallMessage) -> Message:
-        state = self._state_of(part.state) if part.HasField("state") else None
+        state: ControlState | SnapshotId | None = None
+        if part.HasField("snapshot"):
+            state = _snapshot_of(part.snapshot)
+        elif part.HasField("state"):
+            state = self._state_of(part.state)
         return messages.Install(epoch_of(part.epoch), _position_of(part.position), state)
 
     def _state_of(self, data: bytes) -> ControlState:
@@ -150,7 +166,7 @@
     messages.Fetch: ("fetch", lambda it: wire.FetchMessage(epoch=epoch_record(it.epoch))),
     messages.Installed: (
         "installed",
-        lambda it: wire.InstalledMessage(epoch=epoch_record(it.epoch), stored=it.stored),
+        lambda it: wire.InstalledMessage(epoch=epoch_record(it.epoch), stored=it.stored, index=it.index),
     ),
     messages.Accept: ("accept", lambda it: wire.AcceptMessage(view=view_record(it.view), settled=it.settled)),
     messages.Accepted: (
@@ -185,6 +201,22 @@
         lambda it: wire.AppendedMessage(epoch=epoch_record(it.epoch), index=it.index),
     ),
     messages.Resign: ("resign", lambda it: wire.ResignMessage(epoch=epoch_record(it.epoch))),
+    messages.FetchPiece: (
+        "fetch_piece",
+        lambda it: wire.FetchPieceMessage(snapshot=_snapshot_record(it.snapshot), number=it.number),
+    ),
+    messages.Piece: (
+        "piece",
+        lambda it: wire.PieceMessage(
+            snapshot=_snapshot_record(it.snapshot), number=it.number, data=it.data, checksum=it.checksum
+        ),
+    ),
+    messages.Leave: ("leave", lambda it: wire.LeaveMessage(spares=it.spares)),
+    messages.LeaveGranted: (
+        "leave_granted",
+        lambda it: wire.LeaveGrantedMessage(epoch=epoch_record(it.epoch), copies=it.copies),
+    ),
+    messages.LeaveRequested: ("leave_requested", lambda it: wire.LeaveRequestedMessage()),
 }
 _DECODERS: dict[str, Callable[[Any], Message]] = {
     "hello": lambda part: messages.Hello(part.healthy),
@@ -204,7 +236,7 @@
     ),
     "refused": lambda part: messages.Refused(epoch_of(part.epoch), epoch_of(part.promised)),
     "fetch": lambda part: messages.Fetch(epoch_of(part.epoch)),
-    "installed": lambda part: messages.Installed(epoch_of(part.epoch), part.stored),
+    "installed": lambda part: messages.Installed(epoch_of(part.epoch), part.stored, part.index),
     "accept": lambda part: messages.Accept(view_of(part.view), part.settled),
     "accepted": lambda part: messages.Accepted(epoch_of(part.epoch), part.settled),
     "heartbeat": lambda part: messages.Heartbeat(epoch_of(part.epoch), part.sequence, part.committed),
@@ -216,6 +248,11 @@
     ),
     "appended": lambda part: messages.Appended(epoch_of(part.epoch), part.index),
     "resign": lambda part: messages.Resign(epoch_of(part.epoch)),
+    "fetch_piece": lambda part: messages.FetchPiece(_snapshot_of(part.snapshot), part.number),
+    "piece": lambda part: messages.Piece(_snapshot_of(part.snapshot), part.number, part.data, part.checksum),
+    "leave": lambda part: messages.Leave(tuple(part.spares)),
+    "leave_granted": lambda part: messages.LeaveGranted(epoch_of(part.epoch), part.copies),
+    "leave_requested": lambda part: messages.LeaveRequested(),
 }
 
 
@@ -267,6 +304,14 @@
     return Position(epoch_of(record.epoch), record.index)
 
 
+def _snapshot_record(snapshot: SnapshotId) -> wire.SnapshotRecord:
+    return wire.SnapshotRecord(digest=snapshot.digest, size=snapshot.size)
+
+
+def _snapshot_of(record: wire.SnapshotRecord) -> SnapshotId:
+    return SnapshotId(record.digest, record.size)
+
+
 def change_record(change: Change) -> wire.ChangeRecord:
     """A change."""
     return wire.ChangeRecord(kind=int(change.kind), body=pack(change.body), if_match=change.if_match, zone=change.zone)
--- a/canvasbeam/control_plane/state_service.py
+++ b/canvasbeam/control_plane/state_service.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from canvasbeam.control_state import Change, Committed, ControlState
+from canvasbeam.decide.replication.removal import Removal
 from canvasbeam.errors import Failure
 
 
@@ -12,14 +13,23 @@
     """The replicated control state as the rest of a control process uses it.
 
     `submit` returns `Committed` only when the change is durable on every replica of the current view; a `Failure` of
-    code `CONFIG_*` or `ZONE_UNKNOWN` means that the change was not and will not be applied; `NOT_PRIMARY` and
-    `NO_PRIMARY` mean the same; `PRIMARY_LOST` and `REPLICATION_TIMEOUT` leave the outcome open.
+    code `CONFIG_*` or `ZONE_UNKNOWN` means that neither the change nor a copy of it was or will be applied, but for
+    those of `changes.OPEN_FAILURES`; `NOT_PRIMARY` and `NO_PRIMARY` mean that this call has no effect; `PRIMARY_LOST`
+    and `REPLICATION_TIMEOUT` leave the outcome open.
     """
 
     async def start(self) -> None:
         """Open the storage and begin to take part."""
         ...
 
+    async def leave(self, within_s: float) -> None:
+        """Hand the view on, and wait until a view without this member holds enough copies, or the time is over."""
+        ...
+
+    def remove(self, ip: str) -> Removal | Failure:
+        """Take the control process at an address out for good; called again, tells how far that is."""
+        ...
+
     async def stop(self) -> None:
         """Resign where this node is the primary, and stop."""
         ...
--- a/canvasbeam/control_plane/web.py
+++ b/canvasbeam/control_plane/web.py
@@ -1,7 +1,13 @@
-"""The HTTP side of a control process: typed requests and answers over ASGI, and the choice of a handler by path."""
+"""The HTTP side of a control process: typed requests and answers over ASGI, and the choice of a handler by path.
+
+An endpoint may ask that a call has an effect only while its caller waits for it. Callers give up and call elsewhere; a
+copy that was held up on the way, or in a process that stood still, then arrives with the end of its connection behind
+it. Such a late copy is dropped (`CallerWatch`).
+"""
 
 from __future__ import annotations
 
+import asyncio
 import json
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 from dataclasses import dataclass, field
@@ -9,12 +15,14 @@
 from urllib.parse import parse_qs
 
 from canvasbeam.errors import Failure, ResultCode
-from canvasbeam.runtime.http_server import Message, Receive, Scope, Send
+from canvasbeam.runtime.http_server import AT_REST_SINCE, Message, Receive, Scope, Send
 
 JSON_CONTENT = (b"content-type", b"application/json")
 DISCARD_BYTES = 64 << 20  # of a body that is too large, so that its sender gets to read the answer
 MOST_HELD_BYTES = 48 << 20  # of all bodies that are being read or handled
 RETRY_SOON = "0.2"
+CALLER_END_S = 0.02  # the end of a connection comes this soon after the bytes that were held up with it
+LOOP_TURNS = 10  # more than lie between the arrival of that end and its notice
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,6 +34,7 @@
     query: Mapping[str, str] = field(default_factory=dict)
     headers: Mapping[str, str] = field(default_factory=dict)  # names in lower case
     body: bytes = b""
+    sent_after: float | None = None  # it was not sent before this time of the loop's clock, where that is known
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,6 +56,7 @@
     prefix: str
     handler: Handler
     most_body_bytes: Callable[[], int]
+    needs_caller: bool = False  # a call whose caller has gone has no effect
 
 
 def json_answer(status: int, document: Any, headers: Sequence[tuple[bytes, bytes]] = ()) -> Answer:
@@ -66,6 +76,11 @@
     return failure_answer(503, failure, ((b"retry-after", RETRY_SOON.encode()),))
 
 
+def again_on_a_new_connection(failure: Failure) -> Answer:
+    """The caller should send the same again, not on this connection."""
+    return failure_answer(503, failure, ((b"retry-after", RETRY_SOON.encode()), (b"connection", b"close")))
+
+
 def method_not_allowed(*allowed: str) -> Answer:
     """The path is known, and takes other methods."""
     return Answer(405, headers=((b"allow", ", ".join(allowed).encode()),))
@@ -104,9 +119,37 @@
                 return unavailable(Failure(ResultCode.OVERLOADED, "too many bodies are being read"))
         if body.is_too_large:
             return failure_answer(413, Failure(ResultCode.CONFIG_TOO_LARGE, f"the body exceeds {body.most} bytes"))
+        has_effect = endpoint.needs_caller and scope["method"] != "GET"
+        if has_effect and await CallerWatch(receive).has_left():
+            return None
         return await endpoint.handler(_request(scope, body.data()))
 
 
+class CallerWatch:
+    """Tells whether the caller of a request that has been read whole still waits for the answer."""
+
+    def __init__(self, receive: Receive) -> None:
+        self._receive = receive
+
+    async def has_left(self) -> bool:
+        """Whether the connection has ended behind the request, or does so at once.
+
+        Where the process stood still meanwhile, the time is over although nothing was read in it: hence the turns.
+        """
+        end = asyncio.create_task(self._end())
+        try:
+            await asyncio.wait({end}, timeout=CALLER_END_S)
+            for _ in range(LOOP_TURNS):
+                await asyncio.sleep(0)
+            return end.done()
+        finally:
+            end.cancel()
+
+    async def _end(self) -> None:
+        while (await self._receive())["type"] != "http.disconnect":
+            pass
+
+
 class _Body:
     """The body of a call, as far as it has come; one that is too large is read on but not kept."""
 
@@ -150,6 +193,7 @@
         query={name: values[0] for name, values in query.items()},
         headers={name.decode("latin-1"): value.decode("latin-1") for name, value in scope["headers"]},
         body=body,
+        sent_after=scope.get("state", {}).get(AT_REST_SINCE),
     )
 
 
--- a/canvasbeam/data_plane/carrier.py
+++ b/canvasbeam/data_plane/carrier.py
@@ -245,8 +245,16 @@
             return False
         if request.due_ns - self.now_ns() < LEAST_LEFT_NS or request.sent >= request.route.retries:
             return False
+        runs_alone = request.route.streams or not request.route.idempotent
+        if runs_alone and self._is_out(request):
+            return False
         return request.route.idempotent or not request.may_have_run
 
+    def _is_out(self, request: ClientRequest) -> bool:
+        """Whether a send of a request has a connection to be written on, and no outcome."""
+        entry = self._requests.entry(request)
+        return entry is not None and any(each.exchange is not None for each in entry.attempts_out())
+
     async def _run(self, attempt: Attempt) -> None:
         request = attempt.job.request
         pool = self._connections.pool(attempt.worker)
@@ -254,7 +262,7 @@
             self._end_attempt(attempt, Outcome.MOOT)
             return
         try:
-            connection = await pool.acquire(unsafe=not request.route.idempotent)
+            connection = await pool.acquire(not request.route.idempotent, request.identity)
         except ConnectFailed:
             self._end_attempt(attempt, Outcome.CONNECT_FAILED)
             return
--- /dev/null
+++ b/canvasbeam/decide/replication/catch_up.py
@@ -0,0 +1,178 @@
+"""Members that are no replicas catch up while the primary goes on without them: those that are to join the view, and
+spares, which may have to take a place at any moment.
+
+| state | waits for | then |
+| --- | --- | --- |
+| ASKED | whether the member is at the state that the view began with, or at a later one of it | FOLLOWING; INSTALLING |
+| INSTALLING | a state, with its pieces where it is large | FOLLOWING |
+| FOLLOWING | nothing: it gets the changes after its index, in order | INSTALLING, where it is behind the log |
+
+A member that follows within 0.3 s may join: the view change then brings nothing but what is on its way already. Nothing
+is committed by its confirmations, and it is no source of the view's state before it is a replica (`Candidate`).
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import Enum, auto
+
+from canvasbeam.control_state import ControlState
+from canvasbeam.decide.replication.change_flow import ChangeFlow
+from canvasbeam.decide.replication.change_log import ChangeLog
+from canvasbeam.decide.replication.messages import Append, Install, Installed, Send
+from canvasbeam.decide.replication.replica import Replica
+from canvasbeam.decide.replication.snapshots import SnapshotSource
+from canvasbeam.decide.replication.types import Epoch, MemberId, Position, Timing
+from canvasbeam.units import MILLISECOND
+
+CLOSE_NS = 300 * MILLISECOND
+SEND_AGAIN_FACTOR = 4  # times the interval of a replica: a batch may take long on a slow link
+
+
+class Stage(Enum):
+    """What a joining member does."""
+
+    ASKED = auto()
+    INSTALLING = auto()
+    FOLLOWING = auto()
+
+
+@dataclass(slots=True)
+class _Joining:
+    """One member: the state that it shall install, or its flow of changes."""
+
+    stage: Stage = Stage.ASKED
+    last_sent: int = 0
+    snapshot: ControlState | None = None
+    flow: ChangeFlow | None = None  # while it follows
+
+
+class CatchUp:
+    """The members that catch up in one view."""
+
+    def __init__(
+        self,
+        epoch: Epoch,
+        began_at: Position,
+        *,
+        replica: Replica,
+        log: ChangeLog,
+        snapshots: SnapshotSource,
+        timing: Timing,
+    ) -> None:
+        self._epoch = epoch
+        self._began_at = began_at
+        self._replica = replica
+        self._log = log
+        self._snapshots = snapshots
+        self._timing = timing
+        self._joining: dict[MemberId, _Joining] = {}
+
+    def set_members(self, members: Sequence[MemberId], now: int) -> list[Send]:
+        """These are to be up to date; others that were are forgotten."""
+        for member in [each for each in self._joining if each not in members]:
+            del self._joining[member]
+        sends: list[Send] = []
+        for member in members:
+            if member not in self._joining:
+                self._joining[member] = _Joining()
+                sends.append(self._install(member, now))
+        return sends
+
+    def tick(self, now: int) -> list[Send]:
+        """Send again what was not answered, and begin anew with those that are behind the log."""
+        sends: list[Send] = []
+        for member, joining in self._joining.items():
+            if joining.flow is not None and not joining.flow.can_go_on:
+                self._enter(joining, Stage.INSTALLING)
+            if joining.flow is not None:
+                sends += self._send_again(member, joining.flow, now)
+            elif now - joining.last_sent >= self._timing.resend:
+                sends.append(self._install(member, now))
+        return sends
+
+    def on_change(self, now: int) -> list[Send]:
+        """A change was added to the log."""
+        sends: list[Send] = []
+        for member, joining in self._joining.items():
+            if joining.flow is not None:
+                sends += self._next_batch(member, joining.flow, now)
+        return sends
+
+    def take_installed(self, sender: MemberId, message: Installed, now: int) -> list[Send]:
+        """The member has a state of this epoch, or needs one."""
+        joining = self._joining.get(sender)
+        if joining is None or joining.stage is Stage.FOLLOWING:
+            return []
+        if message.stored and self._log.reaches_back_to(message.index):
+            self._enter(joining, Stage.FOLLOWING)
+            joining.flow = ChangeFlow(self._log, message.index)
+            return self._next_batch(sender, joining.flow, now)
+        if joining.stage is Stage.INSTALLING and not message.stored:
+            return []
+        self._enter(joining, Stage.INSTALLING)
+        return [self._install(sender, now)]
+
+    def take_appended(self, sender: MemberId, index: int, now: int) -> list[Send]:
+        """The member has all changes up to an index."""
+        joining = self._joining.get(sender)
+        if joining is None or joining.flow is None or not joining.flow.confirm(index, now):
+            return []
+        return self._next_batch(sender, joining.flow, now)
+
+    def has(self, member: MemberId) -> bool:
+        """Whether the member catches up."""
+        return member in self._joining
+
+    def is_close(self, member: MemberId, now: int) -> bool:
+        """Whether the member may join: it was sent everything, and what it has not confirmed is recent."""
+        joining = self._joining.get(member)
+        if joining is None or joining.flow is None or not joining.flow.can_go_on:
+            return False
+        return joining.flow.sent == self._log.end and self._log.lag_of(joining.flow.index, now) <= CLOSE_NS
+
+    def close_members(self, now: int) -> frozenset[MemberId]:
+        """All that may join now."""
+        return frozenset(each for each in self._joining if self.is_close(each, now))
+
+    def oldest_needed(self) -> int | None:
+        """The changes after this index are still needed by somebody who joins."""
+        followed = [each.flow.index for each in self._joining.values() if each.flow is not None]
+        installed = [each.snapshot.index for each in self._joining.values() if each.snapshot is not None]
+        asked = [self._began_at.index for each in self._joining.values() if each.stage is Stage.ASKED]
+        return min((*followed, *installed, *asked), default=None)
+
+    def _enter(self, joining: _Joining, stage: Stage) -> None:
+        """The only place where the stage changes."""
+        joining.stage = stage
+        joining.flow = None
+        joining.snapshot = self._snapshot_for_all() if stage is Stage.INSTALLING else None
+
+    def _snapshot_for_all(self) -> ControlState:
+        """The one that others are installing already, where the log still follows on it; else the newest state."""
+        under_way = [each.snapshot for each in self._joining.values() if each.snapshot is not None]
+        usable = [each for each in under_way if self._log.reaches_back_to(each.index)]
+        return usable[0] if usable else self._replica.state
+
+    def _install(self, member: MemberId, now: int) -> Send:
+        joining = self._joining[member]
+        joining.last_sent = now
+        if joining.snapshot is None:
+            return Send(member, Install(self._epoch, self._began_at, None))
+        if not self._log.reaches_back_to(joining.snapshot.index):
+            joining.snapshot = self._snapshot_for_all()
+        position = Position(self._epoch, joining.snapshot.index)
+        return Send(member, Install(self._epoch, position, self._snapshots.offer(joining.snapshot)))
+
+    def _send_again(self, member: MemberId, flow: ChangeFlow, now: int) -> list[Send]:
+        if now - flow.last_sent < SEND_AGAIN_FACTOR * self._timing.resend:
+            return []
+        flow.begin_anew()
+        return self._next_batch(member, flow, now)
+
+    def _next_batch(self, member: MemberId, flow: ChangeFlow, now: int) -> list[Send]:
+        batch = flow.next_batch(now)
+        if batch is None:
+            return []
+        return [Send(member, Append(self._epoch, batch.previous, batch.changes, self._replica.committed.index))]
--- a/canvasbeam/decide/replication/messages.py
+++ b/canvasbeam/decide/replication/messages.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from canvasbeam.control_state import Change, Committed, ControlState
+from canvasbeam.decide.calls import UNKNOWN_LIFE
 from canvasbeam.decide.replication.types import Epoch, MemberId, Position, View
 from canvasbeam.errors import Failure
 
@@ -81,30 +82,42 @@
     epoch: Epoch
 
 
+@dataclass(frozen=True, slots=True)
+class SnapshotId:
+    """Stands for a state that is fetched in pieces: the digest and the length of its encoding."""
+
+    digest: bytes
+    size: int
+
+
 @dataclass(frozen=True, slots=True)
 class Fetched:
     """The state of a replica that has promised the epoch."""
 
     epoch: Epoch
     position: Position
-    state: ControlState
+    state: ControlState | SnapshotId
 
 
 @dataclass(frozen=True, slots=True)
 class Install:
-    """A replica shall begin the epoch with this state, or with its own where it is at `position` already."""
+    """A replica shall begin the epoch with this state, or with its own where it is at `position` already.
+
+    A primary sends it in its own epoch to a member that is to join, to catch up before the view has it as a replica.
+    """
 
     epoch: Epoch
     position: Position
-    state: ControlState | None
+    state: ControlState | SnapshotId | None
 
 
 @dataclass(frozen=True, slots=True)
 class Installed:
-    """The replica has begun the epoch, on its disk; or it lacks the state (`stored` is false)."""
+    """The replica has begun the epoch, on its disk, and is at `index`; or it lacks the state (`stored` is false)."""
 
     epoch: Epoch
     stored: bool
+    index: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -168,19 +181,63 @@
     epoch: Epoch
 
 
+@dataclass(frozen=True, slots=True)
+class FetchPiece:
+    """The sender wants one piece of a snapshot that it was offered."""
+
+    snapshot: SnapshotId
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Piece:
+    """A piece of a snapshot, and the CRC-32 of its bytes."""
+
+    snapshot: SnapshotId
+    number: int
+    data: bytes
+    checksum: int
+
+
+@dataclass(frozen=True, slots=True)
+class Leave:
+    """The sender is to end, perhaps for good: the others shall do without it. `spares` are the usable members that it
+    hears and that have no part in the view: a new primary may not know them yet. Sent for as long as it runs."""
+
+    spares: tuple[MemberId, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class LeaveGranted:
+    """The view of that epoch is in force, does without the receiver, and has so many synced copies of the state."""
+
+    epoch: Epoch
+    copies: int
+
+
+@dataclass(frozen=True, slots=True)
+class LeaveRequested:
+    """The operator takes the receiver out of the core for good."""
+
+
 Message = (
     Hello | ViewTold | Probe | Probed | Prepare | Promise | Refused | Fetch | Fetched | Install | Installed
-    | Accept | Accepted | Heartbeat | HeartbeatAck | Append | Appended | Resign
+    | Accept | Accepted | Heartbeat | HeartbeatAck | Append | Appended | Resign | FetchPiece | Piece
+    | Leave | LeaveGranted | LeaveRequested
 )  # fmt: skip
+# What answers a call: it counts only for the life and the call that it answers.
+Answer = Probed | Promise | Refused | Fetched | Installed | Accepted | HeartbeatAck | Appended | LeaveGranted
+ANSWERS = (Probed, Promise, Refused, Fetched, Installed, Accepted, HeartbeatAck, Appended, LeaveGranted)
 AFTER_SYNC = (Prepare, Promise, Installed, Accepted, Appended, Fetched)
 
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """Send a message to a member."""
+    """Send a message to a member. An answer names the life of the process that called, which the driver fills in."""
 
     to: MemberId
     message: Message
+    answered_life: int = UNKNOWN_LIFE
 
 
 @dataclass(frozen=True, slots=True)
--- a/canvasbeam/errors.py
+++ b/canvasbeam/errors.py
@@ -40,12 +40,17 @@
     CONFIG_TOO_LARGE = 210, "the body is larger than the limit"
     CONFIG_DUPLICATE_NAME = 211, "two items have the same name"
     ZONE_UNKNOWN = 212, "the zone is not one of the deployment"
+    CONFIG_UNKNOWN_MATCH = 213, "If-Match names a generation that is not known yet; the outcome is open"
+    CONFIG_FORGOTTEN = 214, "the order is too old to tell whether it was taken; the outcome is open"
+    ORDER_MAY_BE_LATE = 215, "the order may have been sent before an opposite one; send it on a new connection"
     # 3xx: replication
     NOT_PRIMARY = 301, "this node is not the primary"
     NO_PRIMARY = 302, "no primary is known at present"
     PRIMARY_LOST = 303, "the primary lost its epoch before the change was replicated; its outcome is unknown"
     REPLICATION_TIMEOUT = 304, "the replicas did not confirm in time; the outcome is unknown"
     OVERLOADED = 305, "too many calls are in progress"
+    MEMBER_UNKNOWN = 306, "no control process is known at the address"
+    MEMBER_NEEDED = 307, "the control process may not be removed: no other can take its place"
     # 4xx: storage
     DISK_FULL = 401, "the disk takes no more bytes"
     DISK_FAILED = 402, "a disk operation failed"
@@ -68,6 +73,7 @@
     REQUEST_TIMED_OUT = 706, "no answer came in time; the request may have run"
     REQUEST_NOT_READY = 707, "this node has no configuration yet"
     REQUEST_HEAD_TOO_LARGE = 708, "the head of the request is larger than the limit"
+    REQUEST_INCOMPLETE = 709, "the body of the request did not come in time; it has not run"
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/data_plane_harness.py
+++ b/tests/data_plane_harness.py
@@ -5,6 +5,8 @@
 import asyncio
 import json
 import random
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -109,6 +111,9 @@
         await self.write("0\r\n\r\n")
 
     def reset(self) -> None:
+        """End the connection by a reset: a plain close would be its proper end."""
+        connection = self.writer.get_extra_info("socket")
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         self.writer.transport.abort()
 
     async def until_closed(self) -> None:
--- a/tests/test_operator_api.py
+++ b/tests/test_operator_api.py
@@ -11,9 +11,16 @@
 
 from canvasbeam.control_plane import operator_api, web
 from canvasbeam.control_plane.changes import apply
-from canvasbeam.control_plane.operator_api import CONFIGURATION_PATH, EVACUATION_PREFIX, STATUS_PATH, OperatorApi
+from canvasbeam.control_plane.operator_api import (
+    CONFIGURATION_PATH,
+    EVACUATION_PREFIX,
+    REMOVAL_PREFIX,
+    STATUS_PATH,
+    OperatorApi,
+)
 from canvasbeam.control_plane.web import Endpoint, WebApp
 from canvasbeam.control_state import Change, Committed, ControlState
+from canvasbeam.decide.replication.removal import Removal
 from canvasbeam.errors import Failure, ResultCode
 from canvasbeam.runtime.http_server import Message
 from canvasbeam.runtime.settings import Address, ProcessSettings
@@ -35,10 +42,19 @@
         self.failure: Failure | None = None
         self.gate: asyncio.Event | None = None
         self.submitted: list[Change] = []
+        self.removal: Removal | Failure = Removal.IN_PROGRESS
+        self.removed: list[str] = []
 
     async def start(self) -> None:
         pass
 
+    async def leave(self, within_s: float) -> None:
+        pass
+
+    def remove(self, ip: str) -> Removal | Failure:
+        self.removed.append(ip)
+        return self.removal
+
     async def stop(self) -> None:
         pass
 
@@ -86,6 +102,7 @@
             [
                 Endpoint(CONFIGURATION_PATH, self.api.configuration, self.api.most_body_bytes),
                 Endpoint(EVACUATION_PREFIX, self.api.evacuation, small),
+                Endpoint(REMOVAL_PREFIX, self.api.removal, small),
                 Endpoint(STATUS_PATH, self.api.status, small),
             ]
         )
@@ -181,6 +198,15 @@
     run(body)
 
 
+def test_order_builds_on_the_largest_generation() -> None:
+    async def body(caller: Caller) -> None:
+        largest = 2**63 - 2
+        assert (await caller.put(CONFIGURATION | {"generation": largest})).status == 200
+        assert (await caller.put(CONFIGURATION | {"generation": largest + 1}, largest)).status == 200
+
+    run(body)
+
+
 def test_body_over_the_limit_is_refused_whole() -> None:
     async def body(caller: Caller) -> None:
         assert (await caller.put(b" " * (caller.api.most_body_bytes() + 1))).status == 413
@@ -208,17 +234,31 @@
     run(body)
 
 
-def test_limit_of_the_configuration_allows_larger_bodies() -> None:
+def test_orders_larger_than_a_request_of_a_client_are_taken() -> None:
     async def body(caller: Caller) -> None:
         await caller.put(CONFIGURATION | {"limits": {"max_body_bytes": 8 << 20}})
         assert caller.api.most_body_bytes() > 8 << 20
+        assert (await caller.put(CONFIGURATION | {"generation": 8, "x": "y" * (8 << 20)}, 7)).status == 200
+
+    run(body)
+
+
+def test_taken_order_is_not_too_large_once_the_limits_are_lowered() -> None:
+    async def body(caller: Caller) -> None:
+        await caller.put(CONFIGURATION | {"limits": {"max_body_bytes": 8 << 20}})
+        large = CONFIGURATION | {"generation": 8, "x": "y" * (5 << 20), "limits": {"max_body_bytes": 8 << 20}}
+        assert (await caller.put(large, 7)).status == 200
+        assert (await caller.put(CONFIGURATION | {"generation": 9}, 8)).status == 200
+        assert (await caller.put(large, 7)).status == 200
+        assert caller.service.state.generation == 9
 
     run(body)
 
 
 OPEN_OUTCOMES = [
     ResultCode.NO_PRIMARY, ResultCode.PRIMARY_LOST, ResultCode.REPLICATION_TIMEOUT, ResultCode.OVERLOADED,
-    ResultCode.DISK_FULL, ResultCode.DISK_FAILED, ResultCode.DISK_SLOW,
+    ResultCode.DISK_FULL, ResultCode.DISK_FAILED, ResultCode.DISK_SLOW, ResultCode.CONFIG_UNKNOWN_MATCH,
+    ResultCode.CONFIG_FORGOTTEN,
 ]  # fmt: skip
 
 
@@ -293,6 +333,34 @@
     run(body)
 
 
+def test_evacuation_joins_no_other(monkeypatch: pytest.MonkeyPatch) -> None:
+    """An earlier one may have been replicated before another primary took it back; this one must be confirmed anew."""
+    monkeypatch.setattr(operator_api, "ANSWER_WITHIN_S", 0.0)
+
+    async def body(caller: Caller) -> None:
+        caller.service.gate = asyncio.Event()
+        for _ in range(2):
+            assert (await caller.call("POST", "/v1/evacuate/z1")).status == 503
+        assert len(caller.service.submitted) == 2
+        caller.service.gate.set()
+
+    run(body)
+
+
+def test_evacuations_at_once_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(operator_api, "ANSWER_WITHIN_S", 0.0)
+    monkeypatch.setattr(operator_api, "MOST_ORDERS_IN_PROGRESS", 8)
+
+    async def body(caller: Caller) -> None:
+        caller.service.gate = asyncio.Event()
+        for _ in range(10):
+            await caller.call("POST", "/v1/evacuate/z1")
+        assert len(caller.service.submitted) == 8
+        caller.service.gate.set()
+
+    run(body)
+
+
 def test_slow_read_is_left_open(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(operator_api, "ANSWER_WITHIN_S", 0.0)
 
@@ -387,3 +455,31 @@
         assert caller.service.submitted == []
 
     run(body)
+
+
+@pytest.mark.parametrize(
+    ("outcome", "status"),
+    [
+        (Removal.IN_PROGRESS, 202),
+        (Removal.DONE, 200),
+        (Failure(ResultCode.MEMBER_UNKNOWN, "nobody there"), 404),
+        (Failure(ResultCode.MEMBER_NEEDED, "nobody takes over"), 409),
+        (Failure(ResultCode.NO_PRIMARY, "none"), 503),
+    ],
+)
+def test_a_removal_tells_how_far_it_is(outcome: Removal | Failure, status: int) -> None:
+    caller = Caller()
+    caller.service.removal = outcome
+    answered = asyncio.run(caller.call("POST", REMOVAL_PREFIX + "10.2.0.30"))
+    assert answered.status == status
+    assert caller.service.removed == ["10.2.0.30"]
+
+
+def test_a_removal_is_for_the_primary() -> None:
+    caller = Caller()
+    caller.service.primary_ip = "10.2.0.30"
+    caller.service.removal = Failure(ResultCode.NOT_PRIMARY, "the primary is 10.2.0.30")
+    answered = asyncio.run(caller.call("POST", REMOVAL_PREFIX + "10.1.0.38"))
+    assert answered.status == 307
+    assert answered.headers["location"] == "http://10.2.0.30:8146/v1/control/remove/10.1.0.38"
+    assert asyncio.run(caller.call("GET", REMOVAL_PREFIX + "10.1.0.38")).status == 405
