Run both system programs to their end by one function of runtime/process.py

Signals, settings watch, start, wait and stop stood twice, and so did the pause between the leave and the close. A data plane begins to tell its readiness as it starts; its test no longer starts that itself, so it fails where the program does not.

--- a/canvasbeam/control_plane/program.py
+++ b/canvasbeam/control_plane/program.py
@@ -27,9 +27,8 @@
 from canvasbeam.runtime import logs
 from canvasbeam.runtime.http_server import HttpLimits, HttpServer
 from canvasbeam.runtime.listeners import Listeners
-from canvasbeam.runtime.process import EXIT_OK, EXIT_START, run_process
-from canvasbeam.runtime.settings import ProcessSettings, settings_path
-from canvasbeam.runtime.signals import ProcessSignals, SettingsWatch
+from canvasbeam.runtime.process import LEAVE_FLUSH_S, run_process, run_until_terminated
+from canvasbeam.runtime.settings import ProcessSettings
 from canvasbeam.storage.disk import FolderDisk
 
 NO_BODY_BYTES = 4096
@@ -38,11 +37,8 @@
 RESIGN_S = 2.0
 LEAVE_MARGIN_S = 3.0  # of `grace_s`, for what follows the leave: `RESIGN_S`, and a second before SIGKILL
 LEAST_LEAVE_S = 0.3
-LEAVE_FLUSH_S = 0.05
 NO_ELECTORATE = ((),)  # before it knows a view, a control node may be no member of it: nobody can grant it contact
 
-log = logs.get_logger(__name__)
-
 
 class ControlPlane:
     """All parts of one control node."""
@@ -147,17 +143,7 @@
 
 async def run(settings: ProcessSettings, listeners: Listeners | None = None) -> int:
     """Run one control node until it is told to end."""
-    control_plane = ControlPlane(settings, listeners)
-    watch = SettingsWatch(settings_path(), settings, control_plane.change_settings)
-    signals = ProcessSignals.install(watch)
-    failure = await control_plane.start()
-    if failure is not None:
-        log.error("{}", failure)
-        return EXIT_START
-    await signals.wait_for_termination()
-    await control_plane.stop()
-    signals.close()
-    return EXIT_OK
+    return await run_until_terminated(ControlPlane(settings, listeners), settings)
 
 
 def main(listeners: Listeners | None = None) -> int:
--- a/canvasbeam/data_plane/program.py
+++ b/canvasbeam/data_plane/program.py
@@ -27,9 +27,8 @@
 from canvasbeam.runtime import logs
 from canvasbeam.runtime.http_server import HttpLimits, HttpServer
 from canvasbeam.runtime.listeners import Listeners
-from canvasbeam.runtime.process import EXIT_OK, EXIT_START, run_process
-from canvasbeam.runtime.settings import ProcessSettings, settings_path
-from canvasbeam.runtime.signals import ProcessSignals, SettingsWatch
+from canvasbeam.runtime.process import LEAVE_FLUSH_S, run_process, run_until_terminated
+from canvasbeam.runtime.settings import ProcessSettings
 
 EXPECTED_NODES = 4  # at the least: members are heard of one after the other
 CLIENT_DESCRIPTORS = 0.65  # of all; the rest is for workers, other nodes and files
@@ -38,7 +37,6 @@
 LEAST_HEADER_BYTES = 65536
 BODY_MEMORY = 0.25  # of the process's memory
 READY_CHECK_S = 0.2  # at the latest; what makes the node ready is noticed at once
-LEAVE_FLUSH_S = 0.05
 
 log = logs.get_logger(__name__)
 
@@ -68,6 +66,7 @@
             live_nodes=self._live_nodes,
         )
         self._told_ready = False
+        self._telling: asyncio.Task[None] | None = None
         self._readiness_changed = asyncio.Event()
         self._cluster.table.add_listener(self._on_items)
         memory = MemoryBudget(round(settings.limits.memory_mb * BODY_MEMORY * MEGABYTE))
@@ -117,6 +116,8 @@
             await self._cluster.start()
         except OSError as error:
             return Failure(ResultCode.ADDRESS_IN_USE, f"{self._cluster.address}: {error}")
+        log.info("serving clients at {}", self._settings.listen["front"])
+        self._telling = asyncio.ensure_future(self.tell_readiness())
         return None
 
     async def tell_readiness(self) -> None:
@@ -139,6 +140,8 @@
 
     async def stop(self) -> None:
         """End in order: unready at once, everything open answered, then gone."""
+        if self._telling is not None:
+            self._telling.cancel()
         ending = asyncio.ensure_future(self._shutdown.run(self._front, self._carrier))
         self._cluster.set_ready(False)
         await ending
@@ -152,20 +155,7 @@
 
 async def run(settings: ProcessSettings, listeners: Listeners | None = None) -> int:
     """Run one data-plane node until it is told to end."""
-    data_plane = DataPlane(settings, listeners)
-    watch = SettingsWatch(settings_path(), settings, data_plane.change_settings)
-    signals = ProcessSignals.install(watch)
-    failure = await data_plane.start()
-    if failure is not None:
-        log.error("{}", failure)
-        return EXIT_START
-    log.info("serving clients at {}", settings.listen["front"])
-    telling = asyncio.ensure_future(data_plane.tell_readiness())
-    await signals.wait_for_termination()
-    telling.cancel()
-    await data_plane.stop()
-    signals.close()
-    return EXIT_OK
+    return await run_until_terminated(DataPlane(settings, listeners), settings)
 
 
 def main(listeners: Listeners | None = None) -> int:
--- a/canvasbeam/runtime/process.py
+++ b/canvasbeam/runtime/process.py
@@ -1,19 +1,50 @@
-"""The outer frame of a process: its settings, its log, its event loop, and the exit codes."""
+"""The outer frame of a process: its settings, its log, its event loop, its signals, and the exit codes."""
 
 from __future__ import annotations
 
 import asyncio
 import sys
 from collections.abc import Callable, Coroutine
-from typing import Any
+from typing import Any, Protocol
 
 from canvasbeam.errors import Failure
 from canvasbeam.runtime import logs
 from canvasbeam.runtime.settings import ProcessSettings, load_settings, settings_path
+from canvasbeam.runtime.signals import ProcessSignals, SettingsWatch
 
 EXIT_OK = 0
 EXIT_SETTINGS = 2
 EXIT_START = 3
+LEAVE_FLUSH_S = 0.05  # between a process's word that it leaves the cluster and the close of its connections
+
+log = logs.get_logger(__name__)
+
+
+class Program(Protocol):
+    """The parts of one process."""
+
+    async def start(self) -> Failure | None:
+        """Begin to serve; the failure if that cannot be."""
+
+    def change_settings(self, settings: ProcessSettings) -> None:
+        """Take changed settings."""
+
+    async def stop(self) -> None:
+        """End in order."""
+
+
+async def run_until_terminated(program: Program, settings: ProcessSettings) -> int:
+    """Run one program until it is told to end; the exit code."""
+    watch = SettingsWatch(settings_path(), settings, program.change_settings)
+    signals = ProcessSignals.install(watch)
+    failure = await program.start()
+    if failure is not None:
+        log.error("{}", failure)
+        return EXIT_START
+    await signals.wait_for_termination()
+    await program.stop()
+    signals.close()
+    return EXIT_OK
 
 
 def run_process(run: Callable[[ProcessSettings], Coroutine[Any, Any, int]]) -> int:
--- a/tests/test_fast_start.py
+++ b/tests/test_fast_start.py
@@ -88,13 +88,11 @@
                     ready.set()
 
         table.add_listener(note)  # type: ignore[arg-type]
-        telling = asyncio.ensure_future(data_plane.tell_readiness())
         await asyncio.sleep(0)
         worker = Worker(service="svc", address="127.0.0.1:9", zone="z1", slots=1)
         table.merge([configuration_item(1), worker_item(Publication("i-1", WorkerVersion(1), worker))])
         async with asyncio.timeout(5):
             await ready.wait()
-        telling.cancel()
         await data_plane.stop()
 
     asyncio.run(body())
