--- a/tests/test_peer_processes.py
+++ b/tests/test_peer_processes.py
@@ -10,6 +10,7 @@
 import signal
 from collections.abc import Iterator
 from pathlib import Path
+from typing import Any
 
 import pytest
 from click.testing import CliRunner
@@ -46,6 +47,11 @@
     return dict(found[0])
 
 
+def is_unanswered(told: dict[str, Any]) -> bool:
+    """Whether an instance says that it hears others and is answered by nobody."""
+    return told["unanswered_s"] is not None and told["silent_s"] is None
+
+
 def test_kill_return_and_planned_end_are_known_to_all(fleet: PeerFleet) -> None:
     fleet.signal("n1", signal.SIGKILL)
     fleet.until(lambda: fleet.all_know_gone("n1"))
@@ -86,6 +92,20 @@
     assert not fleet.counted("nothing heard at all")
 
 
+def test_who_is_heard_by_nobody_says_so_and_calls_nobody_dead(fleet: PeerFleet) -> None:
+    links(fleet).cuts = {("n3", name) for name in NAMES if name != "n3"}
+    fleet.until(lambda: fleet.all_know_gone("n3"))
+    # It hears the others, who ask it all the time.
+    fleet.until(lambda: is_unanswered(fleet.members["n3"].told))
+    assert fleet.members["n3"].told["sure"] == 0
+    assert fleet.members["n0"].told["unanswered_s"] is None
+    done = CliRunner().invoke(cli, ["peers", "{}:{}".format(*fleet.members["n3"].mgmt)])
+    assert "hears others, and has been answered by nobody for" in done.output
+    links(fleet).cuts.clear()
+    fleet.until(fleet.agree)
+    assert ": dead, before" not in (fleet.folder / "n3.log").read_text()
+
+
 def test_who_was_stopped_wakes_and_calls_nobody_dead(fleet: PeerFleet) -> None:
     fleet.signal("n2", signal.SIGSTOP)
     fleet.until(lambda: fleet.all_know_gone("n2"))
