--- a/bench/draw_day.py
+++ b/bench/draw_day.py
@@ -28,11 +28,14 @@
     spans: tuple[tuple[str, float, float], ...] = ()
     variants: tuple[str, ...] = ()
     names_machines: bool = False
+    may_be_two: bool = False  # a deployment that bears one loss cuts a second one down
 
     def entry(self, chance: random.Random, at: float) -> str:
         """This kind at a moment, as an inline table of TOML."""
         fields = [f"at = {at:.2f}", f'kind = "{self.name}"']
         fields += [f"{key} = {value}" for key, value in self.fixed]
+        if self.may_be_two:
+            fields.append(f"count = {chance.choice((1, 1, 2))}")
         fields += [f"{key} = {chance.uniform(low, high):.2f}" for key, low, high in self.spans]
         words = [chance.choice(self.variants)] if self.variants else []
         if self.names_machines:
@@ -43,24 +46,25 @@
         return "{ " + ", ".join(fields) + " }"
 
 
-CORE = (("on", '"core"'), ("count", "1"))
+CORE = (("on", '"core"'),)
 FOR = ("for_s", 1.0, 8.0)
 SHORT = ("for_s", 0.8, 4.0)
 CONTROL_FAULTS = (
-    Kind("core_cut", (("count", "1"),), (("for_s", 2.0, 9.0),),
-         ("", "all", "near", "oldest", "one_way", "one_way near", "seeds", "both", "lure", "reset", "refuse"), True),
-    Kind("core_cut", (("count", "1"),), (("for_s", 8.0, 20.0),), ("one_way", "all", "lure", "both"), True),
-    Kind("node_kill", CORE, (SHORT,), ("", "power"), True),
-    Kind("node_freeze", CORE, (("for_s", 0.5, 6.0),), (), True),
-    Kind("node_slow", CORE, (FOR, ("x", 3.0, 8.0)), (), True),
+    Kind("core_cut", (), (("for_s", 2.0, 9.0),),
+         ("", "all", "near", "oldest", "one_way", "one_way near", "seeds", "both", "lure", "reset", "refuse"),
+         True, True),
+    Kind("core_cut", (), (("for_s", 8.0, 20.0),), ("one_way", "all", "lure", "both"), True, True),
+    Kind("node_kill", CORE, (SHORT,), ("", "power"), True, True),
+    Kind("node_freeze", CORE, (("for_s", 0.5, 6.0),), (), True, True),
+    Kind("node_slow", CORE, (FOR, ("x", 3.0, 8.0)), (), True, True),
     Kind("replace_core", (), (("x", 0.5, 2.0),), ("", "planned", "oldest", "oldest planned")),
     Kind("after_ack_kill", (), (SHORT,), ("", "kill", "timed", "taken")),
     Kind("after_ack_wipe", (), (SHORT,), ("", "oldest", "timed")),
-    Kind("disk_slow", (("count", "1"),), (FOR, ("x", 10.0, 60.0)), ("", "leader")),
-    Kind("disk_stall", (("count", "1"),), (("for_s", 1.0, 4.0),), ("", "leader")),
-    Kind("disk_full", (("count", "1"),), (("for_s", 1.0, 5.0),), ("", "leader")),
+    Kind("disk_slow", (), (FOR, ("x", 10.0, 60.0)), ("", "leader"), False, True),
+    Kind("disk_stall", (), (("for_s", 1.0, 4.0),), ("", "leader"), False, True),
+    Kind("disk_full", (), (("for_s", 1.0, 5.0),), ("", "leader"), False, True),
     Kind("clock_step", (("share", "0.5"),), (("for_s", 2.0, 6.0), ("x", 1000.0, 5000.0)), ("back", "ahead")),
-    Kind("reset_conns", CORE, (("x", 0.3, 1.0),), (), True),
+    Kind("reset_conns", CORE, (("x", 0.3, 1.0),), (), True, True),
     Kind("ack_lost", (), (("for_s", 4.0, 12.0), ("x", 0.5, 0.9))),
     Kind("herd_kill", (("on", '"core"'),), (SHORT,), ("", "power", "taken")),
     Kind("roll_term", (("on", '"core"'), ("x", "1.0")), (("share", 0.3, 1.0), ("gap_s", 1.0, 4.0)), ("", "remove")),
@@ -125,9 +129,9 @@
 ROUTES = (Kind("config_change", (), (), ("route",)), Kind("config_race", (), (("gap_s", 0.4, 1.5),)))
 MANY_CHANGES = (Kind("config_race", (("count", "30"),), (("gap_s", 0.3, 0.9),)),)
 CUTS = (
-    Kind("core_cut", (("count", "1"),), (("for_s", 5.0, 20.0),),
+    Kind("core_cut", (), (("for_s", 5.0, 20.0),),
          ("one_way", "one_way near", "one_way all", "one_way seeds", "one_way lure", "one_way oldest", "one_way both"),
-         True),
+         True, True),
 )  # fmt: skip
 FREEZES = _picked(CONTROL_FAULTS, "core_cut", "node_freeze", "node_slow", "clock_step", "srv_cut")
 LOST_ANSWERS = _picked(CONTROL_FAULTS, "ack_lost", "node_kill", "after_ack_kill", "node_freeze", "core_cut")
