--- a/tests/test_order_histories.py
+++ b/tests/test_order_histories.py
@@ -30,6 +30,7 @@
 
 DAYS = int(os.environ.get("ORDER_HISTORIES", "30"))
 DAYS_WITH_A_FAULT = 150
+CLEAR_WITHIN_S = 60.0
 Story = Callable[[OrderWorld], Coroutine[Any, Any, None]]
 NO_FENCE = Faults(needs_caller=False, knows_connections=False)
 Plant = Callable[[], AbstractContextManager[object]]
@@ -75,17 +76,20 @@
 
 async def until_clear(world: OrderWorld, caller: str, change: Change | None = None, ip: str | None = None) -> Call:
     """Send a call until it has a clear answer."""
-    while True:
+    give_up_at = world.now() + CLEAR_WITHIN_S
+    while world.now() < give_up_at:
         for each in (ip,) if ip else IPS:
             call = await world.call(caller, each, change)
             if call.status is not None and call.status < 500:
                 return call
             await asyncio.sleep(0.1)
+    raise AssertionError(f"no clear answer to {change} within {CLEAR_WITHIN_S} s")
 
 
 async def other_primary(world: OrderWorld, than: Node) -> Node:
-    while (node := world.primary()) is None or node is than:
-        await asyncio.sleep(0.05)
+    async with asyncio.timeout(CLEAR_WITHIN_S):
+        while (node := world.primary()) is None or node is than:
+            await asyncio.sleep(0.05)
     return node
 
 
