--- a/bench/long_lives.py
+++ b/bench/long_lives.py
@@ -2,11 +2,12 @@
 
     .venv/bin/python bench/long_lives.py processes --changes 10 --changes 100 --changes 1000 --changes 10000
     .venv/bin/python bench/long_lives.py links --changes 10 --changes 100 --changes 1000 --changes 10000
+    .venv/bin/python bench/long_lives.py loads
 
 Three processes on loopback replicate the control state on disks of a temporary folder. One of them is ended; the other
 two take the changes, each a whole configuration of another content. Then the third is started again with its old disk,
 and the time is taken until the view has it as a replica. `links` takes that time over links of 5 Mbit/s, in the
-simulated world of the tests.
+simulated world of the tests, and `loads` takes it while changes go on.
 """
 
 from __future__ import annotations
@@ -34,15 +35,19 @@
 from canvasbeam.control_plane.replicated_state import ReplicatedControlState
 from canvasbeam.control_state import Change, ChangeKind, Committed
 from canvasbeam.runtime.settings import Address, ProcessSettings
+from tests.replication_world import STEP
 from tests.slow_links import SlowWorld
-from tests.test_replication_times import SECOND, is_complete, time_until_complete
+from tests.test_replication_times import SECOND, is_complete, time_until_acknowledged, time_until_complete
 
 LARGE_STATE_BYTES = 4 << 20
+CHANGE_BYTES = 100_000
 IPS = ("127.0.9.1", "127.0.9.2", "127.0.9.3")
 SERVICE_BYTES = 100
 START_LIMIT_S = 20
 SAMPLE_EVERY = 100
 RETRY_S = 0.05
+POLL_S = 0.005
+LIMIT_S = 60
 
 
 def order(generation: int, size: int) -> Change:
@@ -211,14 +216,14 @@
         backup = next(processes[ip].ask() for ip in processes if ip != primary)
         began = time.monotonic()
         processes[late] = Process(late, port, folder)
-        while not (status := processes[late].ask())["index"]:
-            time.sleep(0.005)
+        while not processes[late].ask()["index"]:
+            time.sleep(POLL_S)
         started = time.monotonic()
         while len(processes[primary].ask()["replicas"]) < len(IPS):  # type: ignore[arg-type]
-            time.sleep(0.005)
+            time.sleep(POLL_S)
+        while processes[late].ask()["index"] != after["index"]:
+            time.sleep(POLL_S)
         caught_up = time.monotonic()
-        status = processes[late].ask()
-        assert status["index"] == after["index"], (status, after)
     most_rss = after["most_rss_kib"] or after["rss_kib"]
     click.echo(
         f"| {changes} | {seconds:.1f} | {handovers} | {most_rss} / {after['peak_kib']} "
@@ -227,20 +232,75 @@
 
 
 def measure_simulated(changes: int, state_bytes: int) -> None:
-    """The time to catch up over links of 5 Mbit/s, in simulated time."""
+    """The time to catch up over links of 5 Mbit/s, in simulated time; before, the changes pass without delay."""
     world = SlowWorld(state_bytes=state_bytes)
     world.run_between_regions(3 * SECOND)
     assert is_complete(world)
-    primary = world.primary()
-    late = next(ip for ip in world.machines if ip != primary)
+    late = next(ip for ip in world.machines if ip != world.primary())
     world.crash(late, keep_unsynced=False)
     world.run_between_regions(2 * SECOND)
+    leading = world.machines[world.primary() or ""].member
+    assert leading is not None
+    epoch = leading.primary_epoch
+    world.change_bytes = CHANGE_BYTES
+    most_kept = 0
     for _ in range(changes):
         world.submit(world.primary() or "")
+        most_kept = max(most_kept, leading._primary._log.size if leading._primary is not None else 0)
         world.settle()
+    assert leading.primary_epoch == epoch
+    world.free_at.clear()
     world.start(late)
     seconds = time_until_complete(world, 60 * SECOND) / SECOND
-    click.echo(f"| {changes} | {state_bytes} | {seconds:.2f} |")
+    click.echo(f"| {changes} | {most_kept} | {state_bytes} | {seconds:.2f} |")
+
+
+@dataclass(frozen=True)
+class Load:
+    """Links, and the changes that pass on them."""
+
+    megabits: int
+    change_bytes: int
+    steps_between: int
+
+
+LOADS = (
+    Load(5, 20_000, 2),
+    Load(5, 50_000, 10),
+    Load(5, 50_000, 6),
+    Load(5, 100_000, 12),
+    Load(100, 100_000, 2),
+    Load(1000, 100_000, 1),
+)
+
+
+def measure_under_load(load: Load, is_new: bool) -> None:
+    """The time until a member has joined, and whether all changes were acknowledged meanwhile."""
+    world = SlowWorld(state_bytes=LARGE_STATE_BYTES, bytes_a_second=load.megabits * 1_000_000 // 8)
+    world.run_between_regions(2 * SECOND)
+    time_until_acknowledged(world, 2 * SECOND)
+    late = next(ip for ip in world.machines if ip != world.primary())
+    world.crash(late, keep_unsynced=False)
+    world.run_between_regions(2 * SECOND)
+    time_until_acknowledged(world, SECOND)
+    if is_new:
+        world.wipe(late)
+    world.start(late)
+    world.change_bytes = load.change_bytes
+    world.answers.clear()
+    world.times_to_acknowledge.clear()
+    began = world.now
+    while not is_complete(world) and world.now - began < LIMIT_S * SECOND:
+        world.run_with_changes(load.steps_between * STEP, load.steps_between)
+    seconds = (world.now - began) / SECOND
+    world.run_between_regions(2 * SECOND)
+    failed = sum(not isinstance(answer, Committed) for _, answer in world.answers)
+    longest = max(world.times_to_acknowledge) / SECOND
+    every = load.steps_between * STEP / SECOND
+    click.echo(
+        f"| {load.megabits} | {load.change_bytes} | {every:.2f} | {'new' if is_new else 'returning'} "
+        f"| {seconds:.2f} | {len(world.times_to_acknowledge)} | {failed} | {longest:.2f} |"
+    )
 
 
 CHANGES = click.option("--changes", multiple=True, type=int, default=(10, 100, 1000), show_default=True)
@@ -257,6 +317,24 @@
 )
 
 
+LOAD_HEADINGS = (
+    "Mbit/s of a machine",
+    "bytes of a change",
+    "a change every, s",
+    "member",
+    "s until it is a replica",
+    "changes acknowledged",
+    "changes failed",
+    "longest acknowledgement, s",
+)
+LINK_HEADINGS = (
+    "changes missed, all in one view",
+    "most bytes of changes that the primary kept",
+    "bytes of the state",
+    "s until it is a replica again",
+)
+
+
 def print_headings(*headings: str) -> None:
     """The head of a table."""
     click.echo(f"| {' | '.join(headings)} |")
@@ -283,12 +361,21 @@
 @SIZE
 def links(changes: tuple[int, ...], size: int) -> None:
     """Links of 5 Mbit/s, in simulated time."""
-    print_headings("changes missed", "bytes of the state", "s until it is a replica again")
+    print_headings(*LINK_HEADINGS)
     for count in changes:
         for state_bytes in (size, LARGE_STATE_BYTES):
             measure_simulated(count, state_bytes)
 
 
+@main.command()
+def loads() -> None:
+    """A state of 4 MiB while changes go on, in simulated time."""
+    print_headings(*LOAD_HEADINGS)
+    for load in LOADS:
+        for is_new in (True, False):
+            measure_under_load(load, is_new)
+
+
 @main.command(hidden=True)
 @click.argument("ip")
 @click.argument("port", type=int)
--- a/tests/test_replication_membership.py
+++ b/tests/test_replication_membership.py
@@ -10,7 +10,7 @@
 import os
 from collections.abc import Callable, Collection, Iterator
 from functools import partial
-from itertools import islice
+from itertools import combinations, islice
 from unittest import mock
 
 import pytest
@@ -19,12 +19,21 @@
 from canvasbeam.decide.replication.contacts import Contacts
 from canvasbeam.decide.replication.departure import Departure, Leaving
 from canvasbeam.decide.replication.member import Member, Role
-from canvasbeam.decide.replication.messages import Accept, Action, Install, Leave, LeaveGranted, Send
-from canvasbeam.decide.replication.plan import plan_witnesses
+from canvasbeam.decide.replication.messages import (
+    Accept,
+    Accepted,
+    Action,
+    Install,
+    Leave,
+    LeaveGranted,
+    Send,
+    ViewTold,
+)
+from canvasbeam.decide.replication.plan import ViewPlanner, plan_witnesses
 from canvasbeam.decide.replication.primary import Primary
-from canvasbeam.decide.replication.removal import Removal
+from canvasbeam.decide.replication.removal import Removal, removal_of
 from canvasbeam.decide.replication.resilience import Resilience, resilience_of
-from canvasbeam.decide.replication.types import Epoch, MemberId, Timing, View, member_ip
+from canvasbeam.decide.replication.types import Epoch, MemberId, Timing, View, is_majority, member_ip
 from canvasbeam.errors import Failure, ResultCode
 
 from .membership_world import (
@@ -36,6 +45,7 @@
     copies,
     electorate,
     every_event,
+    is_leading,
     leave,
     leave_for_good,
     lose_for_good,
@@ -52,6 +62,7 @@
 WALKS = int(os.environ.get("EXPLORER_WALKS", "40"))
 A, B, C, D, E, F = (f"10.0.0.{number}/0" for number in range(1, 7))
 NEW = "10.0.0.9"
+PARTED_STEPS = 60
 FIRST = "10.0.0.1"  # the first primary
 OLD = "10.0.0.2"  # the one that is replaced in `planned_replacement`
 SIZES = [(3, 1), (5, 2)]
@@ -142,7 +153,8 @@
     assert all(member_of(world, ip).departure.state is Leaving.ALONE for ip in world.machines)
 
 
-def test_one_that_restarted_long_ago_is_not_taken_for_one_that_leaves() -> None:
+@pytest.mark.parametrize("third_may_lead", [True, False])
+def test_one_that_restarted_long_ago_is_not_taken_for_one_that_leaves(third_may_lead: bool) -> None:
     """The follower that leaves last heard of the third when that left, and would think itself alone."""
     world = started()
     primary = primary_of(world)
@@ -153,6 +165,7 @@
     world.start(third)
     world.run_between_regions(CATCH_UP)
     assert member_of(world, leaving).contacts.is_leaving(world.machines[third].me)
+    world.set_healthy(third, third_may_lead)
     leave(world, primary)
     leave(world, leaving)
 
@@ -162,6 +175,49 @@
     assert run_until(world, is_alone, GRACE) is None
 
 
+def test_a_member_that_leaves_does_not_stand() -> None:
+    world = started()
+    leaving = primary_of(world)
+    leave(world, leaving)
+    world.frozen.update(others(world, leaving))
+    assert run_until(world, lambda: member_of(world, leaving).role is not Role.FOLLOWER, GRACE) is None
+
+
+def test_a_member_that_leaves_is_told_the_view_by_those_that_stay() -> None:
+    world = started()
+    member = member_of(world, others(world, primary_of(world))[0])
+    assert member.known_view is not None
+    assert Send(E, ViewTold(member.known_view, member.known_settled)) in member.receive(E, Leave(), world.now)
+
+
+def test_spares_are_told_that_the_primary_resigns() -> None:
+    """They say hello at once, and so the next primary knows them sooner than by its silence."""
+    world = started()
+    world.add(NEW, (primary_of(world),))
+    world.run_between_regions(CATCH_UP)
+    assert leave_for_good(world, primary_of(world)) <= 3 * SECOND // 2
+
+
+def test_a_voter_without_a_copy_waits_until_another_has_its_vote() -> None:
+    world = started()
+    world.add(NEW, (primary_of(world),))
+    leaving = others(world, primary_of(world), NEW)[0]
+    world.set_healthy(leaving, False)
+    world.run_between_regions(CATCH_UP)
+    assert leaving in electorate(world) - copies(world)
+    leave_for_good(world, leaving)
+    assert NEW in electorate(world) & copies(world)
+
+
+def test_a_primary_that_leaves_hands_on_in_time_though_it_is_needed() -> None:
+    """The next one counts on it as a replica at once."""
+    world = started()
+    world.crash(others(world, primary_of(world))[0], keep_unsynced=False)
+    acknowledge(world)
+    leave(world, primary_of(world))
+    assert acknowledge(world) <= 3 * SECOND // 2
+
+
 def test_two_that_leave_at_once_are_let_go_one_after_the_other() -> None:
     world = started()
     staying = primary_of(world)
@@ -320,9 +376,9 @@
         world.remove(ip)
 
 
-def ready_to_replace() -> World:
-    world = World()
-    world.run(20)
+def ready_to_replace(machines: int = 3, tolerated: int = 1) -> World:
+    world = World(machines, tolerated, seeds=3)
+    world.run(40)
     world.add(NEW, (primary_of(world),))
     world.run(20)
     world.submit(primary_of(world))
@@ -375,6 +431,21 @@
     assert lose_at_every_moment(VICTIMS[name], old) > 50
 
 
+@pytest.mark.parametrize("old", [OLD, FIRST])
+def test_two_of_five_are_lost_at_moments_of_a_planned_replacement(old: str) -> None:
+    """Each pair in turn, at another moment."""
+    total = sum(1 for _ in planned_replacement(ready_to_replace(5, 2), old))
+    pairs = list(combinations([ip for ip in ready_to_replace(5, 2).machines if ip != old], 2))
+    assert total > 10 * len(pairs)
+    for moment in range(0, total, 7):
+        world = ready_to_replace(5, 2)
+        for _ in islice(planned_replacement(world, old), moment + 1):
+            pass
+        for ip in pairs[moment % len(pairs)]:
+            world.remove(ip)
+        go_on(world)
+
+
 def hear_nothing_more_of_the_primary_at_every_moment() -> None:
     """From some moment on, those that are to stay hear nothing of the primary; half a second later it is gone for good.
 
@@ -402,6 +473,32 @@
     hear_nothing_more_of_the_primary_at_every_moment()
 
 
+def part_at_every_moment(stride: int) -> None:
+    """From some moment of a replacement on, the first primary and the new member are parted from the other two.
+
+    Both sides are asked for changes; the world finds two histories.
+    """
+    total = sum(1 for _ in planned_replacement(ready_to_replace()))
+    for moment in range(0, total, stride):
+        world = ready_to_replace()
+        for _ in islice(planned_replacement(world), moment + 1):
+            pass
+        for ip in others(world, FIRST, NEW):
+            world.cut(FIRST, ip)
+            world.cut(NEW, ip)
+        for _ in range(PARTED_STEPS):
+            world.run(1)
+            for ip in world.machines:
+                if is_leading(world, ip):
+                    world.submit(ip)
+        world.cuts.clear()
+        go_on(world)
+
+
+def test_the_system_is_parted_at_moments_of_a_planned_replacement() -> None:
+    part_at_every_moment(stride=11)
+
+
 def test_nothing_is_acknowledged_before_the_change_of_the_electorate_is_settled() -> None:
     """No answer that depends on the new electorate, before a majority of it has on its disk that it is in force."""
     answered = in_the_open_span()
@@ -442,6 +539,16 @@
     return 2 * len(set(told) & set(view.witnesses)) > len(view.witnesses)
 
 
+def test_the_end_of_a_change_is_asked_for_until_it_is_told() -> None:
+    """The answers to it are lost at first; the primary asks again, and then acknowledges what waits."""
+    world = ready_to_replace()
+    lost_until = world.now + SECOND
+    for _ in planned_replacement(world):
+        if world.now < lost_until:
+            lose_packets(world, lambda each: isinstance(each.message, Accepted) and each.message.settled)
+    go_on(world)
+
+
 def test_a_new_member_has_the_state_before_it_votes() -> None:
     new_members_catch_up_first()
 
@@ -517,6 +624,19 @@
         hear_nothing_more_of_the_primary_at_every_moment()
 
 
+def quorum_of_the_new_electorate(self: View, votes: Collection[MemberId], settled: bool) -> bool:
+    del settled
+    return is_majority(votes, self.witnesses)
+
+
+def test_a_change_of_the_electorate_without_the_old_one_is_found() -> None:
+    with (
+        mock.patch.object(View, "has_quorum", quorum_of_the_new_electorate),
+        pytest.raises(Violation, match="two histories"),
+    ):
+        part_at_every_moment(stride=3)
+
+
 def test_an_answer_before_the_settled_step_is_found() -> None:
     with without_settled_step():
         assert in_the_open_span() != []
@@ -618,6 +738,20 @@
     assert not any(member_of(world, ip).departure.has_begun for ip in world.machines)
 
 
+def test_one_spare_makes_up_for_one_removal_only() -> None:
+    for first, second in ((1, 2), (2, 1)):
+        world = started()
+        world.add(NEW, (primary_of(world),))
+        world.run_between_regions(CATCH_UP)
+        ips = list(world.machines)
+        assert primary_of(world) == ips[0]
+        assert ask_removal(world, ips[first]) is Removal.IN_PROGRESS
+        world.run_between_regions(2 * LATENCY)
+        outcome = ask_removal(world, ips[second])
+        assert isinstance(outcome, Failure)
+        assert outcome.code is ResultCode.MEMBER_NEEDED
+
+
 def test_a_removal_is_for_the_primary() -> None:
     world = started()
     outcome = member_of(world, others(world, primary_of(world))[0]).removal(NEW, world.now)
@@ -642,6 +776,12 @@
     assert found == Resilience(len(view.replicas), len(view.witnesses), not is_settled, bearable)
 
 
+def test_a_removal_is_done_when_the_view_without_it_is_settled() -> None:
+    view = View(Epoch(1, A), A, (A, C, D), (A, C, D), (A, B, C))
+    for is_settled, expected in ((False, Removal.IN_PROGRESS), (True, Removal.DONE)):
+        assert removal_of("10.0.0.2", view, is_settled, known=(B,), can_spare=lambda _: True) is expected
+
+
 # --- the parts ------------------------------------------------------------------------------------------------------
 
 
@@ -650,6 +790,28 @@
     assert plan_witnesses((A, B, C, D), (A, B, C, D), lambda _: False, 3) == (A, B, C, D)
 
 
+def test_a_candidate_waits_a_little_for_those_that_stay() -> None:
+    """It has the promise of a member that leaves already; that of one that stays may be on its way."""
+    timing = Timing()
+    contacts = Contacts(timing)
+    for member in (B, C):
+        contacts.note(member, SECOND)
+    contacts.mark_leaving(B, SECOND)
+    planner = ViewPlanner(A, contacts, 1, timing.grace)
+    view = View(Epoch(1, A), A, (A, B, C), (A, B, C), (A, B, C))
+
+    def planned(promised: Collection[MemberId], now: int) -> View | None:
+        return planner.plan(view, True, Epoch(2, A), frozenset(promised), now)
+
+    assert planned((A, B), SECOND) is None
+    staying = planned((A, B, C), SECOND + 1)
+    assert staying is not None
+    assert staying.replicas == (A, C)
+    leaving = planned((A, B), SECOND + timing.grace)
+    assert leaving is not None
+    assert leaving.replicas == (A, B)
+
+
 def test_a_restarted_member_leaves_no_more() -> None:
     timing = Timing()
     contacts = Contacts(timing)
