--- a/canvasbeam/decide/membership/__init__.py
+++ b/canvasbeam/decide/membership/__init__.py
@@ -22,7 +22,7 @@
 What is said of a member is ordered by (start of its process, incarnation, state); of two sayings the higher stands, so
 they may come in any order and any number of times. Sources: Das, Gupta, Motivala, "SWIM" (DSN 2002); Dadgar, Phillips,
 Currey, "Lifeguard" (2017). Beyond both: a death by hearsay is a suspicion first, so that a cut that heals kills
-nobody; the dead and the seeds are asked now and then, so that it heals at all; who hears nothing, or is answered by
+nobody; the gone and the seeds are asked now and then, so that it heals at all; who hears nothing, or is answered by
 nobody, passes no judgement.
 
 `instance.Membership` is the entry: an event and the time in, actions out. It is made of the `MemberTable`, the
--- a/canvasbeam/decide/membership/instance.py
+++ b/canvasbeam/decide/membership/instance.py
@@ -479,7 +479,10 @@
                 self._tell(relay.address, Message(Kind.NACK, relay.number, relay.about), ())
 
     def _revive(self) -> None:
-        """Ask one of the dead, or a seed that is not there: so a cut heals, and a fleet is found."""
+        """Ask one of the gone, or a seed that is not there: so a cut heals, and a fleet is found.
+
+        Who has left may be there again, and with all seeds gone nobody else would know of it.
+        """
         alone = self.standing is Standing.JOINING
         self._next_revive = self._now + self._jittered(self._join_wait if alone else self.terms.revive)
         if alone:
@@ -487,8 +490,7 @@
         if self.standing not in (Standing.JOINING, Standing.MEMBER):
             return
         there = {each.fact.address for each in self.members.there()}
-        asked = {(each.fact.name, each.fact.address) for each in self.members.values()
-                 if each.fact.status is Status.DEAD}  # fmt: skip
+        asked = {(each.fact.name, each.fact.address) for each in self.members.gone()}
         known = there | {address for _, address in asked}
         chosen = sorted(asked) + [("", each) for each in self.seeds if each not in known]
         if chosen:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -295,6 +295,17 @@
     assert world.until(world.agree, 10) < 5
 
 
+def test_who_left_and_starts_again_is_found_where_all_seeds_are_dead() -> None:
+    world = fleet(6)
+    for name in ("n0", "n1", "n2"):
+        world.kill(name)
+    world.leave("n5")
+    world.run(5)
+    assert world.agree()
+    world.start("n5")
+    assert world.until(world.agree, 20) < 10
+
+
 def test_two_hundred_that_start_within_a_second_find_each_other() -> None:
     world = PeerWorld(200)
     world.start_all()
--- a/tests/test_membership_hearsay.py
+++ b/tests/test_membership_hearsay.py
@@ -13,7 +13,7 @@
 from canvasbeam.decide.membership import Fact, Kind, Membership, Message, Received, Sender, Tell, Terms, Ticked
 from canvasbeam.lab.model.units import MS, SECOND
 from canvasbeam.lab.peers_sim import Seen
-from tests.peering import Fleet
+from tests.peering import Fleet, torture
 
 FEW, MANY = ("n0", "n1"), ("n2", "n3", "n4")
 
@@ -69,6 +69,11 @@
     assert [death for seed in range(40) for death in deaths_after_the_heal(seed, 0.4, EarlyHearsay)]
 
 
+@pytest.mark.parametrize("seed", [42, 300, 384])
+def test_drawn_histories_of_six_that_broke_the_rules_before(seed: int) -> None:
+    torture(seed, count=6)
+
+
 # --- one instance, by hand ----------------------------------------------------------------------------
 
 
