Replication: the timer of elections in a module of its own

Change: decide/replication/election.py holds the time since the primary's last sign and the member's turn; same behaviour.

--- a/canvasbeam/decide/replication/member.py
+++ b/canvasbeam/decide/replication/member.py
@@ -13,7 +13,6 @@
 
 from __future__ import annotations
 
-import random
 from collections.abc import Collection
 from enum import Enum, auto
 
@@ -22,6 +21,7 @@
 from canvasbeam.decide.replication.change_log import change_size
 from canvasbeam.decide.replication.contacts import Contacts
 from canvasbeam.decide.replication.departure import Departure
+from canvasbeam.decide.replication.election import ElectionTimer
 from canvasbeam.decide.replication.messages import (
     ANSWERS,
     Accept,
@@ -75,8 +75,6 @@
 from canvasbeam.decide.replication.witness import Witness
 from canvasbeam.errors import Failure, ResultCode
 
-ELECTION_JITTER_NS = 60_000_000
-
 
 class Role(Enum):
     """What a member does besides being a witness and a replica."""
@@ -127,15 +125,13 @@
         self._settings = settings
         self._timing = settings.timing
         self._apply = apply
-        self._random = random.Random(f"{settings.me}/{settings.seed}")
         self._highest_number = durable.promised.number
         self._candidate: Candidate | None = None
         self._primary: Primary | None = None
         self._pending: list[PendingCall] = []  # calls that wait while the view is reformed
-        self._last_primary_sign = now
         self._last_tick = now
         self._last_hello = 0
-        self._election_at = now + self._timing.first_election + self._election_delay()
+        self._election = ElectionTimer(settings.me, settings.timing, settings.seed, self.known_view, now)
 
     # --- events -----------------------------------------------------------------------------------------------
 
@@ -211,8 +207,7 @@
         if pause <= 0:
             return
         self.contacts.forgive(pause)
-        self._last_primary_sign += pause
-        self._election_at += pause
+        self._election.forgive(pause)
         if self._primary is not None:
             self._primary.forgive(pause)
 
@@ -287,7 +282,7 @@
         actions: list[Action] = []
         if role is Role.FOLLOWER:
             actions += self._end_calls()
-            self._election_at = now + self._timing.election + self._election_delay()
+            self._election.begin_anew(self.known_view, now)
             if self.primary_id == self.me:
                 self.primary_id = ""
         self._caught_up = None
@@ -374,8 +369,7 @@
             self.primary_id = ""
             if not self.contacts.is_leaving(sender):
                 self.contacts.mark_failed(sender, now)
-            self._last_primary_sign = now - self._timing.election
-            self._election_at = now + self._election_delay()
+            self._election.note_resignation(self.known_view, now)
         return []
 
     def _on_leave_message(
@@ -412,8 +406,7 @@
 
     def _yield_to(self, epoch: Epoch, sender: MemberId, now: int) -> list[Action]:
         """Somebody leads, or is about to, in an epoch that this member does not refuse."""
-        self._last_primary_sign = now
-        self._election_at = now + self._timing.election + self._election_delay()
+        self._election.note_sign(self.known_view, now)
         if sender == self.me or self.role is Role.FOLLOWER:
             return []
         return self._become(Role.FOLLOWER, now)
@@ -466,14 +459,14 @@
     def _misses_primary(self, now: int) -> bool:
         if self.role is Role.PRIMARY:
             return False
-        return now - self._last_primary_sign > self._timing.silence or self.primary_id == ""
+        return self._election.is_silent(now) or self.primary_id == ""
 
     def _tick_follower(self, now: int) -> list[Action]:
-        if now - self._last_primary_sign > 2 * self._timing.silence:
+        if self._election.is_forgotten(now):
             self.primary_id = ""
-        if self._may_lead() and now >= self._election_at:
+        if self._may_lead() and self._election.is_due(now):
             return self._stand(now)
-        if now - self._last_primary_sign > self._timing.silence and now - self._last_hello >= self._timing.hello:
+        if self._election.is_silent(now) and now - self._last_hello >= self._timing.hello:
             return self._say_hello(now)
         return []
 
@@ -482,15 +475,6 @@
             return False
         return self.known_view is not None and self.me in self.known_view.witnesses
 
-    def _election_delay(self) -> int:
-        """Later for each member in the agreed order, and latest for the last primary, which has just failed."""
-        view = self.known_view
-        if view is None:
-            return 0
-        order = [each for each in view.members if each != view.primary]
-        rank = order.index(self.me) if self.me in order else len(order)
-        return rank * self._timing.election_step + self._random.randrange(ELECTION_JITTER_NS)
-
     def _say_hello(self, now: int) -> list[Action]:
         self._last_hello = now
         ips = list(self.seed_ips)
@@ -587,7 +571,7 @@
         if candidate.phase is Phase.LOST:
             actions += self._become(Role.FOLLOWER, now)
             if not candidate.has_prepared:
-                self._election_at = now + self._election_delay()  # asking did no harm: ask again soon
+                self._election.ask_soon(self.known_view, now)  # asking did no harm
         return actions
 
     # --- primary ----------------------------------------------------------------------------------------------
