Ask a parent that was given up before where the present one is out of contact

Cause: with a stale parent an edge skipped all candidates that it had given up in the last 2.25 to 3.75 s, also where nobody else was left; a core not listening yet at the start of the edge is given up so. Change: ParentLink asks the one that was given up longest ago then. The test fails without the change.

--- a/canvasbeam/decide/parent_link.py
+++ b/canvasbeam/decide/parent_link.py
@@ -248,7 +248,12 @@
                     return []
             elif address not in self._candidates and self._avoided.get(address, 0) <= now:
                 return self._ask(now, address)
-        return []
+        return self._ask_avoided(now, self.parent) if is_stale else []
+
+    def _ask_avoided(self, now: int, parent: Parent) -> list[Send]:
+        """The parent is stale, and all others were given up before: that may be over for the first of them."""
+        left = [each for each in self._order() if each != parent.address and each not in self._candidates]
+        return self._ask(now, min(left, key=lambda each: self._avoided[each])) if left else []
 
     def _renew(self, now: int) -> list[Send]:
         if now < self._next_renew or self.parent is None:
--- a/tests/test_contact_cuts.py
+++ b/tests/test_contact_cuts.py
@@ -436,3 +436,23 @@
     network.publish(controls[1], 4)
     network.run(SECOND)
     assert reported[-1] == ControlVersions(configuration=4)
+
+
+# --- candidates that were given up before ---------------------------------------------------------
+
+
+@pytest.mark.parametrize("seed", range(1, 25))
+def test_control_nodes_that_were_given_up_are_asked_again_where_nobody_else_is_left(seed: int) -> None:
+    """The edge was cut off from everybody for a while; its control node is deaf right after that."""
+    network, controls, edges = fleet(seed=seed)
+    edge = edges[0]
+    network.cut_both_ways([edge], others_than(network, edge))
+    network.run(2 * SECOND)
+    network.heal()
+    network.run_until(lambda: any(edge in children_of(network, control) for control in controls), 4 * SECOND)
+    network.run(100 * MS)
+    parent = next(control for control in controls if edge in children_of(network, control))
+    others = [control for control in controls if control is not parent]
+    network.stall(others, [parent])
+    item = network.publish(others[0], 1)
+    assert network.run_until(lambda: network.have([edge], item), 4 * SECOND) <= LEFT_WITHIN
