--- a/canvasbeam/cli/emulate.py
+++ b/canvasbeam/cli/emulate.py
@@ -45,7 +45,8 @@
       curl -i 'http://127.0.0.1:5000/api?sid=7f3a' -H 'X-Call-Id: 1' \\
            -H 'X-Call-Class: file-read' -H 'X-Budget: 5' -d hello
     """
-    from canvasbeam.lab.emulate import Emulation, interrupted  # noqa: PLC0415
+    from canvasbeam.lab.emulate import Emulation  # noqa: PLC0415
+    from canvasbeam.lab.interrupts import interrupted  # noqa: PLC0415
     from canvasbeam.lab.scenario import load  # noqa: PLC0415
 
     changes: dict[str, object] = {"schedulers.count": schedulers}
--- a/canvasbeam/lab/emulate.py
+++ b/canvasbeam/lab/emulate.py
@@ -6,9 +6,7 @@
 
 from __future__ import annotations
 
-import signal
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Callable
 from functools import partial
 from pathlib import Path
 
@@ -69,15 +67,3 @@
                 self.loop.one_pass()
         finally:
             self.stop()
-
-
-@contextmanager
-def interrupted() -> Iterator[Callable[[], bool]]:
-    """Whether SIGINT or SIGTERM has come; the handlers are put back in the end."""
-    came = []
-    before = {number: signal.signal(number, lambda *_: came.append(True)) for number in (signal.SIGINT, signal.SIGTERM)}
-    try:
-        yield lambda: bool(came)
-    finally:
-        for number, handler in before.items():
-            signal.signal(number, handler)
--- a/canvasbeam/lab/experiments.py
+++ b/canvasbeam/lab/experiments.py
@@ -22,6 +22,7 @@
 
 from canvasbeam.lab import engine_sim
 from canvasbeam.lab import result as results
+from canvasbeam.lab.interrupts import interrupted
 from canvasbeam.lab.model import spec
 from canvasbeam.lab.result import Result
 from canvasbeam.lab.scenario import load
@@ -76,6 +77,9 @@
     return blake2b(data, digest_size=8).hexdigest()
 
 
+INTERRUPT_CHECK_S = 0.2
+
+
 def _leave_interrupts() -> None:
     """SIGINT is the parent's to handle: a run that has begun is finished."""
     signal.signal(signal.SIGINT, signal.SIG_IGN)
@@ -99,7 +103,7 @@
     workers: int = 0,
     progress: Callable[[int, int], None] | None = None,
 ) -> list[Path]:
-    """Play what is not there yet; the files of all runs. Interrupted: KeyboardInterrupt came, what is done stays."""
+    """Play what is not there yet; the files of all runs. Interrupted: SIGINT came, what is done stays."""
     _write_manifest(name, grid, seeds, folder)
     todo = cells(grid, seeds)
     missing = [each for each in todo if not _is_whole(each.path(folder))]
@@ -108,18 +112,17 @@
         progress(done, len(todo))
     most = workers or os.cpu_count() or 1
     pool = ProcessPoolExecutor(most, initializer=_leave_interrupts)
-    try:
-        for _ in _played(pool, most, name, missing, folder):
-            done += 1
-            if progress is not None:
-                progress(done, len(todo))
-    except KeyboardInterrupt as error:
-        pool.shutdown(wait=True, cancel_futures=True)
-        count = sum(_is_whole(each.path(folder)) for each in todo)
-        told = f"{count} of {len(todo)} runs are in {folder}; the same command goes on from there"
-        raise Interrupted(told) from error
-    finally:
-        pool.shutdown(wait=True, cancel_futures=True)
+    with interrupted((signal.SIGINT,)) as is_interrupted:
+        try:
+            for _ in _played(pool, most, name, missing, folder, is_interrupted):
+                done += 1
+                if progress is not None:
+                    progress(done, len(todo))
+        finally:
+            pool.shutdown(wait=True, cancel_futures=True)
+    count = sum(_is_whole(each.path(folder)) for each in todo)
+    if is_interrupted() and count < len(todo):
+        raise Interrupted(f"{count} of {len(todo)} runs are in {folder}; the same command goes on from there")
     return [each.path(folder) for each in todo]
 
 
@@ -139,7 +142,12 @@
 
 
 def _played(
-    pool: ProcessPoolExecutor, most: int, name: str, missing: Sequence[Cell], folder: Path
+    pool: ProcessPoolExecutor,
+    most: int,
+    name: str,
+    missing: Sequence[Cell],
+    folder: Path,
+    is_interrupted: Callable[[], bool],
 ) -> Iterator[Future[str]]:
     """Play the cells, no more at once than there are processes, so that an interrupt has little to wait for."""
     waiting = iter(missing)
@@ -148,8 +156,8 @@
         return {pool.submit(_play, name, each, str(folder)) for each in itertools.islice(waiting, count)}
 
     running = begin(most)
-    while running:
-        ended, running = wait(running, return_when=FIRST_COMPLETED)
+    while running and not is_interrupted():
+        ended, running = wait(running, INTERRUPT_CHECK_S, return_when=FIRST_COMPLETED)
         for future in ended:
             future.result()
             yield future
--- a/tests/test_lab_sockets.py
+++ b/tests/test_lab_sockets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import os
 import re
@@ -231,6 +232,19 @@
         assert results.read(each).holds
 
 
+def test_an_interrupt_that_a_callback_would_swallow_ends_the_sweep_all_the_same(tmp_path: Path) -> None:
+    """As an exception it may come anywhere: in a callback of the interpreter's own it is printed and forgotten."""
+
+    def swallow(done: int, _count: int) -> None:
+        with contextlib.suppress(BaseException):
+            if done == 1:
+                signal.raise_signal(signal.SIGINT)
+
+    with pytest.raises(experiments.Interrupted, match=r"[1-5] of 6 runs are in"):
+        experiments.sweep("calm", {}, range(1, 7), tmp_path, workers=1, progress=swallow)
+    assert signal.getsignal(signal.SIGINT) is signal.default_int_handler
+
+
 def test_a_report_needs_nothing_beside_it_and_hides_no_broken_rule(tmp_path: Path) -> None:
     good, cost = engine_sim.play(small(CRASH, {"kind": "burst", "at_s": 2, "for_s": 2, "size": 1.5}))
     bad, _ = engine_sim.play(small(BREAKING), RunsTwice)
