--- a/canvasbeam/cluster/codec.py
+++ b/canvasbeam/cluster/codec.py
@@ -7,6 +7,7 @@
 from google.protobuf.message import DecodeError
 
 from canvasbeam.cluster import distribution_pb2 as wire
+from canvasbeam.cluster import document_codec
 from canvasbeam.cluster.items import Item, ItemKind, Version
 from canvasbeam.decide.control_contact import ControlVersions
 from canvasbeam.decide.distribution_messages import (
@@ -25,6 +26,7 @@
     VersionRecord,
     Versions,
 )
+from canvasbeam.decide.document_messages import Announce, DocumentPiece, DocumentRequest
 from canvasbeam.decide.peer_clock import SendTime
 from canvasbeam.errors import Failure, ResultCode
 from canvasbeam.units import MILLISECOND
@@ -64,6 +66,8 @@
         case Compare():
             body.compare.SetInParent()
             body.compare.digests.extend(_digests(message.digests))
+        case Announce() | DocumentRequest() | DocumentPiece():
+            document_codec.write(body, message)
     return body.SerializeToString()
 
 
@@ -75,7 +79,10 @@
         return Failure(ResultCode.MESSAGE_INVALID, str(error))
     name = body.WhichOneof("body")
     reader = _READERS.get(name) if name else None
-    message = reader(body) if reader else None
+    try:
+        message = reader(body) if reader else None
+    except (DecodeError, ValueError) as error:
+        return Failure(ResultCode.MESSAGE_INVALID, str(error))
     return message if message is not None else Failure(ResultCode.MESSAGE_INVALID, f"a message {name!r}")
 
 
@@ -88,6 +95,7 @@
         sent_at=message.time.sent_at,
         life=message.time.life,
         asked_at=message.time.asked_at,
+        newest=message.newest,
     )
 
 
@@ -176,6 +184,7 @@
         _read_digests(told.digests),
         _read_control_versions(told.versions),
         SendTime(told.life, told.sent_at, told.asked_at if told.HasField("asked_at") else None),
+        told.newest,
     )
 
 
@@ -199,4 +208,7 @@
     "versions": _read_versions,
     "request": _read_request,
     "compare": lambda body: Compare(_read_digests(body.compare.digests)),
+    "announce": lambda body: document_codec.read_announce(body.announce),
+    "document_request": lambda body: document_codec.read_request(body.document_request),
+    "document_piece": lambda body: document_codec.read_piece(body.document_piece),
 }
--- /dev/null
+++ b/canvasbeam/cluster/document_codec.py
@@ -0,0 +1,97 @@
+"""The messages by which documents travel, as bytes.
+
+What a message tells may be wrong in any way, but what follows from it is bounded: a piece holds no more than
+`compression.MOST_BYTES`.
+"""
+
+from __future__ import annotations
+
+from canvasbeam.cluster import distribution_pb2 as wire
+from canvasbeam.cluster.compression import pack, unpack
+from canvasbeam.cluster.document import DIGEST_BYTES, DocumentDelta
+from canvasbeam.cluster.items import Version
+from canvasbeam.decide.document_messages import (
+    Announce,
+    DocumentMessage,
+    DocumentPiece,
+    DocumentRequest,
+    TransferId,
+)
+
+
+def write(body: wire.DistributionMessage, message: DocumentMessage) -> None:
+    """Put a message into the body of one of distribution."""
+    match message:
+        case Announce():
+            body.announce.CopyFrom(wire.Announce(held=message.held, newest=message.newest))
+        case DocumentRequest():
+            body.document_request.CopyFrom(_request(message))
+        case DocumentPiece():
+            body.document_piece.CopyFrom(_piece(message))
+
+
+def read_announce(record: wire.Announce) -> Announce:
+    """The announcement of a record."""
+    return Announce(record.held, record.newest)
+
+
+def _request(message: DocumentRequest) -> wire.DocumentRequest:
+    record = wire.DocumentRequest(piece=message.piece)
+    if message.held is not None:
+        record.held.CopyFrom(_version_record(message.held))
+    if message.transfer is not None:
+        record.transfer.CopyFrom(_transfer_record(message.transfer))
+    return record
+
+
+def read_request(record: wire.DocumentRequest) -> DocumentRequest:
+    """The request of a record."""
+    held = _version(record.held) if record.HasField("held") else None
+    transfer = _transfer(record.transfer) if record.HasField("transfer") else None
+    return DocumentRequest(held, transfer, record.piece)
+
+
+def _piece(message: DocumentPiece) -> wire.DocumentPiece:
+    return wire.DocumentPiece(
+        transfer=_transfer_record(message.transfer),
+        piece=message.piece,
+        pieces=message.pieces,
+        digest=message.digest.to_bytes(DIGEST_BYTES, "big"),
+        delta=pack(_delta_record(message.delta).SerializeToString()),
+    )
+
+
+def read_piece(record: wire.DocumentPiece) -> DocumentPiece:
+    """The piece of a record; raises `ValueError` or `DecodeError` where it cannot be read."""
+    delta = wire.DocumentDelta.FromString(unpack(record.delta))
+    return DocumentPiece(
+        _transfer(record.transfer),
+        record.piece,
+        record.pieces,
+        int.from_bytes(record.digest, "big"),
+        DocumentDelta({each.key: each.value for each in delta.changed}, tuple(delta.removed)),
+    )
+
+
+def _delta_record(delta: DocumentDelta) -> wire.DocumentDelta:
+    changed = [wire.DocumentEntry(key=key, value=value) for key, value in delta.changed.items()]
+    return wire.DocumentDelta(changed=changed, removed=delta.removed)
+
+
+def _transfer_record(transfer: TransferId) -> wire.TransferId:
+    record = wire.TransferId(version=_version_record(transfer.version))
+    if transfer.base is not None:
+        record.base.CopyFrom(_version_record(transfer.base))
+    return record
+
+
+def _transfer(record: wire.TransferId) -> TransferId:
+    return TransferId(_version(record.version), _version(record.base) if record.HasField("base") else None)
+
+
+def _version_record(version: Version) -> wire.VersionNumber:
+    return wire.VersionNumber(major=version.major, minor=version.minor)
+
+
+def _version(record: wire.VersionNumber) -> Version:
+    return Version(record.major, record.minor)
--- a/canvasbeam/cluster/items.py
+++ b/canvasbeam/cluster/items.py
@@ -11,6 +11,8 @@
 from enum import IntEnum
 from hashlib import blake2b
 
+from canvasbeam.cluster.document import Document
+
 CURRENT = "current"  # the key of the configuration and of the evacuations
 
 
@@ -34,13 +36,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Item:
-    """One versioned value. `deleted` marks a tombstone, whose payload is empty."""
+    """One versioned value: a payload or, where it is large and changes in parts, a document.
+
+    `deleted` marks a tombstone, whose payload is empty.
+    """
 
     kind: ItemKind
     key: str
     version: Version
     payload: bytes = b""
     deleted: bool = False
+    document: Document | None = None
 
     @property
     def name(self) -> tuple[ItemKind, str]:
--- a/canvasbeam/cluster/node.py
+++ b/canvasbeam/cluster/node.py
@@ -142,6 +142,11 @@
         """Whether this node counts as in contact with most control nodes."""
         return self._core.has_majority(time.monotonic_ns())
 
+    @property
+    def is_behind(self) -> bool:
+        """Whether a configuration is known of that is newer than the one held."""
+        return self._core.is_behind
+
     def is_heard(self) -> bool:
         """Whether anybody at all is known to have had a recent message of this control node."""
         return self._core.is_heard(time.monotonic_ns())
--- a/canvasbeam/cluster/node_core.py
+++ b/canvasbeam/cluster/node_core.py
@@ -172,6 +172,11 @@
         instant = self.distribution.contact_instant
         return contact_state(instant, now, self.terms.stale) is ContactState.CONFIRMED
 
+    @property
+    def is_behind(self) -> bool:
+        """Whether a configuration is known of that is newer than the one held."""
+        return self.distribution.documents.is_behind
+
     def is_heard(self, now: int) -> bool:
         """Whether anybody at all is known to have had a recent message of this control node.
 
--- a/canvasbeam/control_plane/home_regions.py
+++ b/canvasbeam/control_plane/home_regions.py
@@ -6,15 +6,19 @@
 from collections.abc import Iterable, Mapping
 from typing import Any
 
+from canvasbeam.cluster.document import Document
 from canvasbeam.cluster.items import CURRENT, ItemKind, ItemTable, Version
+from canvasbeam.configuration_document import ROUTES, document_of, is_of_field, read_entry
 
 
 class HomeRegions:
-    """Looks up the home regions of a host; a configuration is read at the first question after it came."""
+    """Looks up the home regions of a host; what changed in a configuration is read at the first question after it."""
 
     def __init__(self, table: ItemTable) -> None:
         self._table = table
         self._version: Version | None = None
+        self._document = Document()
+        self._homes: dict[str, Mapping[str, Any]] = {}  # the routes with homes, by their keys in the document
         self._by_host: dict[str, frozenset[str]] = {}
 
     def of_host(self, host: str) -> frozenset[str] | None:
@@ -27,7 +31,18 @@
         if item is None or item.version == self._version:
             return
         self._version = item.version
-        self._by_host = home_regions_by_host(json.loads(item.payload).get("routes") or ())
+        before, self._document = self._document, item.document or document_of(json.loads(item.payload))
+        for key in self._document.changed_keys(before):
+            if is_of_field(key, ROUTES):
+                self._read_route(key)
+        self._by_host = home_regions_by_host(self._homes.values())
+
+    def _read_route(self, key: str) -> None:
+        route = read_entry(self._document, key)
+        if route is not None and route.get("home_regions"):
+            self._homes[key] = route
+        else:
+            self._homes.pop(key, None)
 
 
 def home_regions_by_host(routes: Iterable[Mapping[str, Any]]) -> dict[str, frozenset[str]]:
--- a/canvasbeam/control_plane/publisher.py
+++ b/canvasbeam/control_plane/publisher.py
@@ -6,8 +6,9 @@
 from collections.abc import Iterable
 from typing import Protocol
 
+from canvasbeam.cluster.document import Document
 from canvasbeam.cluster.items import CURRENT, Item, ItemKind, Version
-from canvasbeam.control_plane.changes import encode_configuration
+from canvasbeam.configuration_document import document_of
 from canvasbeam.control_state import ControlState
 
 
@@ -25,6 +26,7 @@
     def __init__(self, node: ItemPublisher) -> None:
         self._node = node
         self._configuration_index = 0
+        self._document: Document | None = None
         self._evacuation_index = 0
 
     def on_committed(self, state: ControlState) -> None:
@@ -32,8 +34,9 @@
         items = []
         if state.configuration_index > self._configuration_index and state.configuration is not None:
             self._configuration_index = state.configuration_index
-            payload = encode_configuration(state.configuration)
-            items.append(Item(ItemKind.CONFIGURATION, CURRENT, Version(state.configuration_index), payload))
+            self._document = document_of(state.configuration, self._document)
+            version = Version(state.configuration_index)
+            items.append(Item(ItemKind.CONFIGURATION, CURRENT, version, document=self._document))
         if state.evacuation_index > self._evacuation_index:
             self._evacuation_index = state.evacuation_index
             zones = json.dumps(state.evacuated_zones).encode("ascii")
--- a/canvasbeam/control_plane/replication_codec.py
+++ b/canvasbeam/control_plane/replication_codec.py
@@ -9,7 +9,7 @@
 from google.protobuf.message import DecodeError
 
 from canvasbeam.cluster import replication_pb2 as wire
-from canvasbeam.control_plane.compression import pack, unpack
+from canvasbeam.cluster.compression import pack, unpack
 from canvasbeam.control_state import Change, ChangeKind, ControlState
 from canvasbeam.decide.calls import UNKNOWN_LIFE
 from canvasbeam.decide.replication import messages
--- a/canvasbeam/data_plane/carrier.py
+++ b/canvasbeam/data_plane/carrier.py
@@ -15,10 +15,11 @@
 from canvasbeam.choice import Dispatcher
 from canvasbeam.data_plane.exchange import Exchange, ExchangeResult
 from canvasbeam.data_plane.health_check import check_health
-from canvasbeam.data_plane.job_classes import prompt_of
+from canvasbeam.data_plane.job_classes import RouteClasses, prompt_of
 from canvasbeam.data_plane.open_requests import Attempt, Job, ListedWorker, OpenRequest
 from canvasbeam.data_plane.request_table import RequestTable
 from canvasbeam.data_plane.requests import RETRY_LATER_NS, AnswerState, ClientRequest
+from canvasbeam.data_plane.routes import Configuration
 from canvasbeam.data_plane.streams import StreamForwarder, may_continue
 from canvasbeam.data_plane.worker_connections import ConnectFailed, WorkerConnections
 from canvasbeam.data_plane.worker_request import worker_request
@@ -63,8 +64,7 @@
         self._requests = RequestTable(clock, self._stop_jobs, self._start)
         self._numbers = 0
         self._workers: dict[str, ListedWorker] = {}
-        self._classes: ci.ClassesChanged | None = None
-        self._class_names: frozenset[str] = frozenset()
+        self._classes = RouteClasses()
         self._tasks: set[asyncio.Task[None]] = set()
         self.on_served: Callable[[ClientRequest], None] | None = None
 
@@ -94,9 +94,12 @@
         entry = self._requests.entry(request)
         if entry is None:
             return
-        if request.job_class not in self._class_names:
+        known = len(self._classes)
+        if not self._classes.admit(request.route, request.service):
             self._requests.answer_own(request, ResultCode.REQUEST_REFUSED, "the route was removed")
             return
+        if len(self._classes) > known:
+            self._tell(self._classes.told())
         self._numbers += 1
         job = Job(str(self._numbers), request)
         self._jobs[job.name] = job
@@ -133,11 +136,9 @@
         worker = self._workers.get(name)
         return worker is not None and worker.live
 
-    def change_classes(self, classes: tuple[ci.JobClass, ...], kinds: tuple[str, ...]) -> None:
+    def change_configuration(self, configuration: Configuration) -> None:
         """Another configuration is in force for requests that come from now on."""
-        self._classes = ci.ClassesChanged(classes, kinds)
-        self._class_names = frozenset(each.name for each in classes)
-        self._tell(self._classes)
+        self._tell(self._classes.change_configuration(configuration))
 
     # --- the dispatcher ---------------------------------------------------------------------------
 
@@ -166,8 +167,7 @@
                 self._requests.fail(request)
         self._dispatcher = self._make_dispatcher()
         self._events = []
-        if self._classes is not None:
-            self._tell(self._classes)
+        self._tell(self._classes.told())
         self._tell(ci.WorkersListed(ci.ListKind.COMPLETE, tuple(each.entry for each in self._workers.values())))
 
     def _act(self, action: ci.Action) -> None:
--- a/canvasbeam/data_plane/configuration_view.py
+++ b/canvasbeam/data_plane/configuration_view.py
@@ -7,7 +7,8 @@
 from collections.abc import Callable, Sequence
 
 from canvasbeam.cluster.items import Item, ItemKind, ItemTable
-from canvasbeam.data_plane.routes import Configuration, parse_configuration
+from canvasbeam.configuration_document import document_of
+from canvasbeam.data_plane.routes import Configuration
 from canvasbeam.runtime.logs import get_logger
 
 log = get_logger(__name__)
@@ -52,7 +53,8 @@
 
     def _take_configuration(self, item: Item) -> None:
         try:
-            configuration = parse_configuration(json.loads(item.payload))
+            document = item.document or document_of(json.loads(item.payload))
+            configuration = Configuration(document, self.current)
         except (ValueError, KeyError, TypeError):
             log.exception("a configuration could not be read; the one before stays in force")
             return
--- a/canvasbeam/data_plane/ingress.py
+++ b/canvasbeam/data_plane/ingress.py
@@ -38,6 +38,10 @@
         ResultCode.OVERLOADED,
     )
 )
+# These rest on the configuration.
+DENYING_CODES = frozenset(
+    (ResultCode.REQUEST_NO_ROUTE, ResultCode.REQUEST_TOO_LARGE, ResultCode.REQUEST_HEAD_TOO_LARGE)
+)
 # After its start a node holds a request for so long until a configuration is known: others send it in less.
 FIRST_CONFIGURATION_S = 1.5
 COME_BACK_AT_ONCE_NS = 50 * MILLISECOND
@@ -61,12 +65,15 @@
         shutdown: Shutdown,
         memory: MemoryBudget,
         generator: random.Random,
+        *,
+        may_deny: Callable[[], bool] = lambda: True,
     ) -> None:
         self._memory = memory
         self._view = view
         self._carrier = carrier
         self._shutdown = shutdown
         self._random = generator
+        self._may_deny = may_deny
 
     async def __call__(self, scope: MutableMapping[str, Any], receive: Receive, send: Send) -> None:
         """Serve one request."""
@@ -87,6 +94,7 @@
         answer = ClientAnswer(send, lambda: _end(task))
         request = await self._read_request(scope, _BodyReader(receive, held), answer, arrived_ns)
         if isinstance(request, Failure):
+            request = self._undeniable(request)
             await answer.send_whole(own_answer(request, close=request.code in CLOSING_CODES))
             return
         due_ns = self._shutdown.due(request)
@@ -98,6 +106,14 @@
         self._carrier.submit(request)
         await self._wait_for_end(request, receive)
 
+    def _undeniable(self, failure: Failure) -> Failure:
+        """A refusal that rests on the configuration held is not given while a newer one may be in force."""
+        if failure.code not in DENYING_CODES or self._may_deny():
+            return failure
+        return Failure(
+            ResultCode.REQUEST_NOT_READY, f"a newer configuration may be in force; by this one {failure.reason}"
+        )
+
     async def _wait_for_end(self, request: ClientRequest, receive: Receive) -> None:
         """Return when the server says that the exchange is over: answered, or left by the client."""
         try:
--- a/canvasbeam/data_plane/job_classes.py
+++ b/canvasbeam/data_plane/job_classes.py
@@ -1,7 +1,12 @@
-"""The dispatcher's classes of jobs, made from the routes of a configuration: one for each route and service of it."""
+"""The dispatcher's classes of jobs, made from the routes of a configuration: one for each route and service of it.
+
+Of hundreds of routes only some are asked for. The dispatcher is told of a class when its first request comes.
+"""
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 from canvasbeam import interface as ci
 from canvasbeam.data_plane.requests import ClientRequest, job_class_name
 from canvasbeam.data_plane.routes import Configuration, Route
@@ -35,6 +40,61 @@
     )
 
 
+@dataclass(frozen=True, slots=True)
+class _Known:
+    """Where a class comes from: the key of its route, and the service."""
+
+    host: str
+    prefix: str
+    service: str
+
+
+class RouteClasses:
+    """The classes of the routes that were asked for."""
+
+    def __init__(self) -> None:
+        self._configuration: Configuration | None = None
+        self._known: dict[str, _Known] = {}
+        self._classes: dict[str, ci.JobClass] = {}
+
+    def change_configuration(self, configuration: Configuration) -> ci.ClassesChanged:
+        """Another configuration is in force: classes change with their routes, or are gone with them."""
+        self._configuration = configuration
+        classes = {name: self._class_in_force(name, known) for name, known in self._known.items()}
+        self._classes = {name: each for name, each in classes.items() if each is not None}
+        self._known = {name: known for name, known in self._known.items() if name in self._classes}
+        return self.told()
+
+    def admit(self, route: Route, service: str) -> bool:
+        """Whether the configuration in force has the route and service; their class is known from now on."""
+        name = job_class_name(route.name, service)
+        if name in self._classes:
+            return True
+        known = _Known(route.host, route.prefix, service)
+        found = self._class_in_force(name, known)
+        if found is None:
+            return False
+        self._known[name], self._classes[name] = known, found
+        return True
+
+    def __len__(self) -> int:
+        return len(self._classes)
+
+    def told(self) -> ci.ClassesChanged:
+        """What the dispatcher is told."""
+        services = self._configuration.services if self._configuration is not None else ()
+        kinds = {*services, *(each.kind for each in self._classes.values() if each.kind is not None)}
+        return ci.ClassesChanged(tuple(self._classes.values()), tuple(sorted(kinds)))
+
+    def _class_in_force(self, name: str, known: _Known) -> ci.JobClass | None:
+        configuration = self._configuration
+        route = configuration.route_at(known.host, known.prefix) if configuration is not None else None
+        if route is None or all(each.service != known.service for each in route.split):
+            return None
+        found = _class_of(route, known.service)
+        return found if found.name == name else None
+
+
 def worker_priority(request: ClientRequest) -> bytes:
     """The value of `Priority` for a worker: the route's, and longer prompts after shorter ones.
 
--- a/canvasbeam/data_plane/program.py
+++ b/canvasbeam/data_plane/program.py
@@ -14,7 +14,6 @@
 from canvasbeam.data_plane.configuration_view import ConfigurationView
 from canvasbeam.data_plane.dispatcher_settings import dispatcher_settings, engine_expectations, engines
 from canvasbeam.data_plane.ingress import Ingress
-from canvasbeam.data_plane.job_classes import classes_of
 from canvasbeam.data_plane.memory_budget import MEGABYTE, MemoryBudget
 from canvasbeam.data_plane.placement_notices import PlacementNotices
 from canvasbeam.data_plane.readiness import ReadinessApp
@@ -70,7 +69,7 @@
         self._readiness_changed = asyncio.Event()
         self._cluster.table.add_listener(self._on_items)
         memory = MemoryBudget(round(settings.limits.memory_mb * BODY_MEMORY * MEGABYTE))
-        ingress = Ingress(self._view, self._carrier, self._shutdown, memory, random.Random())
+        ingress = Ingress(self._view, self._carrier, self._shutdown, memory, random.Random(), may_deny=self._may_deny)
         first_limits = HttpLimits(max_header_bytes=LEAST_HEADER_BYTES)
         self._front = HttpServer(ingress, settings.listen["front"], first_limits, (listeners or {}).get("front"))
         self._ready = HttpServer(ReadinessApp(self.is_ready), settings.listen["ready"])
@@ -95,7 +94,11 @@
         )
         self._shared.take_configuration(configuration)
         self._engines.engines(engines(configuration.services))
-        self._carrier.change_classes(*classes_of(configuration))
+        self._carrier.change_configuration(configuration)
+
+    def _may_deny(self) -> bool:
+        """Whether this node may say that there is no such route: no newer configuration than its own is known of."""
+        return self._cluster.has_majority() and not self._cluster.is_behind
 
     def _on_items(self, items: Sequence[Item]) -> None:
         """Called after the other parts have taken these items: they may make the node ready."""
--- a/canvasbeam/data_plane/routes.py
+++ b/canvasbeam/data_plane/routes.py
@@ -3,11 +3,21 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from collections.abc import Mapping
+from dataclasses import dataclass
 from enum import Enum
 from typing import Any
 
+from canvasbeam.cluster.document import Document
+from canvasbeam.configuration_document import (
+    HEADER_KEY,
+    ROUTES,
+    SERVICES,
+    document_of,
+    keys_of,
+    read_entry,
+    route_key,
+)
 from canvasbeam.units import MILLISECOND
 
 DEFAULT_TIMEOUT_MS = 5000
@@ -87,41 +97,65 @@
     idle_timeout_ms: float = 15000
 
 
-@dataclass(frozen=True, slots=True)
 class Configuration:
-    """One whole configuration, ready for look-ups."""
+    """One whole configuration, ready for look-ups.
+
+    A route is read when a request asks for it first: of hundreds only a few are asked for, and a configuration that
+    differs from the one before in few routes is adopted at that cost.
+    """
+
+    def __init__(self, document: Document, before: Configuration | None = None) -> None:
+        header = read_entry(document, HEADER_KEY) or {}
+        self.generation = int(header["generation"])
+        self.limits = _parse_limits(header.get("limits") or {})
+        self.services = _parse_services(document)
+        self._document = document
+        self._routes: dict[str, Route] = {}
+        if before is not None:
+            self._take_routes(before)
 
-    generation: int
-    routes: tuple[Route, ...]
-    services: Mapping[str, Service]
-    limits: ClientLimits = ClientLimits()
-    _by_host: Mapping[str, Mapping[str, Route]] = field(default_factory=dict)
+    @property
+    def routes(self) -> tuple[Route, ...]:
+        """All routes."""
+        keys = keys_of(self._document, ROUTES)
+        return tuple(route for route in map(self._route, keys) if route is not None)
 
     def find_route(self, host: str, path: str) -> Route | None:
         """The route of this host with the longest prefix that begins the path."""
-        prefixes = self._by_host.get(host)
         end = path.rfind("/")
-        while prefixes and end >= 0:
-            route = prefixes.get(path[: end + 1])
+        while end >= 0:
+            route = self.route_at(host, path[: end + 1])
             if route is not None:
                 return route
             end = path.rfind("/", 0, end)
         return None
 
+    def route_at(self, host: str, prefix: str) -> Route | None:
+        """The route of this host and exactly this prefix."""
+        return self._route(route_key(host, prefix))
+
+    def _route(self, key: str) -> Route | None:
+        route = self._routes.get(key)
+        if route is None:
+            item = read_entry(self._document, key)
+            if item is not None:
+                route = self._routes[key] = _parse_route(item)
+        return route
+
+    def _take_routes(self, before: Configuration) -> None:
+        """Keep the routes that were read from entries that are still the same."""
+        old, new = before._document.entries, self._document.entries
+        self._routes = {key: route for key, route in before._routes.items() if new.get(key) == old.get(key)}
+
 
-def parse_configuration(document: Mapping[str, Any]) -> Configuration:
+def parse_configuration(configuration: Mapping[str, Any]) -> Configuration:
     """Read a configuration that the control plane has validated."""
-    routes = tuple(_parse_route(each) for each in document.get("routes", ()))
-    services = {each["name"]: _parse_service(each) for each in document.get("services", ())}
-    limits = _parse_limits(document.get("limits") or {})
-    return Configuration(int(document["generation"]), routes, services, limits, _index_by_host(routes))
+    return Configuration(document_of(configuration))
 
 
-def _index_by_host(routes: Iterable[Route]) -> dict[str, dict[str, Route]]:
-    by_host: dict[str, dict[str, Route]] = {}
-    for route in routes:
-        by_host.setdefault(route.host, {})[route.prefix] = route
-    return by_host
+def _parse_services(document: Document) -> dict[str, Service]:
+    items = (read_entry(document, key) for key in keys_of(document, SERVICES))
+    return {item["name"]: _parse_service(item) for item in items if item is not None}
 
 
 def _parse_route(document: Mapping[str, Any]) -> Route:
--- a/canvasbeam/decide/distribution.py
+++ b/canvasbeam/decide/distribution.py
@@ -33,6 +33,8 @@
     VersionRecord,
     Versions,
 )
+from canvasbeam.decide.document_exchange import DocumentExchange
+from canvasbeam.decide.document_messages import Announce, DocumentPiece, DocumentRequest
 from canvasbeam.decide.parent_link import Parent, ParentLink
 from canvasbeam.decide.peer_clock import SendTime
 from canvasbeam.decide.relay_tree import Place, likely_nearest, parent_order
@@ -69,6 +71,7 @@
         self.mesh = self.lease.mesh
         self.contact = self.lease.contact
         self.relayed = RelayedContact()
+        self.documents = DocumentExchange()
         self.link = ParentLink(terms, self._parent_order, self._subscribe, seed, now)
         self._seeds = tuple(each for each in seeds if each != me.address)
         self._random = random.Random(seed)
@@ -147,10 +150,13 @@
                 self._merge(now, message.items, sender)
             case Versions() | Request() | Compare():
                 self._reconcile(sender, message)
+            case Announce() | DocumentRequest() | DocumentPiece():
+                self._on_document_message(now, sender, message)
 
     def on_disconnected(self, now: int, address: Address) -> None:
         """The connection to a node failed."""
         self.children.pop(address, None)
+        self.documents.on_disconnected(address)
         self.link.on_disconnected(now, address)
 
     def tick(self, now: int) -> None:
@@ -219,6 +225,7 @@
     def _on_keepalive(self, now: int, sender: Address, message: Keepalive) -> None:
         if self.me.is_control:
             return
+        self._note_newest(max(message.newest, message.versions.configuration))
         self._actions += self.link.on_keepalive(now, sender, message)
         parent = self.link.parent
         if parent is not None and parent.address == sender:
@@ -260,11 +267,13 @@
             self._actions += self.lease.on_request(now, sender, message)
 
     def _on_lease_grant(self, now: int, sender: Address, message: LeaseGrant) -> None:
+        self._note_newest(message.versions.configuration)
         if self.lease.on_grant(sender, message):
             self._hasten_keepalive(now)
 
     def _on_items(self, items: Sequence[Item]) -> None:
         """What the others vouched for may be held now."""
+        self.documents.on_items(items)
         if any(item.key == CURRENT for item in items):
             held = ControlVersions.of(self.table)
             self.contact.settle(held)
@@ -289,6 +298,35 @@
             case Compare():
                 self._answer(sender, reconcile.answer_digests(self.table, message.digests, size))
 
+    # --- documents --------------------------------------------------------------------------------
+
+    def _on_document_message(
+        self, now: int, sender: Address, message: Announce | DocumentRequest | DocumentPiece
+    ) -> None:
+        match message:
+            case Announce():
+                self._note_newest(message.newest)
+                self._answer(sender, self.documents.on_offer(now, sender, message))
+            case DocumentRequest():
+                piece = self.documents.on_request(message)
+                self._answer(sender, (piece,) if piece is not None else ())
+            case DocumentPiece():
+                self._on_piece(now, sender, message)
+
+    def _on_piece(self, now: int, sender: Address, piece: DocumentPiece) -> None:
+        received = self.documents.on_piece(now, sender, piece)
+        if received.document is not None:
+            version, document = received.document.version, received.document.document
+            self._merge(now, [Item(ItemKind.CONFIGURATION, CURRENT, version, document=document)], sender)
+        if received.request is not None:
+            self._send((sender,), received.request)
+
+    def _note_newest(self, index: int) -> None:
+        """A configuration was heard of: the children know it at once, long before they hold it."""
+        news = self.documents.note_newest(index)
+        if news is not None and self.children:
+            self._send(self.children, news)
+
     def _answer(self, sender: Address, messages: Iterable[Message]) -> None:
         for message in messages:
             self._send((sender,), message)
@@ -389,6 +427,7 @@
             reconcile.digests(self.table) if with_digests else {},
             ControlVersions.of(self.table),
             SendTime(self._life, now, asked_at),
+            self.documents.newest,
         )
 
     def _subscribe(self) -> Subscribe:
--- a/canvasbeam/decide/distribution_messages.py
+++ b/canvasbeam/decide/distribution_messages.py
@@ -7,6 +7,7 @@
 
 from canvasbeam.cluster.items import Item, ItemKind, Version
 from canvasbeam.decide.control_contact import ControlVersions
+from canvasbeam.decide.document_messages import Announce, DocumentPiece, DocumentRequest
 from canvasbeam.decide.peer_clock import SendTime
 from canvasbeam.runtime.settings import Address
 from canvasbeam.units import MILLISECOND, SECOND
@@ -33,6 +34,7 @@
     digests: Digests = field(default_factory=dict)
     versions: ControlVersions = field(default_factory=ControlVersions)  # which the sender holds
     time: SendTime = field(default_factory=SendTime)
+    newest: int = 0  # the configuration that the sender has heard of; it may not hold it yet
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,6 +122,9 @@
     | Versions
     | Request
     | Compare
+    | Announce
+    | DocumentRequest
+    | DocumentPiece
 )
 
 
--- /dev/null
+++ b/canvasbeam/decide/document_exchange.py
@@ -0,0 +1,71 @@
+"""One node's part in the travels of the configuration, where that is a document: what is held, offered and fetched.
+
+Pure. Joins the receiver and the sender, and keeps the number of the newest configuration that anybody told of. That
+number travels ahead of the configuration itself: a node that knows it is behind can say so.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+
+from canvasbeam.cluster.items import CURRENT, Item, ItemKind, Version
+from canvasbeam.decide.document_messages import Announce, DocumentPiece, DocumentRequest
+from canvasbeam.decide.document_receiver import DocumentReceiver, Received
+from canvasbeam.decide.document_sender import DocumentSender
+from canvasbeam.runtime.settings import Address
+
+
+class DocumentExchange:
+    """The configuration of one node, as it comes and as it goes."""
+
+    def __init__(self) -> None:
+        self.held = 0
+        self.newest = 0
+        self._receiver = DocumentReceiver()
+        self._sender = DocumentSender()
+
+    @property
+    def is_behind(self) -> bool:
+        """Whether there is a newer configuration than the one held."""
+        return self.newest > self.held
+
+    @property
+    def mismatches(self) -> int:
+        """Transfers whose digest was off."""
+        return self._receiver.mismatches
+
+    def on_items(self, items: Iterable[Item]) -> None:
+        """These items were taken into the table."""
+        for item in items:
+            if item.kind is ItemKind.CONFIGURATION and item.key == CURRENT and not item.deleted:
+                self.held = item.version.major
+                self.newest = max(self.newest, self.held)
+                self._receiver.hold(item.version, item.document)
+                if item.document is not None:
+                    self._sender.hold(item.version, item.document)
+
+    def note_newest(self, index: int) -> Announce | None:
+        """Somebody holds this configuration or has heard of it; what the children are told where that is news."""
+        if index <= self.newest:
+            return None
+        self.newest = index
+        return Announce(self.held, index)
+
+    def on_offer(self, now: int, sender: Address, message: Announce) -> Sequence[DocumentRequest | Announce]:
+        """A node holds a configuration: it is asked for a newer one, and told of a newer one that is held here."""
+        if message.held < self.held:
+            return (Announce(self.held, self.newest),) if message.newest < self.held else ()
+        request = self._receiver.on_offer(now, sender, Version(message.held))
+        return (request,) if request is not None else ()
+
+    def on_request(self, request: DocumentRequest) -> DocumentPiece | None:
+        """The piece that a node asks for."""
+        return self._sender.answer(request)
+
+    def on_piece(self, now: int, sender: Address, piece: DocumentPiece) -> Received:
+        """A piece came."""
+        return self._receiver.on_piece(now, sender, piece)
+
+    def on_disconnected(self, address: Address) -> None:
+        """The connection to a node failed."""
+        self._receiver.on_disconnected(address)
--- /dev/null
+++ b/canvasbeam/decide/document_messages.py
@@ -0,0 +1,47 @@
+"""The messages by which a document travels from a node that holds it to one that lacks it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from canvasbeam.cluster.document import DocumentDelta
+from canvasbeam.cluster.items import Version
+
+
+@dataclass(frozen=True, slots=True)
+class Announce:
+    """Which configuration the sender holds, and the newest that it has heard of; sent as soon as either changes."""
+
+    held: int
+    newest: int
+
+
+@dataclass(frozen=True, slots=True)
+class TransferId:
+    """What is transferred: a version of the document, from a base that the receiver holds or, where none, whole."""
+
+    version: Version
+    base: Version | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class DocumentRequest:
+    """The sender wants the newest document, or the next piece of the transfer that it is being sent."""
+
+    held: Version | None  # what the sender holds, as a base; none where it wants the whole
+    transfer: TransferId | None = None
+    piece: int = 0  # of the transfer, from 0
+
+
+@dataclass(frozen=True, slots=True)
+class DocumentPiece:
+    """One piece of a transfer; all pieces together are the delta from the base."""
+
+    transfer: TransferId
+    piece: int
+    pieces: int
+    digest: int  # of the document that results
+    delta: DocumentDelta
+
+
+DocumentMessage = Announce | DocumentRequest | DocumentPiece
--- /dev/null
+++ b/canvasbeam/decide/document_receiver.py
@@ -0,0 +1,180 @@
+"""How a node that lacks the newest document gets it: one transfer at a time, in pieces, from a node that offers it.
+
+Pure: events and the time in, messages out. What was received becomes a document only when all pieces are there and the
+digest is the sender's: no state is ever a mixture of two versions.
+
+| state | from | to |
+| --- | --- | --- |
+| idle | the start | waiting: a node offers a version above the one held |
+| waiting | | waiting: a piece came, and there are more; idle: the last piece came; the sender is gone or silent |
+
+A delta that does not fit (another base, a digest that is off) is followed by a request for the whole. While a transfer
+runs, newer offers only take the place of the older one: what is between them is skipped.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from canvasbeam.cluster.document import Document, DocumentDelta
+from canvasbeam.cluster.items import Version
+from canvasbeam.decide.document_messages import DocumentPiece, DocumentRequest, TransferId
+from canvasbeam.runtime.settings import Address
+from canvasbeam.units import MILLISECOND
+
+PATIENCE = 700 * MILLISECOND  # for one piece
+
+
+@dataclass(frozen=True, slots=True)
+class HeldDocument:
+    """The document of a node, and its version."""
+
+    version: Version
+    document: Document
+
+
+@dataclass(slots=True)
+class _Collected:
+    """The pieces of a transfer that have come."""
+
+    transfer: TransferId
+    pieces: int
+    changed: dict[str, bytes] = field(default_factory=dict)
+    removed: list[str] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class _Waiting:
+    """A request that was sent."""
+
+    sender: Address
+    asked_at: int
+    collected: _Collected | None = None
+    number: int = 0  # of the piece that is wanted
+
+
+@dataclass(frozen=True, slots=True)
+class _Offer:
+    sender: Address
+    version: Version
+
+
+@dataclass(frozen=True, slots=True)
+class Received:
+    """What follows from a piece: a request to its sender, a document that is whole, or both."""
+
+    request: DocumentRequest | None = None
+    document: HeldDocument | None = None
+
+
+class DocumentReceiver:
+    """One node's transfers, one after the other."""
+
+    def __init__(self) -> None:
+        self.mismatches = 0  # transfers whose digest was off
+        self._version: Version | None = None
+        self._held: HeldDocument | None = None
+        self._waiting: _Waiting | None = None
+        self._offer: _Offer | None = None
+        self._wants_whole = False
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether a request is open."""
+        return self._waiting is not None
+
+    def hold(self, version: Version, document: Document | None) -> None:
+        """This node holds this version now, from wherever it came; as a document, if it can be a base."""
+        self._version = version
+        self._held = HeldDocument(version, document) if document is not None else None
+
+    def on_offer(self, now: int, sender: Address, version: Version) -> DocumentRequest | None:
+        """A node holds this version; the request that goes to it, if any."""
+        if not self._lacks(version):
+            return None
+        if self._offer is None or self._offer.sender == sender or self._offer.version < version:
+            self._offer = _Offer(sender, version)
+        if self._waiting is not None and now - self._waiting.asked_at < PATIENCE:
+            return None
+        return self._ask(now, sender)
+
+    def on_piece(self, now: int, sender: Address, piece: DocumentPiece) -> Received:
+        """A piece came; one that nobody waits for is dropped."""
+        waiting = self._waiting
+        if waiting is None or waiting.sender != sender:
+            return Received()
+        collected = self._collect(waiting, piece)
+        if collected is None:
+            return Received()
+        waiting.asked_at = now
+        if waiting.number < collected.pieces:
+            return Received(DocumentRequest(self._base(), collected.transfer, waiting.number))
+        return self._complete(now, waiting, collected, piece.digest)
+
+    def on_disconnected(self, address: Address) -> None:
+        """The connection to a node failed: what it was sending does not come."""
+        if self._waiting is not None and self._waiting.sender == address:
+            self._waiting = None
+        if self._offer is not None and self._offer.sender == address:
+            self._offer = None
+
+    # --- helpers ----------------------------------------------------------------------------------
+
+    def _lacks(self, version: Version) -> bool:
+        return self._version is None or self._version < version
+
+    def _base(self) -> Version | None:
+        return None if self._held is None or self._wants_whole else self._held.version
+
+    def _ask(self, now: int, sender: Address) -> DocumentRequest:
+        """Every new transfer begins here."""
+        self._waiting = _Waiting(sender, now)
+        return DocumentRequest(self._base())
+
+    def _collect(self, waiting: _Waiting, piece: DocumentPiece) -> _Collected | None:
+        """Add a piece to those of its transfer; the first of another transfer begins that one."""
+        if piece.piece == 0 and waiting.number == 0:
+            waiting.collected = _Collected(piece.transfer, piece.pieces)
+        elif piece.piece == 0 and waiting.collected is not None and piece.transfer != waiting.collected.transfer:
+            waiting.collected, waiting.number = _Collected(piece.transfer, piece.pieces), 0
+        collected = waiting.collected
+        if collected is None or piece.transfer != collected.transfer or piece.piece != waiting.number:
+            return None
+        collected.changed.update(piece.delta.changed)
+        collected.removed.extend(piece.delta.removed)
+        waiting.number += 1
+        return collected
+
+    def _complete(self, now: int, waiting: _Waiting, collected: _Collected, digest: int) -> Received:
+        self._waiting = None
+        held = self._assemble(collected, digest)
+        if held is None:
+            self._wants_whole = collected.transfer.base is not None
+            # The whole is asked for at once; where that was off too, the next offer begins anew.
+            return Received(self._ask(now, waiting.sender) if self._wants_whole else None)
+        self._wants_whole = False
+        if not self._lacks(held.version):
+            return Received()
+        self.hold(held.version, held.document)
+        return Received(self._ask_for_offer(now, waiting.sender), held)
+
+    def _assemble(self, collected: _Collected, digest: int) -> HeldDocument | None:
+        """The document that the pieces make; none where they do not fit."""
+        base = collected.transfer.base
+        document = Document()
+        if base is not None:
+            if self._held is None or self._held.version != base:
+                return None
+            document = self._held.document
+        document = document.apply(DocumentDelta(collected.changed, tuple(collected.removed)))
+        if document.digest != digest:
+            self.mismatches += 1
+            return None
+        return HeldDocument(collected.transfer.version, document)
+
+    def _ask_for_offer(self, now: int, sender: Address) -> DocumentRequest | None:
+        """The sender has offered a newer version in the meantime."""
+        offer, self._offer = self._offer, None
+        if offer is None or offer.sender != sender or not self._lacks(offer.version):
+            return None
+        return self._ask(now, sender)
--- a/canvasbeam/decide/reconcile.py
+++ b/canvasbeam/decide/reconcile.py
@@ -18,6 +18,7 @@
     VersionRecord,
     Versions,
 )
+from canvasbeam.decide.document_messages import Announce
 
 
 def digests(table: ItemTable) -> Digests:
@@ -27,12 +28,15 @@
 
 
 def answer_digests(table: ItemTable, theirs: Digests, update_bytes: int) -> Iterator[Message]:
-    """What a node is told whose digests these are: everything where it holds nothing, else our versions."""
+    """What a node is told whose digests these are: everything where it holds nothing, else our versions.
+
+    A document is announced in either case: the node asks for what it lacks of it.
+    """
     for kind in ItemKind:
         mine, other = table.digest(kind), theirs.get(kind, 0)
         if mine == other:
             continue
-        if other == 0:
+        if other == 0 or any(item.document is not None for item in table.of_kind(kind)):
             yield from updates(table.of_kind(kind), update_bytes)
         else:
             yield Versions(kind, tuple(map(_record, table.all_of_kind(kind))))
@@ -77,11 +81,14 @@
     return Compare(digests(table))
 
 
-def updates(items: Iterable[Item], update_bytes: int) -> Iterator[Update]:
-    """Items in messages of about this size at the most."""
+def updates(items: Iterable[Item], update_bytes: int) -> Iterator[Update | Announce]:
+    """Items in messages of about this size at the most; documents are announced."""
     batch: list[Item] = []
     size = 0
     for item in items:
+        if item.document is not None:
+            yield Announce(item.version.major, item.version.major)
+            continue
         length = len(item.payload) + len(item.key) + 16
         if batch and size + length > update_bytes:
             yield Update(tuple(batch))
--- a/tests/data_plane_harness.py
+++ b/tests/data_plane_harness.py
@@ -18,7 +18,6 @@
 from canvasbeam.data_plane.configuration_view import ConfigurationView
 from canvasbeam.data_plane.dispatcher_settings import dispatcher_settings
 from canvasbeam.data_plane.ingress import Ingress
-from canvasbeam.data_plane.job_classes import classes_of
 from canvasbeam.data_plane.memory_budget import MemoryBudget
 from canvasbeam.data_plane.routes import Configuration
 from canvasbeam.data_plane.shutdown import Shutdown
@@ -304,7 +303,7 @@
             await worker.stop()
 
     def _on_configuration(self, configuration: Configuration) -> None:
-        self.carrier.change_classes(*classes_of(configuration))
+        self.carrier.change_configuration(configuration)
 
     def configure(self, **limits: int) -> None:
         self.generation += 1
--- a/tests/soft_state_invariants.py
+++ b/tests/soft_state_invariants.py
@@ -6,11 +6,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from functools import lru_cache
 
-from canvasbeam.cluster.items import ItemKind, Version
+from canvasbeam.cluster.items import Item, ItemKind, Version
 from canvasbeam.cluster.worker_items import worker_of
 from canvasbeam.control_state import Committed
 from canvasbeam.decide.replication.types import NO_EPOCH, Epoch, View, member_ip
@@ -44,6 +44,10 @@
     """A process adopted a configuration that is not newer than the one before."""
 
 
+class MixedConfiguration(Violation):
+    """A process adopted entries that are not those that were published under their version."""
+
+
 class AnswerWithoutContact(Violation):
     """A control node confirmed, refused or acknowledged something without contact with a majority."""
 
@@ -124,6 +128,7 @@
         self._electorates: list[Electorate] = []
         self._newest_electorates: list[Electorate] = []
         self.drained: list[Drained] = []
+        self.published: dict[Version, Mapping[str, bytes]] = {}
         world.watcher = self
 
     # --- events -------------------------------------------------------------------------------------
@@ -136,9 +141,10 @@
         """Whoever was the parent for a moment may have vouched."""
         self._observe_parent(process)
 
-    def on_adopted(self, process: Process, version: Version) -> None:
-        """Adoption is monotone within one life."""
-        check_adoption_is_monotone(process, version)
+    def on_adopted(self, process: Process, item: Item) -> None:
+        """Adoption is monotone within one life, and what is adopted is what was published."""
+        check_adoption_is_monotone(process, item.version)
+        check_adopted_as_published(self, process, item)
 
     def on_reply(self, call: Call, result: Committed | Failure) -> None:
         """Whoever confirms or refuses had contact since the call began."""
@@ -303,6 +309,14 @@
         raise AdoptionWentBack(f"{process.machine.name} adopted {version} after {process.adopted[-1]}")
 
 
+def check_adopted_as_published(watch: Invariants, process: Process, item: Item) -> None:
+    """The entries of a version are the same at all nodes: those of the control node that published it first."""
+    assert item.document is not None
+    entries = item.document.entries
+    if watch.published.setdefault(item.version, entries) != entries:
+        raise MixedConfiguration(f"{process.machine.name} adopted other entries as {item.version} than were published")
+
+
 def check_answered_in_contact(watch: Invariants, call: Call, result: Committed | Failure) -> None:
     """A node confirms or refuses only what it could confirm with a majority since the call began."""
     if isinstance(result, Failure) and result.code is not ResultCode.CONFIG_STALE_MATCH:
--- a/tests/soft_state_world.py
+++ b/tests/soft_state_world.py
@@ -146,7 +146,7 @@
     def on_reply(self, call: Call, result: Committed | Failure) -> None:
         """A call was answered."""
 
-    def on_adopted(self, process: Process, version: Version) -> None:
+    def on_adopted(self, process: Process, item: Item) -> None:
         """A process took a configuration."""
 
     def on_worker_acknowledged(self, process: ControlProcess) -> None:
@@ -159,6 +159,13 @@
         """Links or processes are about to change, or have just changed."""
 
 
+def configuration_of(order: str) -> dict[str, object]:
+    """A configuration some of whose items stay, change, come and go from order to order."""
+    drawn = random.Random(order)
+    items = [{"name": f"item-{number}", "value": drawn.randrange(3)} for number in range(12) if drawn.random() < 0.6]
+    return {"order": order, "routes": ROUTES, "items": items}
+
+
 def apply_order(state: ControlState, change: Change) -> ControlState | Failure:
     """Put a configuration on the generation that the order names; the same order again changes nothing."""
     if change.body in state.taken_orders:
@@ -170,7 +177,7 @@
         state,
         index=index,
         generation=state.generation + 1,
-        configuration={"order": change.body.decode("ascii"), "routes": ROUTES},
+        configuration=configuration_of(change.body.decode("ascii")),
         configuration_index=index,
         taken_orders=(*state.taken_orders, change.body),
     )
@@ -315,7 +322,7 @@
     def _on_items(self, items: Sequence[Item]) -> None:
         for item in items:
             if item.kind is ItemKind.CONFIGURATION:
-                self.world.watcher.on_adopted(self, item.version)
+                self.world.watcher.on_adopted(self, item)
                 self.adopted.append(item.version)
 
     def _own_member(self) -> NodeMember:
--- a/tests/test_control_program.py
+++ b/tests/test_control_program.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from canvasbeam.cluster.document import Document
 from canvasbeam.cluster.items import Item, ItemKind, ItemTable, Version
 from canvasbeam.cluster.member import Member
 from canvasbeam.control_plane.program import ControlPlane, main
@@ -130,7 +131,7 @@
     for _ in range(2):
         publisher.on_committed(configured)
     assert node.published == [
-        Item(ItemKind.CONFIGURATION, "current", Version(2), b'{"generation":7}'),
+        Item(ItemKind.CONFIGURATION, "current", Version(2), document=Document.of({"": b'{"generation":7}'})),
         Item(ItemKind.EVACUATIONS, "current", Version(3), b'["z1"]'),
     ]
     publisher.on_committed(ControlState(4, 7, {"generation": 7}, 2, (), 4))
--- /dev/null
+++ b/tests/test_documents.py
@@ -0,0 +1,404 @@
+"""Documents: their digests and deltas, and their travels over a network that loses, doubles and reorders."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from contextlib import ExitStack
+from dataclasses import dataclass, field, replace
+from unittest import mock
+
+import pytest
+
+from canvasbeam.cluster import codec
+from canvasbeam.cluster.document import Document, DocumentDelta
+from canvasbeam.cluster.items import Item, ItemKind, Version
+from canvasbeam.configuration_document import document_of, keys_of, route_key
+from canvasbeam.decide import document_sender
+from canvasbeam.decide.document_exchange import DocumentExchange
+from canvasbeam.decide.document_history import MOST_CHANGES, DocumentHistory
+from canvasbeam.decide.document_messages import (
+    Announce,
+    DocumentMessage,
+    DocumentPiece,
+    DocumentRequest,
+    TransferId,
+)
+from canvasbeam.decide.document_receiver import PATIENCE, DocumentReceiver, HeldDocument, _Collected
+from canvasbeam.decide.document_sender import DocumentSender
+from canvasbeam.runtime.settings import Address
+
+PARENT = Address("10.0.0.1", 7660)
+OTHER = Address("10.0.0.2", 7660)
+
+
+def document(**entries: str) -> Document:
+    return Document.of({key: value.encode() for key, value in entries.items()})
+
+
+def edited(chance: random.Random, before: Document) -> Document:
+    """A document with a few entries changed, added and taken out."""
+    entries = dict(before.entries)
+    for _ in range(chance.randrange(1, 5)):
+        key = f"key-{chance.randrange(20)}"
+        if chance.random() < 0.3:
+            entries.pop(key, None)
+        else:
+            entries[key] = bytes([chance.randrange(4)])
+    return Document.of(entries)
+
+
+# --- documents ------------------------------------------------------------------------------------------------------
+
+
+def test_a_delta_leads_to_the_same_document_and_digest() -> None:
+    chance = random.Random(1)
+    held = Document()
+    for _ in range(300):
+        wanted = edited(chance, held)
+        keys = wanted.changed_keys(held)
+        assert keys == {
+            key for key in held.entries.keys() | wanted.entries.keys()
+            if held.entries.get(key) != wanted.entries.get(key)
+        }  # fmt: skip
+        held = held.apply(wanted.delta_of(keys))
+        assert held == wanted
+
+
+def test_keys_and_values_do_not_run_into_each_other() -> None:
+    assert document(ab="c").digest != document(a="bc").digest
+    assert document(a="x", b="y").digest != document(a="y", b="x").digest
+
+
+def test_a_configuration_has_an_entry_for_each_named_item() -> None:
+    route = {"name": "r", "host": "A.example", "prefix": "/a/", "service": "s"}
+    configuration = {"generation": 3, "routes": [route], "services": [{"name": "s"}], "limits": {"max_body_bytes": 9}}
+    made = document_of(configuration)
+    assert list(keys_of(made, "routes")) == [route_key("a.example", "/a/")]
+    assert len(made.entries) == 3
+    changed = document_of({**configuration, "generation": 4, "routes": []}, made)
+    assert changed.changed_keys(made) == {"", route_key("a.example", "/a/")}
+    assert next(iter(keys_of(changed, "services"))) in changed.entries
+
+
+# --- history --------------------------------------------------------------------------------------------------------
+
+
+def test_a_history_merges_the_changes_since_a_base() -> None:
+    history = DocumentHistory()
+    steps = [document(a="1"), document(a="1", b="1"), document(a="2", b="1"), document(b="1")]
+    for number, (old, new) in enumerate(zip(steps, steps[1:], strict=False)):
+        history.note(Version(number), old, Version(number + 1), new)
+    assert history.keys_since(Version(2)) == frozenset({"a"})
+    assert history.keys_since(Version(0)) == frozenset({"a", "b"})
+    assert history.keys_since(Version(7)) is None
+
+
+def test_a_history_is_bounded() -> None:
+    history = DocumentHistory()
+    for number in range(2 * MOST_CHANGES):
+        history.note(Version(number), document(a=str(number)), Version(number + 1), document(a=str(number + 1)))
+    assert history.keys_since(Version(MOST_CHANGES - 1)) is None
+    assert history.keys_since(Version(MOST_CHANGES)) == frozenset({"a"})
+
+
+# --- sender and receiver --------------------------------------------------------------------------------------------
+
+
+def sender_with(*documents: Document) -> DocumentSender:
+    sender = DocumentSender()
+    for number, each in enumerate(documents, 1):
+        sender.hold(Version(number), each)
+    return sender
+
+
+def test_who_holds_a_known_base_is_sent_what_changed_since() -> None:
+    sender = sender_with(document(a="1", b="1"), document(a="1", b="2"), document(b="2"))
+    piece = sender.answer(DocumentRequest(Version(1)))
+    assert piece is not None
+    assert piece.transfer == TransferId(Version(3), Version(1))
+    assert piece.delta == DocumentDelta({"b": b"2"}, ("a",))
+    assert sender.answer(DocumentRequest(Version(3))) is None
+
+
+def test_who_holds_an_unknown_base_or_none_is_sent_the_whole() -> None:
+    sender = sender_with(document(a="1"), document(a="2"))
+    for held in (None, Version(0, 5)):
+        piece = sender.answer(DocumentRequest(held))
+        assert piece is not None
+        assert piece.transfer == TransferId(Version(2))
+        assert piece.delta == DocumentDelta({"a": b"2"})
+
+
+def test_a_large_document_goes_in_pieces_of_bounded_size() -> None:
+    large = Document.of({f"key-{number}": bytes(20_000) for number in range(20)})
+    sender, receiver = sender_with(large), DocumentReceiver()
+    request = receiver.on_offer(0, PARENT, Version(1))
+    pieces, taken = 0, None
+    while request is not None:
+        piece = sender.answer(request)
+        assert piece is not None
+        assert sum(map(len, piece.delta.changed.values())) <= document_sender.PIECE_BYTES
+        received = receiver.on_piece(pieces, PARENT, piece)
+        request, taken = received.request, received.document
+        pieces += 1
+    assert pieces == 5
+    assert taken == HeldDocument(Version(1), large)
+
+
+def test_a_transfer_that_was_begun_is_finished_after_the_document_changed() -> None:
+    large = Document.of({f"key-{number}": bytes(50_000) for number in range(4)})
+    sender, receiver = sender_with(large), DocumentReceiver()
+    request = receiver.on_offer(0, PARENT, Version(1))
+    assert request is not None
+    first = sender.answer(request)
+    assert first is not None
+    sender.hold(Version(2), document(a="1"))
+    assert receiver.on_offer(0, PARENT, Version(2)) is None
+    following = receiver.on_piece(0, PARENT, first).request
+    assert following is not None
+    last = sender.answer(following)
+    while last is not None and last.piece + 1 < last.pieces:
+        following = receiver.on_piece(0, PARENT, last).request
+        assert following is not None
+        last = sender.answer(following)
+    assert last is not None
+    received = receiver.on_piece(0, PARENT, last)
+    assert received.document == HeldDocument(Version(1), large)
+    assert received.request == DocumentRequest(Version(1))
+
+
+def test_a_wrong_digest_is_followed_by_the_whole() -> None:
+    sender, receiver = sender_with(document(a="1"), document(a="2")), DocumentReceiver()
+    receiver.hold(Version(1), document(a="1"))
+    request = receiver.on_offer(0, PARENT, Version(2))
+    assert request == DocumentRequest(Version(1))
+    piece = sender.answer(request)
+    assert piece is not None
+    received = receiver.on_piece(0, PARENT, replace(piece, digest=piece.digest + 1))
+    assert received.document is None
+    assert received.request == DocumentRequest(None)
+    assert receiver.mismatches == 1
+    whole = sender.answer(received.request)
+    assert whole is not None
+    assert receiver.on_piece(0, PARENT, whole).document == HeldDocument(Version(2), document(a="2"))
+
+
+def test_a_lost_piece_is_asked_for_again_after_a_while() -> None:
+    receiver = DocumentReceiver()
+    assert receiver.on_offer(0, PARENT, Version(1)) is not None
+    assert receiver.on_offer(PATIENCE - 1, OTHER, Version(1)) is None
+    assert receiver.on_offer(PATIENCE, OTHER, Version(1)) is not None
+
+
+def test_a_sender_that_is_gone_is_not_waited_for() -> None:
+    receiver = DocumentReceiver()
+    receiver.on_offer(0, PARENT, Version(1))
+    receiver.on_disconnected(PARENT)
+    assert receiver.on_offer(1, OTHER, Version(1)) is not None
+
+
+def test_the_number_of_the_newest_travels_ahead() -> None:
+    exchange = DocumentExchange()
+    assert exchange.note_newest(4) == Announce(0, 4)
+    assert exchange.note_newest(4) is None
+    assert exchange.is_behind
+    exchange.on_items([Item(ItemKind.CONFIGURATION, "current", Version(4), document=document(a="1"))])
+    assert not exchange.is_behind
+
+
+def test_who_announces_an_older_one_is_told_of_the_newer_and_no_circle_begins() -> None:
+    exchange = DocumentExchange()
+    exchange.on_items([Item(ItemKind.CONFIGURATION, "current", Version(4), document=document(a="1"))])
+    assert exchange.on_offer(0, PARENT, Announce(3, 3)) == (Announce(4, 4),)
+    assert exchange.on_offer(0, PARENT, Announce(3, 4)) == ()
+    assert exchange.on_offer(0, PARENT, Announce(4, 4)) == ()
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        Announce(3, 5),
+        DocumentRequest(None),
+        DocumentRequest(Version(3, 1), TransferId(Version(4), Version(3, 1)), 2),
+        DocumentPiece(TransferId(Version(4)), 0, 3, 12345, DocumentDelta({"a\0b": b"1" * 5000}, ("c",))),
+        DocumentPiece(TransferId(Version(4), Version(2)), 2, 3, 1 << 127, DocumentDelta({})),
+    ],
+)
+def test_messages_survive_their_encoding(message: DocumentMessage) -> None:
+    assert codec.decode(codec.encode(message)) == message
+
+
+# --- a model: nodes in a chain, and every fault of the links between them --------------------------------------------
+
+
+@dataclass
+class Node:
+    """A node that holds the document, and the way to it."""
+
+    exchange: DocumentExchange = field(default_factory=DocumentExchange)
+    held: HeldDocument | None = None
+    adopted: list[Version] = field(default_factory=list)
+
+    def hold(self, held: HeldDocument) -> None:
+        self.held = held
+        self.adopted.append(held.version)
+        self.exchange.on_items([Item(ItemKind.CONFIGURATION, "current", held.version, document=held.document)])
+
+
+class Mixture(AssertionError):
+    """A node holds what was never published, or went back."""
+
+
+class Chain:
+    """A source, which edits its document, and nodes that have it from each other."""
+
+    def __init__(self, seed: int, length: int = 3) -> None:
+        self.chance = random.Random(seed)
+        self.now = 0
+        self.nodes = [Node() for _ in range(length)]
+        self.published: dict[Version, Document] = {}
+        self.ways: list[tuple[int, int, DocumentMessage]] = []
+
+    def run(self, steps: int) -> None:
+        for _ in range(steps):
+            self.step(trouble=True)
+        for _ in range(400):
+            self.step(trouble=False)
+        newest = max(self.published)
+        if any(node.held is None or node.held.version != newest for node in self.nodes):
+            raise Mixture("the newest document is not everywhere after all trouble")
+
+    def step(self, trouble: bool) -> None:
+        self.now += PATIENCE // 20
+        chance = self.chance
+        if trouble and chance.random() < 0.15 or not self.published:
+            self.publish()
+        if trouble and chance.random() < 0.02:
+            self.nodes[chance.randrange(1, len(self.nodes))] = Node()  # a process restarts and holds nothing
+        for number, node in enumerate(self.nodes[:-1]):
+            if node.held is not None and chance.random() < 0.3:
+                self.send(number, number + 1, Announce(node.held.version.major, node.exchange.newest), trouble)
+        for _ in range(chance.randrange(6) if trouble else len(self.ways)):
+            if self.ways:
+                self.deliver(self.ways.pop(chance.randrange(len(self.ways)) if trouble else 0), trouble)
+
+    def publish(self) -> None:
+        source = self.nodes[0]
+        before = source.held.document if source.held is not None else Document()
+        version = Version(len(self.published) + 1)
+        self.published[version] = edited(self.chance, before)
+        source.hold(HeldDocument(version, self.published[version]))
+
+    def send(self, source: int, target: int, message: DocumentMessage, trouble: bool) -> None:
+        copies = self.chance.choice((0, 1, 1, 1, 2)) if trouble else 1
+        self.ways += [(source, target, message)] * copies
+
+    def deliver(self, way: tuple[int, int, DocumentMessage], trouble: bool) -> None:
+        source, target, message = way
+        node, sender = self.nodes[target], Address(f"10.0.0.{source}", 1)
+        match message:
+            case Announce():
+                for answer in node.exchange.on_offer(self.now, sender, message):
+                    self.send(target, source, answer, trouble)
+            case DocumentRequest():
+                piece = node.exchange.on_request(message)
+                if piece is not None:
+                    self.send(target, source, piece, trouble)
+            case DocumentPiece():
+                received = node.exchange.on_piece(self.now, sender, message)
+                if received.document is not None:
+                    self.adopt(node, received.document)
+                if received.request is not None:
+                    self.send(target, source, received.request, trouble)
+
+    def adopt(self, node: Node, held: HeldDocument) -> None:
+        if node.adopted and held.version <= node.adopted[-1]:
+            raise Mixture(f"{held.version} after {node.adopted[-1]}")
+        if self.published.get(held.version) != held.document:
+            raise Mixture(f"{held.version} is not what was published")
+        node.hold(held)
+
+
+@pytest.fixture
+def small_pieces() -> object:
+    with mock.patch.object(document_sender, "PIECE_BYTES", 16) as patched:
+        yield patched
+
+
+@pytest.mark.usefixtures("small_pieces")
+@pytest.mark.parametrize("seed", range(60))
+def test_no_node_ever_holds_a_mixture_and_all_get_the_newest(seed: int) -> None:
+    Chain(seed).run(300)
+
+
+def unchecked(self: DocumentReceiver, collected: _Collected, digest: int) -> HeldDocument:
+    """What came is put on whatever is held."""
+    base = self._held.document if self._held is not None and collected.transfer.base is not None else Document()
+    delta = DocumentDelta(collected.changed, tuple(collected.removed))
+    return HeldDocument(collected.transfer.version, base.apply(delta))
+
+
+REAL_COLLECT = DocumentReceiver._collect
+
+
+def collect_in_any_order(self: DocumentReceiver, waiting: object, piece: DocumentPiece) -> object:
+    """Each piece counts as the one that is waited for."""
+    number = getattr(waiting, "number", 0)
+    return REAL_COLLECT(self, waiting, replace(piece, piece=number))  # type: ignore[arg-type]
+
+
+REAL_ANSWER = DocumentSender.answer
+
+
+def delta_from_any_base(self: DocumentSender, request: DocumentRequest) -> DocumentPiece | None:
+    """The last change is sent to whoever holds anything."""
+    piece = REAL_ANSWER(self, request)
+    if piece is None or request.held is None or not self._history._changes:
+        return piece
+    delta = self._document.delta_of(sorted(self._history._changes[-1].keys))
+    return DocumentPiece(TransferId(piece.transfer.version, request.held), 0, 1, piece.digest, delta)
+
+
+def never_the_whole(self: DocumentReceiver) -> Version | None:
+    """A delta is asked for, whatever the last one was worth."""
+    return None if self._held is None else self._held.version
+
+
+def take_older(self: DocumentReceiver, version: Version) -> bool:
+    """Any version is as good as the one held."""
+    return True
+
+
+PLANTS: dict[str, list[tuple[object, str, Callable[..., object]]]] = {
+    "the digest is not looked at, and deltas are from the wrong base": [
+        (DocumentReceiver, "_assemble", unchecked),
+        (DocumentSender, "answer", delta_from_any_base),
+    ],
+    "pieces are taken in any order, without a digest": [
+        (DocumentReceiver, "_collect", collect_in_any_order),
+        (DocumentReceiver, "_assemble", unchecked),
+    ],
+    "the whole is never asked for": [
+        (DocumentReceiver, "_base", never_the_whole),
+        (DocumentSender, "answer", delta_from_any_base),
+    ],
+    "an older version is taken": [(DocumentReceiver, "_lacks", take_older)],
+}
+
+
+@pytest.mark.usefixtures("small_pieces")
+@pytest.mark.parametrize("name", PLANTS)
+def test_the_model_finds_a_planted_fault(name: str) -> None:
+    with ExitStack() as stack:
+        for owner, attribute, broken in PLANTS[name]:
+            stack.enter_context(mock.patch.object(owner, attribute, broken))
+        assert any(is_found(seed) for seed in range(60))
+
+
+def is_found(seed: int) -> bool:
+    try:
+        Chain(seed).run(300)
+    except Mixture:
+        return True
+    return False
--- a/tests/test_replication_codec.py
+++ b/tests/test_replication_codec.py
@@ -6,8 +6,8 @@
 
 import pytest
 
+from canvasbeam.cluster.compression import LEAST_BYTES, pack, unpack
 from canvasbeam.control_plane.changes import apply, decode_state, encode_state
-from canvasbeam.control_plane.compression import LEAST_BYTES, pack, unpack
 from canvasbeam.control_plane.member_records import MAX_CHANGES, Loaded, RecordWriter, load_member
 from canvasbeam.control_plane.replication_codec import Received, ReplicationCodec
 from canvasbeam.control_state import Change, ChangeKind, ControlState
--- a/tests/test_soft_state_explorer.py
+++ b/tests/test_soft_state_explorer.py
@@ -8,7 +8,7 @@
 
 import os
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import AbstractContextManager, ExitStack
 from dataclasses import dataclass
 from unittest import mock
@@ -16,7 +16,8 @@
 import pytest
 
 from canvasbeam.cluster import items
-from canvasbeam.cluster.items import Item, ItemKind, ItemTable
+from canvasbeam.cluster.document import Document, DocumentDelta
+from canvasbeam.cluster.items import Item, ItemKind, ItemTable, Version
 from canvasbeam.cluster.member import Member
 from canvasbeam.cluster.member_list import MemberList
 from canvasbeam.control_plane.registry import RegistryService
@@ -25,6 +26,8 @@
 from canvasbeam.decide import reconcile
 from canvasbeam.decide.distribution import Distribution
 from canvasbeam.decide.distribution_messages import LeaseGrant, Message
+from canvasbeam.decide.document_history import DocumentHistory
+from canvasbeam.decide.document_receiver import DocumentReceiver, HeldDocument, _Collected
 from canvasbeam.decide.parent_link import ParentLink
 from canvasbeam.decide.peer_clock import PeerClocks, SendTime
 from canvasbeam.decide.replication.messages import Action, Reply
@@ -39,6 +42,7 @@
     DrainedWorkerInUse,
     EmptyDirectory,
     EndedNodeNamed,
+    MixedConfiguration,
     OldConfiguration,
     Violation,
     VouchedWithoutContact,
@@ -202,6 +206,26 @@
     return [Reply(call, Committed(self._replica.state_at(self._committed)))]
 
 
+def assemble_unchecked(self: DocumentReceiver, collected: _Collected, digest: int) -> HeldDocument:
+    """What came is put on whatever is held."""
+    base = self._held.document if self._held is not None and collected.transfer.base is not None else Document()
+    delta = DocumentDelta(collected.changed, tuple(collected.removed))
+    return HeldDocument(collected.transfer.version, base.apply(delta))
+
+
+REAL_DELTA_OF = Document.delta_of
+
+
+def delta_without_removals(self: Document, keys: Iterable[str]) -> DocumentDelta:
+    """What was taken out is not told."""
+    return DocumentDelta(REAL_DELTA_OF(self, keys).changed)
+
+
+def keys_of_last_change(self: DocumentHistory, base: Version) -> frozenset[str] | None:
+    """The history takes any base for the one before the last change."""
+    return self._changes[-1].keys if self._changes else None
+
+
 Plant = Callable[[], AbstractContextManager[object]]
 
 
@@ -244,6 +268,21 @@
         (plant(ItemTable, "_take", take_any_version),),
         AdoptionWentBack,
     ),
+    "removals that are not told, and no digest": Fault(
+        (
+            plant(Document, "delta_of", delta_without_removals),
+            plant(DocumentReceiver, "_assemble", assemble_unchecked),
+        ),
+        MixedConfiguration,
+    ),
+    "a history that forgets, and no digest": Fault(
+        (
+            plant(DocumentHistory, "keys_since", keys_of_last_change),
+            plant(DocumentReceiver, "_assemble", assemble_unchecked),
+        ),
+        MixedConfiguration,
+        (trouble.any_sides_are_cut, trouble.a_process_stands_still),
+    ),
     "a directory that ignores suspicions": Fault(
         (plant(MemberList, "alive", list_everybody), plant(MemberList, "_forget", lambda self, key: None)),
         EndedNodeNamed,
