--- a/canvasbeam/cli/programs.py
+++ b/canvasbeam/cli/programs.py
@@ -14,13 +14,15 @@
 
 @click.command("data-plane", epilog=TABLE)
 @click.option("--settings", type=click.Path(dir_okay=False), help=SETTINGS_HELP)
-def data_plane(settings: str | None) -> None:
+@click.option("--metrics", metavar="PORT/PATH", help="Serve the metrics there; `listen.metrics` goes before it.")
+def data_plane(settings: str | None, metrics: str | None) -> None:
     """Run one data-plane process until SIGTERM: clients in front, workers behind.
 
     \b
     Example:
       canvasbeam data-plane --settings example/system/edge-1.toml
     """
+    del metrics  # the program reads it from the command line itself, which starts it without click
     use_settings(settings)
     run_data_plane()
 
--- a/canvasbeam/cli/system.py
+++ b/canvasbeam/cli/system.py
@@ -14,6 +14,7 @@
 
 from canvasbeam.cli.codes import TABLE, Code
 from canvasbeam.cli.commands import fail, guarded
+from canvasbeam.cli.explain import explain
 
 CONTROL_VARIABLE = "CANVASBEAM_CONTROL"
 DEFAULT_TIMEOUT_S = 10.0
@@ -36,6 +37,9 @@
     """
 
 
+system.add_command(explain)
+
+
 def control_options(command: Callable[..., Any]) -> Callable[..., Any]:
     """The options of every command that calls the system."""
 
--- a/canvasbeam/data_plane/__main__.py
+++ b/canvasbeam/data_plane/__main__.py
@@ -3,10 +3,22 @@
 import gc
 import sys
 
+METRICS_OPTION = "--metrics"
+
+
+def metrics_port(arguments: list[str]) -> int | None:
+    """The port of `--metrics PORT/PATH`, the form that deploy files use; every path is answered."""
+    if METRICS_OPTION not in arguments:
+        return None
+    return int(arguments[arguments.index(METRICS_OPTION) + 1].partition("/")[0])
+
 
 def main() -> int:
     """Listen, import the program without collecting garbage, of which imports leave hardly any, and run it."""
     gc.disable()
+    from canvasbeam.runtime.unused_imports import leave_out_unused  # noqa: PLC0415
+
+    leave_out_unused()
     from canvasbeam.runtime.listeners import open_listeners  # noqa: PLC0415
 
     listeners = open_listeners(("front",))
@@ -14,7 +26,7 @@
 
     gc.freeze()
     gc.enable()
-    return program.main(listeners)
+    return program.main(listeners, metrics_port(sys.argv[1:]))
 
 
 if __name__ == "__main__":
--- a/canvasbeam/data_plane/carrier.py
+++ b/canvasbeam/data_plane/carrier.py
@@ -17,6 +17,7 @@
 from canvasbeam.data_plane.health_check import check_health
 from canvasbeam.data_plane.job_classes import RouteClasses, prompt_of
 from canvasbeam.data_plane.open_requests import Attempt, Job, ListedWorker, OpenRequest
+from canvasbeam.data_plane.outcome_recorder import OutcomeRecorder
 from canvasbeam.data_plane.request_table import RequestTable
 from canvasbeam.data_plane.requests import RETRY_LATER_NS, AnswerState, ClientRequest
 from canvasbeam.data_plane.routes import Configuration
@@ -52,6 +53,7 @@
         make_dispatcher: DispatcherFactory,
         connections: WorkerConnections,
         clock: Callable[[], int] = monotonic_ns,
+        outcomes: OutcomeRecorder | None = None,
     ) -> None:
         self._make_dispatcher = make_dispatcher
         self._dispatcher = make_dispatcher()
@@ -61,7 +63,8 @@
         self._events: list[ci.Event] = []
         self._pass_due = False
         self._jobs: dict[str, Job] = {}
-        self._requests = RequestTable(clock, self._stop_jobs, self._start)
+        self._outcomes = outcomes or OutcomeRecorder("", clock)
+        self._requests = RequestTable(clock, self._stop_jobs, self._start, self._outcomes.ended)
         self._numbers = 0
         self._workers: dict[str, ListedWorker] = {}
         self._classes = RouteClasses()
@@ -199,6 +202,7 @@
             return
         attempt = Attempt(job, len(job.attempts), worker, self.now_ns())
         job.attempts.append(attempt)
+        self._outcomes.sent(attempt, self._workers.get(worker))
         if not self._may_write(attempt):
             self._end_attempt(attempt, Outcome.MOOT)
             return
@@ -270,7 +274,8 @@
             pool.release(connection)
             self._end_attempt(attempt, Outcome.MOOT)
             return
-        forwarder = StreamForwarder(request, lambda: self._on_stream_opened(attempt))
+        self._outcomes.written(request)
+        forwarder = StreamForwarder(request, lambda: self._on_stream_opened(attempt), self._outcomes.answered)
         exchange = Exchange(connection, worker_request(request, attempt.worker, self.now_ns()), forwarder)
         attempt.connection, attempt.exchange = connection, exchange
         request.sent += 1
@@ -297,6 +302,7 @@
         elif result.answer is not None and result.outcome in (Outcome.OK, Outcome.MOOT):
             self._end_attempt(attempt, result.outcome, final=True)
             if request.answer.state is AnswerState.WAITING:
+                self._outcomes.answered(request)
                 await request.answer.send_whole(result.answer)
                 self._count_served(request)
             else:
--- a/canvasbeam/data_plane/ingress.py
+++ b/canvasbeam/data_plane/ingress.py
@@ -67,6 +67,7 @@
         generator: random.Random,
         *,
         may_deny: Callable[[], bool] = lambda: True,
+        on_denied: Callable[[ResultCode], None] = lambda code: None,
     ) -> None:
         self._memory = memory
         self._view = view
@@ -74,6 +75,7 @@
         self._shutdown = shutdown
         self._random = generator
         self._may_deny = may_deny
+        self._on_denied = on_denied
 
     async def __call__(self, scope: MutableMapping[str, Any], receive: Receive, send: Send) -> None:
         """Serve one request."""
@@ -95,11 +97,13 @@
         request = await self._read_request(scope, _BodyReader(receive, held), answer, arrived_ns)
         if isinstance(request, Failure):
             request = self._undeniable(request)
+            self._on_denied(request.code)
             await answer.send_whole(own_answer(request, close=request.code in CLOSING_CODES))
             return
         due_ns = self._shutdown.due(request)
         if due_ns is None:
             failure = Failure(ResultCode.REQUEST_REFUSED, "this node ends before it could answer")
+            self._on_denied(failure.code)
             await answer.send_whole(own_answer(failure, COME_BACK_AT_ONCE_NS, close=True))
             return
         request.due_ns = due_ns
--- /dev/null
+++ b/canvasbeam/data_plane/outcome_recorder.py
@@ -0,0 +1,82 @@
+"""Notes the moments of each request as it passes through the carrier, and counts its outcome at the end."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from canvasbeam.data_plane.open_requests import Attempt, ListedWorker
+from canvasbeam.data_plane.outcomes import (
+    Aims,
+    Cause,
+    Ending,
+    Outcome,
+    OutcomeCounters,
+    Ring,
+    outcome_of,
+)
+from canvasbeam.data_plane.requests import AnswerState, ClientRequest
+from canvasbeam.errors import ResultCode
+
+UNROUTED = "unrouted"  # the class of requests that ended before they had one
+
+Expectation = Callable[[str, str], int]
+"""Nanoseconds from a job's send to a worker until its first answer, as expected then; 0 where nothing was."""
+
+
+def nothing_expected(worker: str, job: str) -> int:
+    """For processes that expect nothing of workers."""
+    return 0
+
+
+@dataclass(slots=True)
+class OutcomeRecorder:
+    """The only writer of a process's counters of outcomes."""
+
+    own_region: str
+    now_ns: Callable[[], int]
+    expected: Expectation = nothing_expected
+    counters: OutcomeCounters = field(default_factory=OutcomeCounters)
+
+    def sent(self, attempt: Attempt, worker: ListedWorker | None) -> None:
+        """The dispatcher sends a job to a worker."""
+        request = attempt.job.request
+        times = request.times
+        times.last_sent_ns = attempt.began_ns
+        times.first_sent_ns = times.first_sent_ns or attempt.began_ns
+        times.expected_ns = self.expected(attempt.worker, attempt.job.name)
+        if worker is not None:
+            is_own = worker.entry.zone == self.own_region
+            request.ring = Ring.OWN_REGION if is_own else Ring.OTHER_REGION
+
+    def written(self, request: ClientRequest) -> None:
+        """A connection to the worker is there."""
+        request.times.written_ns = self.now_ns()
+
+    def answered(self, request: ClientRequest) -> None:
+        """Bytes of a worker's answer go to the client."""
+        request.times.note_event(self.now_ns())
+
+    def ended(self, request: ClientRequest) -> None:
+        """Nothing is owed to the client any more."""
+        state = request.answer.state
+        ending = Ending(
+            request.own_code,
+            is_complete=state is AnswerState.COMPLETE and request.own_code is ResultCode.OK,
+            has_client_left=state is AnswerState.CLIENT_GONE,
+        )
+        aims = Aims(request.route.target_ns, request.route.gap_aim_ns if request.route.streams else 0)
+        outcome = outcome_of(
+            request.times,
+            aims,
+            ending,
+            self.now_ns(),
+            job_class=request.job_class,
+            ring=request.ring,
+            attempts=request.sent,
+        )
+        self.counters.count(outcome)
+
+    def ended_unrouted(self, code: ResultCode) -> None:
+        """This node answered a request that had no route, or that it does not take."""
+        self.counters.count(Outcome(UNROUTED, Ring.NONE, Cause.REFUSED, code, 0, 0, 0, 0, 0))
--- a/canvasbeam/data_plane/program.py
+++ b/canvasbeam/data_plane/program.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from contextlib import suppress
 
 from canvasbeam.choice import Dispatcher
@@ -15,6 +15,8 @@
 from canvasbeam.data_plane.dispatcher_settings import dispatcher_settings, engine_expectations, engines
 from canvasbeam.data_plane.ingress import Ingress
 from canvasbeam.data_plane.memory_budget import MEGABYTE, MemoryBudget
+from canvasbeam.data_plane.metrics import MetricsApp, gauge_lines, outcome_lines
+from canvasbeam.data_plane.outcome_recorder import OutcomeRecorder
 from canvasbeam.data_plane.placement_notices import PlacementNotices
 from canvasbeam.data_plane.readiness import ReadinessApp
 from canvasbeam.data_plane.routes import Configuration
@@ -27,7 +29,7 @@
 from canvasbeam.runtime.http_server import HttpLimits, HttpServer
 from canvasbeam.runtime.listeners import Listeners
 from canvasbeam.runtime.process import LEAVE_FLUSH_S, run_process, run_until_terminated
-from canvasbeam.runtime.settings import ProcessSettings
+from canvasbeam.runtime.settings import Address, ProcessSettings
 
 EXPECTED_NODES = 4  # at the least: members are heard of one after the other
 CLIENT_DESCRIPTORS = 0.65  # of all; the rest is for workers, other nodes and files
@@ -43,7 +45,9 @@
 class DataPlane:
     """All parts of one data-plane node."""
 
-    def __init__(self, settings: ProcessSettings, listeners: Listeners | None = None) -> None:
+    def __init__(
+        self, settings: ProcessSettings, listeners: Listeners | None = None, metrics: Address | None = None
+    ) -> None:
         self._settings = settings
         self._cluster = ClusterNode(settings, is_control=False)
         self._connections = WorkerConnections()
@@ -51,7 +55,8 @@
         self._shared = SharedLimits(self._limits, self._cluster.table, self._cluster.members, monotonic_ns)
         self._engines = engine_expectations(settings)
         self._notices = PlacementNotices(self._cluster, self._engines, settings.node, settings.region)
-        self._carrier = Carrier(self._make_dispatcher, self._connections)
+        self._outcomes = OutcomeRecorder(settings.region, monotonic_ns, self._engines.expected_ns)
+        self._carrier = Carrier(self._make_dispatcher, self._connections, outcomes=self._outcomes)
         self._view = ConfigurationView(self._cluster.table)
         self._shutdown = Shutdown(settings, self._carrier.now_ns)
         self._carrier.on_served = self._shutdown.served
@@ -69,10 +74,19 @@
         self._readiness_changed = asyncio.Event()
         self._cluster.table.add_listener(self._on_items)
         memory = MemoryBudget(round(settings.limits.memory_mb * BODY_MEMORY * MEGABYTE))
-        ingress = Ingress(self._view, self._carrier, self._shutdown, memory, random.Random(), may_deny=self._may_deny)
+        ingress = Ingress(
+            self._view,
+            self._carrier,
+            self._shutdown,
+            memory,
+            random.Random(),
+            may_deny=self._may_deny,
+            on_denied=self._outcomes.ended_unrouted,
+        )
         first_limits = HttpLimits(max_header_bytes=LEAST_HEADER_BYTES)
         self._front = HttpServer(ingress, settings.listen["front"], first_limits, (listeners or {}).get("front"))
         self._ready = HttpServer(ReadinessApp(self.is_ready), settings.listen["ready"])
+        self._metrics = HttpServer(MetricsApp(self._metric_lines), metrics) if metrics is not None else None
 
     def _make_dispatcher(self) -> Dispatcher:
         seed = random.randrange(1 << 30)
@@ -96,6 +110,18 @@
         self._engines.engines(engines(configuration.services))
         self._carrier.change_configuration(configuration)
 
+    def _metric_lines(self) -> Iterator[str]:
+        """The figures of this process as text."""
+        yield from outcome_lines(self._outcomes.counters)
+        yield from gauge_lines(
+            {
+                "open_requests": self._carrier.open_requests,
+                "live_workers": self._carrier.live_workers,
+                "configuration_generation": self._view.current.generation if self._view.current else 0,
+                "configuration_is_behind": self._cluster.is_behind,
+            }
+        )
+
     def _may_deny(self) -> bool:
         """Whether this node may say that there is no such route: no newer configuration than its own is known of."""
         return self._cluster.has_majority() and not self._cluster.is_behind
@@ -111,7 +137,7 @@
 
     async def start(self) -> Failure | None:
         """Listen and join the cluster."""
-        for server in (self._ready, self._front):
+        for server in (self._ready, self._front, *self._optional_servers()):
             failure = await server.start()
             if failure is not None:
                 return failure
@@ -123,6 +149,9 @@
         self._telling = asyncio.ensure_future(self.tell_readiness())
         return None
 
+    def _optional_servers(self) -> tuple[HttpServer, ...]:
+        return () if self._metrics is None else (self._metrics,)
+
     async def tell_readiness(self) -> None:
         """Keep the cluster informed of whether this node is ready."""
         while not self._shutdown.begun:
@@ -152,15 +181,19 @@
         await asyncio.sleep(LEAVE_FLUSH_S)
         await self._cluster.stop()
         await self._front.close()
-        await self._ready.close()
+        for server in (self._ready, *self._optional_servers()):
+            await server.close()
         self._connections.close()
 
 
-async def run(settings: ProcessSettings, listeners: Listeners | None = None) -> int:
-    """Run one data-plane node until it is told to end."""
-    return await run_until_terminated(DataPlane(settings, listeners), settings)
+async def run(settings: ProcessSettings, listeners: Listeners | None = None, metrics_port: int | None = None) -> int:
+    """Run one data-plane node until it is told to end; the settings' address for metrics goes before the port."""
+    metrics = settings.listen.get("metrics")
+    if metrics is None and metrics_port is not None:
+        metrics = Address(settings.ip, metrics_port)
+    return await run_until_terminated(DataPlane(settings, listeners, metrics), settings)
 
 
-def main(listeners: Listeners | None = None) -> int:
+def main(listeners: Listeners | None = None, metrics_port: int | None = None) -> int:
     """The program."""
-    return run_process(lambda settings: run(settings, listeners))
+    return run_process(lambda settings: run(settings, listeners, metrics_port))
--- a/canvasbeam/data_plane/request_table.py
+++ b/canvasbeam/data_plane/request_table.py
@@ -30,10 +30,12 @@
         now_ns: Callable[[], int],
         stop_jobs: Callable[[OpenRequest], None],
         start: Callable[[Coroutine[Any, Any, None]], object],
+        on_closed: Callable[[ClientRequest], None],
     ) -> None:
         self._now_ns = now_ns
         self._stop_jobs = stop_jobs
         self._start = start
+        self._on_closed = on_closed
         self._loop = asyncio.get_running_loop()
         self._entries: dict[ClientRequest, OpenRequest] = {}
 
@@ -59,6 +61,7 @@
         if entry is not None:
             entry.timer.cancel()
             self._stop_jobs(entry)
+            self._on_closed(request)
 
     def fail(self, request: ClientRequest, come_back_ns: int = RETRY_LATER_NS) -> None:
         """End a request that no worker answers: with a promise where it is true, else with what is known."""
@@ -69,6 +72,7 @@
         if not out and not request.may_have_run:
             self.answer_own(request, ResultCode.REQUEST_REFUSED, "no worker could take it in time", come_back_ns)
         elif request.worker_failure is not None and not out:
+            request.own_code = ResultCode.REQUEST_FAILED
             self._answer(entry, request, request.worker_failure)
         elif out or self._now_ns() >= request.due_ns:
             self.answer_own(request, ResultCode.REQUEST_TIMED_OUT, "no answer came in time")
@@ -82,6 +86,7 @@
         entry = self._entries.get(request)
         if entry is None:
             return
+        request.own_code = code
         log.info("{}: {}", code.name.lower(), reason, extra={"request_id": request.identity.decode("latin-1")})
         self._answer(entry, request, own_answer(Failure(code, reason), come_back_ns))
 
--- a/canvasbeam/data_plane/requests.py
+++ b/canvasbeam/data_plane/requests.py
@@ -4,10 +4,11 @@
 
 import json
 from collections.abc import Awaitable, Callable, MutableMapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum, auto
 from typing import Any
 
+from canvasbeam.data_plane.outcomes import RequestTimes, Ring
 from canvasbeam.data_plane.routes import Route
 from canvasbeam.errors import Failure, ResultCode
 from canvasbeam.units import SECOND
@@ -167,6 +168,12 @@
     may_have_run: bool = False
     worker_failure: Answer | None = None  # a failure that a worker answered, to pass on if nothing better comes
     last_event_id: bytes | None = None  # of the last event passed on to the client
+    own_code: ResultCode = ResultCode.OK  # of this node's own answer, where it gave one
+    ring: Ring = Ring.NONE  # where the last worker stands
+    times: RequestTimes = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.times = RequestTimes(self.arrived_ns)
 
     @property
     def job_class(self) -> str:
--- a/canvasbeam/data_plane/streams.py
+++ b/canvasbeam/data_plane/streams.py
@@ -11,9 +11,12 @@
 class StreamForwarder:
     """Writes the events of one exchange to the client; what an earlier exchange had passed on is left out."""
 
-    def __init__(self, request: ClientRequest, on_opened: Callable[[], None]) -> None:
+    def __init__(
+        self, request: ClientRequest, on_opened: Callable[[], None], on_passed: Callable[[ClientRequest], None]
+    ) -> None:
         self._request = request
         self._on_opened = on_opened
+        self._on_passed = on_passed
 
     async def begin(self, status: int, headers: Headers) -> None:
         """Write the head, unless the stream goes on from an earlier worker's."""
@@ -25,6 +28,7 @@
         """Write the events that the client does not have."""
         fresh = [each for each in events if self._is_new(each)]
         if fresh:
+            self._on_passed(self._request)
             await self._request.answer.send_piece(b"".join(each.data for each in fresh))
 
     async def send_rest(self, data: bytes) -> None:
--- a/canvasbeam/decide/engine_model.py
+++ b/canvasbeam/decide/engine_model.py
@@ -202,6 +202,11 @@
         if self.on_sent is not None:
             self.on_sent(entry, prompt)
 
+    def expected_ns(self, worker: str, job: str) -> int:
+        """Nanoseconds from the send of a job until its first token, as expected at the send; 0 where nothing was."""
+        _, sent = self._sent(worker, job)
+        return round(sent.expected_ns) if sent is not None else 0
+
     def heard_sent(self, now: int, worker: str, prompt: PromptEstimate) -> None:
         """Another scheduler sent this prompt to the worker."""
         state = self._states.get(worker)
--- /dev/null
+++ b/tests/test_outcomes.py
@@ -0,0 +1,174 @@
+"""The outcome records of requests, their counters, the metrics' text and the table made of it."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from canvasbeam.cli.codes import Code
+from canvasbeam.cli.system import system
+from canvasbeam.data_plane.__main__ import metrics_port
+from canvasbeam.data_plane.metrics import MetricsApp, gauge_lines, outcome_lines
+from canvasbeam.data_plane.outcomes import (
+    MOST_LABELS,
+    Aims,
+    Cause,
+    Ending,
+    Outcome,
+    OutcomeCounters,
+    RequestTimes,
+    Ring,
+    outcome_of,
+)
+from canvasbeam.errors import ResultCode
+from canvasbeam.units import MILLISECOND
+from tests.data_plane_harness import DataPlaneUnderTest, ScriptedWorker
+from tests.test_data_plane_requests import run
+
+AIMS = Aims(1000 * MILLISECOND, 400 * MILLISECOND)
+COMPLETE = Ending(ResultCode.OK, is_complete=True)
+
+
+def times(*, sent: int = 1, written: int = 2, first: int = 100, expected: int = 90, pause: int = 0) -> RequestTimes:
+    """The moments of a request that arrived at 0, in milliseconds."""
+    return RequestTimes(
+        0,
+        first_sent_ns=sent * MILLISECOND,
+        last_sent_ns=sent * MILLISECOND,
+        written_ns=written * MILLISECOND,
+        first_answer_ns=first * MILLISECOND,
+        longest_pause_ns=pause * MILLISECOND,
+        expected_ns=expected * MILLISECOND,
+    )
+
+
+def cause(moments: RequestTimes, ending: Ending = COMPLETE, attempts: int = 1) -> Cause:
+    return outcome_of(
+        moments, AIMS, ending, 5000 * MILLISECOND, job_class="c", ring=Ring.OWN_REGION, attempts=attempts
+    ).cause
+
+
+@pytest.mark.parametrize(
+    ("moments", "wanted"),
+    [
+        (times(), Cause.IN_TIME),
+        (times(pause=401), Cause.LONG_PAUSE),
+        (times(first=1001, pause=500, expected=900), Cause.EXPECTED_LATE),
+        (times(sent=300, written=301, first=1200), Cause.WAITED_HERE),
+        (times(written=300, first=1200), Cause.SLOW_CONNECTION),
+        (times(first=1200, expected=300), Cause.WORKER_SLOWER),
+        (times(first=1200, expected=0), Cause.WORKER_SLOWER),
+        (times(first=1200, expected=1100), Cause.EXPECTED_LATE),
+    ],
+)
+def test_the_cause_is_the_first_step_that_took_too_long(moments: RequestTimes, wanted: Cause) -> None:
+    assert cause(moments) is wanted
+
+
+def test_a_second_attempt_is_a_cause_of_its_own() -> None:
+    moments = times(first=1300)
+    moments.last_sent_ns = 400 * MILLISECOND
+    assert cause(moments, attempts=2) is Cause.TRIED_AGAIN
+
+
+@pytest.mark.parametrize(
+    ("ending", "wanted"),
+    [
+        (Ending(ResultCode.REQUEST_REFUSED, is_complete=False), Cause.REFUSED),
+        (Ending(ResultCode.REQUEST_TIMED_OUT, is_complete=False), Cause.NO_ANSWER),
+        (Ending(ResultCode.REQUEST_FAILED, is_complete=False), Cause.BROKEN_OFF),
+        (Ending(ResultCode.OK, is_complete=False), Cause.BROKEN_OFF),
+        (Ending(ResultCode.OK, is_complete=False, has_client_left=True), Cause.CLIENT_LEFT),
+    ],
+)
+def test_a_request_without_a_whole_answer_says_why(ending: Ending, wanted: Cause) -> None:
+    assert cause(times(), ending) is wanted
+
+
+def test_pauses_are_measured_between_what_goes_to_the_client() -> None:
+    moments = RequestTimes(0)
+    for now in (5, 7, 20, 21):
+        moments.note_event(now)
+    assert (moments.first_answer_ns, moments.longest_pause_ns) == (5, 13)
+
+
+def test_the_number_of_labels_is_bounded() -> None:
+    counters = OutcomeCounters()
+    for number in range(MOST_LABELS + 50):
+        counters.count(Outcome(f"class-{number}", Ring.NONE, Cause.REFUSED, ResultCode.OK, 0, 0, 0, 0, 0))
+    labels = dict(counters)
+    assert len(labels) == MOST_LABELS + 1
+    assert labels["other", Ring.NONE, Cause.REFUSED, ResultCode.OK].requests == 50
+
+
+def sample_text() -> str:
+    counters = OutcomeCounters()
+    served = outcome_of(times(), AIMS, COMPLETE, 0, job_class='a"b', ring=Ring.OWN_REGION, attempts=1)
+    late = outcome_of(
+        times(first=1200, expected=300), AIMS, COMPLETE, 0, job_class="c", ring=Ring.OTHER_REGION, attempts=1
+    )
+    for each in (served, served, late):
+        counters.count(each)
+    return "\n".join([*outcome_lines(counters), *gauge_lines({"open_requests": 3})]) + "\n"
+
+
+def test_the_metrics_are_in_prometheus_format() -> None:
+    lines = sample_text().splitlines()
+    assert "# TYPE canvasbeam_request_total counter" in lines
+    assert 'canvasbeam_request_total{class="a\\"b",ring="own_region",cause="in_time",code="ok"} 2' in lines
+    assert "canvasbeam_open_requests 3" in lines
+
+
+def test_the_table_sums_over_sources_and_names_the_causes(tmp_path: Path) -> None:
+    for name in ("one", "two"):
+        (tmp_path / name).write_text(sample_text())
+    sources = [str(tmp_path / "one"), str(tmp_path / "two")]
+    result = CliRunner().invoke(system, ["explain", *sources])
+    assert result.exit_code == Code.OK, result.output
+    rows = [line.split() for line in result.output.splitlines()]
+    assert rows[1][:5] == ["all", "own_region", "in_time", "4", "66.7%"]
+    assert rows[2][:5] == ["all", "other_region", "worker_slower", "2", "33.3%"]
+    assert rows[2][-1] == "899"
+    by_class = CliRunner().invoke(system, ["explain", "--by-class", *sources])
+    assert 'a\\"b' in by_class.output
+
+
+def test_a_process_that_is_not_there_is_named() -> None:
+    result = CliRunner().invoke(system, ["explain", "127.0.0.1:1"])
+    assert result.exit_code == Code.FAILED
+    assert "127.0.0.1:1" in result.output
+
+
+def test_every_path_of_the_metrics_address_is_answered() -> None:
+    sent: list[dict[str, object]] = []
+
+    async def send(message: dict[str, object]) -> None:
+        sent.append(message)
+
+    async def receive() -> dict[str, object]:
+        raise AssertionError
+
+    app = MetricsApp(lambda: ["one 1", "two 2"])
+    asyncio.run(app({"type": "http", "path": "/metrics"}, receive, send))  # type: ignore[arg-type]
+    assert sent[0]["status"] == 200
+    assert sent[1]["body"] == b"one 1\ntwo 2\n"
+
+
+@pytest.mark.parametrize(("arguments", "port"), [([], None), (["--metrics", "9464/metrics"], 9464)])
+def test_the_port_of_the_metrics_is_an_option(arguments: list[str], port: int | None) -> None:
+    assert metrics_port(arguments) == port
+
+
+def test_each_request_of_a_client_is_counted_once() -> None:
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        client = await data_plane.client()
+        for number in range(3):
+            answer = await client.request("/safe/a", f"id-{number}")
+            assert answer.status == 200
+        totals = {labels[:3]: each.requests for labels, each in data_plane.carrier._outcomes.counters}
+        assert totals == {("safe/svc", Ring.OTHER_REGION, Cause.IN_TIME): 3}
+
+    run(body, ScriptedWorker("w1"))
