Placement: the soonest expected first token within the turns, and notices to the whole region by datagram

Cause: by kept parts alone 58 nodes sent what shares a part to the first worker that kept it, and each knew of the sends of 9 of 29 nodes of its region alone. Change: among the workers that are not too many turns ahead the one with the soonest expected first token is taken; notices go to up to 40 nodes of a region, as datagrams in place of connections.

--- a/canvasbeam/choice.py
+++ b/canvasbeam/choice.py
@@ -99,10 +99,10 @@
 SILENT_AIMS = 1.5
 # A try that has so much less time left than the longest seen of its class is a client's repeat.
 REPEAT_LESS = 10_000_000
-# Among so many workers of a ring, in turn order, one that keeps a part of a prompt is looked for.
+# Among so many workers of a ring, in turn order, the soonest first token is looked for.
 AFFINITY_LOOK = 16
-# Fewer tokens than these that a worker keeps are not worth another turn order.
-AFFINITY_TOKENS = 200
+# A first token that is expected sooner by less than this is not worth another turn order.
+AFFINITY_NS = 5_000_000
 # A wait longer than any job's, for classes that are worth nothing.
 LONG_WAIT = 3600 * SECOND
 
@@ -549,26 +549,27 @@
             )
             worker = next(able, None)
             if worker is not None:
-                more = islice(able, AFFINITY_LOOK - 1) if self._keeps(job) else ()
-                return self._keeper([worker, *more], job) if more else worker
+                more = islice(able, AFFINITY_LOOK - 1) if self._expects(job) else ()
+                return self._soonest([worker, *more], job) if more else worker
         return None
 
-    def _keeps(self, job: Job) -> bool:
-        """Whether workers may keep a part of this job's prompt, and turns may differ for it."""
+    def _expects(self, job: Job) -> bool:
+        """Whether first tokens are expected for this job, and turns may differ for it."""
         return self._engines is not None and job.told.prompt is not None and self._set.affinity_turns > 0
 
-    def _keeper(self, able: list[Worker], job: Job) -> Worker:
-        """The worker that keeps the most of a prompt, among those not too many turns ahead of the others.
+    def _soonest(self, able: list[Worker], job: Job) -> Worker:
+        """The worker with the soonest first token, among those not too many turns ahead of the others.
 
-        Danger: without a bound all jobs that share a part of their prompts queue at one worker.
+        Danger: by the kept parts alone all dispatchers send what shares a part to one worker.
         """
         assert self._engines is not None
         most, least = self._set.affinity_turns, min(each.turns for each in able)
         near = [each.turns + 1 - least <= most for each in able]
-        kept = [self._engines.kept(each.entry, job.told) * near[at] for at, each in enumerate(able)]
+        waits = [self._engines.first_token_ns(self._now, each.entry, job.told) for each in able]
         first = min(range(len(able)), key=lambda each: able[each].turns)
-        best = max(range(len(able)), key=lambda each: (kept[each], -each))
-        taken = able[best if kept[best] >= kept[first] + AFFINITY_TOKENS else first]
+        allowed = [at for at, each in enumerate(near) if each]
+        best = min(allowed, key=lambda each: (waits[each], each), default=first)
+        taken = able[best if waits[best] + AFFINITY_NS <= waits[first] else first]
         for each in able:
             each.turns = max(-most, min(most, each.turns - 1 / len(able) + (each is taken)))
         return taken
--- a/canvasbeam/cluster/transport.py
+++ b/canvasbeam/cluster/transport.py
@@ -41,6 +41,8 @@
 BACK_OFF_MOST = 0.4
 IDLE_TIMEOUT = 10.0
 DATAGRAM_BYTES = 1_200
+TAG_BITS = 5  # of the byte that tells the channel of a datagram
+TAG_END = 0b00111  # in its low bits: no protobuf message, which those of membership are untagged, begins so
 LISTEN_BACKLOG = 512
 
 
@@ -212,7 +214,7 @@
         self.lives = LifeCheck(draw_life(random.SystemRandom()))
         self._node = node
         self._callbacks: dict[int, MessageCallback] = {}
-        self._datagram_callback: DatagramCallback | None = None
+        self._datagram_callbacks: dict[int, DatagramCallback] = {}
         self._disconnect_callback: DisconnectCallback | None = None
         self._peers: dict[Address, _Peer] = {}
         self._connections: set[Connection] = set()
@@ -249,9 +251,9 @@
         """Give the messages of a channel to this function."""
         self._callbacks[int(channel)] = callback
 
-    def register_datagrams(self, callback: DatagramCallback) -> None:
-        """Give the datagrams to this function."""
-        self._datagram_callback = callback
+    def register_datagrams(self, callback: DatagramCallback, channel: Channel = Channel.MEMBERSHIP) -> None:
+        """Give the datagrams of a channel to this function."""
+        self._datagram_callbacks[int(channel)] = callback
 
     def register_disconnects(self, callback: DisconnectCallback) -> None:
         """Tell this function of each address whose connection failed or could not be opened."""
@@ -267,10 +269,10 @@
         for address in addresses:
             self._peer(address).send(data)
 
-    def send_datagram(self, address: Address, payload: bytes) -> None:
+    def send_datagram(self, address: Address, payload: bytes, channel: Channel = Channel.MEMBERSHIP) -> None:
         """Send one datagram, which may be lost."""
         if self._datagrams is not None and not self._datagrams.is_closing():
-            self._datagrams.sendto(payload, (address.host, address.port))
+            self._datagrams.sendto(_tagged(payload, channel), (address.host, address.port))
 
     def is_connected(self, address: Address) -> bool:
         """Whether there is a connection to this address now."""
@@ -347,10 +349,12 @@
         peer = self._peers.get(sender)
         if peer is not None:
             peer.retry_now()
-        if len(payload) > DATAGRAM_BYTES:
+        channel, content = _untagged(payload)
+        callback = self._datagram_callbacks.get(channel)
+        if len(payload) > DATAGRAM_BYTES or callback is None:
             self.counters.invalid += 1
-        elif self._datagram_callback is not None:
-            self._datagram_callback(sender, payload)
+        else:
+            callback(sender, content)
 
     async def connect(self, address: Address) -> Connection | None:
         """Open a connection from our own address; none where that does not come up in time."""
@@ -383,3 +387,17 @@
         if peer is None:
             peer = self._peers[address] = _Peer(address, self)
         return peer
+
+
+def _tagged(payload: bytes, channel: Channel) -> bytes:
+    """A datagram's bytes: those of membership go as they are, others behind a byte that tells their channel."""
+    if channel is Channel.MEMBERSHIP:
+        return payload
+    return bytes(((int(channel) << TAG_BITS | TAG_END) & 0xFF,)) + payload
+
+
+def _untagged(data: bytes) -> tuple[int, bytes]:
+    """The channel and the payload of a datagram."""
+    if data and data[0] & (1 << TAG_BITS) - 1 == TAG_END:
+        return data[0] >> TAG_BITS, data[1:]
+    return int(Channel.MEMBERSHIP), data
--- a/canvasbeam/data_plane/dispatcher_settings.py
+++ b/canvasbeam/data_plane/dispatcher_settings.py
@@ -16,7 +16,7 @@
 RETRY_ADVICE_NS = 300 * MILLISECOND
 # A request that finds no worker is refused before a quarter of its aim is over, so that its new try earns more.
 HOLD_SHARE = 0.18
-# How many turns a worker that keeps a part of a prompt may be ahead of the others.
+# How many turns a worker whose first token is expected sooner may be ahead of the others.
 AFFINITY_TURNS = 4.0
 
 
--- a/canvasbeam/data_plane/placement_notices.py
+++ b/canvasbeam/data_plane/placement_notices.py
@@ -1,7 +1,8 @@
 """What data-plane nodes tell each other of their sends to model workers, so that all see what waits there.
 
-A notice goes to the nodes of the own region and to those of the worker's. It is a hint: one that is lost or late makes
-an expectation worse and breaks no rule. In a large region a node tells only some others, chosen by rendezvous hashing.
+A notice goes to the nodes of the own region and to those of the worker's, as a datagram. It is a hint: one that is lost
+or late makes an expectation worse and breaks no rule. In a very large region a node tells only some others, chosen by
+rendezvous hashing.
 """
 
 from __future__ import annotations
@@ -14,14 +15,14 @@
 from canvasbeam import interface as ci
 from canvasbeam.cluster import placement_pb2
 from canvasbeam.cluster.node import ClusterNode
-from canvasbeam.cluster.transport import Channel, PeerInfo
+from canvasbeam.cluster.transport import Channel
 from canvasbeam.decide.engine_model import EngineExpectations
 from canvasbeam.runtime.settings import Address
 
 # Prompts shorter than this are read so quickly that it is not worth a message.
 LEAST_TOKENS = 400
-# A node tells so many others in each region.
-MOST_PEERS = 8
+# A node tells so many others in each region. Who is told of a part of the sends alone sends where others queue.
+MOST_PEERS = 40
 # The list of them is made anew after so many nanoseconds.
 PEERS_FOR = 500_000_000
 
@@ -37,14 +38,16 @@
         self._peers: dict[str, list[Address]] = {}  # by region
         self._peers_until = 0
         expectations.on_sent = self._tell
-        cluster.transport.register(Channel.PLACEMENT, self._take)
+        cluster.transport.register_datagrams(self._take, Channel.PLACEMENT)
 
     def _tell(self, entry: ci.WorkerEntry, prompt: ci.PromptEstimate) -> None:
         if prompt.tokens_in < LEAST_TOKENS:
             return
         addresses = [address for region in sorted({self._region, entry.zone}) for address in self._peers_in(region)]
         if addresses:
-            self._cluster.transport.send_to_many(addresses, Channel.PLACEMENT, encode_notice(entry.worker, prompt))
+            notice = encode_notice(entry.worker, prompt)
+            for address in addresses:
+                self._cluster.transport.send_datagram(address, notice, Channel.PLACEMENT)
 
     def _peers_in(self, region: str) -> list[Address]:
         """The nodes of a region that are told, this one excepted."""
@@ -62,7 +65,7 @@
             self._peers[region] = [self._cluster.peer_address(each) for each in there[:MOST_PEERS]]
         return self._peers[region]
 
-    def _take(self, sender: PeerInfo, payload: bytes) -> None:
+    def _take(self, sender: Address, payload: bytes) -> None:
         notice = decode_notice(payload)
         if notice is not None:
             worker, prompt = notice
--- a/canvasbeam/decide/engine_model.py
+++ b/canvasbeam/decide/engine_model.py
@@ -188,6 +188,13 @@
         state = self._states.get(entry.worker)
         return _kept_tokens(state, job.prompt) if state is not None and job.prompt is not None else 0
 
+    def first_token_ns(self, now: int, entry: WorkerEntry, job: JobArrived) -> float:
+        """The time until the worker is expected to give the job's first token."""
+        state = self._states.get(entry.worker)
+        if state is None or job.prompt is None or entry.kind not in self._engines:
+            return 0.0
+        return state.way_ns + state.backlog_ns(now) + self._reading_ns(entry, state, job.prompt)
+
     def sent(self, now: int, entry: WorkerEntry, job: JobArrived) -> None:
         """The job was sent to the worker."""
         prompt = job.prompt
--- a/canvasbeam/interface.py
+++ b/canvasbeam/interface.py
@@ -217,7 +217,7 @@
     With `classes_later` it may start without classes: `ClassesChanged` brings them. With `urgent_first` held jobs of a
     higher priority go before all others. With `batches` workers run many jobs at once, so one that has not begun does
     not show its worker full; who is heard of no more is rested. A job that finds no worker for `hold_share` of its aim
-    is refused, where that is not 0. A worker that keeps a part of a prompt may be `affinity_turns` ahead of the others.
+    is refused, where that is not 0. A worker with a sooner first token may be `affinity_turns` ahead of the others.
     """
 
     classes: tuple[JobClass, ...]
@@ -559,8 +559,8 @@
     def has_room(self, now: int, entry: WorkerEntry, job: JobArrived, aim_left_ns: int) -> bool:
         """Whether the worker can start the job within what is left of its aim."""
 
-    def kept(self, entry: WorkerEntry, job: JobArrived) -> int:
-        """How many tokens of the job's prompt the worker is expected to keep already."""
+    def first_token_ns(self, now: int, entry: WorkerEntry, job: JobArrived) -> float:
+        """The time until the worker is expected to give the job's first token."""
 
     def sent(self, now: int, entry: WorkerEntry, job: JobArrived) -> None:
         """The job was sent to the worker."""
--- a/tests/test_placement_notices.py
+++ b/tests/test_placement_notices.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+import time
 from typing import Any, cast
 
+import pytest
+
 from canvasbeam.cluster.member import Member
 from canvasbeam.cluster.node import ClusterNode
-from canvasbeam.cluster.transport import Channel, MessageCallback, PeerInfo
+from canvasbeam.cluster.transport import Channel, DatagramCallback
 from canvasbeam.data_plane.placement_notices import (
     LEAST_TOKENS,
     MOST_PEERS,
@@ -15,25 +17,31 @@
     decode_notice,
     encode_notice,
 )
-from canvasbeam.decide.engine_model import Engine, EngineExpectations
+from canvasbeam.decide.engine_model import READ_NS, Engine, EngineExpectations
 from canvasbeam.interface import JobArrived, PromptEstimate, PromptPart, WorkerEntry
 from canvasbeam.runtime.settings import Address
 
 PROMPT = PromptEstimate(3000, 0, (PromptPart("5c", 2000), PromptPart("91", 1000)))
+SENDER = Address("ip-near", 7001)
+LATER = 1 << 62  # everything that was told of is read by then
 HERE = WorkerEntry("w1", "north", "llm")
 THERE = WorkerEntry("w2", "south", "llm")
 
 
 class RecordedTransport:
     def __init__(self) -> None:
-        self.sent: list[tuple[tuple[str, ...], Channel, bytes]] = []
-        self.callbacks: dict[Channel, MessageCallback] = {}
+        self.sent: list[tuple[str, Channel, bytes]] = []
+        self.callbacks: dict[Channel, DatagramCallback] = {}
 
-    def register(self, channel: Channel, callback: MessageCallback) -> None:
+    def register_datagrams(self, callback: DatagramCallback, channel: Channel) -> None:
         self.callbacks[channel] = callback
 
-    def send_to_many(self, addresses: Iterable[Address], channel: Channel, payload: bytes) -> None:
-        self.sent.append((tuple(each.host for each in addresses), channel, payload))
+    def send_datagram(self, address: Address, payload: bytes, channel: Channel) -> None:
+        self.sent.append((address.host, channel, payload))
+
+    def told(self) -> list[str]:
+        """Who was told, in order."""
+        return [host for host, _, _ in self.sent]
 
 
 class FixedCluster:
@@ -82,13 +90,13 @@
 def test_the_nodes_of_the_own_region_are_told() -> None:
     transport, expectations = notices()
     expectations.sent(0, HERE, job())
-    assert [(hosts, channel) for hosts, channel, _ in transport.sent] == [(("ip-near",), Channel.PLACEMENT)]
+    assert [(host, channel) for host, channel, _ in transport.sent] == [("ip-near", Channel.PLACEMENT)]
 
 
 def test_a_send_to_another_region_is_told_there_too() -> None:
     transport, expectations = notices()
     expectations.sent(0, THERE, job())
-    assert transport.sent[0][0] == ("ip-near", "ip-far")
+    assert transport.told() == ["ip-near", "ip-far"]
 
 
 def test_short_prompts_are_not_told() -> None:
@@ -101,20 +109,27 @@
     many = tuple(member(f"edge-{number}", "north") for number in range(100))
     transport, expectations = notices((*many, member("me", "north")))
     expectations.sent(0, HERE, job())
+    first = transport.told()
     expectations.sent(0, HERE, job())
-    assert len(set(transport.sent[0][0])) == MOST_PEERS
-    assert transport.sent[0][0] == transport.sent[1][0]
+    assert len(set(first)) == len(first) == MOST_PEERS
+    assert transport.told() == first * 2
 
 
 def test_a_notice_of_another_node_is_expected_to_wait_and_to_be_kept() -> None:
     transport, expectations = notices()
-    sender = PeerInfo("near", Address("ip-near", 7001))
-    transport.callbacks[Channel.PLACEMENT](sender, encode_notice("w1", PROMPT))
+    alone = expectations.first_token_ns(0, HERE, job())
+    transport.callbacks[Channel.PLACEMENT](SENDER, encode_notice("w1", PROMPT))
     assert expectations.kept(HERE, job()) == PROMPT.tokens_in
+    assert expectations.first_token_ns(time.monotonic_ns(), HERE, job()) > expectations.first_token_ns(
+        LATER, HERE, job()
+    )
+    assert expectations.first_token_ns(LATER, HERE, job()) == pytest.approx(alone - PROMPT.tokens_in * READ_NS)
     assert transport.sent == []
 
 
 def test_a_notice_that_cannot_be_read_is_passed_over() -> None:
     transport, expectations = notices()
-    transport.callbacks[Channel.PLACEMENT](PeerInfo("near", Address("ip-near", 7001)), b"\xff\xff\xff")
+    alone = expectations.first_token_ns(0, HERE, job())
+    transport.callbacks[Channel.PLACEMENT](SENDER, b"\xff\xff\xff")
     assert expectations.kept(HERE, job()) == 0
+    assert expectations.first_token_ns(LATER, HERE, job()) == alone
--- a/tests/test_system_placement.py
+++ b/tests/test_system_placement.py
@@ -313,3 +313,13 @@
     system = System(worker("a"), worker("b"), affinity_turns=2.0)
     names = [sent_to(system.job(prompt=prompt(100, (f"p{number}", 100))))[0] for number in range(6)]
     assert sorted(names) == ["a", "a", "a", "b", "b", "b"]
+
+
+def test_a_known_queue_weighs_against_a_part_that_is_kept() -> None:
+    """By kept parts alone all nodes send what shares a part to one worker: the herd of a cold start."""
+    system = System(worker("a"), worker("b"), affinity_turns=4.0)
+    first = sent_to(system.job(prompt=prompt(9000, ("common", 2500), ("own-1", 6500))))[0]
+    system.opened("j0", first)
+    for _ in range(3):
+        system.engines.heard_sent(system.now, first, prompt(9000, ("common", 2500), ("other", 6500)))
+    assert sent_to(system.job(prompt=prompt(9000, ("common", 2500), ("own-2", 6500)))) != [first]
