--- a/canvasbeam/data_plane/outcome_recorder.py
+++ b/canvasbeam/data_plane/outcome_recorder.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from canvasbeam.data_plane.open_requests import Attempt, ListedWorker
 from canvasbeam.data_plane.outcomes import (
@@ -20,13 +21,15 @@
 
 UNROUTED = "unrouted"  # the class of requests that ended before they had one
 
-Expectation = Callable[[str, str], int]
-"""Nanoseconds from a job's send to a worker until its first answer, as expected then; 0 where nothing was."""
 
+class Expectations(Protocol):
+    """What is expected of workers, and learns from what they do."""
 
-def nothing_expected(worker: str, job: str) -> int:
-    """For processes that expect nothing of workers."""
-    return 0
+    def expected_ns(self, worker: str, job: str) -> int:
+        """Nanoseconds from a job's send to a worker until its first answer, as expected then; 0 where nothing was."""
+
+    def streamed(self, now: int, worker: str, pause_ns: float) -> None:
+        """An event of a stream from the worker came so long after the one before it."""
 
 
 @dataclass(slots=True)
@@ -35,7 +38,7 @@
 
     own_region: str
     now_ns: Callable[[], int]
-    expected: Expectation = nothing_expected
+    expectations: Expectations | None = None
     counters: OutcomeCounters = field(default_factory=OutcomeCounters)
 
     def sent(self, attempt: Attempt, worker: ListedWorker | None) -> None:
@@ -44,7 +47,9 @@
         times = request.times
         times.last_sent_ns = attempt.began_ns
         times.first_sent_ns = times.first_sent_ns or attempt.began_ns
-        times.expected_ns = self.expected(attempt.worker, attempt.job.name)
+        if self.expectations is not None:
+            times.expected_ns = self.expectations.expected_ns(attempt.worker, attempt.job.name)
+        request.worker = attempt.worker
         if worker is not None:
             is_own = worker.entry.zone == self.own_region
             request.ring = Ring.OWN_REGION if is_own else Ring.OTHER_REGION
@@ -53,9 +58,12 @@
         """A connection to the worker is there."""
         request.times.written_ns = self.now_ns()
 
-    def answered(self, request: ClientRequest) -> None:
-        """Bytes of a worker's answer go to the client."""
-        request.times.note_event(self.now_ns())
+    def answered(self, request: ClientRequest, events: int = 1) -> None:
+        """So many events of a worker's stream go to the client, or its whole answer."""
+        now, before = self.now_ns(), request.times.last_event_ns
+        request.times.note_event(now)
+        if before and self.expectations is not None:
+            self.expectations.streamed(now, request.worker, (now - before) / events)
 
     def ended(self, request: ClientRequest) -> None:
         """Nothing is owed to the client any more."""
--- a/canvasbeam/data_plane/placement_notices.py
+++ b/canvasbeam/data_plane/placement_notices.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import time
+from dataclasses import dataclass
 from hashlib import blake2b
 
 from google.protobuf.message import DecodeError
@@ -23,6 +24,8 @@
 LEAST_TOKENS = 400
 # A node tells so many others in each region. Who is told of a part of the sends alone sends where others queue.
 MOST_PEERS = 40
+MICROSECOND = 1_000
+MOST_PAUSE_US = (1 << 32) - 1
 # The list of them is made anew after so many nanoseconds.
 PEERS_FOR = 500_000_000
 
@@ -45,7 +48,8 @@
             return
         addresses = [address for region in sorted({self._region, entry.zone}) for address in self._peers_in(region)]
         if addresses:
-            notice = encode_notice(entry.worker, prompt)
+            pause_ns = self._expectations.told_pause(time.monotonic_ns(), entry.worker)
+            notice = encode_notice(Notice(entry.worker, prompt, pause_ns))
             for address in addresses:
                 self._cluster.transport.send_datagram(address, notice, Channel.PLACEMENT)
 
@@ -68,25 +72,39 @@
     def _take(self, sender: Address, payload: bytes) -> None:
         notice = decode_notice(payload)
         if notice is not None:
-            worker, prompt = notice
-            self._expectations.heard_sent(time.monotonic_ns(), worker, prompt)
+            self._expectations.heard_sent(time.monotonic_ns(), notice.worker, notice.prompt, notice.pause_ns)
 
 
-def encode_notice(worker: str, prompt: ci.PromptEstimate) -> bytes:
+@dataclass(frozen=True, slots=True)
+class Notice:
+    """A prompt was sent to a worker; the sender has lately seen such pauses between the events of its streams."""
+
+    worker: str
+    prompt: ci.PromptEstimate
+    pause_ns: float = 0.0
+
+
+def encode_notice(notice: Notice) -> bytes:
     """A notice as bytes."""
+    prompt = notice.prompt
     parts = [placement_pb2.PromptPart(name=each.name, tokens=each.tokens) for each in prompt.parts]
-    return placement_pb2.PlacementNotice(worker=worker, tokens_in=prompt.tokens_in, parts=parts).SerializeToString()
+    return placement_pb2.PlacementNotice(
+        worker=notice.worker,
+        tokens_in=prompt.tokens_in,
+        parts=parts,
+        pause_us=min(MOST_PAUSE_US, round(notice.pause_ns / MICROSECOND)),
+    ).SerializeToString()
 
 
-def decode_notice(payload: bytes) -> tuple[str, ci.PromptEstimate] | None:
-    """The worker and the prompt of a notice, or None where it cannot be read."""
+def decode_notice(payload: bytes) -> Notice | None:
+    """The notice of these bytes, or None where it cannot be read."""
     notice = placement_pb2.PlacementNotice()
     try:
         notice.ParseFromString(payload)
     except DecodeError:
         return None
     parts = tuple(ci.PromptPart(each.name, each.tokens) for each in notice.parts)
-    return notice.worker, ci.PromptEstimate(notice.tokens_in, 0, parts)
+    return Notice(notice.worker, ci.PromptEstimate(notice.tokens_in, 0, parts), notice.pause_us * MICROSECOND)
 
 
 def _hash(one: str, other: str) -> bytes:
--- a/canvasbeam/data_plane/program.py
+++ b/canvasbeam/data_plane/program.py
@@ -55,7 +55,7 @@
         self._shared = SharedLimits(self._limits, self._cluster.table, self._cluster.members, monotonic_ns)
         self._engines = engine_expectations(settings)
         self._notices = PlacementNotices(self._cluster, self._engines, settings.node, settings.region)
-        self._outcomes = OutcomeRecorder(settings.region, monotonic_ns, self._engines.expected_ns)
+        self._outcomes = OutcomeRecorder(settings.region, monotonic_ns, self._engines)
         self._carrier = Carrier(self._make_dispatcher, self._connections, outcomes=self._outcomes)
         self._view = ConfigurationView(self._cluster.table)
         self._shutdown = Shutdown(settings, self._carrier.now_ns)
--- a/canvasbeam/data_plane/requests.py
+++ b/canvasbeam/data_plane/requests.py
@@ -169,7 +169,8 @@
     worker_failure: Answer | None = None  # a failure that a worker answered, to pass on if nothing better comes
     last_event_id: bytes | None = None  # of the last event passed on to the client
     own_code: ResultCode = ResultCode.OK  # of this node's own answer, where it gave one
-    ring: Ring = Ring.NONE  # where the last worker stands
+    worker: str = ""  # the last that it was sent to
+    ring: Ring = Ring.NONE  # where that one stands
     times: RequestTimes = field(init=False)
 
     def __post_init__(self) -> None:
--- a/canvasbeam/data_plane/streams.py
+++ b/canvasbeam/data_plane/streams.py
@@ -12,7 +12,7 @@
     """Writes the events of one exchange to the client; what an earlier exchange had passed on is left out."""
 
     def __init__(
-        self, request: ClientRequest, on_opened: Callable[[], None], on_passed: Callable[[ClientRequest], None]
+        self, request: ClientRequest, on_opened: Callable[[], None], on_passed: Callable[[ClientRequest, int], None]
     ) -> None:
         self._request = request
         self._on_opened = on_opened
@@ -28,7 +28,7 @@
         """Write the events that the client does not have."""
         fresh = [each for each in events if self._is_new(each)]
         if fresh:
-            self._on_passed(self._request)
+            self._on_passed(self._request, len(fresh))
             await self._request.answer.send_piece(b"".join(each.data for each in fresh))
 
     async def send_rest(self, data: bytes) -> None:
--- a/canvasbeam/decide/engine_model.py
+++ b/canvasbeam/decide/engine_model.py
@@ -12,6 +12,7 @@
 | all else before it | the last first token's delay beyond what was expected; fades |
 | the time to read a token | a prior, corrected by first tokens of long prompts before which nothing waited |
 | the way there and back | likewise, by the first tokens of each worker, less the time to read the prompt |
+| how slow its streams are | the pauses between events, as seen here or told of by others; fade |
 | that a worker is cut off or dark | a first token is overdue, and none came since from there |
 | parts that are kept | those of all sends known, the least recently used dropped first |
 """
@@ -47,6 +48,14 @@
 LATE_BACKLOG_NS = 60 * MILLISECOND
 # A delay that was not expected fades over about this time.
 FADE_NS = 300 * MILLISECOND
+# The pause between the events of a worker's streams moves by this part towards each pause that is seen or told of, and
+# fades over about this time where none is.
+PAUSE_STEP = 0.3
+PAUSE_FADE_NS = 1000 * MILLISECOND
+# What was seen here is told to others for so long.
+PAUSE_TOLD_NS = 500 * MILLISECOND
+# A first token comes later by so many pauses: its event holds several tokens, and reading waits between steps.
+PAUSES_TO_FIRST = 1.0
 # A first token is overdue after so many times what was expected, and this.
 OVERDUE_TIMES = 1.5
 OVERDUE_NS = 200 * MILLISECOND
@@ -99,6 +108,27 @@
     delay_at: int = 0
     kept: OrderedDict[PrefixKey, int] = field(default_factory=OrderedDict)
     kept_tokens: int = 0
+    pause_ns: float = 0.0  # between the events of its streams, as of `pause_at`
+    pause_at: int = 0
+    own_pause_ns: float = 0.0  # the same, of what was seen here
+    own_pause_at: int = 0
+
+    def pause(self, now: int) -> float:
+        """The pause between the events of its streams; fades to 0 where nothing is heard of any."""
+        return self.pause_ns * exp((self.pause_at - now) / PAUSE_FADE_NS) if self.pause_ns else 0.0
+
+    def note_pause(self, now: int, pause_ns: float) -> None:
+        """A pause of one of its streams was seen, or told of."""
+        known = self.pause(now)
+        self.pause_ns = known + PAUSE_STEP * (pause_ns - known) if known else pause_ns
+        self.pause_at = now
+
+    def note_own_pause(self, now: int, pause_ns: float) -> None:
+        """A pause of a stream to one of our clients."""
+        is_known = now - self.own_pause_at < PAUSE_TOLD_NS
+        self.own_pause_ns += (PAUSE_STEP if is_known else 1.0) * (pause_ns - self.own_pause_ns)
+        self.own_pause_at = now
+        self.note_pause(now, pause_ns)
 
     def read_until(self, now: int) -> None:
         """Take off what should be read by now. Our own prompts stay, with nothing left, until their first token."""
@@ -193,7 +223,21 @@
         state = self._states.get(entry.worker)
         if state is None or job.prompt is None or entry.kind not in self._engines:
             return 0.0
-        return state.way_ns + state.backlog_ns(now) + self._reading_ns(entry, state, job.prompt)
+        reading = self._reading_ns(entry, state, job.prompt)
+        return state.way_ns + state.backlog_ns(now) + reading + PAUSES_TO_FIRST * state.pause(now)
+
+    def streamed(self, now: int, worker: str, pause_ns: float) -> None:
+        """An event of a stream from the worker came so long after the one before it."""
+        state = self._states.get(worker)
+        if state is not None:
+            state.note_own_pause(now, pause_ns)
+
+    def told_pause(self, now: int, worker: str) -> float:
+        """The pause to tell others of: what was seen here lately; 0 where nothing was."""
+        state = self._states.get(worker)
+        if state is None or now - state.own_pause_at >= PAUSE_TOLD_NS:
+            return 0.0
+        return state.own_pause_ns
 
     def sent(self, now: int, entry: WorkerEntry, job: JobArrived) -> None:
         """The job was sent to the worker."""
@@ -214,12 +258,14 @@
         _, sent = self._sent(worker, job)
         return round(sent.expected_ns) if sent is not None else 0
 
-    def heard_sent(self, now: int, worker: str, prompt: PromptEstimate) -> None:
-        """Another scheduler sent this prompt to the worker."""
+    def heard_sent(self, now: int, worker: str, prompt: PromptEstimate, pause_ns: float = 0.0) -> None:
+        """Another scheduler sent this prompt to the worker, and has lately seen such pauses of its streams."""
         state = self._states.get(worker)
         if state is not None and state.kind in self._engines:
             state.read_until(now)
             self._add_reading(state, "", prompt)
+            if pause_ns:
+                state.note_pause(now, pause_ns)
 
     def started(self, now: int, worker: str, job: str) -> None:
         """The worker gave the job's first token: it has read this prompt, and all that came before it."""
--- a/tests/test_placement_notices.py
+++ b/tests/test_placement_notices.py
@@ -13,6 +13,7 @@
 from canvasbeam.data_plane.placement_notices import (
     LEAST_TOKENS,
     MOST_PEERS,
+    Notice,
     PlacementNotices,
     decode_notice,
     encode_notice,
@@ -83,7 +84,7 @@
 
 
 def test_a_notice_survives_the_wire() -> None:
-    assert decode_notice(encode_notice("w1", PROMPT)) == ("w1", PROMPT)
+    assert decode_notice(encode_notice(Notice("w1", PROMPT))) == Notice("w1", PROMPT)
     assert decode_notice(b"\xff\xff\xff") is None
 
 
@@ -118,7 +119,7 @@
 def test_a_notice_of_another_node_is_expected_to_wait_and_to_be_kept() -> None:
     transport, expectations = notices()
     alone = expectations.first_token_ns(0, HERE, job())
-    transport.callbacks[Channel.PLACEMENT](SENDER, encode_notice("w1", PROMPT))
+    transport.callbacks[Channel.PLACEMENT](SENDER, encode_notice(Notice("w1", PROMPT)))
     assert expectations.kept(HERE, job()) == PROMPT.tokens_in
     assert expectations.first_token_ns(time.monotonic_ns(), HERE, job()) > expectations.first_token_ns(
         LATER, HERE, job()
