--- a/canvasbeam/data_plane/placement_notices.py
+++ b/canvasbeam/data_plane/placement_notices.py
@@ -24,6 +24,7 @@
 LEAST_TOKENS = 400
 # A node tells so many others in each region. Who is told of a part of the sends alone sends where others queue.
 MOST_PEERS = 40
+NO_PROMPT = ci.PromptEstimate(0, 0)
 MICROSECOND = 1_000
 MOST_PAUSE_US = (1 << 32) - 1
 # The list of them is made anew after so many nanoseconds.
@@ -40,18 +41,23 @@
         self._region = region
         self._peers: dict[str, list[Address]] = {}  # by region
         self._peers_until = 0
-        expectations.on_sent = self._tell
+        expectations.on_sent = self._tell_sent
+        expectations.on_silence = self._tell_silence
         cluster.transport.register_datagrams(self._take, Channel.PLACEMENT)
 
-    def _tell(self, entry: ci.WorkerEntry, prompt: ci.PromptEstimate) -> None:
-        if prompt.tokens_in < LEAST_TOKENS:
-            return
-        addresses = [address for region in sorted({self._region, entry.zone}) for address in self._peers_in(region)]
-        if addresses:
+    def _tell_sent(self, entry: ci.WorkerEntry, prompt: ci.PromptEstimate) -> None:
+        if prompt.tokens_in >= LEAST_TOKENS:
             pause_ns = self._expectations.told_pause(time.monotonic_ns(), entry.worker)
-            notice = encode_notice(Notice(entry.worker, prompt, pause_ns))
-            for address in addresses:
-                self._cluster.transport.send_datagram(address, notice, Channel.PLACEMENT)
+            self._tell(entry, Notice(entry.worker, prompt, pause_ns))
+
+    def _tell_silence(self, entry: ci.WorkerEntry) -> None:
+        self._tell(entry, Notice(entry.worker, NO_PROMPT, is_silent=True))
+
+    def _tell(self, entry: ci.WorkerEntry, notice: Notice) -> None:
+        payload = encode_notice(notice)
+        for region in sorted({self._region, entry.zone}):
+            for address in self._peers_in(region):
+                self._cluster.transport.send_datagram(address, payload, Channel.PLACEMENT)
 
     def _peers_in(self, region: str) -> list[Address]:
         """The nodes of a region that are told, this one excepted."""
@@ -71,17 +77,23 @@
 
     def _take(self, sender: Address, payload: bytes) -> None:
         notice = decode_notice(payload)
-        if notice is not None:
-            self._expectations.heard_sent(time.monotonic_ns(), notice.worker, notice.prompt, notice.pause_ns)
+        if notice is None:
+            return
+        now = time.monotonic_ns()
+        if notice.is_silent:
+            self._expectations.heard_silence(now, notice.worker)
+        else:
+            self._expectations.heard_sent(now, notice.worker, notice.prompt, notice.pause_ns)
 
 
 @dataclass(frozen=True, slots=True)
 class Notice:
-    """A prompt was sent to a worker; the sender has lately seen such pauses between the events of its streams."""
+    """A prompt was sent to a worker, whose streams the sender has lately seen to pause so; or the worker is silent."""
 
     worker: str
     prompt: ci.PromptEstimate
     pause_ns: float = 0.0
+    is_silent: bool = False
 
 
 def encode_notice(notice: Notice) -> bytes:
@@ -93,6 +105,7 @@
         tokens_in=prompt.tokens_in,
         parts=parts,
         pause_us=min(MOST_PAUSE_US, round(notice.pause_ns / MICROSECOND)),
+        is_silent=notice.is_silent,
     ).SerializeToString()
 
 
@@ -104,7 +117,8 @@
     except DecodeError:
         return None
     parts = tuple(ci.PromptPart(each.name, each.tokens) for each in notice.parts)
-    return Notice(notice.worker, ci.PromptEstimate(notice.tokens_in, 0, parts), notice.pause_us * MICROSECOND)
+    prompt = ci.PromptEstimate(notice.tokens_in, 0, parts)
+    return Notice(notice.worker, prompt, notice.pause_us * MICROSECOND, notice.is_silent)
 
 
 def _hash(one: str, other: str) -> bytes:
--- a/canvasbeam/decide/engine_model.py
+++ b/canvasbeam/decide/engine_model.py
@@ -14,6 +14,7 @@
 | the way there and back | likewise, by the first tokens of each worker, less the time to read the prompt |
 | how slow its streams are | the pauses between events, as seen here or told of by others; fade |
 | that a worker is cut off or dark | a first token is overdue, and none came since from there |
+| that it is dark, of others | they tell of first tokens that are overdue; believed for a moment, unless it was heard |
 | parts that are kept | those of all sends known, the least recently used dropped first |
 """
 
@@ -59,6 +60,11 @@
 # A first token is overdue after so many times what was expected, and this.
 OVERDUE_TIMES = 1.5
 OVERDUE_NS = 200 * MILLISECOND
+# A worker from which nothing comes is told of this often, and believed silent for so long after it was told.
+SILENCE_TOLD_NS = 200 * MILLISECOND
+SILENCE_BELIEVED_NS = 500 * MILLISECOND
+# Who has heard of a worker so lately does not believe that it is silent.
+SILENCE_DOUBTED_NS = 150 * MILLISECOND
 # Of a worker's memory, what our own running jobs may use, and what known parts are taken to use.
 MEMORY_SHARE = 0.9
 KEPT_SHARE = 0.5
@@ -112,6 +118,9 @@
     pause_at: int = 0
     own_pause_ns: float = 0.0  # the same, of what was seen here
     own_pause_at: int = 0
+    alive_at: int = 0  # its last first token or event
+    silence_told_at: int = 0  # by us
+    silent_until: int = 0  # as others tell
 
     def pause(self, now: int) -> float:
         """The pause between the events of its streams; fades to 0 where nothing is heard of any."""
@@ -127,7 +136,7 @@
         """A pause of a stream to one of our clients."""
         is_known = now - self.own_pause_at < PAUSE_TOLD_NS
         self.own_pause_ns += (PAUSE_STEP if is_known else 1.0) * (pause_ns - self.own_pause_ns)
-        self.own_pause_at = now
+        self.own_pause_at = self.alive_at = now
         self.note_pause(now, pause_ns)
 
     def read_until(self, now: int) -> None:
@@ -176,6 +185,7 @@
 
 
 SentListener = Callable[[WorkerEntry, PromptEstimate], None]
+SilenceListener = Callable[[WorkerEntry], None]
 
 
 class EngineExpectations:
@@ -186,6 +196,7 @@
         self._engines: dict[str, Engine] = {}
         self._states: dict[str, EngineState] = {}
         self.on_sent: SentListener | None = None
+        self.on_silence: SilenceListener | None = None
         self._heard_zones: dict[str, int] = {}  # the last first token from each zone
         self._silent_zones: dict[str, bool] = {}  # as found at `_silent_at`
         self._silent_at = 0
@@ -202,7 +213,10 @@
         if prompt is None or engine is None:
             return True
         state = self._state(entry)
-        if state.is_overdue(now, state.heard_at) or self._is_silent(now, state.zone):
+        if state.is_overdue(now, state.heard_at):
+            self._tell_silence(now, entry, state)
+            return False
+        if now < state.silent_until or self._is_silent(now, state.zone):
             return False
         in_use = sum(each.tokens_held for each in state.jobs.values())
         if in_use and in_use + _tokens_held(prompt) > MEMORY_SHARE * engine.kv_capacity:
@@ -267,13 +281,20 @@
             if pause_ns:
                 state.note_pause(now, pause_ns)
 
+    def heard_silence(self, now: int, worker: str) -> None:
+        """Another scheduler waits for a first token from the worker that is overdue, and hears nothing from there."""
+        state = self._states.get(worker)
+        if state is not None and now - state.alive_at > SILENCE_DOUBTED_NS:
+            state.silent_until = now + SILENCE_BELIEVED_NS
+
     def started(self, now: int, worker: str, job: str) -> None:
         """The worker gave the job's first token: it has read this prompt, and all that came before it."""
         state, sent = self._sent(worker, job)
         if state is None or sent is None or sent.started:
             return
         sent.started = True
-        state.heard_at = self._heard_zones[state.zone] = now
+        state.heard_at = state.alive_at = self._heard_zones[state.zone] = now
+        state.silent_until = 0
         took = now - sent.sent_at
         self._learn(state, sent, took)
         state.delay_ns, state.delay_at = max(0.0, took - sent.expected_ns), now
@@ -306,6 +327,14 @@
             self._states[entry.worker] = state
         return state
 
+    def _tell_silence(self, now: int, entry: WorkerEntry, state: EngineState) -> None:
+        """Others need not lose a request each to a worker that is dark: a first token is overdue, and no event came."""
+        if now - state.silence_told_at < SILENCE_TOLD_NS or not state.is_overdue(now, state.alive_at):
+            return
+        state.silence_told_at = now
+        if self.on_silence is not None:
+            self.on_silence(entry)
+
     def _is_silent(self, now: int, zone: str) -> bool:
         """Whether another zone may be cut off: its workers share the links."""
         if zone == self._own_zone:
--- a/tests/test_engine_model.py
+++ b/tests/test_engine_model.py
@@ -11,7 +11,13 @@
     AWAY_NS,
     KEPT_SHARE,
     NEAR_NS,
+    PAUSE_FADE_NS,
+    PAUSE_TOLD_NS,
+    PAUSES_TO_FIRST,
     READ_NS,
+    SILENCE_BELIEVED_NS,
+    SILENCE_DOUBTED_NS,
+    SILENCE_TOLD_NS,
     Engine,
     EngineExpectations,
 )
@@ -235,3 +241,78 @@
     expectations.started(NOW + 130 * MS, "away-2", "quick")
     assert expectations.has_room(NOW + SECOND, other, job("j", 100), AIM)
     assert not expectations.has_room(NOW + SECOND, AWAY, job("j", 100), AIM)
+
+
+# --- pauses and silence, seen here and told of by others ---------------------------------------------------------
+
+
+def test_a_worker_whose_streams_pause_is_expected_to_begin_later_for_a_while() -> None:
+    expectations = model()
+    expectations.listed(NOW, NEAR)
+    alone = expectations.first_token_ns(NOW, NEAR, job("j", 1000))
+    expectations.streamed(NOW, "near", 300.0 * MS)
+    assert expectations.first_token_ns(NOW, NEAR, job("j", 1000)) == pytest.approx(alone + PAUSES_TO_FIRST * 300 * MS)
+    later = NOW + 10 * PAUSE_FADE_NS
+    assert expectations.first_token_ns(later, NEAR, job("j", 1000)) == pytest.approx(alone, abs=MS)
+
+
+def test_a_pause_that_another_tells_of_counts_and_is_not_told_on() -> None:
+    expectations = model()
+    expectations.listed(NOW, NEAR)
+    alone = expectations.first_token_ns(NOW, NEAR, job("j", 1000))
+    expectations.heard_sent(NOW, "near", PromptEstimate(1, 0), 300.0 * MS)
+    assert expectations.first_token_ns(NOW, NEAR, job("j", 1000)) > alone + 299 * MS
+    assert expectations.told_pause(NOW, "near") == 0.0
+
+
+def test_only_what_was_seen_lately_is_told() -> None:
+    expectations = model()
+    expectations.listed(NOW, NEAR)
+    expectations.streamed(NOW, "near", 300.0 * MS)
+    assert expectations.told_pause(NOW, "near") == 300.0 * MS
+    assert expectations.told_pause(NOW + PAUSE_TOLD_NS, "near") == 0.0
+    assert expectations.told_pause(NOW, "unknown") == 0.0
+
+
+def silent_worker(expectations: EngineExpectations) -> tuple[int, list[str]]:
+    """A worker whose first token is long overdue; the moment, and the list of workers told of as silent."""
+    told: list[str] = []
+    expectations.on_silence = lambda entry: told.append(entry.worker)
+    expectations.sent(NOW, NEAR, job("lost", 1000))
+    return NOW + 2 * SECOND, told
+
+
+def test_the_silence_of_a_worker_is_told_now_and_then() -> None:
+    expectations = model()
+    now, told = silent_worker(expectations)
+    for passed in (0, SILENCE_TOLD_NS // 2, SILENCE_TOLD_NS):
+        assert not expectations.has_room(now + passed, NEAR, job("j", 100), AIM)
+    assert told == ["near", "near"]
+
+
+def test_a_worker_whose_streams_go_on_is_not_told_of_as_silent() -> None:
+    expectations = model()
+    now, told = silent_worker(expectations)
+    expectations.streamed(now - MS, "near", 50.0 * MS)
+    assert not expectations.has_room(now, NEAR, job("j", 100), AIM)
+    assert told == []
+
+
+def test_a_worker_told_of_as_silent_has_no_room_until_it_is_heard_or_a_moment_has_passed() -> None:
+    expectations = model()
+    expectations.listed(NOW, NEAR)
+    expectations.heard_silence(NOW, "near")
+    assert not expectations.has_room(NOW, NEAR, job("j", 100), AIM)
+    assert expectations.has_room(NOW + SILENCE_BELIEVED_NS, NEAR, job("j", 100), AIM)
+    expectations.sent(NOW, NEAR, job("mine", 100))
+    expectations.heard_silence(NOW, "near")
+    expectations.started(NOW + MS, "near", "mine")
+    assert expectations.has_room(NOW + MS, NEAR, job("j", 100), AIM)
+
+
+def test_who_has_just_heard_of_a_worker_does_not_believe_that_it_is_silent() -> None:
+    expectations = model()
+    expectations.listed(NOW, NEAR)
+    expectations.streamed(NOW, "near", 50.0 * MS)
+    expectations.heard_silence(NOW + SILENCE_DOUBTED_NS, "near")
+    assert expectations.has_room(NOW + SILENCE_DOUBTED_NS, NEAR, job("j", 100), AIM)
--- a/tests/test_placement_notices.py
+++ b/tests/test_placement_notices.py
@@ -21,6 +21,7 @@
 from canvasbeam.decide.engine_model import READ_NS, Engine, EngineExpectations
 from canvasbeam.interface import JobArrived, PromptEstimate, PromptPart, WorkerEntry
 from canvasbeam.runtime.settings import Address
+from canvasbeam.units import SECOND
 
 PROMPT = PromptEstimate(3000, 0, (PromptPart("5c", 2000), PromptPart("91", 1000)))
 SENDER = Address("ip-near", 7001)
@@ -128,6 +129,25 @@
     assert transport.sent == []
 
 
+def test_pauses_and_silence_survive_the_wire_and_reach_the_expectations() -> None:
+    for notice in (Notice("w1", PROMPT, 1_500_000.0), Notice("w1", PromptEstimate(0, 0), is_silent=True)):
+        assert decode_notice(encode_notice(notice)) == notice
+    transport, expectations = notices()
+    assert expectations.has_room(time.monotonic_ns(), HERE, job(), SECOND)
+    transport.callbacks[Channel.PLACEMENT](SENDER, encode_notice(Notice("w1", PromptEstimate(0, 0), is_silent=True)))
+    assert not expectations.has_room(time.monotonic_ns(), HERE, job(), SECOND)
+
+
+def test_silence_is_told_to_the_region() -> None:
+    transport, expectations = notices()
+    assert expectations.on_silence is not None
+    expectations.on_silence(HERE)
+    assert transport.told() == ["ip-near"]
+    notice = decode_notice(transport.sent[0][2])
+    assert notice is not None
+    assert notice.is_silent
+
+
 def test_a_notice_that_cannot_be_read_is_passed_over() -> None:
     transport, expectations = notices()
     alone = expectations.first_token_ns(0, HERE, job())
