--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -27,18 +27,22 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
 from canvasbeam.cluster import codec, envelope_pb2, membership_pb2
+from canvasbeam.cluster.document import Document
 from canvasbeam.cluster.framing import frame
 from canvasbeam.cluster.items import Item, ItemKind, ItemTable, Version
 from canvasbeam.cluster.member import Member, member_item
 from canvasbeam.cluster.node_core import Action, NodeCore, Ports, ProbeAnswer
 from canvasbeam.cluster.transport import Channel
 from canvasbeam.cluster.worker_items import worker_item
-from canvasbeam.control_plane.changes import apply, encode_configuration, encode_state
+from canvasbeam.configuration_document import document_of
+from canvasbeam.control_plane.changes import apply, encode_state
 from canvasbeam.control_state import Change, ChangeKind, ControlState
 from canvasbeam.data_plane.placement_notices import Notice, decode_notice, encode_notice
-from canvasbeam.data_plane.routes import parse_configuration
+from canvasbeam.data_plane.routes import Configuration
 from canvasbeam.decide.distribution import Start
 from canvasbeam.decide.distribution_messages import Message, Send, Update
+from canvasbeam.decide.document_messages import DocumentPiece, DocumentRequest
+from canvasbeam.decide.document_sender import DocumentSender
 from canvasbeam.decide.monitoring import Probe
 from canvasbeam.decide.worker_registry import Model, Publication, Worker, WorkerVersion
 from canvasbeam.errors import Failure
@@ -161,21 +165,53 @@
     changed = {"generation": 2, "upsert": {"routes": [{**route(0), "timeout_ms": 14000}]}}
     patch = Change(ChangeKind.PATCH_CONFIGURATION, json.dumps(changed).encode(), 1)
     assert state.configuration is not None
-    document = state.configuration
-    payload = encode_configuration(document)
-    update = codec.encode(Update((Item(ItemKind.CONFIGURATION, "current", Version(1), payload),)))
+    before = document_of(state.configuration)
+    after_patch = applied(state, patch)
+    assert after_patch.configuration is not None
+    after = document_of(after_patch.configuration, before)
+    sender = DocumentSender()
+    sender.hold(Version(1), before)
+    whole = transfer(sender, None)
+    sender.hold(Version(2), after)
+    delta = transfer(sender, Version(1))
+    adopted = Configuration(before)
     return {
         "tenants": tenants,
-        "message_kb": len(update) / 1000,
+        "whole_kb": sum(map(len, whole)) / 1000,
+        "pieces": len(whole),
+        "delta_kb": sum(map(len, delta)) / 1000,
         "stored_kb": len(encode_state(state)) / 1000,
         "apply_put_ms": milliseconds(lambda: applied(ControlState(), put), repeats),
         "apply_patch_ms": milliseconds(lambda: applied(state, patch), repeats),
         "encode_state_ms": milliseconds(lambda: encode_state(state), repeats),
-        "relay_ms": milliseconds(lambda: codec.encode(_decoded(update)), repeats),
-        "adopt_ms": milliseconds(lambda: parse_configuration(json.loads(payload)), repeats),
+        "publish_ms": milliseconds(lambda: document_of(after_patch.configuration or {}, before), repeats),
+        "relay_ms": milliseconds(lambda: transfer(sender, Version(1)), repeats),
+        "adopt_ms": milliseconds(lambda: adopt(delta, before, adopted), repeats),
+        "adopt_whole_ms": milliseconds(lambda: adopt(whole, Document(), None), repeats),
     }
 
 
+def transfer(sender: DocumentSender, held: Version | None) -> list[bytes]:
+    """The messages that bring a node from what it holds to the newest document."""
+    messages = []
+    request = DocumentRequest(held)
+    while (piece := sender.answer(request)) is not None:
+        messages.append(codec.encode(piece))
+        if piece.piece + 1 == piece.pieces:
+            break
+        request = DocumentRequest(held, piece.transfer, piece.piece + 1)
+    return messages
+
+
+def adopt(messages: Sequence[bytes], held: Document, before: Configuration | None) -> Configuration:
+    """What a data-plane node makes of such messages."""
+    for message in messages:
+        piece = _decoded(message)
+        assert isinstance(piece, DocumentPiece)
+        held = held.apply(piece.delta)
+    return Configuration(held, before)
+
+
 def _decoded(payload: bytes) -> Message:
     message = codec.decode(payload)
     assert not isinstance(message, Failure)
@@ -415,21 +451,29 @@
     with_workers = tracemalloc.get_traced_memory()[0]
     table.merge(_decoded_items([member_item(member(number, False)) for number in range(members)]))
     with_members = tracemalloc.get_traced_memory()[0]
-    payload = encode_configuration(configuration_document(tenants))
-    table.merge(_decoded_items([Item(ItemKind.CONFIGURATION, "current", Version(1), payload)]))
-    del payload
+    sender = DocumentSender()
+    sender.hold(Version(1), document_of(configuration_document(tenants)))
+    messages = transfer(sender, None)
+    del sender
+    with_members = tracemalloc.get_traced_memory()[0]
+    tracemalloc.reset_peak()
+    document = Document()
+    for message in messages:
+        piece = _decoded(message)
+        assert isinstance(piece, DocumentPiece)
+        document = document.apply(piece.delta)
+        del piece
+    table.merge([Item(ItemKind.CONFIGURATION, "current", Version(1), document=document)])
     with_configuration = tracemalloc.get_traced_memory()[0]
-    held = table.get(ItemKind.CONFIGURATION, "current")
-    assert held is not None
-    parsed = parse_configuration(json.loads(held.payload))
+    parsed = Configuration(document)
     gc.collect()
     adopted, peak = tracemalloc.get_traced_memory()
+    del parsed
     tracemalloc.stop()
     return {
         "workers": workers,
         "members": members,
         "tenants": tenants,
-        "routes": len(parsed.routes),
         "workers_kb": with_workers / 1000,
         "members_kb": (with_members - with_workers) / 1000,
         "configuration_kb": (with_configuration - with_members) / 1000,
