--- a/tests/data_plane_harness.py
+++ b/tests/data_plane_harness.py
@@ -271,6 +271,7 @@
     table: ItemTable = field(default_factory=ItemTable)
     generation: int = 0
     sequence: int = 0
+    is_behind: bool = False  # a newer configuration is known of than the one held
     settings: ProcessSettings = field(default_factory=make_settings)
 
     async def __aenter__(self) -> DataPlaneUnderTest:
@@ -283,7 +284,14 @@
             self.table, self.view, self.carrier, self.connections, regions=self.settings.zones, live_nodes=lambda: 1
         )
         self.memory = MemoryBudget(1 << 20)
-        ingress = Ingress(self.view, self.carrier, self.shutdown, self.memory, random.Random(1))
+        ingress = Ingress(
+            self.view,
+            self.carrier,
+            self.shutdown,
+            self.memory,
+            random.Random(1),
+            may_deny=lambda: not self.is_behind,
+        )
         self.server = HttpServer(ingress, Address("127.0.0.1", 0), HttpLimits())
         assert await self.server.start() is None
         for worker in self.workers:
--- a/tests/test_data_plane_ingress.py
+++ b/tests/test_data_plane_ingress.py
@@ -141,6 +141,28 @@
     run(body, worker)
 
 
+@pytest.mark.parametrize(
+    ("denied", "status"),
+    [
+        (request_bytes("/nowhere/x"), 404),
+        (request_bytes("/safe/x", body="x" * 2000), 413),
+        (request_bytes("/safe/x", "r1", "", f"X-Long: {'x' * 20_000}"), 431),
+    ],
+)
+def test_a_node_that_may_be_behind_refuses_in_place_of_denying(denied: bytes, status: int) -> None:
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        for data_plane.is_behind, expected in ((False, status), (True, 503)):
+            client = await data_plane.client()
+            await client.send(denied)
+            response = await client.response()
+            assert response.status == expected
+            assert ("retry-after" in response.headers) == (expected == 503)
+        client = await data_plane.client()
+        assert (await client.request("/safe/x", "id-2")).status == 200
+
+    run(body, ScriptedWorker("w1"))
+
+
 def test_a_request_under_way_keeps_its_route_when_that_is_removed() -> None:
     began, proceed = asyncio.Event(), asyncio.Event()
 
