--- a/canvasbeam/cli/explain.py
+++ b/canvasbeam/cli/explain.py
@@ -15,7 +15,6 @@
 
 TIMEOUT = dict.fromkeys(("connect", "read", "write", "pool"), 3.0)  # seconds
 MS_PER_S = 1000
-SERVED_IN_TIME = "in_time"
 _SAMPLE = re.compile(r"canvasbeam_request_(\w+)\{(.*)\} (\S+)")
 _LABEL = re.compile(r'(\w+)="((?:[^"\\]|\\.)*)"')
 _HEAD = ("class", "ring", "cause", "requests", "share", "attempts", "wait ms", "first ms", "unexpected ms")
--- a/canvasbeam/configuration_document.py
+++ b/canvasbeam/configuration_document.py
@@ -45,8 +45,7 @@
 
 def keys_of(document: Document, field: str) -> Iterator[str]:
     """The keys of all items of a field, in the order of the configuration where it came whole."""
-    start = field + _SEPARATOR
-    return (key for key in document.entries if key.startswith(start))
+    return (key for key in document.entries if is_of_field(key, field))
 
 
 def is_of_field(key: str, field: str) -> bool:
--- a/canvasbeam/data_plane/routes.py
+++ b/canvasbeam/data_plane/routes.py
@@ -68,10 +68,6 @@
         """Whether a request may run more than once."""
         return self.kind is RouteKind.SAFE or (self.streams and self.resume)
 
-    def choose_service(self, generator: random.Random) -> str:
-        """One of the services, by their weights and by chance."""
-        return self.service_at(generator.random())
-
     def service_at(self, point: float) -> str:
         """The service at a point, from 0 up to 1, of the line on which each has a part as long as its weight."""
         left = point * sum(each.weight for each in self.split)
--- a/canvasbeam/decide/document_exchange.py
+++ b/canvasbeam/decide/document_exchange.py
@@ -29,11 +29,6 @@
         """Whether there is a newer configuration than the one held."""
         return self.newest > self.held
 
-    @property
-    def mismatches(self) -> int:
-        """Transfers whose digest was off."""
-        return self._receiver.mismatches
-
     def on_items(self, items: Iterable[Item]) -> None:
         """These items were taken into the table."""
         for item in items:
--- a/canvasbeam/decide/document_history.py
+++ b/canvasbeam/decide/document_history.py
@@ -17,10 +17,9 @@
 
 @dataclass(frozen=True, slots=True)
 class DocumentChange:
-    """One step from a version to the next that this process held."""
+    """One step, from a version to the next that this process held."""
 
     before: Version
-    after: Version
     keys: frozenset[str]
 
 
@@ -31,9 +30,9 @@
         self._changes: deque[DocumentChange] = deque()
         self._named = 0
 
-    def note(self, before: Version, old: Document, after: Version, new: Document) -> None:
+    def note(self, before: Version, old: Document, new: Document) -> None:
         """The document was replaced."""
-        change = DocumentChange(before, after, new.changed_keys(old))
+        change = DocumentChange(before, new.changed_keys(old))
         self._changes.append(change)
         self._named += len(change.keys)
         while len(self._changes) > MOST_CHANGES or self._named > MOST_KEYS:
--- a/canvasbeam/decide/document_receiver.py
+++ b/canvasbeam/decide/document_receiver.py
@@ -78,11 +78,6 @@
         self._offer: _Offer | None = None
         self._wants_whole = False
 
-    @property
-    def is_waiting(self) -> bool:
-        """Whether a request is open."""
-        return self._waiting is not None
-
     def hold(self, version: Version, document: Document | None) -> None:
         """This node holds this version now, from wherever it came; as a document, if it can be a base."""
         self._version = version
--- a/canvasbeam/decide/document_sender.py
+++ b/canvasbeam/decide/document_sender.py
@@ -45,7 +45,7 @@
     def hold(self, version: Version, document: Document) -> None:
         """This node holds this document now."""
         if self._version is not None:
-            self._history.note(self._version, self._document, version, document)
+            self._history.note(self._version, self._document, document)
         self._version, self._document = version, document
 
     def answer(self, request: DocumentRequest) -> DocumentPiece | None:
--- a/canvasbeam/decide/reconcile.py
+++ b/canvasbeam/decide/reconcile.py
@@ -36,8 +36,9 @@
         mine, other = table.digest(kind), theirs.get(kind, 0)
         if mine == other:
             continue
-        if other == 0 or any(item.document is not None for item in table.of_kind(kind)):
-            yield from updates(table.of_kind(kind), update_bytes)
+        items = table.of_kind(kind)
+        if other == 0 or any(item.document is not None for item in items):
+            yield from updates(items, update_bytes)
         else:
             yield Versions(kind, tuple(map(_record, table.all_of_kind(kind))))
 
--- a/tests/test_data_plane_items.py
+++ b/tests/test_data_plane_items.py
@@ -55,7 +55,7 @@
     del route["service"]
     configuration = parse_configuration({"generation": 1, "routes": [route], "services": []})
     generator = random.Random(1)
-    chosen = [configuration.routes[0].choose_service(generator) for _ in range(1000)]
+    chosen = [configuration.routes[0].service_at(generator.random()) for _ in range(1000)]
     assert 860 < chosen.count("a") < 940
     assert chosen.count("c") == 0
 
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -88,7 +88,7 @@
     history = DocumentHistory()
     steps = [document(a="1"), document(a="1", b="1"), document(a="2", b="1"), document(b="1")]
     for number, (old, new) in enumerate(zip(steps, steps[1:], strict=False)):
-        history.note(Version(number), old, Version(number + 1), new)
+        history.note(Version(number), old, new)
     assert history.keys_since(Version(2)) == frozenset({"a"})
     assert history.keys_since(Version(0)) == frozenset({"a", "b"})
     assert history.keys_since(Version(7)) is None
@@ -97,7 +97,7 @@
 def test_a_history_is_bounded() -> None:
     history = DocumentHistory()
     for number in range(2 * MOST_CHANGES):
-        history.note(Version(number), document(a=str(number)), Version(number + 1), document(a=str(number + 1)))
+        history.note(Version(number), document(a=str(number)), document(a=str(number + 1)))
     assert history.keys_since(Version(MOST_CHANGES - 1)) is None
     assert history.keys_since(Version(MOST_CHANGES)) == frozenset({"a"})
 
@@ -332,7 +332,7 @@
     Chain(seed).run(300)
 
 
-def unchecked(self: DocumentReceiver, collected: _Collected, digest: int) -> HeldDocument:
+def assemble_unchecked(self: DocumentReceiver, collected: _Collected, digest: int) -> HeldDocument:
     """What came is put on whatever is held."""
     base = self._held.document if self._held is not None and collected.transfer.base is not None else Document()
     delta = DocumentDelta(collected.changed, tuple(collected.removed))
@@ -372,12 +372,12 @@
 
 PLANTS: dict[str, list[tuple[object, str, Callable[..., object]]]] = {
     "the digest is not looked at, and deltas are from the wrong base": [
-        (DocumentReceiver, "_assemble", unchecked),
+        (DocumentReceiver, "_assemble", assemble_unchecked),
         (DocumentSender, "answer", delta_from_any_base),
     ],
     "pieces are taken in any order, without a digest": [
         (DocumentReceiver, "_collect", collect_in_any_order),
-        (DocumentReceiver, "_assemble", unchecked),
+        (DocumentReceiver, "_assemble", assemble_unchecked),
     ],
     "the whole is never asked for": [
         (DocumentReceiver, "_base", never_the_whole),
--- a/tests/test_soft_state_explorer.py
+++ b/tests/test_soft_state_explorer.py
@@ -27,7 +27,7 @@
 from canvasbeam.decide.distribution import Distribution
 from canvasbeam.decide.distribution_messages import LeaseGrant, Message
 from canvasbeam.decide.document_history import DocumentHistory
-from canvasbeam.decide.document_receiver import DocumentReceiver, HeldDocument, _Collected
+from canvasbeam.decide.document_receiver import DocumentReceiver
 from canvasbeam.decide.parent_link import ParentLink
 from canvasbeam.decide.peer_clock import PeerClocks, SendTime
 from canvasbeam.decide.replication.messages import Action, Reply
@@ -48,6 +48,7 @@
     VouchedWithoutContact,
 )
 from .soft_state_walk import TroubleKind, Walk
+from .test_documents import assemble_unchecked
 
 WALKS = int(os.environ.get("EXPLORER_WALKS", "12"))
 FIRST = int(os.environ.get("EXPLORER_FIRST", "0"))
@@ -206,13 +207,6 @@
     return [Reply(call, Committed(self._replica.state_at(self._committed)))]
 
 
-def assemble_unchecked(self: DocumentReceiver, collected: _Collected, digest: int) -> HeldDocument:
-    """What came is put on whatever is held."""
-    base = self._held.document if self._held is not None and collected.transfer.base is not None else Document()
-    delta = DocumentDelta(collected.changed, tuple(collected.removed))
-    return HeldDocument(collected.transfer.version, base.apply(delta))
-
-
 REAL_DELTA_OF = Document.delta_of
 
 
