--- /dev/null
+++ b/review/__init__.py
@@ -0,0 +1,1 @@
+"""The independent review; see REPORT.md."""
