Log the ends of workers, and the states in which a restart restores them

Change: 'worker left id=', 'worker draining id= sequence=' where a node publishes an end, and 'workers restored' with a count for each state and of the items that were newer than what the node held.

--- a/canvasbeam/cluster/worker_items.py
+++ b/canvasbeam/cluster/worker_items.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections import Counter
+from collections.abc import Iterable
+
 from google.protobuf.message import DecodeError
 
 from canvasbeam.cluster.workers_pb2 import WorkerModel, WorkerRecord
@@ -67,3 +70,17 @@
         stage=record.stage,
         models=tuple(Model(model.name, model.generation, tuple(model.adapters)) for model in record.models),
     )
+
+
+def count_by_state(items: Iterable[Item]) -> str:
+    """Return the number of worker items in each state that occurs, as `state=count` pairs for a log line."""
+    counts = Counter(_state_of(item) for item in items)
+    return " ".join(f"{state}={counts[state]}" for state in sorted(counts))
+
+
+def _state_of(item: Item) -> str:
+    publication = publication_of(item)
+    if isinstance(publication, Failure):
+        return "invalid"
+    state = WorkerState.LEFT if publication.worker is None else publication.worker.state
+    return state.name.lower()
--- a/canvasbeam/control_plane/registry.py
+++ b/canvasbeam/control_plane/registry.py
@@ -155,6 +155,8 @@
 
     def _publish(self, publications: Sequence[Publication]) -> None:
         if publications:
+            for publication in publications:
+                _log_end(publication)
             self._node.publish([worker_item(publication) for publication in publications])
 
     def _on_items(self, items: Sequence[Item]) -> None:
@@ -167,3 +169,12 @@
 
     def _on_announced(self, heartbeats: Iterable[ReceivedHeartbeat]) -> None:
         self._registry.record_remote_heartbeats(heartbeats, self._clock())
+
+
+def _log_end(publication: Publication) -> None:
+    """Log that this node publishes the end of a worker, with the version that any older statement gives way to."""
+    worker, sequence = publication.worker, publication.version.sequence
+    if worker is None:
+        log.info("worker left id={}", publication.worker_id)
+    elif worker.state is WorkerState.DRAINING:
+        log.info("worker draining id={} sequence={}", publication.worker_id, sequence)
--- a/canvasbeam/control_plane/worker_snapshot.py
+++ b/canvasbeam/control_plane/worker_snapshot.py
@@ -16,6 +16,7 @@
 from typing import Protocol
 
 from canvasbeam.cluster import codec
+from canvasbeam.cluster.worker_items import count_by_state
 from canvasbeam.control_plane.disk_worker import DiskWorker
 from canvasbeam.distribution.messages import Update
 from canvasbeam.item_table.items import Item, ItemKind, ItemTable
@@ -79,10 +80,11 @@
         """Publish the workers of the last save; newer versions in the item table stay unchanged."""
         with suppress(OSError):
             data = await self._worker.run(lambda: self._disk.read(FILE_NAME))
-            items = decode_snapshot(data, self._clock())
+            now_ns = self._clock()
+            items = decode_snapshot(data, now_ns)
             if items:
-                self._node.publish(items)
-                log.info("workers restored count={}", len(items))
+                accepted = self._node.publish(items)
+                log.info("workers restored {} accepted={}", count_by_state(items), len(accepted))
 
     async def save(self) -> None:
         """Write the currently known workers to disk. Errors of the disk are ignored, because the next save retries."""
--- a/tests/control_plane/test_worker_snapshot.py
+++ b/tests/control_plane/test_worker_snapshot.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Iterable
 
+import logbook
 import pytest
 
 from canvasbeam.cluster.worker_items import worker_item
@@ -115,3 +116,12 @@
     save(disk, [item("a", 4)])
     assert restore(disk) == {"a": item("a", 4)}
     assert disk.read(FILE_NAME)
+
+
+def test_restore_logs_states_and_how_many_items_were_newer_than_known_ones() -> None:
+    """Guards against a log that can't tell a worker restored from the snapshot from one published by another node."""
+    disk = ModelDisk()
+    save(disk, [item("a", 3), item("b", 3), item("c", 5, WorkerState.DRAINING)])
+    with logbook.TestHandler() as handler:
+        restore(disk, [left_item("a")])
+    assert [record.message for record in handler.records] == ["workers restored draining=1 ready=2 accepted=2"]
