An acknowledged end of a worker is on a majority's disks, and outlives a restart of all

Cause: 'a majority stores the end' meant its item table, in memory. A late heartbeat is ruled out: there is none.

Change: a control node takes a lease request with items, which is how a write reaches it, only once the items are on its disk (DurableItems: batches through the existing Store, under other file names), and its own write waits for its own disk too. It also stores the ends that reach its table in another way. The pure packages and the wire are unchanged; 'draining' had the same fault and the same mend.

Unit tests, golden files and digests pass unchanged.

--- a/canvasbeam/cluster/node.py
+++ b/canvasbeam/cluster/node.py
@@ -5,7 +5,8 @@
 import asyncio
 import random
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
+from typing import Protocol
 
 from google.protobuf.message import DecodeError
 
@@ -14,11 +15,12 @@
 from canvasbeam.cluster.node_core import NodeCore, PingAnswer, Ports
 from canvasbeam.cluster.transport import Channel, PeerInfo, Transport
 from canvasbeam.distribution.distribution import ProcessStart
-from canvasbeam.distribution.messages import Send
+from canvasbeam.distribution.messages import Message, Send
 from canvasbeam.errors import Failure
 from canvasbeam.failure_detection.monitoring import SendPing
 from canvasbeam.item_table.items import Item, ItemKind, ItemTable, Version
 from canvasbeam.leases.contact import ControlVersions
+from canvasbeam.leases.messages import LeaseRequest
 from canvasbeam.runtime.logs import get_logger
 from canvasbeam.runtime.settings import Address, ProcessSettings
 
@@ -29,6 +31,14 @@
 log = get_logger(__name__)
 
 
+class ItemStore(Protocol):
+    """Keeps items on the disk of this node; `canvasbeam.control_plane.durable_items` implements it."""
+
+    def store(self, items: Iterable[Item], on_durable: Callable[[], None]) -> None:
+        """Call `on_durable` once these items, or newer versions of them, are durable; possibly before returning."""
+        ...
+
+
 class ClusterNode:
     """The cluster interface of a process: members, item distribution and transport, with sockets and a clock."""
 
@@ -41,6 +51,7 @@
         start = ProcessStart(random.randrange(1 << 32), time.monotonic_ns())
         self._core = NodeCore(member, self._ports, settings.seed_peers, start)
         self.table: ItemTable = self._core.table
+        self._item_store: ItemStore | None = None
         self._writes: dict[int, asyncio.Future[None]] = {}
         self._logged_contact: bool | None = None  # contact state logged last; None before the first contact
         self._timer: asyncio.TimerHandle | None = None
@@ -92,16 +103,24 @@
         self._perform()
         return new_items
 
+    def set_item_store(self, item_store: ItemStore) -> None:
+        """Store the items of writes, own and others', before this node confirms them; needed on every control node."""
+        self._item_store = item_store
+
     async def write(self, items: Iterable[Item], within_s: float) -> bool:
         """Return True once a majority of the control nodes store the items, or False after `within_s` seconds.
 
+        With an item store on each control node, "store" means on disk; this node is always part of the majority.
         Without items, True means that a majority of the control nodes answered a request sent after the call.
         """
-        number = self._core.begin_write(time.monotonic_ns(), items)
+        written_items = tuple(items)
+        number = self._core.begin_write(time.monotonic_ns(), written_items)
         self._writes[number] = written = asyncio.get_running_loop().create_future()
         try:
             self._perform()
-            await asyncio.wait_for(written, within_s)
+            async with asyncio.timeout(within_s):
+                await self._store(written_items)
+                await written
         except TimeoutError:
             return False
         else:
@@ -110,6 +129,14 @@
             del self._writes[number]
             self._core.end_write(number)
 
+    async def _store(self, items: tuple[Item, ...]) -> None:
+        """Return once this node has stored the items; at once without items, or without an item store."""
+        if not items or self._item_store is None:
+            return
+        stored = asyncio.Event()
+        self._item_store.store(items, stored.set)
+        await stored.wait()
+
     def refresh(self, kind: ItemKind, key: str) -> None:
         """Request a newer version of an item from other nodes, without waiting for the result."""
         self._core.distribution.refresh(kind, key)
@@ -169,7 +196,14 @@
         if isinstance(message, Failure):
             self.transport.counters.invalid += 1
             return
-        self._core.receive(time.monotonic_ns(), sender.address, message)
+        if isinstance(message, LeaseRequest) and message.items and self._item_store is not None:
+            # The node core grants a request on receipt, and the grant states that this node stores the items.
+            self._item_store.store(message.items, lambda: self._receive(sender.address, message))
+        else:
+            self._receive(sender.address, message)
+
+    def _receive(self, sender: Address, message: Message) -> None:
+        self._core.receive(time.monotonic_ns(), sender, message)
         self._perform()
 
     def _on_disconnected(self, address: Address) -> None:
--- a/canvasbeam/cluster/worker_items.py
+++ b/canvasbeam/cluster/worker_items.py
@@ -72,6 +72,16 @@
     )
 
 
+def is_end_of_worker(item: Item) -> bool:
+    """Return True if an item says that a worker gets no more requests because it is draining or has left."""
+    if item.kind is not ItemKind.WORKER:
+        return False
+    publication = publication_of(item)
+    if isinstance(publication, Failure):
+        return False
+    return publication.worker is None or publication.worker.state is WorkerState.DRAINING
+
+
 def count_by_state(items: Iterable[Item]) -> str:
     """Return the number of worker items in each state that occurs, as `state=count` pairs for a log line."""
     counts = Counter(_state_of(item) for item in items)
--- a/canvasbeam/control_plane/program.py
+++ b/canvasbeam/control_plane/program.py
@@ -28,14 +28,13 @@
 from canvasbeam.control_plane.replicated_state import ReplicatedControlState
 from canvasbeam.control_plane.status import status_document
 from canvasbeam.control_plane.web import Endpoint, WebApp
-from canvasbeam.control_plane.worker_snapshot import WorkerSnapshot
+from canvasbeam.control_plane.worker_storage import WorkerStorage
 from canvasbeam.errors import Failure, ResultCode
 from canvasbeam.runtime import logs
 from canvasbeam.runtime.http_server import HttpLimits, HttpServer
 from canvasbeam.runtime.listeners import Listeners
 from canvasbeam.runtime.process import LEAVE_FLUSH_S, run_process, run_until_terminated
 from canvasbeam.runtime.settings import ProcessSettings
-from canvasbeam.storage.disk import FolderDisk
 
 MAX_IGNORED_BODY_BYTES = 4096  # body limit of requests whose body is ignored
 RESERVED_DESCRIPTORS = 400  # file descriptors reserved for files and connections other than those of HTTP clients
@@ -69,8 +68,7 @@
         )
         self._service.add_primary_listener(self._operator.on_primary_changed)
         self._servers = self._make_servers(settings, listeners or {})
-        disk = FolderDisk(settings.data_dir) if settings.data_dir is not None else None
-        self._snapshot = WorkerSnapshot(self._node, disk) if disk is not None else None
+        self._worker_storage = WorkerStorage(self._node, settings.data_dir) if settings.data_dir is not None else None
         self._tasks = OwnedTasks()
 
     def _make_servers(self, settings: ProcessSettings, listeners: Listeners) -> list[HttpServer]:
@@ -115,8 +113,8 @@
         except OSError as error:
             return Failure(ResultCode.ADDRESS_IN_USE, f"{self._node.address}: {error}")
         await self._service.start()
-        if self._snapshot is not None:
-            self._tasks.start(self._snapshot.run(), "worker snapshot")
+        if self._worker_storage is not None:
+            self._tasks.start(self._worker_storage.run(), "worker storage")
         logs.set_epoch(lambda: self._service.status.epoch)
         for server in self._servers:
             failure = await server.start()
@@ -143,8 +141,8 @@
             async with asyncio.timeout(RESIGN_S):
                 await self._service.stop()
         self._tasks.cancel()
-        if self._snapshot is not None:
-            self._snapshot.close()
+        if self._worker_storage is not None:
+            self._worker_storage.close()
         self._node.leave()
         await asyncio.sleep(LEAVE_FLUSH_S)
         for server in self._servers:
--- a/canvasbeam/control_plane/registry.py
+++ b/canvasbeam/control_plane/registry.py
@@ -2,8 +2,9 @@
 
 Every control node accepts heartbeats. A changed worker is published before its heartbeat is acknowledged, because the
 acknowledgement of `draining` guarantees that requests to the worker cease: that acknowledgement waits until a majority
-of the control nodes has stored the publication. A node without contact to a majority cannot guarantee this: the node
-publishes to all reachable nodes, and answers 503, after which the worker turns to another control node.
+of the control nodes has the publication on disk (`durable_items.py`). A node without contact to a majority cannot
+guarantee this: the node publishes to all reachable nodes, and answers 503, after which the worker turns to another
+control node.
 `canvasbeam.service_discovery.worker_registry` decides what is published.
 """
 
--- a/canvasbeam/simulator/model_worker.py
+++ b/canvasbeam/simulator/model_worker.py
@@ -123,19 +123,33 @@
         self._state = "draining"
         await self._call("PUT", self._heartbeat())
         await self._server.drain(timeout_s=5.0)
-        await self._call("DELETE", b"")
+        await self.sign_off()
         await self.crash()
 
+    async def drain(self) -> bool:
+        """Say that this worker drains, in its last heartbeat, but go on serving; return True if acknowledged."""
+        self._stop_heartbeats()
+        self._state = "draining"
+        return await self._call("PUT", self._heartbeat())
+
+    async def sign_off(self) -> bool:
+        """Stop the heartbeats and deregister, but go on serving; return True if that was acknowledged."""
+        self._stop_heartbeats()
+        return await self._call("DELETE", b"")
+
     async def crash(self) -> None:
         """End without a word: connections are reset, and what runs is dropped."""
-        if self._beating is not None:
-            self._beating.cancel()
+        self._stop_heartbeats()
         closing = asyncio.ensure_future(self._server.close())
         await asyncio.sleep(0)  # the connections are reset before what runs on them ends
         for task in tuple(self._running):
             task.cancel()
         await closing
 
+    def _stop_heartbeats(self) -> None:
+        if self._beating is not None:
+            self._beating.cancel()
+
     # --- registration -----------------------------------------------------------------------------
 
     async def _send_heartbeats(self) -> None:
--- a/canvasbeam/storage/store.py
+++ b/canvasbeam/storage/store.py
@@ -1,5 +1,7 @@
 """A durable table of named values, stored in two slot files written alternately and a short log of later updates.
 
+The table names the files by default; a second store in the same directory needs other names (`StoreFiles`).
+
 | file | content |
 | --- | --- |
 | `slot-0`, `slot-1` | the complete table, at alternating generations |
@@ -48,6 +50,22 @@
 _DISK_FULL_ERRNOS = (errno.ENOSPC, errno.EDQUOT)
 
 
+@dataclass(frozen=True, slots=True)
+class StoreFiles:
+    """The names of the files of one store; several stores may be in one directory under different names."""
+
+    slots: tuple[str, str] = SLOT_FILES
+    log: str = LOG_FILE
+
+    @classmethod
+    def with_prefix(cls, prefix: str) -> StoreFiles:
+        """Return the default names, each after a prefix."""
+        return cls((prefix + SLOT_FILES[0], prefix + SLOT_FILES[1]), prefix + LOG_FILE)
+
+
+DEFAULT_FILES = StoreFiles()
+
+
 @dataclass(frozen=True, slots=True)
 class _LogContent:
     """The chain of intact frames at the start of the log, and the newest generation of later intact frames."""
@@ -61,9 +79,17 @@
     """The durable table, created by `open_store`; owns the file position of the next write."""
 
     def __init__(
-        self, disk: Disk, values: dict[str, bytes], newest_slot: int, generation: int, log: _LogContent | None = None
+        self,
+        disk: Disk,
+        values: dict[str, bytes],
+        newest_slot: int,
+        generation: int,
+        *,
+        log: _LogContent | None,
+        files: StoreFiles,
     ) -> None:
         self._disk = disk
+        self._files = files
         self._values = values
         self._newest_slot = newest_slot
         self._generation = generation
@@ -102,8 +128,8 @@
 
     def _append(self, body: bytes) -> None:
         frame = Frame(self._generation, self._log_records, body)
-        self._disk.write(LOG_FILE, self._log_end, encode_frame(LOG_MAGIC, frame))
-        self._disk.sync(LOG_FILE)
+        self._disk.write(self._files.log, self._log_end, encode_frame(LOG_MAGIC, frame))
+        self._disk.sync(self._files.log)
         self._log_end += frame.size
         self._log_records += 1
 
@@ -113,8 +139,8 @@
         target = 1 - self._newest_slot
         self._generation += 1
         frame = Frame(self._generation, 0, encode_updates(self._values))
-        self._disk.write(SLOT_FILES[target], 0, encode_frame(SLOT_MAGIC, frame))
-        self._disk.sync(SLOT_FILES[target])
+        self._disk.write(self._files.slots[target], 0, encode_frame(SLOT_MAGIC, frame))
+        self._disk.sync(self._files.slots[target])
         self._newest_slot = target
         self._log_end = self._log_records = 0
         self._append(b"")
@@ -136,13 +162,13 @@
             values[name] = value
 
 
-def open_store(disk: Disk) -> Store | Failure:
-    """Open the store on a disk, creating the files on an empty disk.
+def open_store(disk: Disk, files: StoreFiles = DEFAULT_FILES) -> Store | Failure:
+    """Open the store in these files of a disk, creating missing files.
 
     Damage to synced data returns a failure with code `DISK_CORRUPT`; an I/O error returns `DISK_FULL` or `DISK_FAILED`.
     """
     try:
-        return _open(disk)
+        return _open(disk, files)
     except OSError as error:
         return disk_failure(error)
 
@@ -153,10 +179,10 @@
     return Failure(code, str(error))
 
 
-def _open(disk: Disk) -> Store | Failure:
-    _create_files(disk)
-    slots = [decode_frame(SLOT_MAGIC, disk.read(name) or b"") for name in SLOT_FILES]
-    log = _read_log(disk.read(LOG_FILE) or b"")
+def _open(disk: Disk, files: StoreFiles) -> Store | Failure:
+    _create_files(disk, files)
+    slots = [decode_frame(SLOT_MAGIC, disk.read(name) or b"") for name in files.slots]
+    log = _read_log(disk.read(files.log) or b"")
     generations = [slot.generation if slot is not None else 0 for slot in slots]
     newest_slot = 1 if generations[1] > generations[0] else 0
     generation = generations[newest_slot]
@@ -170,12 +196,12 @@
     newest = slots[newest_slot]
     values = _decode_table(newest.body) if newest is not None else {}
     is_log_current = generation > 0 and log_generation == generation
-    return Store(disk, values, newest_slot, generation, log if is_log_current else None)
+    return Store(disk, values, newest_slot, generation, log=log if is_log_current else None, files=files)
 
 
-def _create_files(disk: Disk) -> None:
+def _create_files(disk: Disk, files: StoreFiles) -> None:
     """Create missing files and sync all: a killed process may have left unsynced writes, which recovery would read."""
-    for name in (*SLOT_FILES, LOG_FILE):
+    for name in (*files.slots, files.log):
         disk.create(name)
         disk.sync(name)
     disk.sync_folder()
--- a/tests/cluster/test_cluster_transport.py
+++ b/tests/cluster/test_cluster_transport.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import socket
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine, Iterable
 
 import pytest
 
@@ -303,6 +303,56 @@
     run_with_nodes(work)
 
 
+class HeldItemStore:
+    """An item store whose disk is stalled: `release` makes all items durable that were stored so far."""
+
+    def __init__(self) -> None:
+        self.stored: list[Item] = []
+        self._waiting: list[Callable[[], None]] = []
+
+    def store(self, items: Iterable[Item], on_durable: Callable[[], None]) -> None:
+        self.stored.extend(items)
+        self._waiting.append(on_durable)
+
+    def release(self) -> None:
+        waiting, self._waiting = self._waiting, []
+        for on_durable in waiting:
+            on_durable()
+
+
+def test_write_is_confirmed_only_after_majority_has_it_on_disk() -> None:
+    """Guards against the acknowledged end of a worker that is forgotten when all control nodes restart at once."""
+
+    async def work(nodes: list[ClusterNode]) -> None:
+        stores = [HeldItemStore() for _ in nodes[:3]]
+        for each, store in zip(nodes, stores, strict=False):
+            each.set_item_store(store)
+        item = Item(ItemKind.WORKER, "w1", Version(1), b"worker")
+        nodes[0].publish([item])
+        write = asyncio.create_task(nodes[0].write([item], within_s=20))
+        await wait_until(nodes, lambda: all(node.table.get(item.kind, item.key) == item for node in nodes))
+        while not all(store.stored for store in stores):
+            await asyncio.sleep(0.001)
+        stores[0].release()
+        done, _ = await asyncio.wait({write}, timeout=0.3)
+        assert not done, "confirmed with one disk of three"
+        stores[2].release()
+        assert await write
+        assert all(item in store.stored for store in stores)
+
+    run_with_nodes(work)
+
+
+def test_write_is_not_confirmed_without_the_own_disk() -> None:
+    async def work(nodes: list[ClusterNode]) -> None:
+        nodes[0].set_item_store(HeldItemStore())
+        item = Item(ItemKind.WORKER, "w1", Version(1), b"worker")
+        assert not await nodes[0].write([item], within_s=0.2)
+        assert await nodes[0].write([], within_s=20)
+
+    run_with_nodes(work)
+
+
 def test_lost_and_regained_contact_are_each_logged_once(monkeypatch: pytest.MonkeyPatch) -> None:
     lines: list[str] = []
     monkeypatch.setattr(node_module.log, "warning", lambda text, *values: lines.append("lost " + text.format(*values)))
--- a/tests/processes/test_system_processes.py
+++ b/tests/processes/test_system_processes.py
@@ -6,6 +6,7 @@
 import signal
 import subprocess
 import sys
+import time
 from pathlib import Path
 
 import pytest
@@ -24,6 +25,8 @@
 )
 
 EVENTS = 10
+REQUESTS = 10  # to each edge
+LATEST_SAVE_S = 1.5  # half of the interval between two worker snapshots
 
 
 async def start_configured(system: System) -> None:
@@ -82,6 +85,37 @@
     play(tmp_path, scene)
 
 
+async def until_workers_are_saved(system: System) -> None:
+    """Wait until every control process has just written its worker snapshot, so that the next one is seconds away."""
+    files = [system.folder / node.name / "workers" for node in CONTROLS]
+
+    async def all_are_new() -> bool:
+        return all(file.exists() and time.time() - file.stat().st_mtime < LATEST_SAVE_S for file in files)
+
+    await system.until(all_are_new)
+
+
+@pytest.mark.parametrize("end", ["DELETE", "draining"])
+def test_acknowledged_end_of_worker_outlives_kill_of_all_processes(tmp_path: Path, end: str) -> None:
+    """Guards against requests to a worker whose end was acknowledged before all processes were killed at once."""
+
+    async def scene(system: System) -> None:
+        await start_configured(system)
+        staying = await system.add_worker(4, service="register", zone="z3")
+        ended = system.workers[2]
+        await until_workers_are_saved(system)
+        assert await (ended.sign_off() if end == "DELETE" else ended.drain())
+        await system.kill(*CONTROLS, *EDGES)
+        await system.start((*CONTROLS, *EDGES), bootstrap=False)
+        await system.until_ready(*EDGES)
+        answers = [await send(edge, f"{edge.name}-{number}") for number in range(REQUESTS) for edge in EDGES]
+        assert all(answer is not None and answer.status == 200 for answer in answers)
+        assert len(staying.counts.ran) == len(answers)
+        assert ended.counts.ran == []
+
+    play(tmp_path, scene)
+
+
 async def crash_the_worker_of_a_stream(system: System) -> None:
     """The stream goes on at the other worker, under the head of its first one."""
     workers = system.workers[:2]
