A heartbeat with a text that is not Unicode is refused before the registry takes it

Callers saw: a worker with such a text in a heartbeat gets 500, its next heartbeat 200, and no node knows of it.

Cause: parse_heartbeat took what the worker's item can't encode, and the registry recorded the worker as published before the encoding failed, so the next heartbeat had nothing new to publish. Checked on the code before with three nodes of the registry's test: UnicodeEncodeError, then 200, and no item in the table.

--- a/canvasbeam/control_plane/changes.py
+++ b/canvasbeam/control_plane/changes.py
@@ -20,7 +20,7 @@
 from canvasbeam.control_plane.configuration_patch import apply_patch, drop_unchanged_items
 from canvasbeam.control_plane.configuration_rules import check_rules
 from canvasbeam.control_plane.configuration_schema import check_configuration, check_patch
-from canvasbeam.control_plane.json_documents import JsonValue, check_unicode, is_same_json, read_document
+from canvasbeam.control_plane.json_documents import JsonValue, is_same_json, is_unicode, read_document
 from canvasbeam.errors import Failure, ResultCode
 from canvasbeam.replication.control_state import Change, ChangeKind, ControlState
 
@@ -143,10 +143,9 @@
 
 def _check_own_structure(kind: ChangeKind, document: JsonValue) -> Failure | None:
     """Return the first failure of a change by itself, or None; the resulting configuration is not checked here."""
-    failure = check_unicode(document)
-    if failure is not None or kind is not ChangeKind.PATCH_CONFIGURATION:
-        return failure
-    return check_patch(document)
+    if not is_unicode(document):
+        return Failure(ResultCode.CONFIG_UNREADABLE, "the body contains a text that is not Unicode")
+    return check_patch(document) if kind is ChangeKind.PATCH_CONFIGURATION else None
 
 
 def _check_structure(state: ControlState, document: JsonValue) -> Failure | None:
--- a/canvasbeam/control_plane/heartbeats.py
+++ b/canvasbeam/control_plane/heartbeats.py
@@ -11,7 +11,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from canvasbeam.control_plane.json_documents import JsonValue
+from canvasbeam.control_plane.json_documents import JsonValue, is_unicode
 from canvasbeam.errors import Failure, ResultCode
 from canvasbeam.runtime.settings import Address
 from canvasbeam.service_discovery.worker_registry import LEFT_SEQUENCE, Model, Worker, WorkerState
@@ -46,6 +46,8 @@
 def _object(document: JsonValue) -> Mapping[str, JsonValue]:
     if not isinstance(document, dict):
         raise _RejectedError("the body is no object")
+    if not is_unicode(document):
+        raise _RejectedError("the body contains a text that is not Unicode")
     return document
 
 
--- a/canvasbeam/control_plane/json_documents.py
+++ b/canvasbeam/control_plane/json_documents.py
@@ -28,16 +28,16 @@
     return document
 
 
-def check_unicode(document: JsonValue) -> Failure | None:
-    """Return a `CONFIG_UNREADABLE` failure if a text in a document contains a surrogate code point, or None.
+def is_unicode(document: JsonValue) -> bool:
+    """Return False if a text in a document contains a surrogate code point.
 
     JSON can escape such a code point, but no text that contains one can be encoded (RFC 8259, section 8.2).
     """
     try:
         json.dumps(document, ensure_ascii=False).encode()
-    except UnicodeEncodeError as error:
-        return Failure(ResultCode.CONFIG_UNREADABLE, f"the body contains a text that is not Unicode: {error.reason}")
-    return None
+    except UnicodeEncodeError:
+        return False
+    return True
 
 
 def is_same_json(document: JsonValue, other: JsonValue) -> bool:
