An acknowledged warm-up of a worker outlives a restart of all

Change: a heartbeat with a warm-up is acknowledged after a majority has the worker's item on disk, once a version and node.

Not shown with whole processes.

--- a/canvasbeam/cluster/worker_items.py
+++ b/canvasbeam/cluster/worker_items.py
@@ -82,6 +82,14 @@
     return publication.worker is None or publication.worker.state is WorkerState.DRAINING
 
 
+def restricts_requests(item: Item) -> bool:
+    """Return True if an item says that a worker gets no more requests, or fewer while it warms up."""
+    if is_end_of_worker(item):
+        return True
+    worker = worker_of(item) if item.kind is ItemKind.WORKER else None
+    return isinstance(worker, Worker) and worker.warm_up_left_ms > 0
+
+
 def count_by_state(items: Iterable[Item]) -> str:
     """Return the number of worker items in each state that occurs, as `state=count` pairs for a log line."""
     counts = Counter(_state_of(item) for item in items)
--- a/canvasbeam/control_plane/__init__.py
+++ b/canvasbeam/control_plane/__init__.py
@@ -16,7 +16,7 @@
 - `operator_api`: the operator's requests, served by `web`; `evacuation_fence` rejects delayed copies of requests, and
   `change_check` checks large changes in a thread, outside the event loop.
 - `registry`: heartbeats of workers, with `heartbeats` and `heartbeat_exchange`. `worker_storage` keeps workers across a
-  restart of the control node: acknowledged ends in `durable_items`, and the known workers as a hint in
+  restart of the control node: acknowledged ends and warm-ups in `durable_items`, and the known workers as a hint in
   `worker_snapshot`.
 - `directory`: tells clients which data-plane nodes to connect to, with `home_regions`.
 - `publisher`: publishes the committed state to all nodes. `status`: the document of `/v1/status`.
--- a/canvasbeam/control_plane/durable_items.py
+++ b/canvasbeam/control_plane/durable_items.py
@@ -1,7 +1,7 @@
 """Keep items durable on the disk of a control node, so that what a majority has confirmed survives a restart of all.
 
 The item table is in memory. The acknowledgement of a worker's end (`registry.py`) guarantees that no request follows,
-also after all control nodes have restarted at once. Each control node therefore confirms a write only after the items
+and that of a warm-up that few follow, also after all control nodes have restarted at once. Each control node therefore confirms a write only after the items
 of the write are on its disk; since a majority confirms, a node that still has its disk publishes the items again.
 
 An item reaches the disk as part of a write (`store`), or because `is_kept` selects it among the changed items of the
--- a/canvasbeam/control_plane/registry.py
+++ b/canvasbeam/control_plane/registry.py
@@ -4,7 +4,7 @@
 acknowledgement of `draining` guarantees that requests to the worker cease: that acknowledgement waits until a majority
 of the control nodes has the publication on disk (`durable_items.py`). A node without contact to a majority cannot
 guarantee this: the node publishes to all reachable nodes, and answers 503, after which the worker turns to another
-control node.
+control node. The same holds for the heartbeat of a worker that warms up, to which few requests may be sent.
 `canvasbeam.service_discovery.worker_registry` decides what is published.
 """
 
@@ -21,7 +21,7 @@
 from canvasbeam.control_plane.web import Answer, Request, failure_answer, json_answer, method_not_allowed, unavailable
 from canvasbeam.errors import Failure, ResultCode
 from canvasbeam.failure_detection.rendezvous import weight
-from canvasbeam.item_table.items import Item, ItemKind, ItemTable
+from canvasbeam.item_table.items import Item, ItemKind, ItemTable, Version
 from canvasbeam.runtime.logs import get_logger
 from canvasbeam.runtime.settings import Address, ProcessSettings
 from canvasbeam.service_discovery.worker_registry import (
@@ -73,6 +73,7 @@
         self._registry = WorkerRegistry(heartbeat_timeout_ns, clock())
         self._exchange = HeartbeatExchange(settings.ip, node, clock, self._on_announced)
         self._is_stopping = False
+        self._stored: dict[str, Version] = {}  # by worker id, the versions of warm-ups that a majority has on disk
         node.table.add_listener(self._on_items)
 
     def max_body_bytes(self) -> int:
@@ -93,6 +94,7 @@
         """Announce the heartbeats received by this node; as the registrar, also publish the missing workers."""
         now_ns = self._clock()
         self._registry.forget_left(now_ns)
+        self._forget_replaced()
         self._exchange.announce(self._registry.pop_unannounced())
         if self._exchange.has_missed_heartbeats(now_ns):
             self._registry.restart_timeouts(now_ns)
@@ -125,6 +127,8 @@
         document = {} if address is None else {"beat_url": f"http://{address}{INSTANCES_PREFIX}{worker_id}"}
         if worker.state is WorkerState.DRAINING:
             return await self._acknowledge_end(worker_id, document)
+        if worker.warm_up_left_ms and not await self._is_stored(worker_id):
+            return self._acknowledge(document, is_in_contact=False)
         return self._acknowledge(document, self._node.has_recent_contact(RECENT_CONTACT_NS))
 
     async def _acknowledge_end(self, worker_id: str, document: dict[str, str]) -> Answer:
@@ -137,6 +141,24 @@
         is_stored = await self._node.write([] if item is None else [item], WRITE_TIMEOUT_S)
         return self._acknowledge(document, is_stored)
 
+    async def _is_stored(self, worker_id: str) -> bool:
+        """Return True once a majority of control nodes has stored a worker's item, or False after the time limit."""
+        item = self._node.table.get(ItemKind.WORKER, worker_id)
+        if item is None or self._stored.get(worker_id) == item.version:
+            return True
+        is_stored = await self._node.write([item], WRITE_TIMEOUT_S)
+        if is_stored:
+            self._stored[worker_id] = item.version
+        return is_stored
+
+    def _forget_replaced(self) -> None:
+        """Forget the stored versions that the table has replaced or forgotten."""
+        items = {worker_id: self._node.table.get(ItemKind.WORKER, worker_id) for worker_id in self._stored}
+        current = {worker_id: item.version for worker_id, item in items.items() if item is not None}
+        self._stored = {
+            worker_id: version for worker_id, version in self._stored.items() if current.get(worker_id) == version
+        }
+
     def _acknowledge(self, document: dict[str, str], is_in_contact: bool) -> Answer:
         if not is_in_contact:
             reason = "this node has no contact with most of the control nodes"
--- a/canvasbeam/control_plane/worker_snapshot.py
+++ b/canvasbeam/control_plane/worker_snapshot.py
@@ -60,7 +60,7 @@
 
 
 class WorkerSnapshot:
-    """Restores workers when the control node starts, and then saves its known workers every `SAVE_INTERVAL_S`."""
+    """Restores workers when the control node starts, and afterwards saves its known workers every `SAVE_INTERVAL_S`."""
 
     def __init__(self, node: SnapshotNode, disk: Disk, clock: Callable[[], int] = time.time_ns) -> None:
         self._node = node
@@ -70,18 +70,21 @@
         self._has_file = False
 
     async def run(self) -> None:
-        """Restore the workers, then save them periodically until cancelled."""
-        await self.restore()
+        """Save the workers periodically until cancelled; call `restore` before."""
         while True:
             await asyncio.sleep(SAVE_INTERVAL_S)
             await self.save()
 
-    async def restore(self) -> None:
-        """Publish the workers of the last save; newer versions in the item table stay unchanged."""
+    async def restore(self, kept: Iterable[Item] = ()) -> None:
+        """Publish the workers of the last save, each in its kept version if that one is newer.
+
+        Newer versions in the item table stay unchanged.
+        """
+        kept_items = {item.key: item for item in kept}
         with suppress(OSError):
             data = await self._worker.run(lambda: self._disk.read(FILE_NAME))
             now_ns = self._clock()
-            items = decode_snapshot(data, now_ns)
+            items = [_newer(item, kept_items.get(item.key)) for item in decode_snapshot(data, now_ns)]
             if items:
                 accepted = self._node.publish(items)
                 log.info("workers restored {} accepted={}", count_by_state(items), len(accepted))
@@ -107,3 +110,7 @@
             self._has_file = True
         self._disk.write(FILE_NAME, 0, data)
         self._disk.sync(FILE_NAME)
+
+
+def _newer(item: Item, kept: Item | None) -> Item:
+    return kept if kept is not None and kept.version > item.version else item
--- a/canvasbeam/control_plane/worker_storage.py
+++ b/canvasbeam/control_plane/worker_storage.py
@@ -1,8 +1,14 @@
 """Restore the workers of a control node when it starts, and keep them on its disk afterwards.
 
-Puts two parts in order: the ends of workers that were acknowledged (`durable_items`) are published first, and only then
-the workers of the last snapshot (`worker_snapshot`), which may be older. A worker that this node does not know gets no
-requests, so a damaged store of ends also rules out the snapshot.
+Puts two parts in order. What restricts the requests to workers and was acknowledged (`durable_items`) comes first, then
+the workers of the last snapshot (`worker_snapshot`), which may be older:
+
+| kept item | at the start |
+| --- | --- |
+| end of a worker | published before the snapshot, which cannot replace it |
+| warm-up of a worker | published in place of an older item of the snapshot; alone it does not make a worker known |
+
+A worker that no node knows gets no requests, so damage to the kept items also rules out the snapshot.
 """
 
 from __future__ import annotations
@@ -13,7 +19,7 @@
 from typing import Protocol
 
 from canvasbeam.cluster.node import ItemStore
-from canvasbeam.cluster.worker_items import count_by_state, is_end_of_worker
+from canvasbeam.cluster.worker_items import count_by_state, is_end_of_worker, restricts_requests
 from canvasbeam.control_plane.durable_items import DurableItems
 from canvasbeam.control_plane.worker_snapshot import WorkerSnapshot
 from canvasbeam.errors import Failure
@@ -44,28 +50,33 @@
     def __init__(self, node: StorageNode, data_dir: Path) -> None:
         disk = FolderDisk(data_dir)
         self._node = node
-        self._ends = DurableItems(disk, node.table, is_end_of_worker)
+        self._restrictions = DurableItems(disk, node.table, restricts_requests)
         self._snapshot = WorkerSnapshot(node, disk)
-        node.set_item_store(self._ends)
+        node.set_item_store(self._restrictions)
 
     async def run(self) -> None:
         """Restore the workers, then keep them on disk until cancelled."""
-        items = await self._ends.load()
-        if isinstance(items, Failure):
-            log.error("ends of workers unreadable action=no worker restored, no end acknowledged failure={}", items)
+        if not await self.restore():
             return
-        self._restore(items)
         async with asyncio.TaskGroup() as tasks:
-            tasks.create_task(self._ends.run())
-            tasks.create_task(self._ends.run_drops())
+            tasks.create_task(self._restrictions.run())
+            tasks.create_task(self._restrictions.run_drops())
             tasks.create_task(self._snapshot.run())
 
+    async def restore(self) -> bool:
+        """Publish the workers that the disk holds; return False if the kept items are damaged."""
+        items = await self._restrictions.load()
+        if isinstance(items, Failure):
+            log.error("ends of workers unreadable action=no worker restored, no end acknowledged failure={}", items)
+            return False
+        ends = tuple(item for item in items if is_end_of_worker(item))
+        if ends:
+            accepted = self._node.publish(ends)
+            log.info("ends of workers restored {} accepted={}", count_by_state(ends), len(accepted))
+        await self._snapshot.restore(items)
+        return True
+
     def close(self) -> None:
         """Stop the threads that access the disk."""
-        self._ends.close()
+        self._restrictions.close()
         self._snapshot.close()
-
-    def _restore(self, items: tuple[Item, ...]) -> None:
-        if items:
-            accepted = self._node.publish(items)
-            log.info("ends of workers restored {} accepted={}", count_by_state(items), len(accepted))
--- a/tests/control_plane/test_registry.py
+++ b/tests/control_plane/test_registry.py
@@ -327,6 +327,24 @@
     assert [node.state("i-1") for node in network.nodes] == [expected] * 3
 
 
+def test_warm_up_is_acknowledged_only_after_majority_stored_it() -> None:
+    """Guards against too many requests to a worker whose warm-up all control nodes forget when they restart at once."""
+    network = make_network("z1", "z2", "z3")
+    first = network.nodes[0]
+    assert first.heartbeat("i-1", 1).status == 200
+    first.may_write = False
+    assert first.heartbeat("i-1", 2, cold_left_ms=8000).status == 503
+    assert first.heartbeat("i-1", 3, cold_left_ms=7000).status == 503  # nothing new, but not stored by a majority
+    first.may_write = True
+    assert first.heartbeat("i-1", 4, cold_left_ms=6000).status == 200
+    network.advance(500)
+    first.may_write = False
+    assert first.heartbeat("i-1", 5, cold_left_ms=5500).status == 200  # stored already
+    assert first.heartbeat("i-1", 6, cold_left_ms=9000).status == 503  # another warm-up
+    assert first.heartbeat("i-1", 7, cold_left_ms=0).status == 200
+    assert network.nodes[2].heartbeat("i-1", 8, cold_left_ms=4000).status == 200
+
+
 def test_workers_of_partitioned_node_have_one_timeout_to_reach_another_node() -> None:
     network = make_network("z1", "z2", "z3")
     for sequence in range(1, 4):
