--- a/canvasbeam/control_plane/durable_items.py
+++ b/canvasbeam/control_plane/durable_items.py
@@ -1,8 +1,9 @@
 """Keep items durable on the disk of a control node, so that what a majority has confirmed survives a restart of all.
 
 The item table is in memory. The acknowledgement of a worker's end (`registry.py`) guarantees that no request follows,
-and that of a warm-up that few follow, also after all control nodes have restarted at once. Each control node therefore confirms a write only after the items
-of the write are on its disk; since a majority confirms, a node that still has its disk publishes the items again.
+and that of a warm-up that few follow, also after all control nodes have restarted at once. Each control node therefore
+confirms a write only after the items of the write are on its disk; since a majority confirms, a node that still has its
+disk publishes the items again.
 
 An item reaches the disk as part of a write (`store`), or because `is_kept` selects it among the changed items of the
 table (`on_items`), whichever node published it: so a node that missed the write stores the item too.
