Items that a control node keeps: nothing queues after damage, a fault in a call ends no batch

Cause (from rereading): on a node whose kept items are damaged each changed worker was still queued, for ever; and an exception in what waits for a batch would have ended the task that writes, and with it all later acknowledgements there.

Change: a damaged store takes nothing; waiting calls run as callbacks of the event loop, as messages of the transport do.

Measured: the tests of the control plane and of the cluster pass; neither fault was seen in a run.

--- a/canvasbeam/control_plane/durable_items.py
+++ b/canvasbeam/control_plane/durable_items.py
@@ -124,14 +124,18 @@
 
         `on_durable` is never called if the stored items are damaged.
         """
+        if self._is_damaged:
+            return
         batch = max((self._queue(item) for item in items), default=0)
         if batch <= self._durable_batch:
             on_durable()
-        elif not self._is_damaged:
+        else:
             self._waiters.append(_Waiter(batch, on_durable))
 
     def on_items(self, items: Sequence[Item]) -> None:
         """Queue the changed items of the table that are to be kept."""
+        if self._is_damaged:
+            return
         for item in items:
             if self._is_kept(item):
                 self._queue(item)
@@ -188,8 +192,9 @@
         self._durable_batch = batch
         finished = [waiter for waiter in self._waiters if waiter.batch <= batch]
         self._waiters = [waiter for waiter in self._waiters if waiter.batch > batch]
+        loop = asyncio.get_running_loop()
         for waiter in finished:
-            waiter.on_durable()
+            loop.call_soon(waiter.on_durable)  # a fault in one call must not end the writing of batches
 
 
 def _name(item: Item) -> str:
