--- a/tests/support/soft_state_world.py
+++ b/tests/support/soft_state_world.py
@@ -523,8 +523,14 @@
             "state": state,
             "seq": sequence,
         }
-        request = Request("PUT", f"{INSTANCES_PREFIX}{worker}", body=json.dumps(document).encode("ascii"))
-        handling = self.registry.instances(request)
+        self._begin_call("PUT", worker, json.dumps(document).encode("ascii"), on_answer)
+
+    def begin_sign_off(self, worker: str, on_answer: Callable[[bool], None]) -> None:
+        """A worker's DELETE over HTTP; tells whether it was acknowledged, when it is answered."""
+        self._begin_call("DELETE", worker, b"", on_answer)
+
+    def _begin_call(self, method: str, worker: str, body: bytes, on_answer: Callable[[bool], None]) -> None:
+        handling = self.registry.instances(Request(method, f"{INSTANCES_PREFIX}{worker}", body=body))
         self._go_on(Handling(handling, lambda answer: on_answer(answer.status == OK)), None)
         self.perform()
 
@@ -602,6 +608,8 @@
 class World:
     """All machines, the network, and what operators and workers were told."""
 
+    control_process: type[ControlProcess] = ControlProcess
+
     def __init__(self, seed: int = 0, shape: Shape | None = None) -> None:
         shape = shape or Shape()
         self.network = Network()
@@ -686,7 +694,7 @@
             return
         self.watcher.on_change()
         machine.has_power = True
-        kind = ControlProcess if machine.is_control else Process
+        kind = self.control_process if machine.is_control else Process
         process = kind(self, machine, self._chance.randrange(1 << 30))
         machine.process = process
         self.network.endpoints[machine.address] = process
