--- a/canvasbeam/cluster/node.py
+++ b/canvasbeam/cluster/node.py
@@ -119,7 +119,7 @@
         try:
             self._perform()
             async with asyncio.timeout(within_s):
-                await self._store(written_items)
+                await _store(self._item_store, written_items)
                 await written
         except TimeoutError:
             return False
@@ -129,14 +129,6 @@
             del self._writes[number]
             self._core.end_write(number)
 
-    async def _store(self, items: tuple[Item, ...]) -> None:
-        """Return once this node has stored the items; at once without items, or without an item store."""
-        if not items or self._item_store is None:
-            return
-        stored = asyncio.Event()
-        self._item_store.store(items, stored.set)
-        await stored.wait()
-
     def refresh(self, kind: ItemKind, key: str) -> None:
         """Request a newer version of an item from other nodes, without waiting for the result."""
         self._core.distribution.refresh(kind, key)
@@ -286,6 +278,15 @@
         self._timer = loop.call_at(wake_at, self._tick)
 
 
+async def _store(item_store: ItemStore | None, items: tuple[Item, ...]) -> None:
+    """Return once an item store has stored the items; at once without items, or without an item store."""
+    if not items or item_store is None:
+        return
+    stored = asyncio.Event()
+    item_store.store(items, stored.set)
+    await stored.wait()
+
+
 def _own_member(settings: ProcessSettings, is_control: bool) -> Member:
     front = settings.listen.get("front")
     return Member(
--- a/canvasbeam/cluster/worker_items.py
+++ b/canvasbeam/cluster/worker_items.py
@@ -74,20 +74,21 @@
 
 def is_end_of_worker(item: Item) -> bool:
     """Return True if an item says that a worker gets no more requests because it is draining or has left."""
-    if item.kind is not ItemKind.WORKER:
-        return False
-    publication = publication_of(item)
-    if isinstance(publication, Failure):
-        return False
-    return publication.worker is None or publication.worker.state is WorkerState.DRAINING
+    publication = publication_of(item) if item.kind is ItemKind.WORKER else None
+    return isinstance(publication, Publication) and _is_end(publication)
 
 
 def restricts_requests(item: Item) -> bool:
     """Return True if an item says that a worker gets no more requests, or fewer while it warms up."""
-    if is_end_of_worker(item):
-        return True
-    worker = worker_of(item) if item.kind is ItemKind.WORKER else None
-    return isinstance(worker, Worker) and worker.warm_up_left_ms > 0
+    publication = publication_of(item) if item.kind is ItemKind.WORKER else None
+    if not isinstance(publication, Publication):
+        return False
+    worker = publication.worker
+    return _is_end(publication) or (worker is not None and worker.warm_up_left_ms > 0)
+
+
+def _is_end(publication: Publication) -> bool:
+    return publication.worker is None or publication.worker.state is WorkerState.DRAINING
 
 
 def count_by_state(items: Iterable[Item]) -> str:
--- a/canvasbeam/control_plane/durable_items.py
+++ b/canvasbeam/control_plane/durable_items.py
@@ -64,7 +64,7 @@
 
 
 class DurableItems:
-    """The items that one control node keeps on disk. Call `load` once, then let `run` and `drop_replaced` run."""
+    """The items that one control node keeps on disk. Call `load` once, then let `run` and `run_drops` run."""
 
     def __init__(
         self, disk: Disk, table: ItemTable, is_kept: KeptItems, clock: Callable[[], int] = time.monotonic_ns
--- a/canvasbeam/control_plane/registry.py
+++ b/canvasbeam/control_plane/registry.py
@@ -153,11 +153,10 @@
 
     def _forget_replaced(self) -> None:
         """Forget the stored versions that the table has replaced or forgotten."""
-        items = {worker_id: self._node.table.get(ItemKind.WORKER, worker_id) for worker_id in self._stored}
-        current = {worker_id: item.version for worker_id, item in items.items() if item is not None}
-        self._stored = {
-            worker_id: version for worker_id, version in self._stored.items() if current.get(worker_id) == version
-        }
+        for worker_id, version in tuple(self._stored.items()):
+            item = self._node.table.get(ItemKind.WORKER, worker_id)
+            if item is None or item.version != version:
+                del self._stored[worker_id]
 
     def _acknowledge(self, document: dict[str, str], is_in_contact: bool) -> Answer:
         if not is_in_contact:
