Review case 4 (FAILBACK): a cold worker is flooded 2.5 s after its zone is taken back

Cause: a worker that is usable again counts as warming up for a fixed 2.5 s, whatever cold_s says; X-Cold-Ms is not read.

--- a/review/stand_ins_2/workers.py
+++ b/review/stand_ins_2/workers.py
@@ -51,6 +51,7 @@
 
 
 Result = TypeVar("Result")
+HEARTBEAT_S = 1.2
 NOT_EXECUTED = {"X-Not-Executed": "1"}
 Behaviour = Callable[["Worker", Request], Awaitable[Answer]]
 
@@ -73,6 +74,13 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._writers: set[asyncio.StreamWriter] = set()
         self._beat_at = ""
+        self._has_beaten = asyncio.Event()
+        self.next_beat_late_by = 0.0  # seconds; a heartbeat may come seconds late
+
+    @property
+    def cold_left_ms(self) -> int:
+        """How much longer the worker is cold."""
+        return max(0, round((self.cold_until - time.monotonic()) * 1000))
 
     async def start(self) -> None:
         """Listen, and begin to send heartbeats."""
@@ -93,14 +101,21 @@
     async def _beat_always(self) -> None:
         while True:
             await self.beat()
-            await asyncio.sleep(1.2)
+            self._has_beaten.set()
+            await asyncio.sleep(HEARTBEAT_S)
+            late_by, self.next_beat_late_by = self.next_beat_late_by, 0.0
+            await asyncio.sleep(late_by)
+
+    async def beat_on_time(self) -> None:
+        """Return right after the next heartbeat."""
+        self._has_beaten.clear()
+        await self._has_beaten.wait()
 
     async def beat(self) -> bool:
         """Send one heartbeat, to the next control node where one fails; return True if it was acknowledged."""
         state = self.state
         for _ in range(6):
             self.seq += 1
-            left_ms = max(0, round((self.cold_until - time.monotonic()) * 1000))
             body = {
                 "service": self.service,
                 "address": f"{self.ip}:{self.port}",
@@ -108,7 +123,7 @@
                 "generation": "v1",
                 "slots": self.slots,
                 "state": state,
-                "cold_left_ms": left_ms,
+                "cold_left_ms": self.cold_left_ms,
                 "seq": self.seq,
             }
             if await self._tell("PUT", json.dumps(body).encode()):
@@ -152,7 +167,8 @@
 
     async def _answer(self, request: Request) -> Answer | None:
         if request.target == "/healthz":
-            return Answer(200 if self.state == "ready" else 503, b"", {"X-Instance": self.id}, ran=False)
+            told = {"X-Instance": self.id, "X-Cold-Ms": str(self.cold_left_ms)}
+            return Answer(200 if self.state == "ready" else 503, b"", told, ran=False)
         request.worker = self.id
         self.arrived.append(request)
         if request.header("X-Target-Instance") not in ("", self.id):
