Review, case 4: workers that have left go on getting requests

Cause: a data-plane node that receives a worker's tombstone and the evacuations in one batch looks at the evacuations alone, and the worker stays live in its router for as long as the process runs. Change: review/4 shows it with the programs of the deploy file on loopback; the stand-in worker can stop its heartbeats. Nothing is fixed.

--- a/review/stand_ins_2/workers.py
+++ b/review/stand_ins_2/workers.py
@@ -162,6 +162,11 @@
             await asyncio.sleep(0.1)
         return False
 
+    def stop_beating(self) -> None:
+        """Send no more heartbeats."""
+        for task in self._tasks:
+            task.cancel()
+
     async def leave(self) -> bool:
         """Send the end of the worker to the control nodes."""
         return any([await self._tell("DELETE", b"") for _ in range(3)])
