Data plane: metrics and logs tell a missed end of a worker, and the exception of a long traceback

Change: gauges of the workers in the item table and in the endpoint list. A text above the limit loses its middle, not its end.

The test of the log fails before (the line ends amid the calls) and passes now.

--- a/canvasbeam/data_plane/program.py
+++ b/canvasbeam/data_plane/program.py
@@ -26,7 +26,7 @@
 from canvasbeam.data_plane.startup import StartupCheck
 from canvasbeam.data_plane.worker_connections import WorkerConnections
 from canvasbeam.errors import Failure, ResultCode
-from canvasbeam.item_table.items import Item
+from canvasbeam.item_table.items import Item, ItemKind
 from canvasbeam.runtime import logs
 from canvasbeam.runtime.listeners import Listeners
 from canvasbeam.runtime.process import LEAVE_FLUSH_S, run_process, run_until_terminated
@@ -117,6 +117,8 @@
             {
                 "open_requests": self._router.open_requests,
                 "live_workers": self._router.live_workers,
+                "listed_workers": self._router.listed_workers,
+                "worker_items": len(self._cluster.table.of_kind(ItemKind.WORKER)),
                 "configuration_generation": self._view.current.generation if self._view.current else 0,
                 "configuration_is_behind": self._cluster.is_behind,
             }
--- a/canvasbeam/data_plane/router.py
+++ b/canvasbeam/data_plane/router.py
@@ -163,6 +163,11 @@
         """Number of workers that may receive requests."""
         return self._endpoints.live_count
 
+    @property
+    def listed_workers(self) -> int:
+        """Number of workers in the endpoint list, including those that may not receive requests."""
+        return len(self._endpoints)
+
     def change_endpoints(self, endpoints: list[WorkerEndpoint]) -> None:
         """Apply changed endpoints, and stop attempts that wait for a connection to a draining or removed worker."""
         self._driver.add_event(self._endpoints.apply(endpoints))
--- a/canvasbeam/data_plane/worker_endpoints.py
+++ b/canvasbeam/data_plane/worker_endpoints.py
@@ -30,6 +30,9 @@
     def __init__(self) -> None:
         self._by_worker: dict[str, WorkerEndpoint] = {}
 
+    def __len__(self) -> int:
+        return len(self._by_worker)
+
     def apply(self, endpoints: Iterable[WorkerEndpoint]) -> WorkersListed:
         """Apply changed endpoints, and return the event that notifies the dispatcher of the changes."""
         entries = []
--- a/canvasbeam/runtime/logs.py
+++ b/canvasbeam/runtime/logs.py
@@ -151,9 +151,13 @@
 
 
 def _one_line(text: str) -> str:
-    """Escape control characters and truncate long text, so that a record is one line for any quoted input."""
+    """Escape control characters and truncate long text, so that a record is one line for any quoted input.
+
+    The middle is left out, because the last line of a traceback names the exception and the place that raised it.
+    """
     if len(text) > MAX_MESSAGE_CHARACTERS:
-        text = f"{text[:MAX_MESSAGE_CHARACTERS]}... ({len(text)} characters)"
+        half = MAX_MESSAGE_CHARACTERS // 2
+        text = f"{text[:half]}... ({len(text)} characters) ...{text[-half:]}"
     if text.isprintable():
         return text
     return "".join(character if character.isprintable() else repr(character)[1:-1] for character in text)
--- a/tests/runtime/test_logs.py
+++ b/tests/runtime/test_logs.py
@@ -92,6 +92,28 @@
     assert "ValueError: broken" in written[2]
 
 
+def test_long_traceback_keeps_the_exception_and_the_place_that_raised_it(stream: io.StringIO) -> None:
+    """Guards against a log that cannot tell causes apart: a long traceback was cut before its last line."""
+
+    def even(depth: int) -> None:
+        if depth == 0:
+            raise KeyError("retired")
+        odd(depth - 1)
+
+    def odd(depth: int) -> None:
+        even(depth - 1)  # two functions, because a traceback shows equal consecutive calls only once
+
+    try:
+        even(20)
+    except KeyError:
+        logs.get_logger("x").exception("listener failed")
+    (written,) = lines(stream)
+    assert "listener failed" in written
+    assert 'raise KeyError("retired")' in written
+    assert written.endswith("KeyError: 'retired'")
+    assert len(written) < 2 * logs.MAX_MESSAGE_CHARACTERS
+
+
 def test_records_over_the_rate_limit_of_a_call_site_are_suppressed_and_counted() -> None:
     """Guards against a call site that floods the log in a loop or suppresses the records of other call sites."""
     clock, stream = Clock(), io.StringIO()
