Fix: an ended worker stays in use when its end arrives beside a change of the evacuations

Cause: EndpointList handled a batch with the evacuations by recomputing the endpoints of all workers in the item table, and did not look at the rest of the batch. The table leaves out deleted items, so a tombstone in the same batch had no effect, then or later.

Change: the worker items of every batch are applied, tombstones included; the evacuations come from ConfigurationView, which owns them. A recomputation also removes endpoints that the table has no worker for. An endpoint is recorded after the router was notified, so that an exception in between does not hide the change from the next try. A worker whose newest item cannot be decoded is removed.

--- a/canvasbeam/data_plane/configuration_view.py
+++ b/canvasbeam/data_plane/configuration_view.py
@@ -19,6 +19,7 @@
 log = get_logger(__name__)
 
 ConfigurationListener = Callable[[Configuration], None]
+EvacuationListener = Callable[[frozenset[str]], None]
 
 
 class ConfigurationView:
@@ -27,6 +28,7 @@
     def __init__(self, table: ItemTable) -> None:
         self._table = table
         self._listeners: list[ConfigurationListener] = []
+        self._evacuation_listeners: list[EvacuationListener] = []
         self._adopted = asyncio.Event()
         self.current: Configuration | None = None
         self.evacuated_zones: frozenset[str] = frozenset()
@@ -39,6 +41,10 @@
         if self.current is not None:
             listener(self.current)
 
+    def add_evacuation_listener(self, listener: EvacuationListener) -> None:
+        """Call the listener with the evacuated zones after each change of the evacuations."""
+        self._evacuation_listeners.append(listener)
+
     async def wait_for_first(self, timeout_s: float) -> None:
         """Return when the first configuration has been adopted, or after `timeout_s` seconds."""
         if self.current is not None:
@@ -74,3 +80,5 @@
         if isinstance(zones, dict):
             zones = zones.get("zones", [])
         self.evacuated_zones = frozenset(zones)
+        for listener in self._evacuation_listeners:
+            listener(self.evacuated_zones)
--- a/canvasbeam/data_plane/endpoint_list.py
+++ b/canvasbeam/data_plane/endpoint_list.py
@@ -49,39 +49,53 @@
         self._warm_until: dict[str, tuple[Version, int]] = {}
         table.add_listener(self._on_items)
         view.add_listener(self._on_configuration)
+        view.add_evacuation_listener(self._on_evacuations)
 
     def _on_items(self, items: Sequence[Item]) -> None:
-        if any(item.kind is ItemKind.EVACUATIONS for item in items):
-            self.refresh()
-            return
-        self._notify([item for item in items if item.kind is ItemKind.WORKER])
+        self._apply(item for item in items if item.kind is ItemKind.WORKER)
 
     def _on_configuration(self, configuration: Configuration) -> None:
         self.refresh()
 
+    def _on_evacuations(self, zones: frozenset[str]) -> None:
+        self.refresh()
+
     def refresh(self) -> None:
-        """Recompute the endpoints of all workers, for example after a change of the configuration."""
-        self._notify(self._table.of_kind(ItemKind.WORKER))
+        """Recompute all endpoints, for example after a change of the configuration; remove those without a worker."""
+        items = self._table.of_kind(ItemKind.WORKER)
+        current = {item.key for item in items}
+        self._apply(items, removed=[worker for worker in self._notified if worker not in current])
+
+    def _apply(self, items: Iterable[Item], removed: Iterable[str] = ()) -> None:
+        """Apply changed worker items, tombstones included, and the removal of further workers.
 
-    def _notify(self, items: Iterable[Item]) -> None:
-        changed = []
+        `_notified` changes only after the router has been notified, so that a retry after an exception is complete.
+        """
+        endpoints: dict[str, WorkerEndpoint | None] = dict.fromkeys(removed)
         for item in items:
-            endpoint = self._remove(item) if item.deleted else self._update(item)
-            if endpoint is not None:
-                changed.append(endpoint)
+            endpoints[item.key] = None if item.deleted else self._endpoint(item)
+        changed = {worker: endpoint for worker, endpoint in endpoints.items() if endpoint != self._notified.get(worker)}
         if changed:
-            self._router.change_endpoints(changed)
-
-    def _remove(self, item: Item) -> WorkerEndpoint | None:
-        known = self._notified.pop(item.key, None)
-        self._warm_until.pop(item.key, None)
-        self._connections.remove_worker(item.key)
-        if known is None:
-            return None
-        entry = WorkerEntry(item.key, known.entry.zone, known.entry.kind, state=WorkerState.GONE)
+            self._router.change_endpoints([endpoint or self._end_of(worker) for worker, endpoint in changed.items()])
+        for worker, endpoint in endpoints.items():
+            if endpoint is not None:
+                self._notified[worker] = endpoint
+            else:
+                self._forget(worker)
+
+    def _end_of(self, worker: str) -> WorkerEndpoint:
+        """Return the endpoint that notifies the router of the end of a worker."""
+        known = self._notified[worker]
+        entry = WorkerEntry(worker, known.entry.zone, known.entry.kind, state=WorkerState.GONE)
         return WorkerEndpoint(entry, known.health_check)
 
-    def _update(self, item: Item) -> WorkerEndpoint | None:
+    def _forget(self, worker: str) -> None:
+        self._notified.pop(worker, None)
+        self._warm_until.pop(worker, None)
+        self._connections.remove_worker(worker)
+
+    def _endpoint(self, item: Item) -> WorkerEndpoint | None:
+        """Return the endpoint of a worker, and update its connection pool; None if the item cannot be decoded."""
         record = decode_worker(item)
         if isinstance(record, Failure):
             log.warning("worker item dropped id={} failure={}", item.key, record)
@@ -91,11 +105,7 @@
         service = service or Service(record.service)
         max_connections = connections_per_node(service.max_connections, self._live_nodes())
         self._connections.set_worker(item.key, record.address, max_connections)
-        endpoint = WorkerEndpoint(self._entry(item, record), service.health_check)
-        if self._notified.get(item.key) == endpoint:
-            return None
-        self._notified[item.key] = endpoint
-        return endpoint
+        return WorkerEndpoint(self._entry(item, record), service.health_check)
 
     def _entry(self, item: Item, record: WorkerRecord) -> WorkerEntry:
         accepts_requests = record.ready and record.zone not in self._view.evacuated_zones
--- a/tests/data_plane/test_data_plane_items.py
+++ b/tests/data_plane/test_data_plane_items.py
@@ -6,6 +6,8 @@
 import json
 import random
 
+import pytest
+
 from canvasbeam.cluster import workers_pb2
 from canvasbeam.data_plane.configuration_view import ConfigurationView
 from canvasbeam.data_plane.prompt_headers import read_prompt, worker_priority
@@ -213,3 +215,46 @@
         assert (await client.request("/unsafe/x", "id-2")).status == 200
 
     run(body, worker)
+
+
+@pytest.mark.parametrize("zones", [["z2"], []])
+def test_worker_that_ends_beside_a_change_of_the_evacuations_is_removed(zones: list[str]) -> None:
+    """Guards against requests to an ended worker: of a push with its tombstone and evacuations only these were read."""
+    workers = [ScriptedWorker("w1"), ScriptedWorker("w2")]
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        end = Item(ItemKind.WORKER, "w1", Version(100), deleted=True)
+        evacuations = Item(ItemKind.EVACUATIONS, "current", Version(100), json.dumps(zones).encode())
+        data_plane.table.merge([end, evacuations])
+        assert data_plane.connections.pool("w1") is None
+        assert data_plane.router.live_workers == 1
+        client = await data_plane.client()
+        for number in range(6):
+            assert (await client.request("/safe/x", f"id-{number}")).status == 200
+        assert workers[0].received == []
+
+    run(body, *workers)
+
+
+def test_worker_whose_newest_item_is_unreadable_gets_no_requests() -> None:
+    """Guards against requests to a worker that may have ended: its last readable item may be much older."""
+    worker = ScriptedWorker("w1")
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        data_plane.table.merge([Item(ItemKind.WORKER, "w1", Version(100), b"\xff")])
+        assert data_plane.connections.pool("w1") is None
+        assert data_plane.router.live_workers == 0
+
+    run(body, worker)
+
+
+def test_refresh_removes_a_worker_whose_tombstone_was_forgotten() -> None:
+    worker = ScriptedWorker("w1")
+
+    async def body(data_plane: DataPlaneUnderTest) -> None:
+        data_plane.table.forget(ItemKind.WORKER, "w1")
+        data_plane.endpoint_list.refresh()
+        assert data_plane.connections.pool("w1") is None
+        assert data_plane.router.live_workers == 0
+
+    run(body, worker)
