Fix: a configuration without the service of a warming-up worker is adopted in part

Cause: FleetLimits._own_rate_per_s raised a KeyError for a worker whose service the configuration does not have, while _fleet_limit_per_s took such a service for one without a limit. The exception ended the adoption of the configuration, or of the members, half way.

Change: one function gives the warm-up rate of a worker's service, 0 where the configuration does not have it; both use it.

--- a/canvasbeam/dispatch/fleet_limits.py
+++ b/canvasbeam/dispatch/fleet_limits.py
@@ -236,10 +236,17 @@
 
     def _fleet_limit_per_s(self, worker: WarmingWorker) -> float:
         """Return how many requests per second all schedulers together may send to a worker; 0 = no limit."""
+        rate = self._warm_up_rate_per_s(worker)
+        return rate * self._warm_up.over + self._warm_up.slack if rate > 0 else 0.0
+
+    def _warm_up_rate_per_s(self, worker: WarmingWorker) -> float:
+        """Return the warm-up rate of a worker's service; 0 = no limit.
+
+        The configuration may lack the service: a worker may register before its service is added, and remain after its
+        service is removed.
+        """
         rate = self._rates.get(worker.kind)
-        if rate is None or rate.per_s <= 0:
-            return 0.0
-        return rate.per_s * self._warm_up.over + self._warm_up.slack
+        return rate.per_s if rate is not None else 0.0
 
     def _own_rate_per_s(self, worker: WarmingWorker, now: int) -> float:
         """Return how many requests per second this scheduler may send to a worker that is warming up.
@@ -248,7 +255,7 @@
         the bound. The rate is the worker's warm-up rate, but at most half of the bound, to leave the rest to holders.
         """
         bound = SAFETY_FACTOR * self._fleet_limit_per_s(worker)
-        rate = min(self._rates[worker.kind].per_s, bound / 2)
+        rate = min(self._warm_up_rate_per_s(worker), bound / 2)
         holders = int(bound - rate)
         own, others = self._schedulers_by_region(worker, now)
         if now < self._shares_valid_at:
--- a/tests/dispatch/test_fleet_limits.py
+++ b/tests/dispatch/test_fleet_limits.py
@@ -163,6 +163,45 @@
     assert only.may_send_while_warming_up(START, "w")
 
 
+OTHER_KIND = "lookup"
+CHANGES: dict[str, Callable[[FleetLimits, int], None]] = {
+    "services": lambda limits, now: limits.services(now, {OTHER_KIND: WarmUpRate(RATE)}),
+    "members": lambda limits, now: limits.members(now, members(2)),
+    "send": lambda limits, now: limits.sent(now, KIND, "w", is_retry=False),
+}
+
+
+@pytest.mark.parametrize("change", CHANGES)
+@pytest.mark.parametrize("is_removed", [True, False])
+def test_worker_that_warms_up_for_a_service_out_of_the_configuration_does_not_hinder_changes(
+    change: str, is_removed: bool
+) -> None:
+    """Guards against a configuration or member list adopted in part, since one worker has an unknown service."""
+    limits = FleetLimits("edge-0", RETRY, COLD)
+    services = {OTHER_KIND: WarmUpRate(RATE)}
+    limits.services(START, services | {KIND: WarmUpRate(RATE)} if is_removed else services)
+    limits.members(START, members(1))
+    limits.listed(START, entry(cold_until=START + 9 * SECOND))
+    limits.listed(START, replace(entry("other", cold_until=START + 9 * SECOND), kind=OTHER_KIND))
+    if is_removed:
+        limits.services(START, services)
+    CHANGES[change](limits, START + SECOND)
+    assert limits.may_send_while_warming_up(START + SECOND, "w")
+    limits.members(START + 2 * SECOND, members(40))
+    assert limits._own_rate_per_s(limits._workers["other"], START + 2 * SECOND) < RATE
+    assert limits._workers["other"].own_rate_per_s is None
+
+
+def test_limit_of_a_cold_worker_holds_again_once_its_service_is_back_in_the_configuration() -> None:
+    schedulers = fleet(7)
+    for scheduler in schedulers:
+        scheduler.listed(START + SECOND, entry(cold_until=START + 8 * SECOND))
+        scheduler.services(START + SECOND, {})
+        scheduler.services(START + 2 * SECOND, {KIND: WarmUpRate(RATE)})
+    sent = flood_cold_worker(schedulers, 1, START + 2 * SECOND)
+    assert 0 < most_in_window(sent, SECOND) <= BOUND
+
+
 def test_gone_worker_is_forgotten() -> None:
     only = fleet(1)[0]
     only.listed(START, entry(cold_until=START + SECOND))
