Fix: a worker that changes its service or zone keeps the limits of the former one

What callers would see: requests to a cold worker above its service's rate; a KeyError in the dispatcher at the next send to a worker that has changed to a language-model service, which fails all requests of that process without an answer.

Cause: FleetLimits and EngineExpectations read a worker's service and zone when they first heard of it, and never again.

Change: both take service and zone from each entry.

Measured: the two new tests fail before (one by KeyError 'lookup' in EngineExpectations._enqueue) and pass now.

--- a/canvasbeam/dispatch/fleet_limits.py
+++ b/canvasbeam/dispatch/fleet_limits.py
@@ -172,6 +172,9 @@
         elif usable and not worker.usable:
             self._start_warm_up(worker, now, now + RETURN_WARM_UP_NS)
         worker.usable = usable
+        if (worker.region, worker.kind) != (entry.zone, entry.kind):
+            worker.region, worker.kind = entry.zone, entry.kind
+            worker.own_rate_per_s = None
         if entry.cold_until_ns > now:
             self._start_warm_up(worker, now, entry.cold_until_ns)
 
--- a/canvasbeam/dispatch/language_model/expectations.py
+++ b/canvasbeam/dispatch/language_model/expectations.py
@@ -188,7 +188,8 @@
         if entry.state is WorkerState.GONE:
             self._workers.pop(entry.worker, None)
         else:
-            self._worker(entry)
+            worker = self._worker(entry)
+            worker.kind, worker.zone = entry.kind, entry.zone
 
     def note_remote_attempt(self, now: int, worker: str, prompt: PromptEstimate, event_gap_ns: float = 0.0) -> None:
         """Record another scheduler's attempt and that scheduler's recent event gap in nanoseconds (0 = none)."""
--- a/tests/dispatch/test_fleet_limits.py
+++ b/tests/dispatch/test_fleet_limits.py
@@ -202,6 +202,27 @@
     assert 0 < most_in_window(sent, SECOND) <= BOUND
 
 
+def test_worker_that_changes_its_service_or_region_gets_the_limit_of_the_new_one() -> None:
+    """Guards against the limit of a worker's former service, which may have none, and of its former region."""
+    limits = FleetLimits("edge-0", RETRY, COLD)
+    limits.services(START, {KIND: WarmUpRate(RATE)})
+    limits.members(START, members(3))
+    cold = entry(cold_until=START + 9 * SECOND)
+    limits.listed(START, replace(cold, kind=OTHER_KIND, zone=REGIONS[1]))
+    assert all(limits.may_send_while_warming_up(START, "w") for _ in range(9))
+    for other in (False, True, False):
+        limits.listed(START, replace(cold, zone=REGIONS[1]) if other else cold)
+        for _ in range(3):
+            limits.sent(START, KIND, "w", is_retry=False)
+        assert not limits.may_send_while_warming_up(START, "w")
+        fresh = FleetLimits("edge-0", RETRY, COLD)
+        fresh.services(START, {KIND: WarmUpRate(RATE)})
+        fresh.members(START, members(3))
+        fresh.listed(START, replace(cold, zone=REGIONS[1]) if other else cold)
+        rates = [each._own_rate_per_s(each._workers["w"], START + 9 * SECOND) for each in (limits, fresh)]
+        assert rates[0] == rates[1]
+
+
 def test_gone_worker_is_forgotten() -> None:
     only = fleet(1)[0]
     only.listed(START, entry(cold_until=START + SECOND))
--- a/tests/dispatch/test_language_model_expectations.py
+++ b/tests/dispatch/test_language_model_expectations.py
@@ -185,6 +185,18 @@
     assert cached_tokens(expectations, NEAR, shared) == 0
 
 
+def test_worker_that_changes_its_service_is_modelled_as_one_of_the_new_service() -> None:
+    """Guards against an exception in the dispatcher at a send, and against a zone that is judged by a former worker."""
+    expectations = make_expectations()
+    expectations.listed(NOW, WorkerEntry("w", "there", "lookup"))
+    expectations.listed(NOW, WorkerEntry("w", "here", "llm"))
+    expectations.sent(NOW, WorkerEntry("w", "here", "llm"), job("a", 1000))
+    assert expectations.expected_ns("w", "a") > 0
+    later = NOW + 10 * SECOND
+    assert not expectations.has_capacity(later, WorkerEntry("w", "here", "llm"), job("b", 1000), SECOND)
+    assert expectations.has_capacity(later, AWAY, job("b", 1000), SECOND)
+
+
 def test_workers_without_engines_always_have_capacity() -> None:
     expectations = make_expectations()
     plain = WorkerEntry("plain", "here", "lookup")
