Fix: a reader that raises hides a change from the other readers, for good

Cause: ItemTable.merge, ConfigurationView and DataPlane called listeners in plain loops. The first exception ended the loop, the merge and the connection to the sender; the table had stored the version, so nothing brought it again.

Change: runtime/change_listeners.py delivers each change to every listener, keeps what one that raised has missed, and hands it over with the next change or at a retry, which NodeCore makes every 500 ms. The readers of a configuration in the data plane are listeners of their own. Log line, gauge canvasbeam_listeners_behind.

--- a/canvasbeam/cluster/node.py
+++ b/canvasbeam/cluster/node.py
@@ -5,7 +5,7 @@
 import asyncio
 import random
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from typing import Protocol
 
 from google.protobuf.message import DecodeError
@@ -21,7 +21,7 @@
 from canvasbeam.item_table.items import Item, ItemKind, ItemTable, Version
 from canvasbeam.leases.contact import ControlVersions
 from canvasbeam.leases.messages import LeaseRequest
-from canvasbeam.runtime.logs import get_logger
+from canvasbeam.runtime.logs import get_logger, log_exceptions
 from canvasbeam.runtime.settings import Address, ProcessSettings
 
 SECONDS_PER_NANOSECOND = 1e-9
@@ -49,7 +49,7 @@
         self.address = self._ports.address_of(member)
         self.transport = Transport(settings.node, self.address)
         start = ProcessStart(random.randrange(1 << 32), time.monotonic_ns())
-        self._core = NodeCore(member, self._ports, settings.seed_peers, start)
+        self._core = NodeCore(member, self._ports, settings.seed_peers, start, _log_listener_failures)
         self.table: ItemTable = self._core.table
         self._item_store: ItemStore | None = None
         self._writes: dict[int, asyncio.Future[None]] = {}
@@ -287,6 +287,10 @@
     await stored.wait()
 
 
+def _log_listener_failures(failures: Sequence[Exception]) -> None:
+    log_exceptions(log, "items not processed by a listener action=retried", failures)
+
+
 def _own_member(settings: ProcessSettings, is_control: bool) -> Member:
     front = settings.listen.get("front")
     return Member(
--- a/canvasbeam/cluster/node_core.py
+++ b/canvasbeam/cluster/node_core.py
@@ -25,13 +25,15 @@
     SendPing,
 )
 from canvasbeam.failure_detection.node_location import NodeLocation
-from canvasbeam.item_table.items import Item, ItemKind, ItemTable, Version
+from canvasbeam.item_table.items import FailureHandler, Item, ItemKind, ItemTable, Version
 from canvasbeam.leases.contact import ContactState, contact_state
+from canvasbeam.runtime.change_listeners import raise_failures
 from canvasbeam.runtime.process_incarnation import UNKNOWN_INCARNATION
 from canvasbeam.runtime.settings import Address
 from canvasbeam.units import MILLISECOND
 
 MEMBERS_DELAY_NS = 30 * MILLISECOND  # delay from a member change to its use by distribution and monitoring
+LISTENER_RETRY_NS = 500 * MILLISECOND  # interval between calls of a listener of the item table that keeps raising
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,8 +63,15 @@
 class NodeCore:
     """The state and decisions of one node, without sockets or a clock."""
 
-    def __init__(self, member: Member, ports: Ports, seeds: Iterable[Address], start: ProcessStart) -> None:
-        self.table = ItemTable()
+    def __init__(
+        self,
+        member: Member,
+        ports: Ports,
+        seeds: Iterable[Address],
+        start: ProcessStart,
+        on_listener_failures: FailureHandler = raise_failures,
+    ) -> None:
+        self.table = ItemTable(on_listener_failures)
         self.own_member = OwnMember(member, random.Random(start.seed))
         self.parameters = DistributionParameters()
         self._ports = ports
@@ -71,6 +80,7 @@
         self.monitoring = Monitoring(own_location, MonitoringParameters(), start.now)
         self._members = MemberList()
         self._members_changed_at: int | None = None
+        self._listener_retry_at: int | None = None
         self._now = start.now
         self._actions: list[Action] = []
         self.table.add_listener(self._on_items)
@@ -149,6 +159,7 @@
     def tick(self, now: int) -> None:
         """Run all timed work that is due at `now`."""
         self._now = now
+        self._retry_listeners(now)
         if self._members.expire(now) or self._is_members_update_due(now):
             self._update_members(now)
         self.distribution.tick(now)
@@ -165,10 +176,22 @@
 
     def wake(self) -> int:
         """Return the latest time for the next call of `tick`, in nanoseconds."""
-        wake = min(self.distribution.wake(), self.monitoring.wake())
-        if self._members_changed_at is None:
-            return wake
-        return min(wake, self._members_changed_at + MEMBERS_DELAY_NS)
+        times = [self.distribution.wake(), self.monitoring.wake()]
+        if self._members_changed_at is not None:
+            times.append(self._members_changed_at + MEMBERS_DELAY_NS)
+        if self._listener_retry_at is not None:
+            times.append(self._listener_retry_at)
+        return min(times)
+
+    def _retry_listeners(self, now: int) -> None:
+        """Call the listeners of the item table that raised again, `LISTENER_RETRY_NS` after the first tick since."""
+        if not self.table.listeners_behind:
+            self._listener_retry_at = None
+        elif self._listener_retry_at is None:
+            self._listener_retry_at = now + LISTENER_RETRY_NS
+        elif now >= self._listener_retry_at:
+            self._listener_retry_at = now + LISTENER_RETRY_NS
+            self.table.retry_listeners()
 
     # --- state ------------------------------------------------------------------------------------
 
--- a/canvasbeam/data_plane/placement.py
+++ b/canvasbeam/data_plane/placement.py
@@ -32,7 +32,10 @@
         seed = random.randrange(1 << 30)
         return Dispatcher(dispatcher_settings(settings), seed, self._limits, self.expectations)
 
-    def change_configuration(self, configuration: Configuration) -> None:
-        """Apply the services of the new active configuration."""
+    def change_warm_up_rates(self, configuration: Configuration) -> None:
+        """Apply the warm-up rates of the services of the new active configuration."""
         self._shared_limits.change_configuration(configuration)
+
+    def change_engines(self, configuration: Configuration) -> None:
+        """Apply the engine capacities of the services of the new active configuration."""
         self.expectations.set_engines(engines(configuration.services))
--- a/canvasbeam/data_plane/program.py
+++ b/canvasbeam/data_plane/program.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterator, Sequence
 
 from canvasbeam.cluster.node import ClusterNode
-from canvasbeam.data_plane.configuration_view import ConfigurationView
+from canvasbeam.data_plane.configuration_view import ConfigurationListener, ConfigurationView
 from canvasbeam.data_plane.endpoint_list import EndpointList
 from canvasbeam.data_plane.ingress import Ingress
 from canvasbeam.data_plane.memory_budget import MEBIBYTE, MemoryBudget
@@ -66,7 +66,8 @@
             is_behind=lambda: self._cluster.is_behind,
         )
         self._servers = self._make_servers(listeners or {}, metrics)
-        self._view.add_listener(self._on_configuration)
+        for listener in self._configuration_listeners():
+            self._view.add_listener(listener)
         self._endpoints = self._make_endpoint_list()
         self._readiness = ReadinessPublisher(self.is_ready, self._cluster.set_ready)
         self._cluster.table.add_listener(self._on_items)
@@ -105,10 +106,17 @@
         nodes = sum(not member.is_control for member in self._cluster.members())
         return max(nodes, MIN_ASSUMED_NODES)
 
-    def _on_configuration(self, configuration: Configuration) -> None:
+    def _configuration_listeners(self) -> tuple[ConfigurationListener, ...]:
+        """Return the parts that adopt a configuration, each for itself: a fault in one must not stop the others."""
+        return (
+            self._apply_client_limits,
+            self._placement.change_warm_up_rates,
+            self._placement.change_engines,
+            self._router.change_configuration,
+        )
+
+    def _apply_client_limits(self, configuration: Configuration) -> None:
         self._servers.apply_client_limits(configuration.limits, self._settings.limits.max_fds)
-        self._placement.change_configuration(configuration)
-        self._router.change_configuration(configuration)
 
     def _metric_lines(self) -> Iterator[str]:
         """Yield the lines of the metrics page of this process."""
@@ -121,6 +129,7 @@
                 "worker_items": len(self._cluster.table.of_kind(ItemKind.WORKER)),
                 "configuration_generation": self._view.current.generation if self._view.current else 0,
                 "configuration_is_behind": self._cluster.is_behind,
+                "listeners_behind": self._cluster.table.listeners_behind + self._view.listeners_behind,
             }
         )
 
--- a/canvasbeam/data_plane/shared_limits.py
+++ b/canvasbeam/data_plane/shared_limits.py
@@ -40,8 +40,8 @@
             return
         regions = {member.name: member.region for member in self._members() if not member.is_control}
         if regions != self._notified_regions:
-            self._notified_regions = regions
             self._limits.members(self._now_ns(), regions)
+            self._notified_regions = regions  # after the call, so that a retry after an exception repeats it
 
     def change_configuration(self, configuration: Configuration) -> None:
         """Apply the services' warm-up rates of the new active configuration."""
--- a/canvasbeam/item_table/items.py
+++ b/canvasbeam/item_table/items.py
@@ -12,6 +12,7 @@
 from hashlib import blake2b
 
 from canvasbeam.item_table.document import Document
+from canvasbeam.runtime.change_listeners import ChangeListeners, raise_failures
 
 CURRENT = "current"  # the key of the configuration and of the evacuations
 
@@ -58,15 +59,21 @@
 
 
 ChangeListener = Callable[[Sequence[Item]], None]  # called with the changed items of one batch
+FailureHandler = Callable[[Sequence[Exception]], None]
 
 
 class ItemTable:
-    """The items of one node. Listeners are called once for each batch that changed the table."""
+    """The items of one node. Listeners are called once for each batch that changed the table.
 
-    def __init__(self) -> None:
+    A listener that raises is called again with the same items, at the next change or by `retry_listeners`; the other
+    listeners and the table are not affected. `on_listener_failures` is called after all listeners, with the exceptions.
+    """
+
+    def __init__(self, on_listener_failures: FailureHandler = raise_failures) -> None:
         self._items: dict[ItemName, Item] = {}
         self._digests = dict.fromkeys(ItemKind, 0)
-        self._listeners: list[ChangeListener] = []
+        self._listeners: ChangeListeners[tuple[Item, ...]] = ChangeListeners(_combine_batches)
+        self._on_listener_failures = on_listener_failures
 
     def __len__(self) -> int:
         return len(self._items)
@@ -83,17 +90,41 @@
         return [item for item in self._items.values() if item.kind is kind and not item.deleted]
 
     def add_listener(self, listener: ChangeListener) -> None:
-        """Register a listener, called with the items of each later batch that were new or had a higher version."""
-        self._listeners.append(listener)
+        """Register a listener, called with the items of each later batch that were new or had a higher version.
+
+        The listener is not called with a version that the table has replaced in the meantime.
+        """
+        self._listeners.add(lambda items: self._deliver(listener, items))
+
+    def retry_listeners(self) -> None:
+        """Call each listener that raised with the items that it has not processed."""
+        self._report(self._listeners.retry())
+
+    @property
+    def listeners_behind(self) -> int:
+        """Number of listeners that raised and have not processed all changes since."""
+        return self._listeners.behind_count
 
     def merge(self, items: Iterable[Item]) -> list[Item]:
         """Store each item that is new or has a higher version than the stored item; return the stored items."""
         changed = [item for item in items if self._store(item)]
         if changed:
-            for listener in self._listeners:
-                listener(changed)
+            self._report(self._listeners.notify(tuple(changed)))
         return changed
 
+    def _deliver(self, listener: ChangeListener, items: Sequence[Item]) -> None:
+        current = [item for item in items if not self._is_replaced(item)]
+        if current:
+            listener(current)
+
+    def _is_replaced(self, item: Item) -> bool:
+        stored = self._items.get(item.name)
+        return stored is not None and stored.version > item.version
+
+    def _report(self, failures: Sequence[Exception]) -> None:
+        if failures:
+            self._on_listener_failures(failures)
+
     def _store(self, item: Item) -> bool:
         stored = self._items.get(item.name)
         if stored is not None and stored.version >= item.version:
@@ -120,6 +151,12 @@
         return self._digests[kind]
 
 
+def _combine_batches(earlier: Sequence[Item], later: Sequence[Item]) -> tuple[Item, ...]:
+    """Return the items of two batches, of each item the version in the later batch."""
+    newest = {item.name: item for item in (*earlier, *later)}
+    return tuple(newest.values())
+
+
 def _fingerprint(item: Item) -> int:
     if item.deleted:
         return 0
--- /dev/null
+++ b/canvasbeam/runtime/change_listeners.py
@@ -0,0 +1,99 @@
+"""Deliver changes to listeners, so that a listener that raises neither hides a change from the others nor misses it.
+
+Pure: no I/O, no clock. `ChangeListeners` owns the changes that each listener has still to process. The owner of a
+`ChangeListeners` reports the returned exceptions, and decides when to call `retry`.
+
+| state of a listener | entered by | next states |
+| --- | --- | --- |
+| up to date | `add`; the listener returned | behind |
+| behind | the listener raised | up to date, by the next change or by `retry` |
+
+A listener that is behind is called with its missed changes and the new change combined. A listener must therefore
+accept a change that it has processed in part, and must not rely on being called once for each change.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Sequence
+from typing import Generic, TypeVar
+
+Change = TypeVar("Change")
+Combine = Callable[[Change, Change], Change]
+
+
+class _Delivery(Generic[Change]):
+    """One listener, and the change that it has still to process, if any."""
+
+    def __init__(self, listener: Callable[[Change], object], combine: Combine[Change]) -> None:
+        self._listener = listener
+        self._combine = combine
+        self._missed: Change | None = None
+
+    @property
+    def is_behind(self) -> bool:
+        """True if the listener has not processed all changes."""
+        return self._missed is not None
+
+    def deliver(self, change: Change) -> Exception | None:
+        """Call the listener with its missed changes and `change`; return the exception that the listener raised."""
+        combined = self._with_missed(change)
+        self._missed = None  # the listener may cause another change, which is delivered during this call
+        try:
+            self._listener(combined)
+        except Exception as error:
+            self._missed = combined if self._missed is None else self._combine(combined, self._missed)
+            return error
+        return None
+
+    def retry(self) -> Exception | None:
+        """Call the listener with its missed changes, if any; return the exception that the listener raised."""
+        missed, self._missed = self._missed, None
+        return None if missed is None else self.deliver(missed)
+
+    def _with_missed(self, change: Change) -> Change:
+        return change if self._missed is None else self._combine(self._missed, change)
+
+
+class ChangeListeners(Generic[Change]):
+    """The listeners of one kind of change, called in the order in which they were added.
+
+    `combine` returns the change that has the effect of an earlier and a later change.
+    """
+
+    def __init__(self, combine: Combine[Change]) -> None:
+        self._combine = combine
+        self._deliveries: list[_Delivery[Change]] = []
+
+    def add(self, listener: Callable[[Change], object]) -> None:
+        """Call `listener` with every later change."""
+        self._deliveries.append(_Delivery(listener, self._combine))
+
+    def notify(self, change: Change) -> list[Exception]:
+        """Call every listener with a change; return the exceptions of the listeners that are now behind."""
+        return _raised(delivery.deliver(change) for delivery in self._deliveries)
+
+    def retry(self) -> list[Exception]:
+        """Call the listeners that are behind with the changes they missed; return the exceptions that they raised."""
+        return _raised(delivery.retry() for delivery in self._deliveries)
+
+    @property
+    def behind_count(self) -> int:
+        """Number of listeners that have not processed all changes."""
+        return sum(delivery.is_behind for delivery in self._deliveries)
+
+
+def latest(earlier: Change, later: Change) -> Change:
+    """Combine changes each of which replaces the complete earlier value."""
+    return later
+
+
+def raise_failures(failures: Sequence[Exception]) -> None:
+    """Raise the only exception, or all exceptions as a group; return if there are none."""
+    if len(failures) == 1:
+        raise failures[0]
+    if failures:
+        raise ExceptionGroup(f"{len(failures)} listeners failed", failures)
+
+
+def _raised(results: Iterable[Exception | None]) -> list[Exception]:
+    return [error for error in results if error is not None]
--- a/canvasbeam/runtime/logs.py
+++ b/canvasbeam/runtime/logs.py
@@ -14,7 +14,7 @@
 import logging
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from types import CodeType
 from typing import Any, TextIO
@@ -187,6 +187,12 @@
     return logger
 
 
+def log_exceptions(logger: logbook.Logger, message: str, exceptions: Iterable[Exception]) -> None:
+    """Log an error record with `message` and the traceback for each exception."""
+    for exception in exceptions:
+        logger.error(message, exc_info=(type(exception), exception, exception.__traceback__))
+
+
 def configure(settings: ProcessSettings, *, epoch: EpochSource | None = None, stream: TextIO | None = None) -> None:
     """Write the log of the process to `stream` (default: standard error) at the log level of the settings."""
     global _handler  # noqa: PLW0603
--- a/tests/project/test_pure_packages.py
+++ b/tests/project/test_pure_packages.py
@@ -38,8 +38,8 @@
     "dispatch", "replication", "leases", "distribution", "failure_detection", "item_table", "service_discovery",
 )  # fmt: skip
 PURE_MODULES = (
-    "admin/maintenance.py", "runtime/planned_shutdown.py", "runtime/process_incarnation.py",
-    "simulator/lending_budgets.py", "errors.py", "units.py",
+    "admin/maintenance.py", "runtime/change_listeners.py", "runtime/planned_shutdown.py",
+    "runtime/process_incarnation.py", "simulator/lending_budgets.py", "errors.py", "units.py",
 )  # fmt: skip
 
 
