Fix: shares by the number of members stay out of date

What callers would see: a share of the retry budget and of the rate of cold workers that counts a dead node until another member changes; more connections to a worker, over all nodes, than it takes.

Cause: SharedLimits looked at the members only when a member item changed, and EndpointList only when a worker changed. Who is alive also depends on the end of a grace period and on what the node finds unresponsive; a dead member is still in its grace period at its last item.

Evidence, on the untouched tree: seven schedulers counted with six members alive, 4 s after one was declared dead; a share of 10 of 40 connections where 6 are due.

Change: NodeCore calls listeners with the live members after each change of an item, and every 250 ms if they have changed otherwise. SharedLimits and EndpointList are such listeners. A raised maximum of connections wakes requests that wait.

Measured: before the change of EndpointList, test_drawn_batches.py and test_failing_readers.py, which now draw suspected and dead members and more than four of them, failed in the shares of connections; they pass now, as do the new tests.

--- a/canvasbeam/cluster/node.py
+++ b/canvasbeam/cluster/node.py
@@ -12,7 +12,7 @@
 
 from canvasbeam.cluster import codec, membership_pb2
 from canvasbeam.cluster.member import Member
-from canvasbeam.cluster.node_core import NodeCore, PingAnswer, Ports
+from canvasbeam.cluster.node_core import MembersListener, NodeCore, PingAnswer, Ports
 from canvasbeam.cluster.transport import Channel, PeerInfo, Transport
 from canvasbeam.distribution.distribution import ProcessStart
 from canvasbeam.distribution.messages import Message, Send
@@ -140,6 +140,15 @@
         """Return the members that are alive and not suspected, including this process."""
         return self._core.members(time.monotonic_ns())
 
+    def add_members_listener(self, listener: MembersListener) -> None:
+        """Call `listener` with the members after each change, at most 250 ms late if no item reports the change."""
+        self._core.add_members_listener(listener)
+
+    @property
+    def listeners_behind(self) -> int:
+        """Number of listeners to items and members that raised and have not processed all changes since."""
+        return self._core.listeners_behind
+
     def control_nodes(self) -> tuple[Member, ...]:
         """Return the control processes among the members."""
         return tuple(member for member in self.members() if member.is_control)
--- a/canvasbeam/data_plane/endpoint_list.py
+++ b/canvasbeam/data_plane/endpoint_list.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 from canvasbeam.data_plane.configuration_view import ConfigurationView
 from canvasbeam.data_plane.router import RequestRouter
@@ -26,7 +26,7 @@
 class EndpointList:
     """Watches the item table and notifies the router of each change.
 
-    `regions` is the region of each zone. `live_nodes` returns the number of nodes that share a worker's connections.
+    `regions` is the region of each zone, `live_nodes` the number of nodes that share the connections of each worker.
     """
 
     def __init__(
@@ -37,7 +37,7 @@
         connections: WorkerConnections,
         *,
         regions: Mapping[str, str],
-        live_nodes: Callable[[], int],
+        live_nodes: int,
     ) -> None:
         self._table = table
         self._view = view
@@ -66,6 +66,12 @@
         current = {item.key for item in items}
         self._apply(items, removed=[worker for worker in self._notified if worker not in current])
 
+    def set_live_nodes(self, live_nodes: int) -> None:
+        """Divide the connections of each worker among another number of nodes."""
+        self._live_nodes = live_nodes
+        for worker, endpoint in self._notified.items():
+            self._connections.set_max_connections(worker, self._connection_share(endpoint.entry.kind))
+
     def _apply(self, items: Iterable[Item], removed: Iterable[str] = ()) -> None:
         """Apply changed worker items, tombstones included, and the removal of further workers.
 
@@ -100,12 +106,18 @@
         if isinstance(record, Failure):
             log.warning("worker item dropped id={} failure={}", item.key, record)
             return None
+        self._connections.set_worker(item.key, record.address, self._connection_share(record.service))
+        return WorkerEndpoint(self._entry(item, record), self._service(record.service).health_check)
+
+    def _service(self, name: str) -> Service:
+        """Return the settings of a service; the defaults if the configuration does not contain the service."""
         configuration = self._view.current
-        service = configuration.services.get(record.service) if configuration is not None else None
-        service = service or Service(record.service)
-        max_connections = connections_per_node(service.max_connections, self._live_nodes())
-        self._connections.set_worker(item.key, record.address, max_connections)
-        return WorkerEndpoint(self._entry(item, record), service.health_check)
+        service = configuration.services.get(name) if configuration is not None else None
+        return service or Service(name)
+
+    def _connection_share(self, service: str) -> int:
+        """Return the maximum number of connections from this node to one worker of a service."""
+        return connections_per_node(self._service(service).max_connections, self._live_nodes)
 
     def _entry(self, item: Item, record: WorkerRecord) -> WorkerEntry:
         accepts_requests = record.ready and record.zone not in self._view.evacuated_zones
--- a/canvasbeam/data_plane/placement.py
+++ b/canvasbeam/data_plane/placement.py
@@ -23,7 +23,8 @@
 
     def __init__(self, settings: ProcessSettings, cluster: ClusterNode) -> None:
         self._limits = make_limits(settings, monotonic_ns())
-        self._shared_limits = SharedLimits(self._limits, cluster.table, cluster.members, monotonic_ns)
+        self._shared_limits = SharedLimits(self._limits, monotonic_ns)
+        cluster.add_members_listener(self._shared_limits.change_members)
         self.expectations = engine_expectations(settings)
         self._notices = PlacementNotices(cluster, self.expectations, settings.node, settings.region)
 
--- a/canvasbeam/data_plane/program.py
+++ b/canvasbeam/data_plane/program.py
@@ -10,6 +10,7 @@
 import random
 from collections.abc import Iterator, Sequence
 
+from canvasbeam.cluster.member import Member
 from canvasbeam.cluster.node import ClusterNode
 from canvasbeam.data_plane.configuration_view import ConfigurationListener, ConfigurationView
 from canvasbeam.data_plane.endpoint_list import EndpointList
@@ -70,6 +71,7 @@
             self._view.add_listener(listener)
         self._endpoints = self._make_endpoint_list()
         self._readiness = ReadinessPublisher(self.is_ready, self._cluster.set_ready)
+        self._cluster.add_members_listener(self._on_members)
         self._cluster.table.add_listener(self._on_items)
 
     def _make_endpoint_list(self) -> EndpointList:
@@ -79,7 +81,7 @@
             self._router,
             self._connections,
             regions=self._settings.zones,
-            live_nodes=self._live_nodes,
+            live_nodes=MIN_ASSUMED_NODES,
         )
 
     def _make_servers(self, listeners: Listeners, metrics: Address | None) -> NodeServers:
@@ -102,9 +104,10 @@
             metrics_address=metrics,
         )
 
-    def _live_nodes(self) -> int:
-        nodes = sum(not member.is_control for member in self._cluster.members())
-        return max(nodes, MIN_ASSUMED_NODES)
+    def _on_members(self, members: Sequence[Member]) -> None:
+        """Divide the connections to each worker among the live data-plane nodes."""
+        nodes = sum(not member.is_control for member in members)
+        self._endpoints.set_live_nodes(max(nodes, MIN_ASSUMED_NODES))
 
     def _configuration_listeners(self) -> tuple[ConfigurationListener, ...]:
         """Return the parts that adopt a configuration, each for itself: a fault in one must not stop the others."""
@@ -129,7 +132,7 @@
                 "worker_items": len(self._cluster.table.of_kind(ItemKind.WORKER)),
                 "configuration_generation": self._view.current.generation if self._view.current else 0,
                 "configuration_is_behind": self._cluster.is_behind,
-                "listeners_behind": self._cluster.table.listeners_behind + self._view.listeners_behind,
+                "listeners_behind": self._cluster.listeners_behind + self._view.listeners_behind,
             }
         )
 
--- a/canvasbeam/data_plane/shared_limits.py
+++ b/canvasbeam/data_plane/shared_limits.py
@@ -6,17 +6,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable
 
 from canvasbeam.cluster.member import Member
 from canvasbeam.data_plane.routes import Configuration
 from canvasbeam.dispatch.fleet_limits import FleetLimits, RetryLimit, WarmUpLimit, WarmUpRate
-from canvasbeam.item_table.items import Item, ItemKind, ItemTable
 from canvasbeam.runtime.settings import Bounds, ProcessSettings
 from canvasbeam.units import SECOND
 
-Members = Callable[[], Iterable[Member]]
-
 
 def make_limits(settings: ProcessSettings, now_ns: int) -> FleetLimits:
     """Return the limits of the deployment before any other node is known; `now_ns` is the monotonic time."""
@@ -28,17 +25,14 @@
 class SharedLimits:
     """Forwards each change of the members and of the configuration to `FleetLimits`."""
 
-    def __init__(self, limits: FleetLimits, table: ItemTable, members: Members, now_ns: Callable[[], int]) -> None:
+    def __init__(self, limits: FleetLimits, now_ns: Callable[[], int]) -> None:
         self._limits = limits
-        self._members = members
         self._now_ns = now_ns
         self._notified_regions: dict[str, str] = {}
-        table.add_listener(self._on_items)
 
-    def _on_items(self, items: Sequence[Item]) -> None:
-        if not any(item.kind is ItemKind.MEMBER for item in items):
-            return
-        regions = {member.name: member.region for member in self._members() if not member.is_control}
+    def change_members(self, members: Iterable[Member]) -> None:
+        """Apply the live members; those that are control processes send no requests and have no share."""
+        regions = {member.name: member.region for member in members if not member.is_control}
         if regions != self._notified_regions:
             self._limits.members(self._now_ns(), regions)
             self._notified_regions = regions  # after the call, so that a retry after an exception repeats it
--- a/canvasbeam/data_plane/worker_connections.py
+++ b/canvasbeam/data_plane/worker_connections.py
@@ -203,6 +203,12 @@
             connection.closing = True
             connection.stream.close_gracefully()
 
+    def set_max_connections(self, max_connections: int) -> None:
+        """Replace the maximum; requests that wait for a connection use a raised maximum at once."""
+        added, self.max_connections = max_connections - self.max_connections, max_connections
+        for _ in range(min(added, len(self._waiting))):
+            self._wake_one()
+
     def retire(self) -> None:
         """Close all idle connections, and each other connection after its request in flight has ended."""
         self._retired = True
@@ -231,7 +237,13 @@
         if pool is None:
             self._pools[worker] = WorkerPool(worker, address, max_connections, self._count_opened)
         else:
-            pool.max_connections = max_connections
+            pool.set_max_connections(max_connections)
+
+    def set_max_connections(self, worker: str, max_connections: int) -> None:
+        """Replace the maximum number of connections from this node to a worker; ignore a worker without a pool."""
+        pool = self._pools.get(worker)
+        if pool is not None:
+            pool.set_max_connections(max_connections)
 
     def remove_worker(self, worker: str) -> None:
         """Remove a worker; requests in flight at the worker continue."""
--- a/canvasbeam/runtime/change_listeners.py
+++ b/canvasbeam/runtime/change_listeners.py
@@ -64,6 +64,9 @@
         self._combine = combine
         self._deliveries: list[_Delivery[Change]] = []
 
+    def __len__(self) -> int:
+        return len(self._deliveries)
+
     def add(self, listener: Callable[[Change], object]) -> None:
         """Call `listener` with every later change."""
         self._deliveries.append(_Delivery(listener, self._combine))
--- a/tests/data_plane/test_data_plane_connections.py
+++ b/tests/data_plane/test_data_plane_connections.py
@@ -206,3 +206,24 @@
     assert connections_per_node(360, 6) == 60
     assert connections_per_node(96, 350) == 3
     assert connections_per_node(2, 350) == 2
+
+
+def test_raised_maximum_is_used_by_requests_that_already_wait() -> None:
+    """Guards against requests that wait for a connection although more may be opened since a node left."""
+
+    async def body(server: Server, pool: WorkerPool) -> None:
+        held = [await pool.acquire(False) for _ in range(2)]
+        waiters = [asyncio.ensure_future(pool.acquire(False)) for _ in range(3)]
+        await asyncio.sleep(0)
+        pool.set_max_connections(4)
+        first, second = await waiters[0], await waiters[1]
+        assert pool.open_count == 4
+        pool.set_max_connections(1)
+        pool.discard(first)
+        await asyncio.sleep(0)
+        assert not waiters[2].done()
+        for connection in (*held, second):
+            pool.discard(connection)
+        await waiters[2]
+
+    run(body)
--- a/tests/data_plane/test_failing_readers.py
+++ b/tests/data_plane/test_failing_readers.py
@@ -4,16 +4,14 @@
 
 import asyncio
 import random
-import time
 from collections.abc import Callable
 
 import pytest
 
-from canvasbeam.cluster.node_core import LISTENER_RETRY_NS
 from canvasbeam.data_plane.program import DataPlane
 from canvasbeam.item_table.items import ItemKind
 from tests.data_plane.test_drawn_batches import fresh_state
-from tests.support.drawn_batches import BatchSource, make_settings, reader_state
+from tests.support.drawn_batches import BatchSource, Ticks, make_settings, reader_state
 
 # By reader: the object that raises, its method, and the parts of the state that may then be out of date.
 READERS: dict[str, tuple[Callable[[DataPlane], object], str, set[str]]] = {
@@ -21,6 +19,9 @@
     "warm-up rates": (lambda plane: plane._placement._limits, "services", {"limits' workers"}),
     "engines": (lambda plane: plane._placement.expectations, "set_engines", {"engines"}),
     "request classes": (lambda plane: plane._router._classes, "change_configuration", {"dispatcher's kinds"}),
+    "member list": (
+        lambda plane: plane._cluster._core._members, "apply", {"members", "limits' schedulers", "pools"},
+    ),
     "schedulers": (lambda plane: plane._placement._limits, "members", {"limits' schedulers"}),
     "endpoints": (
         lambda plane: plane._router, "change_endpoints",
@@ -36,8 +37,6 @@
 
     def __init__(self, data_plane: DataPlane, monkeypatch: pytest.MonkeyPatch) -> None:
         self.active: set[str] = set()
-        self._node = data_plane._cluster._core
-        self._now = time.monotonic_ns()
         for reader, (part_of, method, _) in READERS.items():
             part = part_of(data_plane)
             monkeypatch.setattr(part, method, self._faulty(reader, getattr(part, method)))
@@ -50,12 +49,6 @@
 
         return planted
 
-    def pass_time(self) -> None:
-        """Let the node tick until every listener that is behind has been called again."""
-        for _ in range(2):
-            self._now += LISTENER_RETRY_NS
-            self._node.tick(self._now)
-
 
 @pytest.mark.parametrize("is_retried", [True, False])
 @pytest.mark.parametrize("reader", READERS)
@@ -66,13 +59,14 @@
 
     async def main() -> None:
         data_plane = DataPlane(make_settings())
-        faults = Faults(data_plane, monkeypatch)
+        faults, ticks = Faults(data_plane, monkeypatch), Ticks(data_plane)
         source = BatchSource(random.Random(reader))
         for _ in range(12):
             data_plane._cluster.publish(source.batch())
         faults.active.add(reader)
         batch = [item for _ in range(12) for item in source.batch()]
         data_plane._cluster.publish(batch)
+        ticks.pass_second()
         await asyncio.sleep(0)
         behind = READERS[reader][2]
         state, fresh = reader_state(data_plane), await fresh_state(data_plane)
@@ -84,10 +78,9 @@
         assert tombstones <= data_plane._cluster._core.distribution._pushes._tombstones._tombstones.keys()
 
         faults.active.clear()
-        if is_retried:
-            faults.pass_time()
-        else:
+        if not is_retried:
             data_plane._cluster.publish([item for _ in range(12) for item in source.batch()])
+        ticks.pass_second()
         await asyncio.sleep(0)
         assert reader_state(data_plane) == await fresh_state(data_plane)
         assert "canvasbeam_listeners_behind 0" in data_plane._metric_lines()
@@ -103,15 +96,15 @@
         rng = random.Random(seed)
         source = BatchSource(rng)
         data_plane = DataPlane(make_settings())
-        faults = Faults(data_plane, monkeypatch)
+        faults, ticks = Faults(data_plane, monkeypatch), Ticks(data_plane)
         for _ in range(40):
             faults.active = {reader for reader in READERS if rng.random() < 0.15}
             data_plane._cluster.publish(source.batch())
             if rng.random() < 0.3:
-                faults.pass_time()
+                ticks.pass_second()
             await asyncio.sleep(0)
         faults.active.clear()
-        faults.pass_time()
+        ticks.pass_second()
         await asyncio.sleep(0)
         assert reader_state(data_plane) == await fresh_state(data_plane)
 
--- a/tests/support/data_plane_harness.py
+++ b/tests/support/data_plane_harness.py
@@ -302,7 +302,7 @@
         self.shutdown = GracefulShutdown(self.settings, self.router.now_ns)
         self.view.add_listener(self._on_configuration)
         self.endpoint_list = EndpointList(
-            self.table, self.view, self.router, self.connections, regions=self.settings.zones, live_nodes=lambda: 1
+            self.table, self.view, self.router, self.connections, regions=self.settings.zones, live_nodes=1
         )
         self.memory = MemoryBudget(1 << 20)
         ingress = Ingress(
--- a/tests/support/drawn_batches.py
+++ b/tests/support/drawn_batches.py
@@ -9,6 +9,7 @@
 
 import json
 import random
+import time
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -20,11 +21,12 @@
 from canvasbeam.item_table.items import CURRENT, Item, ItemKind, ItemTable, Version
 from canvasbeam.runtime.settings import Address, ProcessSettings
 from canvasbeam.service_discovery.worker_registry import LEFT_SEQUENCE, Publication, Worker, WorkerState, WorkerVersion
+from canvasbeam.units import SECOND
 
 ZONES = {"z1": "r1", "z2": "r2", "z3": "r3"}
 SERVICES = ("chat", "lookup", "review")
 WORKERS = tuple(f"i-{number}" for number in range(6))
-MEMBERS = tuple(f"edge-{number}" for number in range(2, 5))
+MEMBERS = tuple(f"edge-{number}" for number in range(2, 9))
 REQUEST_CLASSES = 4  # the routes of a configuration, of which a batch draws some
 
 
@@ -115,8 +117,22 @@
         member = Member(
             name, "edge", "data", f"127.0.0.{name[-1]}", "z2", "r2", f"127.0.0.{name[-1]}:8144", True, self._next()
         )
-        status = MemberStatus.LEFT if self.rng.random() < 0.4 else MemberStatus.ALIVE
-        return [member_item(member, status)]
+        statuses = (MemberStatus.ALIVE, MemberStatus.ALIVE, MemberStatus.SUSPECT, MemberStatus.DEAD, MemberStatus.LEFT)
+        return [member_item(member, self.rng.choice(statuses))]
+
+
+@dataclass
+class Ticks:
+    """Ticks of one data plane on a clock that runs ahead of the real one."""
+
+    data_plane: DataPlane
+    ahead_ns: int = 0
+
+    def pass_second(self) -> None:
+        """Let a second pass: grace periods end, and listeners that are behind are called again."""
+        for _ in range(4):
+            self.ahead_ns += SECOND // 4
+            self.data_plane._cluster._core.tick(time.monotonic_ns() + self.ahead_ns)
 
 
 def current_items(table: ItemTable) -> list[Item]:
