Fix: a listener that raises ends the ticks of replication, and hides a state from the other listeners

What callers would see: a control process that takes no part in elections any more, answers to operators that never come, a committed configuration that one process never publishes.

Cause: ReplicationListeners called listeners in plain loops on the path that drives the replication member. One exception ended the background task of the ticks, or the rest of the member's actions. StatePublisher recorded versions before it published them.

StatePublisher records after the publication.

--- a/canvasbeam/control_plane/member_driver.py
+++ b/canvasbeam/control_plane/member_driver.py
@@ -12,6 +12,7 @@
 import time
 from collections.abc import Sequence
 from dataclasses import replace
+from itertools import count
 
 from canvasbeam.control_plane.member_disk import MemberDisk
 from canvasbeam.control_plane.pending_calls import PendingCalls
@@ -28,6 +29,7 @@
 from canvasbeam.replication.views import member_ip
 
 TICK_SECONDS = 0.05  # interval between the ticks of the replication member
+LISTENER_RETRY_TICKS = 10  # ticks between calls of a listener that keeps raising
 
 
 class MemberDriver:
@@ -97,8 +99,10 @@
 
     async def run_ticks(self) -> None:
         """Tick the member every `TICK_SECONDS` until cancelled."""
-        while True:
+        for tick in count(1):
             self._perform(self._member.tick(time.monotonic_ns()))
+            if tick % LISTENER_RETRY_TICKS == 0:
+                self._listeners.retry()
             await asyncio.sleep(TICK_SECONDS)
 
     async def run_writes(self) -> None:
--- a/canvasbeam/control_plane/publisher.py
+++ b/canvasbeam/control_plane/publisher.py
@@ -33,16 +33,21 @@
         self._evacuation_index = 0
 
     def on_committed(self, state: ControlState) -> None:
-        """Publish the configuration and the evacuated zones if they have changed since the last published state."""
+        """Publish the configuration and the evacuated zones if they have changed since the last published state.
+
+        What was published is recorded after the publication, so that a retry after an exception is complete.
+        """
         items = []
+        document = self._document
         if state.configuration_index > self._configuration_index and state.configuration is not None:
-            self._configuration_index = state.configuration_index
-            self._document = document_of(state.configuration, self._document)
+            document = document_of(state.configuration, self._document)
             version = Version(state.configuration_index)
-            items.append(Item(ItemKind.CONFIGURATION, CURRENT, version, document=self._document))
+            items.append(Item(ItemKind.CONFIGURATION, CURRENT, version, document=document))
         if state.evacuation_index > self._evacuation_index:
-            self._evacuation_index = state.evacuation_index
             zones = json.dumps(state.evacuated_zones).encode("ascii")
             items.append(Item(ItemKind.EVACUATIONS, CURRENT, Version(state.evacuation_index), zones))
         if items:
             self._node.publish(items)
+        self._document = document
+        self._configuration_index = max(self._configuration_index, state.configuration_index)
+        self._evacuation_index = max(self._evacuation_index, state.evacuation_index)
--- a/canvasbeam/runtime/change_listeners.py
+++ b/canvasbeam/runtime/change_listeners.py
@@ -15,6 +15,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Sequence
+from functools import reduce
 from typing import Generic, TypeVar
 
 Change = TypeVar("Change")
@@ -27,31 +28,29 @@
     def __init__(self, listener: Callable[[Change], object], combine: Combine[Change]) -> None:
         self._listener = listener
         self._combine = combine
-        self._missed: Change | None = None
+        self._missed: list[Change] = []  # at most one change; a list, because a change may be any value
 
     @property
     def is_behind(self) -> bool:
         """True if the listener has not processed all changes."""
-        return self._missed is not None
+        return bool(self._missed)
 
     def deliver(self, change: Change) -> Exception | None:
         """Call the listener with its missed changes and `change`; return the exception that the listener raised."""
-        combined = self._with_missed(change)
-        self._missed = None  # the listener may cause another change, which is delivered during this call
+        combined = reduce(self._combine, [*self._missed, change])
+        self._missed = []  # the listener may cause another change, which is delivered during this call
         try:
             self._listener(combined)
         except Exception as error:
-            self._missed = combined if self._missed is None else self._combine(combined, self._missed)
+            self._missed = [reduce(self._combine, [combined, *self._missed])]
             return error
         return None
 
     def retry(self) -> Exception | None:
         """Call the listener with its missed changes, if any; return the exception that the listener raised."""
-        missed, self._missed = self._missed, None
-        return None if missed is None else self.deliver(missed)
-
-    def _with_missed(self, change: Change) -> Change:
-        return change if self._missed is None else self._combine(self._missed, change)
+        if not self._missed:
+            return None
+        return self.deliver(self._missed.pop())
 
 
 class ChangeListeners(Generic[Change]):
