Fix: the directory mixes the home regions of several configurations after one that it cannot read

What callers would see: 500 at a look-up, then addresses by home regions that no configuration in force has.

Cause: HomeRegions recorded version and document before it read the changed routes; where reading stopped, the next configuration was compared with a document that had never been adopted.

Evidence: by reading, and the tests on the code before.

Change: the routes are read into a copy, and everything is replaced together; what cannot be read is logged, and the home regions in force stay.

--- a/canvasbeam/control_plane/home_regions.py
+++ b/canvasbeam/control_plane/home_regions.py
@@ -8,41 +8,59 @@
 from canvasbeam.control_plane.json_documents import JsonValue
 from canvasbeam.item_table.configuration_document import ROUTES, document_of, is_of_field, read_entry
 from canvasbeam.item_table.document import Document
-from canvasbeam.item_table.items import CURRENT, ItemKind, ItemTable, Version
+from canvasbeam.item_table.items import CURRENT, Item, ItemKind, ItemTable, Version
+from canvasbeam.runtime.logs import get_logger
+
+log = get_logger(__name__)
+
+Routes = Mapping[str, Mapping[str, JsonValue]]  # routes with home regions, by key in the document
 
 
 class HomeRegions:
-    """Owns the home regions by host; the first lookup after a new configuration reads the changed routes."""
+    """Owns the home regions by host; the first lookup after a new configuration reads the changed routes.
+
+    A configuration is adopted complete or not at all. After one that cannot be read, the home regions of the previous
+    one stay in force, and the next configuration is compared with that one.
+    """
 
     def __init__(self, table: ItemTable) -> None:
         self._table = table
-        self._version: Version | None = None
-        self._document = Document()
-        self._routes: dict[str, Mapping[str, JsonValue]] = {}  # routes with home regions, by key in the document
-        self._by_host: dict[str, frozenset[str]] = {}
+        self._read_version: Version | None = None  # of the configuration read last, whether or not it was adopted
+        self._document = Document()  # the configuration adopted last
+        self._routes: Routes = {}
+        self._by_host: Mapping[str, frozenset[str]] = {}
 
     def of_host(self, host: str) -> frozenset[str] | None:
         """Return the home regions common to all routes of a host that have home regions; None if no route has any."""
-        self._read_configuration()
+        item = self._table.get(ItemKind.CONFIGURATION, CURRENT)
+        if item is not None and item.version != self._read_version:
+            self._read_version = item.version
+            self._read_configuration(item)
         return self._by_host.get(host.lower())
 
-    def _read_configuration(self) -> None:
-        item = self._table.get(ItemKind.CONFIGURATION, CURRENT)
-        if item is None or item.version == self._version:
+    def _read_configuration(self, item: Item) -> None:
+        try:
+            document = item.document or document_of(json.loads(item.payload))
+            routes = _changed_routes(self._routes, self._document, document)
+            by_host = home_regions_by_host(routes.values())
+        except (ValueError, KeyError, TypeError, AttributeError):
+            log.exception("home regions unreadable action=those of the previous configuration stay in force")
             return
-        self._version = item.version
-        previous, self._document = self._document, item.document or document_of(json.loads(item.payload))
-        for key in self._document.changed_keys(previous):
-            if is_of_field(key, ROUTES):
-                self._read_route(key)
-        self._by_host = home_regions_by_host(self._routes.values())
-
-    def _read_route(self, key: str) -> None:
-        route = read_entry(self._document, key)
+        self._document, self._routes, self._by_host = document, routes, by_host
+
+
+def _changed_routes(routes: Routes, before: Document, document: Document) -> Routes:
+    """Return the routes with home regions of a document; `routes` are those of the document `before`."""
+    found = dict(routes)
+    for key in document.changed_keys(before):
+        if not is_of_field(key, ROUTES):
+            continue
+        route = read_entry(document, key)
         if route is not None and route.get("home_regions"):
-            self._routes[key] = route
+            found[key] = route
         else:
-            self._routes.pop(key, None)
+            found.pop(key, None)
+    return found
 
 
 def home_regions_by_host(routes: Iterable[Mapping[str, JsonValue]]) -> dict[str, frozenset[str]]:
