Fix: an item that could not be encoded counts as queued for the disk

What callers would see: an acknowledged end of a worker that no disk has.

Cause: DurableItems recorded the item as part of the next batch before it encoded it. After an exception in between, a later write of the same item waited for a batch without it, and was confirmed.

Evidence: the test on the code before: the end is confirmed, and a restart restores it not. By reading no item that the programs publish raises there.

Change: the item is encoded first. The table calls the listener again, which then queues it.

Measured: test_item_that_could_not_be_encoded_is_not_confirmed_as_durable fails before and passes now.

--- a/canvasbeam/control_plane/durable_items.py
+++ b/canvasbeam/control_plane/durable_items.py
@@ -145,8 +145,9 @@
         entry = self._entries.get(item.name)
         if entry is not None and entry.version >= item.version:
             return entry.batch
+        encoded = codec.encode(Update((item,)))  # first, so that an item counts as queued only if it is
         self._entries[item.name] = _Entry(item.version, self._next_batch, self._clock())
-        self._queued[_name(item)] = codec.encode(Update((item,)))
+        self._queued[_name(item)] = encoded
         self._has_queued.set()
         return self._next_batch
 
--- a/tests/control_plane/test_durable_items.py
+++ b/tests/control_plane/test_durable_items.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from canvasbeam.cluster import codec
 from canvasbeam.cluster.worker_items import is_end_of_worker, worker_item
 from canvasbeam.control_plane.durable_items import FILES, KEEP_NS, DurableItems
 from canvasbeam.errors import Failure, ResultCode
@@ -94,6 +95,23 @@
     assert play(disk) == {left("a"), draining("b", 2)}
 
 
+def test_item_that_could_not_be_encoded_is_not_confirmed_as_durable(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against the acknowledgement of an end that no disk has: the failed try left the item marked as queued."""
+    disk = ModelDisk()
+    confirmed: list[Item] = []
+    encode = codec.encode
+
+    def fail_once(durable: DurableItems, table: ItemTable) -> None:
+        monkeypatch.setattr(codec, "encode", lambda message: 1 // 0)
+        with pytest.raises(ZeroDivisionError):
+            table.merge([left("a")])
+        monkeypatch.setattr(codec, "encode", encode)
+
+    play(disk, [fail_once, write([left("b")]), write([left("a")], confirmed)])
+    assert confirmed == [left("a")]
+    assert play(disk.after_kill()) == {left("a"), left("b")}
+
+
 @pytest.mark.parametrize("seed", range(10))
 def test_confirmed_items_survive_a_loss_of_power_at_every_operation(seed: int) -> None:
     """Guards against a confirmation before the sync: a restart of all then forgets an acknowledged end."""
