Fix: settings count as applied although their listener raised

What callers would see: new seeds in the settings file that a process never uses; a further SIGHUP changes nothing, since the file is the same.

Cause: SettingsWatch recorded settings as the current ones before it called the listener.

Change: they are recorded after the call. An exception is logged, and the next poll calls the listener again.

--- a/canvasbeam/runtime/signals.py
+++ b/canvasbeam/runtime/signals.py
@@ -48,11 +48,20 @@
             log.error("settings rejected action=previous settings kept failure={}", loaded)
             return loaded
         if loaded != self._current:
-            self._current = loaded
-            log.info("settings applied path={}", self._path)
-            self._listener(loaded)
+            self._apply(loaded)
         return loaded
 
+    def _apply(self, settings: ProcessSettings) -> None:
+        """Call the listener; if it raises, the settings count as not applied, and the next poll calls it again."""
+        try:
+            self._listener(settings)
+        except Exception:
+            log.exception("settings not applied action=retried path={}", self._path)
+            self._stamp = None
+            return
+        self._current = settings
+        log.info("settings applied path={}", self._path)
+
 
 class ProcessSignals:
     """Signal handlers of this process on the running event loop, and polling of the settings file.
--- a/tests/runtime/test_signals.py
+++ b/tests/runtime/test_signals.py
@@ -33,10 +33,13 @@
         loaded = load_settings(self.path)
         assert isinstance(loaded, ProcessSettings)
         self.received: list[ProcessSettings] = []
+        self.is_faulty = False
         self.changed = asyncio.Event()
         self.watch = SettingsWatch(self.path, loaded, self._on_change)
 
     def _on_change(self, settings: ProcessSettings) -> None:
+        if self.is_faulty:
+            raise RuntimeError("planted fault in the listener")
         self.received.append(settings)
         self.changed.set()
 
@@ -61,6 +64,20 @@
     assert not watched.received
 
 
+@pytest.mark.parametrize("is_polled", [True, False])
+def test_settings_whose_listener_raised_are_applied_by_a_later_try(watched: WatchedSettings, is_polled: bool) -> None:
+    """Guards against settings that count as applied although a part of the process did not get them."""
+    write(watched.path, EXAMPLE_SETTINGS.replace("127.0.0.1:8146", "127.0.0.9:8146"))
+    watched.is_faulty = True
+    for _ in range(2):
+        watched.watch.poll()
+        assert not watched.received
+    watched.is_faulty = False
+    for _ in range(2):
+        watched.watch.poll() if is_polled else watched.watch.reload()
+    assert [settings.seeds for settings in watched.received] == [(Address("127.0.0.9", 8146),)]
+
+
 def test_invalid_file_keeps_the_settings_and_a_later_valid_file_is_applied(watched: WatchedSettings) -> None:
     """Guards against invalid settings that reach the listener, and against a watch that stops after an invalid file."""
     write(watched.path, EXAMPLE_SETTINGS.replace('zone = "z1"', ""))
