Tests: close the client's connection of the test of connections over the limit

Cause: test_connections_over_the_limit_are_reset left a connection of its client open. Its StreamWriter outlived the event loop and raised in its finalizer, in whichever test of the same process the garbage collector ran; within ast.parse, that upsets the interpreter's count of its recursion. Evidence: with a collection after each test of the packages that use sockets, this test alone reports such a finalizer; with the connection closed, none of tests/runtime does.

Change: the test closes its connection. No check changes.

--- a/tests/runtime/test_http_server.py
+++ b/tests/runtime/test_http_server.py
@@ -238,6 +238,7 @@
             with suppress(ConnectionError):
                 assert await exchange(server, GET) == b""
             assert server.connection_count == 1
+            writer.close()
 
     run(body)
 
