Fix: what a failed dispatcher leaves behind stays in the limits and expectations

What callers would see, after any exception in the dispatcher: a language-model worker that gets no more requests from that process, or a zone that counts as unresponsive because of a worker that has ended.

Cause: FleetLimits and EngineExpectations outlive the dispatcher, and were notified of ends by it alone. The complete list of a new dispatcher does not have the workers whose end was in the failed pass; the attempts of the former one are known to nobody.

Change: a complete list tells both which workers remain; a new dispatcher begins without attempts in the expectations.

--- a/canvasbeam/data_plane/placement.py
+++ b/canvasbeam/data_plane/placement.py
@@ -29,7 +29,11 @@
         self._notices = PlacementNotices(cluster, self.expectations, settings.node, settings.region)
 
     def make_dispatcher(self, settings: ProcessSettings) -> Dispatcher:
-        """Return a new dispatcher with a random seed, and without request classes and workers."""
+        """Return a new dispatcher with a random seed, and without request classes and workers.
+
+        It replaces a dispatcher that failed, if there was one; that one's attempts would never end.
+        """
+        self.expectations.forget_attempts(monotonic_ns())
         seed = random.randrange(1 << 30)
         return Dispatcher(dispatcher_settings(settings), seed, self._limits, self.expectations)
 
--- a/canvasbeam/dispatch/collaborators.py
+++ b/canvasbeam/dispatch/collaborators.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Container
 from typing import Protocol
 
 from canvasbeam.dispatch.events import RequestArrived, WorkerEntry
@@ -29,6 +30,9 @@
     def listed(self, now: int, entry: WorkerEntry) -> None:
         """Update the state of a worker from its entry in an endpoint list."""
 
+    def retain(self, workers: Container[str]) -> None:
+        """Forget all workers but these, which a complete endpoint list contains."""
+
 
 class EngineModel(Protocol):
     """Expected load and latency of workers that run language models, derived from this dispatcher's own attempts."""
@@ -50,3 +54,6 @@
 
     def listed(self, now: int, entry: WorkerEntry) -> None:
         """Update the state of a worker from its entry in an endpoint list."""
+
+    def retain(self, workers: Container[str]) -> None:
+        """Forget all workers but these, which a complete endpoint list contains."""
--- a/canvasbeam/dispatch/dispatcher.py
+++ b/canvasbeam/dispatch/dispatcher.py
@@ -128,13 +128,17 @@
         parts.watch.on_listed(event.list_kind)
 
     def _notify_listed(self, event: WorkersListed, now: int) -> None:
-        """Report the listed workers to the fleet-wide limits and to the engine model."""
-        if self._fleet_limits is not None:
-            for entry in event.entries:
-                self._fleet_limits.listed(now, entry)
-        if self._engines is not None:
+        """Report the listed workers, and the end of all others, to the fleet-wide limits and to the engine model.
+
+        Both may have outlived an earlier dispatcher that failed at the end of a worker.
+        """
+        for collaborator in (self._fleet_limits, self._engines):
+            if collaborator is None:
+                continue
+            if event.list_kind is not ListKind.CHANGES:
+                collaborator.retain({entry.worker for entry in event.entries})
             for entry in event.entries:
-                self._engines.listed(now, entry)
+                collaborator.listed(now, entry)
 
     # --- arrival and departure of requests
 
--- a/canvasbeam/dispatch/fleet_limits.py
+++ b/canvasbeam/dispatch/fleet_limits.py
@@ -27,7 +27,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Container, Mapping
 from dataclasses import dataclass, field
 from hashlib import blake2b
 
@@ -178,6 +178,10 @@
         if entry.cold_until_ns > now:
             self._start_warm_up(worker, now, entry.cold_until_ns)
 
+    def retain(self, workers: Container[str]) -> None:
+        """Forget all workers but these, which a complete endpoint list contains."""
+        self._workers = {name: worker for name, worker in self._workers.items() if name in workers}
+
     def arrived(self, now: int, kind: str) -> None:
         """Count a client request for a service."""
         self._requests.setdefault(kind, WindowCount(self._retry.window_ns)).add(now)
--- a/canvasbeam/dispatch/language_model/expectations.py
+++ b/canvasbeam/dispatch/language_model/expectations.py
@@ -19,7 +19,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Container, Mapping
 from dataclasses import dataclass
 
 from canvasbeam.dispatch.events import PromptEstimate, RequestArrived, WorkerEntry, WorkerState
@@ -181,6 +181,12 @@
             if not attempt.has_first_token:
                 model.prefill_queue.cancel(now, request_id)
 
+    def forget_attempts(self, now: int) -> None:
+        """Forget all own attempts, whose ends a new dispatcher does not report."""
+        for worker, model in self._workers.items():
+            for request_id in tuple(model.attempts):
+                self.ended(now, worker, request_id)
+
     # --- discovery and other schedulers -----------------------------------------------------------
 
     def listed(self, now: int, entry: WorkerEntry) -> None:
@@ -191,6 +197,11 @@
             worker = self._worker(entry)
             worker.kind, worker.zone = entry.kind, entry.zone
 
+    def retain(self, workers: Container[str]) -> None:
+        """Forget all workers but these, which a complete endpoint list contains."""
+        for worker in [worker for worker in self._workers if worker not in workers]:
+            del self._workers[worker]
+
     def note_remote_attempt(self, now: int, worker: str, prompt: PromptEstimate, event_gap_ns: float = 0.0) -> None:
         """Record another scheduler's attempt and that scheduler's recent event gap in nanoseconds (0 = none)."""
         model = self._workers.get(worker)
--- a/tests/dispatch/test_system_placement.py
+++ b/tests/dispatch/test_system_placement.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Container
 from dataclasses import replace
 from typing import Any
 
@@ -62,6 +63,9 @@
     def sent(self, now: int, kind: str, worker: str, repeat: bool) -> None:
         self.sends.append((worker, repeat))
 
+    def retain(self, workers: Container[str]) -> None:
+        pass
+
     def listed(self, now: int, entry: WorkerEntry) -> None:
         pass
 
