Fix: a change of discovery's list is lost by an exception (scheduler in service)

What callers would see: requests to a worker that discovery has named as gone, until a complete list comes.

Cause: WorkerDiscovery recorded the version of an answer before it passed the workers on; after an exception the next call asked for what came after that version.

Evidence: by reading, and the test on the code before.

Change: the version is recorded afterwards.

Measured: test_changes_whose_processing_raised_are_asked_for_again fails before (version 2 with the change lost) and passes now.

--- a/canvasbeam/scheduler/worker_discovery.py
+++ b/canvasbeam/scheduler/worker_discovery.py
@@ -220,10 +220,10 @@
             self._version = None
             self._ask()
             return
-        self._version = version
         if is_complete or workers:
             kind = ListKind.COMPLETE if is_complete else ListKind.CHANGES
             self._coordinator.listed(kind, workers, version)
+        self._version = version  # after an exception above, the next call asks for the same changes again
         # Guards against a spin where answers come back at once; the gap is far under the one allowed.
         if not first and self._loop.now - self._asked < self._limits.watch_gap:
             self._wait = self._loop.after(self._limits.watch_gap, self._ask)
--- a/tests/scheduler/test_list_told.py
+++ b/tests/scheduler/test_list_told.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import json
 import socket
 from datetime import timedelta
 from typing import Any
@@ -222,3 +223,31 @@
     world.until(lambda: b"from=1&" in new.peers[0].look())
     assert world.coordinator.workers["s-0"].state is WorkerState.DRAINING
     assert "s-5" in world.coordinator.workers
+
+
+def test_changes_whose_processing_raised_are_asked_for_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against requests to a gone worker: an exception lost the change, and its version counted as known."""
+    drawn = settings(limits=DispatchLimits())
+    limits = Limits.of(drawn, 1024, 192)
+    loop, server = Virtual(limits.slow_pass), Server()
+    coordinator = RequestCoordinator(loop, drawn, limits, 1, timedelta(days=20_000))
+    group = WorkerDiscovery(loop, coordinator, limits, server.address, ZERO)
+    group.start({"seq": 1, "whole": True, "hosts": [host("s-1"), host("s-2")]})
+    connection = group._connection
+    assert connection is not None
+    gone = json.dumps({"seq": 2, "whole": False, "hosts": [host("s-1", health="Gone")]}).encode()
+
+    def fail_to_update(told: object, is_complete: bool) -> list[str]:
+        raise RuntimeError("planted fault")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(coordinator.worker_table, "update", fail_to_update)
+        loop._guarded(lambda: group.answered(connection, 200, gone, True), connection)
+    assert group._version == 1
+    while group._connection is None:
+        loop.jump()
+    group.answered(group._connection, 200, gone, True)
+    assert group._version == 2
+    assert set(coordinator.workers) == {"s-2"}
+    loop.close()
+    server.sock.close()
