Tidy: the listeners to members in a module of their own, one loop to open a store

NodeCore had grown by the notification of members; MemberListeners owns it now (cluster/member_listeners.py). DurableItems and MemberDisk had the same loop to open a store with retries; DiskWorker.open serves both. No change of behaviour.

--- a/canvasbeam/cluster/node.py
+++ b/canvasbeam/cluster/node.py
@@ -12,7 +12,8 @@
 
 from canvasbeam.cluster import codec, membership_pb2
 from canvasbeam.cluster.member import Member
-from canvasbeam.cluster.node_core import MembersListener, NodeCore, PingAnswer, Ports
+from canvasbeam.cluster.member_listeners import MembersListener
+from canvasbeam.cluster.node_core import NodeCore, PingAnswer, Ports
 from canvasbeam.cluster.transport import Channel, PeerInfo, Transport
 from canvasbeam.distribution.distribution import ProcessStart
 from canvasbeam.distribution.messages import Message, Send
@@ -142,7 +143,7 @@
 
     def add_members_listener(self, listener: MembersListener) -> None:
         """Call `listener` with the members after each change, at most 250 ms late if no item reports the change."""
-        self._core.add_members_listener(listener)
+        self._core.member_listeners.add(listener)
 
     @property
     def listeners_behind(self) -> int:
--- a/canvasbeam/cluster/node_core.py
+++ b/canvasbeam/cluster/node_core.py
@@ -7,11 +7,12 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
 from canvasbeam.cluster.member import Member
 from canvasbeam.cluster.member_list import MemberList
+from canvasbeam.cluster.member_listeners import MemberListeners
 from canvasbeam.cluster.own_member import OwnMember
 from canvasbeam.distribution.distribution import Distribution, ProcessStart
 from canvasbeam.distribution.messages import Message, Send
@@ -27,14 +28,12 @@
 from canvasbeam.failure_detection.node_location import NodeLocation
 from canvasbeam.item_table.items import FailureHandler, Item, ItemKind, ItemTable, Version
 from canvasbeam.leases.contact import ContactState, contact_state
-from canvasbeam.runtime.change_listeners import ChangeListeners, latest, raise_failures
+from canvasbeam.runtime.change_listeners import raise_failures
 from canvasbeam.runtime.process_incarnation import UNKNOWN_INCARNATION
 from canvasbeam.runtime.settings import Address
 from canvasbeam.units import MILLISECOND
 
 MEMBERS_DELAY_NS = 30 * MILLISECOND  # delay from a member change to its use by distribution and monitoring
-# Interval of the check for changes of the live members that no item reports: ends of grace periods and own monitoring.
-MEMBERS_CHECK_NS = 250 * MILLISECOND
 LISTENER_RETRY_NS = 500 * MILLISECOND  # interval between calls of a listener of the item table that keeps raising
 
 
@@ -60,7 +59,6 @@
 
 
 Action = Send | SendPing | PingAnswer
-MembersListener = Callable[[tuple[Member, ...]], None]
 
 
 class NodeCore:
@@ -83,10 +81,7 @@
         self.monitoring = Monitoring(own_location, MonitoringParameters(), start.now)
         self._members = MemberList()
         self._members_changed_at: int | None = None
-        self._members_listeners: ChangeListeners[tuple[Member, ...]] = ChangeListeners(latest)
-        self._notified_members: tuple[Member, ...] = ()
-        self._members_checked_at = start.now
-        self._on_listener_failures = on_listener_failures
+        self.member_listeners = MemberListeners(start.now, on_listener_failures)
         self._listener_retry_at: int | None = None
         self._now = start.now
         self._actions: list[Action] = []
@@ -169,8 +164,8 @@
         self._retry_listeners(now)
         if self._members.expire(now) or self._is_members_update_due(now):
             self._update_members(now)
-        if now >= self._members_checked_at + MEMBERS_CHECK_NS:
-            self._notify_members(now)
+        if self.member_listeners.is_due(now):
+            self.member_listeners.update(now, self.members(now))
         self.distribution.tick(now)
         for action in self.monitoring.tick(now, self.has_majority(now)):
             if isinstance(action, PublishStatus):
@@ -208,14 +203,10 @@
         """Return the members that are alive and not suspected, including this node."""
         return self._members.alive(now, self.monitoring.is_unresponsive)
 
-    def add_members_listener(self, listener: MembersListener) -> None:
-        """Call `listener` with the members, as `members` returns them, after each change."""
-        self._members_listeners.add(listener)
-
     @property
     def listeners_behind(self) -> int:
         """Number of listeners to items and members that raised and have not processed all changes since."""
-        return self.table.listeners_behind + self._members_listeners.behind_count
+        return self.table.listeners_behind + self.member_listeners.behind_count
 
     def contact_age(self, now: int) -> int | None:
         """Return the age of the contact instant (own or relayed lease) in nanoseconds, or None before the first."""
@@ -250,25 +241,11 @@
             self._members.apply(self._now, item)
         if self._members_changed_at is None:
             self._members_changed_at = self._now
-        self._notify_members(self._now)
+        self.member_listeners.update(self._now, self.members(self._now))
         for item in changed:
             if self.own_member.is_own(item):
                 self._refute(item.version)
 
-    def _notify_members(self, now: int) -> None:
-        """Call the members listeners if the live members have changed; otherwise only those that raised before."""
-        self._members_checked_at = now
-        if not self._members_listeners:
-            return
-        members = self.members(now)
-        if members == self._notified_members:
-            failures = self._members_listeners.retry()
-        else:
-            self._notified_members = members
-            failures = self._members_listeners.notify(members)
-        if failures:
-            self._on_listener_failures(failures)
-
     def _refute(self, claim: Version) -> None:
         refutation = self.own_member.refute(claim)
         if refutation is not None:
--- a/canvasbeam/control_plane/disk_worker.py
+++ b/canvasbeam/control_plane/disk_worker.py
@@ -15,8 +15,9 @@
 from typing import Any, TypeVar
 
 from canvasbeam.errors import Failure, ResultCode
+from canvasbeam.storage.disk import Disk
 from canvasbeam.storage.frames import Updates
-from canvasbeam.storage.store import Store
+from canvasbeam.storage.store import Store, StoreFiles, open_store
 
 SLOW_SECONDS = 0.6  # fixed part of the time limit of a write, after which the disk counts as unhealthy
 SLOW_BYTES_PER_SECOND = 4_000_000  # the time limit also grows by the size of the write divided by this rate
@@ -80,6 +81,21 @@
         while (call := self._calls.get()) is not None:
             call.run()
 
+    async def open(
+        self, disk: Disk, files: StoreFiles, on_failure: Callable[[Failure | None], None]
+    ) -> Store | Failure:
+        """Open a store, retrying after disk errors without a time limit; a damaged store is a `Failure` at once.
+
+        `on_failure` is called with each failure that is retried, and with None when the retry begins.
+        """
+        while True:
+            store = await self.run(lambda: open_store(disk, files))
+            if not isinstance(store, Failure) or store.code is ResultCode.DISK_CORRUPT:
+                return store
+            on_failure(store)
+            await asyncio.sleep(RETRY_SECONDS)
+            on_failure(None)
+
     async def write(self, store: Store, updates: Updates) -> None:
         """Write the updates, retrying until a write succeeds; return once the updates are durable."""
         while True:
--- a/canvasbeam/control_plane/durable_items.py
+++ b/canvasbeam/control_plane/durable_items.py
@@ -26,13 +26,13 @@
 from dataclasses import dataclass
 
 from canvasbeam.cluster import codec
-from canvasbeam.control_plane.disk_worker import RETRY_SECONDS, DiskWorker
+from canvasbeam.control_plane.disk_worker import DiskWorker
 from canvasbeam.distribution.messages import Update
-from canvasbeam.errors import Failure, ResultCode
+from canvasbeam.errors import Failure
 from canvasbeam.item_table.items import Item, ItemName, ItemTable, Version
 from canvasbeam.runtime.logs import get_logger
 from canvasbeam.storage.disk import Disk
-from canvasbeam.storage.store import Store, StoreFiles, open_store
+from canvasbeam.storage.store import Store, StoreFiles
 from canvasbeam.units import SECOND
 
 FILES = StoreFiles.with_prefix("items-")
@@ -91,7 +91,7 @@
 
         After a failure nothing becomes durable, so that this node confirms no write with items.
         """
-        store = await self._open()
+        store = await self._worker.open(self._disk, FILES, _log_open_failure)
         if isinstance(store, Failure):
             self._is_damaged = True
             return store
@@ -101,14 +101,6 @@
         self._store = store
         return items
 
-    async def _open(self) -> Store | Failure:
-        while True:
-            store = await self._worker.run(lambda: open_store(self._disk, FILES))
-            if not isinstance(store, Failure) or store.code is ResultCode.DISK_CORRUPT:
-                return store
-            log.warning("items not loaded action=retried failure={}", store)
-            await asyncio.sleep(RETRY_SECONDS)
-
     def _add_loaded(self, item: Item) -> None:
         """Record an item that is durable already, unless a newer version was queued while the store was opened."""
         entry = self._entries.get(item.name)
@@ -214,6 +206,11 @@
     return message.items if isinstance(message, Update) else ()
 
 
+def _log_open_failure(failure: Failure | None) -> None:
+    if failure is not None:
+        log.warning("items not loaded action=retried failure={}", failure)
+
+
 def _log_health(fault: Failure | None) -> None:
     if fault is None:
         log.info("items durable again")
--- a/canvasbeam/control_plane/member_disk.py
+++ b/canvasbeam/control_plane/member_disk.py
@@ -7,11 +7,10 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable, Sequence
 from pathlib import Path
 
-from canvasbeam.control_plane.disk_worker import RETRY_SECONDS, DiskWorker, HealthListener
+from canvasbeam.control_plane.disk_worker import DiskWorker, HealthListener
 from canvasbeam.control_plane.member_records import LoadedMember, RecordWriter, load_member
 from canvasbeam.control_plane.state_codec import ControlStateCodec
 from canvasbeam.errors import Failure, ResultCode
@@ -19,7 +18,7 @@
 from canvasbeam.replication.views import ApplyChange
 from canvasbeam.runtime.logs import get_logger
 from canvasbeam.storage.disk import Disk, FolderDisk
-from canvasbeam.storage.store import Store, open_store
+from canvasbeam.storage.store import DEFAULT_FILES, Store
 
 log = get_logger(__name__)
 
@@ -97,10 +96,7 @@
             if self._data_dir is None:
                 return Failure(ResultCode.SETTINGS_INVALID, "data_dir: a control process needs a disk")
             disk = FolderDisk(self._data_dir)
-        while True:
-            store = await self._worker.run(lambda: open_store(disk))
-            if not isinstance(store, Failure) or store.code is ResultCode.DISK_CORRUPT:
-                return store
-            self._start_failure = store
-            await asyncio.sleep(RETRY_SECONDS)
-            self._start_failure = None
+        return await self._worker.open(disk, DEFAULT_FILES, self._set_start_failure)
+
+    def _set_start_failure(self, failure: Failure | None) -> None:
+        self._start_failure = failure
--- a/tests/cluster/test_members_listeners.py
+++ b/tests/cluster/test_members_listeners.py
@@ -6,7 +6,8 @@
 
 from canvasbeam.cluster.member import Member, member_item
 from canvasbeam.cluster.member_list import STATUS_GRACE_NS
-from canvasbeam.cluster.node_core import MEMBERS_CHECK_NS, NodeCore, Ports
+from canvasbeam.cluster.member_listeners import CHECK_INTERVAL_NS
+from canvasbeam.cluster.node_core import NodeCore, Ports
 from canvasbeam.distribution.distribution import ProcessStart
 from canvasbeam.failure_detection.member_status import MemberStatus
 
@@ -26,7 +27,7 @@
         self.core = NodeCore(make_member("edge-1"), Ports(7660, 7661), (), start, self.failures.extend)
         self.calls: list[list[str]] = []
         self.is_faulty = False
-        self.core.add_members_listener(self._on_members)
+        self.core.member_listeners.add(self._on_members)
         self.core.begin(START)
 
     def _on_members(self, members: tuple[Member, ...]) -> None:
@@ -40,7 +41,7 @@
     node.core.publish(START, [member_item(make_member("edge-2"))])
     assert node.calls[-1] == ["edge-1", "edge-2"]
     count = len(node.calls)
-    node.core.tick(START + MEMBERS_CHECK_NS)
+    node.core.tick(START + CHECK_INTERVAL_NS)
     assert len(node.calls) == count
     node.core.publish(START, [member_item(make_member("edge-2"), MemberStatus.LEFT)])
     assert node.calls[-1] == ["edge-1"]
@@ -52,7 +53,7 @@
     node.core.publish(START, [member_item(make_member("edge-2"))])
     node.core.publish(START, [member_item(make_member("edge-2"), MemberStatus.DEAD)])
     assert node.calls[-1] == ["edge-1", "edge-2"]
-    node.core.tick(START + STATUS_GRACE_NS + MEMBERS_CHECK_NS)
+    node.core.tick(START + STATUS_GRACE_NS + CHECK_INTERVAL_NS)
     assert node.calls[-1] == ["edge-1"]
 
 
@@ -61,10 +62,10 @@
     node.core.publish(START, [member_item(make_member("edge-2"))])
     unresponsive = {"edge-2/data"}
     monkeypatch.setattr(node.core.monitoring, "is_unresponsive", unresponsive.__contains__)
-    node.core.tick(START + MEMBERS_CHECK_NS)
+    node.core.tick(START + CHECK_INTERVAL_NS)
     assert node.calls[-1] == ["edge-1"]
     unresponsive.clear()
-    node.core.tick(START + 2 * MEMBERS_CHECK_NS)
+    node.core.tick(START + 2 * CHECK_INTERVAL_NS)
     assert node.calls[-1] == ["edge-1", "edge-2"]
 
 
@@ -75,6 +76,6 @@
     assert [str(failure) for failure in node.failures] == ["planted fault in a listener"]
     assert node.core.listeners_behind == 1
     node.is_faulty = False
-    node.core.tick(START + MEMBERS_CHECK_NS)
+    node.core.tick(START + CHECK_INTERVAL_NS)
     assert node.calls[-1] == ["edge-1", "edge-2"]
     assert node.core.listeners_behind == 0
