Fix: one item that always raises stops a reader for good

Since a reader that raised is handed what it missed together with the next changes. An item at which it raises every time would so keep all later items from it: ends of workers, for example. Before, it lost the items of one batch.

Cause: a batch was tried whole or not at all; EndpointList computes all workers in one loop after each configuration; the registry's corrections of a batch were lost by an exception at a later item, and are returned only once.

Change: a batch at which a listener raises is tried item by item, and only those at which it raises again remain. EndpointList and RegistryService go on beside such an item. HomeRegions counts a version as read only once it was.

--- a/canvasbeam/control_plane/home_regions.py
+++ b/canvasbeam/control_plane/home_regions.py
@@ -34,8 +34,8 @@
         """Return the home regions common to all routes of a host that have home regions; None if no route has any."""
         item = self._table.get(ItemKind.CONFIGURATION, CURRENT)
         if item is not None and item.version != self._read_version:
-            self._read_version = item.version
             self._read_configuration(item)
+            self._read_version = item.version
         return self._by_host.get(host.lower())
 
     def _read_configuration(self, item: Item) -> None:
--- a/canvasbeam/control_plane/registry.py
+++ b/canvasbeam/control_plane/registry.py
@@ -183,11 +183,13 @@
 
     def _on_items(self, items: Sequence[Item]) -> None:
         corrections: list[Publication] = []
-        for item in items:
-            publication = publication_of(item) if item.kind is ItemKind.WORKER else None
-            if isinstance(publication, Publication):
-                corrections += self._registry.on_published(publication, self._clock())
-        self._publish(corrections)
+        try:
+            for item in items:
+                publication = publication_of(item) if item.kind is ItemKind.WORKER else None
+                if isinstance(publication, Publication):
+                    corrections += self._registry.on_published(publication, self._clock())
+        finally:
+            self._publish(corrections)  # also after an exception: the registry does not return a correction twice
 
     def _on_announced(self, heartbeats: Iterable[ReceivedHeartbeat]) -> None:
         self._registry.record_remote_heartbeats(heartbeats, self._clock())
--- a/canvasbeam/data_plane/endpoint_list.py
+++ b/canvasbeam/data_plane/endpoint_list.py
@@ -17,6 +17,7 @@
 from canvasbeam.dispatch.events import WorkerEntry, WorkerState
 from canvasbeam.errors import Failure
 from canvasbeam.item_table.items import Item, ItemKind, ItemTable, Version
+from canvasbeam.runtime.change_listeners import raise_failures
 from canvasbeam.runtime.logs import get_logger
 from canvasbeam.units import MILLISECOND
 
@@ -75,11 +76,16 @@
     def _apply(self, items: Iterable[Item], removed: Iterable[str] = ()) -> None:
         """Apply changed worker items, tombstones included, and the removal of further workers.
 
-        `_notified` changes only after the router has been notified, so that a retry after an exception is complete.
+        `_notified` changes only after the router has been notified, so that a retry after an exception is complete. An
+        item that raises keeps no other item from the router.
         """
         endpoints: dict[str, WorkerEndpoint | None] = dict.fromkeys(removed)
+        failures: list[Exception] = []
         for item in items:
-            endpoints[item.key] = None if item.deleted else self._endpoint(item)
+            try:
+                endpoints[item.key] = None if item.deleted else self._endpoint(item)
+            except Exception as error:
+                failures.append(error)
         changed = {worker: endpoint for worker, endpoint in endpoints.items() if endpoint != self._notified.get(worker)}
         if changed:
             self._router.change_endpoints([endpoint or self._end_of(worker) for worker, endpoint in changed.items()])
@@ -88,6 +94,7 @@
                 self._notified[worker] = endpoint
             else:
                 self._forget(worker)
+        raise_failures(failures)
 
     def _end_of(self, worker: str) -> WorkerEndpoint:
         """Return the endpoint that notifies the router of the end of a worker."""
--- a/canvasbeam/item_table/items.py
+++ b/canvasbeam/item_table/items.py
@@ -65,14 +65,15 @@
 class ItemTable:
     """The items of one node. Listeners are called once for each batch that changed the table.
 
-    A listener that raises is called again with the same items, at the next change or by `retry_listeners`; the other
-    listeners and the table are not affected. `on_listener_failures` is called after all listeners, with the exceptions.
+    A listener that raises is called with each item alone, and again with the items at which it raises, at the next
+    change or by `retry_listeners`; the other listeners and the table are not affected. `on_listener_failures` is called
+    after all listeners, with the exceptions.
     """
 
     def __init__(self, on_listener_failures: FailureHandler = raise_failures) -> None:
         self._items: dict[ItemName, Item] = {}
         self._digests = dict.fromkeys(ItemKind, 0)
-        self._listeners: ChangeListeners[tuple[Item, ...]] = ChangeListeners(_combine_batches)
+        self._listeners: ChangeListeners[tuple[Item, ...]] = ChangeListeners(_combine_batches, _split_batch)
         self._on_listener_failures = on_listener_failures
 
     def __len__(self) -> int:
@@ -157,6 +158,10 @@
     return tuple(newest.values())
 
 
+def _split_batch(items: Sequence[Item]) -> Sequence[tuple[Item, ...]]:
+    return [(item,) for item in items]
+
+
 def _fingerprint(item: Item) -> int:
     if item.deleted:
         return 0
--- a/tests/control_plane/test_registry.py
+++ b/tests/control_plane/test_registry.py
@@ -12,12 +12,19 @@
 
 from canvasbeam.cluster.member import Member
 from canvasbeam.cluster.transport import Channel, PeerInfo
-from canvasbeam.cluster.worker_items import worker_of
+from canvasbeam.cluster.worker_items import worker_item, worker_of
 from canvasbeam.control_plane.registry import INSTANCES_PREFIX, RegistryService
 from canvasbeam.control_plane.web import Answer, Request
 from canvasbeam.item_table.items import Item, ItemKind, ItemTable
 from canvasbeam.runtime.settings import Address, ProcessSettings
-from canvasbeam.service_discovery.worker_registry import Worker, WorkerState
+from canvasbeam.service_discovery.worker_registry import (
+    DECLARED_MISSING,
+    Publication,
+    Worker,
+    WorkerRegistry,
+    WorkerState,
+    WorkerVersion,
+)
 
 MS = 1_000_000
 HEARTBEAT_MS = 1000
@@ -394,3 +401,24 @@
     assert node.call("GET", "i-1").status == 405
     node.callbacks[Channel.REGISTRY](PeerInfo("x", Address("10.9.0.1", 7660)), b"\xff\xff")
     assert len(node.table) == 0
+
+
+def test_correction_is_published_although_another_item_of_the_batch_raises(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a worker that stays missing: a correction is returned only once, and was lost by an exception."""
+    network = make_network("z1")
+    (node,) = network.nodes
+    node.heartbeat("w", 5)
+    node.heartbeat("w", 7)
+    missing = Worker("llm", "w:1", "z1", state=WorkerState.MISSING)
+    on_published = WorkerRegistry.on_published
+
+    def fail_for_one(registry: WorkerRegistry, publication: Publication, now_ns: int) -> list[Publication]:
+        if publication.worker_id == "poison":
+            raise RuntimeError("planted fault at one item")
+        return on_published(registry, publication, now_ns)
+
+    monkeypatch.setattr(WorkerRegistry, "on_published", fail_for_one)
+    poison = worker_item(Publication("poison", WorkerVersion(1), missing))
+    with pytest.raises(RuntimeError):
+        node.publish([worker_item(Publication("w", WorkerVersion(5, DECLARED_MISSING), missing)), poison])
+    assert node.state("w") is WorkerState.READY
--- a/tests/data_plane/test_failing_readers.py
+++ b/tests/data_plane/test_failing_readers.py
@@ -5,11 +5,17 @@
 import asyncio
 import random
 from collections.abc import Callable
+from typing import Any
 
 import pytest
 
+from canvasbeam.cluster.worker_items import worker_item
+from canvasbeam.data_plane import endpoint_list
 from canvasbeam.data_plane.program import DataPlane
-from canvasbeam.item_table.items import ItemKind
+from canvasbeam.data_plane.worker_records import WorkerRecord, decode_worker
+from canvasbeam.errors import Failure
+from canvasbeam.item_table.items import Item, ItemKind
+from canvasbeam.service_discovery.worker_registry import Publication, Worker, WorkerVersion
 from tests.data_plane.test_drawn_batches import fresh_state
 from tests.support.drawn_batches import BatchSource, Ticks, make_settings, reader_state
 
@@ -109,3 +115,48 @@
         assert reader_state(data_plane) == await fresh_state(data_plane)
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_worker_item_that_always_raises_keeps_no_other_item_from_the_readers(
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a reader that one item stops for good: ends of workers after it would have no effect."""
+
+    async def main() -> None:
+        source = BatchSource(random.Random(seed))
+        data_plane = DataPlane(make_settings())
+        ticks = Ticks(data_plane)
+        decode = decode_worker
+
+        def fail_for_one(item: Item) -> WorkerRecord | Failure:
+            if item.key == "poison":
+                raise RuntimeError("planted fault at one item")
+            return decode(item)
+
+        def without_poison(state: dict[str, Any]) -> dict[str, Any]:
+            return {
+                key: {name: part for name, part in value.items() if name != "poison"}
+                for key, value in state.items()
+                if isinstance(value, dict)
+            }
+
+        worker = Worker("chat", "127.0.0.1:9000", "z1")
+        poison = worker_item(Publication("poison", WorkerVersion(1), worker))
+        with monkeypatch.context() as patch:
+            patch.setattr(endpoint_list, "decode_worker", fail_for_one)
+            data_plane._cluster.publish([*source.batch(), poison, *source.batch()])
+            for _ in range(20):
+                data_plane._cluster.publish(source.batch())
+                ticks.pass_second()
+                await asyncio.sleep(0)
+                state = without_poison(reader_state(data_plane))
+                patch.undo()
+                assert state == without_poison(await fresh_state(data_plane))
+                patch.setattr(endpoint_list, "decode_worker", fail_for_one)
+            assert "canvasbeam_listeners_behind 0" not in data_plane._metric_lines()
+        ticks.pass_second()
+        await asyncio.sleep(0)
+        assert reader_state(data_plane) == await fresh_state(data_plane)
+
+    asyncio.run(main())
--- a/tests/runtime/test_change_listeners.py
+++ b/tests/runtime/test_change_listeners.py
@@ -103,6 +103,44 @@
     assert [reader.held for reader in readers] == [published] * 3
 
 
+def parts_of(batch: Batch) -> list[Batch]:
+    return [{name: number} for name, number in batch.items()]
+
+
+def test_part_that_always_raises_keeps_no_other_part_from_the_listener() -> None:
+    """Guards against a reader that one change stops for good, since it is handed over together with all later ones."""
+    listeners = ChangeListeners(newest, parts_of)
+    held: Batch = {}
+
+    def listener(batch: Batch) -> None:
+        for name, number in batch.items():
+            if name == "bad":
+                raise RuntimeError("planted fault")
+            held[name] = number
+
+    listeners.add(listener)
+    assert len(listeners.notify({"bad": 1, "a": 1})) == 1
+    assert held == {"a": 1}
+    assert len(listeners.notify({"b": 2, "a": 3})) == 1
+    assert held == {"a": 3, "b": 2}
+    assert len(listeners.retry()) == 1
+    assert listeners.behind_count == 1
+
+
+def test_fault_that_has_passed_when_the_parts_are_tried_leaves_the_listener_up_to_date() -> None:
+    listeners = ChangeListeners(newest, parts_of)
+    reader = Reader()
+
+    def listener(batch: Batch) -> None:
+        reader.is_faulty = len(batch) > 1
+        reader(batch)
+
+    listeners.add(listener)
+    assert len(listeners.notify({"a": 1, "b": 2})) == 1
+    assert reader.held == {"a": 1, "b": 2}
+    assert listeners.behind_count == 0
+
+
 def test_latest_replaces_the_missed_value() -> None:
     listeners: ChangeListeners[int] = ChangeListeners(latest)
     received: list[int] = []
