--- a/tests/data_plane/test_failing_readers.py
+++ b/tests/data_plane/test_failing_readers.py
@@ -110,7 +110,8 @@
                 ticks.pass_second()
             await asyncio.sleep(0)
         faults.active.clear()
-        ticks.pass_second()
+        ticks.pass_second()  # a retry, which may begin the grace period of a dead member
+        ticks.pass_second()  # the end of that grace period
         await asyncio.sleep(0)
         assert reader_state(data_plane) == await fresh_state(data_plane)
 
