Tests: crowds of clients against whole processes, with bounds on memory and descriptors

Change: tests/processes/test_client_crowds.py starts the control processes and one data-plane process with memory_mb = 133 and max_fds = 700, and lets crowds come and go: answers, streams and requests sent ahead that no one reads, large bodies whole, held and unfinished, heads, idle connections and messages between nodes on every address, unfinished orders, all of it at once, and odd numbers in headers. The process must live, stay within memory_mb (resident, with the kernel's queues) and within max_fds less 200, answer an ordinary caller during and after the crowd, and free half of what the limit leaves above its memory before the crowd.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,6 +9,7 @@
 REAL_TIME = frozenset(
     {
         "test_adapter.py",
+        "test_client_crowds.py",
         "test_client_gone.py",
         "test_fast_start.py",
         "test_golden_http.py",
--- a/tests/support/system_processes.py
+++ b/tests/support/system_processes.py
@@ -22,6 +22,7 @@
 ROOT = Path(__file__).parents[2]
 CONFIGURATION = json.loads((ROOT / "example" / "system" / "configuration.json").read_text())
 CONTROL_PORT, DIRECTORY_PORT, FRONT_PORT, READY_PORT, WORKER_PORT = 8146, 8143, 8144, 8140, 8080
+METRICS_PORT = 9464
 ZONES = {"z1": "r1", "z2": "r1", "z3": "r2"}
 DEADLINE_S = 20.0
 LOOK_EVERY_S = 0.02
@@ -46,6 +47,7 @@
 [bounds]
 grace_s = {grace_s}
 retry_slack = 50
+{limits}
 """
 
 
@@ -75,8 +77,9 @@
 class System:
     """The processes, the workers in this process, and calls as operator and as client."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, limits: str = "") -> None:
         self.folder = folder
+        self._limits = limits  # the `[limits]` table of the settings of every process
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self.workers: list[EmulatedWorker] = []
 
@@ -95,7 +98,7 @@
                 )  # fmt: skip
 
     def _settings(self, node: Node, bootstrap: bool) -> str:
-        listen = {"front": FRONT_PORT, "ready": READY_PORT}
+        listen = {"front": FRONT_PORT, "ready": READY_PORT, "metrics": METRICS_PORT}
         if node.is_control:
             listen = {"control": CONTROL_PORT, "directory": DIRECTORY_PORT}
         disk = f'counts_for_quorum = true\ndata_dir = "{self.folder / node.name}"' if node.is_control else ""
@@ -104,7 +107,8 @@
             node_class="core" if node.is_control else "edge", ip=node.ip, zone=node.zone, region=ZONES[node.zone],
             serves=json.dumps(["control", "directory"] if node.is_control else ["edge"]), disk=disk,
             seeds=json.dumps([control.address(CONTROL_PORT) for control in CONTROLS]), bootstrap=json.dumps(bootstrap),
-            zones="\n".join(f'{zone} = "{region}"' for zone, region in ZONES.items()), grace_s=GRACE_S,
+            zones="\n".join(f'{zone} = "{region}"' for zone, region in ZONES.items()),
+            grace_s=GRACE_S, limits=self._limits,
             listen="\n".join(f'{name} = "{node.address(port)}"' for name, port in listen.items()),
         )  # fmt: skip
 
@@ -256,11 +260,11 @@
         yield found
 
 
-def play(folder: Path, scene: Callable[[System], Awaitable[None]]) -> None:
+def play(folder: Path, scene: Callable[[System], Awaitable[None]], limits: str = "") -> None:
     """Run a scene with a system, which is ended however the scene ends."""
 
     async def run() -> None:
-        system = System(folder)
+        system = System(folder, limits)
         try:
             async with asyncio.timeout(3 * DEADLINE_S):
                 await scene(system)
