Fix: numbers in X-Tokens restart the dispatcher under others' requests

Cause: X-Tokens and X-Prefix-Hash were read without a bound; 2^32 raises an exception when a placement notice is encoded, within the dispatcher's pass. Callers saw: requests of others end with 503. Parts of no tokens were never forgotten. Change: numbers up to 2^31 - 1, 64 parts, bounded names; anything else is placed like a request without a prompt. The model of a prefix cache keeps 8,192 parts at most.

--- a/canvasbeam/data_plane/prompt_headers.py
+++ b/canvasbeam/data_plane/prompt_headers.py
@@ -10,6 +10,10 @@
 
 LOWEST_WORKER_PRIORITY = 9  # the greatest priority number of a worker; 0 is the most urgent
 PROMPT_SIZE_STEPS_TOKENS = (1_500, 4_000, 10_000)  # a prompt is one step less urgent for each threshold that it exceeds
+MAX_TOKENS = (1 << 31) - 1  # in a prompt, in one of its parts, or generated
+MAX_PARTS = 64  # of a prompt; the placement keeps the names of all parts before each part
+MAX_PART_NAME_BYTES = 64
+MAX_MODEL_NAME_BYTES = 256
 PRIORITY_STEP = 2  # added to the priority number for each threshold that the prompt exceeds
 
 
@@ -40,15 +44,32 @@
     try:
         tokens_in, _, max_tokens_out = tokens.partition(b",")
         model_name = (model or b"").decode("latin-1").strip()
-        return PromptEstimate(int(tokens_in), int(max_tokens_out or 0), _read_parts(parts or b""), model_name)
+        if len(model_name) > MAX_MODEL_NAME_BYTES:
+            return None
+        return PromptEstimate(
+            _token_count(tokens_in), _token_count(max_tokens_out or b"0"), _read_parts(parts or b""), model_name
+        )
     except ValueError:
         return None
 
 
+def _token_count(digits: bytes) -> int:
+    """Return a number of tokens; raise `ValueError` if it is not a decimal number up to `MAX_TOKENS`."""
+    stripped = digits.strip()
+    if not stripped.isdigit() or len(stripped) > len(str(MAX_TOKENS)) or int(stripped) > MAX_TOKENS:
+        raise ValueError("not a number of tokens")
+    return int(stripped)
+
+
 def _read_parts(text: bytes) -> tuple[PromptPart, ...]:
+    """Return the parts of a prompt; raise `ValueError` if a part is malformed or there are too many."""
     parts = []
-    for part in text.split(b","):
+    for part in text.split(b",", MAX_PARTS):
         name, separator, tokens = part.strip().partition(b":")
         if separator:
-            parts.append(PromptPart(name.decode("latin-1"), int(tokens)))
+            if len(name) > MAX_PART_NAME_BYTES:
+                raise ValueError("the name of a part is too long")
+            parts.append(PromptPart(name.decode("latin-1"), _token_count(tokens)))
+    if len(parts) > MAX_PARTS:
+        raise ValueError("too many parts")
     return tuple(parts)
--- a/canvasbeam/dispatch/language_model/prefix_cache.py
+++ b/canvasbeam/dispatch/language_model/prefix_cache.py
@@ -13,6 +13,8 @@
 
 PrefixKey = tuple[str, ...]  # the names of a part and of all parts before it
 
+MAX_PARTS = 8192  # parts of a worker, however few tokens they have
+
 
 class PrefixCache:
     """The prompt parts that one worker is expected to have cached, in the order of their last use."""
@@ -41,7 +43,7 @@
             else:
                 self._part_tokens[key] = tokens
                 self._total_tokens += tokens
-        while self._total_tokens > max_tokens:
+        while self._total_tokens > max_tokens or len(self._part_tokens) > MAX_PARTS:
             _, tokens = self._part_tokens.popitem(last=False)
             self._total_tokens -= tokens
 
