Fix: a body that nobody reads keeps its connection for ever

Cause: hypercorn's queue of messages for the app also bounds the message of a disconnect. An app that answers without reading the whole body leaves the queue full; the end of the response and the reader of the connection then wait for room that never comes. Clients could keep descriptors and buffers that way, also after they had gone. Change: a queue of one message that takes the disconnect at once and nothing after it.

--- a/canvasbeam/runtime/http_connection.py
+++ b/canvasbeam/runtime/http_connection.py
@@ -24,7 +24,6 @@
 
 import h11
 import logbook
-from hypercorn.asyncio.task_group import TaskGroup
 from hypercorn.asyncio.tcp_server import MAX_RECV, TCPServer
 from hypercorn.asyncio.worker_context import WorkerContext
 from hypercorn.config import Config
@@ -32,6 +31,8 @@
 from hypercorn.protocol.h11 import H11Protocol
 from hypercorn.typing import AppWrapper, ConnectionState
 
+from canvasbeam.runtime.app_tasks import AppTaskGroup
+
 FLUSH_BYTES = 65536  # buffered output bytes of a connection that cause an immediate write
 MAX_READ_AHEAD_BYTES = 65536  # limit on the bytes of pipelined requests that are buffered for a connection
 NO_REQUEST_LIMIT = 1 << 62  # responses on a connection before a response carries `Connection: close`
@@ -141,7 +142,7 @@
         client = self.writer.get_extra_info("peername")
         local = self.writer.get_extra_info("sockname")
         try:
-            async with TaskGroup(self.loop) as group:
+            async with AppTaskGroup(self.loop) as group:
                 self.protocol = _Http1Protocol(  # type: ignore[assignment]
                     self.app,
                     self.config,
--- a/tests/runtime/test_http_server.py
+++ b/tests/runtime/test_http_server.py
@@ -13,6 +13,8 @@
 GET = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 OK_HEAD = {"type": "http.response.start", "status": 200, "headers": [(b"content-length", b"2")]}
 
+LARGE_POST = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 13200000\r\n\r\n"
+
 
 async def answer_ok(scope: Scope, receive: Receive, send: Send) -> None:
     message = await receive()
@@ -22,6 +24,12 @@
     await send({"type": "http.response.body", "body": b"ok"})
 
 
+async def answer_unread(scope: Scope, receive: Receive, send: Send) -> None:
+    await asyncio.sleep(0.05)
+    await send(dict(OK_HEAD))
+    await send({"type": "http.response.body", "body": b"ok"})
+
+
 @asynccontextmanager
 async def serving(app: App, limits: HttpLimits | None = None) -> AsyncIterator[HttpServer]:
     server = HttpServer(app, Address("127.0.0.1", 0), limits)
@@ -243,6 +251,26 @@
     run(body)
 
 
+def test_connection_ends_although_the_app_answers_without_reading_the_body() -> None:
+    """Guards against connections that stay for ever, because the end of a request waits for room in a queue."""
+
+    async def body() -> None:
+        async with serving(answer_unread) as server:
+            for head in (b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n", LARGE_POST):
+                _, writer = await connect(server)
+                writer.write(head + b"400\r\n" + b"x" * 1024 + b"\r\n")
+                for _ in range(200):
+                    writer.write((b"400\r\n" + b"x" * 1024 + b"\r\n") * 64)
+                    with suppress(ConnectionError):
+                        await writer.drain()
+                writer.close()
+            async with asyncio.timeout(5):
+                while server.connection_count:
+                    await asyncio.sleep(0.01)
+
+    run(body)
+
+
 def test_address_in_use_is_a_failure() -> None:
     async def body() -> None:
         async with serving(answer_ok) as server:
