Fix: messages between nodes are buffered without a common limit (mechanism)

Cause: a connection to port_range buffered a message of up to 8 MiB before its first message had told who sends, and neither the number of connections nor their buffers had a limit: 376 MB of 133, 1,514 descriptors of 500 in the tests. Connections between nodes take their place in it and reserve the bytes of incomplete messages; the first message has 4 KiB at most.

--- a/canvasbeam/cluster/connection.py
+++ b/canvasbeam/cluster/connection.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import socket
+import time
 from contextlib import suppress
 from dataclasses import dataclass
 from typing import Protocol, cast
@@ -17,7 +18,8 @@
 from google.protobuf.message import DecodeError
 
 from canvasbeam.cluster import envelope_pb2
-from canvasbeam.cluster.framing import FrameDecoder, FrameTooLargeError, frame
+from canvasbeam.cluster.framing import MAX_FRAME_BYTES, FrameDecoder, FrameTooLargeError, frame
+from canvasbeam.runtime.process_budget import KIBIBYTE, ConnectionSlot, ProcessBudget, Stage
 from canvasbeam.runtime.process_incarnation import UNKNOWN_INCARNATION, IncarnationCheck
 from canvasbeam.runtime.settings import Address
 
@@ -25,6 +27,11 @@
 PROTOCOL_VERSION = 1
 USER_TIMEOUT_MS = 1_200
 MAX_QUEUE_BYTES = 4 << 20
+READ_BYTES = 32 * KIBIBYTE  # limit on the bytes of one read from the kernel
+# What an accepted connection may hold: the kernel's receive buffer as it is before this process has read, a read part
+# with the message in it, and the Python objects.
+CONNECTION_BYTES = 64 * KIBIBYTE + 2 * READ_BYTES + 8 * KIBIBYTE
+FRAME_COPIES = 2  # of a message: in the decoder, and as the message that is handled
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,6 +52,7 @@
     """The part of the transport that a connection uses."""
 
     incarnation_check: IncarnationCheck
+    budget: ProcessBudget
 
     def hello(self, expected_incarnation: int) -> bytes:
         """Return the framed `Hello` message for a peer that is expected to have this incarnation."""
@@ -84,11 +92,31 @@
         self.used_at = 0.0
         self.is_idle_closed = False
         self._decoder = FrameDecoder()
+        self._slot = ConnectionSlot(owner.budget, self)
+        self._frame_memory = self._slot.memory.part()
+        self.active_at_s = time.monotonic()
+
+    @property
+    def stage(self) -> Stage:
+        """What the connection waits for, for the budget of the process."""
+        if self.peer is None:
+            return Stage.SILENT
+        return Stage.READING if self._decoder.buffered_bytes else Stage.IDLE
+
+    def evict(self) -> None:
+        """Close the connection at once to make room for another one."""
+        self._slot.memory.close()
+        if self.transport is not None:
+            self.transport.abort()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Send the `Hello` message on a new connection."""
         self.transport = cast(asyncio.Transport, transport)
         self.used_at = self.owner.time()
+        if self.dialed_address is None and not self._slot.take(CONNECTION_BYTES):
+            self.transport.abort()
+            return
+        self.transport.max_size = READ_BYTES  # type: ignore[attr-defined]
         set_socket_options(transport.get_extra_info("socket"))
         self.transport.write(self.owner.hello(self.expected_incarnation))
         self.owner.on_open(self)
@@ -96,6 +124,7 @@
     def data_received(self, data: bytes) -> None:
         """Decode and handle received frames; abort the connection if they are invalid."""
         self.used_at = self.owner.time()
+        self.active_at_s = time.monotonic()
         try:
             for message in self._decoder.feed(data):
                 if not self._handle_message(message):
@@ -103,9 +132,22 @@
                     return
         except (FrameTooLargeError, DecodeError):
             self._reject()
+            return
+        if not self._reserve_frame():
+            self._reject()
+
+    def _reserve_frame(self) -> bool:
+        """Reserve memory for the incomplete message; return False if there is none."""
+        missing = FRAME_COPIES * self._decoder.buffered_bytes - READ_BYTES - self._frame_memory.reserved_bytes
+        if missing > 0:
+            return self._frame_memory.grow(missing)
+        if not self._decoder.buffered_bytes:
+            self._frame_memory.release()
+        return True
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Report to the transport that the peer closed the connection or that the connection failed."""
+        self._slot.give_back()
         self.owner.on_closed(self)
 
     def write(self, data: bytes) -> bool:
@@ -151,6 +193,7 @@
         if self.expected_incarnation not in (UNKNOWN_INCARNATION, hello.life):
             correction = envelope_pb2.Frame(addressed_life=hello.life)
             self.transport.write(frame(correction.SerializeToString()))
+        self._decoder.max_frame_bytes = MAX_FRAME_BYTES
         self.owner.on_hello(self)
         return True
 
--- a/canvasbeam/cluster/node.py
+++ b/canvasbeam/cluster/node.py
@@ -23,6 +23,7 @@
 from canvasbeam.leases.contact import ControlVersions
 from canvasbeam.leases.messages import LeaseRequest
 from canvasbeam.runtime.logs import get_logger, log_exceptions
+from canvasbeam.runtime.process_budget import ProcessBudget
 from canvasbeam.runtime.settings import Address, ProcessSettings
 
 SECONDS_PER_NANOSECOND = 1e-9
@@ -43,12 +44,12 @@
 class ClusterNode:
     """The cluster interface of a process: members, item distribution and transport, with sockets and a clock."""
 
-    def __init__(self, settings: ProcessSettings, is_control: bool) -> None:
+    def __init__(self, settings: ProcessSettings, is_control: bool, budget: ProcessBudget | None = None) -> None:
         self.is_control = is_control
         self._ports = Ports(settings.control_peer_port, settings.data_peer_port)
         member = _own_member(settings, is_control)
         self.address = self._ports.address_of(member)
-        self.transport = Transport(settings.node, self.address)
+        self.transport = Transport(settings.node, self.address, budget)
         start = ProcessStart(random.randrange(1 << 32), time.monotonic_ns())
         self._core = NodeCore(member, self._ports, settings.seed_peers, start, _log_listener_failures)
         self.table: ItemTable = self._core.table
--- a/canvasbeam/cluster/transport.py
+++ b/canvasbeam/cluster/transport.py
@@ -27,6 +27,7 @@
 from canvasbeam.cluster.datagrams import MAX_DATAGRAM_BYTES, DatagramSocket, add_channel, split_channel
 from canvasbeam.cluster.framing import frame
 from canvasbeam.cluster.peer_link import PeerLink, PeerState, TransportCounters
+from canvasbeam.runtime.process_budget import ProcessBudget
 from canvasbeam.runtime.process_incarnation import IncarnationCheck, draw_incarnation
 from canvasbeam.runtime.settings import Address
 
@@ -34,7 +35,8 @@
 
 CONNECT_TIMEOUT_S = 0.5
 IDLE_TIMEOUT_S = 10.0
-LISTEN_BACKLOG = 512
+ACCEPT_BATCH = 32  # connections that are accepted before the event loop handles others
+LISTEN_BACKLOG = 128
 
 
 MessageCallback = Callable[[PeerInfo, bytes], None]
@@ -45,7 +47,8 @@
 class Transport:
     """All connections and the UDP socket of one node."""
 
-    def __init__(self, node: str, listen: Address) -> None:
+    def __init__(self, node: str, listen: Address, budget: ProcessBudget | None = None) -> None:
+        self.budget = budget or ProcessBudget.unlimited()
         self.listen = listen
         self.counters = TransportCounters()
         self.incarnation_check = IncarnationCheck(draw_incarnation(random.SystemRandom()))
@@ -65,7 +68,10 @@
         """Listen for TCP and UDP; raise `OSError` if the port is in use."""
         loop = asyncio.get_running_loop()
         host, port = self.listen.host, self.listen.port
-        self._server = await loop.create_server(lambda: Connection(self, None), host, port, backlog=LISTEN_BACKLOG)
+        listener = socket.create_server((host, port), backlog=LISTEN_BACKLOG)
+        # asyncio accepts as many connections at once as it is given as the backlog, so the backlog is set again.
+        self._server = await loop.create_server(lambda: Connection(self, None), sock=listener, backlog=ACCEPT_BATCH)
+        listener.listen(LISTEN_BACKLOG)
         self._datagrams, _ = await loop.create_datagram_endpoint(lambda: DatagramSocket(self.on_datagram), (host, port))
 
     async def stop(self) -> None:
