--- a/canvasbeam/data_plane/__init__.py
+++ b/canvasbeam/data_plane/__init__.py
@@ -8,7 +8,7 @@
 The main modules, in the order in which a request passes through these modules:
 
     program.py            components, startup, shutdown: placement.py, servers.py, readiness.py, startup.py, shutdown.py
-    ingress.py            reading a request: request_head.py, body_reader.py, memory_budget.py, routes.py
+    ingress.py            reading a request: request_head.py, body_reader.py, routes.py
     router.py             a request from arrival to answer; the module docstring of router.py lists its components
     attempt_runner.py     one attempt at a worker: worker_connections.py, worker_request.py, exchange.py, streams.py
     endpoint_list.py      workers from the item table; configuration_view.py: routes and services from the item table
--- a/canvasbeam/data_plane/attempt_runner.py
+++ b/canvasbeam/data_plane/attempt_runner.py
@@ -126,7 +126,9 @@
             return
         self._outcomes.record_connection(request)
         forwarder = StreamForwarder(request, lambda: self._on_stream_opened(attempt), self._outcomes.record_answer)
-        exchange = Exchange(connection, worker_request(request, attempt.worker, self._now_ns()), forwarder)
+        exchange = Exchange(
+            connection, worker_request(request, attempt.worker, self._now_ns()), forwarder, request.memory
+        )
         attempt.connection, attempt.exchange = connection, exchange
         request.attempts_written += 1
         try:
--- a/canvasbeam/data_plane/body_reader.py
+++ b/canvasbeam/data_plane/body_reader.py
@@ -1,4 +1,4 @@
-"""Read the body of one request within a size limit, the memory budget of all requests, and a timeout.
+"""Read the body of one request within a size limit, the memory budget of the process, and a timeout.
 
 `BodyReader` reserves memory before it reads and never releases the reservation; `Ingress` releases the reservation
 when the request is over.
@@ -9,11 +9,12 @@
 import asyncio
 
 from canvasbeam.data_plane.headers import CONTENT_LENGTH, Headers, find_header
-from canvasbeam.data_plane.memory_budget import REQUEST_OVERHEAD_BYTES, MemoryReservation
 from canvasbeam.errors import Failure, ResultCode
 from canvasbeam.runtime.http_server import Receive
+from canvasbeam.runtime.process_budget import MemoryReservation
 from canvasbeam.units import SECOND
 
+BODY_COPIES = 2  # of a body: the one that is kept for retries, and the kernel's on the way to a worker
 OVERLOADED = Failure(ResultCode.OVERLOADED, "too many requests are held in memory")
 
 
@@ -28,7 +29,7 @@
         self._receive = receive
         self._reservation = reservation
 
-    async def read(self, headers: Headers, limit_bytes: int, wait_ns: int) -> bytes | Failure:
+    async def read(self, headers: Headers, limit_bytes: int, wait_ns: int) -> bytearray | Failure:
         """Return the complete body, or the failure with which the request is rejected.
 
         The failures are `REQUEST_TOO_LARGE`, `OVERLOADED` and, after `wait_ns` nanoseconds, `REQUEST_INCOMPLETE`.
@@ -37,30 +38,27 @@
         declared_bytes = int(find_header(headers, CONTENT_LENGTH) or 0)
         if declared_bytes > limit_bytes:
             return _too_large(limit_bytes)
-        if not self._reservation.grow(REQUEST_OVERHEAD_BYTES + declared_bytes):
-            return OVERLOADED
         try:
             async with asyncio.timeout(wait_ns / SECOND):
-                return await self._read_chunks(declared_bytes, limit_bytes)
+                return await self._read_chunks(limit_bytes)
         except TimeoutError:
             return Failure(ResultCode.REQUEST_INCOMPLETE, "the body did not come in time")
 
-    async def _read_chunks(self, declared_bytes: int, limit_bytes: int) -> bytes | Failure:
-        chunks: list[bytes] = []
-        size = 0
+    async def _read_chunks(self, limit_bytes: int) -> bytearray | Failure:
+        """Read into one buffer, because a list of many small chunks would need far more memory than their bytes."""
+        body = bytearray()
         while True:
             message = await self._receive()
             if message["type"] == "http.disconnect":
                 raise ClientDisconnectedError
             chunk = message.get("body", b"")
-            chunks.append(chunk)
-            size += len(chunk)
-            if size > limit_bytes:
+            if len(body) + len(chunk) > limit_bytes:
                 return _too_large(limit_bytes)
-            if size > declared_bytes and not self._reservation.grow(len(chunk)):
+            if not self._reservation.grow(BODY_COPIES * len(chunk)):
                 return OVERLOADED
+            body += chunk
             if not message.get("more_body", False):
-                return b"".join(chunks)
+                return body
 
 
 def _too_large(limit_bytes: int) -> Failure:
--- a/canvasbeam/data_plane/event_stream.py
+++ b/canvasbeam/data_plane/event_stream.py
@@ -39,6 +39,11 @@
         """The bytes received of an incomplete event; empty between events."""
         return bytes(self._buffer)
 
+    @property
+    def partial_bytes(self) -> int:
+        """Number of bytes received of an incomplete event."""
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Append bytes and return the completed events; raise `EventTooLargeError` if an event is too long."""
         self._buffer += data
--- a/canvasbeam/data_plane/exchange.py
+++ b/canvasbeam/data_plane/exchange.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Protocol
 
 import httpcore
@@ -25,15 +25,21 @@
     end_to_end,
     find_header,
 )
-from canvasbeam.data_plane.requests import Answer
+from canvasbeam.data_plane.network_stream import STREAM_BYTES
+from canvasbeam.data_plane.requests import Answer, pieces
 from canvasbeam.data_plane.worker_connections import WorkerConnection
 from canvasbeam.dispatch.events import Outcome
+from canvasbeam.runtime.process_budget import KIBIBYTE, MemoryReservation
 
 EVENT_STREAM = b"text/event-stream"
 # Statuses which promise that the request did not run; the promise is trusted only with an `X-Not-Executed` header.
 NOT_EXECUTED_STATUSES = frozenset((408, 421, 429, 503))
 MISDIRECTED = 421
 MAX_ANSWER_BYTES = 64 << 20
+PARSER_BYTES = 32 * KIBIBYTE  # of an answer: its head or a part of its body in the parser
+EVENT_ALLOWANCE_BYTES = 16 * KIBIBYTE  # of an incomplete event; a longer one is reserved as it grows
+EVENT_COPIES = 2  # of an event: in the splitter, and on its way to the client
+EXCHANGE_BYTES = STREAM_BYTES + PARSER_BYTES + EVENT_COPIES * EVENT_ALLOWANCE_BYTES  # what an exchange may hold
 
 
 class EventSink(Protocol):
@@ -57,7 +63,7 @@
     method: bytes
     target: bytes
     headers: Headers
-    body: bytes
+    body: bytes | bytearray
     streams: bool
 
 
@@ -78,8 +84,11 @@
 class Exchange:
     """Sends one request on one connection and reads its answer."""
 
-    def __init__(self, connection: WorkerConnection, request: WorkerRequest, sink: EventSink) -> None:
+    def __init__(
+        self, connection: WorkerConnection, request: WorkerRequest, sink: EventSink, memory: MemoryReservation
+    ) -> None:
         self._connection = connection
+        self._memory = memory
         self._request = request
         self._sink = sink
         self._bytes_written_before = connection.stream.bytes_written
@@ -99,6 +108,8 @@
         except (httpcore.NetworkError, httpcore.ProtocolError, _InvalidAnswerError, EventTooLargeError):
             outcome = Outcome.BROKEN if self.written else Outcome.UNSENT
             return ExchangeResult(outcome, None, self.written, self.stream_began)
+        finally:
+            self._request = replace(self._request, body=b"")  # records of the attempt may outlive the request
 
     @property
     def reusable(self) -> bool:
@@ -119,7 +130,11 @@
     def _http_request(self) -> httpcore.Request:
         origin = self._connection.origin
         url = httpcore.URL(scheme=origin.scheme, host=origin.host, port=origin.port, target=self._request.target)
-        return httpcore.Request(self._request.method, url, headers=self._request.headers, content=self._request.body)
+        return httpcore.Request(self._request.method, url, headers=self._request.headers, content=self._content())
+
+    def _content(self) -> bytes | AsyncIterator[bytes]:
+        body = self._request.body
+        return bytes(body) if len(body) <= PARSER_BYTES else _async_pieces(body)
 
     def _apply_connection_headers(self, headers: Headers) -> None:
         connection = self._connection
@@ -145,21 +160,23 @@
         if find_header(headers, b"content-encoding") is not None:
             raise _InvalidAnswerError("the answer has a Content-Encoding header, expected an unencoded body")
 
-    async def _read_body(self, response: httpcore.Response) -> bytes:
+    async def _read_body(self, response: httpcore.Response) -> bytearray:
         """Return the complete body; a body without a length ends with a close of the connection, not with a reset."""
         body = bytearray()
         async for chunk in _chunks(response):
-            body += chunk
-            if len(body) > MAX_ANSWER_BYTES:
+            if len(body) + len(chunk) > MAX_ANSWER_BYTES:
                 raise _InvalidAnswerError(f"the body of the answer exceeds {MAX_ANSWER_BYTES} bytes")
-        return bytes(body)
+            if not self._memory.grow(len(chunk)):
+                raise _InvalidAnswerError("there is no memory for the body of the answer")
+            body += chunk
+        return body
 
     async def _finish(self, response: httpcore.Response) -> None:
         """Close the response; bytes after the answer belong to no request and make the connection unusable."""
         await response.aclose()
         self._reusable = self._connection.is_clean
 
-    def _classify(self, status: int, headers: Headers, body: bytes) -> ExchangeResult:
+    def _classify(self, status: int, headers: Headers, body: bytearray) -> ExchangeResult:
         answer = Answer(status, _answer_headers(headers, len(body)), body)
         if status == MISDIRECTED:
             return ExchangeResult(Outcome.CONNECT_FAILED)  # another worker now uses the address
@@ -177,8 +194,13 @@
         if find_header(headers, SEAL) is None:
             raise _InvalidAnswerError("the event stream has no X-Response-Seal header")
         splitter = EventSplitter()
+        reserved_bytes = EVENT_ALLOWANCE_BYTES
         async for chunk in _chunks(response):
             events = splitter.feed(chunk)
+            if splitter.partial_bytes > reserved_bytes:
+                if not self._memory.grow(EVENT_COPIES * (splitter.partial_bytes - reserved_bytes)):
+                    raise _InvalidAnswerError("there is no memory for an event of the answer")
+                reserved_bytes = splitter.partial_bytes
             if events:
                 await self._begin_stream(headers)
                 await self._sink.send_events(events)
@@ -196,6 +218,11 @@
             await self._sink.begin(200, _answer_headers(headers, None))
 
 
+async def _async_pieces(body: bytes | bytearray) -> AsyncIterator[bytes]:
+    for piece in pieces(body):
+        yield piece
+
+
 async def _chunks(response: httpcore.Response) -> AsyncIterator[bytes]:
     assert not isinstance(response.stream, bytes)
     async for chunk in response.stream:  # type: ignore[union-attr]
--- a/canvasbeam/data_plane/ingress.py
+++ b/canvasbeam/data_plane/ingress.py
@@ -10,17 +10,18 @@
 import random
 from collections.abc import Callable
 
-from canvasbeam.data_plane.body_reader import BodyReader, ClientDisconnectedError
+from canvasbeam.data_plane.body_reader import OVERLOADED, BodyReader, ClientDisconnectedError
 from canvasbeam.data_plane.configuration_view import ConfigurationView
+from canvasbeam.data_plane.exchange import EXCHANGE_BYTES
 from canvasbeam.data_plane.headers import REQUEST_ID, Headers, end_to_end, find_header
-from canvasbeam.data_plane.memory_budget import MemoryBudget, MemoryReservation
 from canvasbeam.data_plane.request_head import client_wait_ns, head_bytes, host_name, validate_head
 from canvasbeam.data_plane.requests import ClientAnswer, ClientRequest, local_answer
 from canvasbeam.data_plane.router import RequestRouter
 from canvasbeam.data_plane.routes import Route, SplitSequence
 from canvasbeam.data_plane.shutdown import GracefulShutdown
 from canvasbeam.errors import Failure, ResultCode
-from canvasbeam.runtime.http_server import Receive, Scope, Send
+from canvasbeam.runtime.http_server import Receive, Scope, Send, connection_memory
+from canvasbeam.runtime.process_budget import KIBIBYTE, MemoryReservation
 from canvasbeam.units import MILLISECOND, SECOND
 
 # Failures after which `Ingress` closes the connection, because part of the request may still be unread.
@@ -42,6 +43,9 @@
 FIRST_CONFIGURATION_WAIT_S = 1.5
 SHUTDOWN_RETRY_AFTER_NS = 50 * MILLISECOND
 MAX_BODY_WAIT_NS = 10 * SECOND
+OBJECTS_BYTES = 16 * KIBIBYTE  # of a request: its head, its tasks and its table entries
+# What a request may hold in addition to its connection, its body and its answer.
+REQUEST_BYTES = OBJECTS_BYTES + EXCHANGE_BYTES
 
 
 class Ingress:
@@ -56,13 +60,11 @@
         view: ConfigurationView,
         router: RequestRouter,
         shutdown: GracefulShutdown,
-        memory: MemoryBudget,
         generator: random.Random,
         *,
         is_configuration_current: Callable[[], bool] = lambda: True,
         on_rejected: Callable[[ResultCode], None] = lambda code: None,
     ) -> None:
-        self._memory = memory
         self._view = view
         self._router = router
         self._shutdown = shutdown
@@ -74,20 +76,23 @@
         """Serve one HTTP request; ignore other ASGI scopes."""
         if scope["type"] != "http":
             return
-        reservation = MemoryReservation(self._memory)
+        reservation = connection_memory(scope).part()
         try:
             await self._serve(scope, receive, send, reservation)
         except ClientDisconnectedError:
             return
         finally:
-            reservation.release()
+            reservation.close()
 
     async def _serve(self, scope: Scope, receive: Receive, send: Send, reservation: MemoryReservation) -> None:
         arrived_ns = self._router.now_ns()
         task = asyncio.current_task()
         assert task is not None
         answer = ClientAnswer(send, lambda: _cancel(task))
-        request = await self._read_request(scope, BodyReader(receive, reservation), answer, arrived_ns)
+        if reservation.grow(REQUEST_BYTES):
+            request = await self._read_request(scope, receive, reservation, answer, arrived_ns)
+        else:
+            request = OVERLOADED
         if isinstance(request, Failure):
             failure = self._unless_outdated(request)
             self._on_rejected(failure.code)
@@ -101,7 +106,10 @@
             return
         request.deadline_ns = deadline_ns
         self._router.submit(request)
-        await self._wait_for_end(request, receive)
+        try:
+            await self._wait_for_end(request, receive)
+        finally:
+            request.forget_bodies()
 
     def _unless_outdated(self, failure: Failure) -> Failure:
         """Return the failure, or `REQUEST_NOT_READY` if it depends on a configuration that may be outdated."""
@@ -121,7 +129,7 @@
                 self._router.client_disconnected(request)
 
     async def _read_request(
-        self, scope: Scope, reader: BodyReader, answer: ClientAnswer, arrived_ns: int
+        self, scope: Scope, receive: Receive, memory: MemoryReservation, answer: ClientAnswer, arrived_ns: int
     ) -> ClientRequest | Failure:
         headers: Headers = list(scope["headers"])
         await self._view.wait_for_first(FIRST_CONFIGURATION_WAIT_S)
@@ -136,13 +144,16 @@
             return Failure(
                 ResultCode.REQUEST_HEAD_TOO_LARGE, f"the head is larger than {limits.max_header_bytes} bytes"
             )
+        reader = BodyReader(receive, memory)
         body = await reader.read(headers, limits.max_body_bytes, self._body_wait_ns(scope, headers))
         if isinstance(body, Failure):
             return body
         route = self._find_route(scope, headers)
         if route is None:
             return Failure(ResultCode.REQUEST_NO_ROUTE, "no route fits the host and path")
-        return self._make_request(scope, body, route, answer, arrived_ns)
+        request = self._make_request(scope, body, route, answer, arrived_ns)
+        request.memory = memory
+        return request
 
     def _body_wait_ns(self, scope: Scope, headers: Headers) -> int:
         """Return how long to wait for the body, in nanoseconds: an answer after the route's timeout is of no use."""
@@ -158,7 +169,7 @@
         return configuration.find_route(host_name(headers), scope["raw_path"].decode("latin-1"))
 
     def _make_request(
-        self, scope: Scope, body: bytes, route: Route, answer: ClientAnswer, arrived_ns: int
+        self, scope: Scope, body: bytes | bytearray, route: Route, answer: ClientAnswer, arrived_ns: int
     ) -> ClientRequest:
         headers: Headers = list(scope["headers"])
         identity = find_header(headers, REQUEST_ID)
--- a/canvasbeam/data_plane/network_stream.py
+++ b/canvasbeam/data_plane/network_stream.py
@@ -14,6 +14,7 @@
 
 import httpcore
 
+from canvasbeam.runtime.process_budget import KIBIBYTE
 from canvasbeam.runtime.settings import Address
 
 # A network partition or a power failure sends no FIN or RST, so a connection, idle or in use, is closed after this time
@@ -22,10 +23,16 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 3
-READ_PAUSE_BYTES = 1 << 20
+# Kernel's receive buffer of a connection to a worker, which the kernel doubles for its own bookkeeping. Without it the
+# buffer grows to several megabytes if a client does not read the answer.
+RECEIVE_BUFFER_BYTES = 32 * KIBIBYTE
+READ_BYTES = 32 * KIBIBYTE  # limit on the bytes of one read from the kernel
+READ_PAUSE_BYTES = 32 * KIBIBYTE
 # Size up to which the parts of a request are copied into one buffer, so that they need one system call. A larger body
 # is passed to the transport as it is: each copy of it costs memory and processor time.
-MAX_JOINED_BYTES = 1 << 16
+MAX_JOINED_BYTES = 64 * KIBIBYTE
+# What a connection may hold of an answer: in the kernel, in the buffer of the stream and in a part that is read.
+STREAM_BYTES = 2 * RECEIVE_BUFFER_BYTES + 2 * READ_PAUSE_BYTES + READ_BYTES
 
 
 class WorkerStream(httpcore.AsyncNetworkStream, asyncio.Protocol):
@@ -37,6 +44,8 @@
         self._descriptor = -1
         self._received = bytearray()
         self._unsent: list[bytes] = []
+        self._unsent_bytes = 0
+        self._has_flushed_part = False  # True while a request of which a part was passed to the transport is written
         self._reader: asyncio.Future[None] | None = None
         self._writer: asyncio.Future[None] | None = None
         self._write_paused = False
@@ -52,6 +61,7 @@
         """Store the transport and its file descriptor."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        transport.max_size = READ_BYTES  # type: ignore[attr-defined]
         self._descriptor = transport.get_extra_info("socket").fileno()
 
     def data_received(self, data: bytes) -> None:
@@ -101,6 +111,7 @@
 
         Return no bytes after the worker's regular end of stream; raise `ReadError` if the connection ended otherwise.
         """
+        self._has_flushed_part = False
         await self._flush()
         while not self._received and not self._eof and not self._lost:
             self._reader = self._loop.create_future()
@@ -116,16 +127,26 @@
         return data
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:  # noqa: ASYNC109 - httpcore's signature
-        """Buffer bytes until the next read, so that the head and body of a request are sent together."""
-        if buffer:
-            self._unsent.append(buffer)
+        """Buffer bytes until the next read, so that the head and a small body of a request are sent together.
+
+        Raise `WriteError` if an answer arrived before the whole request was sent: the rest of a large body is not sent.
+        """
+        if self._has_flushed_part and (self._received or self._eof):
+            raise httpcore.WriteError("the worker answered before the end of the request")
+        if not buffer:
+            return
+        if self._unsent_bytes > MAX_JOINED_BYTES:
+            self._has_flushed_part = True
+            await self._flush()
+        self._unsent.append(buffer)
+        self._unsent_bytes += len(buffer)
 
     async def _flush(self) -> None:
         if not self._unsent:
             return
         if self._lost or self._transport is None or self._transport.is_closing():
             raise httpcore.WriteError("the connection to the worker is closed")
-        buffers, self._unsent = _joined(self._unsent), []
+        buffers, self._unsent, self._unsent_bytes = _joined(self._unsent), [], 0
         for buffer in buffers:
             self.bytes_written += len(buffer)
             self._transport.write(buffer)
@@ -207,6 +228,7 @@
 
 def _set_socket_options(connection: socket.socket) -> None:
     connection.setblocking(False)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
--- a/canvasbeam/data_plane/program.py
+++ b/canvasbeam/data_plane/program.py
@@ -15,7 +15,6 @@
 from canvasbeam.data_plane.configuration_view import ConfigurationListener, ConfigurationView
 from canvasbeam.data_plane.endpoint_list import EndpointList
 from canvasbeam.data_plane.ingress import Ingress
-from canvasbeam.data_plane.memory_budget import MEBIBYTE, MemoryBudget
 from canvasbeam.data_plane.metrics import MetricsApp, gauge_lines, outcome_lines
 from canvasbeam.data_plane.outcome_recorder import OutcomeRecorder
 from canvasbeam.data_plane.placement import Placement
@@ -31,12 +30,15 @@
 from canvasbeam.runtime import logs
 from canvasbeam.runtime.listeners import Listeners
 from canvasbeam.runtime.process import LEAVE_FLUSH_S, run_process, run_until_terminated
+from canvasbeam.runtime.process_budget import ProcessBudget
 from canvasbeam.runtime.settings import Address, ProcessSettings
 
 # Lower bound of the assumed number of data-plane nodes, among which the connections to a worker are divided. A starting
 # node learns of the other nodes one by one, so its own count is too low at first.
 MIN_ASSUMED_NODES = 4
-BODY_SHARE_OF_MEMORY = 0.25  # share of the process's memory that all requests together may reserve
+# Memory of a data-plane process without any caller: its libraries, a large item table, and the kernel's buffers of the
+# connections that wait to be accepted.
+OWN_MEMORY_MB = 56
 
 log = logs.get_logger(__name__)
 
@@ -48,7 +50,8 @@
         self, settings: ProcessSettings, listeners: Listeners | None = None, metrics: Address | None = None
     ) -> None:
         self._settings = settings
-        self._cluster = ClusterNode(settings, is_control=False)
+        self._budget = ProcessBudget.of(settings.limits, OWN_MEMORY_MB)
+        self._cluster = ClusterNode(settings, is_control=False, budget=self._budget)
         self._connections = WorkerConnections()
         self._placement = Placement(settings, self._cluster)
         self._shutdown = GracefulShutdown(settings, monotonic_ns)
@@ -85,12 +88,10 @@
         )
 
     def _make_servers(self, listeners: Listeners, metrics: Address | None) -> NodeServers:
-        memory = MemoryBudget(round(self._settings.limits.memory_mb * BODY_SHARE_OF_MEMORY * MEBIBYTE))
         ingress = Ingress(
             self._view,
             self._router,
             self._shutdown,
-            memory,
             random.Random(),
             is_configuration_current=self._is_configuration_current,
             on_rejected=self._outcomes.record_rejection,
@@ -102,6 +103,7 @@
             readiness=ReadinessApp(self.is_ready),
             metrics=MetricsApp(self._metric_lines),
             metrics_address=metrics,
+            budget=self._budget,
         )
 
     def _on_members(self, members: Sequence[Member]) -> None:
@@ -119,7 +121,7 @@
         )
 
     def _apply_client_limits(self, configuration: Configuration) -> None:
-        self._servers.apply_client_limits(configuration.limits, self._settings.limits.max_fds)
+        self._servers.apply_client_limits(configuration.limits)
 
     def _metric_lines(self) -> Iterator[str]:
         """Yield the lines of the metrics page of this process."""
--- a/canvasbeam/data_plane/requests.py
+++ b/canvasbeam/data_plane/requests.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from enum import Enum, auto
 from typing import TYPE_CHECKING
@@ -16,12 +16,14 @@
 from canvasbeam.data_plane.outcomes import RequestTimes, Ring
 from canvasbeam.data_plane.routes import Route
 from canvasbeam.errors import Failure, ResultCode
+from canvasbeam.runtime.process_budget import KIBIBYTE, MemoryReservation, ProcessBudget
 from canvasbeam.units import SECOND
 
 if TYPE_CHECKING:
     # For type checking only, because importing the HTTP server this early raises the peak memory at startup by 2 MB.
     from canvasbeam.runtime.http_server import Send
 
+PIECE_BYTES = 32 * KIBIBYTE
 DEFAULT_RETRY_AFTER_NS = SECOND // 2  # the `Retry-After` of a 503 when the dispatcher gives no advice
 
 STATUS_OF_CODE = {
@@ -44,7 +46,7 @@
 
     status: int
     headers: Headers
-    body: bytes = b""
+    body: bytes | bytearray = b""
 
 
 def local_answer(failure: Failure, retry_after_ns: int = DEFAULT_RETRY_AFTER_NS, close: bool = False) -> Answer:
@@ -64,9 +66,20 @@
 
 
 async def send_answer(send: Send, answer: Answer) -> None:
-    """Send a complete answer as ASGI messages."""
+    """Send a complete answer as ASGI messages; a large body in pieces, each of which waits for the client."""
     await send({"type": "http.response.start", "status": answer.status, "headers": answer.headers})
-    await send({"type": "http.response.body", "body": answer.body, "more_body": False})
+    last = b""
+    for piece in pieces(answer.body):
+        if last:
+            await send({"type": "http.response.body", "body": last, "more_body": True})
+        last = piece
+    await send({"type": "http.response.body", "body": last, "more_body": False})
+
+
+def pieces(body: bytes | bytearray) -> Iterator[bytes]:
+    """Yield a body in pieces of at most `PIECE_BYTES`, so that no second copy of the whole body is needed."""
+    for start in range(0, len(body), PIECE_BYTES):
+        yield bytes(memoryview(body)[start : start + PIECE_BYTES])
 
 
 class AnswerState(Enum):
@@ -151,13 +164,15 @@
     method: bytes
     target: bytes
     headers: Headers
-    body: bytes
+    body: bytes | bytearray
     route: Route
     service: str
     arrived_ns: int
     deadline_ns: int
     client_deadline_ns: int  # when the client stops waiting, less a margin for the transfer of the answer
     answer: ClientAnswer
+    # Memory of the request, its body and its answer; it ends with the request.
+    memory: MemoryReservation = field(default_factory=lambda: MemoryReservation(ProcessBudget.unlimited()))
     attempts_written: int = 0  # attempts that were written, or are about to be written, to a worker
     may_have_run: bool = False  # True if a worker may have run the request
     worker_failure: Answer | None = None  # last failure from a worker; forwarded if no other attempt succeeds
@@ -170,6 +185,11 @@
     def __post_init__(self) -> None:
         self.times = RequestTimes(self.arrived_ns)
 
+    def forget_bodies(self) -> None:
+        """Drop the bodies of a request that has ended, which records of its attempts may outlive."""
+        self.body = b""
+        self.worker_failure = None
+
     @property
     def request_class(self) -> str:
         """The name of the dispatcher's request class for this request."""
--- a/canvasbeam/data_plane/servers.py
+++ b/canvasbeam/data_plane/servers.py
@@ -9,9 +9,10 @@
 from canvasbeam.errors import Failure
 from canvasbeam.runtime.http_server import App, HttpLimits, HttpServer
 from canvasbeam.runtime.listeners import Listeners
+from canvasbeam.runtime.process_budget import ProcessBudget
 from canvasbeam.runtime.settings import Address, ProcessSettings
 
-CLIENT_SHARE_OF_DESCRIPTORS = 0.65  # share of the file descriptors; the rest is for workers, other nodes and files
+AUXILIARY_BACKLOG = 32  # connections that wait to be accepted for readiness checks or metrics
 # Minimum of the HTTP parser's limit on the request head. A connection keeps the parser limit with which the connection
 # was opened, while the configured limit may be unknown at that time or be raised later; `Ingress` enforces the
 # configured limit.
@@ -30,11 +31,16 @@
         readiness: App,
         metrics: App,
         metrics_address: Address | None,
+        budget: ProcessBudget,
     ) -> None:
         initial_limits = HttpLimits(max_header_bytes=MIN_PARSER_HEADER_BYTES)
-        self.front = HttpServer(ingress, settings.listen["front"], initial_limits, listeners.get("front"))
-        self._readiness = HttpServer(readiness, settings.listen["ready"])
-        self._metrics = HttpServer(metrics, metrics_address) if metrics_address is not None else None
+        self.front = HttpServer(
+            ingress, settings.listen["front"], initial_limits, listeners.get("front"), budget=budget
+        )
+        self._readiness = HttpServer(readiness, settings.listen["ready"], budget=budget, backlog=AUXILIARY_BACKLOG)
+        self._metrics = None
+        if metrics_address is not None:
+            self._metrics = HttpServer(metrics, metrics_address, budget=budget, backlog=AUXILIARY_BACKLOG)
 
     async def start(self) -> Failure | None:
         """Start all servers; return the first failure, or None."""
@@ -44,14 +50,13 @@
                 return failure
         return None
 
-    def apply_client_limits(self, limits: ClientLimits, max_descriptors: int) -> None:
-        """Apply the limits of a configuration to client connections; `max_descriptors` is the process limit."""
+    def apply_client_limits(self, limits: ClientLimits) -> None:
+        """Apply the limits of a configuration to client connections."""
         self.front.apply_limits(
             HttpLimits(
                 max_header_bytes=max(MIN_PARSER_HEADER_BYTES, limits.max_header_bytes),
                 header_timeout_s=limits.header_timeout_ms / 1000,
                 idle_timeout_s=limits.idle_timeout_ms / 1000,
-                max_connections=round(max_descriptors * CLIENT_SHARE_OF_DESCRIPTORS),
             )
         )
 
--- a/canvasbeam/runtime/http_connection.py
+++ b/canvasbeam/runtime/http_connection.py
@@ -18,28 +18,49 @@
 import asyncio
 import socket
 import struct
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from enum import Enum
 
 import h11
 import logbook
-from hypercorn.asyncio.tcp_server import MAX_RECV, TCPServer
+from hypercorn.asyncio.tcp_server import TCPServer
 from hypercorn.asyncio.worker_context import WorkerContext
 from hypercorn.config import Config
 from hypercorn.events import Closed, Event, RawData, Updated
 from hypercorn.protocol.h11 import H11Protocol
 from hypercorn.typing import AppWrapper, ConnectionState
 
-from canvasbeam.runtime.app_tasks import AppTaskGroup
-
-FLUSH_BYTES = 65536  # buffered output bytes of a connection that cause an immediate write
-MAX_READ_AHEAD_BYTES = 65536  # limit on the bytes of pipelined requests that are buffered for a connection
+from canvasbeam.runtime.app_tasks import MAX_QUEUED_MESSAGES, AppTaskGroup
+from canvasbeam.runtime.listeners import CONNECTION_KERNEL_BYTES
+from canvasbeam.runtime.process_budget import KIBIBYTE, UNLIMITED, ConnectionSlot, ProcessBudget, Stage
+
+READ_BUFFER_BYTES = 16 * KIBIBYTE  # a connection stops reading once it holds twice as many unread bytes
+READ_BYTES = 32 * KIBIBYTE  # limit on the bytes of one read from the kernel
+FLUSH_BYTES = 16 * KIBIBYTE  # buffered output bytes of a connection that cause an immediate write
+WRITE_BUFFER_BYTES = 16 * KIBIBYTE  # unsent bytes above which a writer waits for the peer
+MAX_READ_AHEAD_BYTES = 16 * KIBIBYTE  # limit on the bytes of pipelined requests that are buffered for a connection
+OBJECTS_BYTES = 16 * KIBIBYTE  # the Python objects of an open connection
+CONNECTION_BYTES = CONNECTION_KERNEL_BYTES + OBJECTS_BYTES  # what an idle connection may hold
+HEAD_ALLOWANCE_BYTES = 16 * KIBIBYTE  # of a request's head in the parser; a longer head is reserved as it grows
+SEND_ALLOWANCE_BYTES = FLUSH_BYTES + 2 * WRITE_BUFFER_BYTES
+# What a connection may hold in addition from the first byte of a request to the end of its response: the bytes read,
+# and then either the head and a queued part of the body, or the bytes read ahead and those not sent yet.
+REQUEST_BYTES = (
+    2 * READ_BUFFER_BYTES
+    + READ_BYTES
+    + max(HEAD_ALLOWANCE_BYTES + (1 + MAX_QUEUED_MESSAGES) * READ_BYTES, READ_BYTES + SEND_ALLOWANCE_BYTES)
+)
+HEAD_COPIES = 2  # of a head: in the parser, and as the list of its headers
+SEND_COPIES = 2  # of a part of a response: as it was given, and in the buffer of the transport
+CLOSE_TIMEOUT_S = 3.0  # a peer that takes nothing of the last response for so long is disconnected
 NO_REQUEST_LIMIT = 1 << 62  # responses on a connection before a response carries `Connection: close`
 # Key in the state of an ASGI scope. The value is the time on the event loop's clock, in seconds, at which the
 # connection was opened or its previous response was complete. A client that does not pipeline sent the request after
 # this time.
 IDLE_SINCE = "at_rest_since"
+CONNECTION_MEMORY = "memory"  # key of the connection's `MemoryReservation` in the state of an ASGI scope
 RESET_AT_CLOSE = struct.pack("ii", 1, 0)  # value of SO_LINGER with which closing the socket resets the connection
 
 log = logbook.Logger("http")
@@ -60,7 +81,7 @@
     max_header_bytes: int = 16384
     header_timeout_s: float = 3.0
     idle_timeout_s: float = 15.0
-    max_connections: int = 2048
+    max_connections: int = UNLIMITED
 
 
 class _ClientDisconnectedError(Exception):
@@ -109,6 +130,7 @@
     config: Config
     context: WorkerContext
     limits: HttpLimits
+    budget: ProcessBudget
 
 
 class ClientConnection(TCPServer):
@@ -126,6 +148,38 @@
         self._read_ahead_bytes = bytearray()
         self._is_flush_scheduled = False
         self._activity = Activity.IDLE
+        self._has_asked = False
+        self._head_bytes = 0  # bytes read of the head of a request
+        self._slot = ConnectionSlot(settings.budget, self)
+        self._request_memory = self._slot.memory.part()
+        self._send_memory = self._slot.memory.part()
+        self._state[CONNECTION_MEMORY] = self._slot.memory
+        self._closing: asyncio.TimerHandle | None = None
+        self.active_at_s = time.monotonic()
+        writer.transport.max_size = READ_BYTES  # type: ignore[attr-defined]
+        writer.transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+
+    @property
+    def stage(self) -> Stage:
+        """What the connection waits for, for the budget of the process."""
+        if self._unsent_bytes() > 0:
+            return Stage.WRITING
+        if self._activity is Activity.IDLE:
+            return Stage.IDLE if self._has_asked else Stage.SILENT
+        return Stage.BUSY if self._has_whole_request() else Stage.READING
+
+    def take_slot(self) -> bool:
+        """Take a place in the budget of the process; return False if the connection must be closed."""
+        return self._slot.take(CONNECTION_BYTES)
+
+    def give_back_slot(self) -> None:
+        """Give the place in the budget back; called once the connection is closed."""
+        self._slot.give_back()
+
+    def evict(self) -> None:
+        """Close the connection at once to make room for another one."""
+        self._slot.memory.close()
+        self.abort()
 
     @property
     def is_idle(self) -> bool:
@@ -162,11 +216,14 @@
         finally:
             self._stop_timer()
             await self._close()
+            if self._closing is not None:
+                self._closing.cancel()
 
     def close_gracefully(self) -> None:
-        """Send the buffered output, then close the connection."""
+        """Send the buffered output, then close the connection, at the latest after `CLOSE_TIMEOUT_S`."""
         self._flush()
         self.writer.close()
+        self._limit_close()
 
     def abort(self) -> None:
         """Close the connection immediately and discard its unsent output."""
@@ -182,6 +239,7 @@
             if event.idle:
                 self._become_idle()
             else:
+                self._has_asked = True
                 self._enter(Activity.BUSY, timeout_s=None)
 
     async def _read_data(self) -> None:
@@ -192,18 +250,32 @@
                 break
             if self.writer.is_closing():
                 break
-            if self.is_idle and data:
-                self._enter(Activity.READING_HEAD, self._settings.limits.header_timeout_s)
+            if not self._reserve_for(data):
+                self.abort()
+                break
             try:
                 await self.protocol.handle(RawData(data))
             except _ClientDisconnectedError:
                 break
         await self.protocol.handle(Closed())
 
+    def _reserve_for(self, data: bytes) -> bool:
+        """Enter the state of a connection that has read `data`; return False if there is no memory for the request."""
+        self.active_at_s = time.monotonic()
+        if self.is_idle and data:
+            if not self._request_memory.grow(REQUEST_BYTES):
+                return False
+            self._enter(Activity.READING_HEAD, self._settings.limits.header_timeout_s)
+        if self._activity is not Activity.READING_HEAD:
+            return True
+        former = max(self._head_bytes, HEAD_ALLOWANCE_BYTES)
+        self._head_bytes += len(data)
+        return self._request_memory.grow(HEAD_COPIES * max(0, self._head_bytes - former))
+
     async def _next_bytes(self) -> bytes:
         """Return the bytes that were read ahead, if any, or else the next bytes read from the connection."""
         if not self._read_ahead_bytes:
-            return await self.reader.read(MAX_RECV)
+            return await self.reader.read(READ_BYTES)
         data, self._read_ahead_bytes = bytes(self._read_ahead_bytes), bytearray()
         return data
 
@@ -211,7 +283,7 @@
         """Buffer up to `MAX_READ_AHEAD_BYTES` of pipelined requests; return True if the client disconnects."""
         while len(self._read_ahead_bytes) < MAX_READ_AHEAD_BYTES:
             try:
-                data = await self.reader.read(MAX_RECV)
+                data = await self.reader.read(READ_BYTES)
             except OSError:
                 return True
             if not data:
@@ -221,6 +293,11 @@
 
     async def _send_bytes(self, data: bytes) -> None:
         """Buffer the output of one event-loop iteration, so that a short response needs one system call."""
+        excess = SEND_COPIES * (self._unsent_bytes() + len(data)) - SEND_ALLOWANCE_BYTES
+        if excess > 0 and not self._send_memory.grow(max(0, excess - self._send_memory.reserved_bytes)):
+            self.abort()
+            await self.protocol.handle(Closed())
+            return
         self._unsent += data
         if len(self._unsent) >= FLUSH_BYTES:
             self._flush()
@@ -228,9 +305,32 @@
             self._is_flush_scheduled = True
             self.loop.call_soon(self._flush)
         try:
-            await self.writer.drain()
+            await self._drain()
         except (ConnectionError, RuntimeError):
             await self.protocol.handle(Closed())
+        self._send_memory.release()
+
+    async def _drain(self) -> None:
+        """Wait while too many bytes are unsent; abort the connection if the client takes none of them for too long."""
+        transport = self.writer.transport
+        while (unsent := transport.get_write_buffer_size()) > WRITE_BUFFER_BYTES:
+            try:
+                async with asyncio.timeout(self._settings.limits.idle_timeout_s):
+                    await self.writer.drain()
+            except TimeoutError:
+                if transport.get_write_buffer_size() >= unsent:
+                    log.info("connection closed reason=the client does not read")
+                    self.abort()
+        await self.writer.drain()
+        self.active_at_s = time.monotonic()
+
+    def _unsent_bytes(self) -> int:
+        return len(self._unsent) + self.writer.transport.get_write_buffer_size()
+
+    def _has_whole_request(self) -> bool:
+        """Return True if the current request was read completely."""
+        connection = self.protocol.connection if isinstance(self.protocol, H11Protocol) else None
+        return connection is not None and connection.their_state not in (h11.IDLE, h11.SEND_BODY)
 
     def _flush(self) -> None:
         self._is_flush_scheduled = False
@@ -238,8 +338,14 @@
             data, self._unsent = self._unsent, bytearray()
             self.writer.write(data)
 
+    def _limit_close(self) -> None:
+        """Abort the connection if the client does not take the buffered output in time."""
+        if self._closing is None and self._unsent_bytes() > 0:
+            self._closing = self.loop.call_later(CLOSE_TIMEOUT_S, self.abort)
+
     async def _close(self) -> None:
         self._flush()
+        self._limit_close()
         if self._has_unterminated_http10_response():
             self._reset()
         await super()._close()
@@ -262,6 +368,8 @@
 
     def _become_idle(self) -> None:
         self._state[IDLE_SINCE] = self.loop.time()
+        self._head_bytes = 0
+        self._request_memory.release()
         self._enter(Activity.IDLE, self._settings.limits.idle_timeout_s)
 
     def _enter(self, activity: Activity, timeout_s: float | None) -> None:
--- a/canvasbeam/runtime/http_server.py
+++ b/canvasbeam/runtime/http_server.py
@@ -22,17 +22,32 @@
 
 from canvasbeam.errors import Failure, ResultCode
 from canvasbeam.runtime.http_connection import (
+    CONNECTION_MEMORY,
     IDLE_SINCE,
+    READ_BUFFER_BYTES,
     ClientConnection,
     ConnectionSettings,
     HttpLimits,
     hypercorn_config,
 )
 from canvasbeam.runtime.listeners import LISTEN_BACKLOG, open_listener
+from canvasbeam.runtime.process_budget import MemoryReservation, ProcessBudget
 from canvasbeam.runtime.settings import Address
 
-__all__ = ["IDLE_SINCE", "App", "HttpLimits", "HttpServer", "Message", "Receive", "Scope", "Send"]
-
+__all__ = [
+    "CONNECTION_MEMORY",
+    "IDLE_SINCE",
+    "App",
+    "HttpLimits",
+    "HttpServer",
+    "Message",
+    "Receive",
+    "Scope",
+    "Send",
+    "connection_memory",
+]
+
+ACCEPT_BATCH = 32  # connections that are accepted before the event loop handles others
 CLOSE_AFTER_EACH_RESPONSE = 0  # a `keep_alive_max_requests` with which every response carries `Connection: close`
 
 # Types of the ASGI specification; the mappings have values of several types.
@@ -58,7 +73,11 @@
         address: Address,
         limits: HttpLimits | None = None,
         listener: socket.socket | None = None,
+        *,
+        budget: ProcessBudget | None = None,
+        backlog: int = LISTEN_BACKLOG,
     ) -> None:
+        self._backlog = backlog
         self._address = address
         self._listener = listener
         self._settings = ConnectionSettings(
@@ -66,6 +85,7 @@
             config=hypercorn_config(),
             context=WorkerContext(None),
             limits=limits or HttpLimits(),
+            budget=budget or ProcessBudget.unlimited(),
         )
         self._server: asyncio.Server | None = None
         self._connections: set[ClientConnection] = set()
@@ -107,7 +127,11 @@
         """
         try:
             listener = self._listener or open_listener(self._address)
-            self._server = await asyncio.start_server(self._serve, sock=listener, backlog=LISTEN_BACKLOG)
+            # asyncio accepts as many connections at once as it is given as the backlog, so the backlog is set again.
+            self._server = await asyncio.start_server(
+                self._serve, sock=listener, backlog=ACCEPT_BATCH, limit=READ_BUFFER_BYTES
+            )
+            listener.listen(self._backlog)
         except OSError as error:
             return Failure(ResultCode.ADDRESS_IN_USE, f"{self._address}: {error}")
         return None
@@ -151,10 +175,10 @@
         await self._all_closed.wait()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        if len(self._connections) >= self.limits.max_connections:
+        connection = ClientConnection(self._settings, reader, writer)
+        if len(self._connections) >= self.limits.max_connections or not connection.take_slot():
             writer.transport.abort()
             return
-        connection = ClientConnection(self._settings, reader, writer)
         self._connections.add(connection)
         self._all_closed.clear()
         try:
@@ -163,6 +187,13 @@
             log.exception("connection closed reason=unhandled exception")
             writer.transport.abort()
         finally:
+            connection.give_back_slot()
             self._connections.discard(connection)
             if not self._connections:
                 self._all_closed.set()
+
+
+def connection_memory(scope: Scope) -> MemoryReservation:
+    """Return the memory reservation of the connection of a request; one without a limit outside an `HttpServer`."""
+    memory = scope.get("state", {}).get(CONNECTION_MEMORY)
+    return memory if isinstance(memory, MemoryReservation) else MemoryReservation(ProcessBudget.unlimited())
--- a/canvasbeam/runtime/listeners.py
+++ b/canvasbeam/runtime/listeners.py
@@ -12,7 +12,12 @@
 from canvasbeam.errors import Failure
 from canvasbeam.runtime.settings import Address, load_settings, settings_path
 
-LISTEN_BACKLOG = 1024
+LISTEN_BACKLOG = 256  # connections that wait to be accepted, each with up to `CONNECTION_KERNEL_BYTES` received
+# Kernel buffers of an accepted connection. The kernel doubles these sizes for its own bookkeeping, and without them it
+# lets each buffer grow to several megabytes if this process or the peer does not read.
+RECEIVE_BUFFER_BYTES = 16384
+SEND_BUFFER_BYTES = 16384
+CONNECTION_KERNEL_BYTES = 2 * (RECEIVE_BUFFER_BYTES + SEND_BUFFER_BYTES)
 
 Listeners = Mapping[str, socket.socket]
 
@@ -22,6 +27,8 @@
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         listener.setblocking(False)
         listener.bind((address.host, address.port))
         listener.listen(LISTEN_BACKLOG)
--- a/tests/data_plane/test_data_plane_ingress.py
+++ b/tests/data_plane/test_data_plane_ingress.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from canvasbeam.data_plane.memory_budget import REQUEST_OVERHEAD_BYTES
+from canvasbeam.data_plane.ingress import REQUEST_BYTES
+from canvasbeam.runtime import http_connection
 from tests.data_plane.test_data_plane_requests import run
 from tests.support.data_plane_harness import HOST, DataPlaneUnderTest, ScriptedWorker, WorkerTurn, request_bytes
 
@@ -200,10 +201,12 @@
     worker = ScriptedWorker("w1", default=work)
 
     async def body(data_plane: DataPlaneUnderTest) -> None:
-        data_plane.memory._limit_bytes = REQUEST_OVERHEAD_BYTES * 2 - 1
         first = await data_plane.client()
         await first.send(request_bytes("/unsafe/x", "id-1", "hello"))
         await began.wait()
+        connection_bytes = http_connection.CONNECTION_BYTES + http_connection.REQUEST_BYTES
+        held = data_plane.budget.reserved_bytes
+        data_plane.budget._memory_bytes = held + connection_bytes + REQUEST_BYTES - 1
         for chunked in (False, True):
             second = await data_plane.client()
             if chunked:
@@ -222,7 +225,7 @@
         first.close()
         while data_plane.server.connection_count:
             await asyncio.sleep(0)
-        assert data_plane.memory.reserved_bytes == 0
+        assert data_plane.budget.reserved_bytes == 0
 
     run(body, worker)
 
--- a/tests/data_plane/test_early_answers.py
+++ b/tests/data_plane/test_early_answers.py
@@ -9,6 +9,7 @@
 import pytest
 
 from canvasbeam.data_plane import ingress
+from canvasbeam.runtime import http_connection
 from tests.data_plane.test_data_plane_requests import run
 from tests.support.data_plane_harness import DataPlaneUnderTest, ScriptedWorker, WorkerTurn, event, request_bytes
 
@@ -89,7 +90,7 @@
 
 def run_early(body: Callable[[DataPlaneUnderTest], Awaitable[None]], worker: ScriptedWorker) -> None:
     async def main(data_plane: DataPlaneUnderTest) -> None:
-        data_plane.memory._limit_bytes = 64 << 20
+        data_plane.budget._memory_bytes = 128 << 20
         data_plane.configure(max_body_bytes=32 << 20)
         await body(data_plane)
 
@@ -176,7 +177,7 @@
         if case == "two lengths":
             head.append("Transfer-Encoding: chunked")
         if case == "memory":
-            data_plane.memory._limit_bytes = 10
+            data_plane.budget._memory_bytes = http_connection.CONNECTION_BYTES + http_connection.REQUEST_BYTES
         client = await data_plane.client()
         await client.send("\r\n".join(head) + "\r\n\r\n")
         status, headers = await client.head()
--- a/tests/data_plane/test_guarantees.py
+++ b/tests/data_plane/test_guarantees.py
@@ -135,7 +135,7 @@
     headers += [(b"host", HOST.encode()), (b"x-request-id", b"id-1")]
     scope = {"headers": headers, "method": "POST", "raw_path": b"/a/x", "query_string": b""}
     found = configuration.routes[0]
-    handler = ingress.Ingress(None, None, None, None, random.Random(1))  # type: ignore[arg-type]
+    handler = ingress.Ingress(None, None, None, random.Random(1))  # type: ignore[arg-type]
     return handler._make_request(scope, b"", found, ClientAnswer(None, None), now_ns)  # type: ignore[arg-type]
 
 
--- a/tests/golden/test_golden_http.py
+++ b/tests/golden/test_golden_http.py
@@ -28,6 +28,7 @@
 from canvasbeam.errors import Failure, ResultCode
 from canvasbeam.item_table.items import Item, ItemTable
 from canvasbeam.replication.removal import Removal
+from canvasbeam.runtime import http_connection
 from canvasbeam.runtime.http_server import App, HttpLimits, HttpServer, Receive, Scope, Send
 from canvasbeam.runtime.settings import Address, Bounds, ProcessSettings
 from canvasbeam.scheduler import http_responses
@@ -370,10 +371,10 @@
         plane.configure(max_header_bytes=200)
         await ask("a large head", client_request("/safe/a", "X-Long: " + "x" * 300))
         plane.configure()
-        held = plane.memory._limit_bytes - plane.memory.reserved_bytes
-        assert plane.memory.reserve(held)
+        allowed = plane.budget._memory_bytes
+        plane.budget._memory_bytes = http_connection.CONNECTION_BYTES + http_connection.REQUEST_BYTES
         await ask("no memory", client_request("/safe/a", body="hello"))
-        plane.memory.release(held)
+        plane.budget._memory_bytes = allowed
         plane.shutdown.deadline_ns = lambda request: None  # type: ignore[method-assign]
         await ask("a node that ends", client_request("/safe/a"))
         plane.view.current = None
--- a/tests/support/data_plane_harness.py
+++ b/tests/support/data_plane_harness.py
@@ -16,7 +16,6 @@
 from canvasbeam.data_plane.dispatcher_settings import dispatcher_settings
 from canvasbeam.data_plane.endpoint_list import EndpointList
 from canvasbeam.data_plane.ingress import Ingress
-from canvasbeam.data_plane.memory_budget import MemoryBudget
 from canvasbeam.data_plane.request_classes import RequestClasses
 from canvasbeam.data_plane.router import RequestRouter
 from canvasbeam.data_plane.routes import Configuration
@@ -27,6 +26,7 @@
 from canvasbeam.item_table.configuration_document import document_of
 from canvasbeam.item_table.items import Item, ItemKind, ItemTable, Version
 from canvasbeam.runtime.http_server import HttpLimits, HttpServer
+from canvasbeam.runtime.process_budget import MEBIBYTE, ProcessBudget
 from canvasbeam.runtime.settings import Address, ProcessSettings
 
 HOST = "a.example"
@@ -304,16 +304,15 @@
         self.endpoint_list = EndpointList(
             self.table, self.view, self.router, self.connections, regions=self.settings.zones, live_nodes=1
         )
-        self.memory = MemoryBudget(1 << 20)
+        self.budget = ProcessBudget(16 * MEBIBYTE, 64)
         ingress = Ingress(
             self.view,
             self.router,
             self.shutdown,
-            self.memory,
             random.Random(1),
             is_configuration_current=lambda: not self.is_behind,
         )
-        self.server = HttpServer(ingress, Address("127.0.0.1", 0), HttpLimits())
+        self.server = HttpServer(ingress, Address("127.0.0.1", 0), HttpLimits(), budget=self.budget)
         assert await self.server.start() is None
         for worker in self.workers:
             await worker.start()
