Fix: unfinished orders take a control process over its memory

Cause: bodies at the control address had a limit of 48 MiB of their own that counted neither copies nor the objects of a parsed document, connections were counted for each address, and an unfinished body had no end. Change: the servers of a control process use the one budget; a body reserves twice its bytes as they arrive, and an order its document before it is parsed; 408 after 10 s for a body that is not complete.

--- a/canvasbeam/control_plane/program.py
+++ b/canvasbeam/control_plane/program.py
@@ -27,17 +27,20 @@
 from canvasbeam.control_plane.registry import INSTANCES_PREFIX, RegistryService
 from canvasbeam.control_plane.replicated_state import ReplicatedControlState
 from canvasbeam.control_plane.status import status_document
-from canvasbeam.control_plane.web import Endpoint, WebApp
+from canvasbeam.control_plane.web import Endpoint, WebApp, json_bytes
 from canvasbeam.control_plane.worker_storage import WorkerStorage
 from canvasbeam.errors import Failure, ResultCode
 from canvasbeam.runtime import logs
-from canvasbeam.runtime.http_server import HttpLimits, HttpServer
+from canvasbeam.runtime.http_server import HttpServer
 from canvasbeam.runtime.listeners import Listeners
 from canvasbeam.runtime.process import LEAVE_FLUSH_S, run_process, run_until_terminated
+from canvasbeam.runtime.process_budget import ProcessBudget
 from canvasbeam.runtime.settings import ProcessSettings
 
 MAX_IGNORED_BODY_BYTES = 4096  # body limit of requests whose body is ignored
-RESERVED_DESCRIPTORS = 400  # file descriptors reserved for files and connections other than those of HTTP clients
+# Memory of a control process without any caller: its libraries, a large control state, and the kernel's buffers of the
+# connections that wait to be accepted.
+OWN_MEMORY_MB = 72
 DRAIN_S = 1.0
 RESIGN_S = 2.0
 LEAVE_MARGIN_S = 3.0  # part of `grace_s` reserved after the leave: `RESIGN_S`, and one second before SIGKILL
@@ -52,7 +55,8 @@
 
     def __init__(self, settings: ProcessSettings, listeners: Listeners | None = None) -> None:
         self._settings = settings
-        self._node = ClusterNode(settings, is_control=True)
+        self._budget = ProcessBudget.of(settings.limits, OWN_MEMORY_MB)
+        self._node = ClusterNode(settings, is_control=True, budget=self._budget)
         self._service = ReplicatedControlState(
             settings, self._node.transport, apply, encode_state, decode_state, apply_checked=apply_checked
         )
@@ -72,11 +76,9 @@
         self._tasks = OwnedTasks()
 
     def _make_servers(self, settings: ProcessSettings, listeners: Listeners) -> list[HttpServer]:
-        connections = max(64, (settings.limits.max_fds - RESERVED_DESCRIPTORS) // 2)
-        limits = HttpLimits(max_connections=connections)
         endpoints = {"control": self._control_endpoints(), "directory": self._directory_endpoints()}
         return [
-            HttpServer(WebApp(endpoints[name]), settings.listen[name], limits, listeners.get(name))
+            HttpServer(WebApp(endpoints[name]), settings.listen[name], None, listeners.get(name), budget=self._budget)
             for name in endpoints
             if name in settings.listen
         ]
@@ -90,7 +92,13 @@
                 registry.max_body_bytes,
                 too_large=ResultCode.REGISTRATION_TOO_LARGE,
             ),
-            Endpoint(CONFIGURATION_PATH, operator.configuration, operator.max_body_bytes, needs_caller=True),
+            Endpoint(
+                CONFIGURATION_PATH,
+                operator.configuration,
+                operator.max_body_bytes,
+                needs_caller=True,
+                document_bytes=json_bytes,
+            ),
             Endpoint(EVACUATION_PREFIX, operator.evacuation, _ignored_body_limit, needs_caller=True),
             Endpoint(REMOVAL_PREFIX, operator.removal, _ignored_body_limit, needs_caller=True),
             Endpoint(STATUS_PATH, operator.status, _ignored_body_limit),
--- a/canvasbeam/control_plane/web.py
+++ b/canvasbeam/control_plane/web.py
@@ -1,9 +1,9 @@
 """Serve HTTP in a control process: typed requests and answers over ASGI, and routing by path prefix.
 
-Owns the bodies of the requests that are being read or handled, and limits their total size. An endpoint may require
-that a request has an effect only while the caller waits for the answer. Callers time out and retry at another node; a
-request that was delayed in the network or in a stalled process then arrives together with the end of its connection.
-Such a delayed request is dropped (`CallerWatch`).
+The memory of the bodies, and of the documents in them, is reserved from the budget of the process. An endpoint may
+require that a request has an effect only while the caller waits for the answer. Callers time out and retry at another
+node; a request that was delayed in the network or in a stalled process then arrives together with the end of its
+connection. Such a delayed request is dropped (`CallerWatch`).
 """
 
 from __future__ import annotations
@@ -16,13 +16,22 @@
 
 from canvasbeam.control_plane.json_documents import JsonValue
 from canvasbeam.errors import Failure, ResultCode
-from canvasbeam.runtime.http_server import IDLE_SINCE, Message, Receive, Scope, Send
+from canvasbeam.runtime.http_server import IDLE_SINCE, Message, Receive, Scope, Send, connection_memory
+from canvasbeam.runtime.process_budget import KIBIBYTE, MemoryReservation
 
 JSON_CONTENT = (b"content-type", b"application/json")
 MAX_DISCARDED_BYTES = 64 << 20  # bytes to discard of an oversized body, so that the sender can read the answer
-MAX_BODIES_BYTES = 48 << 20  # total size of all request bodies that are being read or handled
+BODY_COPIES = 2  # of a body: as it is read, and as it is handled
+REQUEST_BYTES = 32 * KIBIBYTE  # the Python objects of a request and its tasks
+# An upper bound of the memory of a JSON document: of the Python objects for each value, and of the text.
+JSON_VALUE_BYTES = 200
+JSON_TEXT_COPIES = 2
+BODY_WAIT_S = 10.0
 RETRY_AFTER_S = "0.2"
 DISCONNECT_WAIT_S = 0.02  # seconds; a delayed request and the end of its connection arrive within this time
+OVERLOADED = Failure(ResultCode.OVERLOADED, "too many requests are held in memory")
+INCOMPLETE = Failure(ResultCode.REQUEST_INCOMPLETE, "the body did not come in time")
+CLOSE = (b"connection", b"close")
 EXTRA_LOOP_ITERATIONS = 10  # more iterations than pass between the end of a connection and `http.disconnect`
 
 
@@ -61,6 +70,13 @@
     max_body_bytes: Callable[[], int]
     needs_caller: bool = False  # whether the request of a disconnected caller is dropped
     too_large: ResultCode = ResultCode.CONFIG_TOO_LARGE  # code of the 413 answer to an oversized body
+    document_bytes: Callable[[bytes], int] = lambda body: 0  # memory that the handler needs for the body
+
+
+def json_bytes(body: bytes) -> int:
+    """Return an upper bound of the memory that a JSON document needs when it is parsed, in bytes."""
+    values = sum(body.count(mark) for mark in (b"[", b"{", b",", b":"))
+    return JSON_TEXT_COPIES * len(body) + JSON_VALUE_BYTES * values
 
 
 def json_answer(status: int, document: JsonValue, headers: Sequence[tuple[bytes, bytes]] = ()) -> Answer:
@@ -82,7 +98,7 @@
 
 def retry_on_new_connection(failure: Failure) -> Answer:
     """Return a 503 answer that closes the connection: the caller should retry on a new connection."""
-    return failure_answer(503, failure, ((b"retry-after", RETRY_AFTER_S.encode()), (b"connection", b"close")))
+    return failure_answer(503, failure, ((b"retry-after", RETRY_AFTER_S.encode()), CLOSE))
 
 
 def method_not_allowed(*allowed: str) -> Answer:
@@ -95,7 +111,6 @@
 
     def __init__(self, endpoints: Sequence[Endpoint]) -> None:
         self._endpoints = endpoints
-        self._total_body_bytes = 0
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one request."""
@@ -104,32 +119,58 @@
         if endpoint is None:
             await _send_answer(send, Answer(404))
             return
-        body = _Body(endpoint.max_body_bytes())
+        memory = connection_memory(scope).part()
         try:
-            answer = await self._answer(endpoint, scope, receive, body)
+            answer = await self._answer(endpoint, scope, receive, memory)
         finally:
-            self._total_body_bytes -= body.size
+            memory.close()
         if answer is not None:
             await _send_answer(send, answer)
 
-    async def _answer(self, endpoint: Endpoint, scope: Scope, receive: Receive, body: _Body) -> Answer | None:
+    async def _answer(
+        self, endpoint: Endpoint, scope: Scope, receive: Receive, memory: MemoryReservation
+    ) -> Answer | None:
         """Return the answer to a request, or None if the caller has disconnected."""
-        while not body.is_complete:
-            message = await receive()
-            if message["type"] == "http.disconnect":
-                return None
-            self._total_body_bytes += body.add_chunk(message)
-            if self._total_body_bytes > MAX_BODIES_BYTES:
-                return unavailable(Failure(ResultCode.OVERLOADED, "too many bodies are being read"))
+        if not memory.grow(REQUEST_BYTES):
+            return retry_on_new_connection(OVERLOADED)
+        body = _Body(endpoint.max_body_bytes())
+        try:
+            async with asyncio.timeout(BODY_WAIT_S):
+                if not await _read_body(body, receive, memory):
+                    return None
+        except TimeoutError:
+            return failure_answer(408, INCOMPLETE, (CLOSE,))
+        except _NoMemoryError:
+            return retry_on_new_connection(OVERLOADED)
         if body.is_too_large:
             reason = f"the body exceeds {body.max_bytes} bytes"
             return failure_answer(413, Failure(endpoint.too_large, reason))
+        if not memory.grow(endpoint.document_bytes(body.data())):
+            return retry_on_new_connection(OVERLOADED)
         has_effect = endpoint.needs_caller and scope["method"] != "GET"
         if has_effect and await CallerWatch(receive).has_disconnected():
             return None
         return await endpoint.handler(_request(scope, body.data()))
 
 
+class _NoMemoryError(Exception):
+    """The budget of the process has no memory for the rest of a body."""
+
+
+async def _read_body(body: _Body, receive: Receive, memory: MemoryReservation) -> bool:
+    """Read a whole body; return False if the caller disconnects, and raise `_NoMemoryError` if memory is short."""
+    while not body.is_complete:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            return False
+        growth = BODY_COPIES * body.add_chunk(message)
+        if growth < 0:
+            memory.shrink(-growth)
+        elif not memory.grow(growth):
+            raise _NoMemoryError
+    return True
+
+
 class CallerWatch:
     """Detects whether the caller of a completely read request has disconnected."""
 
@@ -165,7 +206,7 @@
         self.is_too_large = False
         self.is_complete = False
         self._discarded = 0
-        self._chunks: list[bytes] = []
+        self._content = bytearray()
 
     def add_chunk(self, message: Message) -> int:
         """Add the next chunk of the body; return the change of the stored size in bytes, negative on a discard."""
@@ -175,17 +216,17 @@
         if self.is_too_large or self.size + len(chunk) > self.max_bytes:
             self._discard(chunk)
         else:
-            self._chunks.append(chunk)
+            self._content += chunk
             self.size += len(chunk)
         return self.size - former
 
     def data(self) -> bytes:
         """Return the complete body."""
-        return b"".join(self._chunks)
+        return bytes(self._content)
 
     def _discard(self, chunk: bytes) -> None:
         self.is_too_large = True
-        self._chunks.clear()
+        self._content.clear()
         self.size = 0
         self._discarded += len(chunk)
         self.is_complete = self.is_complete or self._discarded > MAX_DISCARDED_BYTES
