Fix: a request that was read ahead is not in the budget of its process

Cause: the memory of a request was reserved at the first byte that is read on an idle connection; a request behind another one in the same bytes has no such moment. Change: a request reserves its memory when it begins, unless its first byte did. Measured: the new test fails on the code before (the second request holds nothing) and passes now.

--- a/canvasbeam/runtime/http_connection.py
+++ b/canvasbeam/runtime/http_connection.py
@@ -241,6 +241,8 @@
             else:
                 self._has_asked = True
                 self._enter(Activity.BUSY, timeout_s=None)
+                if not self._reserve_request():
+                    self.abort()
 
     async def _read_data(self) -> None:
         while self._read_ahead_bytes or not self.reader.at_eof():
@@ -263,7 +265,7 @@
         """Enter the state of a connection that has read `data`; return False if there is no memory for the request."""
         self.active_at_s = time.monotonic()
         if self.is_idle and data:
-            if not self._request_memory.grow(REQUEST_BYTES):
+            if not self._reserve_request():
                 return False
             self._enter(Activity.READING_HEAD, self._settings.limits.header_timeout_s)
         if self._activity is not Activity.READING_HEAD:
@@ -272,6 +274,10 @@
         self._head_bytes += len(data)
         return self._request_memory.grow(HEAD_COPIES * max(0, self._head_bytes - former))
 
+    def _reserve_request(self) -> bool:
+        """Reserve the memory of a request, unless that was done at its first byte; return False if there is none."""
+        return self._request_memory.reserved_bytes > 0 or self._request_memory.grow(REQUEST_BYTES)
+
     async def _next_bytes(self) -> bytes:
         """Return the bytes that were read ahead, if any, or else the next bytes read from the connection."""
         if not self._read_ahead_bytes:
--- a/tests/runtime/test_http_server.py
+++ b/tests/runtime/test_http_server.py
@@ -7,7 +7,9 @@
 from contextlib import asynccontextmanager, suppress
 
 from canvasbeam.errors import Failure
+from canvasbeam.runtime.http_connection import CONNECTION_BYTES, REQUEST_BYTES
 from canvasbeam.runtime.http_server import App, HttpLimits, HttpServer, Receive, Scope, Send
+from canvasbeam.runtime.process_budget import MEBIBYTE, ProcessBudget
 from canvasbeam.runtime.settings import Address
 
 GET = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -31,8 +33,10 @@
 
 
 @asynccontextmanager
-async def serving(app: App, limits: HttpLimits | None = None) -> AsyncIterator[HttpServer]:
-    server = HttpServer(app, Address("127.0.0.1", 0), limits)
+async def serving(
+    app: App, limits: HttpLimits | None = None, budget: ProcessBudget | None = None
+) -> AsyncIterator[HttpServer]:
+    server = HttpServer(app, Address("127.0.0.1", 0), limits, budget=budget)
     assert await server.start() is None
     try:
         yield server
@@ -271,6 +275,29 @@
     run(body)
 
 
+def test_each_of_two_requests_sent_together_reserves_its_memory() -> None:
+    """Guards against requests that were read ahead and that the budget of the process does not know of."""
+
+    async def body() -> None:
+        budget = ProcessBudget(MEBIBYTE, 10)
+        reserved: list[int] = []
+
+        async def app(scope: Scope, receive: Receive, send: Send) -> None:
+            reserved.append(budget.reserved_bytes)
+            await answer_ok(scope, receive, send)
+
+        async with serving(app, budget=budget) as server:
+            reader, writer = await connect(server)
+            writer.write(GET + GET)
+            for _ in range(2):
+                await read_head(reader)
+            writer.close()
+        assert reserved == [CONNECTION_BYTES + REQUEST_BYTES] * 2
+        assert budget.reserved_bytes == 0
+
+    run(body)
+
+
 def test_address_in_use_is_a_failure() -> None:
     async def body() -> None:
         async with serving(answer_ok) as server:
