Fix: messages to a node that does not read them are not in the budget of the process

Cause: each connection between nodes could queue up to 4 MiB of messages for a peer that reads nothing, without a common limit. Change: unsent bytes beyond 32 KiB are reserved; without memory a message is dropped like one over the limit of the queue.

--- a/canvasbeam/cluster/connection.py
+++ b/canvasbeam/cluster/connection.py
@@ -31,6 +31,7 @@
 # What an accepted connection may hold: the kernel's receive buffer as it is before this process has read, a read part
 # with the message in it, and the Python objects.
 CONNECTION_BYTES = 64 * KIBIBYTE + 2 * READ_BYTES + 8 * KIBIBYTE
+QUEUE_ALLOWANCE_BYTES = READ_BYTES  # of unsent messages; what is beyond is reserved
 FRAME_COPIES = 2  # of a message: in the decoder, and as the message that is handled
 
 
@@ -94,6 +95,7 @@
         self._decoder = FrameDecoder()
         self._slot = ConnectionSlot(owner.budget, self)
         self._frame_memory = self._slot.memory.part()
+        self._queue_memory = self._slot.memory.part()
         self.active_at_s = time.monotonic()
 
     @property
@@ -158,12 +160,21 @@
         transport = self.transport
         if transport is None or transport.is_closing():
             return False
-        if transport.get_write_buffer_size() + len(data) > MAX_QUEUE_BYTES:
+        queued_bytes = transport.get_write_buffer_size() + len(data)
+        if queued_bytes > MAX_QUEUE_BYTES or not self._reserve_queue(queued_bytes):
             return False
         self.used_at = self.owner.time()
         transport.write(data)
         return True
 
+    def _reserve_queue(self, queued_bytes: int) -> bool:
+        """Reserve memory for so many unsent bytes; return False if there is none."""
+        missing = queued_bytes - QUEUE_ALLOWANCE_BYTES - self._queue_memory.reserved_bytes
+        if missing > 0:
+            return self._queue_memory.grow(missing)
+        self._queue_memory.shrink(-missing)
+        return True
+
     def close_if_idle(self, since: float) -> None:
         """Close the connection if it was last used before `since`, because its TCP keepalive probes cost bytes."""
         if self.used_at < since and self.transport is not None:
