Tidy: the body of a control request is copied once, and a comment names the right size

Cause: found on rereading: the body was joined once to count its document and once more for the handler, heartbeats included; the comment of the backlog named both kernel buffers where only the received bytes are meant. Change: one copy, kept for both; the comment.

--- a/canvasbeam/control_plane/web.py
+++ b/canvasbeam/control_plane/web.py
@@ -145,12 +145,13 @@
         if body.is_too_large:
             reason = f"the body exceeds {body.max_bytes} bytes"
             return failure_answer(413, Failure(endpoint.too_large, reason))
-        if not memory.grow(endpoint.document_bytes(body.data())):
+        content = body.data()
+        if not memory.grow(endpoint.document_bytes(content)):
             return retry_on_new_connection(OVERLOADED)
         has_effect = endpoint.needs_caller and scope["method"] != "GET"
         if has_effect and await CallerWatch(receive).has_disconnected():
             return None
-        return await endpoint.handler(_request(scope, body.data()))
+        return await endpoint.handler(_request(scope, content))
 
 
 class _NoMemoryError(Exception):
--- a/canvasbeam/runtime/listeners.py
+++ b/canvasbeam/runtime/listeners.py
@@ -12,7 +12,7 @@
 from canvasbeam.errors import Failure
 from canvasbeam.runtime.settings import Address, load_settings, settings_path
 
-LISTEN_BACKLOG = 256  # connections that wait to be accepted, each with up to `CONNECTION_KERNEL_BYTES` received
+LISTEN_BACKLOG = 256  # connections that wait to be accepted, each with up to twice `RECEIVE_BUFFER_BYTES`
 # Kernel buffers of an accepted connection. The kernel doubles these sizes for its own bookkeeping, and without them it
 # lets each buffer grow to several megabytes if this process or the peer does not read.
 RECEIVE_BUFFER_BYTES = 16384
